Move the clients of the table service out of platform/ and name what is routed

Cause: platform/ is to hold the names, formats and calls of the prepared platform and nothing that decides; its breaker, meter and list reader decide. They are now in storage/, unchanged. routing/ holds the typed routes, services, engine figures, client accounts and listed endpoints that platform/ will translate into.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -28,8 +28,8 @@
     WriteClaim,
 )
 from mimosafork.network.http import HttpClient
-from mimosafork.platform.breaker import CircuitBreaker
-from mimosafork.platform.table import TableClient
+from mimosafork.storage.breaker import CircuitBreaker
+from mimosafork.storage.table import TableClient
 
 SECONDS = 5.0
 RATE_PER_S = 200
--- a/src/mimosafork/audit/trail.py
+++ b/src/mimosafork/audit/trail.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from ..platform.errors import PlatformError
-from ..platform.table import ABSENT, Condition, Row, Table, Write, all_rows
+from ..storage.errors import PlatformError
+from ..storage.table import ABSENT, Condition, Row, Table, Write, all_rows
 from .errors import TrailUnavailableError
 
 TABLE = "audit"
--- a/src/mimosafork/claims/adapter.py
+++ b/src/mimosafork/claims/adapter.py
@@ -15,9 +15,9 @@
     WriteClaim,
 )
 from ..network.http import HttpClient
-from ..platform.objects import ObjectClient
-from ..platform.table import Table
 from ..runtime.kernel_task import KernelTask
+from ..storage.objects import ObjectClient
+from ..storage.table import Table
 from ..telemetry.catalogue.claims import (
     CLAIM_TRANSACTIONS,
     CLAIMS,
--- a/src/mimosafork/claims/book.py
+++ b/src/mimosafork/claims/book.py
@@ -20,7 +20,7 @@
     WriteClaim,
 )
 from ..kernel.messages.requests import Outcome
-from ..platform.table import ABSENT, Condition, Conflict, Write
+from ..storage.table import ABSENT, Condition, Conflict, Write
 from .errors import BadClaimRowError
 from .rows import TABLE, ClaimRow, decoded, encoded, expired, row_of
 
--- a/src/mimosafork/claims/keeper.py
+++ b/src/mimosafork/claims/keeper.py
@@ -10,9 +10,9 @@
 from ..kernel.messages.base import Effect, Message
 from ..kernel.messages.claims import AnswerKept, EndClaim, KeepAnswer
 from ..kernel.messages.requests import Outcome
-from ..platform.errors import PlatformError, UnknownResultError
-from ..platform.objects import ObjectClient, PreconditionFailedError
 from ..runtime.task import Task
+from ..storage.errors import PlatformError, UnknownResultError
+from ..storage.objects import ObjectClient, PreconditionFailedError
 from ..telemetry.catalogue.claims import ANSWER_NOT_KEPT
 from ..telemetry.logs import log_event
 from .answers import AnswerCaptured, KeptAnswer, encoded_answer
--- a/src/mimosafork/claims/replayer.py
+++ b/src/mimosafork/claims/replayer.py
@@ -7,10 +7,10 @@
 from ..ids import RequestId
 from ..kernel.messages.base import Effect, Message
 from ..kernel.messages.claims import AnswerReplayed, ReplayAnswer
-from ..platform.errors import PlatformError
-from ..platform.objects import ObjectClient
-from ..platform.table import Table
 from ..runtime.task import Task
+from ..storage.errors import PlatformError
+from ..storage.objects import ObjectClient
+from ..storage.table import Table
 from ..telemetry.catalogue.claims import KEPT_ANSWER_UNREAD
 from ..telemetry.logs import log_event
 from .answers import KeptAnswer, decoded_answer
--- a/src/mimosafork/claims/sweeper.py
+++ b/src/mimosafork/claims/sweeper.py
@@ -5,10 +5,10 @@
 from random import Random
 
 from ..clock import Clock
-from ..platform.errors import PlatformError
-from ..platform.objects import ObjectClient
-from ..platform.table import Condition, Row, Table, Write
 from ..runtime.task import Task
+from ..storage.errors import PlatformError
+from ..storage.objects import ObjectClient
+from ..storage.table import Condition, Row, Table, Write
 from ..telemetry.catalogue.claims import CLAIMS_NOT_SWEPT
 from ..telemetry.logs import log_event
 from .errors import BadClaimRowError
--- a/src/mimosafork/claims/writer.py
+++ b/src/mimosafork/claims/writer.py
@@ -21,9 +21,9 @@
     ReleaseClaim,
     WriteClaim,
 )
-from ..platform.errors import StoreUnavailableError, UnknownResultError
-from ..platform.table import Table
 from ..runtime.task import Task
+from ..storage.errors import StoreUnavailableError, UnknownResultError
+from ..storage.table import Table
 from ..telemetry.catalogue.claims import CLAIMS_IN_DOUBT
 from ..telemetry.catalogue.lifecycle import MESSAGE_UNKNOWN
 from ..telemetry.logs import log_event
--- a/src/mimosafork/cli/exits.py
+++ b/src/mimosafork/cli/exits.py
@@ -10,8 +10,8 @@
     StaleBaseError,
 )
 from ..manifest.errors import ApiKeyError
-from ..platform.errors import StoreUnavailableError, UnknownResultError
 from ..settings.errors import IniError
+from ..storage.errors import StoreUnavailableError, UnknownResultError
 
 
 class ExitCode(IntEnum):
--- a/src/mimosafork/cli/platform.py
+++ b/src/mimosafork/cli/platform.py
@@ -10,10 +10,10 @@
 from ..clock import SystemClock
 from ..ids import InstanceId
 from ..network.http import HttpClient
-from ..platform.breaker import CircuitBreaker
-from ..platform.instances import InstanceListClient
-from ..platform.table import TableClient
 from ..settings.types import split_address
+from ..storage.breaker import CircuitBreaker
+from ..storage.instances import InstanceListClient
+from ..storage.table import TableClient
 
 CLIENT_NAME = InstanceId("command-line")
 ANSWER_TIMEOUT = timedelta(seconds=5)
--- a/src/mimosafork/configuration/apply.py
+++ b/src/mimosafork/configuration/apply.py
@@ -15,9 +15,9 @@
 from ..manifest.canonical import canonical_sections, canonical_text, digest_of
 from ..manifest.changes import Change, changes_between
 from ..manifest.model import Manifest
-from ..platform.errors import PlatformError, StoreUnavailableError, UnknownResultError
-from ..platform.table import ABSENT, Conflict, Table, TransactionResult
 from ..settings.ini import parse_ini
+from ..storage.errors import PlatformError, StoreUnavailableError, UnknownResultError
+from ..storage.table import ABSENT, Conflict, Table, TransactionResult
 from .errors import (
     ApplyUnknownError,
     ConfigurationUnavailableError,
--- a/src/mimosafork/configuration/proposal.py
+++ b/src/mimosafork/configuration/proposal.py
@@ -8,7 +8,7 @@
 from ..manifest.canonical import canonical_text, digest_of
 from ..manifest.changes import Change
 from ..manifest.model import Manifest
-from ..platform.table import ABSENT, Condition, Write
+from ..storage.table import ABSENT, Condition, Write
 from .rows import (
     CURRENT_KEY,
     CURRENT_TABLE,
--- a/src/mimosafork/configuration/rows.py
+++ b/src/mimosafork/configuration/rows.py
@@ -14,7 +14,7 @@
 
 from ..ids import ApplyId, Digest, Revision
 from ..manifest.changes import Change
-from ..platform.table import Row, RowValue
+from ..storage.table import Row, RowValue
 from .errors import ConfigurationUnreadableError
 
 CURRENT_TABLE = "configuration"
--- a/src/mimosafork/configuration/store.py
+++ b/src/mimosafork/configuration/store.py
@@ -6,8 +6,8 @@
 
 from ..ids import Digest, Revision
 from ..manifest.canonical import digest_of
-from ..platform.errors import PlatformError
-from ..platform.table import Table, all_rows
+from ..storage.errors import PlatformError
+from ..storage.table import Table, all_rows
 from .errors import ConfigurationUnavailableError, ConfigurationUnreadableError
 from .rows import (
     CURRENT_KEY,
--- a/src/mimosafork/leases/keeper.py
+++ b/src/mimosafork/leases/keeper.py
@@ -9,8 +9,8 @@
 from ..ids import FencingNumber
 from ..kernel.context import Identity
 from ..kernel.messages.leases import Duty, Lease
-from ..platform.errors import StoreUnavailableError, UnknownResultError
-from ..platform.table import ABSENT, Condition, Conflict, Row, Table, Write
+from ..storage.errors import StoreUnavailableError, UnknownResultError
+from ..storage.table import ABSENT, Condition, Conflict, Row, Table, Write
 from ..telemetry.catalogue.orders import LEASE_RELEASE_UNKNOWN
 from ..telemetry.logs import log_event
 from .row import NOBODY, OWN_VERSION, TABLE, LeaseRow, key_of, read_row
--- a/src/mimosafork/leases/row.py
+++ b/src/mimosafork/leases/row.py
@@ -9,7 +9,7 @@
 from ..ids import AvailabilityZoneId, FencingNumber, Incarnation, InstanceId
 from ..kernel.context import Identity
 from ..kernel.messages.leases import Duty
-from ..platform.table import Row
+from ..storage.table import Row
 
 TABLE = "leases"
 NOBODY = InstanceId("")
--- a/src/mimosafork/orders/budget.py
+++ b/src/mimosafork/orders/budget.py
@@ -6,8 +6,8 @@
 
 from ..clock import Clock
 from ..ids import InstanceId
-from ..platform.errors import StoreUnavailableError, UnknownResultError
-from ..platform.table import ABSENT, Condition, Row, Table, Write
+from ..storage.errors import StoreUnavailableError, UnknownResultError
+from ..storage.table import ABSENT, Condition, Row, Table, Write
 
 TABLE = "budgets"
 KEY = "weight-store"
--- a/src/mimosafork/platform/__init__.py
+++ b/src/mimosafork/platform/__init__.py
@@ -1,5 +1,5 @@
-"""Clients of the platform: table service, object store and instance list.
+"""The prepared platform's names, formats and calls; nothing here decides.
 
-docs/PLATFORM.md says what they speak. Nothing here decides; a circuit breaker
-alone keeps callers from waiting for a service that is down.
+Nothing outside this folder knows the platform's words. docs/GLOSSARY.md maps them to
+the field's terms.
 """
--- a/src/mimosafork/quarantine/task.py
+++ b/src/mimosafork/quarantine/task.py
@@ -18,9 +18,9 @@
     KeptSuspicion,
     SuspicionsRead,
 )
-from ..platform.errors import PlatformError
-from ..platform.table import ABSENT, Condition, Row, Table, Write, all_rows
 from ..runtime.task import Task
+from ..storage.errors import PlatformError
+from ..storage.table import ABSENT, Condition, Row, Table, Write, all_rows
 
 logger = getLogger(__name__)
 
--- /dev/null
+++ b/src/mimosafork/routing/table.py
@@ -0,0 +1,152 @@
+"""The routing table: what a version of the configuration says about traffic."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+from typing import NewType
+
+from ..ids import AccountId, Revision, ServiceId
+from .engine import EngineFigures
+
+RouteName = NewType("RouteName", str)
+ApiKey = NewType("ApiKey", str)
+
+
+class CallKind(Enum):
+    """What may be repeated of a route's calls."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAM = "stream"
+    """A series of events; repeatable only where the route is resumable."""
+
+
+@dataclass(frozen=True, slots=True)
+class Split:
+    """A service's share of a route's traffic."""
+
+    service: ServiceId
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where calls of one host and path prefix go, and how they are treated.
+
+    Attributes
+    ----------
+    timeout : timedelta
+        Longest time that a call is kept waiting.
+    objective : timedelta
+        Within it an answer (a stream's first event) is on time.
+    longest_pause : timedelta or None
+        Between two events of a stream that is on time.
+    priority : int
+        0 is the highest.
+    public : bool
+        Calls need no API key.
+    sized : bool
+        Calls say how many tokens their prompt has.
+    """
+
+    name: RouteName
+    host: str
+    prefix: str
+    kind: CallKind
+    timeout: timedelta
+    objective: timedelta
+    splits: tuple[Split, ...]
+    max_attempts: int = 1
+    priority: int = 5
+    public: bool = False
+    resumable: bool = False
+    sized: bool = False
+    longest_pause: timedelta | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a call may run more than once."""
+        if self.kind is CallKind.STREAM:
+            return self.resumable
+        return self.kind is CallKind.IDEMPOTENT
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A set of like endpoints."""
+
+    name: ServiceId
+    health_path: str
+    max_connections: int
+    engine: EngineFigures | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout: timedelta = timedelta(seconds=3)
+    idle_timeout: timedelta = timedelta(seconds=15)
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """A client account and its API keys; `priority` goes before a route's."""
+
+    name: AccountId
+    keys: tuple[ApiKey, ...]
+    priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """One version of the configuration.
+
+    Attributes
+    ----------
+    has_accounts : bool
+        Calls of routes that aren't public need a key.
+    """
+
+    version: Revision
+    routes: tuple[Route, ...]
+    services: dict[ServiceId, Service]
+    limits: ClientLimits
+    accounts: tuple[Account, ...]
+    has_accounts: bool = True
+    by_host: dict[str, tuple[Route, ...]] = field(init=False, repr=False)
+    by_key: dict[ApiKey, Account] = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        """Build the indexes: a host's routes, longest prefix first, and the keys."""
+        hosts: dict[str, list[Route]] = {}
+        for route in self.routes:
+            hosts.setdefault(route.host, []).append(route)
+        ranked = {
+            host: tuple(sorted(routes, key=lambda route: -len(route.prefix)))
+            for host, routes in hosts.items()
+        }
+        keys = {key: account for account in self.accounts for key in account.keys}
+        object.__setattr__(self, "by_host", ranked)
+        object.__setattr__(self, "by_key", keys)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path.
+
+        Parameters
+        ----------
+        host : str
+            As the caller gave it, without a port, in lower case.
+        path : str
+            Without its query.
+        """
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def account_of(self, key: ApiKey) -> Account | None:
+        """Return the account that holds a key."""
+        return self.by_key.get(key)
--- a/src/mimosafork/runtime/configuration_adapter.py
+++ b/src/mimosafork/runtime/configuration_adapter.py
@@ -13,8 +13,8 @@
 from ..configuration.store import ConfigurationStore
 from ..ids import Revision
 from ..peers.frames import ConfigurationText
-from ..platform.table import Table
 from ..settings.model import PlatformSection
+from ..storage.table import Table
 from ..telemetry.catalogue.configuration import CONFIGURATION_REVISION
 from ..telemetry.metrics import Metrics, Reading
 from .kernel_task import KernelTask
--- a/src/mimosafork/runtime/duties_adapter.py
+++ b/src/mimosafork/runtime/duties_adapter.py
@@ -16,9 +16,9 @@
 from ..orders.budget import WeightBudget
 from ..orders.sender import OrderSender
 from ..orders.task import OrderTask
-from ..platform.table import Table
 from ..quarantine.task import SuspicionTask
 from ..recovery.task import CleaningTask
+from ..storage.table import Table
 from .kernel_task import KernelTask
 
 
--- a/src/mimosafork/runtime/fleet_adapter.py
+++ b/src/mimosafork/runtime/fleet_adapter.py
@@ -4,8 +4,8 @@
 
 from ..clock import Clock
 from ..network.http import HttpClient
-from ..platform.instances import InstanceListClient, InstanceListPoller
 from ..settings.model import InstanceSettings
+from ..storage.instances import InstanceListClient, InstanceListPoller
 from .kernel_task import KernelTask
 
 
--- a/src/mimosafork/runtime/instance.py
+++ b/src/mimosafork/runtime/instance.py
@@ -14,10 +14,6 @@
 from ..kernel.messages.requests import ProblemCode
 from ..kernel.registry import create
 from ..network.http import HttpClient
-from ..platform.breaker import CircuitBreaker
-from ..platform.meter import StoreMeter
-from ..platform.objects import ObjectClient
-from ..platform.table import TableClient
 from ..policies import DEFAULT_PLUGINS
 from ..relay.limits import RelayLimits
 from ..relay.task import RelayTask
@@ -27,6 +23,10 @@
 from ..server.ops import OpsPages, make_ops_app
 from ..server.serving import HttpServer
 from ..settings.model import InstanceSettings
+from ..storage.breaker import CircuitBreaker
+from ..storage.meter import StoreMeter
+from ..storage.objects import ObjectClient
+from ..storage.table import TableClient
 from ..telemetry.catalogue.requests import REJECTIONS
 from ..telemetry.metrics import Metrics
 from .adapters import Adapter
--- a/src/mimosafork/runtime/own_listing.py
+++ b/src/mimosafork/runtime/own_listing.py
@@ -6,9 +6,9 @@
 
 from ..clock import Clock
 from ..kernel.messages.fleet import EntryInstance, LifeState
-from ..platform.errors import PlatformError
-from ..platform.instances import InstanceListClient
 from ..runtime.task import Task
+from ..storage.errors import PlatformError
+from ..storage.instances import InstanceListClient
 
 logger = getLogger(__name__)
 
--- a/src/mimosafork/runtime/peers_adapter.py
+++ b/src/mimosafork/runtime/peers_adapter.py
@@ -13,8 +13,8 @@
 from ..peers.exchanger import PeerIdentity
 from ..peers.frames import ConfigurationText
 from ..peers.task import HoldConfiguration, PeersTask
-from ..platform.instances import InstanceListClient
 from ..settings.model import InstanceSettings
+from ..storage.instances import InstanceListClient
 from ..telemetry.catalogue.peers import PEER_TRAFFIC
 from ..telemetry.metrics import Metrics, Reading
 from .kernel_task import KernelTask
--- a/tests/functional/test_configuration_history.py
+++ b/tests/functional/test_configuration_history.py
@@ -24,10 +24,10 @@
 from mimosafork.configuration.store import ConfigurationStore
 from mimosafork.ids import ApplyId, InstanceId, Revision
 from mimosafork.network.http import HttpClient
-from mimosafork.platform.breaker import CircuitBreaker
-from mimosafork.platform.table import TableClient
 from mimosafork.standins import TableStandin
 from mimosafork.standins.faults import Latency, LoseAnswers, Outage, StaleReads
+from mimosafork.storage.breaker import CircuitBreaker
+from mimosafork.storage.table import TableClient
 
 from ..support.functions import function_tests
 from ..support.manifests import manifest_with
--- a/tests/support/claim_world.py
+++ b/tests/support/claim_world.py
@@ -55,7 +55,7 @@
     WakeAt,
 )
 from mimosafork.kernel.plugins import RetryPolicy
-from mimosafork.platform.errors import PlatformError
+from mimosafork.storage.errors import PlatformError
 from tests.support.claims import claim_plugins
 from tests.support.fake_table import FakeTable
 from tests.support.kernels import (
--- a/tests/support/fake_table.py
+++ b/tests/support/fake_table.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from mimosafork.platform.errors import StoreUnavailableError, UnknownResultError
-from mimosafork.platform.table import (
+from mimosafork.storage.errors import StoreUnavailableError, UnknownResultError
+from mimosafork.storage.table import (
     ABSENT,
     PAGE,
     Condition,
@@ -39,7 +39,7 @@
 
 
 class FakeTable:
-    """Fills the port `mimosafork.platform.table.Table`.
+    """Fills the port `mimosafork.storage.table.Table`.
 
     Attributes
     ----------
--- a/tests/unit/claims/test_kept_answers.py
+++ b/tests/unit/claims/test_kept_answers.py
@@ -41,18 +41,18 @@
     ReplayAnswer,
     StreamPlace,
 )
-from mimosafork.platform.errors import StoreUnavailableError, UnknownResultError
-from mimosafork.platform.objects import (
-    ObjectClient,
-    PreconditionFailedError,
-    StoredObject,
-)
-from mimosafork.platform.table import Condition, Write
 from mimosafork.relay.answers import WholeAnswer
 from mimosafork.relay.capture import AnswerCapture
 from mimosafork.relay.events import StreamEvent
 from mimosafork.relay.replay import replay
 from mimosafork.relay.shapes import CompletionShape
+from mimosafork.storage.errors import StoreUnavailableError, UnknownResultError
+from mimosafork.storage.objects import (
+    ObjectClient,
+    PreconditionFailedError,
+    StoredObject,
+)
+from mimosafork.storage.table import Condition, Write
 from tests.support.claims import other_claim
 from tests.support.fake_table import FakeTable
 from tests.support.functions import function_tests
--- a/tests/unit/configuration/test_apply.py
+++ b/tests/unit/configuration/test_apply.py
@@ -13,7 +13,7 @@
 from mimosafork.configuration.rows import KEPT_MANIFESTS, MANIFEST_TABLE
 from mimosafork.configuration.store import ConfigurationStore
 from mimosafork.ids import Revision
-from mimosafork.platform.table import all_rows
+from mimosafork.storage.table import all_rows
 
 from ...support.fake_table import FakeTable, Fault
 from ...support.followers import FollowingInstance
--- a/tests/unit/configuration/test_interleavings.py
+++ b/tests/unit/configuration/test_interleavings.py
@@ -23,7 +23,7 @@
 from mimosafork.configuration.rows import HISTORY_TABLE, HistoryRow, read_row
 from mimosafork.configuration.store import ConfigurationStore
 from mimosafork.ids import ApplyId
-from mimosafork.platform.table import Row
+from mimosafork.storage.table import Row
 
 from ...support.fake_table import FakeTable, Fault, Place
 from ...support.followers import FollowingInstance
--- a/tests/unit/leases/test_lease_keeper.py
+++ b/tests/unit/leases/test_lease_keeper.py
@@ -9,7 +9,7 @@
 from mimosafork.kernel.messages.leases import Duty
 from mimosafork.leases.keeper import TTL, LeaseKeeper
 from mimosafork.leases.row import TABLE, key_of
-from mimosafork.platform.table import Write
+from mimosafork.storage.table import Write
 from tests.support.fake_table import FakeTable, Fault
 from tests.support.functions import function_tests
 
--- a/tests/unit/quarantine/test_kept_suspicions.py
+++ b/tests/unit/quarantine/test_kept_suspicions.py
@@ -12,8 +12,8 @@
     KeepSuspicion,
     SuspicionsRead,
 )
-from mimosafork.platform.table import Write
 from mimosafork.quarantine.task import LIFETIME, TABLE, SuspicionTask
+from mimosafork.storage.table import Write
 from tests.support.fake_table import FakeTable, Fault
 from tests.support.functions import function_tests
 
--- a/tests/unit/standins/test_contract.py
+++ b/tests/unit/standins/test_contract.py
@@ -17,11 +17,6 @@
 )
 from mimosafork.kernel.messages.fleet import EntryInstance, FencingMode, LifeState
 from mimosafork.network.http import HttpClient
-from mimosafork.platform.breaker import CircuitBreaker
-from mimosafork.platform.errors import StoreUnavailableError, UnknownResultError
-from mimosafork.platform.instances import InstanceListClient
-from mimosafork.platform.objects import ObjectClient, PreconditionFailedError
-from mimosafork.platform.table import Condition, TableClient, Write, all_rows
 from mimosafork.standins import (
     EngineSettings,
     InstanceListStandin,
@@ -32,6 +27,11 @@
     TableStandin,
 )
 from mimosafork.standins.faults import LoseAnswers, Outage
+from mimosafork.storage.breaker import CircuitBreaker
+from mimosafork.storage.errors import StoreUnavailableError, UnknownResultError
+from mimosafork.storage.instances import InstanceListClient
+from mimosafork.storage.objects import ObjectClient, PreconditionFailedError
+from mimosafork.storage.table import Condition, TableClient, Write, all_rows
 from mimosafork.watch.documents import load_report
 from tests.support.functions import function_tests
 from tests.support.standins import Caller, running, running_engine
--- a/tests/unit/platform/test_breaker.py
+++ b/tests/unit/storage/test_breaker.py
@@ -5,8 +5,8 @@
 from unittest import TestCase
 
 from mimosafork.clock import ManualClock
-from mimosafork.platform.breaker import LONGEST_PAUSE, BreakerState, CircuitBreaker
-from mimosafork.platform.errors import CallRejectedError, StoreUnavailableError
+from mimosafork.storage.breaker import LONGEST_PAUSE, BreakerState, CircuitBreaker
+from mimosafork.storage.errors import CallRejectedError, StoreUnavailableError
 
 from ...support.functions import function_tests
 
--- a/tests/unit/platform/test_instances.py
+++ b/tests/unit/storage/test_instances.py
@@ -8,19 +8,19 @@
 from mimosafork.ids import InstanceId
 from mimosafork.kernel.messages.fleet import InstancesListed
 from mimosafork.network.http import HttpClient
-from mimosafork.platform.instances import (
-    BURST_BYTES,
-    BYTES_PER_S,
-    InstanceListClient,
-    InstanceListPoller,
-    ListReading,
-)
 from mimosafork.standins.instances import (
     InstanceKind,
     InstanceListStandin,
     InstanceState,
     ListedInstance,
 )
+from mimosafork.storage.instances import (
+    BURST_BYTES,
+    BYTES_PER_S,
+    InstanceListClient,
+    InstanceListPoller,
+    ListReading,
+)
 from tests.support.functions import function_tests
 from tests.support.standins import running
 
--- a/tests/unit/platform/test_table.py
+++ b/tests/unit/storage/test_table.py
@@ -11,14 +11,14 @@
 from mimosafork.clock import ManualClock
 from mimosafork.network.errors import NeverSentError, NoAnswerError
 from mimosafork.network.http import Answer, HttpClient
-from mimosafork.platform.breaker import CircuitBreaker
-from mimosafork.platform.errors import (
+from mimosafork.storage.breaker import CircuitBreaker
+from mimosafork.storage.errors import (
     CallRejectedError,
     StoreUnavailableError,
     UnknownResultError,
 )
-from mimosafork.platform.instances import listed_of
-from mimosafork.platform.table import ABSENT, Condition, Row, TableClient, Write
+from mimosafork.storage.instances import listed_of
+from mimosafork.storage.table import ABSENT, Condition, Row, TableClient, Write
 
 from ...support.functions import function_tests
 
--- a/tests/unit/telemetry/test_reporting_adapter.py
+++ b/tests/unit/telemetry/test_reporting_adapter.py
@@ -25,17 +25,17 @@
     RequestReport,
 )
 from mimosafork.kernel.messages.requests import FailureKind, Outcome, ProblemCode
-from mimosafork.platform.errors import (
-    CallRejectedError,
-    StoreUnavailableError,
-    UnknownResultError,
-)
-from mimosafork.platform.meter import StoreMeter
 from mimosafork.runtime.reporting_adapter import (
     ReportingAdapter,
     length_band,
     logger,
 )
+from mimosafork.storage.errors import (
+    CallRejectedError,
+    StoreUnavailableError,
+    UnknownResultError,
+)
+from mimosafork.storage.meter import StoreMeter
 from mimosafork.telemetry.messages import EventMessage
 from mimosafork.telemetry.metrics import Metrics
 from tests.support.functions import function_tests
--- a/tools/slopes/platform_probes.py
+++ b/tools/slopes/platform_probes.py
@@ -13,13 +13,13 @@
 )
 from mimosafork.kernel.messages.fleet import EntryInstance, InstancesListed, LifeState
 from mimosafork.network.http import HttpClient
-from mimosafork.platform.instances import InstanceListClient
 from mimosafork.standins.instances import (
     InstanceKind,
     InstanceListStandin,
     InstanceState,
     ListedInstance,
 )
+from mimosafork.storage.instances import InstanceListClient
 
 from . import fixtures
 from .probe import Unit, probe, processor_time
@@ -56,7 +56,7 @@
     "list_bytes_per_entry",
     "instances and endpoints in the list",
     Unit.BYTES,
-    "platform/instances.py",
+    "storage/instances.py",
     LIST_SIZES,
 )
 def list_bytes_per_entry(size: int) -> float:
@@ -70,7 +70,7 @@
     "list_read_time",
     "instances and endpoints in the list",
     Unit.MICROSECONDS,
-    "platform/instances.py",
+    "storage/instances.py",
     LIST_SIZES,
 )
 def list_read_time(size: int) -> float:
@@ -87,7 +87,7 @@
     "list_check_time",
     "instances and endpoints in the list",
     Unit.MICROSECONDS,
-    "platform/instances.py",
+    "storage/instances.py",
     LIST_SIZES,
 )
 def list_check_time(size: int) -> float:
--- a/tools/verify_build.py
+++ b/tools/verify_build.py
@@ -16,7 +16,6 @@
 
 from mimosafork import __version__
 
-MEMORY_BACKED = Path("/dev/shm")
 MEBIBYTE = 1024 * 1024
 LIMIT_S = 120.0
 
@@ -215,8 +214,7 @@
         0 if it does what it must.
     """
     file = Path(sys.argv[1]).resolve()
-    parent = MEMORY_BACKED if os.access(MEMORY_BACKED, os.W_OK) else None
-    with tempfile.TemporaryDirectory(dir=parent) as folder:
+    with tempfile.TemporaryDirectory() as folder:
         try:
             lines = verify(file, Path(folder))
         except VerificationError as error:
