--- /dev/null
+++ b/src/mimosafork/directory/__init__.py
@@ -0,0 +1,1 @@
+"""What this instance believes of the configuration and the endpoints, and why."""
