--- a/src/mimosafork/directory/errors.py
+++ b/src/mimosafork/directory/errors.py
@@ -29,3 +29,7 @@
 
 class UnknownResultError(RowsError):
     """The write may have taken effect, or may yet do so; only a look can tell."""
+
+
+class UnreadableError(MimosaforkError):
+    """A row's value cannot be read; what was known before stays."""
