--- /dev/null
+++ b/src/mimosafork/placement/policy.py
@@ -0,0 +1,123 @@
+"""Which engine hosts a request, and which others help to read its prompt."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from random import Random
+from zlib import crc32
+
+from ..routing.engine import EngineFigures
+from .admission import finish_ms, too_late
+from .choice import (
+    Choice,
+    EngineView,
+    Helper,
+    NoRoom,
+    Place,
+    PlacementAsk,
+    Shortage,
+    WaitForRoom,
+)
+from .forecast import EngineState, pace_of, pass_length
+from .memory import needs_tickets, shares, total_tokens
+from .plain import choose_plain, preferred
+from .plan import Plan, best_plan
+from .work import LoadBook, Part
+
+__all__ = ["choose", "choose_plain"]
+
+SUSPECT_COST = 50.0
+"""Cost of an engine that failed lately."""
+
+
+def choose(
+    ask: PlacementAsk,
+    engines: Sequence[EngineView],
+    book: LoadBook,
+    figures: EngineFigures | None,
+    now: timedelta,
+    random: Random,
+) -> Choice:
+    """Return where a request goes now.
+
+    Parameters
+    ----------
+    engines : sequence of EngineView
+        All known endpoints of the service, usable or not.
+    figures : EngineFigures or None
+        None where the deployment states none: the endpoints are taken as plain ones.
+    now : timedelta
+        Time of the book.
+    """
+    if figures is None or ask.prompt_tokens <= 0:
+        return choose_plain(ask, engines, book, now, random)
+    usable = preferred(ask, engines)
+    if not usable:
+        return WaitForRoom(Shortage.ENDPOINTS)
+    states = states_of(usable, book, figures, now)
+    plan = best_plan(ask, states, figures, random)
+    if plan is None:
+        return without_plan(ask, states, figures)
+    come_back = too_late(ask, states, plan.done_ms, plan.host, figures)
+    if come_back is not None:
+        return NoRoom(come_back, Shortage.TIME)
+    return place_of(ask, plan, figures)
+
+
+def states_of(
+    usable: Sequence[EngineView],
+    book: LoadBook,
+    figures: EngineFigures,
+    now: timedelta,
+) -> list[EngineState]:
+    """Return the engines in the order that all instances share."""
+    ordered = sorted(usable, key=lambda view: crc32(view.endpoint.encode()))
+    states = []
+    for index, view in enumerate(ordered):
+        load = book.load(view.endpoint, now)
+        pace = pace_of(view)
+        states.append(
+            EngineState(
+                view=view,
+                load=load,
+                pace=pace,
+                pass_ms=pass_length(load, figures) * pace,
+                order=index / len(ordered),
+                penalty=SUSPECT_COST if view.suspect else 0.0,
+            )
+        )
+    return states
+
+
+def without_plan(
+    ask: PlacementAsk, states: list[EngineState], figures: EngineFigures
+) -> Choice:
+    """Say what a request lacks that has no place."""
+    if total_tokens(ask) > figures.memory_tokens * len(states):
+        return NoRoom(ask.time_left, Shortage.SIZE)
+    least = finish_ms(ask, 0.0, figures.step_ms, figures)
+    if least > ask.time_left.total_seconds() * 1e3:
+        return NoRoom(timedelta(milliseconds=least), Shortage.TIME)
+    if any(state.has_slot for state in states):
+        return WaitForRoom(Shortage.MEMORY)
+    return WaitForRoom(Shortage.SLOTS)
+
+
+def place_of(ask: PlacementAsk, plan: Plan, figures: EngineFigures) -> Place:
+    """Return a plan as it is carried out."""
+    gang = (plan.host, *plan.helpers)
+    tokens = -(-ask.prompt_tokens // len(gang))
+    read_ms = figures.read_ms(tokens, ask.prompt_tokens)
+    parts = tuple(
+        Part(state.view.endpoint, tokens, read_ms * state.pace) for state in gang
+    )
+    reservations = shares(ask, gang, figures) if needs_tickets(ask, figures) else ()
+    return Place(
+        host=plan.host.view.endpoint,
+        address=plan.host.view.address,
+        helpers=tuple(
+            Helper(state.view.endpoint, state.view.address) for state in plan.helpers
+        ),
+        reservations=reservations,
+        predicted_first_token=timedelta(milliseconds=plan.done_ms),
+        parts=parts,
+    )
--- /dev/null
+++ b/src/mimosafork/placement/work.py
@@ -0,0 +1,275 @@
+"""Running work, own and peers', and the load that it puts on each engine."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from math import inf
+from typing import NamedTuple
+
+from ..ids import EndpointId, InstanceId, RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """What one engine reads of a prompt.
+
+    Attributes
+    ----------
+    tokens : int
+        Prompt tokens of the part.
+    read_ms : float
+        Predicted milliseconds of reading, with the part's share of the pairs.
+    """
+
+    endpoint: EndpointId
+    tokens: int
+    read_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """Tokens of a prompt's memory that one engine holds."""
+
+    endpoint: EndpointId
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """One running request on the engines.
+
+    Attributes
+    ----------
+    host : EndpointId
+        Engine that writes the answer and takes one of its slots for it.
+    parts : tuple of Part
+        What the host and its helpers read.
+    held : tuple of Held
+        Where the prompt and its answer are kept.
+    prompt_tokens, answer_tokens : int
+        Length of the prompt, and the expected length of the answer.
+    longest_pause : timedelta or None
+        Between two events of an answer that is on time.
+    started_at : timedelta
+        When the request was sent.
+    first_token_at : timedelta or None
+        None while the prompt is being read.
+    ended : bool
+        Whether the engines are done with it.
+    """
+
+    request: RequestId
+    host: EndpointId
+    parts: tuple[Part, ...] = ()
+    held: tuple[Held, ...] = ()
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    longest_pause: timedelta | None = None
+    started_at: timedelta = timedelta(0)
+    first_token_at: timedelta | None = None
+    ended: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """The longest pause that one request on an engine bears.
+
+    Attributes
+    ----------
+    pause_ms : float
+        Milliseconds between two of its events.
+    prompt_tokens : int
+        Length of its prompt, by which its worth is told.
+    """
+
+    pause_ms: float
+    prompt_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """What is known of the work on one engine at one moment.
+
+    Attributes
+    ----------
+    running : int
+        Requests whose host it is.
+    writers : int
+        Those of them that have their first token.
+    helping : int
+        Requests of other hosts, of which it still reads a part.
+    reading_ms : float
+        Milliseconds of reading that are promised and not yet done.
+    promised_tokens : int
+        Tokens of prompts and expected answers that it holds or will hold.
+    context_tokens : int
+        Tokens that its writers attend to in each step.
+    paces : tuple of Pace
+        Of the requests whose host it is and that have a longest pause.
+    """
+
+    running: int = 0
+    writers: int = 0
+    helping: int = 0
+    reading_ms: float = 0.0
+    promised_tokens: int = 0
+    context_tokens: int = 0
+    paces: tuple[Pace, ...] = ()
+
+    @property
+    def tightest_pause(self) -> timedelta | None:
+        """Shortest of the longest pauses of its requests."""
+        if not self.paces:
+            return None
+        return timedelta(milliseconds=min(pace.pause_ms for pace in self.paces))
+
+
+IDLE = EngineLoad()
+
+
+@dataclass(slots=True)
+class LoadBook:
+    """The running work of this instance and of its peers, by engine.
+
+    Adding or ending a request costs the number of its engines; the load of an engine
+    costs the number of requests on it. All times are of this instance's clock.
+    """
+
+    own: dict[RequestId, Work] = field(default_factory=dict)
+    peers: dict[InstanceId, dict[RequestId, Work]] = field(default_factory=dict)
+    by_engine: dict[EndpointId, dict[int, Work]] = field(default_factory=dict)
+    """Work under its identity, as two instances may name the same request."""
+
+    def note(self, work: Work) -> None:
+        """Add own work, or replace what was known of it; ended work is dropped."""
+        self.drop(work.request)
+        if not work.ended:
+            self.own[work.request] = work
+            self.link(work)
+
+    def drop(self, request: RequestId) -> None:
+        """Forget own work."""
+        former = self.own.pop(request, None)
+        if former is not None:
+            self.unlink(former)
+
+    def first_token(self, request: RequestId, now: timedelta) -> None:
+        """Learn that own work has been read and writes from now on."""
+        work = self.own.get(request)
+        if work is not None and work.first_token_at is None:
+            self.note(replace(work, first_token_at=now))
+
+    def replace_peer(
+        self, instance: InstanceId, works: Iterable[Work], received_at: timedelta
+    ) -> None:
+        """Put a peer's whole snapshot in the place of its former one.
+
+        Parameters
+        ----------
+        works : iterable of Work
+            Their times shifted to this instance's clock by the caller.
+        received_at : timedelta
+            No work of the snapshot can have started after it.
+        """
+        former = self.peers.get(instance, {})
+        fresh: dict[RequestId, Work] = {}
+        for told in works:
+            if told.ended:
+                continue
+            work = told
+            if told.started_at > received_at:
+                work = replace(told, started_at=received_at)
+            known = former.get(work.request)
+            fresh[work.request] = known if known == work else work
+        for request, work in former.items():
+            if fresh.get(request) is not work:
+                self.unlink(work)
+        for request, work in fresh.items():
+            if former.get(request) is not work:
+                self.link(work)
+        self.peers[instance] = fresh
+
+    def forget_peer(self, instance: InstanceId) -> None:
+        """Drop all work of a peer that is gone."""
+        for work in self.peers.pop(instance, {}).values():
+            self.unlink(work)
+
+    def link(self, work: Work) -> None:
+        """Enter work under each of its engines."""
+        for endpoint in engines_of(work):
+            self.by_engine.setdefault(endpoint, {})[id(work)] = work
+
+    def unlink(self, work: Work) -> None:
+        """Take work out from under each of its engines."""
+        for endpoint in engines_of(work):
+            works = self.by_engine.get(endpoint)
+            if works is None:
+                continue
+            works.pop(id(work), None)
+            if not works:
+                del self.by_engine[endpoint]
+
+    def load(self, endpoint: EndpointId, now: timedelta) -> EngineLoad:
+        """Return the load of one engine; an unknown one is idle."""
+        works = self.by_engine.get(endpoint)
+        return load_of(endpoint, works.values(), now) if works else IDLE
+
+
+def engines_of(work: Work) -> set[EndpointId]:
+    """Return all engines on which work lies."""
+    engines = {part.endpoint for part in work.parts}
+    engines.update(held.endpoint for held in work.held)
+    engines.add(work.host)
+    return engines
+
+
+def load_of(endpoint: EndpointId, works: Iterable[Work], now: timedelta) -> EngineLoad:
+    """Sum up the works on one engine."""
+    running = writers = helping = promised = context = 0
+    paces: list[Pace] = []
+    reads: list[Read] = []
+    for work in works:
+        promised += held_at(work, endpoint)
+        reading = work.first_token_at is None
+        if work.host == endpoint:
+            running += 1
+            writers += not reading
+            context += 0 if reading else work.prompt_tokens
+            if work.longest_pause is not None:
+                pause_ms = work.longest_pause.total_seconds() * 1e3
+                paces.append(Pace(pause_ms, work.prompt_tokens))
+        if reading:
+            helping += work.host != endpoint
+            reads.append(read_of(work, endpoint))
+    left_ms = reading_left(reads, now.total_seconds() * 1e3) if reads else 0.0
+    return EngineLoad(
+        running, writers, helping, left_ms, promised, context, tuple(paces)
+    )
+
+
+class Read(NamedTuple):
+    """One engine's reading for one request, in milliseconds; sorts by its start."""
+
+    start_ms: float
+    length_ms: float
+
+
+def read_of(work: Work, endpoint: EndpointId) -> Read:
+    """Return what an engine reads for a work."""
+    length_ms = sum(part.read_ms for part in work.parts if part.endpoint == endpoint)
+    return Read(work.started_at.total_seconds() * 1e3, length_ms)
+
+
+def reading_left(reads: list[Read], now_ms: float) -> float:
+    """Return the milliseconds left of reads that are done one after the other."""
+    free_at = -inf
+    for read in sorted(reads):
+        free_at = max(free_at, read.start_ms) + read.length_ms
+    return max(0.0, free_at - now_ms)
+
+
+def held_at(work: Work, endpoint: EndpointId) -> int:
+    """Return the tokens of a work that an engine holds."""
+    if not work.held:
+        return work.prompt_tokens + work.answer_tokens if work.host == endpoint else 0
+    return sum(held.tokens for held in work.held if held.endpoint == endpoint)
--- /dev/null
+++ b/tests/unit/placement/test_policy.py
@@ -0,0 +1,299 @@
+"""Tests of the choice of host and helpers."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from random import Random
+from unittest import TestCase
+
+from mimosafork.ids import AvailabilityZoneId, EndpointId, RequestId
+from mimosafork.placement.choice import (
+    Choice,
+    EngineView,
+    NoRoom,
+    Place,
+    PlacementAsk,
+    Shortage,
+    WaitForRoom,
+)
+from mimosafork.placement.policy import choose, choose_plain
+from mimosafork.placement.work import LoadBook, Part, Work
+from mimosafork.routing.engine import EngineFigures
+
+from ...support.functions import function_tests
+
+case = TestCase()
+
+NOW = timedelta(seconds=100)
+FIGURES = EngineFigures(
+    slots=8,
+    memory_tokens=405_000,
+    stride=34,
+    step_ms=1.31,
+    per_sequence_ms=0.0018,
+    context_ms_per_k=0.00213,
+    read_tokens_per_ms=154.0,
+    pairs_ms_per_m=0.162,
+    chunk=2_048,
+    hop_ms=0.1,
+)
+
+
+def ms(value: float) -> timedelta:
+    return timedelta(milliseconds=value)
+
+
+def views(count: int, slots: int = 8, **more: object) -> list[EngineView]:
+    return [
+        EngineView(
+            EndpointId(f"e{n}"),
+            f"10.0.0.{n}:80",
+            AvailabilityZoneId(f"z{n % 3}"),
+            slots,
+            **more,  # type: ignore[arg-type]
+        )
+        for n in range(count)
+    ]
+
+
+def ask(
+    prompt: int, objective: float = 300, pause: float = 250, **more: object
+) -> PlacementAsk:
+    fields: dict[str, object] = {
+        "request": RequestId("r"),
+        "prompt_tokens": prompt,
+        "max_answer_tokens": 3_000,
+        "answer_tokens": 1_200,
+        "time_left": timedelta(seconds=10),
+        "objective": ms(objective),
+        "longest_pause": ms(pause),
+    }
+    return PlacementAsk(**{**fields, **more})  # type: ignore[arg-type]
+
+
+def short(**more: object) -> PlacementAsk:
+    return ask(5_000, **more)  # type: ignore[arg-type]
+
+
+def middle() -> PlacementAsk:
+    return ask(45_000, 1_500, 600)
+
+
+def long(prompt: int = 182_000) -> PlacementAsk:
+    return ask(prompt, 4_000, 1_000, time_left=timedelta(seconds=15))
+
+
+def fill(
+    book: LoadBook,
+    host: EndpointId,
+    count: int = 1,
+    pause: float = 250,
+    writing: bool = True,
+    prompt: int = 5_000,
+    read_ms: float = 35.0,
+) -> None:
+    for _ in range(count):
+        book.note(
+            Work(
+                request=RequestId(f"{host}-{len(book.own)}"),
+                host=host,
+                parts=(Part(host, prompt, read_ms),),
+                prompt_tokens=prompt,
+                answer_tokens=1_200,
+                longest_pause=ms(pause),
+                started_at=NOW,
+                first_token_at=NOW if writing else None,
+            )
+        )
+
+
+def chosen(
+    asked: PlacementAsk,
+    engines: Sequence[EngineView],
+    book: LoadBook | None = None,
+    figures: EngineFigures | None = FIGURES,
+    seed: int = 1,
+) -> Choice:
+    return choose(asked, engines, book or LoadBook(), figures, NOW, Random(seed))
+
+
+def placed(
+    asked: PlacementAsk, engines: Sequence[EngineView], book: LoadBook | None = None
+) -> Place:
+    choice = chosen(asked, engines, book)
+    assert isinstance(choice, Place), choice
+    return choice
+
+
+def test_short_requests_share_engines_from_the_front() -> None:
+    book = LoadBook()
+    hosts = set()
+    for n in range(12):
+        asked = short(request=RequestId(str(n)))
+        place = placed(asked, views(14), book)
+        case.assertEqual(place.helpers, ())
+        hosts.add(place.host)
+        book.note(place.work(asked, NOW))
+        book.first_token(asked.request, NOW)
+    case.assertLessEqual(len(hosts), 4)
+
+
+def test_instances_agree_where_the_front_is() -> None:
+    hosts = {
+        place.host
+        for seed in range(20)
+        if isinstance(place := chosen(short(), views(14), seed=seed), Place)
+    }
+    case.assertLessEqual(len(hosts), 8)
+
+
+def test_a_short_request_does_not_wait_behind_a_long_read() -> None:
+    """An engine reads a long prompt when a short one comes.
+
+    The short one would wait seconds for its first event there; it goes elsewhere,
+    even onto an engine that writes for others.
+    """
+    book = LoadBook()
+    engines = views(3)
+    for view in engines[:2]:
+        fill(book, view.endpoint, writing=False, pause=1_000, read_ms=3_000.0)
+    fill(book, engines[2].endpoint, 5)
+    case.assertEqual(placed(short(), engines, book).host, engines[2].endpoint)
+
+
+def test_a_long_prompt_goes_across_the_engines_without_short_writers() -> None:
+    """Five engines write short answers with pauses of at most 250 ms.
+
+    Parts of a long prompt would stretch their passes past that; the other nine take
+    the host and the helpers.
+    """
+    book = LoadBook()
+    engines = views(14)
+    busy = {view.endpoint for view in engines[:5]}
+    for endpoint in busy:
+        fill(book, endpoint, 6)
+    place = placed(long(), engines, book)
+    taken = {place.host, *(helper.endpoint for helper in place.helpers)}
+    case.assertFalse(taken & busy)
+    case.assertGreaterEqual(len(taken), 4)
+    case.assertLess(place.predicted_first_token, timedelta(seconds=2))
+    case.assertEqual(place.reservations, ())
+
+
+def test_a_middle_prompt_beside_short_writers_is_split() -> None:
+    """All engines write short answers, and a prompt of 456 ms of reading comes.
+
+    On one engine it would make six answers late; in parts it harms none.
+    """
+    book = LoadBook()
+    engines = views(14)
+    for view in engines:
+        fill(book, view.endpoint, 5)
+    place = placed(middle(), engines, book)
+    case.assertGreaterEqual(len(place.helpers), 2)
+    case.assertTrue(all(part.read_ms < 160 for part in place.parts))
+
+
+def test_parts_are_even_and_cover_the_prompt() -> None:
+    place = placed(long(), views(14))
+    total = sum(part.tokens for part in place.parts)
+    case.assertEqual(len({part.tokens for part in place.parts}), 1)
+    case.assertGreaterEqual(total, 182_000)
+    case.assertLess(total, 182_000 + len(place.parts))
+
+
+def test_a_prompt_larger_than_an_engine_gets_reservations() -> None:
+    place = placed(long(900_000), views(16))
+    tokens = sum(reservation.tokens for reservation in place.reservations)
+    case.assertGreaterEqual(tokens, 901_200)
+    case.assertEqual(place.reservations[0].endpoint, place.host)
+    gang = {place.host, *(helper.endpoint for helper in place.helpers)}
+    case.assertTrue({r.endpoint for r in place.reservations} <= gang)
+    case.assertTrue(all(r.tokens <= 405_000 for r in place.reservations))
+
+
+def test_memory_is_never_promised_twice() -> None:
+    """One engine holds a prompt of 300,000 tokens and the next has 182,000.
+
+    Together they exceed its memory, and the newest would be preempted mid-stream.
+    """
+    book = LoadBook()
+    engines = views(2)
+    fill(book, engines[0].endpoint, prompt=300_000, pause=1_000)
+    case.assertEqual(placed(long(), engines, book).host, engines[1].endpoint)
+    fill(book, engines[1].endpoint, prompt=300_000, pause=1_000)
+    case.assertEqual(chosen(long(), engines, book), WaitForRoom(Shortage.MEMORY))
+
+
+def test_full_engines_make_a_request_wait() -> None:
+    book = LoadBook()
+    engines = views(2, slots=2)
+    for view in engines:
+        fill(book, view.endpoint, 2)
+    case.assertEqual(chosen(short(), engines, book), WaitForRoom(Shortage.SLOTS))
+
+
+def test_a_request_without_time_is_refused_only_while_places_are_taken() -> None:
+    asked = short(time_left=ms(20))
+    case.assertIsInstance(chosen(asked, views(2)), Place)
+    book = LoadBook()
+    engines = views(2)
+    for view in engines:
+        fill(book, view.endpoint, 5)
+    choice = chosen(asked, engines, book)
+    assert isinstance(choice, NoRoom)
+    case.assertIs(choice.reason, Shortage.TIME)
+    case.assertGreater(choice.come_back, timedelta(0))
+
+
+def test_a_prompt_that_fits_nowhere_is_refused() -> None:
+    choice = chosen(long(900_000), views(2))
+    assert isinstance(choice, NoRoom)
+    case.assertIs(choice.reason, Shortage.SIZE)
+
+
+def test_a_single_usable_engine_takes_all() -> None:
+    engines = [*views(1), *views(5, usable=False)[1:]]
+    for asked in (short(), middle(), long()):
+        place = placed(asked, engines)
+        case.assertEqual((place.host, place.helpers), (EndpointId("e0"), ()))
+
+
+def test_without_a_usable_engine_a_request_waits() -> None:
+    for engines in ([], views(3, usable=False)):
+        choice = chosen(short(), engines)
+        case.assertEqual(choice, WaitForRoom(Shortage.ENDPOINTS))
+
+
+def test_avoided_and_suspect_engines_are_last() -> None:
+    engines = [*views(1), *views(3, suspect=True)[1:]]
+    case.assertEqual(placed(short(), engines).host, EndpointId("e0"))
+    avoid = frozenset({EndpointId("e0")})
+    case.assertNotEqual(placed(short(avoid=avoid), engines).host, EndpointId("e0"))
+    case.assertEqual(placed(short(avoid=avoid), views(1)).host, EndpointId("e0"))
+
+
+def test_slow_engines_get_no_part_that_would_be_late() -> None:
+    engines = [*views(8, pace=6.0)[:4], *views(8)[4:]]
+    place = placed(long(), engines)
+    slow = {view.endpoint for view in engines[:4]}
+    case.assertFalse({part.endpoint for part in place.parts} & slow)
+
+
+def test_without_figures_the_least_busy_endpoint_is_taken() -> None:
+    book = LoadBook()
+    engines = views(3, slots=6)
+    fill(book, engines[0].endpoint, 2)
+    fill(book, engines[2].endpoint, 1)
+    choice = chosen(short(), engines, book, figures=None)
+    case.assertEqual(choice, Place(EndpointId("e1"), "10.0.0.1:80"))
+
+
+def test_on_ties_the_own_zone_goes_first() -> None:
+    asked = short(zone=AvailabilityZoneId("z2"))
+    for seed in range(5):
+        choice = choose_plain(asked, views(3), LoadBook(), NOW, Random(seed))
+        assert isinstance(choice, Place)
+        case.assertEqual(choice.host, EndpointId("e2"))
+
+
+load_tests = function_tests(__name__)
