Call the platform's store over asyncio, with a time-out on each call

Cause: following the configuration and the endpoints needs long polls beside other calls, without a thread for each, and connections may fall silent. Ruled out: sending a call again by itself, but for a read whose kept connection was closing; and ending the other feeds when a connection merely ends, as a feed dropped so would drop the one that replaced it. Change: a connection for each feed and one for the rest, dropped with the first call that gets no answer; silence on one feed ends the others too. Statuses become errors by what they leave open; a write without an answer is unknown.

--- /dev/null
+++ b/src/mimosafork/platform/sources.py
@@ -0,0 +1,80 @@
+"""The rows of the configuration and of the endpoints in the platform's store."""
+
+from datetime import timedelta
+
+from ..directory.rows import Row, RowPage, Rows
+from ..routing.listing import ListedEndpoint
+from ..routing.table import RoutingTable
+from . import names
+from .configuration import decode_configuration
+from .listing import decode_endpoint
+
+AFTER_KEY = "\0"
+"""Appended to a key, gives the first key behind it."""
+
+
+class ConfigurationRows:
+    """The operator's configuration, as `directory.sources.ConfigurationSource`.
+
+    Parameters
+    ----------
+    rows : Rows
+        The store.
+    """
+
+    def __init__(self, rows: Rows) -> None:
+        self.rows = rows
+
+    async def whole(self) -> RowPage:
+        """Read the configuration's row."""
+        return only_configuration(await self.rows.read(names.CONFIGURATION_TABLE))
+
+    async def changes(self, after: int, wait: timedelta) -> RowPage:
+        """Wait for a newer configuration."""
+        page = await self.rows.changes(names.CONFIGURATION_TABLE, after, wait)
+        return only_configuration(page)
+
+    def decode(self, row: Row) -> RoutingTable:
+        """Read the configuration."""
+        return decode_configuration(row.value)
+
+
+class EndpointRows:
+    """The endpoints' rows, as `directory.sources.EndpointSource`.
+
+    Parameters
+    ----------
+    rows : Rows
+        The store.
+    """
+
+    def __init__(self, rows: Rows) -> None:
+        self.rows = rows
+
+    async def whole(self) -> RowPage:
+        """Read all rows.
+
+        An answer holds a bounded number of them. The version of the first one
+        stands for all: what changes until the last one is told again as a change.
+        """
+        page = await self.rows.read(names.ENDPOINTS_TABLE)
+        rows, version = list(page.rows), page.version
+        while page.truncated and page.rows:
+            start = page.rows[-1].key + AFTER_KEY
+            page = await self.rows.read(names.ENDPOINTS_TABLE, start=start)
+            rows += page.rows
+        return RowPage(tuple(rows), version)
+
+    async def changes(self, after: int, wait: timedelta) -> RowPage:
+        """Wait for changed rows."""
+        return await self.rows.changes(names.ENDPOINTS_TABLE, after, wait)
+
+    def decode(self, row: Row) -> ListedEndpoint:
+        """Read an endpoint's word about itself."""
+        return decode_endpoint(row.key, row.value)
+
+
+def only_configuration(page: RowPage) -> RowPage:
+    """Leave out other rows of the table."""
+    rows = tuple(row for row in page.rows if row.key == names.CONFIGURATION_KEY)
+    return RowPage(rows, page.version)
--- /dev/null
+++ b/src/mimosafork/platform/store.py
@@ -0,0 +1,255 @@
+"""The platform's store: reads, the feed of a table, and writes under conditions."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import NoReturn
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..directory.errors import (
+    CallRejectedError,
+    ConflictError,
+    HistoryGoneError,
+    NotAllowedError,
+    RowsError,
+    StoreUnavailableError,
+    UnknownResultError,
+)
+from ..directory.rows import Row, RowCondition, RowName, RowPage, RowPut
+from ..network.errors import NetworkError, NoAnswerError
+from . import names
+from .channel import Answer
+from .documents import RowDocument, RowsDocument, WrittenDocument, decode
+from .errors import DocumentError, SilentError
+from .lane import Lane
+
+OK = 200
+FORBIDDEN = 403
+GONE = 410
+PRECONDITION_FAILED = 412
+TOO_MANY = 429
+SERVER_ERRORS = 500
+SERVICE_UNAVAILABLE = 503
+
+NOTHING_DONE = frozenset({TOO_MANY, SERVICE_UNAVAILABLE})
+MILLISECOND = timedelta(milliseconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreTimeouts:
+    """How long calls of the store may take.
+
+    Attributes
+    ----------
+    connect : timedelta
+        A new connection.
+    call : timedelta
+        A read or write, from the call to its whole answer.
+    feed_slack : timedelta
+        A long poll may answer this much after the wait that it asked for.
+    """
+
+    connect: timedelta = timedelta(seconds=1)
+    call: timedelta = timedelta(seconds=2)
+    feed_slack: timedelta = timedelta(seconds=1)
+
+
+class PreparedStore:
+    """The store of the prepared platform, as `directory.rows.Rows`.
+
+    Keeps a connection for each table that is followed, as a long poll holds it, and
+    one for all other calls. To be built where an asyncio loop runs.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    timeouts : StoreTimeouts, optional
+        Bounds of its calls.
+    """
+
+    def __init__(self, address: str, timeouts: StoreTimeouts | None = None) -> None:
+        self.address = address
+        self.timeouts = timeouts or StoreTimeouts()
+        self.calls = self.new_lane()
+        self.feeds: dict[str, Lane] = {}
+
+    def new_lane(self) -> Lane:
+        """Return a lane without a connection yet."""
+        host, _, port = self.address.rpartition(":")
+        return Lane(host, int(port), self.timeouts.connect)
+
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        start: str | None = None,
+        end: str | None = None,
+        limit: int | None = None,
+    ) -> RowPage:
+        """Read a part's rows with keys from `start` up to and without `end`."""
+        query = {names.TABLE: table, names.PART: part}
+        if start is not None:
+            query[names.FROM] = start
+        if end is not None:
+            query[names.UP_TO] = end
+        if limit is not None:
+            query[names.LIMIT] = str(limit)
+        request = self.get(names.ROWS_GET_PATH, query)
+        return await self.page(self.calls, request, self.timeouts.call)
+
+    async def changes(self, table: str, after: int, wait: timedelta) -> RowPage:
+        """Wait up to `wait` for changes of a table after a version."""
+        query = {
+            names.TABLE: table,
+            names.AFTER: str(after),
+            names.WAIT_MS: str(wait // MILLISECOND),
+        }
+        request = self.get(names.ROWS_FEED_PATH, query)
+        lane = self.feeds.get(table)
+        if lane is None:
+            lane = self.feeds[table] = self.new_lane()
+        return await self.page(lane, request, wait + self.timeouts.feed_slack)
+
+    async def write(
+        self,
+        puts: Sequence[RowPut] = (),
+        removes: Sequence[RowName] = (),
+        conditions: Sequence[RowCondition] = (),
+    ) -> int:
+        """Write all or nothing, in one part, and return the new version."""
+        body = msgspec.json.encode(
+            {
+                names.CONDITIONS: [condition_fields(each) for each in conditions],
+                names.PUTS: [put_fields(each) for each in puts],
+                names.REMOVES: [name_fields(each) for each in removes],
+            }
+        )
+        request = self.post(names.ROWS_TX_PATH, body)
+        try:
+            answer = await self.calls.call(
+                request, self.timeouts.call, repeatable=False
+            )
+        except NoAnswerError as error:
+            raise UnknownResultError(str(error)) from error
+        except NetworkError as error:
+            raise StoreUnavailableError(str(error)) from error
+        if answer.status != OK:
+            raise_for_write(answer)
+        try:
+            return decode(answer.body, WrittenDocument).version
+        except DocumentError as error:
+            raise UnknownResultError(f"answer not read: {error}") from error
+
+    async def page(self, lane: Lane, request: bytes, timeout: timedelta) -> RowPage:
+        """Send a call that reads rows.
+
+        Raises
+        ------
+        RowsError
+            By status; no answer to a read means that nothing was done.
+        """
+        try:
+            answer = await lane.call(request, timeout, repeatable=True)
+        except NetworkError as error:
+            # Not for a connection that merely ended: a feed that was dropped here
+            # ends so, and would drop the one that took its place.
+            if isinstance(error, SilentError):
+                self.drop_feeds()
+            raise StoreUnavailableError(str(error)) from error
+        if answer.status != OK:
+            raise rows_error(answer)
+        try:
+            return page_of(decode(answer.body, RowsDocument))
+        except (DocumentError, ValueError) as error:
+            raise StoreUnavailableError(f"answer not read: {error}") from error
+
+    def drop_feeds(self) -> None:
+        """End the feeds' connections after one call met silence.
+
+        Guard: connections fall silent together. The feed of a quiet table waits
+        longest and would find it last, while a new configuration lies in the store.
+        Feeds only read, so ending a sound one costs a call and nothing else.
+        """
+        for lane in self.feeds.values():
+            lane.drop()
+
+    def close(self) -> None:
+        """Drop all connections."""
+        self.calls.drop()
+        self.drop_feeds()
+
+    def get(self, path: str, query: dict[str, str]) -> bytes:
+        """Return a whole GET request."""
+        target = f"{path}?{urlencode(query)}"
+        return f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode()
+
+    def post(self, path: str, body: bytes) -> bytes:
+        """Return a whole POST request."""
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {self.address}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+
+def raise_for_write(answer: Answer) -> NoReturn:
+    """Raise what a write's answer other than success leaves open.
+
+    Guard: a failure of the store that promises nothing may have come after the
+    write took effect. Told as "not done", the caller would write again over it.
+    """
+    if answer.status >= SERVER_ERRORS and answer.status not in NOTHING_DONE:
+        raise UnknownResultError(f"status {answer.status}")
+    raise rows_error(answer)
+
+
+def rows_error(answer: Answer) -> RowsError:
+    """Return the error of an answer by which nothing was done."""
+    status = answer.status
+    why = f"status {status}"
+    if status == GONE:
+        return HistoryGoneError(why)
+    if status == PRECONDITION_FAILED:
+        return ConflictError(why)
+    if status == FORBIDDEN:
+        return NotAllowedError(why)
+    if status in NOTHING_DONE or status >= SERVER_ERRORS:
+        return StoreUnavailableError(why)
+    return CallRejectedError(why)
+
+
+def page_of(document: RowsDocument) -> RowPage:
+    """Translate an answer about rows."""
+    rows = tuple(row_of(each) for each in document.rows)
+    return RowPage(rows, document.version, document.truncated)
+
+
+def row_of(document: RowDocument) -> Row:
+    """Translate a row."""
+    return Row(
+        table=document.table,
+        part=document.part,
+        key=document.key,
+        value=b64decode(document.value, validate=True),
+        version=document.version,
+        removed=document.removed,
+    )
+
+
+def name_fields(row: RowName | RowPut | RowCondition) -> dict[str, str | int]:
+    """Return the fields that name a row."""
+    return {names.TABLE: row.table, names.PART: row.part, names.KEY: row.key}
+
+
+def put_fields(row: RowPut) -> dict[str, str | int]:
+    """Return the fields of a row to write."""
+    return name_fields(row) | {names.VALUE: b64encode(row.value).decode("ascii")}
+
+
+def condition_fields(condition: RowCondition) -> dict[str, str | int]:
+    """Return the fields of a condition."""
+    return name_fields(condition) | {names.ROW_VERSION: condition.version}
--- /dev/null
+++ b/tests/unit/platform/test_store.py
@@ -0,0 +1,276 @@
+"""Tests of the store's client: what each answer, or none, leaves open."""
+
+import asyncio
+import json
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.directory.errors import (
+    CallRejectedError,
+    ConflictError,
+    HistoryGoneError,
+    NotAllowedError,
+    RowsError,
+    StoreUnavailableError,
+    UnknownResultError,
+)
+from mimosafork.directory.rows import ABSENT, RowCondition, RowName, RowPut
+from mimosafork.platform.sources import ConfigurationRows, EndpointRows
+from mimosafork.platform.store import PreparedStore, StoreTimeouts
+
+from ...support.functions import function_tests
+from ...support.scripted_store import Reply, reply, run, scripted_store
+
+case = TestCase()
+
+ROW = {"table": "servers", "part": "", "key": "a", "value": "eHk=", "ver": 4}
+PAGE = json.dumps({"rows": [ROW], "truncated": False, "ver": 9, "now-ms": 1}).encode()
+EMPTY = json.dumps({"rows": [], "ver": 9, "now-ms": 1}).encode()
+WAIT = timedelta(seconds=3)
+SHORT = StoreTimeouts(
+    connect=timedelta(seconds=5),
+    call=timedelta(milliseconds=250),
+    feed_slack=timedelta(milliseconds=250),
+)
+"""Bounds of calls that are to run into them."""
+
+
+def test_rows_are_read_with_their_values_and_versions() -> None:
+    async def work() -> None:
+        async with scripted_store(lambda *_: reply(200, PAGE)) as store:
+            client = PreparedStore(store.address)
+            page = await client.read("servers", "", "a", "b c", 5)
+            client.close()
+            row = page.rows[0]
+            case.assertEqual((b"xy", 4, False), (row.value, row.version, row.removed))
+            case.assertEqual(9, page.version)
+            wanted = "table=servers&part=&from=a&target=b+c&limit=5"
+            case.assertIn(wanted, store.calls[0])
+
+    run(work())
+
+
+def test_calls_use_one_connection_and_a_feed_its_own() -> None:
+    async def work() -> None:
+        async with scripted_store(lambda *_: reply(200, PAGE)) as store:
+            client = PreparedStore(store.address)
+            for _ in range(3):
+                await client.read("t")
+                await client.changes("t", 4, WAIT)
+            client.close()
+            case.assertEqual(2, store.connections)
+            case.assertIn("table=t&after=4&wait-ms=3000", store.calls[1])
+
+    run(work())
+
+
+def test_a_write_carries_values_and_conditions() -> None:
+    async def work() -> None:
+        async with scripted_store(lambda *_: reply(200, b'{"ver": 12}')) as store:
+            client = PreparedStore(store.address)
+            version = await client.write(
+                [RowPut("t", "p", "k", b"xy")],
+                [RowName("t", "p", "old")],
+                [RowCondition("t", "p", "k", ABSENT)],
+            )
+            client.close()
+            case.assertEqual(12, version)
+            body = json.loads(store.bodies[0])
+            put = {"table": "t", "part": "p", "key": "k", "value": "eHk="}
+            case.assertEqual([put], body["puts"])
+            case.assertEqual(0, body["expect-rev"][0]["ver"])
+            case.assertEqual("old", body["remove"][0]["key"])
+
+    run(work())
+
+
+def test_each_status_says_what_it_leaves_open() -> None:
+    kinds: dict[int, type[RowsError]] = {
+        400: CallRejectedError,
+        403: NotAllowedError,
+        410: HistoryGoneError,
+        412: ConflictError,
+        429: StoreUnavailableError,
+        503: StoreUnavailableError,
+    }
+
+    async def work() -> None:
+        for status, kind in kinds.items():
+            async with scripted_store(lambda *_, s=status: reply(s)) as store:
+                client = PreparedStore(store.address)
+                with case.assertRaises(kind):
+                    await client.changes("t", 4, WAIT)
+                with case.assertRaises(kind):
+                    await client.write([RowPut("t", "", "k", b"")])
+                client.close()
+
+    run(work())
+
+
+def test_no_connection_means_that_nothing_was_done() -> None:
+    async def work() -> None:
+        async with scripted_store(lambda *_: reply(200, PAGE)) as store:
+            address = store.address
+        client = PreparedStore(address)
+        with case.assertRaises(StoreUnavailableError):
+            await client.write([RowPut("t", "", "k", b"")])
+        with case.assertRaises(StoreUnavailableError):
+            await client.read("t")
+
+    run(work())
+
+
+def test_a_lost_answer_to_a_write_is_told_as_unknown() -> None:
+    """A lease is taken by a write whose answer never comes.
+
+    The store takes the write and its answer is lost; the connection tells nothing
+    further. Told as not done, the caller would believe that others may hold the
+    lease. The next call must not wait on that connection.
+    """
+    replies: list[Reply] = [None, reply(200, PAGE)]
+
+    async def work() -> None:
+        async with scripted_store(lambda *_: replies.pop(0)) as store:
+            client = PreparedStore(store.address, SHORT)
+            with case.assertRaises(UnknownResultError):
+                await client.write([RowPut("t", "", "k", b"")])
+            page = await client.read("t")
+            client.close()
+            case.assertEqual(9, page.version)
+            case.assertEqual(2, store.connections)
+
+    run(work())
+
+
+def test_a_write_whose_connection_ends_is_unknown_and_not_sent_again() -> None:
+    """The store closes the connection as a write arrives.
+
+    Whether it was done cannot be told. Sent once more by itself, the write would
+    be done twice, or fail on the condition that its first sending has changed.
+    """
+    replies: list[Reply] = [reply(200, PAGE), b""]
+
+    async def work() -> None:
+        async with scripted_store(lambda *_: replies.pop(0)) as store:
+            client = PreparedStore(store.address)
+            await client.read("t")
+            with case.assertRaises(UnknownResultError):
+                await client.write([RowPut("t", "", "k", b"")])
+            case.assertEqual(2, len(store.calls))
+
+    run(work())
+
+
+def test_a_read_under_a_closing_connection_is_sent_once_more() -> None:
+    replies: list[Reply] = [reply(200, PAGE), b"", reply(200, EMPTY)]
+
+    async def work() -> None:
+        async with scripted_store(lambda *_: replies.pop(0)) as store:
+            client = PreparedStore(store.address)
+            await client.read("t")
+            page = await client.read("t")
+            client.close()
+            case.assertEqual((), page.rows)
+            case.assertEqual(2, store.connections)
+
+    run(work())
+
+
+def test_a_hanging_feed_is_found_by_its_time_out() -> None:
+    """A feed's connection falls silent for good, without a reset.
+
+    Changes lie in the store, and the long poll never ends. Its own time-out ends
+    the call, and the next one goes over a new connection and hears the changes.
+    """
+    replies: list[Reply] = [reply(200, EMPTY), None, reply(200, PAGE)]
+
+    async def work() -> None:
+        async with scripted_store(lambda *_: replies.pop(0)) as store:
+            client = PreparedStore(store.address, SHORT)
+            wait = timedelta(milliseconds=1)
+            await client.changes("t", 1, wait)
+            with case.assertRaises(StoreUnavailableError):
+                await client.changes("t", 1, wait)
+            page = await client.changes("t", 1, wait)
+            client.close()
+            case.assertEqual(4, page.rows[0].version)
+            case.assertEqual(2, store.connections)
+
+    run(work())
+
+
+def test_silence_on_one_feed_ends_the_other_feeds_too() -> None:
+    """All connections to the store fall silent at once.
+
+    The busy feed finds it within a second, the quiet one would wait for seconds
+    more, while a new configuration lies in the store.
+    """
+
+    async def work() -> None:
+        async with scripted_store(lambda *_: None) as store:
+            client = PreparedStore(store.address, SHORT)
+            quiet = asyncio.ensure_future(
+                client.changes("quiet", 1, timedelta(hours=1))
+            )
+            with case.assertRaises(StoreUnavailableError):
+                await client.changes("busy", 1, timedelta(milliseconds=1))
+            with case.assertRaises(StoreUnavailableError):
+                await quiet
+            client.close()
+
+    run(work())
+
+
+def test_bytes_that_are_no_answer_end_the_call() -> None:
+    async def work() -> None:
+        async with scripted_store(lambda *_: b"nonsense\r\n\r\n") as store:
+            client = PreparedStore(store.address)
+            with case.assertRaises(StoreUnavailableError):
+                await client.read("t")
+            with case.assertRaises(UnknownResultError):
+                await client.write([RowPut("t", "", "k", b"")])
+
+    run(work())
+
+
+def test_only_the_configurations_own_row_is_told() -> None:
+    other = {"table": "op", "part": "", "key": "else", "value": "", "ver": 3}
+    mine = other | {"key": "config", "ver": 4}
+    body = json.dumps({"rows": [other, mine], "ver": 9}).encode()
+
+    async def work() -> None:
+        async with scripted_store(lambda *_: reply(200, body)) as store:
+            client = PreparedStore(store.address)
+            source = ConfigurationRows(client)
+            whole = await source.whole()
+            changed = await source.changes(2, WAIT)
+            client.close()
+            case.assertEqual([4], [row.version for row in whole.rows])
+            case.assertEqual([4], [row.version for row in changed.rows])
+
+    run(work())
+
+
+def test_a_long_list_is_read_in_pages_as_of_the_first() -> None:
+    """The list of endpoints is longer than one answer.
+
+    An endpoint leaves between two answers. Following from the last one's version
+    would skip its removal, so the first one's version stands for all.
+    """
+    first = json.dumps({"rows": [ROW], "truncated": True, "ver": 9}).encode()
+    last = json.dumps({"rows": [ROW | {"key": "b"}], "ver": 11}).encode()
+    replies = [reply(200, first), reply(200, last)]
+
+    async def work() -> None:
+        async with scripted_store(lambda *_: replies.pop(0)) as store:
+            client = PreparedStore(store.address)
+            page = await EndpointRows(client).whole()
+            client.close()
+            case.assertEqual(["a", "b"], [row.key for row in page.rows])
+            case.assertEqual(9, page.version)
+            case.assertIn("from=a%00", store.calls[1])
+
+    run(work())
+
+
+load_tests = function_tests(__name__)
