Stand in for the prepared platform on loopback

Nothing in the project spoke the prepared platform's protocol, so that what talks to it could only be tried by hand. The stand-ins of docs/PLATFORM.md speak another one: other names, other states, no proof on answers and no gate before events.

--- /dev/null
+++ b/src/mimosafork/standins/prepared/faults.py
@@ -0,0 +1,174 @@
+"""Faults of an endpoint, and the script that says which requests meet them."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from .http import Request
+
+GARBAGE = b"\x00\x17not an answer\r\n\r\n\xff"
+
+
+@dataclass(frozen=True, slots=True)
+class CrashOnRun:
+    """The process crashes as it begins to run the request.
+
+    Attributes
+    ----------
+    down : timedelta or None
+        It comes back after so long; with None when the test says so.
+    """
+
+    down: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CutAnswer:
+    """The answer ends early: after so many events, or halfway through a body."""
+
+    after_events: int = 1
+    inside_event: bool = True
+    reset: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Garbage:
+    """Bytes that are no answer, in place of one; the run is done."""
+
+    data: bytes = GARBAGE
+
+
+@dataclass(frozen=True, slots=True)
+class ExtraAnswer:
+    """A second whole answer: at once, or `late` at the place of the next one."""
+
+    late: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class UnboundedAnswer:
+    """An answer without a length that ends with its channel.
+
+    Attributes
+    ----------
+    reset : bool
+        The end is a reset, halfway through a body or after the first event.
+    """
+
+    reset: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LostAnswer:
+    """The request runs and no answer comes: a reset, or `silent` for good."""
+
+    silent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OwnError:
+    """The request runs, and the endpoint's own answer is a failure."""
+
+    status: int = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Shed:
+    """The request does not run, and the answer says so."""
+
+    status: int = 503
+    retry_after: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Hang:
+    """The request begins to run, keeps its slot and is never answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class Mute:
+    """The request is read, does not run and is never answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class Slow:
+    """The first byte comes so much later."""
+
+    delay: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class EarlyAnswer:
+    """The answer comes before the body is read; the rest is read `later`."""
+
+    later: timedelta = timedelta(0)
+
+
+@dataclass(frozen=True, slots=True)
+class CloseAfter:
+    """The answer says `Connection: close`, and the channel is closed after it."""
+
+
+Fault = (
+    CrashOnRun
+    | CutAnswer
+    | Garbage
+    | ExtraAnswer
+    | UnboundedAnswer
+    | LostAnswer
+    | OwnError
+    | Shed
+    | Hang
+    | Mute
+    | Slow
+    | EarlyAnswer
+    | CloseAfter
+)
+
+
+@dataclass(slots=True)
+class Scripted:
+    """A fault and the requests that meet it.
+
+    Attributes
+    ----------
+    times : int or None
+        So many of them; None for all.
+    every : int
+        Each n-th of them, as a share of errors.
+    path_prefix, request_id : str
+        Empty for any.
+    """
+
+    fault: Fault
+    times: int | None = 1
+    every: int = 1
+    path_prefix: str = ""
+    request_id: str = ""
+    seen: int = 0
+
+    def meets(self, request: Request, request_id: str) -> bool:
+        """Count a request and say whether it meets the fault."""
+        if self.times == 0 or not request.path.startswith(self.path_prefix):
+            return False
+        if self.request_id not in {"", request_id}:
+            return False
+        self.seen += 1
+        if self.seen % self.every:
+            return False
+        if self.times is not None:
+            self.times -= 1
+        return True
+
+
+class Script:
+    """What goes wrong at one endpoint, in the order in which it was added."""
+
+    def __init__(self) -> None:
+        self.entries: list[Scripted] = []
+
+    def take(self, request: Request, request_id: str) -> Fault | None:
+        """Return the fault that a request meets, if any."""
+        for entry in self.entries:
+            if entry.meets(request, request_id):
+                return entry.fault
+        return None
--- /dev/null
+++ b/src/mimosafork/standins/prepared/sending.py
@@ -0,0 +1,145 @@
+"""Writing one answer as the script says."""
+
+from .faults import (
+    CloseAfter,
+    CutAnswer,
+    ExtraAnswer,
+    Fault,
+    Garbage,
+    LostAnswer,
+    UnboundedAnswer,
+)
+from .http import Answer, Connection, Header, head_bytes
+
+LAST_CHUNK = b"0\r\n\r\n"
+EVENT_STREAM = Header("Content-Type", "text/event-stream")
+CLOSE = Header("Connection", "close")
+
+
+def chunk_of(data: bytes) -> bytes:
+    """Frame bytes as one chunk."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+class Sending:
+    """Writes one answer, whole or in events.
+
+    Parameters
+    ----------
+    headers : tuple of Header
+        On every answer of this endpoint to this request.
+    """
+
+    def __init__(
+        self,
+        connection: Connection,
+        fault: Fault | None,
+        headers: tuple[Header, ...],
+        closing: bool = False,
+    ) -> None:
+        self.connection = connection
+        self.fault = fault
+        self.closing = closing or isinstance(fault, CloseAfter)
+        self.headers = (*headers, CLOSE) if self.closing else headers
+        self.events = 0
+        self.sent = b""
+
+    def whole(self, answer: Answer) -> None:
+        """Write a whole answer, or what the fault makes of it."""
+        proper = Answer(answer.status, answer.body, (*answer.headers, *self.headers))
+        data = proper.encode()
+        half = len(data) - (len(proper.body) + 1) // 2
+        match self.fault:
+            case Garbage(data=garbage):
+                self.connection.write(garbage)
+            case LostAnswer(silent=silent):
+                self._lose(silent)
+            case CutAnswer(reset=reset):
+                self._last(data[:half], reset)
+            case UnboundedAnswer(reset=reset):
+                data = head_bytes(proper.status, proper.headers) + proper.body
+                self._last(
+                    data[: -((len(proper.body) + 1) // 2)] if reset else data, reset
+                )
+            case _:
+                self.connection.write(data)
+                self._extra(data)
+                self._end()
+
+    def begin(self, status: int) -> None:
+        """Begin a stream of events."""
+        match self.fault:
+            case Garbage(data=garbage):
+                self.connection.write(garbage)
+            case LostAnswer():
+                pass
+            case UnboundedAnswer():
+                self._stream(head_bytes(status, (EVENT_STREAM, *self.headers)))
+            case _:
+                framing = Header("Transfer-Encoding", "chunked")
+                self._stream(head_bytes(status, (EVENT_STREAM, framing, *self.headers)))
+
+    def event(self, event: bytes) -> bool:
+        """Write an event; False if the channel was cut on purpose."""
+        self.events += 1
+        match self.fault:
+            case Garbage() | LostAnswer():
+                return True
+            case UnboundedAnswer(reset=reset):
+                self._stream(event)
+                return not (reset and self._cut(reset))
+            case CutAnswer(after_events=whole) as cut if self.events > whole:
+                if cut.inside_event:
+                    self._stream(chunk_of(event)[: len(event) // 2])
+                return not self._cut(cut.reset)
+        self._stream(chunk_of(event))
+        return True
+
+    def end(self) -> None:
+        """End a stream as complete."""
+        match self.fault:
+            case Garbage():
+                pass
+            case LostAnswer(silent=silent):
+                self._lose(silent)
+            case UnboundedAnswer():
+                self.connection.close()
+            case CutAnswer() as cut:
+                self._cut(cut.reset)
+            case _:
+                self._stream(LAST_CHUNK)
+                self._extra(self.sent)
+                self._end()
+
+    def _stream(self, data: bytes) -> None:
+        if isinstance(self.fault, ExtraAnswer):
+            self.sent += data
+        self.connection.write(data)
+
+    def _extra(self, data: bytes) -> None:
+        match self.fault:
+            case ExtraAnswer(late=True):
+                self.connection.late_answer = data
+            case ExtraAnswer():
+                self.connection.write(data)
+
+    def _end(self) -> None:
+        if self.closing:
+            self.connection.close()
+
+    def _last(self, data: bytes, reset: bool) -> None:
+        self.connection.write(data)
+        self._cut(reset)
+
+    def _cut(self, reset: bool) -> bool:
+        if reset:
+            self.connection.reset()
+        else:
+            self.connection.close()
+        return True
+
+    def _lose(self, silent: bool) -> None:
+        if silent:
+            self.connection.fall_silent()
+        else:
+            self.connection.reset()
