Follow the configuration and the endpoints, and say which word counts

Cause: calls are to go where the newest configuration allows, and not to endpoints that leave; the store goes down, cuts feeds and answers stale reads. Ruled out: comparing a whole read with versions seen while it was under way. The other table's feed raises them all the time, and a slow store could never be read; rows and removals are ordered by their own versions instead. One health for both tables: a silent feed of the one would hold removals of the other. Change: a book for the configuration (only newer), one for the endpoints (gone before draining before ready; what vanishes around an outage is held until two seconds after the store's return), a follower for each table, and the directory that tells listeners and takes peers' rows. Twelve events.

--- /dev/null
+++ b/src/mimosafork/directory/directory.py
@@ -0,0 +1,303 @@
+"""The directory: follows configuration and endpoints, and tells what changed."""
+
+import asyncio
+import logging
+from datetime import timedelta
+from random import Random
+
+from ..clock import Clock
+from ..ids import EndpointId
+from ..routing.table import RoutingTable
+from ..telemetry.catalogue.directory import (
+    ENDPOINT_DRAINING,
+    ENDPOINT_GONE,
+    ENDPOINT_HELD,
+    ENDPOINT_LISTED,
+    ENTRY_UNREADABLE,
+    TABLE_TAKEN,
+)
+from ..telemetry.logs import log_event
+from .endpoint_book import EndpointBook
+from .errors import UnreadableError
+from .follower import MILLISECOND, Follower, Sleep, sleep
+from .health import Horizon, StoreHealth
+from .messages import (
+    DirectoryChange,
+    DirectoryEntry,
+    EndpointChanged,
+    EndpointState,
+    Listener,
+    TableChanged,
+    Teller,
+)
+from .rows import Row, RowPage
+from .settings import DirectorySettings
+from .sources import ConfigurationSource, EndpointSource
+from .table_book import TableBook
+
+logger = logging.getLogger(__name__)
+
+
+class Directory:
+    """What this instance believes of the configuration and the endpoints.
+
+    Lives on one asyncio loop; listeners are called there, in the order of changes,
+    and must not wait.
+
+    Parameters
+    ----------
+    configurations : ConfigurationSource
+        The operator's configuration.
+    endpoints : EndpointSource
+        The endpoints' rows.
+    clock : Clock
+        Its monotonic scale is used.
+    random : Random
+        Spreads retries.
+    settings : DirectorySettings, optional
+        Times.
+    pause : Sleep, optional
+        Waits for a time.
+    """
+
+    def __init__(
+        self,
+        configurations: ConfigurationSource,
+        endpoints: EndpointSource,
+        clock: Clock,
+        random: Random,
+        settings: DirectorySettings | None = None,
+        pause: Sleep = sleep,
+    ) -> None:
+        chosen = settings or DirectorySettings()
+        self.pause = pause
+        self.horizon = Horizon()
+        self.health = StoreHealth(clock, chosen.return_grace)
+        self.tables = TableBook(configurations)
+        self.book = EndpointBook(endpoints, self.health, clock, chosen.gone_kept)
+        self.listeners: list[Listener] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.configuration_follower = Follower(
+            "configuration",
+            configurations,
+            ConfigurationTaker(self),
+            chosen.configuration,
+            clock,
+            random,
+            StoreHealth(clock, chosen.return_grace),
+            self.horizon,
+        )
+        self.endpoint_follower = Follower(
+            "endpoints",
+            endpoints,
+            EndpointTaker(self),
+            chosen.endpoints,
+            clock,
+            random,
+            self.health,
+            self.horizon,
+        )
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """The configuration in force, or None before the first."""
+        return self.tables.table
+
+    @property
+    def endpoints(self) -> dict[EndpointId, DirectoryEntry]:
+        """Ready and draining endpoints; not to be changed by others."""
+        return self.book.entries
+
+    @property
+    def raw_configuration(self) -> Row | None:
+        """The row of the configuration in force, to hand to peers."""
+        return self.tables.row
+
+    @property
+    def raw_endpoints(self) -> tuple[Row, ...]:
+        """The rows of all endpoints, removals included, to hand to peers."""
+        return self.book.raw_rows()
+
+    @property
+    def table_age(self) -> timedelta | None:
+        """Time since the store last told the configuration."""
+        return self.configuration_follower.age
+
+    @property
+    def listing_age(self) -> timedelta | None:
+        """Time since the store last told the endpoints."""
+        return self.endpoint_follower.age
+
+    @property
+    def ready_to_serve(self) -> bool:
+        """Whether a configuration and a list of endpoints are known."""
+        listed = bool(self.endpoints) or self.listing_age is not None
+        return self.table is not None and listed
+
+    def listen(self, listener: Listener) -> None:
+        """Tell a listener each change from now on."""
+        self.listeners.append(listener)
+
+    def start(self) -> None:
+        """Begin to follow, on the running loop."""
+        loop = asyncio.get_running_loop()
+        for follower in (self.configuration_follower, self.endpoint_follower):
+            self.tasks.append(loop.create_task(follower.run(self.pause)))
+
+    async def stop(self) -> None:
+        """End following; what is known stays."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.clear()
+
+    def offer_configuration(self, row: Row) -> None:
+        """Take the configuration that a peer knows, if it is newer."""
+        self.horizon.see(row.version)
+        self.take_configuration(row, Teller.PEER)
+
+    def offer_endpoint(self, row: Row) -> None:
+        """Take a peer's word about an endpoint."""
+        self.horizon.see(row.version)
+        self.take_endpoint(row, Teller.PEER)
+
+    def take_configuration(self, row: Row, teller: Teller) -> None:
+        """Take a configuration's row and tell what changed."""
+        try:
+            changed = self.tables.take(row, teller)
+        except UnreadableError as error:
+            log_unreadable(row, teller, error)
+            return
+        if changed is not None:
+            self.tell_table(changed)
+
+    def take_endpoint(self, row: Row, teller: Teller) -> None:
+        """Take an endpoint's row and tell what changed."""
+        try:
+            changed = self.book.take(row, teller)
+        except UnreadableError as error:
+            log_unreadable(row, teller, error)
+            return
+        if changed is not None:
+            self.tell_endpoint(changed)
+
+    def settle(self) -> None:
+        """Tell what is still missing after an outage."""
+        for changed in self.book.settle(Teller.STORE):
+            self.tell_endpoint(changed)
+
+    def tell_table(self, changed: TableChanged) -> None:
+        """Log a configuration and tell the listeners."""
+        age = self.table_age
+        log_event(
+            logger,
+            TABLE_TAKEN,
+            version=changed.table.version,
+            source=changed.teller.value,
+            age_ms="?" if age is None else age // MILLISECOND,
+        )
+        self.tell(changed)
+
+    def tell_endpoint(self, changed: EndpointChanged) -> None:
+        """Log a change of an endpoint and tell the listeners."""
+        log_endpoint(changed)
+        self.tell(changed)
+
+    def tell(self, change: DirectoryChange) -> None:
+        """Tell all listeners."""
+        for listener in self.listeners:
+            listener(change)
+
+
+class ConfigurationTaker:
+    """Hands the configuration's rows to the directory.
+
+    Parameters
+    ----------
+    directory : Directory
+        Who takes them.
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        self.directory = directory
+
+    def contradicted_by(self, page: RowPage) -> bool:
+        """Whether a row is older than that of the configuration in force."""
+        known = self.directory.raw_configuration
+        if known is None:
+            return False
+        return any(row.version < known.version for row in page.rows)
+
+    def take_whole(self, page: RowPage) -> None:
+        """Take the configuration; one that is missing stays in force."""
+        self.take_changes(page)
+
+    def take_changes(self, page: RowPage) -> None:
+        """Take the configuration."""
+        for row in page.rows:
+            self.directory.take_configuration(row, Teller.STORE)
+
+
+class EndpointTaker:
+    """Hands the endpoints' rows to the directory.
+
+    Parameters
+    ----------
+    directory : Directory
+        Who takes them.
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        self.directory = directory
+
+    def contradicted_by(self, page: RowPage) -> bool:
+        """Whether a row is older than what is known of its endpoint."""
+        return self.directory.book.contradicted_by(page.rows)
+
+    def take_whole(self, page: RowPage) -> None:
+        """Take all rows and what is missing among them."""
+        book = self.directory.book
+        self.take(page.rows + book.missing_from(page.rows, page.version))
+
+    def take_changes(self, page: RowPage) -> None:
+        """Take changed rows."""
+        self.take(page.rows)
+
+    def take(self, rows: tuple[Row, ...]) -> None:
+        """Take rows, then settle what was in doubt."""
+        for row in rows:
+            self.directory.take_endpoint(row, Teller.STORE)
+        self.directory.settle()
+
+
+def log_endpoint(changed: EndpointChanged) -> None:
+    """Log what is believed of an endpoint from now on."""
+    entry = changed.entry
+    if entry.state is EndpointState.GONE:
+        event = ENDPOINT_GONE
+    elif entry.state is EndpointState.DRAINING:
+        event = ENDPOINT_DRAINING
+    elif entry.missing_version is not None:
+        event = ENDPOINT_HELD
+    else:
+        event = ENDPOINT_LISTED
+    log_event(
+        logger,
+        event,
+        endpoint=changed.endpoint,
+        service=entry.listed.service,
+        address=entry.listed.address,
+        source=changed.teller.value,
+    )
+
+
+def log_unreadable(row: Row, teller: Teller, error: UnreadableError) -> None:
+    """Log a row that cannot be read."""
+    log_event(
+        logger,
+        ENTRY_UNREADABLE,
+        version=row.version,
+        row=row.key,
+        source=teller.value,
+        why=error,
+    )
--- /dev/null
+++ b/src/mimosafork/directory/endpoint_book.py
@@ -0,0 +1,245 @@
+"""The endpoints that are known, and which word about each counts."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+
+from ..clock import Clock
+from ..ids import EndpointId
+from ..routing.listing import ListedEndpoint, ListedState
+from .health import StoreHealth
+from .messages import DirectoryEntry, EndpointChanged, EndpointState, Teller
+from .rows import Row
+from .sources import EndpointSource
+
+UNTOLD = {"sequence": 0, "cold_remaining": timedelta(0), "state": ListedState.READY}
+"""Fields of a listing whose change alone is not told, set to values that are equal."""
+
+
+@dataclass(frozen=True, slots=True)
+class GoneWord:
+    """An endpoint that is gone.
+
+    Attributes
+    ----------
+    row : Row
+        The word in raw form, to hand to peers.
+    sure : bool
+        False if its row vanished around an outage of the store, so that a newer
+        word of the endpoint itself may bring it back.
+    since : timedelta
+        Monotonic instant at which it was learned.
+    """
+
+    row: Row
+    sure: bool
+    since: timedelta
+
+
+class EndpointBook:
+    """Decides what each row says about its endpoint.
+
+    The strictest word counts: gone before draining before ready. A word's version
+    orders what was said about one id; ids are new with each start of an endpoint.
+
+    Parameters
+    ----------
+    source : EndpointSource
+        Reads a row's value.
+    health : StoreHealth
+        Whether rows may be missing by an outage alone.
+    clock : Clock
+        Its monotonic scale is used.
+    gone_kept : timedelta
+        How long the word that an endpoint is gone is remembered.
+    """
+
+    def __init__(
+        self,
+        source: EndpointSource,
+        health: StoreHealth,
+        clock: Clock,
+        gone_kept: timedelta,
+    ) -> None:
+        self.source = source
+        self.health = health
+        self.clock = clock
+        self.gone_kept = gone_kept
+        self.entries: dict[EndpointId, DirectoryEntry] = {}
+        self.gone: dict[EndpointId, GoneWord] = {}
+
+    def take(self, row: Row, teller: Teller) -> EndpointChanged | None:
+        """Take one word.
+
+        Returns
+        -------
+        EndpointChanged or None
+            None if it changes nothing that others need to know.
+
+        Raises
+        ------
+        UnreadableError
+            If the row's value cannot be read.
+        """
+        if row.removed:
+            return self.remove(row, teller)
+        endpoint = EndpointId(row.key)
+        word = self.gone.get(endpoint)
+        # Guard: a row read late, or a last report that crossed the removal, comes
+        # after the endpoint is gone. Taken, calls would go to an address that is
+        # another's by then. Only what vanished around an outage may come back.
+        if word is not None and (word.sure or row.version <= word.row.version):
+            return None
+        listed = self.source.decode(row)
+        if listed.state is ListedState.DRAINING:
+            return self.drain(row, listed, teller)
+        return self.ready(row, listed, teller)
+
+    def ready(
+        self, row: Row, listed: ListedEndpoint, teller: Teller
+    ) -> EndpointChanged | None:
+        """Take the word that an endpoint takes work."""
+        known = self.entries.get(listed.endpoint)
+        entry = DirectoryEntry(listed, row, EndpointState.READY)
+        if known is None:
+            self.gone.pop(listed.endpoint, None)
+            self.entries[listed.endpoint] = entry
+            return EndpointChanged(entry, teller)
+        # Guard: a ready word written before the draining one is heard after it.
+        # Taken, calls would reach an endpoint that is about to exit. An id never
+        # takes work again once it has said that it leaves.
+        if known.state is EndpointState.DRAINING:
+            return None
+        if row.version <= max(known.row.version, known.missing_version or 0):
+            return None
+        self.entries[listed.endpoint] = entry
+        if known.missing_version is None and same_to_others(known.listed, listed):
+            return None
+        return EndpointChanged(entry, teller)
+
+    def drain(
+        self, row: Row, listed: ListedEndpoint, teller: Teller
+    ) -> EndpointChanged | None:
+        """Take the word that an endpoint leaves, whatever its version."""
+        known = self.entries.get(listed.endpoint)
+        entry = DirectoryEntry(listed, row, EndpointState.DRAINING)
+        if known is None or known.state is EndpointState.READY:
+            self.gone.pop(listed.endpoint, None)
+            self.entries[listed.endpoint] = entry
+            return EndpointChanged(entry, teller)
+        if row.version > known.row.version:
+            self.entries[listed.endpoint] = entry
+        return None
+
+    def remove(self, row: Row, teller: Teller) -> EndpointChanged | None:
+        """Take the word that a row is no longer there."""
+        endpoint = EndpointId(row.key)
+        known = self.entries.get(endpoint)
+        if known is None:
+            self.remember(row, sure=not self.health.in_doubt)
+            return None
+        if row.version < known.row.version:
+            return None
+        # Guard: rows expire while the store is down although their endpoints
+        # serve. Taken at once, all endpoints would be lost with the store. What
+        # was serving stays in use until `settle` sees it still missing.
+        if known.takes_new_work and self.health.in_doubt:
+            return self.hold(known, row, teller)
+        return self.forget(known, row, teller, sure=known.missing_version is None)
+
+    def hold(
+        self, known: DirectoryEntry, row: Row, teller: Teller
+    ) -> EndpointChanged | None:
+        """Keep an endpoint in use whose row vanished around an outage."""
+        version = max(row.version, known.missing_version or 0)
+        entry = replace(known, missing_version=version)
+        self.entries[known.listed.endpoint] = entry
+        if known.missing_version is not None:
+            return None
+        return EndpointChanged(entry, teller)
+
+    def forget(
+        self, known: DirectoryEntry, row: Row, teller: Teller, *, sure: bool
+    ) -> EndpointChanged:
+        """Treat an endpoint as gone."""
+        del self.entries[known.listed.endpoint]
+        self.remember(row, sure=sure)
+        gone = replace(known, state=EndpointState.GONE, missing_version=None)
+        return EndpointChanged(gone, teller)
+
+    def remember(self, row: Row, *, sure: bool) -> None:
+        """Remember that an endpoint is gone; a sure word stays sure."""
+        endpoint = EndpointId(row.key)
+        word = self.gone.get(endpoint)
+        if word is not None:
+            sure = sure or word.sure
+            row = max(row, word.row, key=lambda each: each.version)
+        self.gone[endpoint] = GoneWord(row, sure, self.clock.monotonic())
+
+    def contradicted_by(self, rows: Iterable[Row]) -> bool:
+        """Whether one of the rows is older than what is known of its endpoint."""
+        for row in rows:
+            known = self.entries.get(EndpointId(row.key))
+            if known is not None and row.version < known.row.version:
+                return True
+        return False
+
+    def missing_from(self, rows: Iterable[Row], version: int) -> tuple[Row, ...]:
+        """Return the removals that a whole read as of a version amounts to.
+
+        What is known by a newer word than the read is left alone.
+        """
+        present = {row.key for row in rows}
+        return tuple(
+            replace(entry.row, value=b"", version=version, removed=True)
+            for entry in self.entries.values()
+            if entry.row.key not in present and entry.row.version <= version
+        )
+
+    def settle(self, teller: Teller) -> tuple[EndpointChanged, ...]:
+        """Treat as gone what is still missing some time after the store's return.
+
+        To be called after an answer about the endpoints was taken, so that what
+        came back in time has been heard.
+        """
+        if self.health.in_doubt:
+            return ()
+        self.prune()
+        missing = [
+            entry
+            for entry in self.entries.values()
+            if entry.missing_version is not None
+        ]
+        return tuple(
+            self.forget(entry, removal_of(entry), teller, sure=False)
+            for entry in missing
+        )
+
+    def prune(self) -> None:
+        """Drop words about endpoints that are long gone."""
+        oldest = self.clock.monotonic() - self.gone_kept
+        self.gone = {
+            endpoint: word
+            for endpoint, word in self.gone.items()
+            if word.since >= oldest
+        }
+
+    def raw_rows(self) -> tuple[Row, ...]:
+        """Return all words in raw form, to hand to peers.
+
+        An unsure removal is left out: a peer could not tell it from a sure one.
+        """
+        listed = [entry.row for entry in self.entries.values()]
+        gone = [word.row for word in self.gone.values() if word.sure]
+        return tuple(listed + gone)
+
+
+def same_to_others(first: ListedEndpoint, second: ListedEndpoint) -> bool:
+    """Whether two listings differ at most in what each report changes."""
+    return replace(first, **UNTOLD) == replace(second, **UNTOLD)  # type: ignore[arg-type]
+
+
+def removal_of(entry: DirectoryEntry) -> Row:
+    """Return the removal that an entry was held against."""
+    version = entry.missing_version or entry.row.version
+    return replace(entry.row, value=b"", version=version, removed=True)
--- /dev/null
+++ b/src/mimosafork/directory/messages.py
@@ -0,0 +1,78 @@
+"""What the directory tells the rest of the instance."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from ..ids import EndpointId
+from ..routing.listing import ListedEndpoint
+from ..routing.table import RoutingTable
+from .rows import Row
+
+
+class Teller(Enum):
+    """Who told a word."""
+
+    STORE = "store"
+    PEER = "peer"
+
+
+class EndpointState(Enum):
+    """What the directory believes of an endpoint."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryEntry:
+    """What is known of one life of an endpoint.
+
+    Attributes
+    ----------
+    listed : ListedEndpoint
+        Its last word about itself.
+    row : Row
+        The same in raw form, to hand to peers.
+    state : EndpointState
+        Never goes back from draining.
+    missing_version : int or None
+        Its row vanished at this version, around an outage of the store; it stays in
+        use until that is settled.
+    """
+
+    listed: ListedEndpoint
+    row: Row
+    state: EndpointState
+    missing_version: int | None = None
+
+    @property
+    def takes_new_work(self) -> bool:
+        """Whether calls may be sent to it."""
+        return self.state is EndpointState.READY
+
+
+@dataclass(frozen=True, slots=True)
+class TableChanged:
+    """A newer configuration is in force."""
+
+    table: RoutingTable
+    teller: Teller
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointChanged:
+    """An endpoint is new, changed, held, draining or gone; the entry says which."""
+
+    entry: DirectoryEntry
+    teller: Teller
+
+    @property
+    def endpoint(self) -> EndpointId:
+        """Whom it is about."""
+        return self.entry.listed.endpoint
+
+
+DirectoryChange = TableChanged | EndpointChanged
+Listener = Callable[[DirectoryChange], None]
--- /dev/null
+++ b/src/mimosafork/directory/settings.py
@@ -0,0 +1,57 @@
+"""Times of following the configuration and the endpoints."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+
+def ms(value: int) -> timedelta:
+    """Return milliseconds as a time."""
+    return timedelta(milliseconds=value)
+
+
+@dataclass(frozen=True, slots=True)
+class FollowSettings:
+    """How one table is followed.
+
+    Attributes
+    ----------
+    pause : timedelta
+        After an answer, so that the next one brings changes in a batch.
+    wait : timedelta
+        Longest time that a long poll is asked to wait; it bounds how soon a silent
+        connection is found.
+    first_retry, last_retry : timedelta
+        Pause after a first failure, and the longest that it grows to by doubling;
+        a random part of at most a half is taken off.
+    """
+
+    pause: timedelta
+    wait: timedelta
+    first_retry: timedelta = ms(100)
+    last_retry: timedelta = ms(1000)
+
+
+@dataclass(frozen=True, slots=True)
+class DirectorySettings:
+    """How the directory follows the store.
+
+    Attributes
+    ----------
+    configuration, endpoints : FollowSettings
+        Endpoints rewrite their rows all the time, so their feed seldom waits; its
+        short wait finds silence early and costs no call.
+    return_grace : timedelta
+        What vanished while the store was unavailable, or this soon after its
+        return, may be back until then.
+    gone_kept : timedelta
+        How long the word that an endpoint is gone is remembered.
+    """
+
+    configuration: FollowSettings = field(
+        default_factory=lambda: FollowSettings(pause=ms(100), wait=ms(4000))
+    )
+    endpoints: FollowSettings = field(
+        default_factory=lambda: FollowSettings(pause=ms(250), wait=ms(1000))
+    )
+    return_grace: timedelta = ms(2000)
+    gone_kept: timedelta = timedelta(minutes=10)
--- /dev/null
+++ b/src/mimosafork/telemetry/catalogue/directory.py
@@ -0,0 +1,106 @@
+"""Events of what an instance believes of the configuration and the endpoints."""
+
+from ..events import Event, Level
+
+RANGE = 2100
+
+TABLE_TAKEN = Event(
+    2101,
+    "table-taken",
+    Level.INFO,
+    "configuration {version} in force, told by {source}; the store answered "
+    "{age_ms} ms ago",
+    "Calls that arrive from now on are routed by it.",
+    "None.",
+)
+ENDPOINT_LISTED = Event(
+    2102,
+    "endpoint-listed",
+    Level.INFO,
+    "endpoint {endpoint} of service {service} at {address} listed, told by {source}",
+    "It gets new work from now on.",
+    "None.",
+)
+ENDPOINT_DRAINING = Event(
+    2103,
+    "endpoint-draining",
+    Level.INFO,
+    "endpoint {endpoint} of service {service} is draining, told by {source}",
+    "It gets no new work; what runs there goes on.",
+    "None.",
+)
+ENDPOINT_GONE = Event(
+    2104,
+    "endpoint-gone",
+    Level.INFO,
+    "endpoint {endpoint} of service {service} is gone, told by {source}",
+    "It gets no new work, and its address may be another's soon.",
+    "None.",
+)
+ENDPOINT_HELD = Event(
+    2105,
+    "endpoint-held",
+    Level.WARNING,
+    "endpoint {endpoint} of service {service} vanished from the list around an "
+    "outage of the store and stays in use for now, told by {source}",
+    "Entries expire wrongly while the store is down. It is treated as gone if it is "
+    "still missing some seconds after the store's return.",
+    "None.",
+)
+ENTRY_UNREADABLE = Event(
+    2106,
+    "entry-unreadable",
+    Level.ERROR,
+    "version {version} of row {row}, told by {source}, cannot be read: {why}",
+    "What was known of it before stays in force.",
+    "See that all instances run a version that knows its form.",
+)
+STORE_LOST = Event(
+    2107,
+    "store-lost",
+    Level.WARNING,
+    "the store does not tell the {table}: {why}",
+    "What is known stays in use; peers may still tell newer words.",
+    "See to the platform's store.",
+)
+STORE_REGAINED = Event(
+    2108,
+    "store-regained",
+    Level.INFO,
+    "the store tells the {table} again after {duration_ms} ms",
+    "Changes are followed again.",
+    "None.",
+)
+FEED_CUT = Event(
+    2109,
+    "feed-cut",
+    Level.WARNING,
+    "the store no longer has the history of the {table} after version {version}",
+    "The rows are read whole, and the differences are worked out.",
+    "None.",
+)
+WHOLE_READ = Event(
+    2110,
+    "whole-read",
+    Level.INFO,
+    "the {table} was read whole as of version {version}: {count} rows",
+    "Changes are followed from there.",
+    "None.",
+)
+STALE_READ = Event(
+    2111,
+    "stale-read",
+    Level.WARNING,
+    "a read of the {table} as of version {version} is older than what is known, "
+    "{known}",
+    "It changes nothing, and the rows are read again.",
+    "None, unless it lasts.",
+)
+FOLLOWER_FAULT = Event(
+    2112,
+    "follower-fault",
+    Level.ERROR,
+    "following the {table} met a fault of this program: {why}",
+    "The rows are read whole again.",
+    "Report the fault with its trace.",
+)
--- /dev/null
+++ b/tests/unit/directory/test_endpoints.py
@@ -0,0 +1,260 @@
+"""Tests of the endpoints' rows: leaving, outages, stale reads and peers."""
+
+from unittest import TestCase
+
+from mimosafork.directory.errors import HistoryGoneError, StoreUnavailableError
+from mimosafork.directory.messages import EndpointState
+from mimosafork.ids import EndpointId
+
+from ...support.directories import directory_world, listed, page, removed
+from ...support.functions import function_tests
+
+case = TestCase()
+
+DOWN = StoreUnavailableError("down")
+CUT = HistoryGoneError("cut")
+READY = EndpointState.READY
+DRAINING = EndpointState.DRAINING
+
+
+def test_endpoints_are_read_whole_and_then_followed() -> None:
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), page(12, listed("b", 11)), page(15))
+        case.assertEqual([None, 9, 12], world.listing.asked)
+        case.assertEqual(["a ready", "b ready"], world.words())
+
+
+def test_reports_that_change_nothing_for_others_are_not_told() -> None:
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), page(12, listed("a", 12)))
+        case.assertEqual(["a ready"], world.words())
+        entry = world.directory.endpoints[EndpointId("a")]
+        case.assertEqual(12, entry.listed.sequence)
+        world.endpoints(page(13, listed("a", 13, "ready 10.0.0.2:80")))
+        case.assertEqual(["a ready", "a ready"], world.words())
+
+
+def test_draining_and_removal_take_effect_at_once() -> None:
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4), listed("b", 5)))
+        world.endpoints(page(12, listed("a", 11, "draining"), removed("b", 12)))
+        case.assertEqual(DRAINING, world.state("a"))
+        case.assertFalse(world.directory.endpoints[EndpointId("a")].takes_new_work)
+        case.assertIsNone(world.state("b"))
+        case.assertEqual(["a draining", "b gone"], world.words()[2:])
+
+
+def test_a_draining_word_is_never_taken_back() -> None:
+    """A ready report crosses the draining one and is heard after it.
+
+    Taken, calls would reach an endpoint that is about to exit. Neither the store
+    nor a peer may bring it back, with whatever version; nor may an older draining
+    word be lost behind a newer ready one.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4), listed("b", 9)))
+        world.endpoints(page(12, listed("a", 11, "draining")))
+        world.endpoints(page(14, listed("a", 13)))
+        world.directory.offer_endpoint(listed("a", 20))
+        case.assertEqual(DRAINING, world.state("a"))
+        world.directory.offer_endpoint(listed("b", 7, "draining"))
+        case.assertEqual(DRAINING, world.state("b"))
+
+
+def test_an_endpoint_that_is_gone_stays_gone() -> None:
+    """A peer that heard late tells a ready word of an endpoint that is gone.
+
+    Its address may belong to another service by then.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), page(12, removed("a", 12)))
+        world.directory.offer_endpoint(listed("a", 4))
+        world.directory.offer_endpoint(listed("a", 30))
+        case.assertIsNone(world.state("a"))
+
+
+def test_an_old_removal_does_not_end_a_newer_life_of_the_row() -> None:
+    with directory_world() as world:
+        world.endpoints(page(30, listed("a", 25)))
+        world.directory.offer_endpoint(removed("a", 20))
+        case.assertEqual(READY, world.state("a"))
+
+
+def test_a_row_that_vanished_while_the_store_was_down_comes_back() -> None:
+    """The store goes down, and rows expire as nobody can report.
+
+    At its return the feed tells the removals first, and the endpoints report
+    again within two seconds. Taken at once, all endpoints would be lost.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), DOWN, DOWN, page(12, removed("a", 12)))
+        case.assertEqual(READY, world.state("a"))
+        world.pass_time(1.5)
+        world.endpoints(page(14, listed("a", 14)))
+        world.pass_time(1)
+        world.endpoints(page(15))
+        case.assertEqual(READY, world.state("a"))
+        case.assertEqual(["a ready", "a ready held", "a ready"], world.words())
+
+
+def test_what_is_still_missing_two_seconds_after_the_return_is_gone() -> None:
+    """An endpoint crashes while the store is down, and never reports again.
+
+    Its row vanishes like the others' rows. Two seconds after the store's return it
+    is gone; a late report of its own may still bring it back, an old one may not.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), DOWN, page(12, removed("a", 12)))
+        world.pass_time(1.9)
+        world.endpoints(page(13))
+        case.assertEqual(READY, world.state("a"))
+        world.pass_time(0.1)
+        world.endpoints(page(14))
+        case.assertIsNone(world.state("a"))
+        case.assertEqual("a gone", world.words()[-1])
+        case.assertEqual((), world.directory.raw_endpoints)
+        world.directory.offer_endpoint(listed("a", 11))
+        case.assertIsNone(world.state("a"))
+        world.endpoints(page(20, listed("a", 19)))
+        case.assertEqual(READY, world.state("a"))
+
+
+def test_a_removal_within_two_seconds_of_the_return_is_held_too() -> None:
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), DOWN, page(10))
+        world.pass_time(1)
+        world.endpoints(page(12, removed("a", 12)))
+        case.assertEqual(READY, world.state("a"))
+        world.pass_time(1)
+        world.endpoints(page(13))
+        case.assertIsNone(world.state("a"))
+
+
+def test_a_second_outage_puts_off_the_judgement() -> None:
+    """The store returns, and goes down again before two seconds have passed.
+
+    The endpoints had no time to report, so their absence says nothing yet.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), DOWN, page(12, removed("a", 12)), DOWN)
+        world.pass_time(5)
+        world.endpoints(page(13))
+        case.assertEqual(READY, world.state("a"))
+        world.pass_time(2)
+        world.endpoints(page(14))
+        case.assertIsNone(world.state("a"))
+
+
+def test_a_draining_endpoint_is_not_held_by_an_outage() -> None:
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4, "draining")), DOWN)
+        world.endpoints(page(12, removed("a", 12)))
+        case.assertIsNone(world.state("a"))
+
+
+def test_an_outage_of_the_configurations_feed_casts_no_doubt_on_a_removal() -> None:
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)))
+        world.configuration(DOWN)
+        world.endpoints(page(12, removed("a", 12)))
+        case.assertIsNone(world.state("a"))
+
+
+def test_after_a_cut_feed_the_differences_are_worked_out() -> None:
+    """An endpoint leaves and another comes while the feed hears nothing.
+
+    Then the history is dropped. Only a whole read shows the removal, as a row that
+    is not there.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4), listed("b", 5)), CUT)
+        world.endpoints(page(30, listed("b", 28), listed("c", 29)))
+        case.assertEqual([None, 9, None], world.listing.asked)
+        case.assertEqual(["a gone", "c ready"], sorted(world.words()[2:]))
+
+
+def test_a_stale_whole_read_after_a_cut_changes_nothing() -> None:
+    """Reads are some seconds behind as the history is dropped.
+
+    An endpoint left at version 20, which the feed has told. The whole read is as
+    of version 12 and still lists it, and lacks one that came at version 18. Taken,
+    the one would be used and the other lost.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)))
+        world.endpoints(page(20, listed("b", 18), removed("a", 20)), CUT)
+        world.endpoints(page(12, listed("a", 11), listed("c", 12)))
+        case.assertIsNone(world.state("a"))
+        case.assertEqual(READY, world.state("b"))
+        case.assertIsNone(world.state("c"))
+        world.endpoints(page(21, listed("b", 18)), page(21))
+        case.assertEqual([None, 9, 20, None, None, 21], world.listing.asked)
+        case.assertEqual(READY, world.state("b"))
+
+
+def test_a_whole_read_with_an_older_row_than_known_changes_nothing() -> None:
+    """A stale read claims the newest version, and its rows give it away."""
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 9), listed("b", 8)), CUT)
+        world.endpoints(page(30, listed("a", 3)))
+        case.assertEqual(READY, world.state("b"))
+
+
+def test_a_read_older_than_a_peers_word_changes_nothing() -> None:
+    with directory_world() as world:
+        world.directory.offer_endpoint(listed("a", 20))
+        world.endpoints(page(12))
+        case.assertEqual(READY, world.state("a"))
+        world.endpoints(page(22))
+        case.assertIsNone(world.state("a"))
+
+
+def test_what_is_newer_than_a_whole_read_is_left_alone() -> None:
+    """A peer's word overtakes a whole read that is under way.
+
+    The read does not have the row yet; its absence says nothing.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9))
+        world.directory.offer_endpoint(listed("a", 20))
+        missing = world.directory.book.missing_from((), 12)
+        case.assertEqual((), missing)
+
+
+def test_an_unreadable_row_leaves_what_is_known() -> None:
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)))
+        world.endpoints(page(12, listed("a", 11, "odd"), listed("b", 12)))
+        case.assertEqual(READY, world.state("a"))
+        case.assertEqual(READY, world.state("b"))
+
+
+def test_raw_rows_make_another_instance_know_the_same() -> None:
+    """An instance starts while the store cannot be reached.
+
+    A peer hands it the rows that it holds; what is leaving or gone must not be in
+    use at the new instance.
+    """
+    with directory_world() as first, directory_world() as second:
+        first.endpoints(
+            page(9, listed("a", 4), listed("b", 5, "draining"), listed("c", 6)),
+            page(12, removed("c", 12)),
+        )
+        second.directory.offer_endpoint(listed("c", 6))
+        for row in first.directory.raw_endpoints:
+            second.directory.offer_endpoint(row)
+        case.assertEqual(READY, second.state("a"))
+        case.assertEqual(DRAINING, second.state("b"))
+        case.assertIsNone(second.state("c"))
+
+
+def test_words_about_endpoints_long_gone_are_dropped() -> None:
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), page(12, removed("a", 12)))
+        case.assertEqual(1, len(world.directory.book.gone))
+        world.pass_time(601)
+        world.endpoints(page(13))
+        case.assertEqual({}, world.directory.book.gone)
+
+
+load_tests = function_tests(__name__)
