Let the prepared stand-ins beat, stall and be cut off

A run that is answered with a promise before its first event is taken out of the record again; counted as a run, it would have shown a refusal of the product as a broken promise. The store's calls are counted and no longer listed without a bound.

--- a/src/mimosafork/standins/prepared/deployment.py
+++ b/src/mimosafork/standins/prepared/deployment.py
@@ -1,5 +1,8 @@
 """A whole prepared platform on loopback: a store, endpoints and an operator."""
 
+import asyncio
+from collections import Counter
+from datetime import timedelta
 from types import TracebackType
 
 from .background import LoopThread
@@ -12,6 +15,7 @@
 from .words import KEY_CONFIG, TABLE_OPERATOR, TABLE_SERVERS
 
 FIRST_VERSION = 1
+SILENT_BEATS = 3
 VERSION_STEP = 3
 
 
@@ -22,6 +26,9 @@
     ----------
     config : ConfigEntry or None
         The first configuration; None for a deployment that has none yet.
+    heartbeat : timedelta or None
+        How often listed endpoints beat by themselves; those that are dead are taken
+        off after `SILENT_BEATS`. With None a test writes each beat.
 
     Attributes
     ----------
@@ -30,8 +37,12 @@
     """
 
     def __init__(
-        self, config: ConfigEntry | None = None, row_bytes: int = DEFAULT_ROW_BYTES
+        self,
+        config: ConfigEntry | None = None,
+        row_bytes: int = DEFAULT_ROW_BYTES,
+        heartbeat: timedelta | None = None,
     ) -> None:
+        self.heartbeat = heartbeat
         self.thread = LoopThread()
         self.store = Store(self.thread, row_bytes)
         self.log = RunLog()
@@ -48,6 +59,8 @@
             self.store.start()
             if self.config is not None:
                 self.configure(self.config)
+            if self.heartbeat is not None:
+                self.thread.run(self._begin_beats(self.heartbeat))
         except BaseException:
             self.thread.stop()
             raise
@@ -77,31 +90,44 @@
         return self.version
 
     def add_engine(
-        self, settings: EndpointSettings, figures: EngineFigures | None = None
+        self,
+        settings: EndpointSettings,
+        figures: EngineFigures | None = None,
+        port: int = 0,
     ) -> Engine:
-        """Start an engine and list it as ready."""
+        """Start an engine and list it as ready; 0 lets the system pick its port."""
         engine = Engine(self.thread, settings, self.log, figures, self.neighbours)
-        self._add(engine)
+        self._add(engine, port)
         self.neighbours[engine.address] = engine
         return engine
 
-    def add_desk(self, settings: EndpointSettings) -> Desk:
-        """Start a plain endpoint and list it as ready."""
+    def add_desk(self, settings: EndpointSettings, port: int = 0) -> Desk:
+        """Start a plain endpoint and list it as ready; 0 picks a port."""
         desk = Desk(self.thread, settings, self.log)
-        self._add(desk)
+        self._add(desk, port)
         return desk
 
     def beat(self, endpoint: Endpoint) -> None:
         """Write an endpoint's row with the next `seq`."""
         self.thread.call(lambda: self._beat(endpoint))
 
-    def drain(self, endpoint: Endpoint, reported: bool = True) -> None:
-        """Let an endpoint leave; it reports that, or its row is just removed."""
+    def drain(
+        self,
+        endpoint: Endpoint,
+        reported: bool = True,
+        exits_after: timedelta | None = None,
+    ) -> None:
+        """Let an endpoint leave; it reports that, or its row is just removed.
+
+        With `exits_after` it ends by itself, as by `remove`.
+        """
         endpoint.drain()
         if reported:
             self.beat(endpoint)
         else:
             self.delist(endpoint)
+        if exits_after is not None:
+            self.thread.call(lambda: self._exit_later(endpoint, exits_after))
 
     def delist(self, endpoint: Endpoint) -> None:
         """Remove an endpoint's row; it serves on."""
@@ -112,7 +138,8 @@
         self.delist(endpoint)
         endpoint.stop()
 
-    def _add(self, endpoint: Endpoint) -> None:
+    def _add(self, endpoint: Endpoint, port: int) -> None:
+        endpoint.listener.port = port
         self.endpoints.append(endpoint)
         endpoint.on_life = self._lives
         endpoint.start()
@@ -126,6 +153,35 @@
             self._delist(endpoint)
             self._beat(endpoint)
 
+    def _exit_later(self, endpoint: Endpoint, delay: timedelta) -> None:
+        def leave() -> None:
+            self._delist(endpoint)
+            endpoint.die()
+
+        self.thread.loop.call_later(delay.total_seconds(), leave)
+
+    async def _begin_beats(self, heartbeat: timedelta) -> None:
+        self.beating = asyncio.ensure_future(self._beat_all(heartbeat.total_seconds()))
+
+    async def _beat_all(self, interval_s: float) -> None:
+        silent: Counter[str] = Counter()
+        while True:
+            await asyncio.sleep(interval_s)
+            if self.store.faults.down is not None:
+                continue
+            for endpoint in self.endpoints:
+                self._beat_or_expire(endpoint, silent)
+
+    def _beat_or_expire(self, endpoint: Endpoint, silent: Counter[str]) -> None:
+        if id(endpoint) not in self.listed:
+            return
+        if endpoint.alive:
+            self._beat(endpoint)
+            return
+        silent[endpoint.id] += 1
+        if silent[endpoint.id] >= SILENT_BEATS:
+            self._delist(endpoint)
+
     def _beat(self, endpoint: Endpoint) -> None:
         self.beats[endpoint.id] = seq = self.beats.get(endpoint.id, 0) + 1
         self.listed[id(endpoint)] = endpoint.id
--- a/src/mimosafork/standins/prepared/endpoint.py
+++ b/src/mimosafork/standins/prepared/endpoint.py
@@ -102,6 +102,7 @@
         self.gate = Gate()
         self.id = new_id()
         self.alive = False
+        self.ended = asyncio.Event()
         self.revival: asyncio.Task[None] | None = None
         self.draining = False
         self.healthy = True
@@ -161,7 +162,11 @@
 
     def silence_connections(self) -> None:
         """Let open channels deliver nothing further; new ones work."""
-        self.thread.call(self._silence)
+        self.thread.call(self.listener.silence)
+
+    def cut_off(self, cut_off: bool = True) -> None:
+        """Be unreachable without a reset; open channels stay silent for good."""
+        self.thread.call(lambda: self.listener.set_cut_off(cut_off))
 
     @property
     def open_connections(self) -> int:
@@ -202,12 +207,14 @@
         self.listener.max_connections = settings.max_connections
         self.listener.idle_s = None if settings.idle is None else seconds(settings.idle)
         await self.listener.open()
+        self.ended = asyncio.Event()
         self.alive = True
         self.on_life(self)
 
     def die(self) -> None:
         """End this life."""
         self.alive = False
+        self.ended.set()
         if self.revival is not None:
             self.revival.cancel()
         now_s = self.now_s()
@@ -232,10 +239,6 @@
         """Return the loop's steady clock, in seconds."""
         return self.thread.loop.time()
 
-    def _silence(self) -> None:
-        for connection in self.listener.connections:
-            connection.fall_silent()
-
     async def _serve(self, request: Request, connection: Connection) -> None:
         fault = self._fault_of(request)
         if isinstance(fault, Mute):
--- a/src/mimosafork/standins/prepared/engine.py
+++ b/src/mimosafork/standins/prepared/engine.py
@@ -55,6 +55,8 @@
         The model that is loaded.
     hold_max : timedelta
         Longest time for which memory is set aside at once.
+    stall : timedelta
+        Work whose helper is gone stalls for so long before it is broken off.
     """
 
     memory: int = 400_000
@@ -63,6 +65,7 @@
     gap: timedelta = timedelta(0)
     model: str = "m"
     hold_max: timedelta = timedelta(seconds=20)
+    stall: timedelta = timedelta(milliseconds=50)
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,9 +98,30 @@
 
     engines: list["Engine"] = field(default_factory=list)
     held: list[HeldTicket] = field(default_factory=list)
+    lives: list[asyncio.Event] = field(default_factory=list)
+    ids: list[str] = field(default_factory=list)
+
+    @property
+    def losses(self) -> list[asyncio.Event]:
+        """Events of which each one takes away what the request relies on."""
+        return [*self.lives, *(each.ticket.lost for each in self.held)]
+
+    def helper_lost(self) -> bool:
+        """Say whether the life of a helper has ended."""
+        return any(life.is_set() for life in self.lives)
+
+    def lost_helper(self) -> str:
+        """Return the id of the first helper whose life has ended."""
+        return next(
+            name
+            for name, life in zip(self.ids, self.lives, strict=True)
+            if life.is_set()
+        )
 
     def enter(self) -> None:
-        """Take their help and tickets."""
+        """Take their help and tickets, for as long as these lives last."""
+        self.lives = [engine.ended for engine in self.engines]
+        self.ids = [engine.id for engine in self.engines]
         for engine in self.engines:
             engine.helping += 1
         for each in self.held:
@@ -206,8 +230,7 @@
         for number in range(first, self.event_count(job.request) + 1):
             broken_off = await self._step(job, fellows, span_s)
             if broken_off is not None:
-                self._break_off(job, sending, broken_off)
-                return broken_off
+                return self._break_off(job, fellows, sending, broken_off)
             span_s = seconds(self.figures.gap) / settings.speed
             if sending is None:
                 sending = self._begin(job)
@@ -228,13 +251,14 @@
             await self.gate.passed()
             await asyncio.sleep(span_s)
 
-        if not fellows.held:
+        losses = fellows.losses
+        if not losses:
             return await job.until(step())
-        lost = [each.ticket.lost for each in fellows.held]
-        broken_off = await job.until(
-            whichever(step(), *(event.wait() for event in lost))
-        )
-        if broken_off is None and any(event.is_set() for event in lost):
+        waits = (event.wait() for event in losses)
+        broken_off = await job.until(whichever(step(), *waits))
+        if broken_off is None and fellows.helper_lost():
+            broken_off = await job.pause(seconds(self.figures.stall))
+        if broken_off is None and any(event.is_set() for event in losses):
             return RunEnd.CUT
         return broken_off
 
@@ -243,13 +267,20 @@
         sending.begin(HTTPStatus.OK)
         return sending
 
-    def _break_off(self, job: Job, sending: Sending | None, end: RunEnd) -> None:
+    def _break_off(
+        self, job: Job, fellows: Fellows, sending: Sending | None, end: RunEnd
+    ) -> RunEnd:
         if sending is not None:
             job.connection.reset()
         elif end is RunEnd.EXPIRED:
             job.whole(Answer(HTTPStatus.GATEWAY_TIMEOUT))
+        elif end is RunEnd.CUT and fellows.helper_lost():
+            at_fault = fellows.lost_helper()
+            job.refuse(not_run(HTTPStatus.SERVICE_UNAVAILABLE, at_fault))
+            return RunEnd.NOT_BEGUN
         elif end is RunEnd.CUT:
             job.connection.reset()
+        return end
 
     def _fellows(self, request: Request) -> Fellows:
         fellows = Fellows()
--- a/src/mimosafork/standins/prepared/http.py
+++ b/src/mimosafork/standins/prepared/http.py
@@ -121,6 +121,7 @@
         if not self.listener.accepts():
             self.reset()
             return
+        self.silent = self.listener.cut_off
         self.listener.connections.add(self)
         self.task = self.listener.spawn(self._serve())
 
@@ -253,6 +254,7 @@
     def __init__(self, handler: Handler) -> None:
         self.handler = handler
         self.idle_s: float | None = None
+        self.cut_off = False
         self.max_connections: int | None = None
         self.connections: set[Connection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -269,6 +271,17 @@
         limit = self.max_connections
         return limit is None or len(self.connections) < limit
 
+    def silence(self) -> None:
+        """Let open channels deliver nothing further; new ones work."""
+        for connection in self.connections:
+            connection.fall_silent()
+
+    def set_cut_off(self, cut_off: bool) -> None:
+        """Be unreachable without a reset, or reachable again for new channels."""
+        self.cut_off = cut_off
+        if cut_off:
+            self.silence()
+
     def spawn(self, coroutine: Awaitable[None]) -> asyncio.Task[None]:
         """Start a task that ends with the listener at the latest."""
         task = asyncio.ensure_future(coroutine)
--- a/src/mimosafork/standins/prepared/runs.py
+++ b/src/mimosafork/standins/prepared/runs.py
@@ -24,9 +24,11 @@
     EXPIRED = "expired"
     CRASHED = "crashed"
     CUT = "cut"
+    NOT_BEGUN = "not begun"
+    """Admitted, and answered with a promise before its first event."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Run:
     """One request at which an endpoint began to work.
 
@@ -83,6 +85,7 @@
     runs: list[Run] = field(default_factory=list)
     visits: list[Visit] = field(default_factory=list)
     changed: Condition = field(default_factory=Condition)
+    begun: int = 0
 
     def begin(self, request: Request, instance: str, service: str, now_s: float) -> Run:
         """Record the start of a run."""
@@ -94,8 +97,9 @@
         with self.changed:
             if len(self.runs) >= MAX_RECORDS:
                 raise StandinError("too many runs to record")
+            self.begun += 1
             run = Run(
-                len(self.runs) + 1,
+                self.begun,
                 instance,
                 service,
                 request.header(REQUEST_ID),
@@ -110,10 +114,15 @@
         return run
 
     def finish(self, run: Run, end: RunEnd, now_s: float) -> None:
-        """Record the end of a run; the first end counts."""
+        """Record the end of a run; the first end counts.
+
+        One that has not begun is no run, and is taken out of the record.
+        """
         with self.changed:
             if run.end is RunEnd.RUNNING:
                 run.end, run.ended_s = end, now_s
+            if end is RunEnd.NOT_BEGUN:
+                self.runs.remove(run)
             self.changed.notify_all()
 
     def visit(self, visit: Visit) -> None:
--- a/src/mimosafork/standins/prepared/store.py
+++ b/src/mimosafork/standins/prepared/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+from collections import Counter
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -13,7 +14,14 @@
 
 from ..errors import BadRequestError
 from .background import LoopThread
-from .http import Answer, Connection, Listener, Request, whichever
+from .http import (
+    MAX_BODY_BYTES,
+    Answer,
+    Connection,
+    Listener,
+    Request,
+    whichever,
+)
 from .rows import FEED_ROWS, Expected, Put, Row, RowName, Rows, Transaction
 from .words import (
     ROWS_FEED,
@@ -26,6 +34,7 @@
 
 MAX_WAIT_MS = 30_000
 MAX_PARTS = 1000
+MAX_CALL_NAME = 40
 DEFAULT_ROW_BYTES = 65_536
 LOSE_ALL = -1
 EXPECT = "expect-rev"
@@ -73,7 +82,9 @@
     Attributes
     ----------
     down : Refusal or None
-        All calls are turned away, and nothing is done.
+        Calls are turned away, and nothing is done.
+    tables : frozenset of str
+        `down` goes for calls about these tables only; empty for all calls.
     delay : timedelta
         Calls are carried out and answered this much later.
     lost_answers : int
@@ -86,6 +97,7 @@
     """
 
     down: Refusal | None = None
+    tables: frozenset[str] = frozenset()
     delay: timedelta = NO_DELAY
     lost_answers: int = 0
     late_by: timedelta = NO_DELAY
@@ -114,7 +126,7 @@
         self.seen = self.rows
         self.faults = NO_FAULTS
         self.losses_left = 0
-        self.calls: list[str] = []
+        self.calls: Counter[str] = Counter()
         self.changed: asyncio.Event
         self.listener = Listener(self._serve)
 
@@ -141,7 +153,7 @@
 
     def silence_connections(self) -> None:
         """Let open channels deliver nothing further; new ones work."""
-        self.thread.call(self._silence)
+        self.thread.call(self.listener.silence)
 
     def put(self, table: str, key: str, document: object, part: str = "") -> int:
         """Write a row as the operator and the endpoints do; return its version."""
@@ -177,10 +189,6 @@
         self.rows.drop_history()
         self._wake()
 
-    def _silence(self) -> None:
-        for connection in self.listener.connections:
-            connection.fall_silent()
-
     def _write(self, transaction: Transaction) -> int:
         self.rows.apply(transaction)
         self._wake()
@@ -193,23 +201,30 @@
     async def _serve(self, request: Request, connection: Connection) -> None:
         if not await connection.body_arrived(request):
             return
-        self.calls.append(f"{request.method} {request.path}")
-        refusal = self._refusal(request)
-        if refusal is not None:
-            refuse(refusal, connection)
-            return
-        if self.faults.delay:
-            await asyncio.sleep(self.faults.delay.total_seconds())
+        self.calls[f"{request.method} {request.path}"[:MAX_CALL_NAME]] += 1
         try:
-            answer = await self._answer(request, connection)
+            answer = await self._answer_unless_refused(request, connection)
         except (BadRequestError, msgspec.DecodeError, ValueError, KeyError) as error:
             answer = Answer.json(HTTPStatus.BAD_REQUEST, {"error": str(error)})
         if answer is not None:
             connection.write(answer.encode())
 
+    async def _answer_unless_refused(
+        self, request: Request, connection: Connection
+    ) -> Answer | None:
+        refusal = self._refusal(request)
+        if refusal is not None:
+            refuse(refusal, connection)
+            return None
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay.total_seconds())
+        return await self._answer(request, connection)
+
     def _refusal(self, request: Request) -> Refusal | None:
-        if self.faults.down is not None:
-            return self.faults.down
+        faults = self.faults
+        concerned = not faults.tables or tables_of(request) & faults.tables
+        if faults.down is not None and concerned:
+            return faults.down
         away = self.faults.turned_away
         return away.how if away is not None and away.applies(request) else None
 
@@ -332,6 +347,14 @@
             connection.write(Answer(HTTPStatus.TOO_MANY_REQUESTS).encode())
 
 
+def tables_of(request: Request) -> set[str]:
+    """Return the tables that a call is about."""
+    if request.path != ROWS_TX:
+        return {request.query("table")}
+    transaction = decode_transaction(bytes(request.body), MAX_BODY_BYTES)
+    return {name.table for name in transaction.names}
+
+
 def encode_value(document: object) -> str:
     """Return a row's value: JSON in base64."""
     return base64.b64encode(msgspec.json.encode(document)).decode()
--- a/tests/support/prepared.py
+++ b/tests/support/prepared.py
@@ -112,15 +112,17 @@
     ----------
     address : str
         ``IP:PORT``.
-    source : str
-        Address to call from; all of 127/8 is loopback.
+    source : str or None
+        Address to call from; all of 127/8 is loopback. With None the system picks it,
+        and keeps clear of the ports of endpoints that are down.
     """
 
     def __init__(
-        self, address: str, timeout_s: float = TIMEOUT_S, source: str = "127.0.0.1"
+        self, address: str, timeout_s: float = TIMEOUT_S, source: str | None = None
     ) -> None:
         ip, _, port = address.partition(":")
-        self.socket = socket.create_connection((ip, int(port)), timeout_s, (source, 0))
+        bound = None if source is None else (source, 0)
+        self.socket = socket.create_connection((ip, int(port)), timeout_s, bound)
         self.file: BinaryIO = self.socket.makefile("rb")
         self.rest = b""
         self.complete = False
@@ -267,7 +269,7 @@
     headers: Mapping[str, str] | None = None,
     body: bytes = b"",
     timeout_s: float = TIMEOUT_S,
-    source: str = "127.0.0.1",
+    source: str | None = None,
 ) -> CallResult:
     """Make one call on a channel of its own.
 
--- a/tests/unit/standins/test_prepared_deployment.py
+++ b/tests/unit/standins/test_prepared_deployment.py
@@ -9,9 +9,11 @@
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.documents import RouteEntry
 from mimosafork.standins.prepared.endpoint import EndpointSettings
-from mimosafork.standins.prepared.store import decode_value
+from mimosafork.standins.prepared.store import Refusal, StoreFaults, decode_value
 from mimosafork.standins.prepared.words import (
+    EXPECT_INSTANCE,
     KEY_CONFIG,
+    REQUEST_ID,
     ROWS_FEED,
     ROWS_GET,
     TABLE_OPERATOR,
@@ -147,4 +149,48 @@
     case.assertNotEqual(first, desk.id)
 
 
+def test_endpoints_beat_by_themselves_and_the_dead_are_taken_off() -> None:
+    with Deployment(USUAL_CONFIG, heartbeat=timedelta(milliseconds=5)) as running:
+        desk = running.add_desk(EndpointSettings(DESKS))
+        eventually(lambda: listed(running)[desk.id]["seq"] > 2)
+        desk.crash()
+        eventually(lambda: listed(running) == {})
+
+
+def test_beats_do_not_reach_a_store_that_is_down() -> None:
+    with Deployment(USUAL_CONFIG, heartbeat=timedelta(milliseconds=5)) as running:
+        desk = running.add_desk(EndpointSettings(DESKS))
+        running.store.set_faults(StoreFaults(down=Refusal.UNAVAILABLE))
+        before = running.store.read(TABLE_SERVERS, desk.id)
+        with case.assertRaises(AssertionError):
+            eventually(
+                lambda: running.store.read(TABLE_SERVERS, desk.id) != before,
+                timedelta(milliseconds=50),
+            )
+
+
+def test_a_draining_endpoint_may_exit_by_itself() -> None:
+    with deployment() as running:
+        desk = running.add_desk(EndpointSettings(DESKS))
+        running.drain(desk, exits_after=timedelta(milliseconds=20))
+        case.assertEqual("draining", listed(running)[desk.id]["state"])
+        eventually(lambda: listed(running) == {})
+        with case.assertRaises(ConnectionRefusedError):
+            call(desk.address, "GET", "/healthz")
+
+
+def test_the_address_of_one_that_is_gone_is_used_by_another_service() -> None:
+    with deployment() as running:
+        desk = running.add_desk(EndpointSettings(DESKS))
+        running.remove(desk)
+        engine = running.add_engine(EndpointSettings(ENGINES), port=desk.listener.port)
+        headers = {REQUEST_ID: "a", EXPECT_INSTANCE: desk.id}
+        result = call(desk.address, "POST", "/unsafe/1", headers)
+        found = listed(running)
+    case.assertEqual(desk.address, engine.address)
+    case.assertEqual(421, result.status)
+    case.assertEqual([engine.id], list(found))
+    case.assertEqual([], running.log.runs)
+
+
 load_tests = function_tests(__name__)
--- a/tests/unit/standins/test_prepared_engine.py
+++ b/tests/unit/standins/test_prepared_engine.py
@@ -345,11 +345,12 @@
 def test_memory_whose_time_is_over_cuts_its_request_off() -> None:
     with one_engine() as engine, Channel(engine.address) as channel:
         engine.hold()
-        reserve(engine, "t1", 700, hold_ms=150)
+        reserve(engine, "t1", 700)
         send(channel, "a", **{HELPERS: f"{engine.address}/t1"})
         engine.release()
         channel.read_head()
         case.assertIsNotNone(channel.read_event())
+        reserve(engine, "t1", 700, hold_ms=10)
         case.assertIsNone(channel.read_event())
         case.assertFalse(channel.complete)
         engine.log.wait_until(ended)
@@ -374,6 +375,40 @@
     case.assertEqual(["helped"], ran)
 
 
+def test_a_helper_that_dies_amid_a_stream_cuts_it_off() -> None:
+    with deployment() as whole:
+        first = whole.add_engine(EndpointSettings(ENGINES))
+        helper = whole.add_engine(EndpointSettings(ENGINES))
+        first.hold()
+        with Channel(first.address) as channel:
+            send(channel, "a", **{HELPERS: helper.address})
+            first.release()
+            channel.read_head()
+            case.assertIsNotNone(channel.read_event())
+            helper.crash()
+            case.assertIsNone(channel.read_event())
+            case.assertFalse(channel.complete)
+        whole.log.wait_until(ended)
+        case.assertEqual(RunEnd.CUT, whole.log.of("a")[0].end)
+
+
+def test_a_helper_that_dies_before_the_first_event_leaves_a_promise() -> None:
+    with deployment() as whole:
+        first = whole.add_engine(EndpointSettings(ENGINES))
+        helper = whole.add_engine(EndpointSettings(ENGINES))
+        first.hold()
+        with Channel(first.address) as channel:
+            send(channel, "a", **{HELPERS: helper.address})
+            whole.log.wait_until(running("a"))
+            gone = helper.id
+            helper.crash()
+            result = channel.read_answer()
+        whole.log.wait_until(lambda log: not log.of("a"))
+    case.assertEqual(503, result.status)
+    case.assertEqual("1", result.headers[NOT_RUN.lower()])
+    case.assertEqual(gone, result.headers[AT_SERVER.lower()])
+
+
 def test_a_draining_helper_is_refused() -> None:
     with deployment() as whole:
         first = whole.add_engine(EndpointSettings(ENGINES))
--- a/tests/unit/standins/test_prepared_faults.py
+++ b/tests/unit/standins/test_prepared_faults.py
@@ -291,6 +291,16 @@
         case.assertEqual([], desk.log.of("b"))
 
 
+def test_an_endpoint_that_is_cut_off_is_silent_on_new_channels_too() -> None:
+    with one_desk() as desk:
+        desk.cut_off()
+        with case.assertRaises(TimeoutError):
+            ask(desk, timeout_s=SILENCE_S)
+        desk.cut_off(False)
+        case.assertEqual(200, ask(desk, name="b").status)
+        case.assertEqual([], desk.log.of("a"))
+
+
 def test_malformed_bytes_are_refused() -> None:
     with one_desk() as desk, Channel(desk.address) as channel:
         channel.send_bytes(b"\x00\x01 no request\r\n\r\n")
--- a/tests/unit/standins/test_prepared_store.py
+++ b/tests/unit/standins/test_prepared_store.py
@@ -190,6 +190,15 @@
         case.assertEqual([], keys(get(store)))
 
 
+def test_the_store_may_be_down_for_some_tables() -> None:
+    with deployment() as running:
+        faults = StoreFaults(down=Refusal.UNAVAILABLE, tables=frozenset({"my"}))
+        running.store.set_faults(faults)
+        case.assertEqual(503, transact(running.store, puts=[put_of("a", 1)]).status)
+        case.assertEqual(503, get(running.store).status)
+        case.assertEqual(200, get(running.store, "table=op&part=").status)
+
+
 def test_a_lost_answer_leaves_the_write_done_and_its_channel_silent() -> None:
     with deployment() as running, Channel(running.store.address, SILENCE_S) as channel:
         running.store.set_faults(StoreFaults(lost_answers=1))
