--- /dev/null
+++ b/src/mimosafork/gossip/callbacks.py
@@ -0,0 +1,143 @@
+"""Whom the gossip tells what it has found out."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from ..ids import EndpointId, InstanceId
+from ..telemetry.catalogue.gossip import (
+    GOSSIP_DATAGRAM_REFUSED,
+    GOSSIP_PEER_DOWN,
+    GOSSIP_PEER_RESTARTED,
+    GOSSIP_PEER_UP,
+)
+from ..telemetry.events import Event
+from ..telemetry.logs import log_event
+from .effects import (
+    DatagramRefused,
+    DoubtChanged,
+    EndpointSaid,
+    LoadChanged,
+    PeerDown,
+    PeerRestarted,
+    PeerUp,
+    SuspicionChanged,
+    VersionsOffered,
+)
+from .kinds.doubt import Doubt
+from .kinds.endpoints import EndpointWord
+from .kinds.suspicion import Suspicion
+from .members import Identity
+
+logger = logging.getLogger(__name__)
+
+REFUSED_EVERY = timedelta(seconds=10)
+
+
+def ignore(*_: object) -> None:
+    """Do nothing."""
+
+
+@dataclass(slots=True)
+class Callbacks:
+    """What is called, in the loop's own thread; none may block.
+
+    Parameters
+    ----------
+    on_configuration_offered : callable
+        Raw row of a newer configuration, and its version.
+    on_listing_offered : callable
+        Raw rows of a newer list of endpoints, and their version.
+    on_peers_changed : callable
+        A peer came, fell silent or began a new life.
+    on_load_changed : callable
+        A peer's works have changed.
+    on_endpoint_word, on_suspicion, on_doubt : callable
+        A peer's word; the suspicion is what all know together, a doubt that was
+        taken back is None.
+    """
+
+    on_configuration_offered: Callable[[bytes, int], None] = ignore
+    on_listing_offered: Callable[[bytes, int], None] = ignore
+    on_peers_changed: Callable[[], None] = ignore
+    on_load_changed: Callable[[InstanceId], None] = ignore
+    on_endpoint_word: Callable[[EndpointId, EndpointWord], None] = ignore
+    on_suspicion: Callable[[bytes, Suspicion], None] = ignore
+    on_doubt: Callable[[InstanceId, EndpointId, Doubt | None], None] = ignore
+
+
+class Teller:
+    """Logs effects and calls back.
+
+    Parameters
+    ----------
+    offered : callable
+        Takes versions that a peer can hand over.
+    """
+
+    def __init__(
+        self, callbacks: Callbacks, offered: Callable[[VersionsOffered], None]
+    ) -> None:
+        self.callbacks = callbacks
+        self.offered = offered
+        self.refused = 0
+        self.refused_shown: timedelta | None = None
+
+    @singledispatchmethod
+    def tell(self, effect: object, now: timedelta) -> None:
+        """Handle an effect by its type."""
+        raise TypeError(f"nobody handles {effect!r}")
+
+    @tell.register
+    def _(self, effect: PeerUp, now: timedelta) -> None:
+        self.peer_changed(GOSSIP_PEER_UP, effect.identity)
+
+    @tell.register
+    def _(self, effect: PeerDown, now: timedelta) -> None:
+        self.peer_changed(GOSSIP_PEER_DOWN, effect.identity)
+
+    @tell.register
+    def _(self, effect: PeerRestarted, now: timedelta) -> None:
+        self.peer_changed(GOSSIP_PEER_RESTARTED, effect.identity)
+
+    @tell.register
+    def _(self, effect: DatagramRefused, now: timedelta) -> None:
+        self.refused += 1
+        shown = self.refused_shown
+        if shown is not None and now - shown < REFUSED_EVERY:
+            return
+        self.refused_shown = now
+        log_event(
+            logger,
+            GOSSIP_DATAGRAM_REFUSED,
+            address=effect.address.host,
+            reason=effect.reason,
+            count=self.refused,
+        )
+
+    @tell.register
+    def _(self, effect: VersionsOffered, now: timedelta) -> None:
+        self.offered(effect)
+
+    @tell.register
+    def _(self, effect: EndpointSaid, now: timedelta) -> None:
+        self.callbacks.on_endpoint_word(effect.endpoint, effect.said)
+
+    @tell.register
+    def _(self, effect: SuspicionChanged, now: timedelta) -> None:
+        self.callbacks.on_suspicion(effect.digest, effect.known)
+
+    @tell.register
+    def _(self, effect: DoubtChanged, now: timedelta) -> None:
+        self.callbacks.on_doubt(effect.instance, effect.endpoint, effect.doubt)
+
+    @tell.register
+    def _(self, effect: LoadChanged, now: timedelta) -> None:
+        self.callbacks.on_load_changed(effect.instance)
+
+    def peer_changed(self, event: Event, identity: Identity) -> None:
+        """Log a peer's change and call back."""
+        log_event(logger, event, peer=identity.instance, zone=identity.zone)
+        self.callbacks.on_peers_changed()
--- /dev/null
+++ b/src/mimosafork/gossip/effects.py
@@ -0,0 +1,92 @@
+"""What the exchange has found out and others should know."""
+
+from dataclasses import dataclass
+
+from ..ids import EndpointId, InstanceId
+from .kinds.configuration import Versions
+from .kinds.doubt import Doubt
+from .kinds.endpoints import EndpointWord
+from .kinds.suspicion import Suspicion
+from .members import Address, Identity
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUp:
+    """A peer is heard, for the first time or again."""
+
+    identity: Identity
+
+
+@dataclass(frozen=True, slots=True)
+class PeerDown:
+    """A peer is silent, and its load is forgotten."""
+
+    identity: Identity
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRestarted:
+    """A peer has begun a new life."""
+
+    identity: Identity
+
+
+@dataclass(frozen=True, slots=True)
+class DatagramRefused:
+    """A datagram was counted and passed over."""
+
+    address: Address
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsOffered:
+    """A peer can hand over these versions."""
+
+    identity: Identity
+    versions: Versions
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSaid:
+    """A peer has a word about an endpoint."""
+
+    endpoint: EndpointId
+    said: EndpointWord
+
+
+@dataclass(frozen=True, slots=True)
+class SuspicionChanged:
+    """A peer knows more of a request's digest; this is what all know together."""
+
+    digest: bytes
+    known: Suspicion
+
+
+@dataclass(frozen=True, slots=True)
+class DoubtChanged:
+    """A peer has ejected an endpoint, or taken it back (None)."""
+
+    instance: InstanceId
+    endpoint: EndpointId
+    doubt: Doubt | None
+
+
+@dataclass(frozen=True, slots=True)
+class LoadChanged:
+    """A peer's works have changed."""
+
+    instance: InstanceId
+
+
+Effect = (
+    PeerUp
+    | PeerDown
+    | PeerRestarted
+    | DatagramRefused
+    | VersionsOffered
+    | EndpointSaid
+    | SuspicionChanged
+    | DoubtChanged
+    | LoadChanged
+)
--- /dev/null
+++ b/src/mimosafork/gossip/kinds/base.py
@@ -0,0 +1,86 @@
+"""What a kind of state is, and the registry of kinds."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from ..errors import BadDatagramError, DuplicateStateKindError
+from ..ids import IdReader, IdWriter
+
+Key = int | str | bytes
+"""Tells the words of one kind from each other."""
+
+KIND_LIMIT = 16
+"""Numbers of kinds are below it, so that kind and origin share a small number."""
+
+
+class Codec(Protocol):
+    """Turns values into plain lists and numbers, and back."""
+
+    def pack(self, value: object, ids: IdWriter) -> object:
+        """Return what travels."""
+        ...
+
+    def unpack(self, packed: object, ids: IdReader) -> object:
+        """Return the value.
+
+        Raises
+        ------
+        msgspec.ValidationError, BadDatagramError
+            If it isn't one.
+        """
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of state.
+
+    Parameters
+    ----------
+    number : int
+        In datagrams; the lowest goes first where bytes are short.
+    coalesce : timedelta
+        A change waits so long for others to go with it.
+    lifetime : timedelta or None
+        A word is forgotten so long after it was said.
+    outlives_silence : bool
+        It is kept while its origin is silent.
+    """
+
+    number: int
+    codec: Codec
+    coalesce: timedelta = timedelta(milliseconds=25)
+    lifetime: timedelta | None = None
+    outlives_silence: bool = False
+
+
+KINDS: dict[int, Kind] = {}
+
+
+def register(kind: Kind) -> Kind:
+    """Add a kind.
+
+    Raises
+    ------
+    DuplicateStateKindError
+        If its number is taken or too high.
+    """
+    if kind.number in KINDS or not 0 <= kind.number < KIND_LIMIT:
+        raise DuplicateStateKindError(f"no kind can have number {kind.number}")
+    KINDS[kind.number] = kind
+    return kind
+
+
+def kind_of(number: int) -> Kind:
+    """Return the kind with a number.
+
+    Raises
+    ------
+    BadDatagramError
+        If there is none.
+    """
+    kind = KINDS.get(number)
+    if kind is None:
+        raise BadDatagramError(f"no kind has number {number}")
+    return kind
--- /dev/null
+++ b/src/mimosafork/gossip/kinds/endpoints.py
@@ -0,0 +1,57 @@
+"""Words about endpoints that are leaving or gone."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import IntEnum
+from typing import cast
+
+import msgspec
+
+from ..ids import IdReader, IdWriter
+from .base import Kind, register
+
+
+class Word(IntEnum):
+    """What is said of an endpoint; the higher is the stricter."""
+
+    LEAVING = 1
+    GONE = 2
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointWord:
+    """A word about an endpoint, from the version of its row that said so."""
+
+    word: Word
+    version: int
+
+
+class EndpointWordCodec:
+    """A word as a list of two."""
+
+    def pack(self, value: object, ids: IdWriter) -> object:
+        """Return what travels."""
+        said = cast(EndpointWord, value)
+        return [int(said.word), said.version]
+
+    def unpack(self, packed: object, ids: IdReader) -> object:
+        """Return the value."""
+        word, version = msgspec.convert(packed, tuple[Word, int])
+        return EndpointWord(word, version)
+
+
+def newest(words: Iterable[EndpointWord]) -> EndpointWord:
+    """Return the newest word; among those of one version, the strictest."""
+    return max(words, key=lambda said: (said.version, said.word))
+
+
+ENDPOINTS = register(
+    Kind(
+        2,
+        EndpointWordCodec(),
+        coalesce=timedelta(milliseconds=5),
+        lifetime=timedelta(seconds=10),
+        outlives_silence=True,
+    )
+)
--- /dev/null
+++ b/src/mimosafork/gossip/kinds/load.py
@@ -0,0 +1,108 @@
+"""The works that run for an instance, so that others know what endpoints bear."""
+
+from dataclasses import dataclass
+from typing import cast
+
+import msgspec
+
+from ...ids import EndpointId
+from ..errors import BadDatagramError
+from ..ids import IdReader, IdWriter
+from .base import Kind, register
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """Tokens of a prompt that a helper reads."""
+
+    helper: EndpointId
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkNote:
+    """One running work, as of the instant of the note.
+
+    Ages go on by themselves at the receiver: a note is to be told anew when a work
+    begins, writes its first event or gets other helpers, not because time passes.
+
+    Parameters
+    ----------
+    number : int
+        Tells the works of one instance apart; small.
+    host : EndpointId
+        Endpoint that writes the answer.
+    prompt_tokens, answer_tokens : int
+        Length of the prompt, and expected length of the answer.
+    longest_pause_ms : int
+        Longest pause between events that is on time, 0 where none is asked.
+    age_ms : int
+        Since the work began.
+    writing_ms : int or None
+        Since its first event; None before it.
+    parts : tuple of Part
+        What helpers read.
+    """
+
+    number: int
+    host: EndpointId
+    prompt_tokens: int
+    answer_tokens: int
+    longest_pause_ms: int = 0
+    age_ms: int = 0
+    writing_ms: int | None = None
+    parts: tuple[Part, ...] = ()
+
+
+class WireNote(msgspec.Struct, array_like=True):
+    """A note as it travels; parts are pairs of index and tokens."""
+
+    number: int
+    host: int
+    prompt: int
+    answer: int
+    pause: int
+    age: int
+    writing: int | None
+    parts: list[int]
+
+
+class LoadCodec:
+    """Notes with indexes in place of ids."""
+
+    def pack(self, value: object, ids: IdWriter) -> object:
+        """Return what travels."""
+        note = cast(WorkNote, value)
+        parts: list[int] = []
+        for part in note.parts:
+            parts += (ids.index(part.helper), part.tokens)
+        return [
+            note.number,
+            ids.index(note.host),
+            note.prompt_tokens,
+            note.answer_tokens,
+            note.longest_pause_ms,
+            note.age_ms,
+            note.writing_ms,
+            parts,
+        ]
+
+    def unpack(self, packed: object, ids: IdReader) -> object:
+        """Return the value."""
+        wire = msgspec.convert(packed, WireNote)
+        if len(wire.parts) % 2:
+            raise BadDatagramError("a helper has no tokens")
+        pairs = zip(wire.parts[::2], wire.parts[1::2], strict=True)
+        return WorkNote(
+            number=wire.number,
+            host=ids.endpoint(wire.host),
+            prompt_tokens=wire.prompt,
+            answer_tokens=wire.answer,
+            longest_pause_ms=wire.pause,
+            age_ms=wire.age,
+            writing_ms=wire.writing,
+            parts=tuple(Part(ids.endpoint(each), tokens) for each, tokens in pairs),
+        )
+
+
+LOAD = register(Kind(5, LoadCodec()))
--- /dev/null
+++ b/src/mimosafork/gossip/links.py
@@ -0,0 +1,136 @@
+"""What passes between this instance and one peer: numbers, confirmations, news due.
+
+Each datagram has a number, and each carries which numbers of the other side came.
+News in a datagram that did not come becomes due again, in its newest form.
+"""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from ..ids import InstanceId
+from .ledger import Slot
+from .timing import Timing
+
+WINDOW = 32
+WINDOW_MASK = (1 << WINDOW) - 1
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """An entry that is due to a peer, by its place."""
+
+    origin: InstanceId
+    slot: Slot
+
+
+@dataclass(frozen=True, slots=True)
+class Flight:
+    """News in a datagram that isn't confirmed yet."""
+
+    sent: timedelta
+    news: tuple[News, ...]
+
+
+@dataclass(slots=True)
+class Receipts:
+    """Which of a peer's datagrams have come.
+
+    Attributes
+    ----------
+    highest : int
+        Highest number, 0 for none.
+    missing : int
+        Bits of those before it that did not come.
+    """
+
+    highest: int = 0
+    missing: int = 0
+
+    def take(self, number: int) -> bool:
+        """Note a number; return whether it is new."""
+        if number > self.highest:
+            ahead = number - self.highest
+            self.missing = self.missing << min(ahead, WINDOW)
+            self.missing |= (1 << min(ahead - 1, WINDOW)) - 1
+            self.missing &= WINDOW_MASK
+            self.highest = number
+            return True
+        bit = 1 << max(self.highest - 1 - number, 0)
+        if number == self.highest or bit > WINDOW_MASK or not self.missing & bit:
+            return False
+        self.missing &= ~bit
+        return True
+
+
+@dataclass(slots=True)
+class Link:
+    """State of the exchange with one peer.
+
+    Attributes
+    ----------
+    due : timedelta or None
+        When the news that waits is to be sent.
+    named : bool
+        The peer knows this instance's name.
+    chosen_until : timedelta
+        Until when the peer counts as having chosen this instance.
+    """
+
+    pending: dict[News, None] = field(default_factory=dict)
+    due: timedelta | None = None
+    flights: dict[int, Flight] = field(default_factory=dict)
+    receipts: Receipts = field(default_factory=Receipts)
+    number: int = 0
+    sent: timedelta | None = None
+    named: bool = False
+    wants_all: bool = False
+    wants_names: bool = False
+    sends_all: bool = False
+    all_since: timedelta | None = None
+    names_due: bool = False
+    chosen_until: timedelta = timedelta(0)
+
+    def add(self, news: News, due: timedelta) -> None:
+        """Make news due."""
+        self.pending[news] = None
+        self.due = due if self.due is None else min(self.due, due)
+
+    def hurry(self, due: timedelta) -> None:
+        """Have a datagram sent at an instant, news or not."""
+        self.due = due if self.due is None else min(self.due, due)
+
+    def confirmed(
+        self, heard: int, missing: int, now: timedelta, timing: Timing
+    ) -> None:
+        """Take in which of the own datagrams came."""
+        self.named = self.named or heard > 0
+        for number, flight in list(self.flights.items()):
+            if came(number, heard, missing):
+                del self.flights[number]
+            elif number < heard and now - flight.sent >= timing.gap_after:
+                self.lose(number, now)
+
+    def overdue(self, now: timedelta, timing: Timing) -> None:
+        """Make due again what was never confirmed."""
+        for number, flight in list(self.flights.items()):
+            if now - flight.sent < timing.resend_after:
+                return
+            self.lose(number, now)
+
+    def lose(self, number: int, now: timedelta) -> None:
+        """Make the news of a lost datagram due again."""
+        for news in self.flights.pop(number).news:
+            self.add(news, now)
+
+    def reset(self) -> None:
+        """Forget what was due and on its way, as the peer may be gone."""
+        self.pending.clear()
+        self.flights.clear()
+        self.due = None
+        self.receipts = Receipts()
+
+
+def came(number: int, heard: int, missing: int) -> bool:
+    """Whether a receiver's words confirm a number."""
+    back = heard - 1 - number
+    return number == heard or (0 <= back < WINDOW and not missing >> back & 1)
--- /dev/null
+++ b/src/mimosafork/gossip/outbox.py
@@ -0,0 +1,200 @@
+"""Building the datagrams to one peer, within a budget of bytes."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..ids import InstanceId
+from .ledger import Ledger
+from .links import Flight, Link, News
+from .members import Address, Identity
+from .packing import LIST_BYTES, Item, Load, loads_of
+from .timing import Timing
+from .wire import ENCODER, FORMAT, Datagram, Flag, WireName, to_wire
+
+NAMES_A_DATAGRAM = 16
+"""Sixteen names of usual length take about a thousand bytes."""
+SECOND = timedelta(seconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A datagram to send."""
+
+    address: Address
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Where an origin's entries are.
+
+    Parameters
+    ----------
+    tag : int
+        Of the origin's life.
+    """
+
+    tag: int
+    ledger: Ledger
+
+
+class Budget:
+    """Bytes that may be sent, as a bucket that fills with time.
+
+    Parameters
+    ----------
+    bytes_s : int
+        Rate; the bucket holds what one second brings.
+    """
+
+    def __init__(self, bytes_s: int) -> None:
+        self.bytes_s = bytes_s
+        self.left = float(bytes_s)
+        self.filled: timedelta | None = None
+
+    def fill(self, now: timedelta) -> None:
+        """Add what the time since the last call brings."""
+        if self.filled is not None:
+            grown = (now - self.filled) / SECOND * self.bytes_s
+            self.left = min(self.left + grown, float(self.bytes_s))
+        self.filled = now
+
+    def spend(self, size: int) -> None:
+        """Take bytes out; the bucket may go below empty."""
+        self.left -= size
+
+
+class Outbox:
+    """Builds datagrams.
+
+    Parameters
+    ----------
+    source_of : callable
+        Finds an origin's entries; None where it is no longer known.
+    """
+
+    def __init__(
+        self,
+        me: Identity,
+        fleet: int,
+        timing: Timing,
+        source_of: Callable[[InstanceId], Source | None],
+    ) -> None:
+        self.me = me
+        self.fleet = fleet
+        self.timing = timing
+        self.source_of = source_of
+        self.budget = Budget(timing.budget_bytes_s)
+
+    def hello(
+        self,
+        address: Address,
+        flags: Flag,
+        names: Iterable[Identity] = (),
+    ) -> Outgoing:
+        """Build a datagram that isn't counted: a name, and those of others."""
+        datagram = Datagram(
+            FORMAT,
+            self.fleet,
+            self.me.tag,
+            0,
+            0,
+            0,
+            int(flags),
+            to_wire(self.me),
+            [to_wire(each) for each in names],
+        )
+        return self.outgoing(address, datagram)
+
+    def hellos(self, address: Address, names: list[Identity]) -> list[Outgoing]:
+        """Build as many as it takes to bring all names."""
+        starts = range(0, len(names), NAMES_A_DATAGRAM)
+        return [
+            self.hello(address, Flag(0), names[at : at + NAMES_A_DATAGRAM])
+            for at in starts
+        ]
+
+    def flush(
+        self, address: Address, link: Link, flags: Flag, now: timedelta
+    ) -> list[Outgoing]:
+        """Build what is due to a peer; without news, one heartbeat."""
+        loads = self.loads(link, now)
+        sent: list[Outgoing] = []
+        for load in loads:
+            if sent and self.budget.left <= 0:
+                # News that stays behind is sent in its newest form later: bytes are
+                # saved by skipping states, never by a growing queue.
+                break
+            sent.append(self.loaded(address, link, flags, load, now))
+        if not sent:
+            sent.append(self.numbered(address, link, flags, Load(self.me.tag), now))
+        return sent
+
+    def loads(self, link: Link, now: timedelta) -> list[Load]:
+        """Spread the news of a link over datagrams, the lowest kinds first."""
+        if self.budget.left <= 0:
+            return []
+        waiting = sorted(link.pending, key=lambda news: news.slot.kind)
+        items: list[Item] = []
+        for news in waiting:
+            item = self.item(news)
+            if item is None:
+                del link.pending[news]
+            else:
+                items.append(item)
+        room = self.timing.datagram_bytes - LIST_BYTES - self.head_bytes(link)
+        return loads_of(items, self.me.tag, now, room)
+
+    def item(self, news: News) -> Item | None:
+        """Return an entry in its newest form, None if it is past its time."""
+        source = self.source_of(news.origin)
+        entry = source.ledger.entries.get(news.slot) if source else None
+        if source is None or entry is None:
+            return None
+        return Item(news, source.tag, entry)
+
+    def loaded(
+        self, address: Address, link: Link, flags: Flag, load: Load, now: timedelta
+    ) -> Outgoing:
+        """Build a datagram with news, which is on its way from now on."""
+        for news in load.news:
+            del link.pending[news]
+        outgoing = self.numbered(address, link, flags, load, now)
+        link.flights[link.number] = Flight(now, tuple(load.news))
+        return outgoing
+
+    def numbered(
+        self, address: Address, link: Link, flags: Flag, load: Load, now: timedelta
+    ) -> Outgoing:
+        """Build a datagram and count it."""
+        link.number += 1
+        link.sent = now
+        return self.outgoing(address, load.fill(self.head(link, flags)))
+
+    def head(self, link: Link, flags: Flag) -> Datagram:
+        """Build a datagram without news."""
+        return Datagram(
+            FORMAT,
+            self.fleet,
+            self.me.tag,
+            link.number,
+            link.receipts.highest,
+            link.receipts.missing,
+            int(flags),
+            self.own_name(link),
+        )
+
+    def own_name(self, link: Link) -> WireName | None:
+        """Return the own name until the peer is known to have it."""
+        return None if link.named else to_wire(self.me)
+
+    def head_bytes(self, link: Link) -> int:
+        """Return the size of a datagram without news."""
+        return len(ENCODER.encode(self.head(link, Flag(0))))
+
+    def outgoing(self, address: Address, datagram: Datagram) -> Outgoing:
+        """Encode a datagram and take its bytes out of the budget."""
+        data = ENCODER.encode(datagram)
+        self.budget.spend(len(data))
+        return Outgoing(address, data)
--- /dev/null
+++ b/src/mimosafork/gossip/peer_rows.py
@@ -0,0 +1,59 @@
+"""Finding peers by the shared rows: one row an instance, under its name."""
+
+from typing import Protocol
+
+import msgspec
+
+from ..directory.rows import RowPut, Rows
+from .members import Identity
+from .wire import WireName, from_wire, to_wire
+
+TABLE = "gossip-peers"
+
+
+class PeerRows(Protocol):
+    """Where instances write that they exist."""
+
+    async def publish(self, me: Identity) -> None:
+        """Write the own row over that of an earlier life."""
+        ...
+
+    async def read(self) -> list[Identity]:
+        """Read all rows, those of instances that are gone as well."""
+        ...
+
+
+class SharedPeerRows:
+    """Peers in the shared rows.
+
+    No row is ever removed: an instance that comes again writes over its own, and a
+    row of one that does not costs its readers one unanswered datagram now and then.
+    """
+
+    def __init__(self, rows: Rows) -> None:
+        self.rows = rows
+
+    async def publish(self, me: Identity) -> None:
+        """Write the own row over that of an earlier life."""
+        value = msgspec.msgpack.encode(to_wire(me))
+        await self.rows.write([RowPut(TABLE, "", me.instance, value)])
+
+    async def read(self) -> list[Identity]:
+        """Read all rows; one that can't be read is passed over."""
+        found: list[Identity] = []
+        start: str | None = None
+        while True:
+            page = await self.rows.read(TABLE, start=start)
+            for row in page.rows:
+                found += read_row(row.value)
+            if not page.truncated or not page.rows:
+                return found
+            start = page.rows[-1].key + "\0"
+
+
+def read_row(value: bytes) -> list[Identity]:
+    """Return the identity in a row, none if it is in another format."""
+    try:
+        return [from_wire(msgspec.msgpack.decode(value, type=WireName))]
+    except msgspec.MsgspecError:
+        return []
--- /dev/null
+++ b/src/mimosafork/gossip/service.py
@@ -0,0 +1,293 @@
+"""The gossip of one instance, as the rest of it sees it."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from ..clock import Clock
+from ..ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
+from .boot_clock import BootClock
+from .callbacks import Callbacks, Teller
+from .effects import Effect, VersionsOffered
+from .exchange import Exchange
+from .finding import Finder
+from .kinds.configuration import CONFIGURATION, Versions
+from .kinds.configuration import KEY as VERSIONS_KEY
+from .kinds.doubt import DOUBT, Doubt
+from .kinds.endpoints import ENDPOINTS, EndpointWord
+from .kinds.load import LOAD, WorkNote
+from .kinds.spending import Spent
+from .kinds.suspicion import SUSPICION, Suspicion, union
+from .members import Address, Identity, Peer
+from .peer_rows import PeerRows
+from .pulling import Puller
+from .pulls import Held, Holdings, Matter, PullServer, pull
+from .sockets import DatagramPort, Sockets
+from .state import FleetState, PeerLoad
+from .timing import Timing
+
+BOOT_BITS = 64
+MS_PER_SECOND = 1000
+SHORTEST_GAP = timedelta(milliseconds=5)
+
+
+def seed_addresses(seeds: Iterable[str], port: int) -> tuple[Address, ...]:
+    """Return where instances may listen, from addresses of their other listeners.
+
+    Parameters
+    ----------
+    seeds : iterable of str
+        Each as ``IP:PORT``; that port is another listener's.
+    port : int
+        Of the gossip, the same on all machines.
+    """
+    return tuple(Address(each.rpartition(":")[0], port) for each in seeds)
+
+
+@dataclass(frozen=True, slots=True)
+class GossipOptions:
+    """Who this instance is, and where others may be.
+
+    Parameters
+    ----------
+    fleet : str
+        Name of the fleet; datagrams of others are refused.
+    seeds : tuple of Address
+        Hosts where instances may listen, with the gossip's own port number.
+    window : timedelta
+        Span over which spending is summed.
+    """
+
+    instance: InstanceId
+    zone: AvailabilityZoneId
+    fleet: str
+    seeds: tuple[Address, ...] = ()
+    window: timedelta = timedelta(seconds=10)
+    timing: Timing = Timing()
+
+
+class Gossip:
+    """Tells peers what this instance knows, and hears what they know.
+
+    All methods are called in the loop's own thread. What is published before `start`
+    goes out after it.
+
+    Parameters
+    ----------
+    sockets : Sockets
+        Bound already, by `open_sockets`; closed by `close`.
+    holdings : Holdings
+        Returns what this instance can hand over to peers.
+    rows : PeerRows or None
+        Where instances write that they exist.
+    """
+
+    def __init__(
+        self,
+        options: GossipOptions,
+        sockets: Sockets,
+        holdings: Holdings,
+        callbacks: Callbacks,
+        rows: PeerRows | None = None,
+        clock: Clock | None = None,
+        random: Random | None = None,
+    ) -> None:
+        self.clock = clock or BootClock()
+        self.random = random or Random()
+        self.sockets = sockets
+        self.callbacks = callbacks
+        me = own_identity(options, sockets.address, self.clock, self.random)
+        self.exchange = Exchange(
+            me,
+            options.fleet,
+            self.random,
+            options.seeds,
+            options.timing,
+            options.window,
+        )
+        self.teller = Teller(callbacks, self.versions_offered)
+        self.port = DatagramPort(self.received)
+        self.server = PullServer(self.exchange.fleet, holdings)
+        self.puller = Puller(
+            self.exchange.roster, holdings, self.pull, self.pulled, self.random
+        )
+        self.finder = rows and Finder(me, rows, self.random, self.learn, self.alone)
+        self.tasks: list[asyncio.Task[None]] = []
+        self.timer: asyncio.TimerHandle | None = None
+
+    # Life
+
+    async def start(self) -> None:
+        """Begin to send and to listen."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self.port, sock=self.sockets.datagrams
+        )
+        await self.server.start(self.sockets.pulls)
+        self.tasks.append(loop.create_task(self.puller.run()))
+        if self.finder:
+            self.tasks.append(loop.create_task(self.finder.run()))
+        self.tick()
+
+    async def close(self) -> None:
+        """Stop; peers see silence."""
+        if self.timer is not None:
+            self.timer.cancel()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.clear()
+        self.server.close()
+        self.port.close()
+
+    # What others know
+
+    @property
+    def state(self) -> FleetState:
+        """What the fleet knows together."""
+        return self.exchange.state
+
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """The living peers."""
+        return self.exchange.roster.peers(self.clock.monotonic())
+
+    def loads(self) -> tuple[PeerLoad, ...]:
+        """Return the works of the living peers."""
+        return self.state.loads(self.clock.monotonic())
+
+    def fleet_requests(self, service: ServiceId) -> int:
+        """Return how many requests all instances had for a service in the window."""
+        return self.state.fleet_spent(service, self.clock.monotonic()).requests
+
+    def fleet_repeats(self, service: ServiceId) -> int:
+        """Return how many repeats all instances sent to it in the window."""
+        return self.state.fleet_spent(service, self.clock.monotonic()).repeats
+
+    # What this instance knows
+
+    def publish_work(self, note: WorkNote) -> None:
+        """Tell of a work that began or has changed."""
+        self.exchange.say(LOAD, note.number, note, self.clock.monotonic())
+        self.arm()
+
+    def publish_work_end(self, number: int) -> None:
+        """Tell that a work has ended."""
+        self.exchange.say(LOAD, number, None, self.clock.monotonic())
+        self.arm()
+
+    def publish_load(self, notes: Iterable[WorkNote]) -> None:
+        """Tell all works; those that are not among them have ended."""
+        running = {note.number: note for note in notes}
+        for number in self.exchange.own.of(LOAD.number).keys() - running.keys():
+            self.exchange.say(LOAD, number, None, self.clock.monotonic())
+        for note in running.values():
+            self.exchange.say(LOAD, note.number, note, self.clock.monotonic())
+        self.arm()
+
+    def publish_versions(self, versions: Versions) -> None:
+        """Tell which configuration and list this instance can hand over."""
+        now = self.clock.monotonic()
+        self.exchange.say(CONFIGURATION, VERSIONS_KEY, versions, now)
+        self.puller.look()
+        self.arm()
+
+    def publish_endpoint_word(self, endpoint: EndpointId, said: EndpointWord) -> None:
+        """Tell that an endpoint is leaving or gone, for some seconds."""
+        self.exchange.say(ENDPOINTS, endpoint, said, self.clock.monotonic())
+        self.arm()
+
+    def publish_suspicion(self, digest: bytes, seen: Suspicion) -> None:
+        """Tell what was seen of a request's digest, besides what was told before."""
+        told = self.exchange.own.value(SUSPICION.number, digest)
+        known = union([seen, told]) if isinstance(told, Suspicion) else seen
+        self.exchange.say(SUSPICION, digest, known, self.clock.monotonic())
+        self.arm()
+
+    def publish_spending(self, service: ServiceId, spent: Spent) -> None:
+        """Tell the counters of this life for a service."""
+        self.exchange.spend(service, spent, self.clock.monotonic())
+        self.arm()
+
+    def publish_doubt(self, endpoint: EndpointId, doubt: Doubt | None) -> None:
+        """Tell that an endpoint was ejected; None takes it back."""
+        self.exchange.say(DOUBT, endpoint, doubt, self.clock.monotonic())
+        self.arm()
+
+    # Wire
+
+    def received(self, data: bytes, address: Address) -> None:
+        """Take in a datagram."""
+        now = self.clock.monotonic()
+        self.tell(self.exchange.datagram_received(data, address, now), now)
+        self.arm()
+
+    def tick(self) -> None:
+        """Send what is due, and come again when something will be."""
+        self.timer = None
+        now = self.clock.monotonic()
+        ticked = self.exchange.tick(now)
+        for each in ticked.datagrams:
+            self.port.send(each.data, each.address)
+        self.tell(ticked.effects, now)
+        self.arm()
+
+    def arm(self) -> None:
+        """Have the next tick come in time."""
+        if self.port.transport is None:
+            return
+        now = self.clock.monotonic()
+        gap = max(self.exchange.next_due(now) - now, SHORTEST_GAP).total_seconds()
+        loop = asyncio.get_running_loop()
+        if self.timer is not None:
+            if self.timer.when() <= loop.time() + gap:
+                return
+            self.timer.cancel()
+        self.timer = loop.call_later(gap, self.tick)
+
+    def tell(self, effects: Iterable[Effect], now: timedelta) -> None:
+        """Log effects and call back."""
+        for effect in effects:
+            self.teller.tell(effect, now)
+
+    # Finding and pulling
+
+    def learn(self, identity: Identity) -> None:
+        """Take in a row of the store."""
+        now = self.clock.monotonic()
+        self.tell(self.exchange.learn(identity, now), now)
+        self.arm()
+
+    def alone(self) -> bool:
+        """Whether no peer is heard."""
+        return not self.peers
+
+    def versions_offered(self, offered: VersionsOffered) -> None:
+        """Look whether a peer has something newer."""
+        self.puller.look()
+
+    async def pull(self, address: Address, matter: Matter) -> Held:
+        """Ask a peer for a matter."""
+        return await pull(address, self.exchange.fleet, matter)
+
+    def pulled(self, matter: Matter, held: Held) -> None:
+        """Hand over what was pulled."""
+        if matter is Matter.CONFIGURATION:
+            self.callbacks.on_configuration_offered(held.payload, held.version)
+        else:
+            self.callbacks.on_listing_offered(held.payload, held.version)
+
+
+def own_identity(
+    options: GossipOptions, address: Address, clock: Clock, random: Random
+) -> Identity:
+    """Draw the identity of a new life."""
+    return Identity(
+        options.instance,
+        options.zone,
+        address,
+        random.getrandbits(BOOT_BITS),
+        int(clock.now().timestamp() * MS_PER_SECOND),
+    )
--- /dev/null
+++ b/src/mimosafork/gossip/state.py
@@ -0,0 +1,131 @@
+"""What the fleet knows together: own words merged with those of the living peers."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import cast
+
+from ..ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
+from .kinds.doubt import DOUBT, Doubt
+from .kinds.endpoints import ENDPOINTS, EndpointWord, newest
+from .kinds.load import LOAD, WorkNote
+from .kinds.spending import Spent
+from .kinds.suspicion import SUSPICION, Suspicion, union
+from .ledger import Entry, Ledger
+from .roster import Roster
+from .window import SpendingWindow
+
+
+@dataclass(frozen=True, slots=True)
+class HeardWork:
+    """A peer's work.
+
+    Parameters
+    ----------
+    age : timedelta
+        Since the note was made; the times in the note are as of then.
+    """
+
+    note: WorkNote
+    age: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """The works of a living peer."""
+
+    instance: InstanceId
+    zone: AvailabilityZoneId
+    works: tuple[HeardWork, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HeardDoubt:
+    """An endpoint that a living peer has ejected.
+
+    Parameters
+    ----------
+    zone : AvailabilityZoneId
+        Of the peer.
+    age : timedelta
+        Since the ejection.
+    """
+
+    endpoint: EndpointId
+    doubt: Doubt
+    instance: InstanceId
+    zone: AvailabilityZoneId
+    age: timedelta
+
+
+class FleetState:
+    """Merged views.
+
+    Parameters
+    ----------
+    own : Ledger
+        This instance's words.
+    spending : SpendingWindow
+        Counters of all.
+    """
+
+    def __init__(self, own: Ledger, roster: Roster, spending: SpendingWindow) -> None:
+        self.own = own
+        self.roster = roster
+        self.spending = spending
+
+    def loads(self, now: timedelta) -> tuple[PeerLoad, ...]:
+        """Return the works of the living peers."""
+        return tuple(
+            PeerLoad(
+                member.identity.instance,
+                member.identity.zone,
+                tuple(
+                    HeardWork(cast(WorkNote, entry.value), now - entry.born)
+                    for entry in member.ledger.of(LOAD.number).values()
+                ),
+            )
+            for member in self.roster.alive()
+        )
+
+    def ledgers(self) -> Iterator[Ledger]:
+        """Return the own words and those of all members, silent ones too."""
+        yield self.own
+        for member in self.roster.members.values():
+            yield member.ledger
+
+    def suspicion(self, digest: bytes) -> Suspicion:
+        """Return what all know of a request's digest."""
+        known = (each.value(SUSPICION.number, digest) for each in self.ledgers())
+        return union(cast(Suspicion, each) for each in known if each is not None)
+
+    def endpoint_word(self, endpoint: EndpointId) -> EndpointWord | None:
+        """Return the newest word about an endpoint of the last seconds."""
+        known = (each.value(ENDPOINTS.number, endpoint) for each in self.ledgers())
+        words = [cast(EndpointWord, each) for each in known if each is not None]
+        return newest(words) if words else None
+
+    def doubts(self, now: timedelta) -> tuple[HeardDoubt, ...]:
+        """Return what the living peers have ejected."""
+        return tuple(
+            HeardDoubt(
+                EndpointId(endpoint),
+                cast(Doubt, entry.value),
+                member.identity.instance,
+                member.identity.zone,
+                now - entry.born,
+            )
+            for member in self.roster.alive()
+            for endpoint, entry in sorted_entries(member.ledger, DOUBT.number)
+        )
+
+    def fleet_spent(self, service: ServiceId, now: timedelta) -> Spent:
+        """Return what all instances sent to a service within the window."""
+        return self.spending.grown(service, now)
+
+
+def sorted_entries(ledger: Ledger, kind: int) -> list[tuple[str, Entry]]:
+    """Return a ledger's entries with keys that are texts, by key."""
+    found = ledger.of(kind)
+    texts = [(key, entry) for key, entry in found.items() if isinstance(key, str)]
+    return sorted(texts, key=lambda pair: pair[0])
--- /dev/null
+++ b/src/mimosafork/gossip/timing.py
@@ -0,0 +1,55 @@
+"""Sizes and times of the gossip."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Sizes and times, the same on all instances.
+
+    Parameters
+    ----------
+    heartbeat : timedelta
+        An idle partner is sent a datagram this often.
+    suspect_after, relayed_suspect_after : timedelta
+        Silence after which a peer's load is forgotten; the second holds where news
+        comes through others.
+    drop_after : timedelta
+        Silence after which a peer is forgotten altogether.
+    probe_every : timedelta
+        A suspected peer, or a seed that never spoke, is sent a datagram this often.
+    late : timedelta
+        A tick that comes so late after the one before means a suspended process.
+    resend_after : timedelta
+        A datagram that is unconfirmed for so long counts as lost.
+    gap_after : timedelta
+        One that is overtaken by a confirmed one counts as lost after this.
+    names_every : timedelta
+        One partner is sent names and addresses of others this often.
+    pulse_every : timedelta
+        Where news is relayed, an instance shows this often that it lives.
+    mesh_size : int
+        Up to so many instances, everyone sends to everyone and nobody relays.
+    fan_out : int
+        Partners that an instance chooses beyond that size.
+    datagram_bytes : int
+        Longest datagram; it fits one packet of a path with an ordinary MTU.
+    budget_bytes_s : int
+        State that may be sent a second; heartbeats go in any case.
+    """
+
+    heartbeat: timedelta = timedelta(milliseconds=500)
+    suspect_after: timedelta = timedelta(seconds=3)
+    relayed_suspect_after: timedelta = timedelta(seconds=8)
+    drop_after: timedelta = timedelta(seconds=60)
+    probe_every: timedelta = timedelta(seconds=2)
+    late: timedelta = timedelta(seconds=1)
+    resend_after: timedelta = timedelta(milliseconds=1200)
+    gap_after: timedelta = timedelta(milliseconds=60)
+    names_every: timedelta = timedelta(seconds=5)
+    pulse_every: timedelta = timedelta(seconds=2)
+    mesh_size: int = 24
+    fan_out: int = 6
+    datagram_bytes: int = 1200
+    budget_bytes_s: int = 27_000
--- /dev/null
+++ b/tests/unit/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gossip among entry instances."""
--- /dev/null
+++ b/tests/unit/gossip/test_network.py
@@ -0,0 +1,351 @@
+"""Tests of many exchanges on a network that loses, doubles, reorders and parts."""
+
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.gossip.effects import EndpointSaid, PeerDown, PeerRestarted, PeerUp
+from mimosafork.gossip.exchange import Exchange
+from mimosafork.gossip.kinds.endpoints import ENDPOINTS, EndpointWord, Word
+from mimosafork.gossip.kinds.load import LOAD, WorkNote
+from mimosafork.gossip.kinds.spending import Spent
+from mimosafork.gossip.members import Address
+from mimosafork.gossip.timing import Timing
+from mimosafork.ids import EndpointId, InstanceId, ServiceId
+
+from ...support.functions import function_tests
+from ...support.gossip_network import Network, identity, ms, names
+
+case = TestCase()
+
+HOST = EndpointId("i-7f3a91c2")
+
+
+def note(number: int, prompt: int = 2000) -> WorkNote:
+    return WorkNote(number, HOST, prompt, 300, 250)
+
+
+def numbers(node: Exchange, of: Exchange, now: timedelta) -> list[int]:
+    """Return the numbers of the works that a node knows of another."""
+    return sorted(
+        work.note.number
+        for load in node.state.loads(now)
+        if load.instance == of.me.instance
+        for work in load.works
+    )
+
+
+def all_know(nodes: list[Exchange], of: Exchange, now: timedelta) -> list[list[int]]:
+    return [numbers(node, of, now) for node in nodes if node is not of]
+
+
+def test_all_find_each_other_by_one_seed() -> None:
+    network = Network()
+    nodes = network.fleet(8)
+    network.run(ms(1500))
+    for node in nodes:
+        case.assertEqual(7, len(names(node)))
+
+
+def test_news_of_load_arrives_within_a_tenth_of_a_second() -> None:
+    network = Network()
+    nodes = network.fleet(8)
+    network.run(ms(2000))
+    nodes[3].say(LOAD, 7, note(7), network.now)
+    network.run(ms(50))
+    case.assertEqual([[7]] * 7, all_know(nodes, nodes[3], network.now))
+    nodes[3].say(LOAD, 7, None, network.now)
+    network.run(ms(50))
+    case.assertEqual([[]] * 7, all_know(nodes, nodes[3], network.now))
+
+
+def test_an_endpoint_is_known_to_leave_within_the_same_time() -> None:
+    network = Network()
+    nodes = network.fleet(3)
+    network.run(ms(2000))
+    said = EndpointWord(Word.LEAVING, 40)
+    nodes[0].say(ENDPOINTS, HOST, said, network.now)
+    network.run(ms(30))
+    for node in nodes[1:]:
+        case.assertIn(EndpointSaid(HOST, said), network.effects[node.me.instance])
+    network.run(timedelta(seconds=11))
+    case.assertIsNone(nodes[1].state.endpoint_word(HOST))
+
+
+def test_an_idle_fleet_is_quiet() -> None:
+    network = Network()
+    nodes = network.fleet(8)
+    network.run(timedelta(seconds=10))
+    before = [node.counters.sent_bytes for node in nodes]
+    network.run(timedelta(seconds=10))
+    rates = [
+        (node.counters.sent_bytes - at) / 10
+        for node, at in zip(nodes, before, strict=True)
+    ]
+    case.assertLess(max(rates), 700)
+
+
+def test_what_is_lost_doubled_and_overtaken_is_repaired() -> None:
+    # A fifth of all datagrams is lost, another fifth arrives twice, and they overtake
+    # each other. An instance that missed the end of a work would count it as load for
+    # good, and one that took an old datagram after a newer one would bring a work
+    # that has ended back to life.
+    network = Network(seed=3, loss=0.2, doubled=0.2, spread=ms(40))
+    nodes = network.fleet(8)
+    network.run(timedelta(seconds=4))
+    for number in range(200):
+        sender = nodes[number % 8]
+        sender.say(LOAD, number, note(number), network.now)
+        if number >= 40:
+            nodes[(number - 40) % 8].say(LOAD, number - 40, None, network.now)
+        network.run(ms(10))
+    network.run(timedelta(seconds=4))
+    for at, sender in enumerate(nodes):
+        own = sorted(each for each in range(160, 200) if each % 8 == at)
+        case.assertEqual([own] * 7, all_know(nodes, sender, network.now))
+
+
+def test_a_partition_forgets_load_and_heals_at_once() -> None:
+    # Three of eight instances are cut off for ten seconds. Their load must not count
+    # on the other side meanwhile, and what ended during the cut must not count after
+    # it: a tombstone that was sent into the cut is gone. Once the cut is mended, both
+    # sides know all again within three seconds.
+    network = Network()
+    nodes = network.fleet(8)
+    nodes[0].say(LOAD, 1, note(1), network.now)
+    nodes[0].say(LOAD, 2, note(2), network.now)
+    network.run(ms(2000))
+    network.part(nodes[:3])
+    network.run(timedelta(seconds=5))
+    case.assertEqual(["front-1", "front-2"], names(nodes[0]))
+    case.assertEqual([], numbers(nodes[5], nodes[0], network.now))
+    case.assertIn(PeerDown(nodes[0].me), network.effects[nodes[5].me.instance])
+    nodes[0].say(LOAD, 1, None, network.now)
+    network.run(timedelta(seconds=5))
+    network.heal()
+    network.run(timedelta(seconds=3))
+    case.assertEqual([[2]] * 7, all_know(nodes, nodes[0], network.now))
+    case.assertEqual(7, len(names(nodes[0])))
+
+
+def test_a_cut_of_over_a_minute_heals_by_seeds_and_names() -> None:
+    # A zone is cut off for so long that both sides drop each other. Nobody sends to
+    # the other side any more but to the seed, and it has to bring both together.
+    network = Network()
+    nodes = network.fleet(6)
+    network.run(ms(2000))
+    network.part(nodes[3:])
+    network.run(timedelta(seconds=70))
+    case.assertEqual(3, len(nodes[0].roster.members) + 1)
+    network.heal()
+    network.run(timedelta(seconds=8))
+    case.assertEqual([5] * 6, [len(names(node)) for node in nodes])
+
+
+def test_a_path_that_works_one_way_only_is_repaired_after_it() -> None:
+    # Nothing from A reaches B for five seconds, while A hears B all along and never
+    # suspects it. B has forgotten A's load and A doesn't know: what A has confirmed
+    # as sent would stay unknown to B. B says that it needs everything.
+    network = Network()
+    first, second = network.fleet(2)
+    first.say(LOAD, 1, note(1), network.now)
+    network.run(ms(2000))
+    network.cut = lambda source, target: source == first.me.address
+    network.run(timedelta(seconds=5))
+    case.assertEqual([], numbers(second, first, network.now))
+    case.assertEqual(["front-1"], names(first))
+    network.heal()
+    network.run(timedelta(seconds=3))
+    case.assertEqual([1], numbers(second, first, network.now))
+
+
+def test_a_restart_replaces_the_life_before() -> None:
+    # An instance is killed and starts again within a second under its name. Its works
+    # of before are gone, and its new numbers begin low: they must not be taken for
+    # old news of the life before.
+    network = Network()
+    nodes = network.fleet(4)
+    for number in range(50):
+        nodes[1].say(LOAD, number, note(number), network.now)
+        network.run(ms(10))
+    network.stop(nodes[1])
+    network.run(ms(500))
+    reborn = network.add(identity(1, 777, 2), [identity(0).address])
+    reborn.say(LOAD, 900, note(900), network.now)
+    network.run(ms(1000))
+    for node in (nodes[0], nodes[2], nodes[3]):
+        case.assertEqual([900], numbers(node, reborn, network.now))
+        effects = network.effects[node.me.instance]
+        case.assertIn(PeerRestarted(reborn.me), effects)
+
+
+def test_datagrams_of_a_life_that_is_over_are_passed_over() -> None:
+    network = Network()
+    first, second = network.fleet(2)
+    first.say(LOAD, 1, note(1), network.now)
+    network.run(ms(2000))
+    old = first.outbox.hello(
+        second.me.address,
+        second.flags(first.me.instance, second.links[first.me.instance]),
+    )
+    network.stop(first)
+    network.add(identity(0, 777, 2), [second.me.address])
+    network.run(ms(1000))
+    network.send(first.me.address, second.me.address, old.data)
+    network.run(ms(500))
+    case.assertEqual(777, second.roster.members[InstanceId("front-0")].identity.boot)
+
+
+def test_a_restart_after_a_clock_step_back_is_taken_in() -> None:
+    # Wall time jumps back by an hour, then an instance restarts: its start stamp is
+    # older than that of its life before. Peers would pass over all it says for good.
+    network = Network()
+    nodes = network.fleet(3)
+    network.run(ms(2000))
+    network.stop(nodes[1])
+    reborn = network.add(identity(1, 777, 0), [identity(0).address])
+    network.run(timedelta(seconds=7))
+    case.assertEqual(
+        [2] * 3, [len(names(each)) for each in (nodes[0], nodes[2], reborn)]
+    )
+
+
+def test_a_frozen_instance_wakes_without_old_news_or_false_suspicion() -> None:
+    # An instance is suspended for five seconds. Its socket has kept datagrams of all
+    # that time, and on waking it would take the oldest for fresh, or find that all
+    # its peers have been silent and forget them. It does neither, and soon knows
+    # what has changed.
+    network = Network()
+    nodes = network.fleet(4)
+    nodes[0].say(LOAD, 1, note(1), network.now)
+    network.run(ms(2000))
+    network.freeze(nodes[3])
+    network.run(ms(1000))
+    nodes[0].say(LOAD, 1, None, network.now)
+    nodes[0].say(LOAD, 2, note(2), network.now)
+    network.run(ms(4000))
+    case.assertEqual(2, len(names(nodes[0])))
+    network.thaw(nodes[3])
+    case.assertGreater(nodes[3].counters.stale, 0)
+    network.run(ms(5))
+    case.assertEqual(3, len(names(nodes[3])))
+    network.run(timedelta(seconds=3))
+    case.assertEqual([2], numbers(nodes[3], nodes[0], network.now))
+    case.assertEqual(3, len(names(nodes[0])))
+    downs = [
+        each
+        for each in network.effects[nodes[3].me.instance]
+        if isinstance(each, PeerDown)
+    ]
+    case.assertEqual([], downs)
+
+
+def test_the_age_of_news_goes_on_while_its_sender_is_frozen() -> None:
+    # A frozen instance wakes and sends what it had to say before. The receiver must
+    # see how old that is, or it takes the load of seconds ago for that of now.
+    network = Network()
+    nodes = network.fleet(2)
+    network.run(ms(2000))
+    nodes[0].say(LOAD, 1, note(1), network.now)
+    network.freeze(nodes[0])
+    network.run(ms(2500))
+    network.thaw(nodes[0])
+    network.run(ms(100))
+    works = nodes[1].state.loads(network.now)[0].works
+    case.assertGreater(works[0].age, ms(2500))
+
+
+def test_spending_is_summed_over_the_fleet_and_slides() -> None:
+    network = Network()
+    nodes = network.fleet(3)
+    service = ServiceId("chat")
+    for node in nodes:
+        node.spend(service, Spent(), network.now)
+    network.run(ms(2000))
+    for node in nodes:
+        node.spend(service, Spent(10, 2), network.now)
+    network.run(ms(500))
+    for node in nodes:
+        case.assertEqual(Spent(30, 6), node.state.fleet_spent(service, network.now))
+    network.run(timedelta(seconds=11))
+    case.assertEqual(Spent(), nodes[0].state.fleet_spent(service, network.now))
+
+
+def test_forty_instances_relay_to_a_bounded_number_of_partners() -> None:
+    network = Network(loss=0.02)
+    nodes = network.fleet(40)
+    network.run(timedelta(seconds=12))
+    case.assertEqual({39}, {len(names(node)) for node in nodes})
+    case.assertLessEqual(max(len(node.partners) for node in nodes), 6)
+    nodes[5].say(LOAD, 1, note(1), network.now)
+    network.run(ms(400))
+    knowing = all_know(nodes, nodes[5], network.now)
+    case.assertGreaterEqual(knowing.count([1]), 37)
+    nodes[5].say(LOAD, 1, None, network.now)
+    network.run(timedelta(seconds=3))
+    case.assertEqual([[]] * 39, all_know(nodes, nodes[5], network.now))
+
+
+def test_a_large_fleet_notices_who_is_gone_and_who_comes() -> None:
+    # Beyond the mesh size most instances hear of each other through others only. One
+    # that is killed must be suspected by all of them, though its news is still known
+    # everywhere, and its next life must be taken in by all.
+    network = Network()
+    nodes = network.fleet(30)
+    network.run(timedelta(seconds=12))
+    network.stop(nodes[4])
+    network.run(timedelta(seconds=14))
+    rest = [node for node in nodes if node is not nodes[4]]
+    case.assertEqual({28}, {len(names(node)) for node in rest})
+    reborn = network.add(identity(4, 777, 2), [identity(0).address])
+    reborn.say(LOAD, 9, note(9), network.now)
+    network.run(timedelta(seconds=12))
+    case.assertEqual([[9]] * 29, all_know(rest, reborn, network.now))
+
+
+def test_datagrams_stay_within_their_size() -> None:
+    network = Network()
+    nodes = network.fleet(4)
+    for number in range(600):
+        nodes[0].say(LOAD, number, note(number, 182_000), network.now)
+    network.run(timedelta(seconds=3))
+    case.assertEqual([list(range(600))] * 3, all_know(nodes, nodes[0], network.now))
+    case.assertLessEqual(network.longest, 1200)
+
+
+def test_a_tight_budget_skips_states_and_is_kept() -> None:
+    # An instance has more news than it may send. The newest state must win in the
+    # end, and the bytes a second must stay within the budget.
+    timing = Timing(budget_bytes_s=3000)
+    network = Network()
+    nodes = network.fleet(4, timing)
+    network.run(ms(2000))
+    before = nodes[0].counters.sent_bytes
+    for turn in range(500):
+        for number in range(20):
+            nodes[0].say(LOAD, number, note(number, turn), network.now)
+        network.run(ms(10))
+    spent = nodes[0].counters.sent_bytes - before
+    case.assertLess(spent, 3000 * 5 * 1.5 + 3000)
+    network.run(timedelta(seconds=3))
+    loads = nodes[1].state.loads(network.now)[0]
+    prompts = {work.note.prompt_tokens for work in loads.works}
+    case.assertEqual({499}, prompts)
+
+
+def test_a_stale_seed_does_no_harm() -> None:
+    network = Network()
+    nowhere = Address("10.9.9.9", 7340)
+    nodes = [
+        network.add(identity(each), [nowhere, identity(0).address]) for each in range(3)
+    ]
+    network.run(ms(2000))
+    case.assertEqual([2] * 3, [len(names(node)) for node in nodes])
+    ups = [
+        each
+        for each in network.effects[nodes[0].me.instance]
+        if isinstance(each, PeerUp)
+    ]
+    case.assertEqual(2, len(ups))
+
+
+load_tests = function_tests(__name__)
--- /dev/null
+++ b/tests/unit/gossip/test_service.py
@@ -0,0 +1,256 @@
+"""Tests of the gossip on loopback sockets, and of pulls and the store's rows."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from datetime import timedelta
+from random import Random
+from unittest import TestCase
+
+from mimosafork.directory.errors import StoreUnavailableError
+from mimosafork.directory.rows import (
+    Row,
+    RowCondition,
+    RowName,
+    RowPage,
+    RowPut,
+)
+from mimosafork.gossip.callbacks import Callbacks
+from mimosafork.gossip.effects import DatagramRefused
+from mimosafork.gossip.errors import PullError
+from mimosafork.gossip.finding import Finder
+from mimosafork.gossip.kinds.configuration import CONFIGURATION, KEY, Versions
+from mimosafork.gossip.kinds.load import WorkNote
+from mimosafork.gossip.ledger import Entry, Slot
+from mimosafork.gossip.members import Address, Identity, Member
+from mimosafork.gossip.peer_rows import TABLE, SharedPeerRows
+from mimosafork.gossip.pulling import Puller
+from mimosafork.gossip.pulls import Held, Matter, pull
+from mimosafork.gossip.roster import Roster
+from mimosafork.gossip.service import Gossip, GossipOptions
+from mimosafork.gossip.sockets import open_sockets
+from mimosafork.gossip.timing import Timing
+from mimosafork.ids import AvailabilityZoneId, EndpointId, InstanceId
+
+from ...support.functions import function_tests
+from ...support.gossip_network import identity
+
+case = TestCase()
+
+LIMIT_S = 20.0
+LOOPBACK = Address("127.0.0.1", 0)
+NOW = timedelta(seconds=100)
+
+
+def in_loop(scenario: Callable[[], Coroutine[None, None, None]]) -> None:
+    """Run a scenario to its end, or fail after a limit."""
+    asyncio.run(asyncio.wait_for(scenario(), LIMIT_S))
+
+
+class Instance:
+    """A gossip with what it holds, and events for what it is told."""
+
+    def __init__(self, number: int, seeds: tuple[Address, ...] = ()) -> None:
+        self.held: dict[Matter, Held] = {}
+        self.pulled = asyncio.Event()
+        self.loaded = asyncio.Event()
+        callbacks = Callbacks(
+            on_configuration_offered=self.take_configuration,
+            on_load_changed=lambda peer: self.loaded.set(),
+        )
+        options = GossipOptions(
+            InstanceId(f"front-{number}"), AvailabilityZoneId("zone-a"), "blue", seeds
+        )
+        self.gossip = Gossip(options, open_sockets(LOOPBACK), self.held.get, callbacks)
+        self.address = self.gossip.sockets.address
+
+    def take_configuration(self, payload: bytes, version: int) -> None:
+        self.held[Matter.CONFIGURATION] = Held(version, payload)
+        self.pulled.set()
+
+
+def test_two_instances_tell_each_other_and_pull_a_configuration() -> None:
+    # An instance starts while the store is down. A peer has a configuration; it must
+    # come over by a pull, and load by datagrams.
+    async def scenario() -> None:
+        first = Instance(1)
+        second = Instance(2, (first.address,))
+        first.held[Matter.CONFIGURATION] = Held(17, b"raw row")
+        first.gossip.publish_versions(Versions(17, b"digest", 0))
+        note = WorkNote(1, EndpointId("i-7f3a91c2"), 2000, 300)
+        first.gossip.publish_work(note)
+        await first.gossip.start()
+        await second.gossip.start()
+        await second.pulled.wait()
+        await second.loaded.wait()
+        case.assertEqual(Held(17, b"raw row"), second.held[Matter.CONFIGURATION])
+        (load,) = second.gossip.loads()
+        case.assertEqual([note], [work.note for work in load.works])
+        case.assertEqual(["front-1"], [each.instance for each in second.gossip.peers])
+        await first.gossip.close()
+        await second.gossip.close()
+
+    in_loop(scenario)
+
+
+def test_a_pull_of_nothing_and_of_another_fleet_fails() -> None:
+    async def scenario() -> None:
+        first = Instance(1)
+        await first.gossip.start()
+        fleet = first.gossip.exchange.fleet
+        with case.assertRaises(PullError):
+            await pull(first.address, fleet, Matter.LISTING)
+        first.held[Matter.LISTING] = Held(3, b"rows")
+        case.assertEqual(
+            Held(3, b"rows"), await pull(first.address, fleet, Matter.LISTING)
+        )
+        with case.assertRaises(PullError):
+            await pull(first.address, fleet + 1, Matter.LISTING)
+        await first.gossip.close()
+        with case.assertRaises(PullError):
+            await pull(first.address, fleet, Matter.LISTING)
+
+    in_loop(scenario)
+
+
+def test_a_peer_that_is_silent_on_its_connection_is_given_up() -> None:
+    # A connection to a peer was opened and falls silent for good, without a reset.
+    # Without a time-out of its own the pull would hang, and the instance would have
+    # no configuration though others could hand it over.
+    async def scenario() -> None:
+        async def silent(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(silent, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname())
+        with case.assertRaises(PullError):
+            await pull(address, 1, Matter.CONFIGURATION)
+        server.close()
+
+    in_loop(scenario)
+
+
+def offering(roster: Roster, number: int, version: int) -> Identity:
+    """Add a living peer that offers a version."""
+    who = identity(number)
+    member = Member(who, NOW, alive=True)
+    entry = Entry(1, NOW, Versions(version, b"", 0))
+    member.ledger.accept(Slot(CONFIGURATION.number, KEY), entry)
+    roster.members[who.instance] = member
+    return who
+
+
+def test_a_pull_that_fails_is_tried_at_the_next_peer() -> None:
+    # The peer with the newest version does not answer. The next one is asked at once,
+    # and an older version than the one held is never taken.
+    async def scenario() -> None:
+        roster = Roster(identity(0), Timing())
+        newest, next_one = offering(roster, 1, 9), offering(roster, 2, 8)
+        offering(roster, 3, 4)
+        asked: list[Address] = []
+        taken: list[Held] = []
+
+        async def ask(address: Address, matter: Matter) -> Held:
+            asked.append(address)
+            if address == newest.address:
+                raise PullError("silent")
+            return Held(8, b"row")
+
+        held = Held(4, b"old")
+        puller = Puller(
+            roster,
+            lambda matter: held if matter is Matter.CONFIGURATION else None,
+            ask,
+            lambda matter, each: taken.append(each),
+            Random(1),
+        )
+        case.assertTrue(await puller.catch_up(Matter.CONFIGURATION))
+        case.assertEqual([newest.address, next_one.address], asked)
+        case.assertEqual([Held(8, b"row")], taken)
+
+    in_loop(scenario)
+
+
+def test_a_refused_datagram_is_logged_once_in_a_while() -> None:
+    async def scenario() -> None:
+        one = Instance(1)
+        refused = DatagramRefused(Address("10.0.0.9", 1), "cut")
+        with case.assertLogs("mimosafork.gossip.callbacks") as logs:
+            for second in range(12):
+                now = NOW + timedelta(seconds=second)
+                one.gossip.teller.tell(refused, now)
+        case.assertEqual(2, len(logs.records))
+        one.gossip.sockets.datagrams.close()
+        one.gossip.sockets.pulls.close()
+
+    in_loop(scenario)
+
+
+class FakeRows:
+    """Rows in memory, with pages of two; down while told so."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, bytes] = {}
+        self.down = False
+        self.writes = 0
+
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        start: str | None = None,
+        end: str | None = None,
+        limit: int | None = None,
+    ) -> RowPage:
+        self.check()
+        keys = sorted(key for key in self.rows if start is None or key >= start)
+        rows = tuple(Row(table, part, key, self.rows[key], 1) for key in keys[:2])
+        return RowPage(rows, 1, len(keys) > 2)
+
+    async def changes(self, table: str, after: int, wait: timedelta) -> RowPage:
+        raise NotImplementedError
+
+    async def write(
+        self,
+        puts: Sequence[RowPut] = (),
+        removes: Sequence[RowName] = (),
+        conditions: Sequence[RowCondition] = (),
+    ) -> int:
+        self.check()
+        case.assertEqual([TABLE], [put.table for put in puts])
+        self.writes += 1
+        self.rows.update({put.key: put.value for put in puts})
+        return 1
+
+    def check(self) -> None:
+        if self.down:
+            raise StoreUnavailableError("down")
+
+
+def test_rows_of_peers_are_written_once_and_read_over_pages() -> None:
+    # The store is down when an instance starts; it writes its row when the store is
+    # back, once, over that of its earlier life. A row that nobody can read does not
+    # hide the others.
+    async def scenario() -> None:
+        rows = FakeRows()
+        for number in range(1, 5):
+            await SharedPeerRows(rows).publish(identity(number))
+        rows.rows["front-3"] = b"what is this"
+        rows.writes = 0
+        found: list[Identity] = []
+        me = identity(2, boot=77, started_ms=5)
+        finder = Finder(me, SharedPeerRows(rows), Random(1), found.append, lambda: True)
+        rows.down = True
+        case.assertFalse(await finder.look())
+        rows.down = False
+        case.assertTrue(await finder.look())
+        case.assertTrue(await finder.look())
+        case.assertEqual(1, rows.writes)
+        case.assertEqual([identity(1), me, identity(4)], found[:3])
+
+    in_loop(scenario)
+
+
+load_tests = function_tests(__name__)
