--- a/src/mimosafork/cli/lazy.py
+++ b/src/mimosafork/cli/lazy.py
@@ -9,6 +9,7 @@
 
 COMMANDS = {
     "serve": "run an entry instance",
+    "gateway": "run an entry instance on the prepared platform",
     "demo": "run the whole path in one process, with stand-ins",
     "standin": "run a stand-in of an outside system",
     "manifest": "check, compare and apply the fleet's manifest",
--- /dev/null
+++ b/src/mimosafork/commands/gateway.py
@@ -0,0 +1,55 @@
+"""``mimosafork gateway``: run an entry instance on the prepared platform."""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+from random import Random
+from typing import Annotated
+
+import typer
+
+from ..clock import SystemClock
+from ..settings.gateway import GatewaySettings, load_gateway_settings
+from ..telemetry.logs import LogFormat, Logging, LogOptions
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def gateway(
+    settings: Annotated[
+        Path,
+        typer.Option(
+            help="INI file with this instance's settings",
+            envvar="MIMOSAFORK_NODE_FILE",
+        ),
+    ],
+) -> None:
+    """Pass calls on to endpoints until SIGTERM, then let open calls end.
+
+    Example: mimosafork gateway --settings deploy/instance.ini
+    """
+    checked = load_gateway_settings(settings)
+    options = LogOptions(checked.logging.level, LogFormat(checked.logging.format))
+    with Logging(options, sys.stdout):
+        asyncio.run(serve(checked))
+
+
+async def serve(settings: GatewaySettings) -> int:
+    """Run the instance; return the number of calls that its stop cut."""
+    from ..directory.directory import Directory
+    from ..gateway.server import GatewayServer
+    from ..platform.calls import PreparedDialect
+    from ..platform.sources import ConfigurationRows, EndpointRows
+    from ..platform.store import PreparedStore
+
+    clock = SystemClock()
+    random = Random(f"{settings.instance.id}-{time.time_ns()}")
+    store = PreparedStore(settings.store.address)
+    directory = Directory(ConfigurationRows(store), EndpointRows(store), clock, random)
+    server = GatewayServer(settings, directory, PreparedDialect(), clock, random)
+    try:
+        return await server.run()
+    finally:
+        store.close()
--- /dev/null
+++ b/src/mimosafork/gateway/answer_reader.py
@@ -0,0 +1,145 @@
+"""Reads answers from an endpoint's bytes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import httptools
+
+from .errors import BadAnswerError
+from .heads import (
+    CONTENT_LENGTH,
+    TRANSFER_ENCODING,
+    Header,
+    connection_tokens,
+    first_value,
+)
+
+NO_BODY = frozenset({204, 304})
+FIRST_FINAL = 200
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """An answer's status and headers.
+
+    Attributes
+    ----------
+    framed : bool
+        The answer says where it ends; otherwise its connection's end does.
+    """
+
+    status: int
+    reason: bytes
+    headers: tuple[Header, ...]
+    framed: bool
+
+    @property
+    def closes(self) -> bool:
+        """Whether the endpoint closes the connection after it."""
+        return not self.framed or b"close" in connection_tokens(self.headers)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerSink:
+    """Who hears of an answer's parts."""
+
+    head: Callable[[AnswerHead], None]
+    data: Callable[[bytes], None]
+    end: Callable[[], None]
+
+
+class AnswerReader:
+    """Parses the answers on one connection.
+
+    Attributes
+    ----------
+    sink : AnswerSink or None
+        None while no answer is awaited.
+    stray : bool
+        Bytes came that belong to no request; the connection must not be used again.
+    """
+
+    def __init__(self) -> None:
+        self.sink: AnswerSink | None = None
+        self.stray = False
+        self.without_body = False
+        self.open = False
+        self.framed = True
+        self.status = 0
+        self.reason = b""
+        self.headers: list[Header] = []
+        self.parser = httptools.HttpResponseParser(self)
+
+    def expect(self, sink: AnswerSink, without_body: bool) -> None:
+        """Await an answer; `without_body` for one to a HEAD request."""
+        self.sink = sink
+        self.without_body = without_body
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes.
+
+        Raises
+        ------
+        BadAnswerError
+            If an answer is awaited and these bytes are none.
+        """
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.stray = True
+            if self.sink is not None:
+                raise BadAnswerError(f"no answer in the protocol: {error}") from None
+
+    def finish(self) -> bool:
+        """Note the connection's orderly end; return whether it ended an answer."""
+        if self.sink is None or not self.open or self.framed:
+            return False
+        self._end()
+        return True
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        if self.sink is None:
+            self.stray = True
+        self.headers = []
+        self.reason = b""
+
+    def on_status(self, status: bytes) -> None:
+        """Keep the reason phrase."""
+        self.reason += status
+
+    def on_header(self, name: bytes, value: bytes | None) -> None:
+        """Keep a header."""
+        self.headers.append(Header(name, value or b""))
+
+    def on_headers_complete(self) -> None:
+        """Hand the head on, unless it is an interim one."""
+        self.status = self.parser.get_status_code()
+        if self.sink is None or self.status < FIRST_FINAL:
+            return
+        length = first_value(self.headers, CONTENT_LENGTH)
+        coding = first_value(self.headers, TRANSFER_ENCODING)
+        bodiless = self.without_body or self.status in NO_BODY
+        self.framed = bodiless or length is not None or coding is not None
+        self.open = True
+        head = AnswerHead(self.status, self.reason, tuple(self.headers), self.framed)
+        self.sink.head(head)
+        if self.without_body:
+            self.stray = self.stray or length not in {None, b"0"}
+            self._end()
+
+    def on_body(self, body: bytes) -> None:
+        """Hand a part of the body on."""
+        if self.open and self.sink is not None:
+            self.sink.data(body)
+
+    def on_message_complete(self) -> None:
+        """End the answer."""
+        if self.open and self.framed:
+            self._end()
+
+    def _end(self) -> None:
+        self.open = False
+        sink, self.sink = self.sink, None
+        if sink is not None:
+            sink.end()
--- /dev/null
+++ b/src/mimosafork/gateway/attempt.py
@@ -0,0 +1,307 @@
+"""One attempt of a call at an endpoint."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from ..clock import Clock
+from ..kernel.messages.base import Message
+from ..kernel.messages.requests import (
+    AttemptFailed,
+    AttemptFinished,
+    Dispatch,
+    Exposure,
+    FailureKind,
+    FirstToken,
+    Repeatability,
+)
+from .answer_reader import AnswerHead
+from .call import Call, WholeAnswer
+from .dialect import AnswerMarks, AttemptMarks, Dialect
+from .event_stream import EVENT_STREAM, EventSplitter
+from .heads import Header, end_to_end, first_value, render_head
+from .pool import ConnectionPool, Wanted
+from .upstream import CallSink, ConnectionLoss, EndpointConnection
+
+FRESH_FOR_ONCE = timedelta(milliseconds=1500)
+"""A call that may run only once takes a kept connection only if it was used just
+now: one that its endpoint closes under the request leaves its fate unknown."""
+
+SUCCESS = range(200, 300)
+
+
+class Reading(Enum):
+    """What an attempt does with the answer's bytes."""
+
+    HEAD = "head"
+    STREAM = "stream"
+    WHOLE = "whole"
+    REFUSAL = "refusal"
+    FOREIGN = "foreign"
+    """An answer to another call; it is skipped."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptTools:
+    """What attempts share."""
+
+    clock: Clock
+    pool: ConnectionPool
+    dialect: Dialect
+    report: Callable[[Message], None]
+
+
+class EndpointAttempt:
+    """Sends a call to an endpoint and reads its answer.
+
+    Reports exactly one of `AttemptFinished` and `AttemptFailed`, unless it is
+    cancelled.
+    """
+
+    def __init__(self, call: Call, dispatch: Dispatch, tools: AttemptTools) -> None:
+        self.call = call
+        self.dispatch = dispatch
+        self.tools = tools
+        self.reading = Reading.HEAD
+        self.connection: EndpointConnection | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.splitter = EventSplitter()
+        self.head: AnswerHead | None = None
+        self.marks: AnswerMarks | None = None
+        self.parts: list[bytes] = []
+        self.ended = False
+        self.first_reported = False
+
+    def start(self) -> None:
+        """Take or open a connection and send."""
+        once = self.call.request.repeatability is Repeatability.NON_IDEMPOTENT
+        wanted = Wanted(
+            self.dispatch.endpoint,
+            self.dispatch.address,
+            FRESH_FOR_ONCE if once else None,
+        )
+        kept = self.tools.pool.take(wanted)
+        if kept is not None:
+            self._send(kept)
+            return
+        self.opening = self.tools.pool.open(wanted, self._opened, self._unreached)
+
+    def cancel(self) -> None:
+        """Stop; closing the connection has the endpoint stop too."""
+        self.ended = True
+        if self.opening is not None:
+            self.opening.cancel()
+        if self.connection is not None:
+            self.connection.abort()
+
+    def pause(self) -> None:
+        """Read no more: the caller doesn't keep up."""
+        if self.connection is not None and self.connection.transport is not None:
+            self.connection.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self.connection is not None and self.connection.transport is not None:
+            self.connection.transport.resume_reading()
+
+    def _opened(self, connection: EndpointConnection) -> None:
+        self.opening = None
+        if self.ended:
+            connection.close()
+            return
+        self._send(connection)
+
+    def _unreached(self, error: OSError) -> None:
+        self.opening = None
+        self._fail(FailureKind.UNREACHED, Exposure.NEVER_SENT)
+
+    def _send(self, connection: EndpointConnection) -> None:
+        time_left = self.dispatch.deadline - self.tools.clock.monotonic()
+        # The process may have been frozen while the connection was opened: a call
+        # whose time is over must not be run for a caller that has been told so.
+        if time_left <= timedelta(0):
+            self.tools.pool.put_back(self.dispatch.endpoint, connection)
+            self._fail(FailureKind.DEADLINE, Exposure.NEVER_SENT)
+            return
+        self.connection = connection
+        sink = CallSink(self._on_head, self._on_data, self._on_end, self._on_lost)
+        without_body = self.call.message.head.method == b"HEAD"
+        connection.send(self._request(time_left), sink, without_body)
+
+    def _request(self, time_left: timedelta) -> bytes:
+        head, body = self.call.message.head, self.call.message.body
+        marks = AttemptMarks(
+            endpoint=self.dispatch.endpoint,
+            time_left=time_left,
+            account=self.call.account,
+            last_event=self.call.last_event,
+            priority=self.dispatch.priority,
+            helpers=self.dispatch.helpers,
+        )
+        headers = self.tools.dialect.endpoint_headers(head, marks)
+        if body or head.content_length != 0 or head.method not in {b"GET", b"HEAD"}:
+            headers.append(Header(b"Content-Length", b"%d" % len(body)))
+        first_line = b"%s %s HTTP/1.1" % (head.method, head.target)
+        return render_head(first_line, headers) + body
+
+    def _on_head(self, head: AnswerHead) -> None:
+        marks = self.tools.dialect.read_answer(head)
+        # An endpoint may answer an earlier call of the connection a second time,
+        # just where this one's answer is awaited; the id tells them apart.
+        if marks.call_id is not None and marks.call_id != self.call.marks.call_id:
+            self.reading = Reading.FOREIGN
+            if self.connection is not None:
+                self.connection.reusable = False
+            return
+        self.head = head
+        self.marks = marks
+        self.parts.clear()
+        if marks.not_run:
+            self.reading = Reading.REFUSAL
+        elif head.status in SUCCESS and not marks.signed:
+            self._abort(FailureKind.INVALID)
+        elif head.status in SUCCESS and is_stream(head):
+            self.reading = Reading.STREAM
+            self.call.begin_stream(head, end_to_end(head.headers))
+        else:
+            self.reading = Reading.WHOLE
+
+    def _on_data(self, data: bytes) -> None:
+        if self.reading is Reading.STREAM:
+            now = self.tools.clock.monotonic()
+            for event in self.splitter.feed(data):
+                self._report_first()
+                self.call.pass_event(event, now)
+        elif self.reading is Reading.WHOLE:
+            self.parts.append(data)
+
+    def _report_first(self) -> None:
+        if self.first_reported:
+            return
+        self.first_reported = True
+        first = FirstToken(self.dispatch.request_id, self.dispatch.attempt)
+        self.tools.report(first)
+
+    def _on_end(self) -> None:
+        connection, self.connection = self.connection, None
+        if self.reading is Reading.FOREIGN:
+            self._await_own(connection)
+            return
+        if connection is not None:
+            self.tools.pool.put_back(self.dispatch.endpoint, connection)
+        if self.reading is Reading.REFUSAL:
+            self._refuse()
+        elif self.reading is Reading.STREAM:
+            self._finish_stream()
+        else:
+            self._finish_whole()
+
+    def _await_own(self, connection: EndpointConnection | None) -> None:
+        if connection is None or connection.transport is None:
+            self._fail(FailureKind.BROKEN, Exposure.POSSIBLE)
+            return
+        self.reading = Reading.HEAD
+        self.connection = connection
+        connection.sink = CallSink(
+            self._on_head, self._on_data, self._on_end, self._on_lost
+        )
+        connection.expect_again()
+
+    def _finish_stream(self) -> None:
+        # Without an empty line at its end the last piece is no event; the endpoint
+        # says that its answer is whole, so it is passed on as it came.
+        if self.splitter.remainder:
+            self.call.responder.part(self.splitter.remainder)
+        self.call.responder.end()
+        self._finish()
+
+    def _finish_whole(self) -> None:
+        assert self.head is not None
+        answer = WholeAnswer(self.head, b"".join(self.parts))
+        if answer.head.status in SUCCESS and not self.call.head_sent:
+            self._deliver(answer)
+            self._finish()
+            return
+        self.call.failure = answer
+        self._fail(
+            FailureKind.ENGINE_FAILED, Exposure.POSSIBLE, status=answer.head.status
+        )
+
+    def _deliver(self, answer: WholeAnswer) -> None:
+        self._report_first()
+        self.call.first_sent_at = self.tools.clock.monotonic()
+        deliver(self.call, answer)
+
+    def _finish(self) -> None:
+        self.ended = True
+        self.tools.report(
+            AttemptFinished(self.dispatch.request_id, self.dispatch.attempt)
+        )
+
+    def _refuse(self) -> None:
+        assert self.head is not None
+        assert self.marks is not None
+        self._fail(
+            FailureKind.REFUSED,
+            Exposure.REFUSED,
+            status=self.head.status,
+            refusal="elsewhere" if self.marks.elsewhere else "not-run",
+            fault_at=self.marks.fault_at,
+        )
+
+    def _on_lost(self, loss: ConnectionLoss) -> None:
+        self.connection = None
+        if self.reading is Reading.REFUSAL:
+            self._refuse()
+            return
+        garbled = loss is ConnectionLoss.GARBLED
+        kind = FailureKind.INVALID if garbled else FailureKind.BROKEN
+        self._fail(kind, Exposure.POSSIBLE)
+
+    def _abort(self, kind: FailureKind) -> None:
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.abort()
+        self._fail(kind, Exposure.POSSIBLE)
+
+    def _fail(
+        self,
+        kind: FailureKind,
+        exposure: Exposure,
+        status: int | None = None,
+        refusal: str | None = None,
+        fault_at: str | None = None,
+    ) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        self.tools.report(
+            AttemptFailed(
+                self.dispatch.request_id,
+                self.dispatch.attempt,
+                kind,
+                exposure,
+                delivered_tokens=self.call.events,
+                refusal=refusal,
+                status=status,
+                fault_at=fault_at,
+                endpoint=self.dispatch.endpoint,
+                digest=self.call.request.body_digest,
+            )
+        )
+
+
+def is_stream(head: AnswerHead) -> bool:
+    """Return whether an answer is a series of events."""
+    kind = first_value(head.headers, b"content-type") or b""
+    return kind.split(b";")[0].strip().lower() == EVENT_STREAM
+
+
+def deliver(call: Call, answer: WholeAnswer) -> None:
+    """Send an endpoint's whole answer to the caller, unchanged."""
+    call.head_sent = True
+    call.status = answer.head.status
+    headers = end_to_end(answer.head.headers)
+    call.responder.answer(answer.head.status, answer.head.reason, headers, answer.body)
--- /dev/null
+++ b/src/mimosafork/gateway/client_connection.py
@@ -0,0 +1,277 @@
+"""A caller's connection: one request at a time, kept for many."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Protocol, cast
+
+from ..clock import Clock
+from ..routing.table import ClientLimits
+from .errors import BadRequestError
+from .heads import Header, render_head
+from .request_reader import RequestMessage, RequestReader
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+LINGER = timedelta(milliseconds=500)
+"""After an error, bytes that still come are read for so long: closing with unread
+bytes resets the connection, and the caller might not see the answer."""
+
+KEEP_SLACK = timedelta(seconds=2)
+"""Beyond the promised time: a request that crosses the close would be lost."""
+
+BODYLESS = frozenset({204, 304})
+FIRST_FINAL = 200
+
+
+class Front(Protocol):
+    """Who takes the requests of callers' connections."""
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Limits in force."""
+
+    @property
+    def draining(self) -> bool:
+        """Whether connections are to be closed after their answer."""
+
+    def accept(
+        self, connection: "ClientConnection", message: RequestMessage, at: timedelta
+    ) -> None:
+        """Take a whole request; `at` is the instant of its first byte."""
+
+    def gone(self, connection: "ClientConnection") -> None:
+        """Note that a caller has closed its connection."""
+
+    def stalled(self, connection: "ClientConnection", stalled: bool) -> None:
+        """Note that a caller doesn't keep up, or does again."""
+
+    def refused(self, connection: "ClientConnection", error: BadRequestError) -> None:
+        """Note that a caller's bytes were no proper request."""
+
+
+@dataclass(slots=True)
+class Exchange:
+    """The request that is being answered."""
+
+    message: RequestMessage
+    begun: bool = False
+    chunked: bool = False
+
+
+class ClientConnection(asyncio.Protocol):
+    """Owns a caller's socket."""
+
+    def __init__(
+        self,
+        front: Front,
+        clock: Clock,
+        registry: "set[ClientConnection]",
+    ) -> None:
+        self.front = front
+        self.clock = clock
+        self.registry = registry
+        self.reader = RequestReader(front.limits)
+        self.transport: asyncio.Transport | None = None
+        self.exchange: Exchange | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.first_byte_at: timedelta | None = None
+        self.lingering = False
+        self.continued = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to wait for a request."""
+        self.transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.registry.add(self)
+        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self.close)
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self.exchange is None and not self.reader.begun
+
+    def close(self) -> None:
+        """Close after what has been written."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Read on, unless the connection only waits to be closed."""
+        if self.lingering:
+            return
+        if self.first_byte_at is None and self.exchange is None:
+            self._begin_request()
+        self.reader.feed(data)
+        if self.exchange is None:
+            self._read()
+        elif len(self.reader.buffer) > self.front.limits.header_bytes:
+            cast(asyncio.Transport, self.transport).pause_reading()
+
+    def _begin_request(self) -> None:
+        self.first_byte_at = self.clock.monotonic()
+        self.reader.limits = self.front.limits
+        self._wait(self.front.limits.header_timeout, self._too_slow)
+
+    def _read(self) -> None:
+        try:
+            message = self.reader.next_request()
+        except BadRequestError as error:
+            self._refuse(error)
+            return
+        if message is None:
+            self._await_more()
+            return
+        self._stop_timer()
+        at = self.first_byte_at or self.clock.monotonic()
+        self.first_byte_at = None
+        self.continued = False
+        self.exchange = Exchange(message)
+        self.front.accept(self, message, at)
+
+    def _await_more(self) -> None:
+        head = self.reader.head
+        if head is None or self.continued:
+            return
+        self.continued = True
+        if head.expects_continue and self.transport is not None:
+            self.transport.write(CONTINUE)
+        self._wait(self.front.limits.idle_timeout, self._too_slow)
+
+    def _too_slow(self) -> None:
+        self._refuse(
+            BadRequestError(HTTPStatus.REQUEST_TIMEOUT, "the request came too slowly")
+        )
+
+    def _refuse(self, error: BadRequestError) -> None:
+        self.front.refused(self, error)
+        phrase = error.status.phrase.encode()
+        headers = [Header(b"Content-Length", b"0"), Header(b"Connection", b"close")]
+        line = b"HTTP/1.1 %d %s" % (error.status, phrase)
+        self._write(render_head(line, headers))
+        self._linger()
+
+    def _linger(self) -> None:
+        self.lingering = True
+        self.reader.closing = True
+        if self.transport is not None and self.transport.can_write_eof():
+            self.transport.write_eof()
+        self._wait(LINGER, self.close)
+
+    def answer(
+        self, status: int, reason: bytes, headers: list[Header], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        if self.exchange is None:
+            return
+        framing = []
+        without_body = self.exchange.message.head.method == b"HEAD"
+        if status not in BODYLESS:
+            framing.append(Header(b"Content-Length", b"%d" % len(body)))
+        head = self._head(status, reason, headers + framing)
+        self._write(head if without_body else head + body)
+        self._done()
+
+    def begin(self, status: int, reason: bytes, headers: list[Header]) -> None:
+        """Send the head of an answer whose body comes in parts."""
+        if self.exchange is None:
+            return
+        self.exchange.begun = True
+        self.exchange.chunked = self.exchange.message.head.minor == 1
+        framing = []
+        if self.exchange.chunked:
+            framing.append(Header(b"Transfer-Encoding", b"chunked"))
+        else:
+            self.reader.closing = True
+        self._write(self._head(status, reason, headers + framing))
+
+    def part(self, data: bytes) -> None:
+        """Send a part of a body that was begun."""
+        if self.exchange is None or not data:
+            return
+        if self.exchange.chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._write(data)
+
+    def end(self) -> None:
+        """End a body that was begun; it is whole."""
+        if self.exchange is None:
+            return
+        if self.exchange.chunked:
+            self._write(b"0\r\n\r\n")
+        self._done()
+
+    def break_off(self) -> None:
+        """Close the connection so that the answer can't look whole."""
+        self.exchange = None
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _head(self, status: int, reason: bytes, headers: list[Header]) -> bytes:
+        if self._closes():
+            self.reader.closing = True
+            headers = [*headers, Header(b"Connection", b"close")]
+        else:
+            seconds = int(self.front.limits.idle_timeout.total_seconds())
+            headers = [*headers, Header(b"Keep-Alive", b"timeout=%d" % seconds)]
+        return render_head(b"HTTP/1.1 %d %s" % (status, reason), headers)
+
+    def _closes(self) -> bool:
+        if self.exchange is None or self.reader.closing or self.front.draining:
+            return True
+        return not self.exchange.message.head.keeps_alive
+
+    def _done(self) -> None:
+        self.exchange = None
+        if self.reader.closing:
+            self._linger()
+            return
+        if self.transport is not None:
+            self.transport.resume_reading()
+        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self.close)
+        if self.reader.buffer:
+            self._begin_request()
+            asyncio.get_running_loop().call_soon(self._read_next)
+
+    def _read_next(self) -> None:
+        if self.exchange is None and self.transport is not None:
+            self._read()
+
+    def _write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def pause_writing(self) -> None:
+        """Have no more read from the endpoint for now."""
+        self.front.stalled(self, True)
+
+    def resume_writing(self) -> None:
+        """Read from the endpoint again."""
+        self.front.stalled(self, False)
+
+    def eof_received(self) -> bool:
+        """Take the end of the caller's bytes for its leaving."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell that the caller is gone."""
+        self.transport = None
+        self.registry.discard(self)
+        self._stop_timer()
+        if self.exchange is not None:
+            self.exchange = None
+            self.front.gone(self)
+
+    def _wait(self, time: timedelta, then: Callable[[], None]) -> None:
+        self._stop_timer()
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(time.total_seconds(), then)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
--- /dev/null
+++ b/src/mimosafork/gateway/dialect.py
@@ -0,0 +1,99 @@
+"""What the gateway needs to know of a deployment's manner of speaking."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from ..ids import AccountId, EndpointId
+from ..kernel.messages.requests import Helper
+from ..routing.table import ApiKey
+from .answer_reader import AnswerHead
+from .heads import Header, RequestHead
+
+
+@dataclass(frozen=True, slots=True)
+class CallMarks:
+    """What a caller says about its call.
+
+    Attributes
+    ----------
+    call_id : str
+        The caller's own id of this attempt; empty if it gave none.
+    time_left : timedelta or None
+        How long the caller waits.
+    last_event : int or None
+        The stream goes on behind this event.
+    key : ApiKey or None
+    prompt_tokens, most_tokens, expected_tokens : int
+        Of the prompt, and of the answer at most and by the caller's estimate; 0 if
+        it doesn't say.
+    """
+
+    call_id: str
+    time_left: timedelta | None = None
+    last_event: int | None = None
+    key: ApiKey | None = None
+    prompt_tokens: int = 0
+    most_tokens: int = 0
+    expected_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptMarks:
+    """What this instance tells an endpoint about an attempt."""
+
+    endpoint: EndpointId
+    time_left: timedelta
+    account: AccountId | None = None
+    last_event: int | None = None
+    priority: int | None = None
+    helpers: tuple[Helper, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerMarks:
+    """What an endpoint says about its answer.
+
+    Attributes
+    ----------
+    call_id : str or None
+        The caller's id of the call that it answers.
+    signed : bool
+        It bears the endpoint's signature.
+    not_run : bool
+        The endpoint states that it did not run the call.
+    elsewhere : bool
+        The endpoint that was expected isn't at this address.
+    fault_at : str or None
+        Address of the endpoint at fault, if it is another one.
+    """
+
+    call_id: str | None
+    signed: bool
+    not_run: bool
+    elsewhere: bool
+    fault_at: str | None = None
+
+
+class Dialect(Protocol):
+    """Reads and writes the headers of calls."""
+
+    def read_call(self, head: RequestHead) -> CallMarks:
+        """Return what a caller's headers say.
+
+        Raises
+        ------
+        BadRequestError
+            If a header can't be read.
+        """
+
+    def endpoint_headers(self, head: RequestHead, marks: AttemptMarks) -> list[Header]:
+        """Return the headers of an attempt, but those that frame its body."""
+
+    def read_answer(self, head: AnswerHead) -> AnswerMarks:
+        """Return what an endpoint's headers say."""
+
+    def own_answer_headers(
+        self, call_id: str, retry_after: timedelta | None
+    ) -> list[Header]:
+        """Return the headers of an answer that this instance gives itself."""
--- /dev/null
+++ b/src/mimosafork/gateway/event_stream.py
@@ -0,0 +1,50 @@
+"""Whole events of an event stream, with their ids."""
+
+import re
+from dataclasses import dataclass
+
+EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,18})[ ]*(?=[\r\n]|$)")
+EVENT_STREAM = b"text/event-stream"
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One event with the empty line that ends it; `number` is its id, if any."""
+
+    data: bytes
+    number: int | None
+
+
+class EventSplitter:
+    """Cuts a stream into whole events.
+
+    An endpoint may stop in the middle of an event. A caller that got the first half
+    would join it to whatever follows, so only whole events leave this class.
+    """
+
+    def __init__(self) -> None:
+        self.buffer = b""
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Take bytes; return the events that they complete."""
+        self.buffer += data
+        events = []
+        start = 0
+        for match in EVENT_END.finditer(self.buffer):
+            block = self.buffer[start : match.end()]
+            start = match.end()
+            events.append(StreamEvent(block, number_of(block)))
+        self.buffer = self.buffer[start:]
+        return events
+
+    @property
+    def remainder(self) -> bytes:
+        """What came after the last whole event."""
+        return self.buffer
+
+
+def number_of(block: bytes) -> int | None:
+    """Return the id of an event; None if it has none."""
+    match = EVENT_ID.search(block)
+    return int(match[1]) if match else None
--- /dev/null
+++ b/src/mimosafork/gateway/gateway.py
@@ -0,0 +1,348 @@
+"""Joins callers, the kernel and endpoints."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+from functools import singledispatchmethod
+from http import HTTPStatus
+from itertools import count
+from logging import getLogger
+from random import Random
+
+from ..clock import Clock
+from ..ids import RequestId
+from ..kernel.core import TICK, Kernel
+from ..kernel.messages.base import Effect, Message, Tick
+from ..kernel.messages.requests import (
+    AttemptFailed,
+    CallerGone,
+    CancelAttempt,
+    Conclude,
+    Dispatch,
+    ProblemCode,
+    Submit,
+    WakeAt,
+)
+from ..routing.table import ClientLimits, RoutingTable
+from ..telemetry.catalogue.gateway import (
+    ATTEMPT_FAILED,
+    CALL_ENDED,
+    CALL_NOT_SERVED,
+    CALL_REFUSED,
+    MALFORMED_REQUEST,
+)
+from ..telemetry.logs import log_event
+from .attempt import AttemptTools, EndpointAttempt, deliver
+from .call import Call
+from .client_connection import ClientConnection
+from .dialect import CallMarks, Dialect
+from .errors import BadRequestError
+from .heads import Header
+from .intake import Admission, Refusal, admit
+from .pool import ConnectionPool
+from .problems import final_status
+from .request_reader import RequestMessage
+
+logger = getLogger(__name__)
+
+DEFAULT_LIMITS = ClientLimits()
+
+
+class Gateway:
+    """Takes calls, asks the kernel, and carries out what it decides.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    dialect : Dialect
+    clock : Clock
+    random : random.Random
+        Seeded by the caller.
+    table : callable
+        Returns the routing table in force, or None.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        dialect: Dialect,
+        clock: Clock,
+        random: Random,
+        table: Callable[[], RoutingTable | None],
+    ) -> None:
+        self.kernel = kernel
+        self.dialect = dialect
+        self.clock = clock
+        self.random = random
+        self.table = table
+        self.pool = ConnectionPool(clock)
+        self.tools = AttemptTools(clock, self.pool, dialect, self.post)
+        self.connections: set[ClientConnection] = set()
+        self.calls: dict[RequestId, Call] = {}
+        self.by_connection: dict[ClientConnection, RequestId] = {}
+        self.attempts: dict[RequestId, EndpointAttempt] = {}
+        self.numbers = count(1)
+        self.inbox: deque[Message] = deque()
+        self.handling = False
+        self.draining = False
+        self.ticker: asyncio.TimerHandle | None = None
+        self.on_effect: Callable[[Effect], None] = lambda effect: None
+        self.on_ended: Callable[[Call, Conclude], None] = lambda call, end: None
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Limits of callers' requests in force."""
+        table = self.table()
+        return DEFAULT_LIMITS if table is None else table.limits
+
+    def start(self) -> None:
+        """Begin to tell the kernel of time."""
+        self._tick()
+
+    def stop(self) -> None:
+        """Close everything; open calls should have ended."""
+        if self.ticker is not None:
+            self.ticker.cancel()
+        self.pool.close()
+        for connection in list(self.connections):
+            connection.close()
+
+    def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.ticker = loop.call_later(TICK.total_seconds(), self._tick)
+        if self.calls:
+            self.post(Tick())
+
+    def new_connection(self) -> ClientConnection:
+        """Return the owner of a caller's connection that was just accepted."""
+        return ClientConnection(self, self.clock, self.connections)
+
+    def accept(
+        self, connection: ClientConnection, message: RequestMessage, at: timedelta
+    ) -> None:
+        """Take a whole request; `at` is the instant of its first byte."""
+        try:
+            marks = self.dialect.read_call(message.head)
+        except BadRequestError as error:
+            self.refused(connection, error)
+            self._answer(connection, CallMarks(""), Refusal(error.status, "malformed"))
+            return
+        request_id = RequestId(f"{next(self.numbers)}")
+        found = admit(message, marks, self.table(), request_id, at, self.random)
+        if isinstance(found, Refusal):
+            self._refuse(connection, message, marks, found)
+            return
+        self._submit(connection, message, marks, found, at)
+
+    def _submit(
+        self,
+        connection: ClientConnection,
+        message: RequestMessage,
+        marks: CallMarks,
+        admission: Admission,
+        at: timedelta,
+    ) -> None:
+        request = admission.request
+        call = Call(
+            request.request_id,
+            message,
+            marks,
+            admission.route,
+            admission.account,
+            request,
+            connection,
+            at,
+            last_event=marks.last_event,
+        )
+        self.calls[call.request_id] = call
+        self.by_connection[connection] = call.request_id
+        self.post(Submit(request))
+
+    def _refuse(
+        self,
+        connection: ClientConnection,
+        message: RequestMessage,
+        marks: CallMarks,
+        refusal: Refusal,
+    ) -> None:
+        table = self.table()
+        log_event(
+            logger,
+            CALL_REFUSED,
+            call=marks.call_id,
+            reason=refusal.reason,
+            status=int(refusal.status),
+            host=message.head.host,
+            path=message.head.path,
+            version=None if table is None else table.version,
+        )
+        self._answer(connection, marks, refusal)
+
+    def _answer(
+        self, connection: ClientConnection, marks: CallMarks, refusal: Refusal
+    ) -> None:
+        headers = self.dialect.own_answer_headers(marks.call_id, refusal.retry_after)
+        headers.append(Header(b"Content-Type", b"text/plain"))
+        reason = refusal.status.phrase.encode()
+        connection.answer(
+            refusal.status, reason, headers, refusal.reason.encode() + b"\n"
+        )
+
+    def refused(self, connection: ClientConnection, error: BadRequestError) -> None:
+        """Log that a caller's bytes were no proper request."""
+        log_event(logger, MALFORMED_REQUEST, status=int(error.status), why=error.detail)
+
+    def gone(self, connection: ClientConnection) -> None:
+        """Have the kernel end the call of a caller that has left."""
+        request_id = self.by_connection.pop(connection, None)
+        if request_id is not None:
+            self.post(CallerGone(request_id))
+
+    def stalled(self, connection: ClientConnection, stalled: bool) -> None:
+        """Stop and go on reading from the endpoint as the caller keeps up."""
+        request_id = self.by_connection.get(connection)
+        attempt = self.attempts.get(request_id) if request_id is not None else None
+        if attempt is None:
+            return
+        if stalled:
+            attempt.pause()
+        else:
+            attempt.resume()
+
+    def post(self, message: Message) -> None:
+        """Have the kernel handle a message, and carry out what it decides.
+
+        What an effect gives rise to at once, such as a connection that fails, waits
+        until the effects before it have been carried out.
+        """
+        self.inbox.append(message)
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.inbox:
+                self._handle(self.inbox.popleft())
+        finally:
+            self.handling = False
+
+    def _handle(self, message: Message) -> None:
+        if isinstance(message, AttemptFailed):
+            self._log_failure(message)
+        for effect in self.kernel.handle(message):
+            self.perform(effect)
+            self.on_effect(effect)
+
+    @singledispatchmethod
+    def perform(self, effect: Effect) -> None:
+        """Carry out an effect; those of other adapters are left to them."""
+
+    @perform.register
+    def _(self, effect: Dispatch) -> None:
+        call = self.calls.get(effect.request_id)
+        if call is None:
+            return
+        attempt = EndpointAttempt(call, effect, self.tools)
+        self.attempts[effect.request_id] = attempt
+        attempt.start()
+
+    @perform.register
+    def _(self, effect: CancelAttempt) -> None:
+        attempt = self.attempts.pop(effect.request_id, None)
+        if attempt is not None:
+            attempt.cancel()
+
+    @perform.register
+    def _(self, effect: WakeAt) -> None:
+        pause = effect.at - self.clock.monotonic()
+        loop = asyncio.get_running_loop()
+        loop.call_later(max(0.0, pause.total_seconds()), self.post, effect.message)
+
+    @perform.register
+    def _(self, effect: Conclude) -> None:
+        call = self.calls.pop(effect.request_id, None)
+        attempt = self.attempts.pop(effect.request_id, None)
+        if attempt is not None:
+            attempt.ended = True
+        if call is None:
+            return
+        call.concluded = True
+        self._forget(call)
+        if effect.problem is not None:
+            self._tell_problem(call, effect)
+        self._log_end(call, effect)
+        self.on_ended(call, effect)
+        if self.kernel.state.waiting.by_target:
+            self.inbox.append(Tick())
+
+    def _forget(self, call: Call) -> None:
+        for connection, request_id in list(self.by_connection.items()):
+            if request_id == call.request_id:
+                del self.by_connection[connection]
+
+    def _tell_problem(self, call: Call, conclusion: Conclude) -> None:
+        problem = conclusion.problem
+        if problem is not None and problem.code is ProblemCode.CALLER_GONE:
+            return
+        if call.head_sent:
+            call.responder.break_off()
+            return
+        if call.failure is not None:
+            deliver(call, call.failure)
+            return
+        final = final_status(conclusion)
+        call.status = int(final.status)
+        code = ProblemCode.INTERNAL if problem is None else problem.code
+        headers = self.dialect.own_answer_headers(call.marks.call_id, final.retry_after)
+        headers.append(Header(b"Content-Type", b"text/plain"))
+        call.responder.answer(
+            final.status,
+            HTTPStatus(final.status).phrase.encode(),
+            headers,
+            f"{code.value}: {conclusion.outcome.value}\n".encode(),
+        )
+
+    def _log_failure(self, failure: AttemptFailed) -> None:
+        call = self.calls.get(failure.request_id)
+        attempt = self.attempts.get(failure.request_id)
+        if call is None or attempt is None:
+            return
+        log_event(
+            logger,
+            ATTEMPT_FAILED,
+            call=call.marks.call_id,
+            endpoint=attempt.dispatch.endpoint,
+            kind=failure.kind.value,
+            exposure=failure.exposure.value,
+            status=failure.status,
+            events=call.events,
+            reused=attempt.connection is not None and attempt.connection.used > 1,
+            helpers=len(attempt.dispatch.helpers),
+            fault_at=failure.fault_at,
+            after_ms=milliseconds(self.clock.monotonic() - call.arrived_at),
+        )
+
+    def _log_end(self, call: Call, conclusion: Conclude) -> None:
+        served = conclusion.problem is None
+        first = call.first_sent_at
+        log_event(
+            logger,
+            CALL_ENDED if served else CALL_NOT_SERVED,
+            call=call.marks.call_id,
+            route=call.route.name,
+            account=call.account,
+            outcome=conclusion.outcome.value,
+            status=call.status,
+            why=None if conclusion.problem is None else conclusion.problem.code.value,
+            detail=None if conclusion.problem is None else conclusion.problem.detail,
+            attempts=conclusion.attempts,
+            prompt=call.request.prompt_tokens,
+            events=call.events,
+            first_ms=None if first is None else milliseconds(first - call.arrived_at),
+            total_ms=milliseconds(self.clock.monotonic() - call.arrived_at),
+        )
+
+
+def milliseconds(time: timedelta) -> int:
+    """Return whole milliseconds."""
+    return int(time / timedelta(milliseconds=1))
--- /dev/null
+++ b/src/mimosafork/gateway/intake.py
@@ -0,0 +1,152 @@
+"""Turns a whole request into what the kernel is asked, or into a refusal."""
+
+import hashlib
+import struct
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+from random import Random
+
+from ..ids import AccountId, Digest, ModelId, RequestId, ServiceId
+from ..kernel.messages.requests import (
+    CallTerms,
+    Repeatability,
+    Request,
+    RequestKind,
+)
+from ..routing.table import Account, CallKind, Route, RoutingTable, Split
+from .dialect import CallMarks
+from .request_reader import RequestMessage
+
+NO_ACCOUNT = AccountId("")
+DIGEST_BYTES = 16
+NOT_CONFIGURED_COME_BACK = timedelta(milliseconds=500)
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The call ends here, before the kernel has heard of it."""
+
+    status: HTTPStatus
+    reason: str
+    retry_after: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """What a request asks for, by the routing table in force."""
+
+    route: Route
+    account: AccountId | None
+    request: Request
+
+
+def admit(
+    message: RequestMessage,
+    marks: CallMarks,
+    table: RoutingTable | None,
+    request_id: RequestId,
+    arrived_at: timedelta,
+    random: Random,
+) -> Admission | Refusal:
+    """Match a request with the routing table.
+
+    Parameters
+    ----------
+    message, marks : RequestMessage, CallMarks
+    table : RoutingTable or None
+        None while no version is known.
+    request_id : RequestId
+        This instance's own.
+    arrived_at : timedelta
+        Monotonic instant of the first byte.
+    random : random.Random
+        Chooses among the services of a split route.
+    """
+    if table is None:
+        return Refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            "no-configuration",
+            NOT_CONFIGURED_COME_BACK,
+        )
+    route = table.match(message.head.host, message.head.path)
+    if route is None:
+        return Refusal(HTTPStatus.NOT_FOUND, "no-route")
+    account = None
+    if table.has_accounts and not route.public:
+        account = table.account_of(marks.key) if marks.key is not None else None
+        if account is None:
+            return Refusal(HTTPStatus.UNAUTHORIZED, "unknown-key")
+    name = account.name if account is not None else None
+    service = choose_service(route.splits, random)
+    kind = request_kind(table, service)
+    request = Request(
+        request_id=request_id,
+        account=name or NO_ACCOUNT,
+        kind=kind,
+        target=service if kind is RequestKind.SERVICE else ModelId(service),
+        prompt_tokens=marks.prompt_tokens,
+        max_tokens=marks.most_tokens,
+        deadline=arrived_at + time_allowed(route, marks),
+        body_digest=digest_of(message, name),
+        repeatability=(
+            Repeatability.IDEMPOTENT
+            if route.repeatable
+            else Repeatability.NON_IDEMPOTENT
+        ),
+        terms=terms_of(route, account, marks),
+    )
+    return Admission(route, name, request)
+
+
+def choose_service(splits: tuple[Split, ...], random: Random) -> ServiceId:
+    """Draw a service by the weights of a route."""
+    if len(splits) == 1:
+        return splits[0].service
+    weights = [split.weight for split in splits]
+    return random.choices([split.service for split in splits], weights)[0]
+
+
+def request_kind(table: RoutingTable, service: ServiceId) -> RequestKind:
+    """Return whether a service has model engines."""
+    known = table.services.get(service)
+    if known is not None and known.engine is not None:
+        return RequestKind.MODEL
+    return RequestKind.SERVICE
+
+
+def time_allowed(route: Route, marks: CallMarks) -> timedelta:
+    """Return how long a call may take: as its caller waits and its route allows."""
+    if marks.time_left is None:
+        return route.timeout
+    return min(route.timeout, marks.time_left)
+
+
+def terms_of(route: Route, account: Account | None, marks: CallMarks) -> CallTerms:
+    """Return what the kernel's plug-ins go by."""
+    priority = route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    return CallTerms(
+        max_attempts=route.max_attempts,
+        objective=route.objective,
+        longest_pause=route.longest_pause,
+        priority=priority,
+        streams=route.kind is CallKind.STREAM,
+        resumable=route.resumable,
+        expected_tokens=marks.expected_tokens,
+    )
+
+
+def digest_of(message: RequestMessage, account: AccountId | None) -> Digest:
+    """Return a digest of what decides a call's answer, whoever sends it again."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (
+        message.head.method,
+        message.head.target,
+        (account or NO_ACCOUNT).encode(),
+        message.body,
+    ):
+        digest.update(struct.pack("<Q", len(part)))
+        digest.update(part)
+    return Digest(digest.hexdigest())
--- /dev/null
+++ b/src/mimosafork/gateway/policies/__init__.py
@@ -0,0 +1,14 @@
+"""Plug-ins that decide about calls that are passed on; importing registers them."""
+
+from . import fleet_view, ordering, placing, quarantining, retrying
+
+PLUGINS = (
+    fleet_view.FleetView.name,
+    quarantining.CrashQuarantine.name,
+    placing.WorkPlacer.name,
+    retrying.BudgetedRetry.name,
+    ordering.UrgentFirst.name,
+)
+"""Names of the plug-ins of a gateway."""
+
+__all__ = ["PLUGINS"]
--- /dev/null
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -0,0 +1,150 @@
+"""What this instance believes of each endpoint."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from ...ids import EndpointId, ServiceId
+from ...kernel.context import Context
+from ...kernel.messages.base import Message
+from ...kernel.messages.requests import (
+    AttemptFailed,
+    AttemptFinished,
+    FailureKind,
+    FirstToken,
+)
+from ...kernel.messages.routing import EndpointLeaving, EndpointUsable, TableInForce
+from ...kernel.plugins import Plugin
+from ...kernel.registry import register
+from ...placement.choice import EngineView
+from ...routing.listing import ListedEndpoint
+from ...routing.table import RoutingTable
+
+UNREACHED_FOR = timedelta(seconds=1)
+"""An endpoint that couldn't be connected to is left alone for so long at first."""
+
+LONGEST_ABSENCE = timedelta(seconds=4)
+SUSPECT_FOR = timedelta(seconds=2)
+"""One whose answers failed is taken last for so long."""
+
+BAD_KINDS = frozenset({FailureKind.BROKEN, FailureKind.INVALID, FailureKind.STALLED})
+FAILURE_WEIGHT = 0.3
+"""Share of the newest outcome in an endpoint's failure rate."""
+
+BAD_RATE = 0.25
+"""Above this rate of failures an endpoint is taken last."""
+
+
+@dataclass(slots=True)
+class EndpointBelief:
+    """What is known of one endpoint.
+
+    Attributes
+    ----------
+    unusable_until, suspect_until : timedelta
+        Monotonic instants.
+    misses : int
+        Connections in a row that could not be made.
+    failure_rate : float
+        Share of its latest attempts that it failed, newest weighing most.
+    """
+
+    listed: ListedEndpoint
+    leaving: bool = False
+    unusable_until: timedelta = timedelta(0)
+    suspect_until: timedelta = timedelta(0)
+    misses: int = 0
+    failure_rate: float = 0.0
+
+    def note_unreached(self, now: timedelta) -> None:
+        """Leave it alone, longer each time up to a bound."""
+        absence = min(LONGEST_ABSENCE, UNREACHED_FOR * 2**self.misses)
+        self.misses += 1
+        self.unusable_until = now + absence
+
+    def note_outcome(self, failed: bool, now: timedelta) -> None:
+        """Learn from an attempt's end."""
+        if not failed:
+            self.misses = 0
+        self.failure_rate += FAILURE_WEIGHT * (float(failed) - self.failure_rate)
+        if failed:
+            self.suspect_until = now + SUSPECT_FOR
+
+    def view(self, now: timedelta) -> EngineView:
+        """Return what placement goes by."""
+        suspect = now < self.suspect_until or self.failure_rate > BAD_RATE
+        return EngineView(
+            endpoint=self.listed.endpoint,
+            address=self.listed.address,
+            zone=self.listed.zone,
+            slots=self.listed.slots,
+            usable=not self.leaving and now >= self.unusable_until,
+            suspect=suspect,
+            cold=self.listed.cold_remaining > timedelta(0),
+        )
+
+
+@register("fleet-view")
+class FleetView(Plugin):
+    """Keeps the endpoints by service, and how their attempts went."""
+
+    def __init__(self) -> None:
+        self.table: RoutingTable | None = None
+        self.endpoints: dict[EndpointId, EndpointBelief] = {}
+        self.by_service: dict[ServiceId, dict[EndpointId, EndpointBelief]] = {}
+
+    def of_service(self, service: ServiceId) -> list[EndpointBelief]:
+        """Return the endpoints of a service that aren't leaving."""
+        return list(self.by_service.get(service, {}).values())
+
+    @singledispatchmethod
+    def handle(self, message: Message, context: Context) -> None:
+        """Learn from a message."""
+
+    @handle.register
+    def _(self, message: TableInForce, context: Context) -> None:
+        self.table = message.table
+
+    @handle.register
+    def _(self, message: EndpointUsable, context: Context) -> None:
+        listed = message.listed
+        known = self.endpoints.get(listed.endpoint)
+        if known is None:
+            known = EndpointBelief(listed)
+            self.endpoints[listed.endpoint] = known
+        known.listed = listed
+        known.leaving = False
+        self.by_service.setdefault(listed.service, {})[listed.endpoint] = known
+
+    @handle.register
+    def _(self, message: EndpointLeaving, context: Context) -> None:
+        known = self.endpoints.pop(message.endpoint, None)
+        if known is not None:
+            known.leaving = True
+            self.by_service[known.listed.service].pop(message.endpoint, None)
+
+    @handle.register
+    def _(self, message: FirstToken, context: Context) -> None:
+        record = context.state.requests.get(message.request_id)
+        if record is not None and record.current is not None:
+            known = self.endpoints.get(record.current.endpoint)
+            if known is not None:
+                known.note_outcome(False, context.now)
+
+    @handle.register
+    def _(self, message: AttemptFinished, context: Context) -> None:
+        """Nothing more is learnt from the end than from the first token."""
+
+    @handle.register
+    def _(self, message: AttemptFailed, context: Context) -> None:
+        known = self.endpoints.get(message.endpoint) if message.endpoint else None
+        if known is None:
+            return
+        if message.kind is FailureKind.UNREACHED:
+            known.note_unreached(context.now)
+        elif message.refusal == "elsewhere":
+            known.unusable_until = context.now + LONGEST_ABSENCE
+        elif message.kind in BAD_KINDS:
+            known.note_outcome(True, context.now)
+        elif message.kind is FailureKind.ENGINE_FAILED:
+            known.note_outcome(False, context.now)
--- /dev/null
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -0,0 +1,170 @@
+"""Places calls by the work that this instance and its peers have running."""
+
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from ...ids import EndpointId, Incarnation, RequestId, ServiceId
+from ...kernel.context import Context
+from ...kernel.messages.base import Message
+from ...kernel.messages.requests import (
+    AttemptFailed,
+    FirstToken,
+    Helper,
+    Problem,
+    ProblemCode,
+    Request,
+)
+from ...kernel.messages.routing import PeerSilent, PeerWorkTold
+from ...kernel.plugins import (
+    Concluded,
+    Placement,
+    PlaceOn,
+    Placer,
+    PluginFinder,
+    Refuse,
+    Wait,
+)
+from ...kernel.records import RequestRecord
+from ...kernel.registry import register
+from ...placement.choice import NoRoom, Place, PlacementAsk, WaitForRoom
+from ...placement.policy import choose
+from ...placement.work import LoadBook
+from ...routing.engine import EngineFigures
+from .fleet_view import FleetView
+
+DEFAULT_ANSWER = 600
+"""Tokens that an answer is expected to have where nobody says."""
+
+FIRST_LIFE = Incarnation(1)
+"""An endpoint's id is new with each start, so that it needs no further number."""
+
+HOPELESS_SHARE = 0.25
+"""A call that has waited for this share of its time is given up: one held longer
+could hardly be served, and its caller should come back elsewhere at once."""
+
+COME_BACK = timedelta(milliseconds=600)
+
+
+@register("work-placer")
+class WorkPlacer(Placer):
+    """Asks the placement policy, with the book of running work."""
+
+    def __init__(self) -> None:
+        self.fleet: FleetView | None = None
+        self.book = LoadBook()
+
+    def join(self, find: PluginFinder) -> None:
+        """Keep the view of the endpoints."""
+        self.fleet = find(FleetView)
+
+    def place(self, record: RequestRecord, context: Context) -> Placement:
+        """Return where the call goes now."""
+        assert self.fleet is not None
+        service = ServiceId(record.request.target)
+        engines = [b.view(context.now) for b in self.fleet.of_service(service)]
+        ask = ask_of(record, context)
+        choice = choose(
+            ask,
+            engines,
+            self.book,
+            self.figures_of(service),
+            context.now,
+            context.random,
+        )
+        if isinstance(choice, Place):
+            self.book.note(choice.work(ask, context.now))
+            return place_on(choice, record.request)
+        if isinstance(choice, NoRoom):
+            return Refuse(overloaded(choice.reason.value, choice.come_back))
+        return self._wait(record, choice, context.now)
+
+    def _wait(
+        self, record: RequestRecord, choice: WaitForRoom, now: timedelta
+    ) -> Placement:
+        allowed = record.request.deadline - record.submitted_at
+        if now - record.submitted_at > allowed * HOPELESS_SHARE:
+            return Refuse(overloaded(choice.reason.value, COME_BACK))
+        return Wait(choice.reason.value)
+
+    def figures_of(self, service: ServiceId) -> EngineFigures | None:
+        """Return the figures of a service's engines; None for a plain service."""
+        table = self.fleet.table if self.fleet is not None else None
+        known = table.services.get(service) if table is not None else None
+        return known.engine if known is not None else None
+
+    @singledispatchmethod
+    def handle(self, message: Message, context: Context) -> None:
+        """Keep the book."""
+
+    @handle.register
+    def _(self, message: FirstToken, context: Context) -> None:
+        self.book.first_token(message.request_id, context.now)
+
+    @handle.register
+    def _(self, message: AttemptFailed, context: Context) -> None:
+        self._forget_attempt(message.request_id, message.endpoint)
+
+    @handle.register
+    def _(self, message: Concluded, context: Context) -> None:
+        self.book.drop(message.record.request_id)
+
+    @handle.register
+    def _(self, message: PeerWorkTold, context: Context) -> None:
+        self.book.replace_peer(message.instance, message.works, context.now)
+
+    @handle.register
+    def _(self, message: PeerSilent, context: Context) -> None:
+        self.book.forget_peer(message.instance)
+
+    def _forget_attempt(
+        self, request_id: RequestId, endpoint: EndpointId | None
+    ) -> None:
+        """Drop a failed attempt's work, unless the next one was placed already."""
+        work = self.book.own.get(request_id)
+        if work is not None and (endpoint is None or work.host == endpoint):
+            self.book.drop(request_id)
+
+
+def ask_of(record: RequestRecord, context: Context) -> PlacementAsk:
+    """Return what placement is asked for a call."""
+    request = record.request
+    terms = request.terms
+    objective = timedelta(0)
+    if terms is not None:
+        objective = terms.objective - (context.now - record.submitted_at)
+    return PlacementAsk(
+        request=request.request_id,
+        prompt_tokens=request.prompt_tokens,
+        max_answer_tokens=request.max_tokens,
+        answer_tokens=expected_answer(request),
+        time_left=request.deadline - context.now,
+        objective=max(timedelta(0), objective),
+        longest_pause=None if terms is None else terms.longest_pause,
+        priority=5 if terms is None else terms.priority,
+        avoid=frozenset(record.avoid),
+        zone=context.state.identity.availability_zone,
+    )
+
+
+def expected_answer(request: Request) -> int:
+    """Return the tokens that an answer is expected to have."""
+    hint = request.terms.expected_tokens if request.terms is not None else 0
+    expected = hint or DEFAULT_ANSWER
+    return min(expected, request.max_tokens) if request.max_tokens else expected
+
+
+def place_on(place: Place, request: Request) -> PlaceOn:
+    """Return the kernel's word for a place."""
+    priority = request.terms.priority if request.terms is not None else 5
+    return PlaceOn(
+        endpoint=place.host,
+        incarnation=FIRST_LIFE,
+        address=place.address,
+        priority=priority,
+        helpers=tuple(Helper(each.endpoint, each.address) for each in place.helpers),
+    )
+
+
+def overloaded(detail: str, come_back: timedelta) -> Problem:
+    """Return why a call is not placed, and when to come back."""
+    return Problem(ProblemCode.OVERLOADED, detail, come_back)
--- /dev/null
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -0,0 +1,75 @@
+"""Keeps a request that crashes endpoints from reaching further ones."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from ...ids import Digest, EndpointId
+from ...kernel.context import Context
+from ...kernel.messages.base import Message
+from ...kernel.messages.requests import (
+    AttemptFailed,
+    AttemptFinished,
+    FailureKind,
+    Problem,
+    ProblemCode,
+)
+from ...kernel.plugins import Proceed, Refuse, Stage, Verdict
+from ...kernel.records import RequestRecord
+from ...kernel.registry import register
+
+CRASHES = 2
+"""Endpoints that a request may have brought down before it is refused."""
+
+KEPT_FOR = timedelta(seconds=60)
+COME_BACK = timedelta(seconds=5)
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """Endpoints whose connections broke under a request, and when last."""
+
+    endpoints: set[EndpointId] = field(default_factory=set)
+    seen_at: timedelta = timedelta(0)
+
+
+@register("crash-quarantine")
+class CrashQuarantine(Stage):
+    """Refuses a request that broke its connection at several endpoints."""
+
+    order = 20
+
+    def __init__(self) -> None:
+        self.suspicions: dict[Digest, Suspicion] = {}
+
+    def review(self, record: RequestRecord, context: Context) -> Verdict:
+        """Refuse what has crashed endpoints before."""
+        suspicion = self.suspicions.get(record.request.body_digest)
+        if suspicion is None:
+            return Proceed()
+        if context.now - suspicion.seen_at > KEPT_FOR:
+            del self.suspicions[record.request.body_digest]
+            return Proceed()
+        if len(suspicion.endpoints) <= CRASHES:
+            return Proceed()
+        detail = f"broke off at {len(suspicion.endpoints)} endpoints"
+        return Refuse(Problem(ProblemCode.QUARANTINED, detail, COME_BACK))
+
+    @singledispatchmethod
+    def handle(self, message: Message, context: Context) -> None:
+        """Learn from how attempts end."""
+
+    @handle.register
+    def _(self, message: AttemptFailed, context: Context) -> None:
+        if message.kind is not FailureKind.BROKEN or message.digest is None:
+            return
+        suspicion = self.suspicions.setdefault(message.digest, Suspicion())
+        if message.endpoint is not None:
+            suspicion.endpoints.add(message.endpoint)
+        suspicion.seen_at = context.now
+
+    @handle.register
+    def _(self, message: AttemptFinished, context: Context) -> None:
+        record = context.state.requests.get(message.request_id)
+        if record is not None:
+            self.suspicions.pop(record.request.body_digest, None)
--- /dev/null
+++ b/src/mimosafork/gateway/pool.py
@@ -0,0 +1,135 @@
+"""Kept connections to endpoints."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..clock import Clock
+from ..ids import EndpointId
+from ..settings.types import split_address
+from .upstream import EndpointConnection
+
+CONNECT_TIMEOUT = timedelta(milliseconds=700)
+DEFAULT_KEEP = timedelta(seconds=4)
+"""How long a connection is kept where the endpoint doesn't say."""
+
+MARGIN = timedelta(milliseconds=700)
+"""An endpoint closes an idle connection after its own time; one that is used just
+then is closed under the request, and whether it ran would be unknown."""
+
+MOST_IDLE = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """A connection that is wanted.
+
+    Attributes
+    ----------
+    fresh_within : timedelta or None
+        A kept connection must have been idle for no longer.
+    """
+
+    endpoint: EndpointId
+    address: str
+    fresh_within: timedelta | None = None
+
+
+class ConnectionPool:
+    """Keeps idle connections by endpoint, the newest first.
+
+    Parameters
+    ----------
+    clock : Clock
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.idle: dict[EndpointId, list[EndpointConnection]] = {}
+        self.opened = 0
+        self.connecting: set[asyncio.Task[None]] = set()
+
+    def take(self, wanted: Wanted) -> EndpointConnection | None:
+        """Return a kept connection that can still be used, or None."""
+        kept = self.idle.get(wanted.endpoint, [])
+        now = self.clock.monotonic()
+        while kept:
+            connection = kept.pop()
+            idle = now - connection.idle_since
+            limit = (connection.keep_for or DEFAULT_KEEP) - MARGIN
+            if wanted.fresh_within is not None:
+                limit = min(limit, wanted.fresh_within)
+            if connection.reusable and connection.transport and idle < limit:
+                return connection
+            connection.close()
+        return None
+
+    def open(
+        self,
+        wanted: Wanted,
+        ready: Callable[[EndpointConnection], None],
+        failed: Callable[[OSError], None],
+    ) -> asyncio.Task[None]:
+        """Open a connection.
+
+        Exactly one of the callbacks is called, unless the returned task is cancelled.
+        """
+        task = asyncio.get_running_loop().create_task(self._open(wanted, ready, failed))
+        self.connecting.add(task)
+        task.add_done_callback(self.connecting.discard)
+        return task
+
+    async def _open(
+        self,
+        wanted: Wanted,
+        ready: Callable[[EndpointConnection], None],
+        failed: Callable[[OSError], None],
+    ) -> None:
+        place = split_address(wanted.address)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+                _, connection = await loop.create_connection(
+                    lambda: EndpointConnection(self.clock, self._forget(wanted)),
+                    place.host,
+                    place.port,
+                )
+        except TimeoutError:
+            failed(TimeoutError("no connection in time"))
+            return
+        except OSError as error:
+            failed(error)
+            return
+        self.opened += 1
+        ready(connection)
+
+    def _forget(self, wanted: Wanted) -> Callable[[EndpointConnection], None]:
+        def forget(connection: EndpointConnection) -> None:
+            kept = self.idle.get(wanted.endpoint, [])
+            if connection in kept:
+                kept.remove(connection)
+
+        return forget
+
+    def put_back(self, endpoint: EndpointId, connection: EndpointConnection) -> None:
+        """Keep a connection whose answer has ended, if it can be used again."""
+        if not connection.reusable or connection.reader.stray:
+            connection.close()
+            return
+        kept = self.idle.setdefault(endpoint, [])
+        kept.append(connection)
+        if len(kept) > MOST_IDLE:
+            kept.pop(0).close()
+
+    def drop(self, endpoint: EndpointId) -> None:
+        """Close the idle connections to an endpoint that is gone."""
+        for connection in self.idle.pop(endpoint, []):
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for endpoint in list(self.idle):
+            self.drop(endpoint)
+        for task in self.connecting:
+            task.cancel()
--- /dev/null
+++ b/src/mimosafork/gateway/server.py
@@ -0,0 +1,174 @@
+"""An entry instance that passes calls on: its listeners, its start and its stop."""
+
+import asyncio
+import signal
+from datetime import timedelta
+from logging import getLogger
+from random import Random
+
+from ..clock import Clock
+from ..directory.directory import Directory
+from ..directory.messages import DirectoryChange, EndpointChanged, TableChanged
+from ..ids import Incarnation
+from ..kernel.context import Identity
+from ..kernel.core import Kernel
+from ..kernel.messages.lifecycle import StopNow
+from ..kernel.messages.routing import EndpointLeaving, EndpointUsable, TableInForce
+from ..kernel.registry import create
+from ..settings.gateway import GatewaySettings
+from ..settings.types import split_address
+from ..telemetry.catalogue.gateway import (
+    GATEWAY_READY,
+    GATEWAY_STARTING,
+    GATEWAY_STOPPED,
+    GATEWAY_STOPPING,
+)
+from ..telemetry.logs import log_event
+from .dialect import Dialect
+from .gateway import Gateway, milliseconds
+from .policies import PLUGINS
+from .ready import ReadyConnection
+
+logger = getLogger(__name__)
+
+BACKLOG = 512
+BALANCER_LAG = timedelta(milliseconds=3200)
+"""After a stop was asked for, callers still come until the balancer has missed the
+ready answer twice."""
+
+LAST_SHARE = 0.9
+"""Share of the grace after which open calls are ended: the process must be gone
+before it is killed."""
+
+LOOK_AGAIN = timedelta(milliseconds=50)
+
+
+class GatewayServer:
+    """One entry instance.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    directory : Directory
+        Not started yet.
+    dialect : Dialect
+    clock : Clock
+    random : random.Random
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        directory: Directory,
+        dialect: Dialect,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self.settings = settings
+        self.directory = directory
+        self.clock = clock
+        self.started_at = clock.monotonic()
+        identity = Identity(
+            settings.instance.id,
+            Incarnation(settings.instance.incarnation or 1),
+            settings.instance.availability_zone,
+        )
+        self.kernel = Kernel(identity, clock, random, create(PLUGINS))
+        self.gateway = Gateway(
+            self.kernel, dialect, clock, random, lambda: self.directory.table
+        )
+        self.listeners: list[asyncio.Server] = []
+        self.stop_asked = asyncio.Event()
+        self.was_ready = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.directory.ready_to_serve and not self.gateway.draining
+
+    async def run(self) -> int:
+        """Serve until a stop is asked for; return the number of calls cut."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop_asked.set)
+        await self.start()
+        await self.stop_asked.wait()
+        return await self.stop()
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the store."""
+        log_event(
+            logger,
+            GATEWAY_STARTING,
+            instance=self.settings.instance.id,
+            zone=self.settings.instance.availability_zone,
+        )
+        self.directory.listen(self._directory_changed)
+        self.directory.start()
+        self.gateway.start()
+        loop = asyncio.get_running_loop()
+        front = split_address(self.settings.listen.front)
+        ready = split_address(self.settings.listen.ready)
+        self.listeners = [
+            await loop.create_server(
+                self.gateway.new_connection, front.host, front.port, backlog=BACKLOG
+            ),
+            await loop.create_server(
+                lambda: ReadyConnection(lambda: self.ready), ready.host, ready.port
+            ),
+        ]
+
+    def _directory_changed(self, change: DirectoryChange) -> None:
+        if isinstance(change, TableChanged):
+            self.gateway.post(TableInForce(change.table))
+        else:
+            self._endpoint_changed(change)
+        self._note_ready()
+
+    def _endpoint_changed(self, change: EndpointChanged) -> None:
+        if change.entry.takes_new_work:
+            self.gateway.post(EndpointUsable(change.entry.listed))
+            return
+        self.gateway.post(EndpointLeaving(change.endpoint))
+        self.gateway.pool.drop(change.endpoint)
+
+    def _note_ready(self) -> None:
+        if self.was_ready or not self.ready:
+            return
+        self.was_ready = True
+        table = self.directory.table
+        log_event(
+            logger,
+            GATEWAY_READY,
+            after_ms=milliseconds(self.clock.monotonic() - self.started_at),
+            version=None if table is None else table.version,
+            endpoints=len(self.directory.endpoints),
+        )
+
+    async def stop(self) -> int:
+        """Serve on while the balancer notices, then let open calls end.
+
+        Returns
+        -------
+        int
+            Calls that had not ended in time.
+        """
+        gateway = self.gateway
+        gateway.draining = True
+        log_event(logger, GATEWAY_STOPPING, open=len(gateway.calls))
+        asked_at = self.clock.monotonic()
+        last = asked_at + self.settings.bounds.grace * LAST_SHARE
+        while self.clock.monotonic() < last:
+            lagged = self.clock.monotonic() - asked_at >= BALANCER_LAG
+            if lagged and not gateway.calls:
+                break
+            await asyncio.sleep(LOOK_AGAIN.total_seconds())
+        cut = len(gateway.calls)
+        gateway.post(StopNow())
+        for listener in self.listeners:
+            listener.close()
+        gateway.stop()
+        await self.directory.stop()
+        log_event(logger, GATEWAY_STOPPED, cut=cut)
+        await asyncio.sleep(LOOK_AGAIN.total_seconds())
+        return cut
--- /dev/null
+++ b/src/mimosafork/gateway/upstream.py
@@ -0,0 +1,176 @@
+"""A connection to an endpoint, used for one call at a time."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import cast
+
+from ..clock import Clock
+from .answer_reader import AnswerHead, AnswerReader, AnswerSink
+from .errors import BadAnswerError
+from .heads import first_value
+
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 2000
+
+
+class ConnectionLoss(Enum):
+    """How a connection ended under a call."""
+
+    CLOSED = "closed"
+    RESET = "reset"
+    GARBLED = "garbled"
+    """Its bytes were no answer in the protocol."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallSink:
+    """Who hears of a call's answer on a connection."""
+
+    head: Callable[[AnswerHead], None]
+    data: Callable[[bytes], None]
+    end: Callable[[], None]
+    lost: Callable[[ConnectionLoss], None]
+
+
+class EndpointConnection(asyncio.Protocol):
+    """Owns a socket to an endpoint.
+
+    Attributes
+    ----------
+    idle_since : timedelta
+        Monotonic instant at which the last answer ended.
+    keep_for : timedelta or None
+        How long the endpoint keeps it when idle, as it said.
+    reusable : bool
+    used : int
+        Calls that it has carried.
+    """
+
+    def __init__(self, clock: Clock, on_idle_loss: Callable[..., None]) -> None:
+        self.clock = clock
+        self.on_idle_loss = on_idle_loss
+        self.reader = AnswerReader()
+        self.sink: CallSink | None = None
+        self.transport: asyncio.Transport | None = None
+        self.idle_since = clock.monotonic()
+        self.keep_for: timedelta | None = None
+        self.reusable = True
+        self.used = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the socket so that a peer that has vanished is found."""
+        self.transport = cast(asyncio.Transport, transport)
+        watch_peer(transport.get_extra_info("socket"))
+
+    def send(self, request: bytes, sink: CallSink, without_body: bool) -> None:
+        """Send a whole request and await its answer."""
+        assert self.transport is not None
+        self.sink = sink
+        self.used += 1
+        self.reader.expect(
+            AnswerSink(self._on_head, sink.data, self._on_end), without_body
+        )
+        self.transport.write(request)
+
+    def expect_again(self) -> None:
+        """Await a further answer: the last one belonged to another call."""
+        assert self.sink is not None
+        self.reader.expect(
+            AnswerSink(self._on_head, self.sink.data, self._on_end), False
+        )
+
+    def abort(self) -> None:
+        """Close at once; the endpoint stops what it does for this connection."""
+        self.sink = None
+        self.reader.sink = None
+        self.reusable = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close(self) -> None:
+        """Close an idle connection."""
+        self.reusable = False
+        if self.transport is not None:
+            self.transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        try:
+            self.reader.feed(data)
+        except BadAnswerError:
+            self._lose(ConnectionLoss.GARBLED)
+            return
+        if self.reader.stray:
+            self.reusable = False
+            if self.sink is None:
+                self.abort()
+
+    def eof_received(self) -> bool:
+        """Take the endpoint's orderly end."""
+        if not self.reader.finish():
+            self._lose(ConnectionLoss.CLOSED)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell whoever waits that the connection is gone."""
+        self.transport = None
+        self._lose(ConnectionLoss.CLOSED if exc is None else ConnectionLoss.RESET)
+
+    def _on_head(self, head: AnswerHead) -> None:
+        if head.closes:
+            self.reusable = False
+        self.keep_for = keep_alive_of(head) or self.keep_for
+        if self.sink is not None:
+            self.sink.head(head)
+
+    def _on_end(self) -> None:
+        sink, self.sink = self.sink, None
+        self.idle_since = self.clock.monotonic()
+        if sink is not None:
+            sink.end()
+
+    def _lose(self, loss: ConnectionLoss) -> None:
+        sink, self.sink = self.sink, None
+        self.reader.sink = None
+        self.reusable = False
+        if self.transport is not None:
+            self.transport.abort()
+        if sink is not None:
+            sink.lost(loss)
+        else:
+            self.on_idle_loss(self)
+
+
+def watch_peer(sock: socket.socket | None) -> None:
+    """Have the system probe a silent peer.
+
+    An endpoint without power, or behind a partition, sends nothing: without probes a
+    call to it would hang until its deadline. A sound endpoint that is merely slow
+    answers the probes, so silence alone ends nothing.
+    """
+    if sock is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def keep_alive_of(head: AnswerHead) -> timedelta | None:
+    """Return how long an endpoint says it keeps an idle connection."""
+    value = first_value(head.headers, b"keep-alive")
+    if value is None:
+        return None
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+            return timedelta(seconds=int(number))
+    return None
--- a/src/mimosafork/kernel/attempts.py
+++ b/src/mimosafork/kernel/attempts.py
@@ -45,6 +45,7 @@
         reservation=place.reservation,
         keep=record.claim is not None and request.resume_offset == 0,
         shared=record.answers_others,
+        helpers=place.helpers,
     )
 
 
--- a/src/mimosafork/kernel/messages/requests.py
+++ b/src/mimosafork/kernel/messages/requests.py
@@ -126,6 +126,52 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class CallTerms:
+    """What a route and its caller say about a call that is passed on as it is.
+
+    Attributes
+    ----------
+    max_attempts : int
+        Endpoints that it may be sent to.
+    objective : timedelta
+        An answer (a stream's first event) within it is on time.
+    longest_pause : timedelta or None
+        Between two events of a stream that is on time.
+    priority : int
+        0 is the highest.
+    streams : bool
+        The answer is a series of events.
+    resumable : bool
+        Another endpoint may go on with a broken stream.
+    expected_tokens : int
+        The caller's estimate of the answer's length; 0 if it gave none.
+    """
+
+    max_attempts: int
+    objective: timedelta
+    longest_pause: timedelta | None = None
+    priority: int = 5
+    streams: bool = False
+    resumable: bool = False
+    expected_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Helper:
+    """An endpoint that reads a part of a prompt for the one that answers.
+
+    Attributes
+    ----------
+    reservation : ReservationId or None
+        Memory set aside there for the part.
+    """
+
+    endpoint: EndpointId
+    address: str
+    reservation: ReservationId | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """What the kernel knows of a caller's request; never its text.
@@ -141,6 +187,8 @@
         The caller's key.
     resume_offset : int
         Tokens that the caller already has, when it comes back with its key.
+    terms : CallTerms or None
+        Of a call that is passed on as it is.
     """
 
     request_id: RequestId
@@ -156,6 +204,7 @@
     repeatability: Repeatability = Repeatability.IDEMPOTENT
     idempotency_key: str | None = None
     resume_offset: int = 0
+    terms: CallTerms | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,6 +262,13 @@
         Tokens of the answer, over all attempts, that the caller has been sent.
     refusal : str or None
         The endpoint's own reason, when it refused.
+    status : int or None
+        Of the endpoint's whole answer, when that tells of a failure.
+    fault_at : str or None
+        Address of the endpoint at fault, if the one that answered names another.
+    endpoint : EndpointId or None
+        Where the attempt was made, and `digest` of the request: the record may be
+        gone when plug-ins hear of the failure.
     """
 
     request_id: RequestId
@@ -221,6 +277,10 @@
     exposure: Exposure
     delivered_tokens: int = 0
     refusal: str | None = None
+    status: int | None = None
+    fault_at: str | None = None
+    endpoint: EndpointId | None = None
+    digest: Digest | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,6 +312,8 @@
     shared : bool
         Another call under the same key may be answered by the stream: only
         `CancelAttempt` ends it, not that this attempt failed.
+    helpers : tuple of Helper
+        Endpoints that read the prompt in even parts with this one.
     """
 
     request_id: RequestId
@@ -269,6 +331,7 @@
     reservation: ReservationId | None = None
     keep: bool = False
     shared: bool = False
+    helpers: tuple[Helper, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/mimosafork/kernel/messages/routing.py
@@ -0,0 +1,45 @@
+"""Messages about what is routed: the table in force, endpoints, peers' work."""
+
+from dataclasses import dataclass
+
+from ...ids import EndpointId, InstanceId
+from ...placement.work import Work
+from ...routing.listing import ListedEndpoint
+from ...routing.table import RoutingTable
+from .base import Message
+
+
+@dataclass(frozen=True, slots=True)
+class TableInForce(Message):
+    """A newer version of the routing table is in force."""
+
+    table: RoutingTable
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointUsable(Message):
+    """An endpoint takes new work."""
+
+    listed: ListedEndpoint
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointLeaving(Message):
+    """An endpoint takes no new work any more; what runs there goes on."""
+
+    endpoint: EndpointId
+
+
+@dataclass(frozen=True, slots=True)
+class PeerWorkTold(Message):
+    """A peer's whole running work, in times of this instance's clock."""
+
+    instance: InstanceId
+    works: tuple[Work, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSilent(Message):
+    """Nothing is known any more of a peer's work."""
+
+    instance: InstanceId
--- a/src/mimosafork/kernel/plugins.py
+++ b/src/mimosafork/kernel/plugins.py
@@ -15,6 +15,7 @@
 from .messages.requests import (
     AttemptFailed,
     Conclude,
+    Helper,
     Outcome,
     Problem,
     Retention,
@@ -134,6 +135,7 @@
     imports: tuple[ReservationId, ...] = ()
     imported_tokens: int = 0
     reservation: ReservationId | None = None
+    helpers: tuple[Helper, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/mimosafork/platform/calls.py
@@ -0,0 +1,164 @@
+"""Translates the headers of calls and of their answers."""
+
+import re
+from datetime import timedelta
+from http import HTTPStatus
+from typing import NamedTuple
+
+from ..gateway.answer_reader import AnswerHead
+from ..gateway.dialect import AnswerMarks, AttemptMarks, CallMarks
+from ..gateway.errors import BadRequestError
+from ..gateway.heads import Header, RequestHead, end_to_end, first_value
+from ..kernel.messages.requests import Helper
+from ..routing.table import ApiKey
+from . import names
+
+NUMBER = re.compile(rb"[0-9]{1,15}")
+MILLISECOND = timedelta(milliseconds=1)
+REPLACED = frozenset(
+    name.lower()
+    for name in (
+        names.DEADLINE_MS,
+        names.TENANT,
+        names.EXPECT_INSTANCE,
+        names.REQUEST_PRIORITY,
+        names.HELPERS,
+        names.AUTHORIZATION,
+        names.LAST_EVENT_ID,
+    )
+)
+"""Headers that this system sets itself, or that end here."""
+
+
+class PreparedDialect:
+    """The prepared platform's headers."""
+
+    def read_call(self, head: RequestHead) -> CallMarks:
+        """Return what a caller's headers say.
+
+        Raises
+        ------
+        BadRequestError
+            If a number is none.
+        """
+        left_ms = number(head, names.DEADLINE_MS)
+        tokens = token_counts(head)
+        return CallMarks(
+            call_id=text(head, names.REQUEST_ID),
+            time_left=None if left_ms is None else left_ms * MILLISECOND,
+            last_event=number(head, names.LAST_EVENT_ID),
+            key=api_key(head),
+            prompt_tokens=tokens.prompt,
+            most_tokens=tokens.most,
+            expected_tokens=number(head, names.LENGTH_HINT) or 0,
+        )
+
+    def endpoint_headers(self, head: RequestHead, marks: AttemptMarks) -> list[Header]:
+        """Return the headers of an attempt, but those that frame its body."""
+        kept = [
+            header
+            for header in end_to_end(head.headers)
+            if header.name.lower() not in REPLACED
+        ]
+        left_ms = max(1, int(marks.time_left / MILLISECOND))
+        kept.append(Header(names.DEADLINE_MS, b"%d" % left_ms))
+        kept.append(Header(names.EXPECT_INSTANCE, marks.endpoint.encode()))
+        if marks.account is not None:
+            kept.append(Header(names.TENANT, marks.account.encode()))
+        if marks.last_event is not None:
+            kept.append(Header(names.LAST_EVENT_ID, b"%d" % marks.last_event))
+        if marks.priority is not None:
+            kept.append(Header(names.REQUEST_PRIORITY, b"%d" % marks.priority))
+        if marks.helpers:
+            kept.append(Header(names.HELPERS, helper_list(marks.helpers)))
+        return kept
+
+    def read_answer(self, head: AnswerHead) -> AnswerMarks:
+        """Return what an endpoint's headers say."""
+        call_id = first_value(head.headers, names.REQUEST_ID.lower())
+        fault_at = first_value(head.headers, names.AT_SERVER.lower())
+        elsewhere = head.status == HTTPStatus.MISDIRECTED_REQUEST
+        stated = first_value(head.headers, names.NOT_RUN.lower()) is not None
+        return AnswerMarks(
+            call_id=None if call_id is None else call_id.decode("latin-1"),
+            signed=first_value(head.headers, names.RESPONSE_SEAL.lower()) is not None,
+            not_run=stated or elsewhere,
+            elsewhere=elsewhere,
+            fault_at=None if fault_at is None else fault_at.decode("latin-1"),
+        )
+
+    def own_answer_headers(
+        self, call_id: str, retry_after: timedelta | None
+    ) -> list[Header]:
+        """Return the headers of an answer that this instance gives itself."""
+        found = []
+        if call_id:
+            found.append(Header(names.REQUEST_ID, call_id.encode("latin-1")))
+        if retry_after is not None:
+            seconds = retry_after.total_seconds()
+            found.append(Header(names.RETRY_AFTER, b"%.2f" % seconds))
+        return found
+
+
+def text(head: RequestHead, name: bytes) -> str:
+    """Return a header's text; empty if there is none."""
+    value = first_value(head.headers, name.lower())
+    return "" if value is None else value.decode("latin-1")
+
+
+def number(head: RequestHead, name: bytes) -> int | None:
+    """Return a header's whole number; None if there is no such header.
+
+    Raises
+    ------
+    BadRequestError
+    """
+    value = first_value(head.headers, name.lower())
+    if value is None:
+        return None
+    if NUMBER.fullmatch(value) is None:
+        reason = f"{name.decode()} is no whole number"
+        raise BadRequestError(HTTPStatus.BAD_REQUEST, reason)
+    return int(value)
+
+
+class TokenCounts(NamedTuple):
+    """Lengths of a prompt, and of its answer at most."""
+
+    prompt: int
+    most: int
+
+
+def token_counts(head: RequestHead) -> TokenCounts:
+    """Return the lengths that a call states; zeros where it states none."""
+    value = first_value(head.headers, names.TOKEN_USAGE.lower()) or b""
+    prompt, _, most = value.partition(b",")
+    return TokenCounts(count_of(prompt), count_of(most))
+
+
+def count_of(value: bytes) -> int:
+    """Return a number of tokens; 0 if the text is none."""
+    found = NUMBER.fullmatch(value.strip())
+    return int(found[0]) if found else 0
+
+
+def api_key(head: RequestHead) -> ApiKey | None:
+    """Return the key that a call carries."""
+    value = first_value(head.headers, names.AUTHORIZATION.lower())
+    if value is None:
+        return None
+    scheme, _, key = value.partition(b" ")
+    if scheme.lower() != names.BEARER.lower():
+        return None
+    return ApiKey(key.strip().decode("latin-1"))
+
+
+def helper_list(helpers: tuple[Helper, ...]) -> bytes:
+    """Return the value that names the helpers of a prompt, and their memory."""
+    parts = [
+        helper.address
+        if helper.reservation is None
+        else f"{helper.address}/{helper.reservation}"
+        for helper in helpers
+    ]
+    return ",".join(parts).encode()
--- /dev/null
+++ b/src/mimosafork/settings/gateway.py
@@ -0,0 +1,129 @@
+"""Settings of a gateway instance: what ``mimosafork gateway`` reads."""
+
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import Field, ValidationError
+
+from .errors import SettingsError
+from .ini import IniFile, parse_ini, read_ini
+from .loader import faults_of
+from .model import InstanceSection, Positive, Section
+from .types import Address, Duration, NameList
+
+Port = Annotated[int, Field(ge=1, le=65535)]
+
+
+class ListenSection(Section):
+    """Addresses to listen on."""
+
+    front: Address = Field(description="callers' connections")
+    ready: Address = Field(description="the balancer's question whether to send")
+
+
+class StoreSection(Section):
+    """The platform's store."""
+
+    address: Address = Field(description="address of the store")
+
+
+class GossipSection(Section):
+    """What entry instances tell each other."""
+
+    first_port: Port = Field(description="port for datagrams between instances")
+    last_port: Port = Field(description="last port that may be used between instances")
+    seeds: NameList = Field(
+        default=(), description="addresses of some instances, which may be stale"
+    )
+
+
+class BoundsSection(Section):
+    """What the deployment promises and asks."""
+
+    grace: Positive = Field(
+        default=timedelta(seconds=8),
+        description="time from a planned stop to the end of the process",
+    )
+    drain: Positive = Field(
+        default=timedelta(seconds=2),
+        description="after it a leaving endpoint gets no new work",
+    )
+    listing_reuse: Positive = Field(
+        default=timedelta(seconds=2),
+        description="after it the address of an endpoint that ended is used again",
+    )
+    retry_ratio: Annotated[float, Field(ge=0)] = Field(
+        default=0.2, description="repeats of all instances a request, in a window"
+    )
+    retry_slack: Annotated[float, Field(ge=0)] = Field(
+        default=100.0, description="repeats of all instances beside that, in a window"
+    )
+    retry_window: Positive = Field(
+        default=timedelta(seconds=10), description="length of the window"
+    )
+    longest_hold: Duration = Field(
+        default=timedelta(seconds=20),
+        description="longest time for which memory is reserved at an engine",
+    )
+
+
+class GatewayLoggingSection(Section):
+    """Log output."""
+
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = Field(
+        default="INFO", description="lowest level that is written"
+    )
+    format: Literal["text", "json"] = Field(
+        default="json", description="form of a line on standard output"
+    )
+
+
+class GatewaySettings(Section):
+    """Settings of a gateway instance, one attribute a section."""
+
+    instance: InstanceSection
+    listen: ListenSection
+    store: StoreSection
+    gossip: GossipSection
+    bounds: BoundsSection = BoundsSection()
+    logging: GatewayLoggingSection = GatewayLoggingSection()
+
+
+def load_gateway_settings(path: Path) -> GatewaySettings:
+    """Read and check the settings of a gateway instance.
+
+    Raises
+    ------
+    SettingsError
+        With every fault: file, section, key and why.
+    """
+    return gateway_settings_of(read_ini(path))
+
+
+def parse_gateway_settings(text: str, name: str = "settings") -> GatewaySettings:
+    """Check settings given as text.
+
+    Raises
+    ------
+    SettingsError
+    """
+    return gateway_settings_of(parse_ini(text, name))
+
+
+def gateway_settings_of(file: IniFile) -> GatewaySettings:
+    """Check what an INI file says.
+
+    Raises
+    ------
+    SettingsError
+    """
+    faults = list(file.faults)
+    settings: GatewaySettings | None = None
+    try:
+        settings = GatewaySettings.model_validate(file.sections)
+    except ValidationError as error:
+        faults += faults_of(error, file.name, GatewaySettings)
+    if faults or settings is None:
+        raise SettingsError(faults)
+    return settings
--- /dev/null
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -0,0 +1,81 @@
+"""Events of calls that are passed on as they are."""
+
+from ..events import Event, Level
+
+RANGE = 2000
+
+GATEWAY_STARTING = Event(
+    2001,
+    "gateway-starting",
+    Level.INFO,
+    "instance {instance} of {zone} starts",
+    "The process begins to listen; it is not ready before it knows a configuration.",
+    "None.",
+)
+GATEWAY_READY = Event(
+    2002,
+    "gateway-ready",
+    Level.INFO,
+    "ready after {after_ms} ms with configuration {version}, {endpoints} endpoints",
+    "The balancer may send callers.",
+    "None.",
+)
+GATEWAY_STOPPING = Event(
+    2003,
+    "gateway-stopping",
+    Level.INFO,
+    "asked to stop with {open} calls open",
+    "It is no longer ready, goes on serving, and ends when its calls have.",
+    "None.",
+)
+GATEWAY_STOPPED = Event(
+    2004,
+    "gateway-stopped",
+    Level.INFO,
+    "stopped with {cut} calls cut",
+    "A call that was cut had not ended within the time for a planned stop.",
+    "If calls were cut, look for their lines.",
+)
+CALL_ENDED = Event(
+    2010,
+    "call-ended",
+    Level.INFO,
+    "call {call} on {route}: {status}, {attempts} attempts, first part after"
+    " {first_ms} ms, whole after {total_ms} ms",
+    "The caller has got an endpoint's whole answer.",
+    "None.",
+)
+CALL_NOT_SERVED = Event(
+    2011,
+    "call-not-served",
+    Level.WARNING,
+    "call {call} on {route} ended as {outcome} with {status}: {why}, after"
+    " {total_ms} ms and {attempts} attempts",
+    "The caller got no whole answer; the lines of its attempts say why.",
+    "See docs/OPERATIONS.md for the way from a call's id to its cause.",
+)
+CALL_REFUSED = Event(
+    2012,
+    "call-refused",
+    Level.INFO,
+    "call {call} to {host}{path} refused with {status}: {reason}, by version {version}",
+    "No route or key of the configuration in force fits it.",
+    "Compare with the accepted configuration if the caller should be served.",
+)
+MALFORMED_REQUEST = Event(
+    2013,
+    "malformed-request",
+    Level.INFO,
+    "a caller's bytes were refused with {status}: {why}",
+    "Nothing of them reached an endpoint; the connection was closed.",
+    "None.",
+)
+ATTEMPT_FAILED = Event(
+    2020,
+    "attempt-failed",
+    Level.WARNING,
+    "call {call} at endpoint {endpoint}: {kind}, {exposure}, status {status}, after"
+    " {after_ms} ms and {events} events",
+    "The attempt brought no whole answer; what follows depends on its exposure.",
+    "If an endpoint's attempts fail often, see whether it was ejected.",
+)
