Limit the prepared store's calls, and let a fault reach waiting feeds

A feed that already waited when the store went down was still answered, so a test of a store that is down saw news come through it. And a feed that stale reads held back was not woken when they ended.

The store now asks again for faults before it answers a feed, and wakes feeds when faults change. StoreLimits has the longest value and the calls a second; those beyond get 429, through the token bucket that the other stand-ins have.

--- a/src/mimosafork/standins/prepared/deployment.py
+++ b/src/mimosafork/standins/prepared/deployment.py
@@ -11,7 +11,7 @@
 from .endpoint import Endpoint, EndpointSettings
 from .engine import Engine, EngineFigures
 from .runs import RunLog
-from .store import DEFAULT_ROW_BYTES, Store
+from .store import NO_LIMITS, Store, StoreLimits
 from .words import KEY_CONFIG, TABLE_OPERATOR, TABLE_SERVERS
 
 FIRST_VERSION = 1
@@ -26,6 +26,8 @@
     ----------
     config : ConfigEntry or None
         The first configuration; None for a deployment that has none yet.
+    limits : StoreLimits
+        What the store takes.
     heartbeat : timedelta or None
         How often listed endpoints beat by themselves; those that are dead are taken
         off after `SILENT_BEATS`. With None a test writes each beat.
@@ -39,12 +41,12 @@
     def __init__(
         self,
         config: ConfigEntry | None = None,
-        row_bytes: int = DEFAULT_ROW_BYTES,
+        limits: StoreLimits = NO_LIMITS,
         heartbeat: timedelta | None = None,
     ) -> None:
         self.heartbeat = heartbeat
         self.thread = LoopThread()
-        self.store = Store(self.thread, row_bytes)
+        self.store = Store(self.thread, limits)
         self.log = RunLog()
         self.config = config
         self.version = 0
--- a/src/mimosafork/standins/prepared/store.py
+++ b/src/mimosafork/standins/prepared/store.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..errors import BadRequestError
+from ..rate_limit import RateLimit
 from .background import LoopThread
 from .http import (
     MAX_BODY_BYTES,
@@ -108,6 +109,26 @@
 NO_FAULTS = StoreFaults()
 
 
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """What the store takes.
+
+    Attributes
+    ----------
+    row_bytes : int
+        Longest value of a row.
+    writes_per_s, reads_per_s : float
+        Calls of all callers together; those beyond get 429. 0 for no limit.
+    """
+
+    row_bytes: int = DEFAULT_ROW_BYTES
+    writes_per_s: float = 0.0
+    reads_per_s: float = 0.0
+
+
+NO_LIMITS = StoreLimits()
+
+
 class Store:
     """The platform's store on a loopback port.
 
@@ -115,13 +136,15 @@
     ----------
     thread : LoopThread
         Owns sockets and rows. All public methods may be called from any thread.
-    row_bytes : int
-        Longest value of a row.
+    limits : StoreLimits
+        What it takes.
     """
 
-    def __init__(self, thread: LoopThread, row_bytes: int = DEFAULT_ROW_BYTES) -> None:
+    def __init__(self, thread: LoopThread, limits: StoreLimits = NO_LIMITS) -> None:
         self.thread = thread
-        self.row_bytes = row_bytes
+        self.limits = limits
+        self.write_rate = RateLimit(limits.writes_per_s)
+        self.read_rate = RateLimit(limits.reads_per_s)
         self.rows = Rows()
         self.seen = self.rows
         self.faults = NO_FAULTS
@@ -184,6 +207,7 @@
         self.seen = self.rows.copy() if faults.stale_reads else self.rows
         self.losses_left = faults.lost_answers
         self.faults = faults
+        self._wake()
 
     def _drop_history(self) -> None:
         self.rows.drop_history()
@@ -216,6 +240,8 @@
         if refusal is not None:
             refuse(refusal, connection)
             return None
+        if self._too_many(request):
+            return Answer(HTTPStatus.TOO_MANY_REQUESTS)
         if self.faults.delay:
             await asyncio.sleep(self.faults.delay.total_seconds())
         return await self._answer(request, connection)
@@ -225,9 +251,13 @@
         concerned = not faults.tables or tables_of(request) & faults.tables
         if faults.down is not None and concerned:
             return faults.down
-        away = self.faults.turned_away
+        away = faults.turned_away
         return away.how if away is not None and away.applies(request) else None
 
+    def _too_many(self, request: Request) -> bool:
+        rate = self.write_rate if request.path == ROWS_TX else self.read_rate
+        return not rate.take(asyncio.get_running_loop().time())
+
     async def _answer(self, request: Request, connection: Connection) -> Answer | None:
         match request.method, request.path:
             case "POST", path if path == ROWS_TX:
@@ -241,7 +271,7 @@
         return Answer.json(HTTPStatus.NOT_FOUND, {"error": "no such call"})
 
     def _transact(self, request: Request, connection: Connection) -> Answer | None:
-        transaction = decode_transaction(bytes(request.body), self.row_bytes)
+        transaction = decode_transaction(bytes(request.body), self.limits.row_bytes)
         written = {put.name.table for put in transaction.puts}
         written |= {name.table for name in transaction.removed}
         if written & PROTECTED_TABLES:
@@ -289,7 +319,7 @@
         document["truncated"] = len(found) > limit
         return Answer.json(HTTPStatus.OK, document)
 
-    async def _feed(self, request: Request, connection: Connection) -> Answer:
+    async def _feed(self, request: Request, connection: Connection) -> Answer | None:
         table, after = request.query("table"), int(request.query("after", "0"))
         wait_ms = min(int(request.query("wait-ms", "0")), MAX_WAIT_MS)
         loop = asyncio.get_running_loop()
@@ -301,6 +331,11 @@
             await whichever(
                 self.changed.wait(), connection.gone.wait(), timeout_s=left_s
             )
+        # What began while the call waited goes for it too.
+        refusal = self._refusal(request)
+        if refusal is not None:
+            refuse(refusal, connection)
+            return None
         return self._feed_answer(table, after)
 
     def _nothing_new(self, table: str, after: int) -> bool:
--- a/tests/unit/standins/test_prepared_store.py
+++ b/tests/unit/standins/test_prepared_store.py
@@ -6,12 +6,14 @@
 from unittest import TestCase
 
 from mimosafork.standins.prepared.background import LoopThread
+from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.rows import RowName, Transaction
 from mimosafork.standins.prepared.store import (
     LOSE_ALL,
     Refusal,
     Store,
     StoreFaults,
+    StoreLimits,
     TurnedAway,
     decode_value,
     encode_value,
@@ -33,6 +35,7 @@
     call_json,
     deployment,
 )
+from ...support.waiting import eventually
 
 case = TestCase()
 
@@ -199,6 +202,36 @@
         case.assertEqual(200, get(running.store, "table=op&part=").status)
 
 
+def test_calls_beyond_the_rates_are_too_many() -> None:
+    limits = StoreLimits(writes_per_s=1.0, reads_per_s=1.0)
+    with Deployment(None, limits) as running:
+        writes = [transact(running.store, puts=[put_of("a", 1)]) for _ in range(2)]
+        reads = [get(running.store) for _ in range(2)]
+    case.assertEqual([200, 429], [result.status for result in writes])
+    case.assertEqual([200, 429], [result.status for result in reads])
+
+
+def test_a_feed_that_waits_while_the_store_goes_down_is_turned_away() -> None:
+    with deployment() as running, Channel(running.store.address) as channel:
+        ver = get(running.store).json()["ver"]
+        channel.send("GET", f"{ROWS_FEED}?table=my&after={ver}&wait-ms=30000")
+        eventually(lambda: running.store.calls[f"GET {ROWS_FEED}"] == 1)
+        running.store.set_faults(StoreFaults(down=Refusal.UNAVAILABLE))
+        running.store.put("my", "a", 1, "p")
+        case.assertEqual(503, channel.read_answer().status)
+
+
+def test_a_feed_tells_what_stale_reads_hid() -> None:
+    with deployment() as running, Channel(running.store.address) as channel:
+        ver = get(running.store).json()["ver"]
+        running.store.set_faults(StoreFaults(stale_reads=True))
+        running.store.put("my", "a", 1, "p")
+        channel.send("GET", f"{ROWS_FEED}?table=my&after={ver}&wait-ms=30000")
+        eventually(lambda: running.store.calls[f"GET {ROWS_FEED}"] == 1)
+        running.store.set_faults()
+        case.assertEqual(["a"], keys(channel.read_answer()))
+
+
 def test_a_lost_answer_leaves_the_write_done_and_its_channel_silent() -> None:
     with deployment() as running, Channel(running.store.address, SILENCE_S) as channel:
         running.store.set_faults(StoreFaults(lost_answers=1))
