Play placement on a model of engines that work in passes

Ruled out: changing fake_engine.py, as the bounds of the policies rest on it. Change: `python -m benchmarks.passes` plays both deployments' streams with their alternating floods, uneven entry instances with gossip 50 to 150 ms old, callers that give up and come back once. An answer's first event is taken to come with the pass after its reading, the later of the two readings of the steps.

--- /dev/null
+++ b/benchmarks/passes/__main__.py
@@ -0,0 +1,61 @@
+"""Compare placement policies: ``python -m benchmarks.passes``.
+
+Same calls, same seeds, each policy in turn, in two processes.
+"""
+
+import argparse
+from concurrent.futures import ProcessPoolExecutor
+
+from .deployments import DEPLOYMENTS
+from .play import DURATION_S, Run, play
+from .policies import POLICIES
+from .report import table
+
+SEED = 20_260_101
+SEEDS = 3
+PROCESSES = 2
+
+
+def main() -> None:
+    """Play all runs and print a table for each deployment."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=SEEDS, help="runs of each cell")
+    parser.add_argument("--seed", type=int, default=SEED, help="the first seed")
+    parser.add_argument("--duration", type=float, default=DURATION_S, help="seconds")
+    parser.add_argument("--policy", action="append", choices=sorted(POLICIES))
+    parser.add_argument(
+        "--deployment", action="append", choices=[each.name for each in DEPLOYMENTS]
+    )
+    options = parser.parse_args()
+    chosen = [
+        each
+        for each in DEPLOYMENTS
+        if not options.deployment or each.name in options.deployment
+    ]
+    seeds = range(options.seed, options.seed + options.seeds)
+    runs = [
+        Run(deployment, policy, seed, options.duration)
+        for deployment in chosen
+        for policy in (options.policy or POLICIES)
+        for seed in seeds
+    ]
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        results = list(zip(runs, pool.map(play, runs), strict=True))
+    for deployment in chosen:
+        print(f"\n{deployment.name}: {options.duration:.0f} s, {len(seeds)} seeds")
+        print(
+            table(
+                {
+                    policy: [
+                        played
+                        for run, played in results
+                        if run.deployment is deployment and run.policy == policy
+                    ]
+                    for policy in (options.policy or POLICIES)
+                }
+            )
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/passes/deployments.py
@@ -0,0 +1,150 @@
+"""The two deployments as their sheets state them, with their alternating floods."""
+
+from dataclasses import dataclass, replace
+
+from mimosafork.routing.engine import EngineFigures
+
+FIGURES = EngineFigures(
+    slots=8,
+    memory_tokens=405_000,
+    stride=34,
+    step_ms=1.31,
+    per_sequence_ms=0.001834,
+    context_ms_per_k=0.00213,
+    read_tokens_per_ms=154.0,
+    pairs_ms_per_m=0.162,
+    chunk=2_048,
+    hop_ms=0.1,
+    usual_prompt=11_323,
+    usual_answer=1_266,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CallClass:
+    """One kind of streamed call.
+
+    Attributes
+    ----------
+    per_s : float
+        Calls a second without floods.
+    prompt_mean, prompt_spread, prompt_most : float
+        Tokens: mean, sigma of the logarithm, and the largest.
+    events_mean, events_spread, events_most : float
+        Events of an answer, each of one pass.
+    objective_ms, pause_ms, limit_ms : float
+        First event and pauses of an answer that is on time; the caller's limit.
+    worth, late_worth : float
+        Of a call of mean size.
+    short_flood, long_flood : float
+        Factors of the rate in the two kinds of flood.
+    """
+
+    name: str
+    per_s: float
+    prompt_mean: float
+    prompt_spread: float
+    prompt_most: float
+    events_mean: float
+    events_spread: float
+    events_most: float
+    objective_ms: float
+    pause_ms: float
+    limit_ms: float
+    worth: float
+    late_worth: float
+    short_flood: float
+    long_flood: float
+
+    @property
+    def abandon_ms(self) -> float:
+        """Pause after which a caller gives up."""
+        return max(2_000.0, 4 * self.objective_ms, 8 * self.pause_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """What is played.
+
+    Attributes
+    ----------
+    entries : int
+        Entry instances; calls come to them unevenly.
+    flood_s, gap_s : float
+        Length of a flood, and the usual traffic between two.
+    """
+
+    name: str
+    entries: int
+    engines: int
+    classes: tuple[CallClass, ...]
+    zones: int = 3
+    figures: EngineFigures = FIGURES
+    flood_s: float = 9.5
+    gap_s: float = 0.7
+
+
+SHORT = CallClass(
+    name="short",
+    per_s=14.0,
+    prompt_mean=5_000.0,
+    prompt_spread=0.9,
+    prompt_most=24_000.0,
+    events_mean=38.0,
+    events_spread=0.7,
+    events_most=96.0,
+    objective_ms=300.0,
+    pause_ms=250.0,
+    limit_ms=10_000.0,
+    worth=1.3,
+    late_worth=0.33,
+    short_flood=2.5,
+    long_flood=0.37,
+)
+MIDDLE = CallClass(
+    name="middle",
+    per_s=0.787,
+    prompt_mean=45_000.0,
+    prompt_spread=0.5,
+    prompt_most=110_000.0,
+    events_mean=23.0,
+    events_spread=0.6,
+    events_most=58.0,
+    objective_ms=1_500.0,
+    pause_ms=600.0,
+    limit_ms=10_000.0,
+    worth=3.9,
+    late_worth=0.97,
+    short_flood=0.5,
+    long_flood=1.3,
+)
+LONG = CallClass(
+    name="long",
+    per_s=0.365,
+    prompt_mean=182_000.0,
+    prompt_spread=0.55,
+    prompt_most=900_000.0,
+    events_mean=19.0,
+    events_spread=0.5,
+    events_most=48.0,
+    objective_ms=4_000.0,
+    pause_ms=1_000.0,
+    limit_ms=15_000.0,
+    worth=24.0,
+    late_worth=6.1,
+    short_flood=0.05,
+    long_flood=2.8,
+)
+
+VOCES = Deployment("voces", 7, 14, (SHORT, MIDDLE, LONG))
+DALA = Deployment(
+    "dala",
+    9,
+    16,
+    (
+        replace(SHORT, per_s=16.0),
+        replace(MIDDLE, per_s=0.895),
+        replace(LONG, per_s=0.415, objective_ms=3_000.0),
+    ),
+)
+DEPLOYMENTS = (VOCES, DALA)
--- /dev/null
+++ b/benchmarks/passes/entry.py
@@ -0,0 +1,258 @@
+"""A model entry instance: its own book, its peers' gossip, and its callers."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+from typing import Protocol
+
+from mimosafork.ids import AvailabilityZoneId, EndpointId, InstanceId, RequestId
+from mimosafork.placement.choice import (
+    Choice,
+    EngineView,
+    NoRoom,
+    Place,
+    PlacementAsk,
+)
+from mimosafork.placement.work import LoadBook, Work
+from mimosafork.routing.engine import EngineFigures
+
+from ..virtual_time import EventLoop
+from .engine import Job, PassEngine, Ticket
+from .outcome import Outcome
+from .traffic import Call
+
+CALLER_S = 0.003
+"""One way between a caller and an entry instance."""
+ENGINE_S = 0.0014
+"""One way between an entry instance and an engine."""
+ORDER_S = 0.006
+"""Time of a reservation's order, sent to all engines at once."""
+ASK_AGAIN_S = 0.02
+"""A call without a place is placed anew so often."""
+GOSSIP_S = 0.1
+"""Between two snapshots that an instance sends to its peers."""
+GOSSIP_DELAY_S = 0.05
+"""Age of a snapshot when it is heard."""
+MOST_TRIES = 2
+"""Attempts of a caller."""
+WAIT_SHARE = 1 / 3
+"""A caller comes back after at most this share of the time that it has left."""
+
+
+class Policy(Protocol):
+    """Chooses a place for a call."""
+
+    def choose(
+        self,
+        ask: PlacementAsk,
+        views: tuple[EngineView, ...],
+        book: LoadBook,
+        figures: EngineFigures,
+        now: timedelta,
+        random: Random,
+    ) -> Choice:
+        """Return where the call goes."""
+
+
+@dataclass(slots=True, eq=False)
+class World:
+    """What all entry instances of a run share.
+
+    Attributes
+    ----------
+    outcomes : list of Outcome
+        One for each call, by its number.
+    """
+
+    loop: EventLoop
+    figures: EngineFigures
+    views: tuple[EngineView, ...]
+    engines: dict[EndpointId, PassEngine]
+    outcomes: list[Outcome]
+    random: Random
+    entries: list["Entry"] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """One entry instance."""
+
+    name: InstanceId
+    zone: AvailabilityZoneId
+    world: World
+    policy: Policy
+    random: Random
+    book: LoadBook = field(default_factory=LoadBook)
+
+    def gossip(self) -> None:
+        """Send the own running work to all peers, and again after a while."""
+        works = tuple(self.book.own.values())
+        loop = self.world.loop
+        for peer in self.world.entries:
+            if peer is not self:
+                loop.after(GOSSIP_DELAY_S, peer.hear, self.name, works)
+        loop.after(GOSSIP_S, self.gossip)
+
+    def hear(self, name: InstanceId, works: tuple[Work, ...]) -> None:
+        """Take in a peer's snapshot."""
+        self.book.replace_peer(name, works, self.world.loop.monotonic())
+
+    def take(self, call: Call, tries: int = 1) -> None:
+        """Begin an attempt."""
+        attempt = Attempt(self, call, tries)
+        left_s = call.at_s + call.kind.limit_ms / 1e3 - self.world.loop.now_s
+        self.world.loop.after(left_s, attempt.give_up)
+        self.world.loop.after(call.kind.abandon_ms / 1e3, attempt.check, 0)
+        attempt.place()
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt of a call at an entry instance; hears of its job's progress."""
+
+    entry: Entry
+    call: Call
+    tries: int
+    job: Job | None = None
+    host: PassEngine | None = None
+    tickets: tuple[Ticket, ...] = ()
+    events: int = 0
+    over: bool = False
+    avoid: frozenset[EndpointId] = frozenset()
+
+    @property
+    def request(self) -> RequestId:
+        """Name of this attempt."""
+        return RequestId(f"{self.call.number}-{self.tries}")
+
+    @property
+    def outcome(self) -> Outcome:
+        """What becomes of the call."""
+        return self.entry.world.outcomes[self.call.number]
+
+    def ask(self) -> PlacementAsk:
+        """Return what placement is asked now."""
+        kind = self.call.kind
+        gone_ms = (self.entry.world.loop.now_s - self.call.at_s) * 1e3
+        return PlacementAsk(
+            request=self.request,
+            prompt_tokens=self.call.prompt_tokens,
+            max_answer_tokens=self.call.answer_tokens,
+            answer_tokens=self.call.hint_tokens,
+            time_left=timedelta(milliseconds=kind.limit_ms - gone_ms),
+            objective=timedelta(milliseconds=kind.objective_ms - gone_ms),
+            longest_pause=timedelta(milliseconds=kind.pause_ms),
+            avoid=self.avoid,
+            zone=self.entry.zone,
+        )
+
+    def place(self) -> None:
+        """Ask the policy for a place and send the call there, or wait, or refuse."""
+        if self.over:
+            return
+        world = self.entry.world
+        ask = self.ask()
+        now = world.loop.monotonic()
+        choice = self.entry.policy.choose(
+            ask, world.views, self.entry.book, world.figures, now, self.entry.random
+        )
+        if isinstance(choice, Place):
+            self.entry.book.note(choice.work(ask, now))
+            delay_s = ENGINE_S + (ORDER_S if choice.reservations else 0.0)
+            world.loop.after(delay_s, self.send, choice)
+        elif isinstance(choice, NoRoom):
+            self.refuse(choice.come_back.total_seconds())
+        else:
+            world.loop.after(ASK_AGAIN_S, self.place)
+
+    def send(self, place: Place) -> None:
+        """Hand the call to its host."""
+        if self.over:
+            return
+        engines = self.entry.world.engines
+        self.host = engines[place.host]
+        taken: list[Ticket] = []
+        for each in place.reservations:
+            ticket = engines[each.endpoint].reserve(each.tokens)
+            if ticket is not None:
+                taken.append(ticket)
+        self.tickets = tuple(taken)
+        helpers = tuple(engines[helper.endpoint] for helper in place.helpers)
+        self.job = Job(
+            self.call.prompt_tokens,
+            self.call.answer_tokens,
+            self,
+            helpers,
+            self.tickets,
+        )
+        short = len(taken) < len(place.reservations)
+        if short or not self.host.submit(self.job):
+            self.outcome.turned_away += 1
+            self.avoid = frozenset({place.host})
+            self.leave()
+            self.job = None
+            self.entry.world.loop.after(ASK_AGAIN_S, self.place)
+
+    def leave(self) -> None:
+        """Give back what the attempt holds."""
+        self.entry.book.drop(self.request)
+        for ticket in self.tickets:
+            ticket.engine.release(ticket)
+        self.tickets = ()
+
+    def first_token(self) -> None:
+        """Learn that the prompt has been read."""
+        loop = self.entry.world.loop
+        loop.after(ENGINE_S, self.learn)
+
+    def learn(self) -> None:
+        """Enter the first token into the book."""
+        self.entry.book.first_token(self.request, self.entry.world.loop.monotonic())
+
+    def event(self) -> None:
+        """Pass an event on to the caller."""
+        loop = self.entry.world.loop
+        self.events += 1
+        self.outcome.hear(loop.now_s + ENGINE_S + CALLER_S, self.tries)
+        loop.after(self.call.kind.abandon_ms / 1e3, self.check, self.events)
+
+    def end(self) -> None:
+        """Learn that the answer is complete."""
+        self.over = True
+        self.outcome.complete = True
+        self.entry.world.loop.after(ENGINE_S, self.leave)
+
+    def check(self, events: int) -> None:
+        """Give up if nothing came since some event."""
+        if events == self.events:
+            self.give_up()
+
+    def give_up(self) -> None:
+        """End an attempt whose caller has gone; the caller may come again."""
+        if self.over:
+            return
+        self.over = True
+        if self.job is not None and self.host is not None:
+            self.host.cancel(self.job)
+        self.leave()
+        self.outcome.abandoned += 1
+        self.come_again(0.0)
+
+    def refuse(self, come_back_s: float) -> None:
+        """Refuse the call; its caller comes back when told."""
+        self.over = True
+        self.leave()
+        self.outcome.refused += 1
+        self.come_again(come_back_s)
+
+    def come_again(self, pause_s: float) -> None:
+        """Let the caller try again at another instance, if it has tries left."""
+        world = self.entry.world
+        left_s = self.call.at_s + self.call.kind.limit_ms / 1e3 - world.loop.now_s
+        if self.tries >= MOST_TRIES or left_s <= 0.05:
+            return
+        others = [entry for entry in world.entries if entry is not self.entry]
+        entry = world.random.choice(others or world.entries)
+        pause_s = min(max(pause_s, CALLER_S), left_s * WAIT_SHARE)
+        self.outcome.start_again()
+        world.loop.after(pause_s, entry.take, self.call, self.tries + 1)
