Keep a moving front of engines for short requests

Cause: short requests were packed onto few engines, where each new one's reading lengthens the passes of all: 38% were late by their first event. The forecast left out the pass that writes the first event, and reads on all engines at once kept every short request to come from its objective. Change: the forecast has the rest of the running pass and the writing pass; the front has one engine for two short requests that run, and a long read there costs what short requests to come would lose, their rate told by how many run.

--- a/src/mimosafork/placement/forecast.py
+++ b/src/mimosafork/placement/forecast.py
@@ -63,9 +63,9 @@
 
 def pass_length(load: EngineLoad, figures: EngineFigures) -> float:
     """Return the milliseconds of a pass without reading."""
-    if not load.running:
+    if not load.writers:
         return figures.step_ms
-    step = figures.step_ms + figures.per_sequence_ms * load.running
+    step = figures.step_ms + figures.per_sequence_ms * load.writers
     step += figures.context_ms_per_k * load.context_tokens / 1e3
     return step * max(1, figures.stride)
 
@@ -73,10 +73,18 @@
 def read_done(state: EngineState, read_ms: float) -> float:
     """Return when an engine will have read a part that is sent now.
 
-    A pass that runs already ends first, and the read ends with its own pass.
+    Beside writers, a pass that runs already ends first; on average half of it is
+    left. The part is then read in the next one.
     """
-    reading = state.load.reading_ms + read_ms * state.pace
-    return 1.5 * state.pass_ms + reading
+    reading = state.load.reading_ms
+    left_ms = 0.5 * (state.pass_ms + reading) if state.load.writers else 0.0
+    return left_ms + state.pass_ms + reading + read_ms * state.pace
+
+
+def writing_pass(state: EngineState, figures: EngineFigures) -> float:
+    """Return the milliseconds of the pass that ends with the first event."""
+    step = figures.step_ms + figures.per_sequence_ms
+    return max(state.pass_ms, step * max(1, figures.stride) * state.pace)
 
 
 def longest_pass(state: EngineState, read_ms: float) -> float:
--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -2,37 +2,95 @@
 
 Each number of engines is tried; for each, the engines are taken on which a part of
 that size costs least. The costs are what the request itself may lose by a late first
-event, what the writers on those engines may lose by a longer pause, and what is lost
-of the room for long reads when a request with a short pause opens one more engine.
+event, what the writers on those engines may lose by a longer pause, and what short
+requests to come may lose at the front: the first engines of an order that all
+instances share, as many as the short requests now running need. So the border between
+short and long moves by itself with the mix.
 """
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import ceil
 from random import Random
 
 from ..routing.engine import EngineFigures
 from .choice import PlacementAsk
-from .forecast import EngineState, harm, lateness, read_done, worth_of
+from .forecast import (
+    EngineState,
+    harm,
+    lateness,
+    read_done,
+    writing_pass,
+)
 from .memory import free_tokens, needs_tickets, total_tokens
 
 GANG_SIZES = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 """Numbers of engines that are tried; a request may name 16 beside its host."""
 HELPER_COST = 0.02
 """Cost of each helper, as one that is gone fails the whole request."""
-OPENING_COST = 0.3
-"""Cost of taking a second of longest pause away from an engine's requests."""
-LONGEST_PAUSE_MS = 1_500.0
-"""Longest pause that an engine without requests counts as having."""
-ORDER_COST = 0.1
-"""Cost of an engine at the far end of the order."""
+BEYOND_COST = 0.5
+"""Cost of a short request on the engine at the far end of the order."""
+FRONT_WRITERS = 2.0
+"""Short requests that an engine of the front is meant to have."""
+LEAST_FRONT = 2
+"""Engines that the front has at least."""
+FREE_READING_MS = 100.0
+"""Reading on an engine of the front that keeps no short request from it."""
+SHORT_LOSS = 1.0
+"""Expected loss of a short request that meets a long read on its engine."""
 NOISE_COST = 0.05
 """Instances that don't know of one another's last requests spread by this much."""
 DELAY_COST_PER_MS = 0.0002
-"""Cost of each millisecond until the first token, for each request's worth."""
+"""Cost of each millisecond until the first event."""
 SMALL_PROMPT_MS = 200.0
 """Prompts that are read within this go to the front of the order, others behind."""
 
 
+def is_short(prompt_tokens: int, figures: EngineFigures) -> bool:
+    """Return whether a prompt is read so fast that it belongs to the front."""
+    return figures.read_ms(prompt_tokens, prompt_tokens) < SMALL_PROMPT_MS
+
+
+@dataclass(frozen=True, slots=True)
+class Front:
+    """The first engines of the order, which are kept for short requests.
+
+    Attributes
+    ----------
+    share : float
+        Of all engines.
+    calls_per_s : float
+        Short requests that come to each of them.
+    """
+
+    share: float
+    calls_per_s: float
+
+    def blocking(self, state: EngineState, read_ms: float) -> float:
+        """Return what short requests to come would lose by a read at the front."""
+        if state.order >= self.share:
+            return 0.0
+        before_ms = max(FREE_READING_MS, state.load.reading_ms)
+        after_ms = state.load.reading_ms + read_ms * state.pace
+        blocked_s = max(0.0, after_ms - before_ms) / 1e3
+        return SHORT_LOSS * self.calls_per_s * blocked_s
+
+
+def front_of(states: Sequence[EngineState], figures: EngineFigures) -> Front:
+    """Return the front that the short requests now running need.
+
+    How many come is told by how many run, as each takes a usual answer's time.
+    """
+    short = sum(
+        is_short(pace.prompt_tokens, figures)
+        for state in states
+        for pace in state.load.paces
+    )
+    count = min(len(states), max(LEAST_FRONT, ceil(short / FRONT_WRITERS)))
+    usual_s = max(1.0, figures.usual_answer * figures.step_ms / 1e3)
+    return Front(count / len(states), short / usual_s / count)
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """A host, its helpers, and what that costs."""
@@ -77,29 +135,29 @@
     states: Sequence[EngineState]
     figures: EngineFigures
     noise: tuple[float, ...]
+    front: Front
+
+    def hosting(self, state: EngineState) -> float:
+        """Return the cost of a short request on an engine beyond the front."""
+        if not is_short(self.ask.prompt_tokens, self.figures):
+            return 0.0
+        return BEYOND_COST * max(0.0, state.order - self.front.share)
 
     def own_loss(self, done_ms: float) -> float:
         """Return what the request loses by a time until its first token."""
         objective_ms = self.ask.objective.total_seconds() * 1e3
         prompt = self.ask.prompt_tokens
-        delay = DELAY_COST_PER_MS * done_ms * worth_of(prompt)
-        return lateness(done_ms, objective_ms, prompt) + delay
-
-    def is_small(self) -> bool:
-        """Whether the prompt is read so fast that it goes to the front."""
-        tokens = self.ask.prompt_tokens
-        return self.figures.read_ms(tokens, tokens) < SMALL_PROMPT_MS
+        return lateness(done_ms, objective_ms, prompt) + DELAY_COST_PER_MS * done_ms
 
     def seats(self, size: int) -> list[Seat]:
         """Return each engine with one of `size` even parts."""
         tokens = -(-self.ask.prompt_tokens // size)
         read_ms = self.figures.read_ms(tokens, self.ask.prompt_tokens)
-        small = self.is_small()
         seats = []
         for state, extra in zip(self.states, self.noise, strict=True):
-            done_ms = read_done(state, read_ms)
+            done_ms = read_done(state, read_ms) + writing_pass(state, self.figures)
             cost = harm(state, read_ms) + extra + state.penalty
-            cost += ORDER_COST * (state.order if small else 1.0 - state.order)
+            cost += self.front.blocking(state, read_ms)
             seats.append(Seat(state, done_ms, cost, cost + self.own_loss(done_ms)))
         return seats
 
@@ -114,7 +172,7 @@
         ]
         return min(
             fitting,
-            key=lambda seat: seat.rank + opening(self.ask, seat.state),
+            key=lambda seat: seat.rank + self.hosting(seat.state),
             default=None,
         )
 
@@ -129,7 +187,7 @@
         if len(helpers) < size - 1 or not self.fits([host, *helpers]):
             return None
         done_ms = max(seat.done_ms for seat in (host, *helpers))
-        cost = self.own_loss(done_ms) + opening(self.ask, host.state) + host.cost
+        cost = self.own_loss(done_ms) + self.hosting(host.state) + host.cost
         cost += sum(seat.cost + HELPER_COST for seat in helpers)
         return Plan(host.state, tuple(s.state for s in helpers), done_ms, cost)
 
@@ -149,16 +207,7 @@
 ) -> Plan | None:
     """Return the plan that costs least, or None if no engine has room."""
     noise = tuple(random.random() * NOISE_COST for _ in states)
-    search = Search(ask, states, figures, noise)
+    search = Search(ask, states, figures, noise, front_of(states, figures))
     sizes = sorted({min(size, len(states)) for size in GANG_SIZES})
     plans = [plan for size in sizes if (plan := search.plan(size)) is not None]
     return min(plans, key=lambda plan: plan.cost, default=None)
-
-
-def opening(ask: PlacementAsk, state: EngineState) -> float:
-    """Return the cost of shortening the pause that an engine's requests bear."""
-    if ask.longest_pause is None:
-        return 0.0
-    own = ask.longest_pause.total_seconds() * 1e3
-    borne = min((pace.pause_ms for pace in state.load.paces), default=LONGEST_PAUSE_MS)
-    return OPENING_COST * max(0.0, borne - own) / 1e3
