Wake for heartbeats only once for all partners

Cause: an idle instance woke up ten times a second to look whether something was due. Ruled out: one timer for each peer, as wake-ups themselves are what costs. Change: the next tick is at the next news or heartbeat, and heartbeats go together.

--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -35,6 +35,8 @@
 PURGE_EVERY = timedelta(seconds=1)
 MILLISECOND = timedelta(milliseconds=1)
 STRANGERS_KEPT = 64
+TOGETHER = 0.8
+"""Share of a heartbeat's time after which it goes along with another one."""
 NAMES = 3 * NAMES_A_DATAGRAM
 """Names for one that asks or is new; in a large fleet it asks again."""
 
@@ -465,8 +467,10 @@
             if self.outbox.budget.left > 0:
                 return True
             link.due = now + self.timing.heartbeat / 5
-        partner = self.is_partner(name, now)
-        return partner and now - link.sent >= self.timing.heartbeat
+        # Heartbeats to all partners go together, so that an idle instance wakes up
+        # for one of them only.
+        idle = self.timing.heartbeat * TOGETHER
+        return self.is_partner(name, now) and now - link.sent >= idle
 
     def flags(self, name: InstanceId, link: Link) -> Flag:
         """Return what else is to be said to a member."""
@@ -498,12 +502,18 @@
         return self.outbox.hellos(address, names)
 
     def next_due(self, now: timedelta) -> timedelta:
-        """Return when the next tick should be: at the next news, or soon anyway."""
-        soon = now + self.timing.heartbeat / 5
-        dues = [link.due for link in self.links.values() if link.due is not None]
+        """Return when the next tick should be: at the next news or heartbeat."""
         if self.strangers:
             return now
-        return max(min([soon, *dues]), now)
+        due = now + self.timing.heartbeat
+        for name, link in self.links.items():
+            if link.sent is None:
+                return now
+            if link.due is not None:
+                due = min(due, link.due)
+            if name in self.partners:
+                due = min(due, link.sent + self.timing.heartbeat)
+        return max(due, now)
 
 
 def last_sent(pair: tuple[InstanceId, Link]) -> timedelta:
