Keep the gossip going after a fault, and ask nobody for a name twice

Cause: a fault in a callback ended the ticks, so that peers took the instance for dead; and an instance that has said its name without being taken in was asked for it again, which two processes under one name answered to each other as fast as the network allows. Ruled out: a limit of questions by address, as the name in the datagram tells enough. Change: the timer is armed in any case, the tasks begin again after a second and log MF2208, and a sender that has said its name is not asked.

--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -235,8 +235,12 @@
         return effects
 
     def meet_stranger(self, datagram: Datagram, address: Address) -> None:
-        """Ask an unknown sender for its name, but not one of a life that is over."""
-        if datagram.sender in self.roster.replaced:
+        """Ask an unknown sender for its name, but not one of a life that is over.
+
+        One that has said its name and was not taken in is not asked again: it would
+        say it again, and both would go on as fast as the network allows.
+        """
+        if datagram.sender in self.roster.replaced or datagram.name is not None:
             return
         if len(self.strangers) < STRANGERS_KEPT:
             self.strangers[address] = None
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -1,13 +1,16 @@
 """The gossip of one instance, as the rest of it sees it."""
 
 import asyncio
-from collections.abc import Iterable
+import logging
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
 from ..clock import Clock
 from ..ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
+from ..telemetry.catalogue.gossip import GOSSIP_FAULT
+from ..telemetry.logs import log_event
 from .boot_clock import BootClock
 from .callbacks import Callbacks, Teller
 from .effects import Effect, VersionsOffered
@@ -28,8 +31,11 @@
 from .state import FleetState, PeerLoad
 from .timing import Timing
 
+logger = logging.getLogger(__name__)
+
 BOOT_BITS = 64
 MS_PER_SECOND = 1000
+AFTER_FAULT = timedelta(seconds=1)
 SHORTEST_GAP = timedelta(milliseconds=5)
 
 
@@ -126,9 +132,9 @@
             lambda: self.port, sock=self.sockets.datagrams
         )
         await self.server.start(self.sockets.pulls)
-        self.tasks.append(loop.create_task(self.puller.run()))
+        self.tasks.append(loop.create_task(kept_up(self.puller.run)))
         if self.finder:
-            self.tasks.append(loop.create_task(self.finder.run()))
+            self.tasks.append(loop.create_task(kept_up(self.finder.run)))
         self.tick()
 
     async def close(self) -> None:
@@ -228,11 +234,15 @@
         """Send what is due, and come again when something will be."""
         self.timer = None
         now = self.clock.monotonic()
-        ticked = self.exchange.tick(now)
-        for each in ticked.datagrams:
-            self.port.send(each.data, each.address)
-        self.tell(ticked.effects, now)
-        self.arm()
+        try:
+            ticked = self.exchange.tick(now)
+            for each in ticked.datagrams:
+                self.port.send(each.data, each.address)
+            self.tell(ticked.effects, now)
+        finally:
+            # A fault in a callback would end the gossip for good, and all peers would
+            # take this instance for dead.
+            self.arm()
 
     def arm(self) -> None:
         """Have the next tick come in time."""
@@ -280,6 +290,16 @@
             self.callbacks.on_listing_offered(held.payload, held.version)
 
 
+async def kept_up(run: Callable[[], Awaitable[None]]) -> None:
+    """Run a task for good, also after a fault in it or in a callback."""
+    while True:
+        try:
+            await run()
+        except Exception:
+            log_event(logger, GOSSIP_FAULT, exc_info=True)
+        await asyncio.sleep(AFTER_FAULT.total_seconds())
+
+
 def own_identity(
     options: GossipOptions, address: Address, clock: Clock, random: Random
 ) -> Identity:
--- a/src/mimosafork/telemetry/catalogue/gossip.py
+++ b/src/mimosafork/telemetry/catalogue/gossip.py
@@ -61,3 +61,11 @@
     "Peers are found by the seeds and by each other meanwhile.",
     "None.",
 )
+GOSSIP_FAULT = Event(
+    2208,
+    "gossip-fault",
+    Level.ERROR,
+    "looking for peers or pulling was ended by a fault in the code",
+    "It begins again after a second.",
+    "Report it with the trace that follows.",
+)
--- a/tests/unit/gossip/test_network.py
+++ b/tests/unit/gossip/test_network.py
@@ -1,5 +1,6 @@
 """Tests of many exchanges on a network that loses, doubles, reorders and parts."""
 
+from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
@@ -332,6 +333,23 @@
     case.assertEqual({499}, prompts)
 
 
+def test_two_of_one_name_do_not_ask_each_other_on_and_on() -> None:
+    # By a fault of the machines two processes run under one name. Neither takes the
+    # other in. Were each asked for its name again and again, the two would fill the
+    # network with questions.
+    network = Network()
+    nodes = network.fleet(2)
+    twin = replace(identity(1, 777, 0), address=Address("10.0.0.99", 7340))
+    network.add(twin, [identity(0).address, identity(1).address])
+    network.run(ms(2000))
+    before = [node.counters.sent for node in network.nodes.values()]
+    network.run(timedelta(seconds=10))
+    after = [node.counters.sent for node in network.nodes.values()]
+    for sent, at in zip(after, before, strict=True):
+        case.assertLess(sent - at, 120)
+    case.assertEqual(["front-1"], names(nodes[0]))
+
+
 def test_a_stale_seed_does_no_harm() -> None:
     network = Network()
     nowhere = Address("10.9.9.9", 7340)
--- a/tests/unit/gossip/test_service.py
+++ b/tests/unit/gossip/test_service.py
@@ -188,6 +188,31 @@
     in_loop(scenario)
 
 
+def test_a_fault_in_a_callback_does_not_end_the_gossip() -> None:
+    # A callback fails as a peer is heard for the first time. The instance must go on
+    # to send and to hear, or all its peers take it for dead.
+    async def scenario() -> None:
+        first = Instance(1)
+        second = Instance(2, (first.address,))
+
+        def fail() -> None:
+            raise ValueError("a fault")
+
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        first.gossip.callbacks.on_peers_changed = fail
+        await first.gossip.start()
+        await second.gossip.start()
+        note = WorkNote(1, EndpointId("i-7f3a91c2"), 2000, 300)
+        second.gossip.publish_work(note)
+        await first.loaded.wait()
+        first.gossip.publish_work(note)
+        await second.loaded.wait()
+        await first.gossip.close()
+        await second.gossip.close()
+
+    in_loop(scenario)
+
+
 class FakeRows:
     """Rows in memory, with pages of two; down while told so."""
 
