Let the gateway's instances share running work, spending, suspicions and versions

Cause: without peers' work all instances pack the same engines: the busiest had 5.2 times the mean, 134 of 527 arrivals were shed, and each kept the whole retry budget. Ruled out: engines' own reports (lag of 200 ms, priced as probes). Change: the kernel emits what peers should know, gateway/sharing.py joins it with the gossip and hands peers' work, words and suspicions back as messages; the retry budget is that of all instances, by the part of the fleet that is heard.

--- a/src/mimosafork/commands/gateway.py
+++ b/src/mimosafork/commands/gateway.py
@@ -40,6 +40,7 @@
     """Run the instance; return the number of calls that its stop cut."""
     from ..directory.directory import Directory
     from ..gateway.server import GatewayServer
+    from ..gossip.peer_rows import SharedPeerRows
     from ..platform.calls import PreparedDialect
     from ..platform.sources import ConfigurationRows, EndpointRows
     from ..platform.store import PreparedStore
@@ -48,7 +49,9 @@
     random = Random(f"{settings.instance.id}-{time.time_ns()}")
     store = PreparedStore(settings.store.address)
     directory = Directory(ConfigurationRows(store), EndpointRows(store), clock, random)
-    server = GatewayServer(settings, directory, PreparedDialect(), clock, random)
+    server = GatewayServer(
+        settings, directory, PreparedDialect(), SharedPeerRows(store), clock, random
+    )
     try:
         return await server.run()
     finally:
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -92,6 +92,7 @@
         self.table: RoutingTable | None = None
         self.endpoints: dict[EndpointId, EndpointBelief] = {}
         self.by_service: dict[ServiceId, dict[EndpointId, EndpointBelief]] = {}
+        self.left: set[EndpointId] = set()
 
     def of_service(self, service: ServiceId) -> list[EndpointBelief]:
         """Return the endpoints of a service that aren't leaving."""
@@ -108,6 +109,10 @@
     @handle.register
     def _(self, message: EndpointUsable, context: Context) -> None:
         listed = message.listed
+        # A peer may have heard that it drains before this instance's own list says
+        # so; that word is never taken back, as a life that drains ends.
+        if listed.endpoint in self.left:
+            return
         known = self.endpoints.get(listed.endpoint)
         if known is None:
             known = EndpointBelief(listed)
@@ -118,6 +123,8 @@
 
     @handle.register
     def _(self, message: EndpointLeaving, context: Context) -> None:
+        if message.final:
+            self.left.add(message.endpoint)
         known = self.endpoints.pop(message.endpoint, None)
         if known is not None:
             known.leaving = True
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from ...ids import EndpointId, Incarnation, RequestId, ServiceId
+from ...ids import Incarnation, RequestId, ServiceId
 from ...kernel.context import Context
 from ...kernel.messages.base import Message
 from ...kernel.messages.requests import (
@@ -15,6 +15,7 @@
     Request,
 )
 from ...kernel.messages.routing import PeerSilent, PeerWorkTold
+from ...kernel.messages.sharing import WorkBegun, WorkEnded
 from ...kernel.plugins import (
     Concluded,
     Placement,
@@ -72,7 +73,9 @@
             context.random,
         )
         if isinstance(choice, Place):
-            self.book.note(choice.work(ask, context.now))
+            work = choice.work(ask, context.now)
+            self.book.note(work)
+            context.emit(WorkBegun(work))
             return place_on(choice, record.request)
         if isinstance(choice, NoRoom):
             return Refuse(overloaded(choice.reason.value, choice.come_back))
@@ -99,14 +102,21 @@
     @handle.register
     def _(self, message: FirstToken, context: Context) -> None:
         self.book.first_token(message.request_id, context.now)
+        work = self.book.own.get(message.request_id)
+        if work is not None:
+            context.emit(WorkBegun(work))
 
     @handle.register
     def _(self, message: AttemptFailed, context: Context) -> None:
-        self._forget_attempt(message.request_id, message.endpoint)
+        work = self.book.own.get(message.request_id)
+        # The next attempt may have been placed already; its work stays.
+        if work is not None and work.host == message.endpoint:
+            self._end(message.request_id, context)
 
     @handle.register
     def _(self, message: Concluded, context: Context) -> None:
-        self.book.drop(message.record.request_id)
+        if message.record.request_id in self.book.own:
+            self._end(message.record.request_id, context)
 
     @handle.register
     def _(self, message: PeerWorkTold, context: Context) -> None:
@@ -116,13 +126,9 @@
     def _(self, message: PeerSilent, context: Context) -> None:
         self.book.forget_peer(message.instance)
 
-    def _forget_attempt(
-        self, request_id: RequestId, endpoint: EndpointId | None
-    ) -> None:
-        """Drop a failed attempt's work, unless the next one was placed already."""
-        work = self.book.own.get(request_id)
-        if work is not None and (endpoint is None or work.host == endpoint):
-            self.book.drop(request_id)
+    def _end(self, request_id: RequestId, context: Context) -> None:
+        self.book.drop(request_id)
+        context.emit(WorkEnded(request_id))
 
 
 def ask_of(record: RequestRecord, context: Context) -> PlacementAsk:
--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -14,6 +14,7 @@
     Problem,
     ProblemCode,
 )
+from ...kernel.messages.sharing import CrashCleared, CrashSuspected, CrashTold
 from ...kernel.plugins import Proceed, Refuse, Stage, Verdict
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
@@ -64,12 +65,24 @@
         if message.kind is not FailureKind.BROKEN or message.digest is None:
             return
         suspicion = self.suspicions.setdefault(message.digest, Suspicion())
+        suspicion.seen_at = context.now
         if message.endpoint is not None:
             suspicion.endpoints.add(message.endpoint)
-        suspicion.seen_at = context.now
+            context.emit(CrashSuspected(message.digest, message.endpoint))
 
     @handle.register
     def _(self, message: AttemptFinished, context: Context) -> None:
         record = context.state.requests.get(message.request_id)
-        if record is not None:
-            self.suspicions.pop(record.request.body_digest, None)
+        if record is None:
+            return
+        if self.suspicions.pop(record.request.body_digest, None) is not None:
+            context.emit(CrashCleared(record.request.body_digest))
+
+    @handle.register
+    def _(self, message: CrashTold, context: Context) -> None:
+        if message.cleared:
+            self.suspicions.pop(message.digest, None)
+            return
+        suspicion = self.suspicions.setdefault(message.digest, Suspicion())
+        suspicion.endpoints.update(message.endpoints)
+        suspicion.seen_at = context.now
--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -1,7 +1,7 @@
 """Whether a failed attempt is followed by another."""
 
-from collections import deque
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -17,14 +17,16 @@
     Repeatability,
     Submit,
 )
+from ...kernel.messages.sharing import FleetSpending, SpendingGrown
 from ...kernel.plugins import GiveUp, RetryDecision, RetryLater, RetryPolicy
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
 
-WINDOW = timedelta(seconds=10)
 RATIO = 0.2
-SLACK = 20.0
-"""Repeats that one instance may send in a window beside its share of requests."""
+SLACK = 100.0
+SPENT_SHARE = 0.7
+"""Share of the slack that is spent at most: instances that all see the last repeats
+of a window free at the same moment would together send more than there are."""
 
 SHORTEST_TIME = timedelta(milliseconds=60)
 MOST_SENDS = 6
@@ -37,17 +39,19 @@
 
 
 @dataclass(slots=True)
-class Spending:
-    """Requests and repeats of one service within the window."""
+class Counters:
+    """Requests and repeats of one service in this life."""
 
-    requests: deque[timedelta] = field(default_factory=deque)
-    repeats: deque[timedelta] = field(default_factory=deque)
+    requests: int = 0
+    repeats: int = 0
 
-    def forget(self, now: timedelta) -> None:
-        """Drop what is older than the window."""
-        for times in (self.requests, self.repeats):
-            while times and now - times[0] > WINDOW:
-                times.popleft()
+
+FleetView = Callable[[ServiceId], FleetSpending]
+
+
+def nothing_known(service: ServiceId) -> FleetSpending:
+    """Return what is known of the fleet's spending before anybody says."""
+    return FleetSpending(0, 0)
 
 
 @register("budgeted-retry")
@@ -57,13 +61,17 @@
     Attributes
     ----------
     ratio, slack : float
-        A window's repeats are at most the ratio of its requests and the slack.
+        A window's repeats of all instances together are at most the ratio of its
+        requests and the slack.
+    spent : callable
+        Returns what all instances, this one included, have spent in the window.
     """
 
     def __init__(self) -> None:
         self.ratio = RATIO
         self.slack = SLACK
-        self.spending: dict[ServiceId, Spending] = {}
+        self.counters: dict[ServiceId, Counters] = {}
+        self.spent: FleetView = nothing_known
 
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
@@ -71,14 +79,13 @@
 
     @handle.register
     def _(self, message: Submit, context: Context) -> None:
-        spending = self.spending_of(ServiceId(message.request.target), context.now)
-        spending.requests.append(context.now)
+        service = ServiceId(message.request.target)
+        self.counters.setdefault(service, Counters()).requests += 1
+        self._tell(service, context)
 
-    def spending_of(self, service: ServiceId, now: timedelta) -> Spending:
-        """Return what a service's calls have spent in the window."""
-        spending = self.spending.setdefault(service, Spending())
-        spending.forget(now)
-        return spending
+    def _tell(self, service: ServiceId, context: Context) -> None:
+        counters = self.counters[service]
+        context.emit(SpendingGrown(service, counters.requests, counters.repeats))
 
     def decide(
         self, record: RequestRecord, failure: AttemptFailed, context: Context
@@ -89,7 +96,8 @@
             return GiveUp(problem_of(failure, why_not))
         if failure.exposure is not Exposure.NEVER_SENT:
             service = ServiceId(record.request.target)
-            self.spending_of(service, context.now).repeats.append(context.now)
+            self.counters.setdefault(service, Counters()).repeats += 1
+            self._tell(service, context)
         refused = failure.exposure is Exposure.REFUSED
         return RetryLater(AFTER_REFUSAL if refused else AT_ONCE)
 
@@ -111,19 +119,21 @@
         sent = sum(a.exposure is not Exposure.NEVER_SENT for a in record.attempts)
         if sent >= MOST_SENDS or len(record.attempts) >= 2 * MOST_SENDS:
             return "it was refused too often"
-        if not self.affords(ServiceId(record.request.target), failure, now):
+        if not self.affords(ServiceId(record.request.target), failure):
             return "the budget of repeats is used"
         return None
 
-    def affords(
-        self, service: ServiceId, failure: AttemptFailed, now: timedelta
-    ) -> bool:
-        """Return whether the budget has room for one more repeat."""
+    def affords(self, service: ServiceId, failure: AttemptFailed) -> bool:
+        """Return whether the budget has room for one more repeat.
+
+        An instance that is cut off sees only a part of the fleet's spending; it takes
+        only that part of the allowance, so that the parts together keep the whole.
+        """
         if failure.exposure is Exposure.NEVER_SENT:
             return True
-        spending = self.spending_of(service, now)
-        allowed = self.ratio * len(spending.requests) + self.slack
-        return len(spending.repeats) + 1 <= allowed
+        fleet = self.spent(service)
+        slack = self.slack * SPENT_SHARE * fleet.share
+        return fleet.repeats + 1 <= self.ratio * fleet.requests + slack
 
 
 def problem_of(failure: AttemptFailed, detail: str) -> Problem:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -8,13 +8,23 @@
 
 from ..clock import Clock
 from ..directory.directory import Directory
-from ..directory.messages import DirectoryChange, EndpointChanged, TableChanged
-from ..ids import Incarnation
+from ..directory.messages import (
+    DirectoryChange,
+    EndpointChanged,
+    EndpointState,
+    TableChanged,
+)
+from ..gossip.members import Address
+from ..gossip.peer_rows import PeerRows
+from ..gossip.service import Gossip, GossipOptions, seed_addresses
+from ..gossip.sockets import open_sockets
+from ..ids import EndpointId, Incarnation
 from ..kernel.context import Identity
 from ..kernel.core import Kernel
 from ..kernel.messages.lifecycle import StopNow
 from ..kernel.messages.routing import EndpointLeaving, EndpointUsable, TableInForce
 from ..kernel.registry import create
+from ..routing.engine import EngineFigures
 from ..settings.gateway import GatewaySettings
 from ..settings.types import split_address
 from ..telemetry.catalogue.gateway import (
@@ -27,11 +37,17 @@
 from .dialect import Dialect
 from .gateway import Gateway, milliseconds
 from .policies import PLUGINS
+from .policies.fleet_view import FleetView
+from .policies.retrying import BudgetedRetry
 from .ready import ReadyConnection
+from .sharing import Sharing
 
 logger = getLogger(__name__)
 
 BACKLOG = 512
+FLEET = "entry"
+"""Name under which the instances of a deployment talk to each other."""
+
 BALANCER_LAG = timedelta(milliseconds=3200)
 """After a stop was asked for, callers still come until the balancer has missed the
 ready answer twice."""
@@ -52,6 +68,8 @@
     directory : Directory
         Not started yet.
     dialect : Dialect
+    peer_rows : PeerRows
+        Where instances find each other.
     clock : Clock
     random : random.Random
     """
@@ -61,6 +79,7 @@
         settings: GatewaySettings,
         directory: Directory,
         dialect: Dialect,
+        peer_rows: PeerRows,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -77,6 +96,13 @@
         self.gateway = Gateway(
             self.kernel, dialect, clock, random, lambda: self.directory.table
         )
+        self.sharing = Sharing(directory, self.gateway.post, self.figures_of, clock)
+        self.gateway.on_effect = self.sharing.tell
+        self.peer_rows = peer_rows
+        retry = self.kernel.plugin(BudgetedRetry)
+        retry.ratio = settings.bounds.retry_ratio
+        retry.slack = settings.bounds.retry_slack
+        retry.spent = self.sharing.spending
         self.listeners: list[asyncio.Server] = []
         self.stop_asked = asyncio.Event()
         self.was_ready = False
@@ -104,6 +130,9 @@
             zone=self.settings.instance.availability_zone,
         )
         self.directory.listen(self._directory_changed)
+        self.directory.listen(self.sharing.directory_changed)
+        self.sharing.gossip = self._new_gossip()
+        await self.sharing.gossip.start()
         self.directory.start()
         self.gateway.start()
         loop = asyncio.get_running_loop()
@@ -118,6 +147,34 @@
             ),
         ]
 
+    def _new_gossip(self) -> Gossip:
+        settings = self.settings
+        host = split_address(settings.listen.front).host
+        port = settings.gossip.first_port
+        options = GossipOptions(
+            settings.instance.id,
+            settings.instance.availability_zone,
+            FLEET,
+            seed_addresses(settings.gossip.seeds, port),
+            settings.bounds.retry_window,
+        )
+        return Gossip(
+            options,
+            open_sockets(Address(host, port)),
+            self.sharing.holding,
+            self.sharing.callbacks,
+            self.peer_rows,
+        )
+
+    def figures_of(self, endpoint: EndpointId) -> EngineFigures | None:
+        """Return the figures of an endpoint's engine; None if it is none."""
+        known = self.kernel.plugin(FleetView).endpoints.get(endpoint)
+        table = self.directory.table
+        if known is None or table is None:
+            return None
+        service = table.services.get(known.listed.service)
+        return None if service is None else service.engine
+
     def _directory_changed(self, change: DirectoryChange) -> None:
         if isinstance(change, TableChanged):
             self.gateway.post(TableInForce(change.table))
@@ -129,7 +186,8 @@
         if change.entry.takes_new_work:
             self.gateway.post(EndpointUsable(change.entry.listed))
             return
-        self.gateway.post(EndpointLeaving(change.endpoint))
+        final = change.entry.state is EndpointState.DRAINING
+        self.gateway.post(EndpointLeaving(change.endpoint, final))
         self.gateway.pool.drop(change.endpoint)
 
     def _note_ready(self) -> None:
@@ -169,6 +227,8 @@
             listener.close()
         gateway.stop()
         await self.directory.stop()
+        if self.sharing.gossip is not None:
+            await self.sharing.gossip.close()
         log_event(logger, GATEWAY_STOPPED, cut=cut)
         await asyncio.sleep(LOOK_AGAIN.total_seconds())
         return cut
--- /dev/null
+++ b/src/mimosafork/gateway/sharing.py
@@ -0,0 +1,276 @@
+"""Tells peers what this instance knows, and the kernel what peers know."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from functools import singledispatchmethod
+
+import msgspec
+
+from ..clock import Clock
+from ..directory.directory import Directory
+from ..directory.messages import DirectoryChange, EndpointState, TableChanged
+from ..directory.rows import Row
+from ..gossip.callbacks import Callbacks
+from ..gossip.kinds.configuration import Versions
+from ..gossip.kinds.endpoints import EndpointWord, Word
+from ..gossip.kinds.load import Part as NotedPart
+from ..gossip.kinds.load import WorkNote
+from ..gossip.kinds.spending import Spent
+from ..gossip.kinds.suspicion import Suspicion
+from ..gossip.pulls import Held, Matter
+from ..gossip.service import Gossip
+from ..gossip.state import HeardWork
+from ..ids import Digest, EndpointId, InstanceId, RequestId, ServiceId
+from ..kernel.messages.base import Effect, Message
+from ..kernel.messages.routing import EndpointLeaving, PeerSilent, PeerWorkTold
+from ..kernel.messages.sharing import (
+    CrashCleared,
+    CrashSuspected,
+    CrashTold,
+    FleetSpending,
+    SpendingGrown,
+    WorkBegun,
+    WorkEnded,
+)
+from ..placement.work import Part, Work
+from ..routing.engine import EngineFigures
+
+OFFER_AFTER = timedelta(milliseconds=300)
+"""A change is offered to peers this much later: those whose own store answers have it
+by then, and need not fetch it."""
+
+MILLISECOND = timedelta(milliseconds=1)
+
+FiguresOf = Callable[[EndpointId], EngineFigures | None]
+
+
+class RowList(msgspec.Struct):
+    """Rows as they are handed to a peer."""
+
+    rows: list[Row]
+
+
+class Sharing:
+    """Joins the gossip with the kernel and the directory.
+
+    Parameters
+    ----------
+    directory : Directory
+    post : callable
+        Hands a message to the kernel.
+    figures_of : callable
+        Returns the figures of an endpoint's engine, if it is one.
+    clock : Clock
+        The kernel's.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        post: Callable[[Message], None],
+        figures_of: FiguresOf,
+        clock: Clock,
+    ) -> None:
+        self.directory = directory
+        self.post = post
+        self.figures_of = figures_of
+        self.clock = clock
+        self.gossip: Gossip | None = None
+        self.known_peers: set[InstanceId] = set()
+        self.offer_timer: asyncio.TimerHandle | None = None
+        self.callbacks = Callbacks(
+            on_configuration_offered=self.configuration_offered,
+            on_listing_offered=self.listing_offered,
+            on_peers_changed=self.peers_changed,
+            on_load_changed=self.load_changed,
+            on_endpoint_word=self.endpoint_word,
+            on_suspicion=self.suspicion_told,
+        )
+
+    # What this instance tells
+
+    @singledispatchmethod
+    def tell(self, effect: Effect) -> None:
+        """Tell peers of an effect that is for them."""
+
+    @tell.register
+    def _(self, effect: WorkBegun) -> None:
+        if self.gossip is not None:
+            self.gossip.publish_work(note_of(effect.work, self.clock.monotonic()))
+
+    @tell.register
+    def _(self, effect: WorkEnded) -> None:
+        if self.gossip is not None:
+            self.gossip.publish_work_end(int(effect.request_id))
+
+    @tell.register
+    def _(self, effect: SpendingGrown) -> None:
+        if self.gossip is not None:
+            spent = Spent(effect.requests, effect.repeats)
+            self.gossip.publish_spending(effect.service, spent)
+
+    @tell.register
+    def _(self, effect: CrashSuspected) -> None:
+        if self.gossip is not None:
+            seen = Suspicion(frozenset({effect.endpoint}))
+            self.gossip.publish_suspicion(bytes.fromhex(effect.digest), seen)
+
+    @tell.register
+    def _(self, effect: CrashCleared) -> None:
+        if self.gossip is not None:
+            seen = Suspicion(frozenset(), cleared=True)
+            self.gossip.publish_suspicion(bytes.fromhex(effect.digest), seen)
+
+    def directory_changed(self, change: DirectoryChange) -> None:
+        """Offer what is new to peers."""
+        if self.gossip is None:
+            return
+        if self.offer_timer is None:
+            loop = asyncio.get_running_loop()
+            self.offer_timer = loop.call_later(
+                OFFER_AFTER.total_seconds(), self.offer_versions
+            )
+        if isinstance(change, TableChanged) or change.entry.takes_new_work:
+            return
+        gone = change.entry.state is EndpointState.GONE
+        said = EndpointWord(Word.GONE if gone else Word.LEAVING, 1)
+        self.gossip.publish_endpoint_word(change.endpoint, said)
+
+    def offer_versions(self) -> None:
+        """Tell peers which versions this instance can hand over."""
+        self.offer_timer = None
+        if self.gossip is not None:
+            configuration = self.holding(Matter.CONFIGURATION)
+            listing = self.holding(Matter.LISTING)
+            self.gossip.publish_versions(
+                Versions(
+                    configuration.version if configuration else 0,
+                    listing=listing.version if listing else 0,
+                )
+            )
+
+    def holding(self, matter: Matter) -> Held | None:
+        """Return what this instance can hand over."""
+        if matter is Matter.CONFIGURATION:
+            row = self.directory.raw_configuration
+            rows = [] if row is None else [row]
+        else:
+            rows = list(self.directory.raw_endpoints)
+        if not rows:
+            return None
+        newest = max(row.version for row in rows)
+        return Held(newest, msgspec.msgpack.encode(RowList(rows)))
+
+    # What this instance hears
+
+    def configuration_offered(self, payload: bytes, version: int) -> None:
+        """Take a configuration that a peer handed over."""
+        for row in rows_of(payload):
+            self.directory.offer_configuration(row)
+
+    def listing_offered(self, payload: bytes, version: int) -> None:
+        """Take the endpoints' rows that a peer handed over."""
+        for row in rows_of(payload):
+            self.directory.offer_endpoint(row)
+
+    def endpoint_word(self, endpoint: EndpointId, said: EndpointWord) -> None:
+        """Take a peer's word that an endpoint takes no new work."""
+        self.post(EndpointLeaving(endpoint, final=said.word is Word.LEAVING))
+
+    def suspicion_told(self, digest: bytes, known: Suspicion) -> None:
+        """Take what all know of a suspected request."""
+        told = CrashTold(Digest(digest.hex()), known.crashed, known.cleared)
+        self.post(told)
+
+    def peers_changed(self) -> None:
+        """Forget the work of peers that have fallen silent."""
+        if self.gossip is None:
+            return
+        alive = {peer.instance for peer in self.gossip.peers}
+        for instance in self.known_peers - alive:
+            self.post(PeerSilent(instance))
+        self.known_peers = alive
+
+    def load_changed(self, instance: InstanceId) -> None:
+        """Take a peer's running work."""
+        if self.gossip is None:
+            return
+        for load in self.gossip.loads():
+            if load.instance == instance:
+                works = tuple(self.work_of(instance, heard) for heard in load.works)
+                self.post(PeerWorkTold(instance, works))
+
+    def work_of(self, instance: InstanceId, heard: HeardWork) -> Work:
+        """Return a peer's work in times of the kernel's clock."""
+        note = heard.note
+        told_at = self.clock.monotonic() - heard.age
+        first = note.writing_ms
+        pause = note.longest_pause_ms * MILLISECOND
+        return Work(
+            request=RequestId(f"{instance}/{note.number}"),
+            host=note.host,
+            parts=self.parts_of(note),
+            prompt_tokens=note.prompt_tokens,
+            answer_tokens=note.answer_tokens,
+            longest_pause=pause or None,
+            started_at=told_at - note.age_ms * MILLISECOND,
+            first_token_at=None if first is None else told_at - first * MILLISECOND,
+        )
+
+    def parts_of(self, note: WorkNote) -> tuple[Part, ...]:
+        """Return what each engine reads of a peer's prompt."""
+        figures = self.figures_of(note.host)
+        if figures is None:
+            return ()
+        helped = sum(part.tokens for part in note.parts)
+        shares = [NotedPart(note.host, note.prompt_tokens - helped), *note.parts]
+        return tuple(
+            Part(
+                each.helper,
+                each.tokens,
+                figures.read_ms(each.tokens, note.prompt_tokens),
+            )
+            for each in shares
+        )
+
+    def spending(self, service: ServiceId) -> FleetSpending:
+        """Return what all instances have spent on a service in the window."""
+        if self.gossip is None:
+            return FleetSpending(0, 0)
+        members = self.gossip.exchange.roster.members
+        alive = len(self.gossip.peers) + 1
+        share = alive / max(alive, len(members) + 1)
+        return FleetSpending(
+            self.gossip.fleet_requests(service),
+            self.gossip.fleet_repeats(service),
+            share,
+        )
+
+
+def note_of(work: Work, now: timedelta) -> WorkNote:
+    """Return what peers are told of own work."""
+    first = work.first_token_at
+    pause = work.longest_pause or timedelta(0)
+    return WorkNote(
+        number=int(work.request),
+        host=work.host,
+        prompt_tokens=work.prompt_tokens,
+        answer_tokens=work.answer_tokens,
+        longest_pause_ms=int(pause / MILLISECOND),
+        age_ms=int((now - work.started_at) / MILLISECOND),
+        writing_ms=None if first is None else int((now - first) / MILLISECOND),
+        parts=tuple(
+            NotedPart(part.endpoint, part.tokens)
+            for part in work.parts
+            if part.endpoint != work.host
+        ),
+    )
+
+
+def rows_of(payload: bytes) -> list[Row]:
+    """Return the rows that a peer handed over; none if they can't be read."""
+    try:
+        return msgspec.msgpack.decode(payload, type=RowList).rows
+    except msgspec.MsgspecError:
+        return []
--- a/src/mimosafork/kernel/messages/routing.py
+++ b/src/mimosafork/kernel/messages/routing.py
@@ -25,9 +25,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointLeaving(Message):
-    """An endpoint takes no new work any more; what runs there goes on."""
+    """An endpoint takes no new work any more; what runs there goes on.
+
+    Attributes
+    ----------
+    final : bool
+        It has said so itself; otherwise it is merely missing, and may be listed again.
+    """
 
     endpoint: EndpointId
+    final: bool = False
 
 
 @dataclass(frozen=True, slots=True)
