Bring stop signals to a thread of their own, so that a stop never hangs

Cause: the handlers of demo, serve and the stand-ins called threading.Event.set, whose lock is not re-entrant. A second signal interrupted the first handler, or the main thread's own wait, inside that lock, and the thread waited for itself for ever. It showed when `make run` got SIGTERM by its process group and again from make. Ruled out: signal.sigwait with blocked signals, as a thread that a library has started before would still take them by their default; SimpleQueue.put in a handler, which is re-entrant but is Python code in a handler that a burst can nest; forgiving a second signal that comes soon after the first, as an operator's second one would get lost. Change: runtime/signals.py. The handler is a builtin without effect; the interpreter writes each number into a pipe (set_wakeup_fd), and a thread reads it and calls a function, which an asyncio program can use as well. After the stop signals are ignored, so that a late one does not turn the exit code into that of a killed process. SIGHUP is a planned stop like the other two.

--- a/src/mimosafork/commands/demo.py
+++ b/src/mimosafork/commands/demo.py
@@ -1,12 +1,10 @@
 """``mimosafork demo``: the whole path in one process, with stand-ins."""
 
-import signal
 import sys
 import threading
 from contextlib import ExitStack
 from datetime import timedelta
 from hashlib import sha256
-from types import FrameType
 from typing import Annotated
 
 import typer
@@ -19,6 +17,7 @@
 from ..network.http import HttpClient
 from ..runtime.fleet_page import fleet_body
 from ..runtime.instance import EntryInstance
+from ..runtime.signals import SignalThread, StopRequest
 from ..settings.loader import parse_settings
 from ..standins import (
     EngineSettings,
@@ -174,14 +173,9 @@
 
     Example: mimosafork demo --address 127.0.0.1:0
     """
-    stopping = threading.Event()
-
-    def stop(number: int, frame: FrameType | None) -> None:
-        stopping.set()
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
+    request = StopRequest()
     with ExitStack() as stack:
+        stack.enter_context(SignalThread(request.receive))
         stack.enter_context(Logging(LogOptions(level="WARNING"), sys.stderr))
         platform = DemoPlatform()
         for standin in platform.all():
@@ -191,9 +185,9 @@
         instance = make_instance(platform, address, operations)
         instance.start()
         stack.callback(instance.stop)
-        wait_for_reports(instance, len(platform.listed()), stopping)
+        wait_for_reports(instance, len(platform.listed()), request.stopping)
         typer.echo(greeting(platform, instance))
-        stopping.wait()
+        request.stopping.wait()
 
 
 def make_instance(
--- a/src/mimosafork/commands/serve.py
+++ b/src/mimosafork/commands/serve.py
@@ -1,11 +1,8 @@
 """``mimosafork serve``: run an entry instance."""
 
-import signal
 import sys
-import threading
 from logging import getLogger
 from pathlib import Path
-from types import FrameType
 from typing import Annotated
 
 import typer
@@ -17,8 +14,10 @@
 from ..manifest.convert import configuration_of
 from ..manifest.parser import load_manifest
 from ..runtime.instance import EntryInstance
-from ..runtime.shutdown import GracefulShutdown
+from ..runtime.shutdown import GracefulShutdown, ShutdownResult
+from ..runtime.signals import SignalThread, StopRequest
 from ..settings.loader import load_settings
+from ..settings.model import InstanceSettings
 from ..telemetry.catalogue.lifecycle import (
     INSTANCE_LISTENING,
     INSTANCE_STARTING,
@@ -51,27 +50,27 @@
     """
     checked = load_settings(settings)
     instance = EntryInstance(checked, first_configuration(manifest))
-    stopping, hurry = threading.Event(), threading.Event()
+    request = StopRequest()
+    with SignalThread(request.receive):
+        result = run(instance, checked, request)
+    if result.cut:
+        detail = f"{result.cut} requests were ended before their answer was whole"
+        raise CommandError(ExitCode.FAILED, detail)
 
-    def stop(number: int, frame: FrameType | None) -> None:
-        if stopping.is_set():
-            hurry.set()
-        stopping.set()
 
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    options = LogOptions(checked.logging.level, LogFormat(checked.logging.format))
+def run(
+    instance: EntryInstance, settings: InstanceSettings, request: StopRequest
+) -> ShutdownResult:
+    """Run an instance until it is asked to stop, and stop it."""
+    options = LogOptions(settings.logging.level, LogFormat(settings.logging.format))
     with Logging(options, sys.stderr) as log:
         instance.metrics.observe(LOG_DROPS, lambda: [Reading(log.handler.dropped)])
         announce_start(instance)
         instance.start()
         log_event(logger, INSTANCE_LISTENING, address=instance.front.address)
         typer.echo(f"ready {instance.front.address} {instance.ops.address}")
-        stopping.wait()
-        result = GracefulShutdown(instance, hurry).run()
-    if result.cut:
-        detail = f"{result.cut} requests were ended before their answer was whole"
-        raise CommandError(ExitCode.FAILED, detail)
+        request.stopping.wait()
+        return GracefulShutdown(instance, request.hurry).run()
 
 
 def announce_start(instance: EntryInstance) -> None:
--- a/src/mimosafork/commands/standin.py
+++ b/src/mimosafork/commands/standin.py
@@ -1,19 +1,19 @@
 """`mimosafork standin ...`: run a stand-in for an outside system by hand.
 
-Each command prints `ready IP:PORT` once it listens and stops on SIGTERM.
+Each command prints `ready IP:PORT` once it listens and stops on SIGTERM, SIGINT or
+SIGHUP.
 """
 
-import signal
 import threading
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from logging import getLogger
-from types import FrameType
 
 import typer
 
 from ..clock import SystemClock
+from ..runtime.signals import SignalThread, StopRequest
 from ..standins import (
     EngineSettings,
     EngineStandin,
@@ -182,23 +182,18 @@
 
 
 def run(standin: Standin, address: str, listing: Listing | None = None) -> None:
-    """Serve until SIGTERM or SIGINT, entered into an instance list if wanted."""
-    stopping = threading.Event()
-
-    def stop(number: int, frame: FrameType | None) -> None:
-        stopping.set()
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    ready_address = standin.start(address)
-    try:
-        if listing is not None and listing.list_address:
-            keep_listed(standin, ready_address, listing, stopping)
-        else:
-            typer.echo(f"ready {ready_address}")
-            stopping.wait()
-    finally:
-        standin.stop()
+    """Serve until a stop signal, entered into an instance list if wanted."""
+    request = StopRequest()
+    with SignalThread(request.receive):
+        ready_address = standin.start(address)
+        try:
+            if listing is not None and listing.list_address:
+                keep_listed(standin, ready_address, listing, request.stopping)
+            else:
+                typer.echo(f"ready {ready_address}")
+                request.stopping.wait()
+        finally:
+            standin.stop()
 
 
 def keep_listed(
