Send no suspect to an endpoint that another has just crashed

Cause: when a suspect that runs alone crashes its endpoint, the last report there still shows it up and idle, and it is kept free already. The next suspect was placed there in the same moment, found it gone, and again at the second strike. Each of these counts as a run, so a bystander of the first crash was given up after three attempts of which one had reached an engine. It is not the resuming of streams: its answer had not begun. How it failed: the new unit test in virtual time says that the bystander's new runs went twice to an engine that was down, and it ends as failed. Ruled out: the retry budget (twenty are in reserve), the deadline (50 s were left), and lost or doubled tokens (no event of the answer had come). Change: a placer of suspects passes over a life whose connection broke in mid-answer until the endpoint's own word says whether that was its end, which the quarantine keeps track of in any case. The crashing fleet of the tests can strike at once and tells which new runs went to engines that were down.

--- a/src/mimosafork/policies/quarantine/sole_run.py
+++ b/src/mimosafork/policies/quarantine/sole_run.py
@@ -1,11 +1,12 @@
 """Runs suspects alone, on an endpoint that is kept free for them."""
 
+from collections.abc import Mapping
 from functools import singledispatchmethod
 
 from ...kernel.context import Context
 from ...kernel.fleet import Endpoint
 from ...kernel.messages.base import Message
-from ...kernel.messages.quarantine import EndpointIsolationHeard
+from ...kernel.messages.quarantine import EndpointIsolationHeard, Life
 from ...kernel.plugins import (
     Concluded,
     NotMine,
@@ -19,6 +20,7 @@
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
 from ...kernel.rendezvous import ranked
+from .crashes import Break
 from .isolation import Isolations
 from .ledger import SUSPECT_CRASHES, Ledger, Verdict
 from .stage import Quarantine, condemned_problem
@@ -40,13 +42,15 @@
 
     def __init__(self) -> None:
         self.ledger = Ledger()
+        self.breaks: Mapping[Life, Break] = {}
         self.isolations = Isolations()
 
     def join(self, find: PluginFinder) -> None:
-        """Share the ledger of the plug-in that gathers the evidence."""
+        """Share what the plug-in that gathers the evidence knows."""
         quarantine = find(Quarantine)
         if quarantine is not None:
             self.ledger = quarantine.ledger
+            self.breaks = quarantine.breaks
 
     def place(self, record: RequestRecord, context: Context) -> Placement:
         """Return a place for a suspect, or that the request is none."""
@@ -111,7 +115,21 @@
             return None
         # Another endpoint than before tells more, while one is allowed.
         allowed.sort(key=lambda name: name in crashed)
-        return [serving[name] for name in allowed if _is_usable(serving[name])]
+        return [serving[name] for name in allowed if self._is_usable(serving[name])]
+
+    def _is_usable(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may be alive.
+
+        When a suspect has crashed an endpoint, its last report still shows it up and
+        idle, and it is kept free already: the next suspect went there in the same
+        moment. It shows as a bystander that is given up with its attempts used up
+        though hardly one ran. A life whose connection broke in mid-answer gets no
+        suspect until the endpoint's own word has shown whether that was its end.
+        """
+        if endpoint.leaving or endpoint.unreachable_since is not None:
+            return False
+        life = Life(endpoint.endpoint_id, endpoint.entry.incarnation)
+        return life not in self.breaks
 
     def _may_isolate(
         self, endpoint: Endpoint, record: RequestRecord, context: Context
@@ -130,10 +148,6 @@
         return _is_idle(endpoint) or _is_isolated(endpoint, context)
 
 
-def _is_usable(endpoint: Endpoint) -> bool:
-    return not endpoint.leaving and endpoint.unreachable_since is None
-
-
 def _is_isolated(endpoint: Endpoint, context: Context) -> bool:
     until = endpoint.isolated_until
     return until is not None and until > context.now
--- a/tests/support/crashing_fleet.py
+++ b/tests/support/crashing_fleet.py
@@ -95,9 +95,13 @@
     Attributes
     ----------
     poison : set of str
-        Bodies that crash an engine at the end of their prefill.
+        Bodies that crash an engine `strike_s` after they have come there.
+    strike_s : float
+        The length of a prefill unless set; at most that.
     crash_log : list of set
         The bodies that were in progress at each crash, oldest first.
+    unreached : list of str
+        The bodies whose new runs were sent to an engine that was down.
     silenced : bool
         Nothing is heard from peers.
     """
@@ -108,11 +112,13 @@
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = count()
         self.poison: set[str] = set()
+        self.strike_s = PREFILL_S
         self.bodies: dict[RequestId, str] = {}
         self.conclusions: dict[RequestId, Conclude] = {}
         self.kept: list[Effect] = []
         self.silenced = False
         self.crash_log: list[set[str]] = []
+        self.unreached: list[str] = []
         self.engines = {f"e{n}": CrashingEngine(f"e{n}") for n in range(engines)}
         self.kernels = [self.kernel(n) for n in range(kernels)]
         for each in self.kernels:
@@ -225,6 +231,8 @@
         engine = self.engines[dispatch.endpoint]
         run = Run(kernel, dispatch, self.bodies[dispatch.request_id])
         if not self._answers(engine):
+            if not dispatch.attach:
+                self.unreached.append(run.body)
             fail = partial(self._fail, run, FailureKind.UNREACHED, Exposure.NEVER_SENT)
             self.at(self.now_s + 0.001, fail)
         elif dispatch.attach:
@@ -232,15 +240,18 @@
             self.at(self.now_s + 0.001, fail)
         else:
             engine.runs[dispatch.stream_id] = run
+            self.at(self.now_s + self.strike_s, partial(self._strike, engine, run))
             self.at(self.now_s + PREFILL_S, partial(self._prefilled, engine, run))
             self.at(self.now_s + RUN_S, partial(self._ended, engine, run))
 
+    def _strike(self, engine: CrashingEngine, run: Run) -> None:
+        is_there = engine.runs.get(run.dispatch.stream_id) is run
+        if is_there and run.body in self.poison:
+            self.crash(engine.name)
+
     def _prefilled(self, engine: CrashingEngine, run: Run) -> None:
         if engine.runs.get(run.dispatch.stream_id) is not run:
             return
-        if run.body in self.poison:
-            self.crash(engine.name)
-            return
         dispatch = run.dispatch
         self.tell(run.kernel, FirstToken(dispatch.request_id, dispatch.attempt))
 
--- a/tests/unit/quarantine/test_poisoned_request.py
+++ b/tests/unit/quarantine/test_poisoned_request.py
@@ -29,6 +29,7 @@
 
 POISON = "poison"
 PATIENCE = timedelta(seconds=60)
+STEP_S = 0.001
 
 
 def send(fleet: CrashingFleet, name: str, body: str = "", kernel: int = 0) -> None:
@@ -128,6 +129,30 @@
     assert not failed_of(fleet, names)
 
 
+def test_suspect_is_not_sent_where_another_has_just_struck() -> None:
+    """A letter waits for its sole run while the poison has its own, and strikes.
+
+    The engine's last report still shows it up and idle, and it was free for the next
+    suspect in the same moment. The letter's attempt found it gone, and the next one
+    again at the poison's second strike: no attempt was left, nothing had run.
+    """
+    fleet = CrashingFleet(engines=3, kernels=1)
+    fleet.poison.add(POISON)
+    fleet.strike_s = STEP_S
+    send(fleet, "p0", POISON)
+    names = [f"n{number}" for number in range(5)]
+    for name in names:
+        send(fleet, name)
+    fleet.run(2 * STEP_S)
+    (first,) = fleet.crash_log
+    (bystander,) = first - {POISON}
+    assert verdict(fleet.kernels[0], bystander) is Verdict.SUSPECT
+    fleet.run(60.0)
+    assert fleet.crash_log[1:] == [{POISON}] * 2
+    assert fleet.unreached == [], fleet.unreached
+    assert not failed_of(fleet, names)
+
+
 def test_engine_that_dies_by_itself_condemns_nobody() -> None:
     """An engine fails with twenty requests in progress, for reasons of its own."""
     fleet = CrashingFleet(engines=4, kernels=1)
