Spread the same news over datagrams once, and lose no last counters

Cause: with seven partners each word was encoded seven times; and a peer's counters that came by a quicker datagram than the ones before seemed older and were passed over, so that the fleet's sum lacked them for good if they were the last. Ruled out: encoding each word once for all datagrams, as ids are indexes into a table of the datagram. Change: loads are kept within a tick for the peers that get the same news; samples count as of their predecessor's instant at least, and are pruned as they come.

--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -381,7 +381,7 @@
         if self.ticked is not None and now - self.ticked > self.timing.late:
             self.roster.excuse(now)
         self.ticked = now
-        self.outbox.budget.fill(now)
+        self.outbox.begin(now)
         ticked.effects += self.review(now)
         self.show_pulse(now)
         ticked.datagrams += self.call_strangers(now)
--- a/src/mimosafork/gossip/links.py
+++ b/src/mimosafork/gossip/links.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import NamedTuple
 
 from ..ids import InstanceId
 from .ledger import Slot
@@ -15,8 +16,7 @@
 WINDOW_MASK = (1 << WINDOW) - 1
 
 
-@dataclass(frozen=True, slots=True)
-class News:
+class News(NamedTuple):
     """An entry that is due to a peer, by its place."""
 
     origin: InstanceId
--- a/src/mimosafork/gossip/outbox.py
+++ b/src/mimosafork/gossip/outbox.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import NamedTuple
 
 from ..ids import InstanceId
 from .ledger import Ledger
@@ -14,6 +15,7 @@
 
 NAMES_A_DATAGRAM = 16
 """Sixteen names of usual length take about a thousand bytes."""
+LARGEST = (1 << 32) - 1
 SECOND = timedelta(seconds=1)
 
 
@@ -65,6 +67,13 @@
         self.left -= size
 
 
+class Batch(NamedTuple):
+    """News that goes to several peers in one tick, and is spread over loads once."""
+
+    news: tuple[News, ...]
+    room: int
+
+
 class Outbox:
     """Builds datagrams.
 
@@ -86,6 +95,12 @@
         self.timing = timing
         self.source_of = source_of
         self.budget = Budget(timing.budget_bytes_s)
+        self.spread: dict[Batch, list[Load]] = {}
+
+    def begin(self, now: timedelta) -> None:
+        """Begin a tick."""
+        self.budget.fill(now)
+        self.spread.clear()
 
     def hello(
         self,
@@ -144,7 +159,11 @@
             else:
                 items.append(item)
         room = self.timing.datagram_bytes - LIST_BYTES - self.head_bytes(link)
-        return loads_of(items, self.me.tag, now, room)
+        batch = Batch(tuple(item.news for item in items), room)
+        loads = self.spread.get(batch)
+        if loads is None:
+            loads = self.spread[batch] = loads_of(items, self.me.tag, now, room)
+        return loads
 
     def item(self, news: News) -> Item | None:
         """Return an entry in its newest form, None if it is past its time."""
@@ -190,8 +209,22 @@
         return None if link.named else to_wire(self.me)
 
     def head_bytes(self, link: Link) -> int:
-        """Return the size of a datagram without news."""
-        return len(ENCODER.encode(self.head(link, Flag(0))))
+        """Return the longest size of a datagram without news.
+
+        Numbers count with all their bytes, so that it is the same for all peers that
+        know the name, and news is spread over datagrams once for all of them.
+        """
+        head = Datagram(
+            FORMAT,
+            self.fleet,
+            self.me.tag,
+            LARGEST,
+            LARGEST,
+            LARGEST,
+            LARGEST,
+            self.own_name(link),
+        )
+        return len(ENCODER.encode(head))
 
     def outgoing(self, address: Address, datagram: Datagram) -> Outgoing:
         """Encode a datagram and take its bytes out of the budget."""
--- a/src/mimosafork/gossip/window.py
+++ b/src/mimosafork/gossip/window.py
@@ -39,10 +39,17 @@
         self.samples: dict[Meter, deque[Sample]] = {}
 
     def note(self, meter: Meter, at: timedelta, spent: Spent) -> None:
-        """Note counters as of an instant."""
+        """Note newer counters as of an instant.
+
+        A datagram that was quicker than the one before seems to be older by some
+        milliseconds. It counts as of the same instant: were it passed over and the
+        last one of its peer, the sum would stay too low for good.
+        """
         kept = self.samples.setdefault(meter, deque())
-        if not kept or at >= kept[-1].at:
-            kept.append(Sample(at, spent))
+        if kept:
+            at = max(at, kept[-1].at)
+        kept.append(Sample(at, spent))
+        self.prune(kept, at)
 
     def grown(self, service: ServiceId, now: timedelta) -> Spent:
         """Return the sum, over all instances, of the growth within the window.
@@ -51,14 +58,14 @@
         can't be placed in time.
         """
         requests = repeats = 0
-        for meter, kept in list(self.samples.items()):
-            self.prune(meter, kept, now)
+        for meter, kept in self.samples.items():
+            self.prune(kept, now)
             if meter.service == service and kept:
                 requests += kept[-1].spent.requests - kept[0].spent.requests
                 repeats += kept[-1].spent.repeats - kept[0].spent.repeats
         return Spent(requests, repeats)
 
-    def prune(self, meter: Meter, kept: deque[Sample], now: timedelta) -> None:
+    def prune(self, kept: deque[Sample], now: timedelta) -> None:
         """Keep one sample from before the window, and what lies in it."""
         while len(kept) > 1 and now - kept[1].at >= self.span:
             kept.popleft()
--- a/tests/unit/gossip/test_rules.py
+++ b/tests/unit/gossip/test_rules.py
@@ -125,6 +125,23 @@
     case.assertEqual(Spent(), window.grown(ServiceId("other"), NOW))
 
 
+def test_counters_that_seem_older_by_a_quick_datagram_still_count() -> None:
+    # The last datagram of a peer takes 2 ms where the one before took 40. Its counters
+    # seem to be the older ones, and the fleet's sum would lack them for good.
+    window = SpendingWindow(timedelta(seconds=10))
+    window.note(Meter(1, CHAT), NOW, Spent(0, 0))
+    window.note(Meter(1, CHAT), NOW + ms(240), Spent(3, 0))
+    window.note(Meter(1, CHAT), NOW + ms(220), Spent(4, 1))
+    case.assertEqual(Spent(4, 1), window.grown(CHAT, NOW + ms(300)))
+
+
+def test_samples_do_not_pile_up_while_nobody_asks() -> None:
+    window = SpendingWindow(timedelta(seconds=10))
+    for each in range(1000):
+        window.note(Meter(1, CHAT), NOW + ms(200 * each), Spent(each, 0))
+    case.assertLess(len(window.samples[Meter(1, CHAT)]), 60)
+
+
 def test_partners_are_all_of_a_small_fleet_and_few_of_a_large_one() -> None:
     members = {
         InstanceId(f"front-{each}"): AvailabilityZoneId(f"zone-{each % 6}")
