Hold vanished endpoints only after an outage that lasts

Cause: one silent connection counted as an outage of the store, so an endpoint that left at that moment stayed in use for two seconds after its removal was heard. Ruled out: no hold at all after a single failure; many short outages expire rows as a long one does, so one that follows soon goes on with the one before. Change: the list is in doubt only if no answer came for two seconds; a long poll has 0.8 s beyond its wait, the endpoints' wait is 0.6 s; a slow store is waited for longer, up to four times. Tests over the store's stand-in.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -72,7 +72,8 @@
         chosen = settings or DirectorySettings()
         self.pause = pause
         self.horizon = Horizon()
-        self.health = StoreHealth(clock, chosen.return_grace)
+        grace, least = chosen.return_grace, chosen.least_outage
+        self.health = StoreHealth(clock, grace, least)
         self.tables = TableBook(configurations)
         self.book = EndpointBook(endpoints, self.health, clock, chosen.gone_kept)
         self.listeners: list[Listener] = []
@@ -84,7 +85,7 @@
             chosen.configuration,
             clock,
             random,
-            StoreHealth(clock, chosen.return_grace),
+            StoreHealth(clock, grace, least),
             self.horizon,
         )
         self.endpoint_follower = Follower(
--- a/src/mimosafork/directory/health.py
+++ b/src/mimosafork/directory/health.py
@@ -8,43 +8,81 @@
 class StoreHealth:
     """The store's outages for one table, as this instance sees them.
 
+    Rows expire wrongly only in an outage that lasts: an endpoint must have missed
+    several reports. A single connection that fell silent is found and replaced
+    sooner, and casts no doubt on a removal.
+
     Parameters
     ----------
     clock : Clock
         Its monotonic scale is used.
     grace : timedelta
         How long after a return the list is still in doubt.
+    least_outage : timedelta
+        Shortest time without an answer in which rows may have expired wrongly.
+
+    Attributes
+    ----------
+    lost_at : timedelta or None
+        Monotonic instant of the first failed call, while the store is lost.
+    outage_from : timedelta or None
+        Instant of the last answer before the outage that goes on, or that ended
+        last; None before the first answer and without an outage.
+    returned_at : timedelta or None
+        Instant of the first answer after the last outage.
     """
 
-    def __init__(self, clock: Clock, grace: timedelta) -> None:
+    def __init__(self, clock: Clock, grace: timedelta, least_outage: timedelta) -> None:
         self.clock = clock
         self.grace = grace
+        self.least_outage = least_outage
+        self.answered_at: timedelta | None = None
         self.lost_at: timedelta | None = None
+        self.outage_from: timedelta | None = None
         self.returned_at: timedelta | None = None
 
     @property
     def in_doubt(self) -> bool:
         """Whether an entry may be missing only because of an outage."""
+        now = self.clock.monotonic()
         if self.lost_at is not None:
-            return True
-        if self.returned_at is None:
+            return self.lasts_until(now)
+        if self.returned_at is None or now >= self.returned_at + self.grace:
             return False
-        return self.clock.monotonic() < self.returned_at + self.grace
+        return self.lasts_until(self.returned_at)
+
+    def lasts_until(self, end: timedelta) -> bool:
+        """Whether the outage, up to an instant, was long enough to expire rows."""
+        if self.outage_from is None:
+            return True
+        return end - self.outage_from >= self.least_outage
 
     def failed(self) -> bool:
         """Note a call without an answer; return whether the store is lost by it."""
         if self.lost_at is not None:
             return False
         self.lost_at = self.clock.monotonic()
+        # Guard: a store that comes back for a moment, again and again, is no use
+        # to endpoints that report seldom: their rows expire though no single
+        # outage was long. One that follows soon goes on with the one before.
+        if self.returned_at is None or not self.soon_after_return():
+            self.outage_from = self.answered_at
         return True
 
+    def soon_after_return(self) -> bool:
+        """Whether the store returned only a short time ago."""
+        assert self.returned_at is not None
+        return self.clock.monotonic() < self.returned_at + self.grace
+
     def answered(self) -> timedelta | None:
         """Note an answer; return how long the store was lost if it is regained."""
+        now = self.clock.monotonic()
+        self.answered_at = now
         if self.lost_at is None:
             return None
-        lasted = self.clock.monotonic() - self.lost_at
+        lasted = now - self.lost_at
         self.lost_at = None
-        self.returned_at = self.clock.monotonic()
+        self.returned_at = now
         return lasted
 
 
--- a/src/mimosafork/directory/settings.py
+++ b/src/mimosafork/directory/settings.py
@@ -43,6 +43,11 @@
     return_grace : timedelta
         What vanished while the store was unavailable, or this soon after its
         return, may be back until then.
+    least_outage : timedelta
+        Shortest time without an answer in which rows may have expired wrongly. They
+        expire after three missed reports, the first of which may have been due as
+        the outage began: two reports' time, less a margin. More than it takes to
+        find and replace a silent connection.
     gone_kept : timedelta
         How long the word that an endpoint is gone is remembered.
     """
@@ -51,7 +56,8 @@
         default_factory=lambda: FollowSettings(pause=ms(100), wait=ms(4000))
     )
     endpoints: FollowSettings = field(
-        default_factory=lambda: FollowSettings(pause=ms(250), wait=ms(1000))
+        default_factory=lambda: FollowSettings(pause=ms(250), wait=ms(600))
     )
     return_grace: timedelta = ms(2000)
+    least_outage: timedelta = ms(2000)
     gone_kept: timedelta = timedelta(minutes=10)
--- a/src/mimosafork/platform/lane.py
+++ b/src/mimosafork/platform/lane.py
@@ -11,6 +11,8 @@
 """Longest idle time after which a connection is still used."""
 CLOSING_RACE_S = 0.25
 """A connection that ends this soon after a call was closing when the call went out."""
+MOST_PATIENCE = 4
+"""A slow store is waited for up to so many times as long."""
 
 
 class Lane:
@@ -24,6 +26,12 @@
         TCP port.
     connect_timeout : timedelta
         Longest time to wait for a new connection.
+
+    Attributes
+    ----------
+    patience : int
+        By how much time-outs of repeatable calls are to be stretched: doubled by
+        silence, halved by an answer.
     """
 
     def __init__(self, host: str, port: int, connect_timeout: timedelta) -> None:
@@ -32,6 +40,7 @@
         self.connect_timeout = connect_timeout
         self.lock = asyncio.Lock()
         self.channel: Channel | None = None
+        self.patience = 1
 
     async def call(
         self, request: bytes, timeout: timedelta, *, repeatable: bool
@@ -63,10 +72,16 @@
             # would then wait for ever and its table would stand still. Its own
             # time-out ends the call, and the next one opens a new connection.
             async with asyncio.timeout(timeout.total_seconds()), self.lock:
-                return await self.attempt(request, written, repeatable)
+                answer = await self.attempt(request, written, repeatable)
         except TimeoutError as error:
+            # Guard: each call to a store that is slower than the time-out would be
+            # given up, and nothing be heard until it is quick again. So the next
+            # one waits longer.
+            self.patience = min(self.patience * 2, MOST_PATIENCE)
             why = f"no answer within {timeout.total_seconds():.1f} s"
             raise SilentError(why) if written else NeverSentError(why) from error
+        self.patience = max(self.patience // 2, 1)
+        return answer
 
     async def attempt(
         self, request: bytes, written: list[Channel], repeatable: bool
--- a/src/mimosafork/platform/store.py
+++ b/src/mimosafork/platform/store.py
@@ -49,12 +49,13 @@
     call : timedelta
         A read or write, from the call to its whole answer.
     feed_slack : timedelta
-        A long poll may answer this much after the wait that it asked for.
+        A long poll may answer this much after the wait that it asked for; with
+        the shortest wait it bounds how soon silence is found.
     """
 
     connect: timedelta = timedelta(seconds=1)
     call: timedelta = timedelta(seconds=2)
-    feed_slack: timedelta = timedelta(seconds=1)
+    feed_slack: timedelta = timedelta(milliseconds=800)
 
 
 class PreparedStore:
@@ -99,7 +100,8 @@
         if limit is not None:
             query[names.LIMIT] = str(limit)
         request = self.get(names.ROWS_GET_PATH, query)
-        return await self.page(self.calls, request, self.timeouts.call)
+        timeout = self.timeouts.call * self.calls.patience
+        return await self.page(self.calls, request, timeout)
 
     async def changes(self, table: str, after: int, wait: timedelta) -> RowPage:
         """Wait up to `wait` for changes of a table after a version."""
@@ -112,7 +114,8 @@
         lane = self.feeds.get(table)
         if lane is None:
             lane = self.feeds[table] = self.new_lane()
-        return await self.page(lane, request, wait + self.timeouts.feed_slack)
+        timeout = wait + self.timeouts.feed_slack * lane.patience
+        return await self.page(lane, request, timeout)
 
     async def write(
         self,
--- a/tests/support/directories.py
+++ b/tests/support/directories.py
@@ -9,7 +9,7 @@
 
 from mimosafork.clock import ManualClock
 from mimosafork.directory.directory import Directory
-from mimosafork.directory.errors import UnreadableError
+from mimosafork.directory.errors import StoreUnavailableError, UnreadableError
 from mimosafork.directory.follower import Follower
 from mimosafork.directory.messages import (
     DirectoryChange,
@@ -115,6 +115,12 @@
         """Move the clock."""
         self.clock.advance(timedelta(seconds=seconds))
 
+    def outage(self) -> None:
+        """Let calls about the endpoints fail for longer than rows need to expire."""
+        self.endpoints(StoreUnavailableError("down"))
+        self.pass_time(4)
+        self.endpoints(StoreUnavailableError("down"))
+
     def state(self, key: str) -> EndpointState | None:
         """Return what is believed of an endpoint; None if it is not known."""
         entry = self.directory.endpoints.get(EndpointId(key))
