Take changed settings on SIGHUP instead of dying of it

Ruled out: a crash of the program; its last lines were of served calls. Change: bounds and log level are read anew, a file with faults leaves the old in force.

--- a/src/mimosafork/commands/gateway.py
+++ b/src/mimosafork/commands/gateway.py
@@ -33,11 +33,17 @@
     checked = load_gateway_settings(settings)
     options = LogOptions(checked.logging.level, LogFormat(checked.logging.format))
     with Logging(options, sys.stdout):
-        asyncio.run(serve(checked))
+        asyncio.run(serve(checked, settings))
 
 
-async def serve(settings: GatewaySettings) -> int:
-    """Run the instance; return the number of calls that its stop cut."""
+async def serve(settings: GatewaySettings, path: Path) -> int:
+    """Run the instance; return the number of calls that its stop cut.
+
+    Parameters
+    ----------
+    path : Path
+        Read again when the settings change.
+    """
     from ..directory.directory import Directory
     from ..gateway.server import GatewayServer
     from ..gossip.peer_rows import SharedPeerRows
@@ -50,7 +56,13 @@
     store = PreparedStore(settings.store.address)
     directory = Directory(ConfigurationRows(store), EndpointRows(store), clock, random)
     server = GatewayServer(
-        settings, directory, PreparedDialect(), SharedPeerRows(store), clock, random
+        settings,
+        lambda: load_gateway_settings(path),
+        directory,
+        PreparedDialect(),
+        SharedPeerRows(store),
+        clock,
+        random,
     )
     try:
         return await server.run()
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -1,9 +1,10 @@
 """An entry instance that passes calls on: its listeners, its start and its stop."""
 
 import asyncio
+import logging
 import signal
+from collections.abc import Callable
 from datetime import timedelta
-from logging import getLogger
 from random import Random
 
 from ..clock import Clock
@@ -25,15 +26,18 @@
 from ..kernel.messages.routing import EndpointLeaving, EndpointUsable, TableInForce
 from ..kernel.registry import create
 from ..routing.engine import EngineFigures
-from ..settings.gateway import GatewaySettings
+from ..settings.errors import SettingsError
+from ..settings.gateway import BoundsSection, GatewaySettings
 from ..settings.types import split_address
 from ..telemetry.catalogue.gateway import (
     GATEWAY_READY,
     GATEWAY_STARTING,
     GATEWAY_STOPPED,
     GATEWAY_STOPPING,
+    SETTINGS_REFUSED,
+    SETTINGS_TAKEN,
 )
-from ..telemetry.logs import log_event
+from ..telemetry.logs import PACKAGE_LOGGER, log_event
 from .dialect import Dialect
 from .gateway import Gateway, milliseconds
 from .policies import PLUGINS
@@ -42,7 +46,7 @@
 from .ready import ReadyConnection
 from .sharing import Sharing
 
-logger = getLogger(__name__)
+logger = logging.getLogger(__name__)
 
 BACKLOG = 512
 FLEET = "entry"
@@ -65,6 +69,8 @@
     Parameters
     ----------
     settings : GatewaySettings
+    read_settings : callable
+        Reads the settings anew; raises `SettingsError`.
     directory : Directory
         Not started yet.
     dialect : Dialect
@@ -77,6 +83,7 @@
     def __init__(
         self,
         settings: GatewaySettings,
+        read_settings: Callable[[], GatewaySettings],
         directory: Directory,
         dialect: Dialect,
         peer_rows: PeerRows,
@@ -84,6 +91,7 @@
         random: Random,
     ) -> None:
         self.settings = settings
+        self.read_settings = read_settings
         self.directory = directory
         self.clock = clock
         self.started_at = clock.monotonic()
@@ -99,10 +107,7 @@
         self.sharing = Sharing(directory, self.gateway.post, self.figures_of, clock)
         self.gateway.on_effect = self.sharing.tell
         self.peer_rows = peer_rows
-        retry = self.kernel.plugin(BudgetedRetry)
-        retry.ratio = settings.bounds.retry_ratio
-        retry.slack = settings.bounds.retry_slack
-        retry.spent = self.sharing.spending
+        self._apply_bounds(settings.bounds)
         self.listeners: list[asyncio.Server] = []
         self.stop_asked = asyncio.Event()
         self.was_ready = False
@@ -117,6 +122,9 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop_asked.set)
+        # Without a handler the signal that announces changed settings would end the
+        # process, and with it every call on its connections.
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self.stop_asked.wait()
         return await self.stop()
@@ -147,6 +155,24 @@
             ),
         ]
 
+    def reload(self) -> None:
+        """Take changed settings; those that can't be used leave the old in force."""
+        try:
+            settings = self.read_settings()
+        except SettingsError as error:
+            log_event(logger, SETTINGS_REFUSED, why=error)
+            return
+        self.settings = settings
+        self._apply_bounds(settings.bounds)
+        logging.getLogger(PACKAGE_LOGGER).setLevel(settings.logging.level)
+        log_event(logger, SETTINGS_TAKEN, instance=settings.instance.id)
+
+    def _apply_bounds(self, bounds: BoundsSection) -> None:
+        retry = self.kernel.plugin(BudgetedRetry)
+        retry.ratio = bounds.retry_ratio
+        retry.slack = bounds.retry_slack
+        retry.spent = self.sharing.spending
+
     def _new_gossip(self) -> Gossip:
         settings = self.settings
         host = split_address(settings.listen.front).host
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -36,6 +36,22 @@
     "A call that was cut had not ended within the time for a planned stop.",
     "If calls were cut, look for their lines.",
 )
+SETTINGS_TAKEN = Event(
+    2005,
+    "settings-taken",
+    Level.INFO,
+    "instance {instance} has taken its changed settings",
+    "Bounds and log level are in force; addresses stay until the next start.",
+    "None.",
+)
+SETTINGS_REFUSED = Event(
+    2006,
+    "settings-refused",
+    Level.ERROR,
+    "changed settings were not taken: {why}",
+    "The settings that were in force stay so.",
+    "Mend the file and send the signal again.",
+)
 CALL_ENDED = Event(
     2010,
     "call-ended",
