--- /dev/null
+++ b/tests/unit/gateway/test_event_stream.py
@@ -0,0 +1,59 @@
+"""Tests of the event splitter: whole events, wherever the bytes are cut."""
+
+from unittest import TestCase
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mimosafork.gateway.event_stream import EventSplitter, StreamEvent, number_of
+
+from ...support.functions import function_tests
+
+case = TestCase()
+
+BLOCKS = (
+    b"id: 1\ndata: a\n\n",
+    b"id:2\r\ndata: b\r\n\r\n",
+    b"x-weight-versions: 3\nid: 3\ndata: c\ndata: d\n\n",
+    b"id: 4\rdata: e\r\r",
+    b": a comment\n\n",
+    b"data: id: 9\n\n",
+    b"data: \xc3\xa4\nid: 12\n\n",
+)
+
+
+def split(data: bytes, cuts: list[int]) -> tuple[list[StreamEvent], bytes]:
+    splitter = EventSplitter()
+    places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+    events = []
+    for start, end in zip(places, places[1:], strict=False):
+        events += splitter.feed(data[start:end])
+    return events, splitter.remainder
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    st.lists(st.sampled_from(BLOCKS), max_size=8),
+    st.sampled_from((b"", b"id: 5", b"id: 5\ndata: half\n")),
+    st.lists(st.integers(0, 200), max_size=20),
+)
+def test_any_cut_of_bytes_gives_whole_events(
+    blocks: list[bytes], rest: bytes, cuts: list[int]
+) -> None:
+    """An endpoint stops in the middle of an event and another one goes on.
+
+    A caller that had got the first half would join it to the event that follows.
+    """
+    events, remainder = split(b"".join(blocks) + rest, cuts)
+    case.assertEqual(blocks, [event.data for event in events])
+    case.assertEqual(rest, remainder)
+
+
+def test_numbers_of_events() -> None:
+    numbers = [number_of(block) for block in BLOCKS]
+    case.assertEqual([1, 2, 3, 4, None, None, 12], numbers)
+    case.assertIsNone(number_of(b"id: x\n\n"))
+    case.assertIsNone(number_of(b"id: " + b"1" * 30 + b"\n\n"))
+
+
+load_tests = function_tests(__name__)
--- /dev/null
+++ b/tests/unit/gateway/test_request_reader.py
@@ -0,0 +1,140 @@
+"""Tests of the request reader: whole requests only, however their bytes come."""
+
+from http import HTTPStatus
+from unittest import TestCase
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mimosafork.gateway.errors import BadRequestError
+from mimosafork.gateway.request_reader import RequestMessage, RequestReader
+from mimosafork.routing.table import ClientLimits
+
+from ...support.functions import function_tests
+
+case = TestCase()
+
+LIMITS = ClientLimits(header_bytes=200, body_bytes=64)
+PLAIN = b"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+CHUNKED_HEAD = b"POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNKED = CHUNKED_HEAD + b"2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nX-Trailer: t\r\n\r\n"
+EMPTY = b"GET /b/ HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def read_all(data: bytes, cuts: list[int] | None = None) -> list[RequestMessage]:
+    """Feed bytes, cut at some places, and take requests as they become whole."""
+    reader = RequestReader(LIMITS)
+    found = []
+    places = [0, *sorted(cuts or []), len(data)]
+    for start, end in zip(places, places[1:], strict=False):
+        reader.feed(data[start:end])
+        while (message := reader.next_request()) is not None:
+            found.append(message)
+    return found
+
+
+def status_of(data: bytes) -> HTTPStatus:
+    with case.assertRaises(BadRequestError) as caught:
+        read_all(data)
+    return caught.exception.status
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(st.integers(0, len(CHUNKED + PLAIN)), max_size=12))
+def test_any_cut_of_bytes_gives_the_same_requests(cuts: list[int]) -> None:
+    messages = read_all(PLAIN + EMPTY + PLAIN, cuts)
+    case.assertEqual([b"hello", b"", b"hello"], [m.body for m in messages])
+    single = read_all(CHUNKED, [cut for cut in cuts if cut <= len(CHUNKED)])
+    case.assertEqual([b"hello"], [message.body for message in single])
+
+
+def test_bytes_behind_a_request_wait() -> None:
+    reader = RequestReader(LIMITS)
+    reader.feed(PLAIN + EMPTY)
+    first = reader.next_request()
+    assert first is not None
+    case.assertEqual(EMPTY, bytes(reader.buffer))
+    second = reader.next_request()
+    assert second is not None
+    case.assertEqual(b"/b/", second.head.target)
+    case.assertFalse(reader.begun)
+
+
+def test_bytes_behind_a_chunked_body_are_never_run() -> None:
+    """A second request hides behind the last chunk.
+
+    The parser has already eaten its beginning. If its rest were read as a request,
+    something that no caller sent would run; so the connection ends instead.
+    """
+    for behind in (EMPTY, b"GET", b"garbage\r\n\r\n", EMPTY + PLAIN):
+        reader = RequestReader(LIMITS)
+        reader.feed(CHUNKED + behind)
+        first = reader.next_request()
+        assert first is not None
+        case.assertEqual(b"hello", first.body)
+        case.assertTrue(reader.closing)
+        reader.feed(EMPTY)
+        case.assertIsNone(reader.next_request())
+
+
+def test_tricks_with_chunks_are_refused() -> None:
+    """A chunk's length is read in one way here and in another by the endpoint.
+
+    Signs, prefixes, bare line ends and lengths that overflow have all been used to
+    smuggle requests; the endpoint gets a length only, and what can't be decoded is
+    refused before it.
+    """
+    for body in (
+        b"0x2\r\nhe\r\n0\r\n\r\n",
+        b"+2\r\nhe\r\n0\r\n\r\n",
+        b"-2\r\nhe\r\n0\r\n\r\n",
+        b" 2\r\nhe\r\n0\r\n\r\n",
+        b"2\nhe\r\n0\r\n\r\n",
+        b"2\r\nhexx0\r\n\r\n",
+        b"2\r\nhe\n0\r\n\r\n",
+        b"\r\nhe\r\n0\r\n\r\n",
+        b"g\r\nhe\r\n0\r\n\r\n",
+        b"10000000000000002\r\nhe\r\n0\r\n\r\n",
+        b"2;\nx\r\nhe\r\n0\r\n\r\n",
+        b"0\r\nX-A : b\r\n\r\n",
+        b"0\r\nX-A\r\n\r\n",
+    ):
+        with case.subTest(body=body):
+            case.assertEqual(HTTPStatus.BAD_REQUEST, status_of(CHUNKED_HEAD + body))
+
+
+def test_limits() -> None:
+    long = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 200
+    case.assertEqual(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, status_of(long))
+    case.assertEqual(
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, status_of(long + b"\r\n\r\n")
+    )
+    stated = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n"
+    case.assertEqual(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, status_of(stated))
+    chunks = CHUNKED_HEAD + b"20\r\n" + b"a" * 32 + b"\r\n21\r\n" + b"a" * 33
+    case.assertEqual(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, status_of(chunks))
+
+
+def test_a_long_body_in_many_pieces_is_copied_once() -> None:
+    """A body of some megabytes comes in pieces of a few bytes.
+
+    Copying all that has come with each piece would hold up every other call of the
+    loop for seconds; so what a piece costs doesn't grow with what is there.
+    """
+    size, piece = 1 << 20, b"x" * 256
+    reader = RequestReader(ClientLimits(body_bytes=size))
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+    reader.feed(head)
+    case.assertIsNone(reader.next_request())
+    buffer = reader.buffer
+    for _ in range(size // len(piece) - 1):
+        reader.feed(piece)
+        case.assertIsNone(reader.next_request())
+    case.assertIs(buffer, reader.buffer)
+    reader.feed(piece)
+    message = reader.next_request()
+    assert message is not None
+    case.assertEqual(size, len(message.body))
+
+
+load_tests = function_tests(__name__)
