Don't keep a connection whose parser awaits the body of a HEAD answer

The parser isn't told that the request was HEAD. A head that states no length, or chunks, left it awaiting a body; the connection was kept all the same, and the next call's answer was read as that body (chunks: no answer in the protocol; no length: silence until the deadline). Only a head that rules a body out by itself keeps the connection now. A parser for each answer was weighed; it costs every call for a method that few use. Failed before: test_answers_to_head_leave_nothing_that_hides_the_next_one.

--- a/src/mimosafork/gateway/answer_reader.py
+++ b/src/mimosafork/gateway/answer_reader.py
@@ -125,7 +125,11 @@
         head = AnswerHead(self.status, self.reason, tuple(self.headers), self.framed)
         self.sink.head(head)
         if self.without_body:
-            self.stray = self.stray or length not in {None, b"0"}
+            # The parser doesn't know that the request was HEAD. Unless the head
+            # itself rules a body out, it would take the next answer for this one's
+            # body: a call whose answer never comes. The connection ends instead.
+            ruled_out = self.status in NO_BODY or (length == b"0" and coding is None)
+            self.stray = self.stray or not ruled_out
             self._end()
 
     def on_body(self, body: bytes) -> None:
