Test the gateway's policies on a kernel whose clock is set

Repeats, quarantine and the view of the endpoints had no tests of their own. They run on the real kernel with the gateway's plug-ins, a manual clock and plain endpoints: what may have run once is never repeated, the budget is that of all, leaving endpoints stay out whoever says so first.

--- /dev/null
+++ b/tests/support/gateway_kernels.py
@@ -0,0 +1,152 @@
+"""A gateway's kernel with its policies, plain endpoints and a clock that is set."""
+
+from dataclasses import replace
+from datetime import timedelta
+from random import Random
+
+from mimosafork.clock import ManualClock
+from mimosafork.gateway.policies import PLUGINS
+from mimosafork.ids import (
+    AccountId,
+    AvailabilityZoneId,
+    Digest,
+    EndpointId,
+    Incarnation,
+    InstanceId,
+    RequestId,
+    ServiceId,
+)
+from mimosafork.kernel.context import Identity
+from mimosafork.kernel.core import Kernel
+from mimosafork.kernel.messages.requests import (
+    AttemptFailed,
+    AttemptFinished,
+    CallTerms,
+    Conclude,
+    Dispatch,
+    Exposure,
+    FailureKind,
+    FirstToken,
+    Repeatability,
+    Request,
+    RequestKind,
+    RetryDue,
+)
+from mimosafork.kernel.messages.routing import EndpointUsable
+from mimosafork.kernel.registry import create
+from mimosafork.routing.listing import ListedEndpoint, ListedState
+
+from .kernels import Bench
+
+DESK = ServiceId("desks")
+ZONE = AvailabilityZoneId("zone-a")
+DEADLINE = timedelta(seconds=10)
+RETRY_PAUSE = timedelta(milliseconds=20)
+
+
+class GatewayBench(Bench):
+    """Adds what tests of a gateway's policies say often."""
+
+    def list_endpoint(self, name: str, slots: int = 8) -> None:
+        """Tell the kernel that an endpoint takes work."""
+        self.tell(EndpointUsable(listed(name, slots)))
+
+    def dispatches(self, request_id: str) -> list[Dispatch]:
+        """Return the attempts of a request so far."""
+        return [d for d in self.emitted(Dispatch) if d.request_id == request_id]
+
+    def begin(self, request: Request) -> Dispatch:
+        """Submit a request that is sent at once; return its attempt."""
+        self.submit(request)
+        return self.dispatches(request.request_id)[-1]
+
+    def fail(
+        self,
+        dispatch: Dispatch,
+        kind: FailureKind = FailureKind.BROKEN,
+        exposure: Exposure = Exposure.POSSIBLE,
+        status: int | None = None,
+        refusal: str | None = None,
+    ) -> None:
+        """Let an attempt fail."""
+        self.tell(
+            AttemptFailed(
+                dispatch.request_id,
+                dispatch.attempt,
+                kind,
+                exposure,
+                status=status,
+                refusal=refusal,
+                endpoint=dispatch.endpoint,
+                digest=digest_of(dispatch.request_id),
+            )
+        )
+
+    def finish(self, dispatch: Dispatch) -> None:
+        """Let an attempt answer and end well."""
+        self.tell(FirstToken(dispatch.request_id, dispatch.attempt))
+        self.tell(AttemptFinished(dispatch.request_id, dispatch.attempt))
+
+    def retried(self, dispatch: Dispatch) -> Dispatch | None:
+        """Let the pause pass; return the next attempt, if there is one."""
+        self.pass_time(RETRY_PAUSE, RetryDue(dispatch.request_id))
+        newest = self.dispatches(dispatch.request_id)[-1]
+        return newest if newest.attempt > dispatch.attempt else None
+
+    def concluded(self, request_id: str) -> Conclude:
+        """Return the end of a request, which must be one."""
+        found = self.conclusion(request_id)
+        assert found is not None
+        return found
+
+
+def gateway_bench(endpoints: int = 3) -> GatewayBench:
+    """Return a kernel that knows some plain endpoints."""
+    clock = ManualClock(start=timedelta(seconds=100))
+    identity = Identity(InstanceId("entry-1"), Incarnation(1), ZONE)
+    kernel = Kernel(identity, clock, Random(1), create(PLUGINS))
+    bench = GatewayBench(kernel, clock)
+    for number in range(endpoints):
+        bench.list_endpoint(f"desk-{number}")
+    return bench
+
+
+def listed(name: str, slots: int = 8) -> ListedEndpoint:
+    """Return a listed plain endpoint."""
+    return ListedEndpoint(
+        EndpointId(name),
+        DESK,
+        "127.0.0.1:1",
+        ZONE,
+        slots,
+        ListedState.READY,
+    )
+
+
+def digest_of(request_id: str) -> Digest:
+    """Return the digest of a request: by its id up to a dash."""
+    return Digest(request_id.partition("-")[0].encode().hex())
+
+
+def request_of(
+    bench: GatewayBench,
+    request_id: str,
+    once: bool = False,
+    time: timedelta = DEADLINE,
+    **terms: int,
+) -> Request:
+    """Return a call of the plain service; `once` if it may run only once."""
+    repeatable = Repeatability.IDEMPOTENT
+    usual = CallTerms(max_attempts=3, objective=timedelta(milliseconds=300))
+    return Request(
+        request_id=RequestId(request_id),
+        account=AccountId("account-a"),
+        kind=RequestKind.SERVICE,
+        target=DESK,
+        prompt_tokens=0,
+        max_tokens=0,
+        deadline=bench.clock.monotonic() + time,
+        body_digest=digest_of(request_id),
+        repeatability=Repeatability.NON_IDEMPOTENT if once else repeatable,
+        terms=replace(usual, **terms),  # type: ignore[arg-type]
+    )
--- /dev/null
+++ b/tests/unit/gateway/test_fleet_view.py
@@ -0,0 +1,111 @@
+"""Tests of what an instance believes of each endpoint."""
+
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.gateway.policies.fleet_view import (
+    LONGEST_ABSENCE,
+    SUSPECT_FOR,
+    UNREACHED_FOR,
+    FleetView,
+)
+from mimosafork.ids import EndpointId
+from mimosafork.kernel.messages.base import Tick
+from mimosafork.kernel.messages.requests import Exposure, FailureKind
+from mimosafork.kernel.messages.routing import EndpointLeaving
+
+from ...support.functions import function_tests
+from ...support.gateway_kernels import (
+    DESK,
+    GatewayBench,
+    gateway_bench,
+    request_of,
+)
+
+case = TestCase()
+
+MOMENT = timedelta(milliseconds=1)
+
+
+def usable(bench: GatewayBench) -> set[str]:
+    now = bench.clock.monotonic()
+    views = (b.view(now) for b in bench.kernel.plugin(FleetView).of_service(DESK))
+    return {view.endpoint for view in views if view.usable}
+
+
+def suspects(bench: GatewayBench) -> set[str]:
+    now = bench.clock.monotonic()
+    views = (b.view(now) for b in bench.kernel.plugin(FleetView).of_service(DESK))
+    return {view.endpoint for view in views if view.suspect}
+
+
+def miss(bench: GatewayBench, request_id: str) -> None:
+    """Let a call be placed on an endpoint that can't be connected to."""
+    first = bench.begin(request_of(bench, request_id, time=timedelta(seconds=60)))
+    bench.fail(first, FailureKind.UNREACHED, Exposure.NEVER_SENT)
+
+
+def test_an_unreached_endpoint_is_left_alone_longer_each_time() -> None:
+    bench = gateway_bench(endpoints=1)
+    absence = UNREACHED_FOR
+    for number in range(4):
+        miss(bench, f"a{number}")
+        bench.pass_time(absence - MOMENT, Tick())
+        case.assertEqual(set(), usable(bench))
+        bench.clock.advance(MOMENT)
+        case.assertEqual({"desk-0"}, usable(bench))
+        absence = min(LONGEST_ABSENCE, absence * 2)
+
+
+def test_one_at_another_address_is_left_alone() -> None:
+    bench = gateway_bench(endpoints=2)
+    first = bench.begin(request_of(bench, "a"))
+    bench.fail(first, FailureKind.REFUSED, Exposure.REFUSED, 421, "elsewhere")
+    case.assertNotIn(first.endpoint, usable(bench))
+
+
+def test_failures_make_a_suspect_for_a_while() -> None:
+    bench = gateway_bench(endpoints=2)
+    first = bench.begin(request_of(bench, "a"))
+    bench.fail(first)
+    case.assertEqual({first.endpoint}, suspects(bench))
+    case.assertEqual(2, len(usable(bench)))
+    bench.clock.advance(SUSPECT_FOR)
+    for number in range(3):
+        case.assertEqual(first.endpoint in suspects(bench), number < 1)
+        bench.kernel.plugin(FleetView).endpoints[first.endpoint].note_outcome(
+            False, bench.clock.monotonic()
+        )
+
+
+def test_an_answer_of_its_own_is_no_failure_of_the_endpoint() -> None:
+    bench = gateway_bench(endpoints=2)
+    first = bench.begin(request_of(bench, "a"))
+    bench.fail(first, FailureKind.ENGINE_FAILED, status=500)
+    case.assertEqual(set(), suspects(bench))
+
+
+def test_a_leaving_endpoint_gets_nothing_new_whoever_says_so_first() -> None:
+    """A call reaches an endpoint that has left.
+
+    A peer told that the endpoint drains before this instance's own list did; the
+    list, older, then said that it is ready, and brought it back.
+    """
+    bench = gateway_bench(endpoints=2)
+    bench.tell(EndpointLeaving(EndpointId("desk-0"), final=True))
+    bench.list_endpoint("desk-0")
+    case.assertEqual({"desk-1"}, usable(bench))
+    bench.tell(EndpointLeaving(EndpointId("desk-9"), final=True))
+    bench.list_endpoint("desk-9")
+    case.assertEqual({"desk-1"}, usable(bench))
+
+
+def test_one_that_was_merely_missing_may_come_back() -> None:
+    bench = gateway_bench(endpoints=2)
+    bench.tell(EndpointLeaving(EndpointId("desk-0")))
+    case.assertEqual({"desk-1"}, usable(bench))
+    bench.list_endpoint("desk-0")
+    case.assertEqual({"desk-0", "desk-1"}, usable(bench))
+
+
+load_tests = function_tests(__name__)
--- /dev/null
+++ b/tests/unit/gateway/test_retrying.py
@@ -0,0 +1,158 @@
+"""Tests of repeats: what may run again, how often, and on whose budget."""
+
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.gateway.policies.retrying import MOST_SENDS, BudgetedRetry
+from mimosafork.ids import ServiceId
+from mimosafork.kernel.messages.requests import (
+    Dispatch,
+    Exposure,
+    FailureKind,
+    Outcome,
+    ProblemCode,
+)
+from mimosafork.kernel.messages.sharing import FleetSpending, SpendingGrown
+
+from ...support.functions import function_tests
+from ...support.gateway_kernels import GatewayBench, gateway_bench, request_of
+
+case = TestCase()
+
+LOST = (
+    FailureKind.BROKEN,
+    FailureKind.INVALID,
+    FailureKind.STALLED,
+    FailureKind.ENGINE_FAILED,
+)
+
+
+def refuse(bench: GatewayBench, dispatch: Dispatch) -> None:
+    bench.fail(dispatch, FailureKind.REFUSED, Exposure.REFUSED, 503, "not-run")
+
+
+def test_what_may_have_run_and_may_run_once_is_never_repeated() -> None:
+    """A payment is made twice.
+
+    The endpoint ran the call and its answer was lost; the instance sent the call to
+    another endpoint. The caller must get an answer that promises nothing instead.
+    """
+    for kind in LOST:
+        bench = gateway_bench()
+        first = bench.begin(request_of(bench, "a", once=True))
+        bench.fail(first, kind)
+        case.assertIsNone(bench.retried(first))
+        case.assertIs(Outcome.UNKNOWN, bench.concluded("a").outcome)
+
+
+def test_what_surely_did_not_run_is_sent_elsewhere() -> None:
+    for kind, exposure in (
+        (FailureKind.REFUSED, Exposure.REFUSED),
+        (FailureKind.UNREACHED, Exposure.NEVER_SENT),
+    ):
+        bench = gateway_bench()
+        first = bench.begin(request_of(bench, "a", once=True))
+        bench.fail(first, kind, exposure)
+        second = bench.retried(first)
+        assert second is not None
+        case.assertNotEqual(first.endpoint, second.endpoint)
+
+
+def test_only_what_no_endpoint_ran_is_told_as_not_run() -> None:
+    bench = gateway_bench()
+    last: Dispatch | None = bench.begin(request_of(bench, "a", once=True))
+    while last is not None:
+        refuse(bench, last)
+        last = bench.retried(last)
+    end = bench.concluded("a")
+    assert end.problem is not None
+    case.assertIs(Outcome.NOT_RUN, end.outcome)
+    case.assertIs(ProblemCode.NO_ENDPOINT, end.problem.code)
+    case.assertIsNotNone(end.problem.retry_after)
+    case.assertEqual(MOST_SENDS, end.attempts)
+
+
+def test_a_repeatable_call_that_ran_once_is_never_told_as_not_run() -> None:
+    bench = gateway_bench()
+    first = bench.begin(request_of(bench, "a", max_attempts=2))
+    bench.fail(first)
+    last = bench.retried(first)
+    while last is not None:
+        refuse(bench, last)
+        last = bench.retried(last)
+    case.assertIs(Outcome.FAILED, bench.concluded("a").outcome)
+
+
+def test_attempts_are_bounded() -> None:
+    bench = gateway_bench()
+    last: Dispatch | None = bench.begin(request_of(bench, "a", max_attempts=2))
+    while last is not None:
+        bench.fail(last)
+        last = bench.retried(last)
+    case.assertEqual(2, bench.concluded("a").attempts)
+
+
+def test_an_endpoints_own_answer_below_500_is_final() -> None:
+    bench = gateway_bench()
+    first = bench.begin(request_of(bench, "a"))
+    bench.fail(first, FailureKind.ENGINE_FAILED, status=404)
+    case.assertIsNone(bench.retried(first))
+    second = bench.begin(request_of(bench, "b"))
+    bench.fail(second, FailureKind.ENGINE_FAILED, status=500)
+    case.assertIsNotNone(bench.retried(second))
+
+
+def test_nothing_is_repeated_when_hardly_any_time_is_left() -> None:
+    bench = gateway_bench()
+    first = bench.begin(request_of(bench, "a", time=timedelta(milliseconds=59)))
+    bench.fail(first)
+    case.assertIsNone(bench.retried(first))
+
+
+def test_the_budget_is_that_of_all_instances() -> None:
+    """An endpoint fails, and each instance repeats as if it were alone.
+
+    Together they send several times as much as is allowed, and the endpoints that
+    are left go under.
+    """
+    bench = gateway_bench()
+    policy = bench.kernel.plugin(BudgetedRetry)
+    policy.ratio, policy.slack = 0.1, 10.0
+    for requests, repeats, share, allowed in (
+        (100, 0, 1.0, True),
+        (100, 16, 1.0, True),
+        (100, 17, 1.0, False),
+        (0, 6, 1.0, True),
+        (0, 7, 1.0, False),
+        (0, 3, 0.5, False),
+        (0, 2, 0.5, True),
+    ):
+        told = FleetSpending(requests, repeats, share)
+        policy.spent = lambda _, told=told: told  # type: ignore[misc]
+        name = f"a{requests}x{repeats}x{share}"
+        first = bench.begin(request_of(bench, name))
+        bench.fail(first)
+        case.assertEqual(allowed, bench.retried(first) is not None, name)
+
+
+def test_what_reached_no_endpoint_costs_no_budget() -> None:
+    bench = gateway_bench()
+    bench.kernel.plugin(BudgetedRetry).slack = 0.0
+    first = bench.begin(request_of(bench, "a"))
+    bench.fail(first, FailureKind.UNREACHED, Exposure.NEVER_SENT)
+    case.assertIsNotNone(bench.retried(first))
+    case.assertEqual(0, bench.emitted(SpendingGrown)[-1].repeats)
+
+
+def test_requests_and_repeats_are_counted_for_peers() -> None:
+    bench = gateway_bench()
+    first = bench.begin(request_of(bench, "a"))
+    bench.fail(first)
+    second = bench.retried(first)
+    assert second is not None
+    bench.finish(second)
+    told = bench.emitted(SpendingGrown)[-1]
+    case.assertEqual(SpendingGrown(ServiceId("desks"), 1, 1), told)
+
+
+load_tests = function_tests(__name__)
