Clear a suspicion when its content has run well, and forget old ones

The quarantine looked the record up when it heard that the last attempt had finished, but the kernel has taken the record away by then: nothing was ever cleared, so crashes of other causes under a content that many send added up until it was refused for a minute. It goes by the conclusion now. Each content also left an entry until the same content came again (201 after 200 contents and a minute of silence); they are kept in the order in which they were seen, and old ones go when a new one comes. Failed before: test_a_run_that_ends_well_clears_its_content and test_suspicions_end_and_leave_nothing_behind.

--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -9,13 +9,13 @@
 from ...kernel.messages.base import Message
 from ...kernel.messages.requests import (
     AttemptFailed,
-    AttemptFinished,
     FailureKind,
+    Outcome,
     Problem,
     ProblemCode,
 )
 from ...kernel.messages.sharing import CrashCleared, CrashSuspected, CrashTold
-from ...kernel.plugins import Proceed, Refuse, Stage, Verdict
+from ...kernel.plugins import Concluded, Proceed, Refuse, Stage, Verdict
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
 
@@ -41,6 +41,7 @@
     order = 20
 
     def __init__(self) -> None:
+        # The one that was seen last stands last.
         self.suspicions: dict[Digest, Suspicion] = {}
 
     def review(self, record: RequestRecord, context: Context) -> Verdict:
@@ -49,7 +50,6 @@
         if suspicion is None:
             return Proceed()
         if context.now - suspicion.seen_at > KEPT_FOR:
-            del self.suspicions[record.request.body_digest]
             return Proceed()
         if len(suspicion.endpoints) <= CRASHES:
             return Proceed()
@@ -64,25 +64,38 @@
     def _(self, message: AttemptFailed, context: Context) -> None:
         if message.kind is not FailureKind.BROKEN or message.digest is None:
             return
-        suspicion = self.suspicions.setdefault(message.digest, Suspicion())
-        suspicion.seen_at = context.now
+        suspicion = self._seen(message.digest, context.now)
         if message.endpoint is not None:
             suspicion.endpoints.add(message.endpoint)
             context.emit(CrashSuspected(message.digest, message.endpoint))
 
     @handle.register
-    def _(self, message: AttemptFinished, context: Context) -> None:
-        record = context.state.requests.get(message.request_id)
-        if record is None:
+    def _(self, message: Concluded, context: Context) -> None:
+        # By its conclusion, as the record is gone when its last attempt's end is
+        # told: a content that ran well was never cleared, and its crashes of other
+        # causes added up until it was refused.
+        if message.conclusion.outcome is not Outcome.COMPLETED:
             return
-        if self.suspicions.pop(record.request.body_digest, None) is not None:
-            context.emit(CrashCleared(record.request.body_digest))
+        digest = message.record.request.body_digest
+        if self.suspicions.pop(digest, None) is not None:
+            context.emit(CrashCleared(digest))
 
     @handle.register
     def _(self, message: CrashTold, context: Context) -> None:
         if message.cleared:
             self.suspicions.pop(message.digest, None)
             return
-        suspicion = self.suspicions.setdefault(message.digest, Suspicion())
-        suspicion.endpoints.update(message.endpoints)
-        suspicion.seen_at = context.now
+        self._seen(message.digest, context.now).endpoints.update(message.endpoints)
+
+    def _seen(self, digest: Digest, now: timedelta) -> Suspicion:
+        """Return the suspicion of a content that was seen now; forget old ones."""
+        suspicion = self.suspicions.pop(digest, None)
+        if suspicion is None or now - suspicion.seen_at > KEPT_FOR:
+            suspicion = Suspicion()
+        suspicion.seen_at = now
+        self.suspicions[digest] = suspicion
+        oldest = next(iter(self.suspicions))
+        while now - self.suspicions[oldest].seen_at > KEPT_FOR:
+            del self.suspicions[oldest]
+            oldest = next(iter(self.suspicions))
+        return suspicion
