Use endpoints again that report to the store after a cut

Change: a row that is there again and doesn't expire for 3.9 s counts; one late report of an endpoint that left expires before. Peers' words go through the directory, which weighs them like the store's. The feeds wait 1.6 and 2.5 s, as empty waits cost calls.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -162,6 +163,19 @@
         self.horizon.see(row.version)
         self.take_endpoint(row, Teller.PEER)
 
+    def offer_gone(self, endpoint: EndpointId, version: int) -> None:
+        """Take a peer's word that an endpoint's row is no longer there."""
+        known = self.book.entries.get(endpoint)
+        if known is not None:
+            row = replace(known.row, value=b"", version=version, removed=True)
+            self.take_endpoint(row, Teller.PEER)
+
+    def offer_draining(self, endpoint: EndpointId) -> None:
+        """Take a peer's word that an endpoint leaves."""
+        changed = self.book.drain_known(endpoint, Teller.PEER)
+        if changed is not None:
+            self.tell_endpoint(changed)
+
     def take_configuration(self, row: Row, teller: Teller) -> None:
         """Take a configuration's row and tell what changed."""
         try:
--- a/src/mimosafork/directory/endpoint_book.py
+++ b/src/mimosafork/directory/endpoint_book.py
@@ -15,6 +15,9 @@
 UNTOLD = {"sequence": 0, "cold_remaining": timedelta(0), "state": ListedState.READY}
 """Fields of a listing whose change alone is not told, set to values that are equal."""
 
+ROW_EXPIRY = timedelta(milliseconds=3900)
+"""Longer than a row outlives the last report of its endpoint."""
+
 
 @dataclass(frozen=True, slots=True)
 class GoneWord:
@@ -36,6 +39,15 @@
     since: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class Reappearance:
+    """A gone endpoint whose row is there again, since a monotonic instant."""
+
+    row: Row
+    listed: ListedEndpoint
+    since: timedelta
+
+
 class EndpointBook:
     """Decides what each row says about its endpoint.
 
@@ -67,6 +79,7 @@
         self.gone_kept = gone_kept
         self.entries: dict[EndpointId, DirectoryEntry] = {}
         self.gone: dict[EndpointId, GoneWord] = {}
+        self.reappeared: dict[EndpointId, Reappearance] = {}
 
     def take(self, row: Row, teller: Teller) -> EndpointChanged | None:
         """Take one word.
@@ -87,14 +100,58 @@
         word = self.gone.get(endpoint)
         # Guard: a row read late, or a last report that crossed the removal, comes
         # after the endpoint is gone. Taken, calls would go to an address that is
-        # another's by then. Only what vanished around an outage may come back.
-        if word is not None and (word.sure or row.version <= word.row.version):
+        # another's by then. What vanished around an outage may come back at once,
+        # anything else only when its row lasts.
+        if word is not None and row.version <= word.row.version:
             return None
         listed = self.source.decode(row)
+        if word is not None and word.sure:
+            self.note_again(row, listed)
+            return None
         if listed.state is ListedState.DRAINING:
             return self.drain(row, listed, teller)
         return self.ready(row, listed, teller)
 
+    def note_again(self, row: Row, listed: ListedEndpoint) -> None:
+        """Note that a gone endpoint's row is there again.
+
+        An endpoint that was cut off from the store, and not from its callers, is
+        removed after some silence, and reports again when the cut is over; were it
+        left out for good, each cut would cost its zone's endpoints. One late report
+        of an endpoint that has really left is the last: its row expires again.
+        """
+        if listed.state is not ListedState.READY:
+            return
+        if listed.endpoint not in self.reappeared:
+            now = self.clock.monotonic()
+            self.reappeared[listed.endpoint] = Reappearance(row, listed, now)
+
+    def revive(self, teller: Teller) -> list[EndpointChanged]:
+        """Use endpoints again whose rows have not expired since they are back."""
+        now = self.clock.monotonic()
+        lasting = [
+            each for each in self.reappeared.values() if now - each.since >= ROW_EXPIRY
+        ]
+        revived = []
+        for each in lasting:
+            del self.reappeared[each.listed.endpoint]
+            self.gone.pop(each.listed.endpoint, None)
+            changed = self.ready(each.row, each.listed, teller)
+            if changed is not None:
+                revived.append(changed)
+        return revived
+
+    def drain_known(
+        self, endpoint: EndpointId, teller: Teller
+    ) -> EndpointChanged | None:
+        """Take a word without a row that an endpoint leaves."""
+        known = self.entries.get(endpoint)
+        if known is None or known.state is EndpointState.DRAINING:
+            return None
+        entry = replace(known, state=EndpointState.DRAINING)
+        self.entries[endpoint] = entry
+        return EndpointChanged(entry, teller)
+
     def ready(
         self, row: Row, listed: ListedEndpoint, teller: Teller
     ) -> EndpointChanged | None:
@@ -135,6 +192,7 @@
         """Take the word that a row is no longer there."""
         endpoint = EndpointId(row.key)
         known = self.entries.get(endpoint)
+        self.reappeared.pop(endpoint, None)
         if known is None:
             self.remember(row, sure=not self.health.in_doubt)
             return None
@@ -205,15 +263,17 @@
         if self.health.in_doubt:
             return ()
         self.prune()
+        revived = self.revive(teller)
         missing = [
             entry
             for entry in self.entries.values()
             if entry.missing_version is not None
         ]
-        return tuple(
+        forgotten = [
             self.forget(entry, removal_of(entry), teller, sure=False)
             for entry in missing
-        )
+        ]
+        return tuple(forgotten + revived)
 
     def prune(self) -> None:
         """Drop words about endpoints that are long gone."""
--- a/src/mimosafork/directory/settings.py
+++ b/src/mimosafork/directory/settings.py
@@ -38,8 +38,10 @@
     Attributes
     ----------
     configuration, endpoints : FollowSettings
-        Endpoints rewrite their rows all the time, so their feed seldom waits; its
-        short wait finds silence early and costs no call.
+        A report that changes nothing but its number does not wake a feed (played
+        days), so each wait that ends empty is a call that costs; the endpoints' wait
+        is the shorter one, as a silent connection must be found within two seconds
+        and a half for leaving endpoints to be known in time.
     return_grace : timedelta
         What vanished while the store was unavailable, or this soon after its
         return, may be back until then.
@@ -53,10 +55,10 @@
     """
 
     configuration: FollowSettings = field(
-        default_factory=lambda: FollowSettings(pause=ms(100), wait=ms(4000))
+        default_factory=lambda: FollowSettings(pause=ms(100), wait=ms(2500))
     )
     endpoints: FollowSettings = field(
-        default_factory=lambda: FollowSettings(pause=ms(250), wait=ms(600))
+        default_factory=lambda: FollowSettings(pause=ms(250), wait=ms(1600))
     )
     return_grace: timedelta = ms(2000)
     least_outage: timedelta = ms(2000)
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -23,7 +23,7 @@
 from ..gossip.state import HeardWork
 from ..ids import Digest, EndpointId, InstanceId, RequestId, ServiceId
 from ..kernel.messages.base import Effect, Message
-from ..kernel.messages.routing import EndpointLeaving, PeerSilent, PeerWorkTold
+from ..kernel.messages.routing import PeerSilent, PeerWorkTold
 from ..kernel.messages.sharing import (
     CrashCleared,
     CrashSuspected,
@@ -133,9 +133,14 @@
             )
         if isinstance(change, TableChanged) or change.entry.takes_new_work:
             return
-        gone = change.entry.state is EndpointState.GONE
-        said = EndpointWord(Word.GONE if gone else Word.LEAVING, 1)
-        self.gossip.publish_endpoint_word(change.endpoint, said)
+        if change.entry.state is EndpointState.DRAINING:
+            said = EndpointWord(Word.LEAVING, change.entry.row.version)
+            self.gossip.publish_endpoint_word(change.endpoint, said)
+            return
+        word = self.directory.book.gone.get(change.endpoint)
+        if word is not None and word.sure:
+            said = EndpointWord(Word.GONE, word.row.version)
+            self.gossip.publish_endpoint_word(change.endpoint, said)
 
     def offer_versions(self) -> None:
         """Tell peers which versions this instance can hand over."""
@@ -176,7 +181,10 @@
 
     def endpoint_word(self, endpoint: EndpointId, said: EndpointWord) -> None:
         """Take a peer's word that an endpoint takes no new work."""
-        self.post(EndpointLeaving(endpoint, final=said.word is Word.LEAVING))
+        if said.word is Word.LEAVING:
+            self.directory.offer_draining(endpoint)
+        else:
+            self.directory.offer_gone(endpoint, said.version)
 
     def suspicion_told(self, digest: bytes, known: Suspicion) -> None:
         """Take what all know of a suspected request."""
--- a/tests/unit/directory/test_endpoints.py
+++ b/tests/unit/directory/test_endpoints.py
@@ -73,6 +73,46 @@
         case.assertIsNone(world.state("a"))
 
 
+def test_an_endpoint_that_was_cut_off_from_the_store_is_used_again() -> None:
+    """A zone is cut off from the store, its endpoints' rows expire, the cut heals.
+
+    The endpoints serve all the while and report again under the same ids. Left out
+    for good, each cut would cost the fleet a zone's endpoints until they restart.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), page(12, removed("a", 12)))
+        world.endpoints(page(20, listed("a", 20)))
+        case.assertIsNone(world.state("a"))
+        world.pass_time(4)
+        world.endpoints(page(25))
+        case.assertEqual(READY, world.state("a"))
+        case.assertEqual("a ready", world.words()[-1])
+
+
+def test_one_late_report_does_not_bring_an_endpoint_back() -> None:
+    """An endpoint leaves without a word; its last report crosses its removal.
+
+    No further report follows and the row expires again, so that nothing is sent to
+    an address that may be another service's by then.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), page(12, removed("a", 12)))
+        world.endpoints(page(14, listed("a", 13)))
+        world.pass_time(3.7)
+        world.endpoints(page(25, removed("a", 24)))
+        world.pass_time(10)
+        world.endpoints(page(26))
+        case.assertIsNone(world.state("a"))
+
+
+def test_a_peers_words_about_leaving_endpoints_count() -> None:
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4), listed("b", 5)))
+        world.directory.offer_draining(EndpointId("a"))
+        world.directory.offer_gone(EndpointId("b"), 7)
+        case.assertEqual(["a draining", "b gone"], world.words()[2:])
+
+
 def test_an_old_removal_does_not_end_a_newer_life_of_the_row() -> None:
     with directory_world() as world:
         world.endpoints(page(30, listed("a", 25)))
