Tell in a call's lines who decided, by what, and how old that was

Cause: from the gateway's lines one saw how a call ended, but not which rule ended it, which configuration it was taken by, when it was placed, or what was known of endpoints and peers at that moment. Changes of belief about endpoints had no line.

Change: a module writes the lines of calls. An endpoint that is left alone, suspected or back is told once a change; a tick that comes over a second late is told by the clock that counts suspensions too. The JSON form leaves out fields without a value and the main thread's name.

--- a/src/mimosafork/gateway/call.py
+++ b/src/mimosafork/gateway/call.py
@@ -1,16 +1,17 @@
 """A caller's call while it is open: what has been sent to the caller of it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Protocol
 
-from ..ids import AccountId, RequestId
-from ..kernel.messages.requests import Request
+from ..ids import AccountId, EndpointId, RequestId
+from ..kernel.messages.requests import Helper, Request
 from ..routing.table import Route
 from .answer_reader import AnswerHead
 from .dialect import CallMarks
 from .event_stream import StreamEvent
 from .heads import Header
+from .outlook import Inputs
 from .request_reader import RequestMessage
 
 
@@ -62,8 +63,22 @@
     failure : WholeAnswer or None
         An endpoint's own answer that tells of a failure, for the caller if nothing
         better follows.
-    first_sent_at : timedelta or None
-        When the first event, or the answer, went out.
+    first_sent_at, last_sent_at : timedelta or None
+        When the first event, or the answer, and the latest event went out.
+    cut : bool
+        The connection was closed in the middle of the answer, which had begun.
+    longest_pause : timedelta or None
+        Between two events in turn; None before the second.
+    version : int or None
+        Of the configuration by which it was taken.
+    endpoints : list of EndpointId
+        To which it was sent, in order.
+    helpers : tuple of Helper
+        Of the latest attempt.
+    placed_at : timedelta or None
+        When it was first given a place.
+    inputs : Inputs or None
+        By which it was last given one.
     """
 
     request_id: RequestId
@@ -81,6 +96,14 @@
     first_sent_at: timedelta | None = None
     status: int = 0
     concluded: bool = False
+    cut: bool = False
+    last_sent_at: timedelta | None = None
+    longest_pause: timedelta | None = None
+    version: int | None = None
+    endpoints: list[EndpointId] = field(default_factory=list)
+    helpers: tuple[Helper, ...] = ()
+    placed_at: timedelta | None = None
+    inputs: Inputs | None = None
 
     @property
     def begun(self) -> bool:
@@ -109,7 +132,15 @@
             if self.last_event is not None and event.number <= self.last_event:
                 return
             self.last_event = event.number
-        if self.first_sent_at is None:
-            self.first_sent_at = now
+        self._note_pause(now)
         self.events += 1
         self.responder.part(event.data)
+
+    def _note_pause(self, now: timedelta) -> None:
+        if self.first_sent_at is None:
+            self.first_sent_at = now
+        if self.last_sent_at is not None:
+            pause = now - self.last_sent_at
+            if self.longest_pause is None or pause > self.longest_pause:
+                self.longest_pause = pause
+        self.last_sent_at = now
--- /dev/null
+++ b/src/mimosafork/gateway/call_lines.py
@@ -0,0 +1,216 @@
+"""The log lines of calls: how each ended, who decided it, and by what."""
+
+import logging
+from collections.abc import Iterable
+from datetime import timedelta
+
+from ..clock import Clock
+from ..ids import ServiceId
+from ..kernel.messages.base import Effect
+from ..kernel.messages.requests import (
+    AttemptFailed,
+    Conclude,
+    Dispatch,
+    ProblemCode,
+    WakeAt,
+)
+from ..routing.table import RoutingTable
+from ..telemetry.catalogue.gateway import (
+    ATTEMPT_FAILED,
+    CALL_ENDED,
+    CALL_NOT_SERVED,
+    CALL_REFUSED,
+)
+from ..telemetry.logs import log_event
+from .call import Call
+from .dialect import CallMarks
+from .intake import Refusal
+from .outlook import LineFields, Look, Unknown, milliseconds
+from .policies.placing import WorkPlacer
+from .policies.quarantining import CrashQuarantine
+from .policies.retrying import BudgetedRetry
+from .request_reader import RequestMessage
+
+logger = logging.getLogger(__name__)
+
+ROUTING = "routing"
+"""The rule that refuses what no route or key of the configuration fits."""
+
+RULES = {
+    ProblemCode.QUARANTINED: CrashQuarantine.name,
+    ProblemCode.OVERLOADED: WorkPlacer.name,
+    ProblemCode.NO_ENDPOINT: BudgetedRetry.name,
+    ProblemCode.ENDPOINT_FAILED: BudgetedRetry.name,
+    ProblemCode.DEADLINE_PASSED: "deadline",
+    ProblemCode.CALLER_GONE: "caller",
+    ProblemCode.SHUTTING_DOWN: "stop",
+}
+"""Who decides that a call ends with a problem: a plug-in, or what happened."""
+
+LIST_MARK = ","
+
+
+class CallLines:
+    """Writes one line for each attempt that failed and for each call's end.
+
+    Parameters
+    ----------
+    clock : Clock
+        The kernel's.
+
+    Attributes
+    ----------
+    look : Look
+        Tells what decisions go by.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.look: Look = Unknown()
+
+    def placed(self, call: Call, dispatch: Dispatch) -> None:
+        """Note where a call goes, and by what; its end tells it."""
+        if call.placed_at is None:
+            call.placed_at = self.clock.monotonic()
+        call.endpoints.append(dispatch.endpoint)
+        call.helpers = dispatch.helpers
+        call.inputs = self.look.inputs(ServiceId(call.request.target))
+
+    def refused(
+        self,
+        message: RequestMessage,
+        marks: CallMarks,
+        refusal: Refusal,
+        table: RoutingTable | None,
+    ) -> None:
+        """Tell of a call that no route or key fits."""
+        inputs = self.look.inputs(ServiceId(""))
+        log_event(
+            logger,
+            CALL_REFUSED,
+            call=marks.call_id,
+            reason=refusal.reason,
+            status=int(refusal.status),
+            host=message.head.host,
+            path=message.head.path,
+            version=None if table is None else table.version,
+            rule=ROUTING,
+            table_age_ms=milliseconds(inputs.table_age),
+            peers=inputs.peers,
+        )
+
+    def attempt_failed(
+        self, call: Call, failure: AttemptFailed, reused: bool, then: Iterable[Effect]
+    ) -> None:
+        """Tell of an attempt without a whole answer, and of what was decided.
+
+        Parameters
+        ----------
+        reused : bool
+            Its connection had served another call.
+        then : iterable of Effect
+            What the kernel decided on it.
+        """
+        now = self.clock.monotonic()
+        log_event(
+            logger,
+            ATTEMPT_FAILED,
+            call=call.marks.call_id,
+            **self._whose(call),
+            endpoint=failure.endpoint,
+            helpers=helpers_of(call),
+            attempt=failure.attempt,
+            kind=failure.kind.value,
+            exposure=failure.exposure.value,
+            repeatability=call.request.repeatability.value,
+            status=failure.status,
+            refusal=failure.refusal,
+            fault_at=failure.fault_at,
+            events=call.events,
+            reused=reused,
+            after_ms=milliseconds(now - call.arrived_at),
+            left_ms=milliseconds(call.request.deadline - now),
+            rule=BudgetedRetry.name,
+            then=decided(then),
+            **self.look.inputs(ServiceId(call.request.target)).fields(),
+        )
+
+    def ended(self, call: Call, conclusion: Conclude) -> None:
+        """Tell how a call ended: shortly where it was served."""
+        if conclusion.problem is None:
+            self._served(call, conclusion)
+        else:
+            self._not_served(call, conclusion)
+
+    def _served(self, call: Call, conclusion: Conclude) -> None:
+        inputs = call.inputs.fields() if call.inputs is not None else {}
+        log_event(
+            logger,
+            CALL_ENDED,
+            call=call.marks.call_id,
+            **self._whose(call),
+            status=call.status,
+            attempts=conclusion.attempts,
+            **self._course(call),
+            **inputs,
+        )
+
+    def _not_served(self, call: Call, conclusion: Conclude) -> None:
+        problem = conclusion.problem
+        assert problem is not None
+        log_event(
+            logger,
+            CALL_NOT_SERVED,
+            call=call.marks.call_id,
+            **self._whose(call),
+            outcome=conclusion.outcome.value,
+            status=call.status,
+            cut=call.cut,
+            rule=RULES.get(problem.code, "kernel"),
+            why=problem.code.value,
+            detail=problem.detail,
+            repeatability=call.request.repeatability.value,
+            allowed_ms=milliseconds(call.request.deadline - call.arrived_at),
+            attempts=conclusion.attempts,
+            **self._course(call),
+            load_age_ms=milliseconds(self.look.load_age()),
+            **self.look.inputs(ServiceId(call.request.target)).fields(),
+        )
+
+    def _whose(self, call: Call) -> LineFields:
+        return {
+            "route": call.route.name,
+            "account": call.account,
+            "service": call.request.target,
+            "version": call.version,
+        }
+
+    def _course(self, call: Call) -> LineFields:
+        return {
+            "endpoints": LIST_MARK.join(call.endpoints),
+            "helpers": helpers_of(call),
+            "prompt_tokens": call.request.prompt_tokens,
+            "events": call.events,
+            "waited_ms": since_arrival(call, call.placed_at),
+            "first_ms": since_arrival(call, call.first_sent_at),
+            "pause_ms": milliseconds(call.longest_pause),
+            "total_ms": since_arrival(call, self.clock.monotonic()),
+        }
+
+
+def helpers_of(call: Call) -> str | None:
+    """Return the helpers of a call's last attempt; None if it had none."""
+    return LIST_MARK.join(each.endpoint for each in call.helpers) or None
+
+
+def since_arrival(call: Call, instant: timedelta | None) -> int | None:
+    """Return milliseconds from a call's first byte; None if it never came to it."""
+    return None if instant is None else milliseconds(instant - call.arrived_at)
+
+
+def decided(effects: Iterable[Effect]) -> str:
+    """Return what becomes of a call after a failed attempt."""
+    kinds = {type(effect) for effect in effects}
+    if Conclude in kinds:
+        return "given up"
+    return "tried again" if kinds & {WakeAt, Dispatch} else "waits"
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from ..clock import Clock
+from ..gossip.boot_clock import BootClock
 from ..ids import RequestId
 from ..kernel.core import TICK, Kernel
 from ..kernel.messages.base import Effect, Message, Tick
@@ -25,21 +26,18 @@
     WakeAt,
 )
 from ..routing.table import ClientLimits, RoutingTable
-from ..telemetry.catalogue.gateway import (
-    ATTEMPT_FAILED,
-    CALL_ENDED,
-    CALL_NOT_SERVED,
-    CALL_REFUSED,
-    MALFORMED_REQUEST,
-)
+from ..telemetry.catalogue.gateway import FREEZE_NOTICED, MALFORMED_REQUEST
 from ..telemetry.logs import log_event
 from .attempt import AttemptTools, EndpointAttempt, deliver
 from .call import Call
+from .call_lines import CallLines
 from .client_connection import ClientConnection
 from .dialect import CallMarks, Dialect
 from .errors import BadRequestError
+from .freeze import FreezeWatch
 from .heads import Header
 from .intake import Admission, Refusal, admit
+from .outlook import milliseconds
 from .pool import ConnectionPool
 from .problems import final_status
 from .request_reader import RequestMessage
@@ -78,6 +76,8 @@
         self.table = table
         self.pool = ConnectionPool(clock)
         self.tools = AttemptTools(clock, self.pool, dialect, self.post)
+        self.lines = CallLines(clock)
+        self.freezes = FreezeWatch(clock, BootClock(), TICK)
         self.connections: set[ClientConnection] = set()
         self.calls: dict[RequestId, Call] = {}
         self.by_connection: dict[ClientConnection, RequestId] = {}
@@ -111,9 +111,23 @@
     def _tick(self) -> None:
         loop = asyncio.get_running_loop()
         self.ticker = loop.call_later(TICK.total_seconds(), self._tick)
+        self._note_freeze()
         if self.calls:
             self.post(Tick())
 
+    def _note_freeze(self) -> None:
+        freeze = self.freezes.ticked()
+        if freeze is None:
+            return
+        log_event(
+            logger,
+            FREEZE_NOTICED,
+            late_ms=milliseconds(freeze.late),
+            suspended_ms=milliseconds(freeze.suspended),
+            open=len(self.calls),
+            waiting=len(self.kernel.state.waiting),
+        )
+
     def new_connection(self) -> ClientConnection:
         """Return the owner of a caller's connection that was just accepted."""
         return ClientConnection(self, self.clock, self.connections)
@@ -154,6 +168,7 @@
             connection,
             at,
             last_event=marks.last_event,
+            version=admission.version,
         )
         self.calls[call.request_id] = call
         self.by_connection[connection] = call.request_id
@@ -166,17 +181,7 @@
         marks: CallMarks,
         refusal: Refusal,
     ) -> None:
-        table = self.table()
-        log_event(
-            logger,
-            CALL_REFUSED,
-            call=marks.call_id,
-            reason=refusal.reason,
-            status=int(refusal.status),
-            host=message.head.host,
-            path=message.head.path,
-            version=None if table is None else table.version,
-        )
+        self.lines.refused(message, marks, refusal, self.table())
         self._answer(connection, marks, refusal)
 
     def _answer(
@@ -227,9 +232,10 @@
             self.handling = False
 
     def _handle(self, message: Message) -> None:
+        effects = self.kernel.handle(message)
         if isinstance(message, AttemptFailed):
-            self._log_failure(message)
-        for effect in self.kernel.handle(message):
+            self._log_failure(message, effects)
+        for effect in effects:
             self.perform(effect)
             self.on_effect(effect)
 
@@ -242,6 +248,7 @@
         call = self.calls.get(effect.request_id)
         if call is None:
             return
+        self.lines.placed(call, effect)
         attempt = EndpointAttempt(call, effect, self.tools)
         self.attempts[effect.request_id] = attempt
         attempt.start()
@@ -270,7 +277,7 @@
         self._forget(call)
         if effect.problem is not None:
             self._tell_problem(call, effect)
-        self._log_end(call, effect)
+        self.lines.ended(call, effect)
         self.on_ended(call, effect)
         if self.kernel.state.waiting.by_target:
             self.inbox.append(Tick())
@@ -285,6 +292,7 @@
         if problem is not None and problem.code is ProblemCode.CALLER_GONE:
             return
         if call.head_sent:
+            call.cut = True
             call.responder.break_off()
             return
         if call.failure is not None:
@@ -302,47 +310,10 @@
             f"{code.value}: {conclusion.outcome.value}\n".encode(),
         )
 
-    def _log_failure(self, failure: AttemptFailed) -> None:
+    def _log_failure(self, failure: AttemptFailed, then: list[Effect]) -> None:
         call = self.calls.get(failure.request_id)
         attempt = self.attempts.get(failure.request_id)
         if call is None or attempt is None:
             return
-        log_event(
-            logger,
-            ATTEMPT_FAILED,
-            call=call.marks.call_id,
-            endpoint=attempt.dispatch.endpoint,
-            kind=failure.kind.value,
-            exposure=failure.exposure.value,
-            status=failure.status,
-            events=call.events,
-            reused=attempt.connection is not None and attempt.connection.used > 1,
-            helpers=len(attempt.dispatch.helpers),
-            fault_at=failure.fault_at,
-            after_ms=milliseconds(self.clock.monotonic() - call.arrived_at),
-        )
-
-    def _log_end(self, call: Call, conclusion: Conclude) -> None:
-        served = conclusion.problem is None
-        first = call.first_sent_at
-        log_event(
-            logger,
-            CALL_ENDED if served else CALL_NOT_SERVED,
-            call=call.marks.call_id,
-            route=call.route.name,
-            account=call.account,
-            outcome=conclusion.outcome.value,
-            status=call.status,
-            why=None if conclusion.problem is None else conclusion.problem.code.value,
-            detail=None if conclusion.problem is None else conclusion.problem.detail,
-            attempts=conclusion.attempts,
-            prompt=call.request.prompt_tokens,
-            events=call.events,
-            first_ms=None if first is None else milliseconds(first - call.arrived_at),
-            total_ms=milliseconds(self.clock.monotonic() - call.arrived_at),
-        )
-
-
-def milliseconds(time: timedelta) -> int:
-    """Return whole milliseconds."""
-    return int(time / timedelta(milliseconds=1))
+        reused = attempt.connection is not None and attempt.connection.used > 1
+        self.lines.attempt_failed(call, failure, reused, then)
--- a/src/mimosafork/gateway/intake.py
+++ b/src/mimosafork/gateway/intake.py
@@ -39,6 +39,7 @@
     route: Route
     account: AccountId | None
     request: Request
+    version: int
 
 
 def admit(
@@ -96,7 +97,7 @@
         ),
         terms=terms_of(route, account, marks),
     )
-    return Admission(route, name, request)
+    return Admission(route, name, request, table.version)
 
 
 def choose_service(splits: tuple[Split, ...], random: Random) -> ServiceId:
--- /dev/null
+++ b/src/mimosafork/gateway/outlook.py
@@ -0,0 +1,141 @@
+"""What this instance knows at a moment, as the log tells it beside a decision."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any, Protocol
+
+from ..directory.directory import Directory
+from ..ids import ServiceId
+from ..kernel.core import Kernel
+from .policies.fleet_view import FleetView
+from .policies.placing import WorkPlacer
+from .policies.retrying import BudgetedRetry
+from .sharing import Sharing
+
+LineFields = dict[str, Any]
+"""Fields of a log line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Inputs:
+    """What decisions about a service's calls go by.
+
+    Attributes
+    ----------
+    listed, usable : int
+        Endpoints of the service that are known, and those that get new work.
+    running, peers_running : int
+        Calls that run, of this instance and as far as peers have told.
+    waiting : int
+        Calls here that wait for a place.
+    peers : int
+        Instances that are heard.
+    repeats_left : int
+        What the budget of repeats has room for, by all that is known.
+    table_age, listing_age : timedelta or None
+        Since the store last told configuration and endpoints.
+    """
+
+    listed: int = 0
+    usable: int = 0
+    running: int = 0
+    peers_running: int = 0
+    waiting: int = 0
+    peers: int = 0
+    repeats_left: int = 0
+    table_age: timedelta | None = None
+    listing_age: timedelta | None = None
+
+    def fields(self) -> LineFields:
+        """Return the fields of a log line, ages in milliseconds."""
+        return {
+            "listed": self.listed,
+            "usable": self.usable,
+            "running": self.running,
+            "peers_running": self.peers_running,
+            "waiting": self.waiting,
+            "peers": self.peers,
+            "repeats_left": self.repeats_left,
+            "table_age_ms": milliseconds(self.table_age),
+            "listing_age_ms": milliseconds(self.listing_age),
+        }
+
+
+class Look(Protocol):
+    """Tells what decisions about a service's calls go by."""
+
+    def inputs(self, service: ServiceId) -> Inputs:
+        """Return what is known now."""
+
+    def load_age(self) -> timedelta | None:
+        """Return the age of the oldest word of a peer that still counts."""
+
+
+class Unknown:
+    """Knows nothing, until the gateway is joined with the rest of its instance."""
+
+    def inputs(self, service: ServiceId) -> Inputs:
+        """Return nothing known."""
+        return Inputs()
+
+    def load_age(self) -> timedelta | None:
+        """Return that no peer is heard."""
+        return None
+
+
+class Outlook:
+    """Reads what is known from its owners.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        With the gateway's plug-ins.
+    directory : Directory
+    sharing : Sharing
+    now : callable
+        Returns the kernel's monotonic instant.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        directory: Directory,
+        sharing: Sharing,
+        now: Callable[[], timedelta],
+    ) -> None:
+        self.kernel = kernel
+        self.directory = directory
+        self.sharing = sharing
+        self.now = now
+        self.fleet = kernel.plugin(FleetView)
+        self.book = kernel.plugin(WorkPlacer).book
+        self.retry = kernel.plugin(BudgetedRetry)
+
+    def inputs(self, service: ServiceId) -> Inputs:
+        """Return what is known now."""
+        now = self.now()
+        known = self.fleet.of_service(service)
+        return Inputs(
+            listed=len(known),
+            usable=sum(each.usable(now) for each in known),
+            running=len(self.book.own),
+            peers_running=sum(len(works) for works in self.book.peers.values()),
+            waiting=len(self.kernel.state.waiting),
+            peers=len(self.sharing.known_peers),
+            repeats_left=int(self.retry.room(service)),
+            table_age=self.directory.table_age,
+            listing_age=self.directory.listing_age,
+        )
+
+    def load_age(self) -> timedelta | None:
+        """Return the age of the oldest word of a peer that still counts."""
+        gossip = self.sharing.gossip
+        return (
+            max((peer.age for peer in gossip.peers), default=None) if gossip else None
+        )
+
+
+def milliseconds(time: timedelta | None) -> int | None:
+    """Return whole milliseconds; None stays what it is."""
+    return None if time is None else int(time / timedelta(milliseconds=1))
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -19,6 +19,7 @@
 from ...placement.choice import EngineView
 from ...routing.listing import ListedEndpoint
 from ...routing.table import RoutingTable
+from .standing import Standing, tell_doubt, tell_return
 
 UNREACHED_FOR = timedelta(seconds=1)
 """An endpoint that couldn't be connected to is left alone for so long at first."""
@@ -47,6 +48,8 @@
         Connections in a row that could not be made.
     failure_rate : float
         Share of its latest attempts that it failed, newest weighing most.
+    doubted_at : timedelta or None
+        Since when it has been left alone or taken last.
     """
 
     listed: ListedEndpoint
@@ -55,6 +58,7 @@
     suspect_until: timedelta = timedelta(0)
     misses: int = 0
     failure_rate: float = 0.0
+    doubted_at: timedelta | None = None
 
     def note_unreached(self, now: timedelta) -> None:
         """Leave it alone, longer each time up to a bound."""
@@ -70,16 +74,23 @@
         if failed:
             self.suspect_until = now + SUSPECT_FOR
 
+    def usable(self, now: timedelta) -> bool:
+        """Return whether it gets new work."""
+        return not self.leaving and now >= self.unusable_until
+
+    def suspect(self, now: timedelta) -> bool:
+        """Return whether it is taken last."""
+        return now < self.suspect_until or self.failure_rate > BAD_RATE
+
     def view(self, now: timedelta) -> EngineView:
         """Return what placement goes by."""
-        suspect = now < self.suspect_until or self.failure_rate > BAD_RATE
         return EngineView(
             endpoint=self.listed.endpoint,
             address=self.listed.address,
             zone=self.listed.zone,
             slots=self.listed.slots,
-            usable=not self.leaving and now >= self.unusable_until,
-            suspect=suspect,
+            usable=self.usable(now),
+            suspect=self.suspect(now),
             cold=self.listed.cold_remaining > timedelta(0),
         )
 
@@ -137,6 +148,7 @@
             known = self.endpoints.get(record.current.endpoint)
             if known is not None:
                 known.note_outcome(False, context.now)
+                tell_return(known, context.now)
 
     @handle.register
     def _(self, message: AttemptFinished, context: Context) -> None:
@@ -147,6 +159,7 @@
         known = self.endpoints.get(message.endpoint) if message.endpoint else None
         if known is None:
             return
+        before = Standing.of(known, context.now)
         if message.kind is FailureKind.UNREACHED:
             known.note_unreached(context.now)
         elif message.refusal == "elsewhere":
@@ -155,3 +168,4 @@
             known.note_outcome(True, context.now)
         elif message.kind is FailureKind.ENGINE_FAILED:
             known.note_outcome(False, context.now)
+        tell_doubt(known, before, message.refusal or message.kind.value, context.now)
--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -131,9 +131,13 @@
         """
         if failure.exposure is Exposure.NEVER_SENT:
             return True
+        return self.room(service) >= 1
+
+    def room(self, service: ServiceId) -> float:
+        """Return for how many repeats the budget has room, as far as is known."""
         fleet = self.spent(service)
         slack = self.slack * SPENT_SHARE * fleet.share
-        return fleet.repeats + 1 <= self.ratio * fleet.requests + slack
+        return self.ratio * fleet.requests + slack - fleet.repeats
 
 
 def problem_of(failure: AttemptFailed, detail: str) -> Problem:
--- /dev/null
+++ b/src/mimosafork/gateway/policies/standing.py
@@ -0,0 +1,94 @@
+"""Logs what changes in the belief about an endpoint, once for each change."""
+
+import logging
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from ...routing.listing import ListedEndpoint
+from ...telemetry.catalogue.gateway import (
+    ENDPOINT_BACK,
+    ENDPOINT_LEFT_ALONE,
+    ENDPOINT_SUSPECTED,
+)
+from ...telemetry.logs import log_event
+
+logger = logging.getLogger(__name__)
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class Doubted(Protocol):
+    """What is known of one endpoint, as far as it is told here."""
+
+    listed: ListedEndpoint
+    unusable_until: timedelta
+    suspect_until: timedelta
+    misses: int
+    failure_rate: float
+    doubted_at: timedelta | None
+
+    def usable(self, now: timedelta) -> bool:
+        """Return whether it gets new work."""
+
+    def suspect(self, now: timedelta) -> bool:
+        """Return whether it is taken last."""
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """How an endpoint stood before something was learnt of it."""
+
+    usable: bool
+    suspect: bool
+
+    @classmethod
+    def of(cls, known: Doubted, now: timedelta) -> "Standing":
+        """Return how an endpoint stands now."""
+        return cls(known.usable(now), known.suspect(now))
+
+
+def tell_doubt(known: Doubted, before: Standing, why: str, now: timedelta) -> None:
+    """Tell that an endpoint is left alone or suspected, if it was not before.
+
+    Parameters
+    ----------
+    before : Standing
+        Before the attempt's end was learnt.
+    why : str
+        How the attempt ended.
+    """
+    after = Standing.of(known, now)
+    if before.usable and not after.usable:
+        event, until = ENDPOINT_LEFT_ALONE, known.unusable_until
+    elif after.suspect and not before.suspect:
+        event, until = ENDPOINT_SUSPECTED, known.suspect_until
+    else:
+        return
+    if known.doubted_at is None:
+        known.doubted_at = now
+    log_event(
+        logger,
+        event,
+        endpoint=known.listed.endpoint,
+        service=known.listed.service,
+        why=why,
+        for_ms=(until - now) // MILLISECOND,
+        misses=known.misses,
+        failure_rate=round(known.failure_rate, 2),
+    )
+
+
+def tell_return(known: Doubted, now: timedelta) -> None:
+    """Tell that an endpoint which was doubted answers as it should."""
+    if known.doubted_at is None or not known.usable(now) or known.suspect(now):
+        return
+    log_event(
+        logger,
+        ENDPOINT_BACK,
+        endpoint=known.listed.endpoint,
+        service=known.listed.service,
+        after_ms=(now - known.doubted_at) // MILLISECOND,
+        failure_rate=round(known.failure_rate, 2),
+    )
+    known.doubted_at = None
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -39,7 +39,8 @@
 )
 from ..telemetry.logs import PACKAGE_LOGGER, log_event
 from .dialect import Dialect
-from .gateway import Gateway, milliseconds
+from .gateway import Gateway
+from .outlook import Outlook, milliseconds
 from .policies import PLUGINS
 from .policies.fleet_view import FleetView
 from .policies.retrying import BudgetedRetry
@@ -106,6 +107,9 @@
         )
         self.sharing = Sharing(directory, self.gateway.post, self.figures_of, clock)
         self.gateway.on_effect = self.sharing.tell
+        self.gateway.lines.look = Outlook(
+            self.kernel, directory, self.sharing, clock.monotonic
+        )
         self.peer_rows = peer_rows
         self._apply_bounds(settings.bounds)
         self.listeners: list[asyncio.Server] = []
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -56,16 +56,16 @@
     2010,
     "call-ended",
     Level.INFO,
-    "call {call} on {route}: {status}, {attempts} attempts, first part after"
-    " {first_ms} ms, whole after {total_ms} ms",
-    "The caller has got an endpoint's whole answer.",
+    "call {call} served with {status}",
+    "The caller has got an endpoint's whole answer. The fields say when and by what "
+    "it was placed, and the times of its parts.",
     "None.",
 )
 CALL_NOT_SERVED = Event(
     2011,
     "call-not-served",
     Level.WARNING,
-    "call {call} on {route} ended as {outcome} with {status}: {why}, after"
+    "call {call} on {route} ended as {outcome} with {status}: {why} by {rule}, after"
     " {total_ms} ms and {attempts} attempts",
     "The caller got no whole answer; the lines of its attempts say why.",
     "See docs/OPERATIONS.md for the way from a call's id to its cause.",
@@ -91,7 +91,40 @@
     "attempt-failed",
     Level.WARNING,
     "call {call} at endpoint {endpoint}: {kind}, {exposure}, status {status}, after"
-    " {after_ms} ms and {events} events",
+    " {after_ms} ms and {events} events; {then}",
     "The attempt brought no whole answer; what follows depends on its exposure.",
     "If an endpoint's attempts fail often, see whether it was ejected.",
 )
+ENDPOINT_LEFT_ALONE = Event(
+    2030,
+    "endpoint-left-alone",
+    Level.WARNING,
+    "endpoint {endpoint} of {service} is left alone for {for_ms} ms: {why}",
+    "It could not be connected to, or is no longer at its address. It gets no new "
+    "work here meanwhile.",
+    "None, unless the same one comes again and again.",
+)
+ENDPOINT_SUSPECTED = Event(
+    2031,
+    "endpoint-suspected",
+    Level.WARNING,
+    "endpoint {endpoint} of {service} is taken last for {for_ms} ms: {why}",
+    "An answer broke off or made no sense. It gets work only where no other can.",
+    "If the same one comes again and again, look at it.",
+)
+ENDPOINT_BACK = Event(
+    2032,
+    "endpoint-back",
+    Level.INFO,
+    "endpoint {endpoint} of {service} answers again after {after_ms} ms",
+    "It is taken like any other from now on.",
+    "None.",
+)
+FREEZE_NOTICED = Event(
+    2040,
+    "freeze-noticed",
+    Level.WARNING,
+    "nothing ran here for {late_ms} ms, {suspended_ms} ms of them suspended",
+    "Streams paused for so long, and what was known of peers and the store is older.",
+    "If it comes often, look at the machine: its processor share or its host.",
+)
--- a/src/mimosafork/telemetry/formats.py
+++ b/src/mimosafork/telemetry/formats.py
@@ -11,6 +11,8 @@
 
 PLAIN_LAYOUT = "%(asctime)s %(levelname)s %(code)s %(name)s: %(message)s"
 NO_CODE = "-"
+MAIN_THREAD = "MainThread"
+"""Most lines come from it, so that only others' name their thread."""
 
 
 def event_code(record: logging.LogRecord) -> str:
@@ -20,9 +22,13 @@
 
 
 def event_fields(record: logging.LogRecord) -> Mapping[str, object]:
-    """Return the fields of a record's event, without secrets."""
+    """Return the fields of a record's event that have a value, without secrets."""
     fields: Mapping[str, object] = getattr(record.msg, "fields", {})
-    return {name: field_value(name, value) for name, value in fields.items()}
+    return {
+        name: field_value(name, value)
+        for name, value in fields.items()
+        if value is not None
+    }
 
 
 def wall_time(record: logging.LogRecord) -> str:
@@ -89,10 +95,11 @@
             "level": record.levelname,
             "event": event_code(record),
             "logger": record.name,
-            "thread": record.threadName,
             "message": redact_text(record.getMessage()),
             "fields": event_fields(record),
         }
+        if record.threadName != MAIN_THREAD:
+            line["thread"] = record.threadName or "?"
         if record.exc_info:
             line["trace"] = redact_text(self.formatException(record.exc_info))
         return self.encoder.encode(line).decode("utf-8")
--- /dev/null
+++ b/tests/unit/gateway/test_call_lines.py
@@ -0,0 +1,243 @@
+"""The lines of a call carry its id, who decided, by what, and how old that was."""
+
+from datetime import timedelta
+from http import HTTPStatus
+
+from mimosafork.clock import ManualClock
+from mimosafork.gateway.call import Call
+from mimosafork.gateway.call_lines import CallLines
+from mimosafork.gateway.dialect import CallMarks
+from mimosafork.gateway.event_stream import StreamEvent
+from mimosafork.gateway.heads import Header, RequestHead
+from mimosafork.gateway.intake import Refusal
+from mimosafork.gateway.outlook import Inputs
+from mimosafork.gateway.request_reader import RequestMessage
+from mimosafork.ids import (
+    AccountId,
+    AttemptNumber,
+    Digest,
+    EndpointId,
+    Incarnation,
+    RequestId,
+    ServiceId,
+    StreamId,
+)
+from mimosafork.kernel.messages.requests import (
+    AttemptFailed,
+    Conclude,
+    Dispatch,
+    Exposure,
+    FailureKind,
+    Helper,
+    Outcome,
+    Problem,
+    ProblemCode,
+    Request,
+    RequestKind,
+    RetryDue,
+    WakeAt,
+)
+from mimosafork.routing.table import CallKind, Route, RouteName, Split
+from mimosafork.telemetry.catalogue.gateway import (
+    ATTEMPT_FAILED,
+    CALL_ENDED,
+    CALL_NOT_SERVED,
+    CALL_REFUSED,
+)
+from tests.support.functions import function_tests
+from tests.support.log_lines import CaughtLines, caught_lines
+
+MS = timedelta(milliseconds=1)
+SERVICE = ServiceId("letters")
+HOST = Header(b"Host", b"a.example")
+HEAD = RequestHead(b"POST", b"/write", 1, (HOST,), 0)
+
+
+class Caller:
+    """Takes an answer and keeps nothing of it."""
+
+    def answer(
+        self, status: int, reason: bytes, headers: list[Header], body: bytes
+    ) -> None:
+        """Take a whole answer."""
+
+    def begin(self, status: int, reason: bytes, headers: list[Header]) -> None:
+        """Take a head."""
+
+    def part(self, data: bytes) -> None:
+        """Take a part."""
+
+    def end(self) -> None:
+        """Take the end."""
+
+    def break_off(self) -> None:
+        """Take a break."""
+
+
+class Known:
+    """Knows always the same."""
+
+    def inputs(self, service: ServiceId) -> Inputs:
+        """Return some figures."""
+        return Inputs(
+            listed=4,
+            usable=3,
+            running=7,
+            peers_running=20,
+            peers=6,
+            repeats_left=55,
+            table_age=40 * MS,
+            listing_age=90 * MS,
+        )
+
+    def load_age(self) -> timedelta | None:
+        """Return some age."""
+        return 400 * MS
+
+
+def call_at(clock: ManualClock) -> Call:
+    route = Route(
+        RouteName("r-1"),
+        "a.example",
+        "/write",
+        CallKind.STREAM,
+        2000 * MS,
+        500 * MS,
+        (Split(SERVICE, 1),),
+    )
+    request = Request(
+        RequestId("1"),
+        AccountId("acme"),
+        RequestKind.MODEL,
+        SERVICE,
+        2932,
+        600,
+        clock.monotonic() + 2000 * MS,
+        Digest("00"),
+    )
+    return Call(
+        request.request_id,
+        RequestMessage(HEAD, b""),
+        CallMarks("c0ffee"),
+        route,
+        request.account,
+        request,
+        Caller(),
+        clock.monotonic(),
+        version=7,
+    )
+
+
+def dispatch_to(endpoint: str) -> Dispatch:
+    return Dispatch(
+        RequestId("1"),
+        AttemptNumber(1),
+        StreamId("1.1"),
+        EndpointId(endpoint),
+        Incarnation(1),
+        "10.0.0.1:80",
+        2000 * MS,
+        helpers=(Helper(EndpointId("h1"), "10.0.0.2:80"),),
+    )
+
+
+def lines_at(clock: ManualClock) -> CallLines:
+    lines = CallLines(clock)
+    lines.look = Known()
+    return lines
+
+
+def ended_as(problem: Problem | None, outcome: Outcome) -> Conclude:
+    return Conclude(RequestId("1"), outcome, 1, problem)
+
+
+def served() -> CaughtLines:
+    clock = ManualClock()
+    call, lines = call_at(clock), lines_at(clock)
+    with caught_lines() as caught:
+        clock.advance(30 * MS)
+        lines.placed(call, dispatch_to("e1"))
+        for gap in (100, 20, 900, 20):
+            clock.advance(gap * MS)
+            call.pass_event(StreamEvent(b"data", None), clock.monotonic())
+        lines.ended(call, ended_as(None, Outcome.COMPLETED))
+    return caught
+
+
+def test_served_call_costs_one_short_line_with_its_times() -> None:
+    caught = served()
+    assert len(caught.lines) == 1
+    fields = caught.one(CALL_ENDED)
+    assert fields["call"] == "c0ffee"
+    assert (fields["route"], fields["account"], fields["version"]) == ("r-1", "acme", 7)
+    assert (fields["endpoints"], fields["helpers"]) == ("e1", "h1")
+    assert (fields["waited_ms"], fields["first_ms"]) == (30, 130)
+    assert (fields["pause_ms"], fields["total_ms"]) == (900, 1070)
+    assert fields["prompt_tokens"] == 2932
+
+
+def test_served_line_is_short() -> None:
+    assert len(str(served().lines[0])) < 700
+
+
+def test_call_that_is_not_served_names_the_plug_in_and_its_inputs() -> None:
+    """A caller is refused though, as it seems, places were free.
+
+    The call comes, placement finds no memory for it and gives it up. The line says
+    which plug-in refused, what it counted on, and how old that was.
+    """
+    clock = ManualClock()
+    call, lines = call_at(clock), lines_at(clock)
+    call.status = 503
+    shortage = Problem(ProblemCode.OVERLOADED, "the memory is promised to others")
+    with caught_lines() as caught:
+        lines.ended(call, ended_as(shortage, Outcome.NOT_RUN))
+    fields = caught.one(CALL_NOT_SERVED)
+    assert fields["rule"] == "work-placer"
+    assert fields["detail"] == "the memory is promised to others"
+    assert (fields["usable"], fields["listed"]) == (3, 4)
+    assert (fields["running"], fields["peers_running"]) == (7, 20)
+    assert (fields["table_age_ms"], fields["listing_age_ms"]) == (40, 90)
+    assert fields["load_age_ms"] == 400
+    assert "waited_ms" not in fields
+
+
+def test_failed_attempt_says_what_was_decided_on_it() -> None:
+    """A first endpoint breaks off and the call goes to another one.
+
+    From the line alone one must see that it was tried again, and what the budget
+    of repeats had left.
+    """
+    clock = ManualClock()
+    call, lines = call_at(clock), lines_at(clock)
+    failure = AttemptFailed(
+        RequestId("1"),
+        AttemptNumber(1),
+        FailureKind.BROKEN,
+        Exposure.POSSIBLE,
+        endpoint=EndpointId("e1"),
+    )
+    again = [WakeAt(1 * MS, RetryDue(RequestId("1")))]
+    with caught_lines() as caught:
+        lines.attempt_failed(call, failure, True, again)
+        lines.attempt_failed(call, failure, False, [ended_as(None, Outcome.FAILED)])
+    first, second = caught.of(ATTEMPT_FAILED)
+    assert (first["call"], first["version"], first["endpoint"]) == ("c0ffee", 7, "e1")
+    assert (first["then"], second["then"]) == ("tried again", "given up")
+    assert (first["kind"], first["exposure"]) == ("broken", "possible")
+    assert (first["repeats_left"], first["left_ms"]) == (55, 2000)
+    assert first["reused"] is True
+
+
+def test_refusal_by_routing_tells_the_version_and_its_age() -> None:
+    refusal = Refusal(HTTPStatus.NOT_FOUND, "no-route")
+    with caught_lines() as caught:
+        lines_at(ManualClock()).refused(
+            RequestMessage(HEAD, b""), CallMarks("c0ffee"), refusal, None
+        )
+    fields = caught.one(CALL_REFUSED)
+    assert (fields["rule"], fields["reason"]) == ("routing", "no-route")
+    assert (fields["call"], fields["table_age_ms"]) == ("c0ffee", 40)
+
+
+load_tests = function_tests(__name__)
--- /dev/null
+++ b/tests/unit/gateway/test_freeze.py
@@ -0,0 +1,35 @@
+"""A process that stood still says so."""
+
+from datetime import timedelta
+
+from mimosafork.clock import ManualClock
+from mimosafork.gateway.freeze import Freeze, FreezeWatch
+from tests.support.functions import function_tests
+
+GAP = timedelta(milliseconds=50)
+
+
+def test_ticks_in_time_are_no_freeze() -> None:
+    steady, boot = ManualClock(), ManualClock()
+    watch = FreezeWatch(steady, boot, GAP)
+    for _ in range(3):
+        steady.advance(GAP)
+        boot.advance(GAP + timedelta(milliseconds=900))
+        assert watch.ticked() is None
+
+
+def test_suspension_that_the_steady_clock_does_not_count_is_noticed() -> None:
+    """A machine is suspended for three seconds and its steady clock stands still.
+
+    By that clock the next tick comes in time, while streams have paused and all
+    that peers told is three seconds older. The other clock shows it.
+    """
+    steady, boot = ManualClock(), ManualClock()
+    watch = FreezeWatch(steady, boot, GAP)
+    watch.ticked()
+    steady.advance(GAP)
+    boot.advance(GAP + timedelta(seconds=3))
+    assert watch.ticked() == Freeze(timedelta(seconds=3), timedelta(seconds=3))
+
+
+load_tests = function_tests(__name__)
