--- /dev/null
+++ b/tests/unit/platform/test_calls.py
@@ -0,0 +1,157 @@
+"""Tests of the headers of calls: what is passed on, set, replaced and dropped."""
+
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.gateway.answer_reader import AnswerHead
+from mimosafork.gateway.dialect import AnswerMarks, AttemptMarks
+from mimosafork.gateway.errors import BadRequestError
+from mimosafork.gateway.heads import Header, RequestHead, parse_request_head
+from mimosafork.ids import AccountId, EndpointId, ReservationId
+from mimosafork.kernel.messages.requests import Helper
+from mimosafork.platform import names
+from mimosafork.platform.calls import PreparedDialect
+
+from ...support.functions import function_tests
+
+case = TestCase()
+
+DIALECT = PreparedDialect()
+BARE = AttemptMarks(EndpointId("i-1"), timedelta(milliseconds=1500.9))
+
+
+def head_of(*headers: Header) -> RequestHead:
+    lines = [b"%s: %s" % header for header in headers]
+    block = [b"POST /a/ HTTP/1.1", b"Host: h", *lines]
+    return parse_request_head(b"\r\n".join(block))
+
+
+def sent(marks: AttemptMarks, *headers: Header) -> dict[bytes, bytes]:
+    """Return what an endpoint gets; each header must be there once."""
+    found = DIALECT.endpoint_headers(head_of(*headers), marks)
+    lowered = [header.name.lower() for header in found]
+    case.assertEqual(len(set(lowered)), len(lowered))
+    return {header.name.lower(): header.value for header in found}
+
+
+def test_what_a_caller_may_not_set_never_passes() -> None:
+    """A caller acts as another account, or orders engines about.
+
+    It sends the headers that this system sets itself, in any case and more than
+    once; an endpoint believes them.
+    """
+    forged = []
+    for name in (
+        names.TENANT,
+        names.EXPECT_INSTANCE,
+        names.REQUEST_PRIORITY,
+        names.HELPERS,
+        names.DEADLINE_MS,
+    ):
+        forged += [Header(name.upper(), b"7"), Header(name.lower(), b"8")]
+    got = sent(BARE, *forged, Header(names.AUTHORIZATION, b"Bearer secret"))
+    expected = {
+        b"host": b"h",
+        names.DEADLINE_MS.lower(): b"1500",
+        names.EXPECT_INSTANCE.lower(): b"i-1",
+    }
+    case.assertEqual(expected, got)
+
+
+def test_what_this_system_sets() -> None:
+    marks = AttemptMarks(
+        EndpointId("i-1"),
+        timedelta(microseconds=10),
+        AccountId("account-a"),
+        12,
+        0,
+        (
+            Helper(EndpointId("i-2"), "10.0.0.2:80"),
+            Helper(EndpointId("i-3"), "10.0.0.3:80", ReservationId("t1")),
+        ),
+    )
+    got = sent(marks, Header(names.LAST_EVENT_ID, b"3"))
+    expected = {
+        b"host": b"h",
+        names.DEADLINE_MS.lower(): b"1",
+        names.EXPECT_INSTANCE.lower(): b"i-1",
+        names.TENANT.lower(): b"account-a",
+        names.LAST_EVENT_ID.lower(): b"12",
+        names.REQUEST_PRIORITY.lower(): b"0",
+        names.HELPERS.lower(): b"10.0.0.2:80,10.0.0.3:80/t1",
+    }
+    case.assertEqual(expected, got)
+
+
+def test_the_callers_own_words_pass_unchanged() -> None:
+    kept = [
+        Header(names.REQUEST_ID, b"9C41d"),
+        Header(names.MODEL, b"m"),
+        Header(names.TOKEN_USAGE, b"1460,80"),
+        Header(names.PROMPT_PREFIX, b"5c1e07a2:800,91bd3f06:410"),
+        Header(names.LENGTH_HINT, b"30"),
+        Header(b"X-Else", b"caf\xe9"),
+    ]
+    dropped = [Header(b"Connection", b"x-hop"), Header(b"X-Hop", b"1")]
+    found = DIALECT.endpoint_headers(head_of(*kept, *dropped), BARE)
+    case.assertEqual(kept, found[1 : 1 + len(kept)])
+    case.assertNotIn(b"X-Hop", [header.name for header in found])
+
+
+def test_what_a_caller_says() -> None:
+    marks = DIALECT.read_call(
+        head_of(
+            Header(names.REQUEST_ID, b"c1"),
+            Header(names.DEADLINE_MS, b"2500"),
+            Header(names.LAST_EVENT_ID, b"4"),
+            Header(names.TOKEN_USAGE, b"1460, 80"),
+            Header(names.LENGTH_HINT, b"33"),
+            Header(names.AUTHORIZATION, b"bearer  key-1"),
+        )
+    )
+    case.assertEqual(("c1", timedelta(seconds=2.5)), (marks.call_id, marks.time_left))
+    case.assertEqual((4, "key-1"), (marks.last_event, marks.key))
+    tokens = (marks.prompt_tokens, marks.most_tokens, marks.expected_tokens)
+    case.assertEqual((1460, 80, 33), tokens)
+
+
+def test_a_caller_that_says_nothing() -> None:
+    marks = DIALECT.read_call(head_of())
+    case.assertEqual(("", None, None), (marks.call_id, marks.time_left, marks.key))
+    for value in (b"Basic key-1", b"key-1", b""):
+        head = head_of(Header(names.AUTHORIZATION, value))
+        case.assertIsNone(DIALECT.read_call(head).key)
+    odd = DIALECT.read_call(head_of(Header(names.TOKEN_USAGE, b"many,-1")))
+    case.assertEqual((0, 0), (odd.prompt_tokens, odd.most_tokens))
+
+
+def test_times_that_are_no_numbers_are_refused() -> None:
+    for value in (b"", b"-1", b"1.5", b"soon", b"1" * 16):
+        with case.assertRaises(BadRequestError):
+            DIALECT.read_call(head_of(Header(names.DEADLINE_MS, value)))
+
+
+def answered(status: int, *headers: Header) -> AnswerMarks:
+    return DIALECT.read_answer(AnswerHead(status, b"", headers, True))
+
+
+def test_what_an_endpoint_says() -> None:
+    seal = Header(names.RESPONSE_SEAL.lower(), b"s")
+    case.assertEqual(AnswerMarks(None, True, False, False), answered(200, seal))
+    stated = Header(names.NOT_RUN, b"1")
+    at_fault = Header(names.AT_SERVER, b"i-9")
+    refused = answered(503, stated, at_fault, Header(names.REQUEST_ID, b"c1"))
+    case.assertEqual(AnswerMarks("c1", False, True, False, "i-9"), refused)
+    case.assertFalse(answered(503).not_run)
+    elsewhere = answered(421)
+    case.assertEqual((True, True), (elsewhere.not_run, elsewhere.elsewhere))
+
+
+def test_own_answers_bear_no_proof() -> None:
+    found = DIALECT.own_answer_headers("c1", timedelta(milliseconds=20))
+    expected = [Header(names.REQUEST_ID, b"c1"), Header(names.RETRY_AFTER, b"0.02")]
+    case.assertEqual(expected, found)
+    case.assertEqual([], DIALECT.own_answer_headers("", None))
+
+
+load_tests = function_tests(__name__)
