Test whole calls through a gateway before the prepared stand-ins

Answers and streams pass unchanged, connections are kept on both sides, early answers, chunks with trailers, pipelining, HTTP/1.0, Expect, improper bytes.

--- /dev/null
+++ b/tests/unit/gateway/test_gateway_passing.py
@@ -0,0 +1,244 @@
+"""Tests of whole calls that go well: what passes, and what is kept."""
+
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.standins.prepared.desk import expected_body
+from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.engine import EngineFigures, expected_texts
+from mimosafork.standins.prepared.faults import CloseAfter, EarlyAnswer
+from mimosafork.standins.prepared.runs import RunEnd, digest_of
+from mimosafork.standins.prepared.words import (
+    AUTHORIZATION,
+    DEADLINE_MS,
+    EXPECT_INSTANCE,
+    REQUEST_ID,
+    SEAL,
+    TENANT,
+)
+
+from ...support.functions import function_tests
+from ...support.gateway import BEARER, gateway_world
+from ...support.prepared import DESKS, HOST, call
+
+case = TestCase()
+
+LONG = b"x" * 300_000
+
+
+def test_an_answer_passes_unchanged() -> None:
+    with gateway_world() as world:
+        desk = world.add_desk()
+        target = "/unsafe/1?a=%20b"
+        result = world.running.ask(target, "c1", b"hello")
+        case.assertEqual(200, result.status)
+        case.assertEqual(expected_body("POST", target, b"hello"), result.body)
+        case.assertTrue(result.headers[SEAL.lower()].startswith(desk.id))
+        case.assertEqual("c1", result.headers[REQUEST_ID.lower()])
+        case.assertEqual("text/plain", result.headers["content-type"])
+        run = world.platform.log.of("c1")[0]
+        case.assertEqual((target, digest_of(b"hello")), (run.target, run.body_digest))
+        case.assertEqual("account-a", run.headers[TENANT])
+        case.assertEqual(desk.id, run.headers[EXPECT_INSTANCE])
+        case.assertNotIn(AUTHORIZATION, run.headers)
+        case.assertTrue(0 < int(run.headers[DEADLINE_MS]) <= 10_000)
+
+
+def test_a_stream_passes_event_by_event() -> None:
+    with gateway_world() as world, world.running.channel() as channel:
+        engine = world.add_engine(EngineFigures(events=3))
+        engine.hold()
+        headers = {REQUEST_ID: "c1", **BEARER}
+        channel.send("POST", "/stream/1", headers, b"prompt")
+        for number in range(1, 4):
+            engine.release()
+            if number == 1:
+                case.assertEqual(200, channel.read_head().status)
+            event = channel.read_event()
+            assert event is not None
+            case.assertEqual(number, event.number)
+            case.assertEqual(expected_texts(b"prompt", 3)[number - 1], event.text)
+        case.assertIsNone(channel.read_event())
+        case.assertTrue(channel.complete)
+
+
+def test_connections_are_kept_on_both_sides() -> None:
+    with gateway_world() as world, world.running.channel() as channel:
+        desk = world.add_desk()
+        for number in range(5):
+            channel.send("POST", "/safe/1", {REQUEST_ID: f"c{number}", **BEARER}, b"b")
+            result = channel.read_answer()
+            case.assertEqual(200, result.status)
+            case.assertIn("timeout=", result.headers["keep-alive"])
+        case.assertEqual(
+            1, world.running.see(lambda: world.running.gateway.pool.opened)
+        )
+        case.assertEqual(1, desk.open_connections)
+
+
+def test_an_endpoint_that_closes_is_not_sent_to_on_that_connection() -> None:
+    with gateway_world() as world:
+        desk = world.add_desk()
+        desk.play(CloseAfter(), 2)
+        for number in range(4):
+            case.assertEqual(200, world.running.ask("/unsafe/1", f"c{number}").status)
+        case.assertEqual([], world.platform.log.ran_twice())
+        case.assertEqual(
+            3, world.running.see(lambda: world.running.gateway.pool.opened)
+        )
+
+
+def test_chunked_requests_with_trailers() -> None:
+    with gateway_world() as world, world.running.channel() as channel:
+        world.add_desk()
+        head = f"POST /safe/1 HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: c1\r\n"
+        head += f"{AUTHORIZATION}: {BEARER[AUTHORIZATION]}\r\n"
+        head += "Transfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n"
+        body = b"2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nX-T: 1\r\n\r\n"
+        for byte in (head.encode() + body)[:-1]:
+            channel.send_bytes(bytes([byte]))
+        case.assertEqual([], world.platform.log.of("c1"))
+        channel.send_bytes(b"\n")
+        case.assertEqual(200, channel.read_answer().status)
+        run = world.platform.log.of("c1")[0]
+        case.assertEqual(digest_of(b"hello"), run.body_digest)
+        channel.send("POST", "/safe/1", {REQUEST_ID: "c2", **BEARER}, b"a", True)
+        case.assertEqual(200, channel.read_answer().status)
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    with gateway_world() as world, world.running.channel() as channel:
+        desk = world.add_desk()
+        desk.hold()
+        for number in range(3):
+            path = f"/safe/{number}"
+            channel.send("POST", path, {REQUEST_ID: f"c{number}", **BEARER})
+        world.platform.log.wait_until(lambda log: len(log.runs) == 1)
+        case.assertEqual(1, world.running.open_calls)
+        desk.let_go()
+        for number in range(3):
+            result = channel.read_answer()
+            case.assertEqual(f"c{number}", result.headers[REQUEST_ID.lower()])
+
+
+def test_a_caller_that_waits_for_a_word_before_its_body() -> None:
+    with gateway_world() as world, world.running.channel() as channel:
+        world.add_desk()
+        head = f"POST /safe/1 HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: c1\r\n"
+        head += f"{AUTHORIZATION}: {BEARER[AUTHORIZATION]}\r\n"
+        head += "Content-Length: 5\r\nExpect: 100-continue\r\n\r\n"
+        channel.send_bytes(head.encode())
+        case.assertEqual(b"HTTP/1.1 100 Continue\r\n", channel.file.readline())
+        case.assertEqual(b"\r\n", channel.file.readline())
+        channel.send_bytes(b"hello")
+        case.assertEqual(200, channel.read_answer().status)
+
+
+def test_a_caller_that_asks_for_the_end_of_its_connection() -> None:
+    with gateway_world() as world, world.running.channel() as channel:
+        world.add_desk()
+        headers = {REQUEST_ID: "c1", "Connection": "close", **BEARER}
+        channel.send("POST", "/safe/1", headers)
+        result = channel.read_answer()
+        case.assertEqual("close", result.headers["connection"])
+        case.assertTrue(channel.ended())
+
+
+def test_improper_bytes_reach_no_endpoint_and_end_the_connection() -> None:
+    """A second request is hidden in the body of a proper one.
+
+    Whatever could be read in two ways gets an answer of this instance and the end
+    of its connection, and no endpoint hears of any of it.
+    """
+    hidden = f"POST /unsafe/1 HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: c2\r\n\r\n"
+    with gateway_world() as world:
+        world.add_desk()
+        for framing in (
+            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            "Content-Length: 5\r\nContent-Length: 6\r\n",
+            "Transfer-Encoding: chunked, identity\r\n",
+            "X-A: b\nX-C: d\r\n",
+            " folded\r\n",
+        ):
+            with world.running.channel() as channel:
+                head = f"POST /unsafe/1 HTTP/1.1\r\nHost: {HOST}\r\n{framing}"
+                channel.send_bytes(f"{head}{REQUEST_ID}: c1\r\n\r\n{hidden}".encode())
+                result = channel.read_answer()
+                case.assertEqual(400, result.status)
+                case.assertEqual("close", result.headers["connection"])
+                case.assertTrue(channel.ended())
+        case.assertEqual([], world.platform.log.visits)
+        world.running.until(lambda: not world.running.gateway.connections)
+
+
+def test_an_early_answer_before_a_long_body_is_read() -> None:
+    """An endpoint reads another request's bytes as the rest of a body.
+
+    It answered before it had read the body. The rest must still come on that
+    connection, whole, and nothing between.
+    """
+    with gateway_world() as world:
+        desk = world.add_desk()
+        desk.play(EarlyAnswer(timedelta(milliseconds=50)))
+        first = world.running.ask("/safe/1", "c1", LONG)
+        case.assertEqual((200, b"early c1"), (first.status, first.body))
+        second = world.running.ask("/safe/2", "c2", b"b")
+        case.assertEqual(expected_body("POST", "/safe/2", b"b"), second.body)
+        world.platform.log.wait_until(lambda log: not log.at_work())
+        runs = world.platform.log.runs
+        digests = {run.request_id: run.body_digest for run in runs}
+        expected = {"c1": digest_of(LONG), "c2": digest_of(b"b")}
+        case.assertEqual(expected, digests)
+
+
+def test_long_bodies_pass_whole() -> None:
+    with gateway_world() as world:
+        world.add_desk()
+        result = world.running.ask("/safe/1", "c1", LONG)
+        case.assertEqual(200, result.status)
+        case.assertEqual(digest_of(LONG), world.platform.log.of("c1")[0].body_digest)
+        too_long = world.running.ask("/safe/1", "c2", b"x" * (4_194_304 + 1))
+        case.assertEqual(413, too_long.status)
+        case.assertEqual([], world.platform.log.visits_of("c2"))
+
+
+def test_the_balancer_is_answered() -> None:
+    with gateway_world() as world:
+        answer = call(world.running.ready_address, "GET", "/-/ready")
+        case.assertEqual(200, answer.status)
+
+
+def test_a_caller_of_the_older_protocol_gets_its_answer_and_the_end() -> None:
+    with gateway_world() as world, world.running.channel() as channel:
+        world.add_engine(EngineFigures(events=2))
+        head = f"POST /stream/1 HTTP/1.0\r\nHost: {HOST}\r\n{REQUEST_ID}: c1\r\n"
+        head += f"{AUTHORIZATION}: {BEARER[AUTHORIZATION]}\r\n\r\n"
+        channel.send_bytes(head.encode())
+        result = channel.read_answer()
+        case.assertNotIn("transfer-encoding", result.headers)
+        case.assertEqual([1, 2], [event.number for event in result.events])
+
+
+def test_many_calls_at_once_each_get_their_own_answer() -> None:
+    with gateway_world() as world:
+        for _ in range(3):
+            world.add_desk(EndpointSettings(DESKS, slots=4, queue=50))
+        channels = [world.running.channel() for _ in range(40)]
+        for round_number in range(3):
+            for index, channel in enumerate(channels):
+                name = f"c{round_number}-{index}"
+                body = name.encode()
+                channel.send("POST", "/unsafe/1", {REQUEST_ID: name, **BEARER}, body)
+            for index, channel in enumerate(channels):
+                name = f"c{round_number}-{index}"
+                result = channel.read_answer()
+                expected = expected_body("POST", "/unsafe/1", name.encode())
+                case.assertEqual((200, expected), (result.status, result.body))
+        case.assertEqual([], world.platform.log.ran_twice())
+        ends = {run.end for run in world.platform.log.runs}
+        case.assertEqual({RunEnd.DONE}, ends)
+        for channel in channels:
+            channel.hang_up()
+
+
+load_tests = function_tests(__name__)
