Let the stand-in's reset pass over a connection that is gone already

An engine whose caller had closed the connection in mid-stream reset it once more and got EBADF: its run was recorded as cut instead of cancelled, and the exception was printed. Tests of leaving callers couldn't tell whether the caller's leaving had reached the engine. The reset does nothing once the connection's loss has been told. Failed before: test_a_caller_that_leaves_in_mid_stream.

--- a/src/mimosafork/standins/prepared/http.py
+++ b/src/mimosafork/standins/prepared/http.py
@@ -198,8 +198,10 @@
         self.transport.close()
 
     def reset(self) -> None:
-        """Reset at once."""
+        """Reset at once; nothing is left to reset once the caller has gone."""
         self.ending = True
+        if self.gone.is_set():
+            return
         wire = self.transport.get_extra_info("socket")
         if wire is not None:
             wire.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
