Answer HEAD with a head alone, and with the length that the endpoint told

A HEAD call on a route of streams got the chunked end of a body that it may not have; those bytes stood before the caller's next answer, which was no answer in the protocol. The length of a plain one was told as 0. Streams are recognized for requests whose answers have bodies only, and the endpoint's length is passed on for HEAD. Failed before: test_heads_only (b'0' in place of the next status line).

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -21,7 +21,7 @@
 from .call import Call, WholeAnswer
 from .dialect import AnswerMarks, AttemptMarks, Dialect
 from .event_stream import EVENT_STREAM, EventSplitter
-from .heads import Header, end_to_end, first_value, render_head
+from .heads import CONTENT_LENGTH, HEAD, Header, end_to_end, first_value, render_head
 from .pool import ConnectionPool, Wanted
 from .upstream import CallSink, ConnectionLoss, EndpointConnection
 
@@ -74,6 +74,11 @@
         self.ended = False
         self.first_reported = False
 
+    @property
+    def without_body(self) -> bool:
+        """Whether the answer has no body, whatever its head says of one."""
+        return self.call.message.head.method == HEAD
+
     def start(self) -> None:
         """Take or open a connection and send."""
         once = self.call.request.repeatability is Repeatability.NON_IDEMPOTENT
@@ -127,8 +132,7 @@
             return
         self.connection = connection
         sink = CallSink(self._on_head, self._on_data, self._on_end, self._on_lost)
-        without_body = self.call.message.head.method == b"HEAD"
-        connection.send(self._request(time_left), sink, without_body)
+        connection.send(self._request(time_left), sink, self.without_body)
 
     def _request(self, time_left: timedelta) -> bytes:
         head, body = self.call.message.head, self.call.message.body
@@ -141,7 +145,7 @@
             helpers=self.dispatch.helpers,
         )
         headers = self.tools.dialect.endpoint_headers(head, marks)
-        if body or head.content_length != 0 or head.method not in {b"GET", b"HEAD"}:
+        if body or head.content_length != 0 or head.method not in {b"GET", HEAD}:
             headers.append(Header(b"Content-Length", b"%d" % len(body)))
         first_line = b"%s %s HTTP/1.1" % (head.method, head.target)
         return render_head(first_line, headers) + body
@@ -162,7 +166,7 @@
             self.reading = Reading.REFUSAL
         elif head.status in SUCCESS and not marks.signed:
             self._abort(FailureKind.INVALID)
-        elif head.status in SUCCESS and is_stream(head):
+        elif head.status in SUCCESS and is_stream(head) and not self.without_body:
             self.reading = Reading.STREAM
             self.call.begin_stream(head, end_to_end(head.headers))
         else:
@@ -312,4 +316,7 @@
     call.head_sent = True
     call.status = answer.head.status
     headers = end_to_end(answer.head.headers)
+    length = first_value(answer.head.headers, CONTENT_LENGTH)
+    if call.message.head.method == HEAD and length is not None:
+        headers.append(Header(b"Content-Length", length))
     call.responder.answer(answer.head.status, answer.head.reason, headers, answer.body)
--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -11,7 +11,7 @@
 from ..clock import Clock
 from ..routing.table import ClientLimits
 from .errors import BadRequestError
-from .heads import Header, render_head
+from .heads import CONTENT_LENGTH, HEAD, Header, first_value, render_head
 from .request_reader import RequestMessage, RequestReader
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -165,12 +165,13 @@
     def answer(
         self, status: int, reason: bytes, headers: list[Header], body: bytes
     ) -> None:
-        """Send a whole answer."""
+        """Send a whole answer; to a HEAD request its head, with the length told."""
         if self.exchange is None:
             return
         framing = []
-        without_body = self.exchange.message.head.method == b"HEAD"
-        if status not in BODYLESS:
+        without_body = self.exchange.message.head.method == HEAD
+        told = first_value(headers, CONTENT_LENGTH) is not None
+        if status not in BODYLESS and not told:
             framing.append(Header(b"Content-Length", b"%d" % len(body)))
         head = self._head(status, reason, headers + framing)
         self._write(head if without_body else head + body)
--- a/src/mimosafork/gateway/heads.py
+++ b/src/mimosafork/gateway/heads.py
@@ -35,6 +35,9 @@
 HOST = b"host"
 EXPECT = b"expect"
 
+HEAD = b"HEAD"
+"""Method whose answers have no body."""
+
 
 class Header(NamedTuple):
     """One header as it came."""
--- a/tests/unit/gateway/test_gateway_callers.py
+++ b/tests/unit/gateway/test_gateway_callers.py
@@ -6,6 +6,7 @@
 from unittest import TestCase
 
 from mimosafork.gateway.client_connection import ClientConnection
+from mimosafork.standins.prepared.desk import expected_body
 from mimosafork.standins.prepared.documents import beat_document
 from mimosafork.standins.prepared.engine import EngineFigures
 from mimosafork.standins.prepared.faults import Garbage
@@ -214,6 +215,9 @@
             head = channel.read_head()
             status = 404 if path.startswith("/nowhere") else 200
             case.assertEqual(status, head.status)
+            if path.startswith("/safe"):
+                length = len(expected_body("HEAD", path, b""))
+                case.assertEqual(str(length), head.headers["content-length"])
         send(channel, "/safe/1", "last")
         case.assertEqual(200, channel.read_answer().status)
 
