Don't pass on a promise of an endpoint that did not state it

An endpoint's own 408, 429 or 503 without its statement that it did not run the call went to the caller as it was, though the call had run: the status alone tells callers that they may send it again. They get 502 now, and a call that may be repeated is. The promise can't be read out of the status (that is the platform's rule), and a signed answer can't go out under another status, so it is not passed on.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -23,6 +23,7 @@
 from .event_stream import EVENT_STREAM, EventSplitter
 from .heads import CONTENT_LENGTH, HEAD, Header, end_to_end, first_value, render_head
 from .pool import ConnectionPool, Wanted
+from .problems import PROMISES
 from .upstream import CallSink, ConnectionLoss, EndpointConnection
 
 FRESH_FOR_ONCE = timedelta(milliseconds=1500)
@@ -236,6 +237,11 @@
             self._deliver(answer)
             self._finish()
             return
+        # A status that promises "not run" without the endpoint's own statement
+        # promises what nobody knows: a caller would send again what may have run.
+        if answer.head.status in PROMISES:
+            self._fail(FailureKind.INVALID, Exposure.POSSIBLE)
+            return
         self.call.failure = answer
         self._fail(
             FailureKind.ENGINE_FAILED, Exposure.POSSIBLE, status=answer.head.status
--- a/src/mimosafork/gateway/problems.py
+++ b/src/mimosafork/gateway/problems.py
@@ -9,6 +9,16 @@
 COME_BACK = timedelta(milliseconds=500)
 """Told where the kernel gives no time of its own."""
 
+PROMISES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+"""Statuses that tell a caller that its request has not run and never will."""
+
 TIMED_OUT = frozenset({ProblemCode.DEADLINE_PASSED, ProblemCode.DEADLINE_UNREACHABLE})
 
 
--- a/tests/unit/gateway/test_gateway_failures.py
+++ b/tests/unit/gateway/test_gateway_failures.py
@@ -226,7 +226,7 @@
         case.assertNotEqual(old_id, new.id)
         case.assertEqual(200, world.running.ask("/unsafe/1", "c1").status)
         new.thread.call(lambda: setattr(new, "id", "i-other"))
-        result = world.running.ask("/unsafe/1", "c2")
+        result = world.running.ask("/unsafe/1", "c2", X_Deadline_Ms="400")
         case.assertEqual(503, result.status)
         case.assertEqual([], world.platform.log.of("c2"))
 
--- a/tests/unit/gateway/test_problems.py
+++ b/tests/unit/gateway/test_problems.py
@@ -5,7 +5,7 @@
 from itertools import product
 from unittest import TestCase
 
-from mimosafork.gateway.problems import COME_BACK, final_status
+from mimosafork.gateway.problems import COME_BACK, PROMISES, final_status
 from mimosafork.ids import RequestId
 from mimosafork.kernel.messages.requests import (
     Conclude,
@@ -18,15 +18,6 @@
 
 case = TestCase()
 
-PROMISES = frozenset(
-    {
-        HTTPStatus.REQUEST_TIMEOUT,
-        HTTPStatus.MISDIRECTED_REQUEST,
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
-    }
-)
-
 
 def conclusion(
     outcome: Outcome, code: ProblemCode, retry_after: timedelta | None = None
@@ -46,6 +37,8 @@
         case.assertEqual(outcome is Outcome.NOT_RUN, final.status in PROMISES)
         promised = final.retry_after is not None
         case.assertEqual(outcome is Outcome.NOT_RUN, promised)
+    told = {408, 421, 429, 503}
+    case.assertEqual(told, PROMISES)
     bare = Conclude(RequestId("1"), Outcome.UNKNOWN, 1)
     case.assertEqual(HTTPStatus.BAD_GATEWAY, final_status(bare).status)
 
