Reset a connection whose HTTP/1.0 answer is broken off

Callers of HTTP/1.0 get a stream without chunks, so the end of the connection is the end of the answer: a stream that was broken off after two of five events looked whole to them. An answer without chunks is broken off by a reset. With chunks the missing last one says it, and an orderly end keeps what was sent before from being lost. Failed before: test_a_broken_stream_of_the_older_protocol_never_looks_whole.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -22,6 +23,9 @@
 KEEP_SLACK = timedelta(seconds=2)
 """Beyond the promised time: a request that crosses the close would be lost."""
 
+NO_LINGER = struct.pack("ii", 1, 0)
+"""Has a socket reset its connection when it is closed."""
+
 BODYLESS = frozenset({204, 304})
 FIRST_FINAL = 200
 
@@ -208,9 +212,15 @@
 
     def break_off(self) -> None:
         """Close the connection so that the answer can't look whole."""
-        self.exchange = None
-        if self.transport is not None:
-            self.transport.abort()
+        exchange, self.exchange = self.exchange, None
+        if self.transport is None:
+            return
+        # Without chunks an orderly end is the end of a whole answer: a reader would
+        # take half of it for all. Only a reset says that it was broken off.
+        if exchange is not None and exchange.begun and not exchange.chunked:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.transport.abort()
 
     def _head(self, status: int, reason: bytes, headers: list[Header]) -> bytes:
         if self._closes():
