Reserve memory on several engines before a prompt larger than one is sent

Cause: placement said which memory to reserve, but nobody did; such a prompt was sent as it was, and engines turned it away as if they were full, until its attempts were used up. Change: a plug-in reserves in an order that all instances share, each for three seconds and renewed at half of it, and releases at the end of every attempt; an adapter carries the orders out within 250 ms. Peers are told the held memory. An endpoint that a refusal names as at fault is suspected in place of the one that answered. Ruled out: waiting for memory (it stops the engine for all others), and long reservations (a killed instance would leave them behind).

--- a/src/mimosafork/gateway/dialect.py
+++ b/src/mimosafork/gateway/dialect.py
@@ -5,6 +5,8 @@
 from typing import Protocol
 
 from ..ids import AccountId, EndpointId
+from ..kernel.messages.base import Effect
+from ..kernel.messages.placement import PartFailure
 from ..kernel.messages.requests import Helper
 from ..routing.table import ApiKey
 from .answer_reader import AnswerHead
@@ -75,8 +77,16 @@
     fault_at: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class OrderMessage:
+    """An order to an endpoint, with a body in JSON."""
+
+    path: str
+    body: bytes
+
+
 class Dialect(Protocol):
-    """Reads and writes the headers of calls."""
+    """Reads and writes the headers of calls, and orders to endpoints."""
 
     def read_call(self, head: RequestHead) -> CallMarks:
         """Return what a caller's headers say.
@@ -97,3 +107,9 @@
         self, call_id: str, retry_after: timedelta | None
     ) -> list[Header]:
         """Return the headers of an answer that this instance gives itself."""
+
+    def order(self, effect: Effect) -> OrderMessage:
+        """Return what has an endpoint carry out an effect."""
+
+    def order_failure(self, status: int) -> PartFailure | None:
+        """Return why an order was not carried out; None if it was."""
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -15,6 +15,7 @@
 from ..ids import RequestId
 from ..kernel.core import TICK, Kernel
 from ..kernel.messages.base import Effect, Message, Tick
+from ..kernel.messages.placement import FreePart, ReserveMemory
 from ..kernel.messages.requests import (
     AttemptFailed,
     CallerGone,
@@ -38,6 +39,7 @@
 from .heads import Header
 from .intake import Admission, Refusal, admit
 from .outlook import milliseconds
+from .orders import Orders
 from .pool import ConnectionPool
 from .problems import final_status
 from .request_reader import RequestMessage
@@ -78,6 +80,7 @@
         self.tools = AttemptTools(clock, self.pool, dialect, self.post)
         self.lines = CallLines(clock)
         self.freezes = FreezeWatch(clock, BootClock(), TICK)
+        self.orders = Orders(self.pool, dialect, self.post)
         self.connections: set[ClientConnection] = set()
         self.calls: dict[RequestId, Call] = {}
         self.by_connection: dict[ClientConnection, RequestId] = {}
@@ -259,6 +262,10 @@
         if attempt is not None:
             attempt.cancel()
 
+    @perform.register
+    def _(self, effect: ReserveMemory | FreePart) -> None:
+        self.orders.perform(effect)
+
     @perform.register
     def _(self, effect: WakeAt) -> None:
         pause = effect.at - self.clock.monotonic()
--- /dev/null
+++ b/src/mimosafork/gateway/orders.py
@@ -0,0 +1,207 @@
+"""Carries out the kernel's orders to endpoints, each within a bounded time."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from ..ids import EndpointId
+from ..kernel.messages.base import Effect, Message
+from ..kernel.messages.placement import (
+    FreePart,
+    MemoryReserved,
+    PartFailure,
+    ReservationFailed,
+    ReserveMemory,
+)
+from .answer_reader import AnswerHead
+from .dialect import Dialect, OrderMessage
+from .heads import Header, render_head
+from .pool import ConnectionPool, Wanted
+from .upstream import CallSink, ConnectionLoss, EndpointConnection
+
+ANSWER_WITHIN = timedelta(milliseconds=250)
+"""An engine answers an order within a few milliseconds; one that is silent for so
+long is taken to have lost it, and the next step must not wait longer."""
+
+MOST_SENDS = 2
+"""An order whose connection ends under it is sent once more: to repeat it changes
+nothing, and a kept connection may have been closed just then."""
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An order on its way.
+
+    Attributes
+    ----------
+    done : callable
+        Told the failure, or None, exactly once.
+    """
+
+    endpoint: EndpointId
+    address: str
+    message: OrderMessage
+    done: Callable[[PartFailure | None], None]
+
+
+@dataclass(frozen=True, slots=True)
+class OrderTools:
+    """What orders share."""
+
+    pool: ConnectionPool
+    dialect: Dialect
+
+
+class OrderCall:
+    """Sends one order and awaits its answer."""
+
+    def __init__(self, order: Order, tools: OrderTools) -> None:
+        self.order = order
+        self.tools = tools
+        self.connection: EndpointConnection | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.status: int | None = None
+        self.sends = 0
+        self.ended = False
+
+    def start(self) -> None:
+        """Send on a kept connection, or on a new one."""
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(ANSWER_WITHIN.total_seconds(), self._too_late)
+        self._try(self.tools.pool.take(self._wanted()))
+
+    def _wanted(self) -> Wanted:
+        return Wanted(self.order.endpoint, self.order.address)
+
+    def _try(self, kept: EndpointConnection | None) -> None:
+        if kept is not None:
+            self._send(kept)
+            return
+        self.opening = self.tools.pool.open(self._wanted(), self._send, self._unreached)
+
+    def _send(self, connection: EndpointConnection) -> None:
+        self.opening = None
+        if self.ended:
+            connection.close()
+            return
+        self.connection = connection
+        self.sends += 1
+        sink = CallSink(self._on_head, lambda data: None, self._on_end, self._on_lost)
+        connection.send(self._request(), sink, without_body=False)
+
+    def _request(self) -> bytes:
+        message = self.order.message
+        headers = [
+            Header(b"Host", self.order.address.encode()),
+            Header(b"Content-Type", b"application/json"),
+            Header(b"Content-Length", b"%d" % len(message.body)),
+        ]
+        first_line = b"POST %s HTTP/1.1" % message.path.encode()
+        return render_head(first_line, headers) + message.body
+
+    def _on_head(self, head: AnswerHead) -> None:
+        self.status = head.status
+
+    def _on_end(self) -> None:
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            self.tools.pool.put_back(self.order.endpoint, connection)
+        assert self.status is not None
+        self._end(self.tools.dialect.order_failure(self.status))
+
+    def _on_lost(self, loss: ConnectionLoss) -> None:
+        self.connection = None
+        if self.ended or self.sends >= MOST_SENDS:
+            self._end(PartFailure.LOST)
+            return
+        self._try(None)
+
+    def _unreached(self, error: OSError) -> None:
+        self.opening = None
+        self._end(PartFailure.LOST if self.sends else PartFailure.UNREACHED)
+
+    def _too_late(self) -> None:
+        opening, self.opening = self.opening, None
+        if opening is not None:
+            opening.cancel()
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.abort()
+        self._end(PartFailure.LOST if self.sends else PartFailure.UNREACHED)
+
+    def _end(self, failure: PartFailure | None) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.order.done(failure)
+
+
+class Orders:
+    """Turns effects into orders, and their answers into messages.
+
+    Parameters
+    ----------
+    report : callable
+        Hands a message to the kernel.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        report: Callable[[Message], None],
+    ) -> None:
+        self.tools = OrderTools(pool, dialect)
+        self.report = report
+        self.open: set[OrderCall] = set()
+        self.none_open = asyncio.Event()
+
+    @singledispatchmethod
+    def perform(self, effect: Effect) -> None:
+        """Carry out an effect."""
+
+    @perform.register
+    def _(self, effect: ReserveMemory) -> None:
+        def done(failure: PartFailure | None) -> None:
+            request, reservation = effect.request_id, effect.reservation
+            if failure is None:
+                self.report(MemoryReserved(request, reservation))
+            else:
+                self.report(ReservationFailed(request, reservation, failure))
+
+        self._send(effect.endpoint, effect.address, effect, done)
+
+    @perform.register
+    def _(self, effect: FreePart) -> None:
+        # A release that got no answer isn't followed up: the memory is reserved for
+        # a short while only, and comes free by itself.
+        self._send(effect.endpoint, effect.address, effect, lambda failure: None)
+
+    def _send(
+        self,
+        endpoint: EndpointId,
+        address: str,
+        effect: Effect,
+        done: Callable[[PartFailure | None], None],
+    ) -> None:
+        def ended(failure: PartFailure | None) -> None:
+            self.open.discard(call)
+            if not self.open:
+                self.none_open.set()
+            done(failure)
+
+        message = self.tools.dialect.order(effect)
+        call = OrderCall(Order(endpoint, address, message, ended), self.tools)
+        self.open.add(call)
+        self.none_open.clear()
+        call.start()
+
+    async def settle(self) -> None:
+        """Wait until all orders are answered; each one's time is bounded."""
+        if self.open:
+            await self.none_open.wait()
--- a/src/mimosafork/gateway/policies/__init__.py
+++ b/src/mimosafork/gateway/policies/__init__.py
@@ -1,11 +1,12 @@
 """Plug-ins that decide about calls that are passed on; importing registers them."""
 
-from . import fleet_view, ordering, placing, quarantining, retrying
+from . import fleet_view, ordering, placing, quarantining, reserving, retrying
 
 PLUGINS = (
     fleet_view.FleetView.name,
     quarantining.CrashQuarantine.name,
     placing.WorkPlacer.name,
+    reserving.MemoryKeeper.name,
     retrying.BudgetedRetry.name,
     ordering.UrgentFirst.name,
 )
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -28,6 +28,7 @@
 SUSPECT_FOR = timedelta(seconds=2)
 """One whose answers failed is taken last for so long."""
 
+NAMED_AT_FAULT = "named-at-fault"
 BAD_KINDS = frozenset({FailureKind.BROKEN, FailureKind.INVALID, FailureKind.STALLED})
 FAILURE_WEIGHT = 0.3
 """Share of the newest outcome in an endpoint's failure rate."""
@@ -156,6 +157,7 @@
 
     @handle.register
     def _(self, message: AttemptFailed, context: Context) -> None:
+        self._note_fault(message, context.now)
         known = self.endpoints.get(message.endpoint) if message.endpoint else None
         if known is None:
             return
@@ -169,3 +171,19 @@
         elif message.kind is FailureKind.ENGINE_FAILED:
             known.note_outcome(False, context.now)
         tell_doubt(known, before, message.refusal or message.kind.value, context.now)
+
+    def _note_fault(self, failure: AttemptFailed, now: timedelta) -> None:
+        """Suspect the endpoint that another one names as at fault.
+
+        The one that answered has only refused and bears no blame: a helper that is
+        gone would otherwise fail request after request while hosts are suspected.
+        """
+        named = failure.fault_at
+        if named is None:
+            return
+        for known in self.endpoints.values():
+            is_named = named in {known.listed.address, known.listed.endpoint}
+            if is_named and known.listed.endpoint != failure.endpoint:
+                before = Standing.of(known, now)
+                known.suspect_until = now + SUSPECT_FOR
+                tell_doubt(known, before, NAMED_AT_FAULT, now)
--- /dev/null
+++ b/src/mimosafork/gateway/policies/place_words.py
@@ -0,0 +1,28 @@
+"""The kernel's word for a place that placement has chosen."""
+
+from ...ids import Incarnation
+from ...kernel.messages.requests import Helper, Request
+from ...kernel.plugins import PlaceOn
+from ...placement.choice import Place
+
+FIRST_LIFE = Incarnation(1)
+"""An endpoint's id is new with each start, so that it needs no further number."""
+
+USUAL_PRIORITY = 5
+
+
+def place_on(place: Place, request: Request, helpers: tuple[Helper, ...]) -> PlaceOn:
+    """Return where a request is dispatched to, and with whose help."""
+    terms = request.terms
+    return PlaceOn(
+        endpoint=place.host,
+        incarnation=FIRST_LIFE,
+        address=place.address,
+        priority=USUAL_PRIORITY if terms is None else terms.priority,
+        helpers=helpers,
+    )
+
+
+def readers(place: Place) -> tuple[Helper, ...]:
+    """Return the helpers of a prompt whose memory its host holds."""
+    return tuple(Helper(each.endpoint, each.address) for each in place.helpers)
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -1,15 +1,15 @@
 """Places calls by the work that this instance and its peers have running."""
 
+from dataclasses import replace
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from ...ids import Incarnation, RequestId, ServiceId
+from ...ids import RequestId, ServiceId
 from ...kernel.context import Context
 from ...kernel.messages.base import Message
 from ...kernel.messages.requests import (
     AttemptFailed,
     FirstToken,
-    Helper,
     Problem,
     ProblemCode,
     Request,
@@ -19,7 +19,7 @@
 from ...kernel.plugins import (
     Concluded,
     Placement,
-    PlaceOn,
+    PlacementFailed,
     Placer,
     PluginFinder,
     Refuse,
@@ -27,18 +27,18 @@
 )
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
-from ...placement.choice import NoRoom, Place, PlacementAsk, WaitForRoom
+from ...placement.choice import NoRoom, Place, PlacementAsk, Shortage, WaitForRoom
+from ...placement.memory import needs_tickets
 from ...placement.policy import choose
 from ...placement.work import LoadBook
 from ...routing.engine import EngineFigures
 from .fleet_view import FleetView
+from .place_words import place_on, readers
+from .reserving import MemoryKeeper
 
 DEFAULT_ANSWER = 600
 """Tokens that an answer is expected to have where nobody says."""
 
-FIRST_LIFE = Incarnation(1)
-"""An endpoint's id is new with each start, so that it needs no further number."""
-
 HOPELESS_SHARE = 0.25
 """A call that has waited for this share of its time is given up: one held longer
 could hardly be served, and its caller should come back elsewhere at once."""
@@ -52,23 +52,28 @@
 
     def __init__(self) -> None:
         self.fleet: FleetView | None = None
+        self.memory = MemoryKeeper()
         self.book = LoadBook()
 
     def join(self, find: PluginFinder) -> None:
-        """Keep the view of the endpoints."""
+        """Keep the view of the endpoints, and the keeper of reservations."""
         self.fleet = find(FleetView)
+        self.memory = find(MemoryKeeper) or self.memory
 
     def place(self, record: RequestRecord, context: Context) -> Placement:
         """Return where the call goes now."""
         assert self.fleet is not None
         service = ServiceId(record.request.target)
         engines = [b.view(context.now) for b in self.fleet.of_service(service)]
-        ask = ask_of(record, context)
+        if self.memory.pauses(record.request_id, context.now):
+            return self._wait(record, WaitForRoom(Shortage.MEMORY), context.now)
+        figures = self.figures_of(service)
+        ask = self._ask(record, figures, context)
         choice = choose(
             ask,
             engines,
             self.book,
-            self.figures_of(service),
+            figures,
             context.now,
             context.random,
         )
@@ -76,11 +81,22 @@
             work = choice.work(ask, context.now)
             self.book.note(work)
             context.emit(WorkBegun(work))
-            return place_on(choice, record.request)
+            if choice.reservations:
+                return self.memory.begin(choice, record, context)
+            return place_on(choice, record.request, readers(choice))
         if isinstance(choice, NoRoom):
             return Refuse(overloaded(choice.reason.value, choice.come_back))
         return self._wait(record, choice, context.now)
 
+    def _ask(
+        self, record: RequestRecord, figures: EngineFigures | None, context: Context
+    ) -> PlacementAsk:
+        """Return what placement is asked, without engines known to lack memory."""
+        ask = ask_of(record, context)
+        if figures is None or not needs_tickets(ask, figures):
+            return ask
+        return replace(ask, avoid=ask.avoid | self.memory.short_engines(context.now))
+
     def _wait(
         self, record: RequestRecord, choice: WaitForRoom, now: timedelta
     ) -> Placement:
@@ -113,6 +129,12 @@
         if work is not None and work.host == message.endpoint:
             self._end(message.request_id, context)
 
+    @handle.register
+    def _(self, message: PlacementFailed, context: Context) -> None:
+        request_id = RequestId(message.request_id)
+        if request_id in self.book.own:
+            self._end(request_id, context)
+
     @handle.register
     def _(self, message: Concluded, context: Context) -> None:
         if message.record.request_id in self.book.own:
@@ -159,18 +181,6 @@
     return min(expected, request.max_tokens) if request.max_tokens else expected
 
 
-def place_on(place: Place, request: Request) -> PlaceOn:
-    """Return the kernel's word for a place."""
-    priority = request.terms.priority if request.terms is not None else 5
-    return PlaceOn(
-        endpoint=place.host,
-        incarnation=FIRST_LIFE,
-        address=place.address,
-        priority=priority,
-        helpers=tuple(Helper(each.endpoint, each.address) for each in place.helpers),
-    )
-
-
 def overloaded(detail: str, come_back: timedelta) -> Problem:
     """Return why a call is not placed, and when to come back."""
     return Problem(ProblemCode.OVERLOADED, detail, come_back)
--- /dev/null
+++ b/src/mimosafork/gateway/policies/tickets.py
@@ -0,0 +1,138 @@
+"""Memory that is reserved on several engines for one attempt of a request."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from ...ids import AttemptNumber, EndpointId, RequestId, ReservationId
+from ...kernel.messages.requests import Helper
+from ...placement.choice import Place, Reservation
+
+
+class Step(Enum):
+    """How far a gang is."""
+
+    RESERVING = "reserving"
+    RUNNING = "running"
+
+
+@dataclass(slots=True)
+class Ticket:
+    """Memory on one engine, and what is known of it.
+
+    Attributes
+    ----------
+    asked_at : timedelta or None
+        When it was last asked for, first or again; None before.
+    held_until : timedelta or None
+        It is surely held until then; None while it isn't held.
+    open : bool
+        An order for it is not answered yet.
+    lost : bool
+        The engine has said that it isn't held.
+    """
+
+    reservation: ReservationId
+    endpoint: EndpointId
+    address: str
+    tokens: int
+    asked_at: timedelta | None = None
+    held_until: timedelta | None = None
+    open: bool = False
+    lost: bool = False
+
+    def ask(self, now: timedelta) -> None:
+        """Note that an order for it is sent."""
+        self.asked_at = now
+        self.open = True
+
+    def confirm(self, hold: timedelta) -> None:
+        """Note that it is held, for `hold` from when it was asked for at the least."""
+        assert self.asked_at is not None
+        self.open = False
+        self.held_until = self.asked_at + hold
+
+    def wants_renewal(self, now: timedelta, last: timedelta) -> bool:
+        """Return whether it should be asked for again.
+
+        One that has run out isn't: its memory would be set aside anew, and the
+        request that used it has been cut off.
+
+        Parameters
+        ----------
+        last : timedelta
+            How much of its time may be left.
+        """
+        if self.open or self.lost or self.held_until is None:
+            return False
+        return self.held_until - last <= now < self.held_until
+
+
+@dataclass(slots=True)
+class Gang:
+    """The reservations of one attempt, in the order in which they are asked for.
+
+    Attributes
+    ----------
+    attempt : AttemptNumber
+        Number that the attempt has, or will have once it is sent.
+    """
+
+    request_id: RequestId
+    attempt: AttemptNumber
+    place: Place
+    begun_at: timedelta
+    tickets: list[Ticket] = field(default_factory=list)
+    step: Step = Step.RESERVING
+
+    def next_missing(self) -> Ticket | None:
+        """Return the first ticket that isn't held; None if all are."""
+        return next((each for each in self.tickets if each.held_until is None), None)
+
+    def ticket(self, reservation: ReservationId) -> Ticket | None:
+        """Return a ticket of this gang by its id."""
+        found = (each for each in self.tickets if each.reservation == reservation)
+        return next(found, None)
+
+    def helpers(self) -> tuple[Helper, ...]:
+        """Return the helpers as the host is told of them.
+
+        Its own memory goes first, then that of others, as it is filled in turn; those
+        that only read go last.
+        """
+        names = {each.endpoint: each.reservation for each in self.tickets}
+        place = self.place
+        found = []
+        if place.host in names:
+            found.append(Helper(place.host, place.address, names[place.host]))
+        others = sorted(place.helpers, key=lambda each: each.endpoint not in names)
+        for each in others:
+            found.append(Helper(each.endpoint, each.address, names.get(each.endpoint)))
+        return tuple(found)
+
+
+def tickets_of(
+    reservations: tuple[Reservation, ...], life: str, first: int
+) -> list[Ticket]:
+    """Return tickets in the order that all instances share.
+
+    So of two gangs that want the same engines, the one that got the first of these is
+    not stopped by the other, and none waits for what the other holds.
+
+    Parameters
+    ----------
+    life : str
+        Tells this life of this instance apart from all others.
+    first : int
+        Number of the first ticket; none is used twice in a life.
+    """
+    ordered = sorted(reservations, key=lambda each: each.endpoint)
+    return [
+        Ticket(
+            ReservationId(f"{life}.{first + index}"),
+            each.endpoint,
+            each.address,
+            each.tokens,
+        )
+        for index, each in enumerate(ordered)
+    ]
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -43,6 +43,7 @@
 from .outlook import Outlook, milliseconds
 from .policies import PLUGINS
 from .policies.fleet_view import FleetView
+from .policies.reserving import MemoryKeeper
 from .policies.retrying import BudgetedRetry
 from .ready import ReadyConnection
 from .sharing import Sharing
@@ -176,6 +177,7 @@
         retry.ratio = bounds.retry_ratio
         retry.slack = bounds.retry_slack
         retry.spent = self.sharing.spending
+        self.kernel.plugin(MemoryKeeper).longest_hold = bounds.longest_hold
 
     def _new_gossip(self) -> Gossip:
         settings = self.settings
@@ -255,6 +257,7 @@
         gateway.post(StopNow())
         for listener in self.listeners:
             listener.close()
+        await gateway.orders.settle()
         gateway.stop()
         await self.directory.stop()
         if self.sharing.gossip is not None:
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -33,6 +33,7 @@
     WorkBegun,
     WorkEnded,
 )
+from ..placement.work import Held as HeldTokens
 from ..placement.work import Part, Work
 from ..routing.engine import EngineFigures
 
@@ -219,6 +220,7 @@
             request=RequestId(f"{instance}/{note.number}"),
             host=note.host,
             parts=self.parts_of(note),
+            held=tuple(HeldTokens(each.helper, each.tokens) for each in note.held),
             prompt_tokens=note.prompt_tokens,
             answer_tokens=note.answer_tokens,
             longest_pause=pause or None,
@@ -273,6 +275,7 @@
             for part in work.parts
             if part.endpoint != work.host
         ),
+        held=tuple(NotedPart(held.endpoint, held.tokens) for held in work.held),
     )
 
 
--- a/src/mimosafork/gossip/kinds/load.py
+++ b/src/mimosafork/gossip/kinds/load.py
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Part:
-    """Tokens of a prompt that a helper reads."""
+    """Tokens of a prompt that a helper reads, or that an engine holds."""
 
     helper: EndpointId
     tokens: int
@@ -42,6 +42,9 @@
         Since its first event; None before it.
     parts : tuple of Part
         What helpers read.
+    held : tuple of Part
+        Where the memory of a prompt is that is larger than one engine's; empty where
+        its host holds it all.
     """
 
     number: int
@@ -52,10 +55,14 @@
     age_ms: int = 0
     writing_ms: int | None = None
     parts: tuple[Part, ...] = ()
+    held: tuple[Part, ...] = ()
 
 
 class WireNote(msgspec.Struct, array_like=True):
-    """A note as it travels; parts are pairs of index and tokens."""
+    """A note as it travels; parts are pairs of index and tokens.
+
+    What is held goes last and only where there is some, as such prompts are rare.
+    """
 
     number: int
     host: int
@@ -65,6 +72,7 @@
     age: int
     writing: int | None
     parts: list[int]
+    held: list[int] = []
 
 
 class LoadCodec:
@@ -73,10 +81,7 @@
     def pack(self, value: object, ids: IdWriter) -> object:
         """Return what travels."""
         note = cast(WorkNote, value)
-        parts: list[int] = []
-        for part in note.parts:
-            parts += (ids.index(part.helper), part.tokens)
-        return [
+        packed: list[object] = [
             note.number,
             ids.index(note.host),
             note.prompt_tokens,
@@ -84,15 +89,15 @@
             note.longest_pause_ms,
             note.age_ms,
             note.writing_ms,
-            parts,
+            flat(note.parts, ids),
         ]
+        if note.held:
+            packed.append(flat(note.held, ids))
+        return packed
 
     def unpack(self, packed: object, ids: IdReader) -> object:
         """Return the value."""
         wire = msgspec.convert(packed, WireNote)
-        if len(wire.parts) % 2:
-            raise BadDatagramError("a helper has no tokens")
-        pairs = zip(wire.parts[::2], wire.parts[1::2], strict=True)
         return WorkNote(
             number=wire.number,
             host=ids.endpoint(wire.host),
@@ -101,8 +106,31 @@
             longest_pause_ms=wire.pause,
             age_ms=wire.age,
             writing_ms=wire.writing,
-            parts=tuple(Part(ids.endpoint(each), tokens) for each, tokens in pairs),
+            parts=parts_of(wire.parts, ids),
+            held=parts_of(wire.held, ids),
         )
 
 
+def flat(parts: tuple[Part, ...], ids: IdWriter) -> list[int]:
+    """Return parts as pairs of index and tokens."""
+    numbers: list[int] = []
+    for part in parts:
+        numbers += (ids.index(part.helper), part.tokens)
+    return numbers
+
+
+def parts_of(numbers: list[int], ids: IdReader) -> tuple[Part, ...]:
+    """Return the parts that pairs of index and tokens stand for.
+
+    Raises
+    ------
+    BadDatagramError
+        If a number is missing.
+    """
+    if len(numbers) % 2:
+        raise BadDatagramError("a helper has no tokens")
+    pairs = zip(numbers[::2], numbers[1::2], strict=True)
+    return tuple(Part(ids.endpoint(each), tokens) for each, tokens in pairs)
+
+
 LOAD = register(Kind(5, LoadCodec()))
--- a/src/mimosafork/placement/memory.py
+++ b/src/mimosafork/placement/memory.py
@@ -9,6 +9,9 @@
 FULL_SHARE = 0.97
 """Share of an engine's memory that is given out; blocks round each request up."""
 
+USUAL_SHARE = 0.5
+"""Share of an engine's memory that one prompt takes at most, if others have room."""
+
 
 def total_tokens(ask: PlacementAsk) -> int:
     """Return the tokens that a request holds at its end."""
@@ -28,28 +31,52 @@
 def shares(
     ask: PlacementAsk, gang: Sequence[EngineState], figures: EngineFigures
 ) -> tuple[Reservation, ...]:
-    """Spread a request's tokens over engines, evenly as far as each has room.
+    """Spread a request's tokens over as few engines as hold it without being full.
 
-    Each step of a holder costs the context that it holds, so even shares write
-    fastest. Engines with little room are filled first, the others take the rest.
+    Each reservation costs orders and may be refused, so they are few; but an engine
+    that is filled by one prompt admits nothing else, so each holds a part only.
 
     Parameters
     ----------
     gang : sequence of EngineState
         The host first; together they have room enough.
     """
-    left = total_tokens(ask)
-    tokens: dict[str, int] = {}
-    by_room = sorted(gang, key=lambda state: free_tokens(state, figures))
-    for index, state in enumerate(by_room):
-        even = -(-left // (len(by_room) - index))
-        taken = max(0, min(even, free_tokens(state, figures)))
-        tokens[state.view.endpoint] = taken
-        left -= taken
+    total = total_tokens(ask)
+    part = int(figures.memory_tokens * USUAL_SHARE)
+    holders = emptiest(gang, figures)
+    rooms = [max(0, free_tokens(state, figures)) for state in holders]
+    count = min(len(holders), -(-total // part))
+    while count < len(holders) and sum(rooms[:count]) < total:
+        count += 1
+    taken = levelled(total, rooms[:count])
+    tokens = {
+        state.view.endpoint: share for state, share in zip(holders, taken, strict=False)
+    }
     return tuple(
         Reservation(
             state.view.endpoint, state.view.address, tokens[state.view.endpoint]
         )
         for state in gang
-        if tokens[state.view.endpoint] > 0
+        if tokens.get(state.view.endpoint, 0) > 0
     )
+
+
+def emptiest(gang: Sequence[EngineState], figures: EngineFigures) -> list[EngineState]:
+    """Return a gang's engines with the most room first; the host first on ties."""
+    return sorted(gang, key=lambda state: -free_tokens(state, figures))
+
+
+def levelled(total: int, rooms: Sequence[int]) -> list[int]:
+    """Share out tokens evenly, as far as each has room.
+
+    Each step of a holder costs the context that it holds, so even shares write
+    fastest. Those with little room are filled first, the others take the rest.
+    """
+    left = total
+    taken = [0] * len(rooms)
+    by_room = sorted(range(len(rooms)), key=lambda index: rooms[index])
+    for position, index in enumerate(by_room):
+        even = -(-left // (len(rooms) - position))
+        taken[index] = min(even, rooms[index])
+        left -= taken[index]
+    return taken
--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -26,6 +26,8 @@
 
 GANG_SIZES = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 """Numbers of engines that are tried; a request may name 16 beside its host."""
+MOST_WITH_MEMORY = 16
+"""Engines of a prompt whose memory is reserved: its host may be named too then."""
 HELPER_COST = 0.02
 """Cost of each helper, as one that is gone fails the whole request."""
 BEYOND_COST = 0.5
@@ -208,6 +210,7 @@
     """Return the plan that costs least, or None if no engine has room."""
     noise = tuple(random.random() * NOISE_COST for _ in states)
     search = Search(ask, states, figures, noise, front_of(states, figures))
-    sizes = sorted({min(size, len(states)) for size in GANG_SIZES})
+    most = MOST_WITH_MEMORY if needs_tickets(ask, figures) else GANG_SIZES[-1]
+    sizes = sorted({min(size, len(states), most) for size in GANG_SIZES})
     plans = [plan for size in sizes if (plan := search.plan(size)) is not None]
     return min(plans, key=lambda plan: plan.cost, default=None)
--- a/src/mimosafork/platform/calls.py
+++ b/src/mimosafork/platform/calls.py
@@ -6,12 +6,15 @@
 from typing import NamedTuple
 
 from ..gateway.answer_reader import AnswerHead
-from ..gateway.dialect import AnswerMarks, AttemptMarks, CallMarks
+from ..gateway.dialect import AnswerMarks, AttemptMarks, CallMarks, OrderMessage
 from ..gateway.errors import BadRequestError
 from ..gateway.heads import Header, RequestHead, end_to_end, first_value
+from ..kernel.messages.base import Effect
+from ..kernel.messages.placement import PartFailure
 from ..kernel.messages.requests import Helper
 from ..routing.table import ApiKey
 from . import names
+from .orders import failure_of, order_of
 
 NUMBER = re.compile(rb"[0-9]{1,15}")
 MILLISECOND = timedelta(milliseconds=1)
@@ -99,6 +102,14 @@
             found.append(Header(names.RETRY_AFTER, b"%.2f" % seconds))
         return found
 
+    def order(self, effect: Effect) -> OrderMessage:
+        """Return what has an endpoint carry out an effect."""
+        return order_of(effect)
+
+    def order_failure(self, status: int) -> PartFailure | None:
+        """Return why an order was not carried out; None if it was."""
+        return failure_of(status)
+
 
 def text(head: RequestHead, name: bytes) -> str:
     """Return a header's text; empty if there is none."""
--- a/src/mimosafork/platform/names.py
+++ b/src/mimosafork/platform/names.py
@@ -103,6 +103,14 @@
 PROMPT = "prompt"
 ANSWER = "answer"
 
+# Fields and words of orders to endpoints.
+OPERATION = "op"
+RESERVE = "reserve"
+RELEASE = "release"
+ID = "id"
+TOKENS = "tokens"
+HOLD_MS = "hold-ms"
+
 # Kinds of a route.
 SAFE = "safe"
 UNSAFE = "unsafe"
