Test that reserved memory is whole before a request, and left nowhere

Cause: reservations have many ways to end, and each that is forgotten keeps an engine's memory from all others. Change: model engines under a gateway's kernel with a clock that is set; tests for each path (refused at the second engine, silent engine, lost and late orders, caller gone, deadline, stop, kill, freeze between reserving and sending, lost renewal, new ids for each attempt), and a state machine over all of them.

--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -38,8 +38,8 @@
 from .freeze import FreezeWatch
 from .heads import Header
 from .intake import Admission, Refusal, admit
-from .outlook import milliseconds
 from .orders import Orders
+from .outlook import milliseconds
 from .pool import ConnectionPool
 from .problems import final_status
 from .request_reader import RequestMessage
--- /dev/null
+++ b/tests/unit/gateway/test_reserving.py
@@ -0,0 +1,434 @@
+"""Memory for prompts beyond one engine is reserved whole, and left nowhere."""
+
+from datetime import timedelta
+from unittest import TestCase
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from mimosafork.gateway.policies.fleet_view import FleetView
+from mimosafork.gateway.policies.placing import WorkPlacer
+from mimosafork.gateway.policies.reserving import HOLD, MemoryKeeper
+from mimosafork.ids import RequestId
+from mimosafork.kernel.messages.base import Tick
+from mimosafork.kernel.messages.lifecycle import StopNow
+from mimosafork.kernel.messages.placement import FreePart, ReserveMemory
+from mimosafork.kernel.messages.requests import (
+    AttemptFinished,
+    CallerGone,
+    Dispatch,
+    FirstToken,
+    Outcome,
+    Submit,
+)
+
+from ...support.functions import function_tests
+from ...support.reserving_engines import (
+    HUGE,
+    MEMORY,
+    ReservingBench,
+    address_of,
+    first_attempt,
+    huge_request,
+    reserving_bench,
+)
+
+case = TestCase()
+
+LEAK = timedelta(seconds=4)
+"""Memory must not stay set aside for longer after its last use."""
+
+
+def ms(value: float) -> timedelta:
+    return timedelta(milliseconds=value)
+
+
+def begun(bench: ReservingBench, name: str = "r") -> None:
+    bench.serve(Submit(huge_request(name, bench.clock.monotonic())))
+
+
+def nothing_kept(bench: ReservingBench) -> None:
+    """Check that neither engines nor plug-ins hold anything."""
+    case.assertEqual({}, bench.held())
+    case.assertEqual({}, bench.kernel.plugin(MemoryKeeper).gangs)
+    case.assertEqual({}, bench.kernel.plugin(WorkPlacer).book.own)
+
+
+def tickets_of(dispatch: Dispatch) -> list[str]:
+    return [str(h.reservation) for h in dispatch.helpers if h.reservation is not None]
+
+
+def test_all_memory_is_held_before_the_request_is_sent() -> None:
+    bench = reserving_bench()
+    begun(bench)
+    dispatch = bench.last_dispatch("r")
+    held = bench.held()
+    case.assertEqual(set(held), set(tickets_of(dispatch)))
+    tokens = [t.tokens for e in bench.engines.values() for t in e.tickets.values()]
+    case.assertGreaterEqual(sum(tokens), HUGE)
+    case.assertLess(max(tokens), MEMORY)
+    by_name = {h.reservation: h for h in dispatch.helpers}
+    for ticket, engine in held.items():
+        case.assertEqual(address_of(engine), by_name[ticket].address)  # type: ignore[index]
+
+
+def test_the_hosts_own_memory_is_named_first() -> None:
+    bench = reserving_bench()
+    begun(bench)
+    dispatch = bench.last_dispatch("r")
+    named = [helper.endpoint for helper in dispatch.helpers]
+    case.assertEqual(len(named), len(set(named)))
+    case.assertEqual(dispatch.endpoint, named[0])
+    holds = [helper.reservation is not None for helper in dispatch.helpers]
+    case.assertEqual(sorted(holds, reverse=True), holds)
+
+
+def test_engines_are_asked_in_the_same_order_by_all() -> None:
+    for seed in range(5):
+        bench = reserving_bench(seed=seed)
+        begun(bench)
+        case.assertEqual(sorted(bench.order), bench.order)
+
+
+def test_a_prompt_that_fits_reserves_nothing() -> None:
+    bench = reserving_bench()
+    bench.serve(Submit(huge_request("r", prompt=300_000)))
+    case.assertEqual([], bench.emitted(ReserveMemory))
+    case.assertTrue(bench.dispatches("r"))
+
+
+def test_memory_is_renewed_rarely_and_freed_at_the_end() -> None:
+    bench = reserving_bench()
+    begun(bench)
+    bench.serve(FirstToken(RequestId("r"), first_attempt()))
+    count = len(bench.held())
+    bench.run(HOLD * 3)
+    case.assertEqual(count, len(bench.held()))
+    case.assertLessEqual(len(bench.emitted(ReserveMemory)), count * 8)
+    bench.serve(AttemptFinished(RequestId("r"), first_attempt()))
+    nothing_kept(bench)
+
+
+def test_a_caller_that_leaves_while_memory_is_reserved_frees_it() -> None:
+    """The caller hangs up between the first and the second order.
+
+    The answer to the first comes after the request has ended; it must not go on.
+    """
+    bench = reserving_bench()
+    bench.held_back = []
+    begun(bench)
+    bench.serve(CallerGone(RequestId("r")))
+    bench.answer_held_back()
+    nothing_kept(bench)
+    case.assertEqual([], bench.dispatches("r"))
+
+
+def test_a_caller_that_leaves_amid_the_answer_frees_it() -> None:
+    bench = reserving_bench()
+    begun(bench)
+    bench.serve(CallerGone(RequestId("r")))
+    nothing_kept(bench)
+
+
+def test_a_stop_frees_it() -> None:
+    bench = reserving_bench()
+    begun(bench)
+    begun(bench, "s")
+    bench.serve(StopNow())
+    nothing_kept(bench)
+
+
+def test_the_deadline_frees_it() -> None:
+    bench = reserving_bench()
+    begun(bench)
+    bench.run(timedelta(seconds=16))
+    case.assertIsNotNone(bench.conclusion("r"))
+    nothing_kept(bench)
+
+
+def test_a_refusal_at_one_engine_frees_the_others_and_it_is_placed_anew() -> None:
+    """An engine has less memory than its load tells, as others have just taken it.
+
+    The first engines of the gang have reserved by then; they must not wait.
+    """
+    bench = reserving_bench()
+    begun(bench, "probe")
+    full = bench.order[1]
+    bench.serve(CallerGone(RequestId("probe")))
+    bench = reserving_bench()
+    bench.engines[full].taken = MEMORY
+    begun(bench)
+    case.assertEqual({}, bench.held())
+    case.assertEqual([], bench.dispatches("r"))
+    case.assertEqual({}, bench.kernel.plugin(WorkPlacer).book.own)
+    bench.run(ms(400))
+    dispatch = bench.last_dispatch("r")
+    case.assertEqual(set(bench.held()), set(tickets_of(dispatch)))
+    case.assertNotIn(full, bench.held().values())
+
+
+def test_a_request_that_finds_no_memory_is_refused_in_time() -> None:
+    bench = reserving_bench()
+    for engine in bench.engines.values():
+        engine.taken = MEMORY
+    begun(bench)
+    bench.run(timedelta(seconds=5))
+    ended = bench.conclusion("r")
+    assert ended is not None
+    case.assertIs(Outcome.NOT_RUN, ended.outcome)
+    case.assertLess(len(bench.emitted(ReserveMemory)), 40)
+    nothing_kept(bench)
+
+
+def test_a_silent_engine_is_asked_again_then_left_out() -> None:
+    """An engine answers no order. Those that answered must not be held for long."""
+    bench = reserving_bench()
+    begun(bench, "probe")
+    silent = bench.order[-1]
+    bench = reserving_bench()
+    bench.engines[silent].silent = True
+    begun(bench)
+    for _ in range(5):
+        bench.run(ms(250))
+        bench.lose_orders()
+    case.assertGreater(bench.order.count(silent), 2)
+    bench.run(ms(500))
+    dispatch = bench.last_dispatch("r")
+    case.assertEqual(set(bench.held()), set(tickets_of(dispatch)))
+    case.assertNotIn(silent, {helper.endpoint for helper in dispatch.helpers})
+    released = [o for o in bench.unanswered if isinstance(o, FreePart)]
+    case.assertTrue(released, "what may have been carried out must be released")
+
+
+def test_an_order_without_an_answer_is_repeated_under_its_id() -> None:
+    """An order is lost; the same one is sent again and answered.
+
+    Had the first been carried out late, the second would only have renewed it.
+    """
+    bench = reserving_bench()
+    begun(bench, "probe")
+    lossy = bench.order[0]
+    bench = reserving_bench()
+    bench.engines[lossy].silent = True
+    begun(bench)
+    lost = bench.emitted(ReserveMemory)[0]
+    bench.engines[lossy].silent = False
+    bench.lose_orders()
+    dispatch = bench.last_dispatch("r")
+    case.assertIn(str(lost.reservation), tickets_of(dispatch))
+
+
+def test_an_order_that_is_carried_out_late_ends_by_itself() -> None:
+    """A lost order is carried out seconds later, after its release.
+
+    Nobody knows of that memory; only its short time frees it.
+    """
+    bench = reserving_bench()
+    begun(bench)
+    late = bench.emitted(ReserveMemory)[0]
+    bench.serve(CallerGone(RequestId("r")))
+    bench.run(timedelta(seconds=6))
+    bench.engines[late.endpoint].reserve(late, bench.clock.monotonic())
+    bench.run(LEAK)
+    nothing_kept(bench)
+
+
+def test_a_killed_instance_leaves_nothing_behind() -> None:
+    """The process dies amid an answer, or between two reservations."""
+    for amid_answer in (True, False):
+        bench = reserving_bench()
+        bench.held_back = None if amid_answer else []
+        begun(bench)
+        bench.run(timedelta(seconds=2) if amid_answer else ms(50))
+        bench.run(LEAK, ticking=False)
+        case.assertEqual({}, bench.held())
+
+
+def test_a_frozen_instance_looks_again_before_it_sends() -> None:
+    """The process stands still between the last reservation and the request.
+
+    All memory has run out meanwhile, and others may have it. A request sent then
+    would be refused at best.
+    """
+    bench = reserving_bench()
+    bench.held_back = []
+    begun(bench)
+    bench.run(HOLD, ticking=False)
+    bench.answer_held_back()
+    case.assertEqual([], bench.dispatches("r"))
+    bench.run(ms(400))
+    dispatch = bench.last_dispatch("r")
+    case.assertEqual(set(bench.held()), set(tickets_of(dispatch)))
+
+
+def test_what_has_run_out_is_not_reserved_anew() -> None:
+    """The process stands still amid an answer, until all memory has run out.
+
+    The engine has cut the request off. To renew now would set memory aside that
+    nobody uses.
+    """
+    bench = reserving_bench()
+    begun(bench)
+    bench.run(HOLD + ms(100), ticking=False)
+    before = len(bench.emitted(ReserveMemory))
+    bench.serve(Tick())
+    case.assertEqual(before, len(bench.emitted(ReserveMemory)))
+    case.assertEqual({}, bench.held())
+
+
+def test_a_lost_renewal_is_repeated_at_once() -> None:
+    bench = reserving_bench()
+    begun(bench)
+    engine = bench.engines[bench.order[0]]
+    bench.run(HOLD / 2 - ms(50))
+    engine.silent = True
+    bench.run(ms(100))
+    engine.silent = False
+    bench.lose_orders()
+    bench.run(ms(100))
+    until = max(ticket.until for ticket in engine.tickets.values())
+    case.assertGreater(until - bench.clock.monotonic(), HOLD - ms(200))
+
+
+def test_each_attempt_has_ids_of_its_own() -> None:
+    bench = reserving_bench()
+    begun(bench)
+    first = set(tickets_of(bench.last_dispatch("r")))
+    bench.fail_attempt("r")
+    case.assertEqual({}, bench.held())
+    bench.run(ms(300))
+    second = set(tickets_of(bench.last_dispatch("r")))
+    case.assertEqual(2, len(bench.dispatches("r")))
+    case.assertEqual(set(), first & second)
+    case.assertEqual(second, set(bench.held()))
+
+
+def test_another_life_under_the_same_name_has_other_ids() -> None:
+    ids: set[str] = set()
+    for seed in range(3):
+        bench = reserving_bench(seed=seed)
+        begun(bench)
+        found = set(tickets_of(bench.last_dispatch("r")))
+        case.assertEqual(set(), ids & found)
+        ids |= found
+
+
+def test_the_engine_at_fault_is_suspected_and_not_its_host() -> None:
+    bench = reserving_bench()
+    begun(bench)
+    dispatch = bench.last_dispatch("r")
+    at_fault = dispatch.helpers[-1]
+    bench.fail_attempt("r", at_fault.address)
+    fleet = bench.kernel.plugin(FleetView)
+    now = bench.clock.monotonic()
+    suspects = {n for n, b in fleet.endpoints.items() if b.view(now).suspect}
+    case.assertEqual({at_fault.endpoint}, suspects)
+
+
+class Reserving(RuleBasedStateMachine):
+    """Requests come, end and fail while engines fill up, fall silent and recover."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.bench = reserving_bench(engines=5)
+        self.made = 0
+
+    def running(self) -> list[str]:
+        """Return the requests that an engine runs, oldest first."""
+        gangs = self.bench.kernel.plugin(MemoryKeeper).gangs
+        return [name for name in gangs if self.bench.dispatches(name)]
+
+    @rule(prompt=st.integers(410_000, 1_500_000))
+    def submit(self, prompt: int) -> None:
+        """Let a huge prompt come."""
+        self.made += 1
+        now = self.bench.clock.monotonic()
+        self.bench.serve(Submit(huge_request(f"r{self.made}", now, prompt)))
+
+    @rule()
+    def finish(self) -> None:
+        """Let the oldest answer be whole."""
+        for name in self.running()[:1]:
+            attempt = self.bench.last_dispatch(name).attempt
+            self.bench.serve(AttemptFinished(RequestId(name), attempt))
+
+    @rule()
+    def refuse(self) -> None:
+        """Have the newest attempt refused."""
+        for name in self.running()[-1:]:
+            self.bench.fail_attempt(name)
+
+    @rule()
+    def leave(self) -> None:
+        """Let the newest caller hang up."""
+        self.bench.serve(CallerGone(RequestId(f"r{self.made}")))
+
+    @rule(which=st.integers(0, 4), taken=st.sampled_from((0, 200_000, MEMORY)))
+    def fill(self, which: int, taken: int) -> None:
+        """Let others take or free memory, as far as it is there."""
+        engine = self.bench.engines[f"e{which}"]
+        engine.taken = min(taken, engine.free + engine.taken)
+
+    @rule(which=st.integers(0, 4), silent=st.booleans())
+    def hush(self, which: int, silent: bool) -> None:
+        """Let an engine stop or begin to answer."""
+        self.bench.engines[f"e{which}"].silent = silent
+
+    @rule(time=st.integers(1, 40))
+    def wait(self, time: int) -> None:
+        """Let time pass, and give up orders without an answer."""
+        self.bench.run(ms(50 * time))
+        self.bench.lose_orders()
+
+    @rule(time=st.integers(1, 100))
+    def freeze(self, time: int) -> None:
+        """Let the instance stand still."""
+        self.bench.run(ms(50 * time), ticking=False)
+
+    @invariant()
+    def nothing_is_sent_without_its_memory(self) -> None:
+        """Check that ids of memory are never used by two attempts."""
+        used = [t for d in self.bench.emitted(Dispatch) for t in tickets_of(d)]
+        assert len(used) == len(set(used)), used
+
+    @invariant()
+    def engines_hold_only_what_somebody_wants(self) -> None:
+        """Check that nothing is held for a request that has ended."""
+        gangs = self.bench.kernel.plugin(MemoryKeeper).gangs.values()
+        wanted = {str(t.reservation) for gang in gangs for t in gang.tickets}
+        for engine in self.bench.engines.values():
+            unwanted = set(engine.tickets) - wanted
+            lost = {o.holding_id for o in self._lost_releases()}
+            assert unwanted <= lost, unwanted - lost
+
+    def _lost_releases(self) -> list[FreePart]:
+        return [o for o in self.bench.unanswered if isinstance(o, FreePart)]
+
+    def teardown(self) -> None:
+        """Let all end that is left, and with it what is held."""
+        for engine in self.bench.engines.values():
+            engine.silent = False
+        self.bench.run(timedelta(seconds=20))
+        nothing_kept(self.bench)
+
+
+def test_no_order_of_events_leaves_memory_behind() -> None:
+    run_state_machine_as_test(
+        Reserving,
+        settings=settings(
+            max_examples=40,
+            stateful_step_count=25,
+            derandomize=True,
+            deadline=None,
+            database=None,
+        ),
+    )
+
+
+load_tests = function_tests(__name__)
