Count what a part does to the reads that it overtakes, and choose faster

Cause: long calls on time fell with the front. Reads held up at their host were taken to be over once their time had passed (1.6 s of reading left where the book said none). What is the same for all sizes of a part is calculated once, in state.py; the front has its own module.

--- a/src/mimosafork/placement/choice.py
+++ b/src/mimosafork/placement/choice.py
@@ -119,6 +119,7 @@
             prompt_tokens=ask.prompt_tokens,
             answer_tokens=ask.answer_tokens,
             longest_pause=ask.longest_pause,
+            due_at=now + ask.objective,
             started_at=now,
         )
 
--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -10,19 +10,14 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from math import ceil
 from random import Random
 
 from ..routing.engine import EngineFigures
 from .choice import PlacementAsk
-from .forecast import (
-    EngineState,
-    harm,
-    lateness,
-    read_done,
-    writing_pass,
-)
+from .forecast import delay_loss, harm, lateness
+from .front import Front, front_of, is_short
 from .memory import free_tokens, needs_tickets, total_tokens
+from .state import EngineState
 
 GANG_SIZES = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 """Numbers of engines that are tried; a request may name 16 beside its host."""
@@ -30,67 +25,16 @@
 """Engines of a prompt whose memory is reserved: its host may be named too then."""
 HELPER_COST = 0.02
 """Cost of each helper, as one that is gone fails the whole request."""
-BEYOND_COST = 0.5
-"""Cost of a short request on the engine at the far end of the order."""
-FRONT_WRITERS = 2.0
-"""Short requests that an engine of the front is meant to have."""
-LEAST_FRONT = 2
-"""Engines that the front has at least."""
-FREE_READING_MS = 100.0
-"""Reading on an engine of the front that keeps no short request from it."""
-SHORT_LOSS = 1.0
-"""Expected loss of a short request that meets a long read on its engine."""
 NOISE_COST = 0.05
 """Instances that don't know of one another's last requests spread by this much."""
 DELAY_COST_PER_MS = 0.0002
 """Cost of each millisecond until the first event."""
-SMALL_PROMPT_MS = 200.0
-"""Prompts that are read within this go to the front of the order, others behind."""
-
-
-def is_short(prompt_tokens: int, figures: EngineFigures) -> bool:
-    """Return whether a prompt is read so fast that it belongs to the front."""
-    return figures.read_ms(prompt_tokens, prompt_tokens) < SMALL_PROMPT_MS
-
-
-@dataclass(frozen=True, slots=True)
-class Front:
-    """The first engines of the order, which are kept for short requests.
-
-    Attributes
-    ----------
-    share : float
-        Of all engines.
-    calls_per_s : float
-        Short requests that come to each of them.
-    """
-
-    share: float
-    calls_per_s: float
-
-    def blocking(self, state: EngineState, read_ms: float) -> float:
-        """Return what short requests to come would lose by a read at the front."""
-        if state.order >= self.share:
-            return 0.0
-        before_ms = max(FREE_READING_MS, state.load.reading_ms)
-        after_ms = state.load.reading_ms + read_ms * state.pace
-        blocked_s = max(0.0, after_ms - before_ms) / 1e3
-        return SHORT_LOSS * self.calls_per_s * blocked_s
-
-
-def front_of(states: Sequence[EngineState], figures: EngineFigures) -> Front:
-    """Return the front that the short requests now running need.
-
-    How many come is told by how many run, as each takes a usual answer's time.
-    """
-    short = sum(
-        is_short(pace.prompt_tokens, figures)
-        for state in states
-        for pace in state.load.paces
-    )
-    count = min(len(states), max(LEAST_FRONT, ceil(short / FRONT_WRITERS)))
-    usual_s = max(1.0, figures.usual_answer * figures.step_ms / 1e3)
-    return Front(count / len(states), short / usual_s / count)
+CROWD_COST = 0.3
+"""Cost of taking an engine's last free slot, as a peer may just have done so."""
+CROWD_FALL = 0.15
+"""By how much that falls with each further free slot."""
+LEAST_PART_MS = 15.0
+"""Prompts are not cut into parts that are read faster."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,27 +83,25 @@
     noise: tuple[float, ...]
     front: Front
 
-    def hosting(self, state: EngineState) -> float:
-        """Return the cost of a short request on an engine beyond the front."""
-        if not is_short(self.ask.prompt_tokens, self.figures):
-            return 0.0
-        return BEYOND_COST * max(0.0, state.order - self.front.share)
-
     def own_loss(self, done_ms: float) -> float:
         """Return what the request loses by a time until its first token."""
         objective_ms = self.ask.objective.total_seconds() * 1e3
-        prompt = self.ask.prompt_tokens
-        return lateness(done_ms, objective_ms, prompt) + DELAY_COST_PER_MS * done_ms
+        limit_ms = self.ask.time_left.total_seconds() * 1e3
+        loss = lateness(done_ms, objective_ms, limit_ms, self.ask.prompt_tokens)
+        return loss + DELAY_COST_PER_MS * done_ms
 
-    def seats(self, size: int) -> list[Seat]:
-        """Return each engine with one of `size` even parts."""
-        tokens = -(-self.ask.prompt_tokens // size)
-        read_ms = self.figures.read_ms(tokens, self.ask.prompt_tokens)
+    def seats(self, read_ms: float, helping: bool) -> list[Seat]:
+        """Return each engine with one part, as a helper or as the host."""
         seats = []
+        short = is_short(self.ask.prompt_tokens, self.figures)
         for state, extra in zip(self.states, self.noise, strict=True):
-            done_ms = read_done(state, read_ms) + writing_pass(state, self.figures)
+            done_ms = state.done_ms(read_ms, helping)
             cost = harm(state, read_ms) + extra + state.penalty
             cost += self.front.blocking(state, read_ms)
+            if helping:
+                cost += delay_loss(state, read_ms)
+            else:
+                cost += self.front.hosting(state, short) + crowding(state)
             seats.append(Seat(state, done_ms, cost, cost + self.own_loss(done_ms)))
         return seats
 
@@ -172,27 +114,30 @@
             for seat in seats
             if seat.state.has_slot and free_tokens(seat.state, self.figures) >= needed
         ]
-        return min(
-            fitting,
-            key=lambda seat: seat.rank + self.hosting(seat.state),
-            default=None,
-        )
+        return min(fitting, key=lambda seat: seat.rank, default=None)
 
     def plan(self, size: int) -> Plan | None:
         """Return the cheapest plan with some number of engines, or None."""
-        seats = self.seats(size)
-        host = self.host(seats)
+        tokens = -(-self.ask.prompt_tokens // size)
+        read_ms = self.figures.read_ms(tokens, self.ask.prompt_tokens)
+        host = self.host(self.seats(read_ms, helping=False))
         if host is None:
             return None
-        able = [s for s in seats if s is not host and s.state.can_help]
-        helpers = sorted(able, key=lambda seat: seat.rank)[: size - 1]
-        if len(helpers) < size - 1 or not self.fits([host, *helpers]):
+        helpers = self.helpers(host, read_ms, size - 1) if size > 1 else []
+        gang = [host, *helpers]
+        if len(gang) < size or not self.fits(gang):
             return None
-        done_ms = max(seat.done_ms for seat in (host, *helpers))
-        cost = self.own_loss(done_ms) + self.hosting(host.state) + host.cost
-        cost += sum(seat.cost + HELPER_COST for seat in helpers)
+        done_ms = max(seat.done_ms for seat in gang)
+        cost = self.own_loss(done_ms) + sum(seat.cost for seat in gang)
+        cost += HELPER_COST * len(helpers)
         return Plan(host.state, tuple(s.state for s in helpers), done_ms, cost)
 
+    def helpers(self, host: Seat, read_ms: float, count: int) -> list[Seat]:
+        """Return the cheapest helpers of a host."""
+        seats = self.seats(read_ms, helping=True)
+        able = [s for s in seats if s.state is not host.state and s.state.can_help]
+        return sorted(able, key=lambda seat: seat.rank)[:count]
+
     def fits(self, gang: Sequence[Seat]) -> bool:
         """Return whether a prompt larger than one engine's memory fits into all."""
         if not needs_tickets(self.ask, self.figures):
@@ -201,6 +146,12 @@
         return free >= total_tokens(self.ask)
 
 
+def crowding(state: EngineState) -> float:
+    """Return the expected cost of finding all slots taken by requests unheard of."""
+    left = state.view.slots - 1 - state.load.running
+    return CROWD_COST * CROWD_FALL**left
+
+
 def best_plan(
     ask: PlacementAsk,
     states: Sequence[EngineState],
@@ -210,7 +161,15 @@
     """Return the plan that costs least, or None if no engine has room."""
     noise = tuple(random.random() * NOISE_COST for _ in states)
     search = Search(ask, states, figures, noise, front_of(states, figures))
-    most = MOST_WITH_MEMORY if needs_tickets(ask, figures) else GANG_SIZES[-1]
-    sizes = sorted({min(size, len(states), most) for size in GANG_SIZES})
-    plans = [plan for size in sizes if (plan := search.plan(size)) is not None]
+    plans = [plan for size in sizes_for(search) if (plan := search.plan(size))]
     return min(plans, key=lambda plan: plan.cost, default=None)
+
+
+def sizes_for(search: Search) -> list[int]:
+    """Return the numbers of engines that are worth a try, the least first."""
+    tokens = search.ask.prompt_tokens
+    most = max(1.0, search.figures.read_ms(tokens, tokens) / LEAST_PART_MS)
+    limit = len(search.states)
+    if needs_tickets(search.ask, search.figures):
+        limit = min(limit, MOST_WITH_MEMORY)
+    return sorted({min(size, limit) for size in GANG_SIZES if size <= most})
