Try a silent call elsewhere before its caller gives up

Ruled out: ending every silent attempt (a sound endpoint may be slow: nothing is ended where no other is known, where it may run once, or where attempts or budget are used). Change: attempts tell of a silence longer than 0.45 of the time after which a stream's caller leaves (a plain call: two objectives); the kernel has it tried elsewhere. A connection that isn't made in 300 ms (700 before) is given up, as none takes 10.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -11,6 +11,7 @@
 from ..kernel.messages.requests import (
     AttemptFailed,
     AttemptFinished,
+    AttemptSilent,
     Dispatch,
     Exposure,
     FailureKind,
@@ -74,6 +75,7 @@
         self.parts: list[bytes] = []
         self.ended = False
         self.first_reported = False
+        self.heard_at = tools.clock.monotonic()
 
     @property
     def without_body(self) -> bool:
@@ -102,6 +104,21 @@
         if self.connection is not None:
             self.connection.abort()
 
+    def silent(self, now: timedelta) -> AttemptSilent | None:
+        """Return the word that it has been silent for too long, if it has.
+
+        The same silence is told again after as long a time.
+        """
+        patience = self.dispatch.patience
+        if patience is None or self.ended:
+            return None
+        allowed = patience.further if self.first_reported else patience.first
+        silence = now - self.heard_at
+        if silence < allowed:
+            return None
+        self.heard_at = now
+        return AttemptSilent(self.dispatch.request_id, self.dispatch.attempt, silence)
+
     def pause(self) -> None:
         """Read no more: the caller doesn't keep up."""
         if self.connection is not None and self.connection.transport is not None:
@@ -176,6 +193,7 @@
     def _on_data(self, data: bytes) -> None:
         if self.reading is Reading.STREAM:
             now = self.tools.clock.monotonic()
+            self.heard_at = now
             for event in self.splitter.feed(data):
                 self._report_first()
                 self.call.pass_event(event, now)
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -22,6 +22,7 @@
     CancelAttempt,
     Conclude,
     Dispatch,
+    EndSilentAttempt,
     ProblemCode,
     Submit,
     WakeAt,
@@ -116,6 +117,7 @@
         self.ticker = loop.call_later(TICK.total_seconds(), self._tick)
         self._note_freeze()
         if self.calls:
+            self._report_silence()
             self.post(Tick())
 
     def _note_freeze(self) -> None:
@@ -131,6 +133,13 @@
             waiting=len(self.kernel.state.waiting),
         )
 
+    def _report_silence(self) -> None:
+        now = self.clock.monotonic()
+        for attempt in list(self.attempts.values()):
+            silent = attempt.silent(now)
+            if silent is not None:
+                self.post(silent)
+
     def new_connection(self) -> ClientConnection:
         """Return the owner of a caller's connection that was just accepted."""
         return ClientConnection(self, self.clock, self.connections)
@@ -266,6 +275,14 @@
     def _(self, effect: ReserveMemory | FreePart) -> None:
         self.orders.perform(effect)
 
+    @perform.register
+    def _(self, effect: EndSilentAttempt) -> None:
+        attempt = self.attempts.get(effect.failure.request_id)
+        if attempt is not None and not attempt.ended:
+            attempt.cancel()
+            self.pool.drop(attempt.dispatch.endpoint)
+            self.inbox.append(effect.failure)
+
     @perform.register
     def _(self, effect: WakeAt) -> None:
         pause = effect.at - self.clock.monotonic()
--- a/src/mimosafork/gateway/policies/__init__.py
+++ b/src/mimosafork/gateway/policies/__init__.py
@@ -1,6 +1,14 @@
 """Plug-ins that decide about calls that are passed on; importing registers them."""
 
-from . import fleet_view, ordering, placing, quarantining, reserving, retrying
+from . import (
+    fleet_view,
+    ordering,
+    placing,
+    quarantining,
+    reserving,
+    retrying,
+    silence,
+)
 
 PLUGINS = (
     fleet_view.FleetView.name,
@@ -8,6 +16,7 @@
     placing.WorkPlacer.name,
     reserving.MemoryKeeper.name,
     retrying.BudgetedRetry.name,
+    silence.SilenceWatch.name,
     ordering.UrgentFirst.name,
 )
 """Names of the plug-ins of a gateway."""
--- a/src/mimosafork/gateway/policies/place_words.py
+++ b/src/mimosafork/gateway/policies/place_words.py
@@ -4,6 +4,7 @@
 from ...kernel.messages.requests import Helper, Request
 from ...kernel.plugins import PlaceOn
 from ...placement.choice import Place
+from .silence import patience_of
 
 FIRST_LIFE = Incarnation(1)
 """An endpoint's id is new with each start, so that it needs no further number."""
@@ -20,6 +21,7 @@
         address=place.address,
         priority=USUAL_PRIORITY if terms is None else terms.priority,
         helpers=helpers,
+        patience=patience_of(request),
     )
 
 
--- a/src/mimosafork/gateway/pool.py
+++ b/src/mimosafork/gateway/pool.py
@@ -10,7 +10,7 @@
 from ..settings.types import split_address
 from .upstream import EndpointConnection
 
-CONNECT_TIMEOUT = timedelta(milliseconds=700)
+CONNECT_TIMEOUT = timedelta(milliseconds=300)
 DEFAULT_KEEP = timedelta(seconds=4)
 """How long a connection is kept where the endpoint doesn't say."""
 
--- a/src/mimosafork/kernel/attempts.py
+++ b/src/mimosafork/kernel/attempts.py
@@ -46,6 +46,7 @@
         keep=record.claim is not None and request.resume_offset == 0,
         shared=record.answers_others,
         helpers=place.helpers,
+        patience=place.patience,
     )
 
 
--- a/src/mimosafork/kernel/messages/requests.py
+++ b/src/mimosafork/kernel/messages/requests.py
@@ -172,6 +172,22 @@
     reservation: ReservationId | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """How long an attempt may be silent before that is worth a thought.
+
+    Attributes
+    ----------
+    first : timedelta
+        Until the answer begins.
+    further : timedelta
+        Between two events after that.
+    """
+
+    first: timedelta
+    further: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """What the kernel knows of a caller's request; never its text.
@@ -314,6 +330,8 @@
         `CancelAttempt` ends it, not that this attempt failed.
     helpers : tuple of Helper
         Endpoints that read the prompt in even parts with this one.
+    patience : Patience or None
+        A longer silence is told by `AttemptSilent`; None asks for no word.
     """
 
     request_id: RequestId
@@ -332,6 +350,26 @@
     keep: bool = False
     shared: bool = False
     helpers: tuple[Helper, ...] = ()
+    patience: Patience | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptSilent(Message):
+    """An attempt has been silent for longer than its patience.
+
+    It goes on meanwhile: silence alone proves nothing.
+    """
+
+    request_id: RequestId
+    attempt: AttemptNumber
+    silence: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class EndSilentAttempt(Effect):
+    """Cancel an attempt and report it as failed, so that another may follow."""
+
+    failure: AttemptFailed
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mimosafork/kernel/plugins.py
+++ b/src/mimosafork/kernel/plugins.py
@@ -17,6 +17,7 @@
     Conclude,
     Helper,
     Outcome,
+    Patience,
     Problem,
     Retention,
 )
@@ -136,6 +137,7 @@
     imported_tokens: int = 0
     reservation: ReservationId | None = None
     helpers: tuple[Helper, ...] = ()
+    patience: Patience | None = None
 
 
 @dataclass(frozen=True, slots=True)
