Count a request from its first byte, and a body's pause from its last

A blank line behind a request began the next one: its time ran from there, and a kept connection got 408 after the time for a head, an answer that nobody had asked for. The time for a whole body ran from its head on, so that a long body was cut although it came all the while. Blank lines leave a connection idle now, and each piece of a body begins its pause anew. Only the pause is bounded, as the limit's name says.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -138,14 +138,24 @@
         self.front.accept(self, message, at)
 
     def _await_more(self) -> None:
+        if not self.reader.begun:
+            self._await_request()
+            return
         head = self.reader.head
-        if head is None or self.continued:
+        if head is None:
             return
-        self.continued = True
-        if head.expects_continue and self.transport is not None:
+        if head.expects_continue and not self.continued and self.transport is not None:
             self.transport.write(CONTINUE)
+        self.continued = True
+        # Anew with each piece: a long body that comes steadily is not too slow.
         self._wait(self.front.limits.idle_timeout, self._too_slow)
 
+    def _await_request(self) -> None:
+        # Blank lines between requests begin none: one that was counted from such a
+        # line had its time cut, or its idle connection got a 408 nobody asked for.
+        self.first_byte_at = None
+        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self.close)
+
     def _too_slow(self) -> None:
         self._refuse(
             BadRequestError(HTTPStatus.REQUEST_TIMEOUT, "the request came too slowly")
@@ -243,7 +253,7 @@
             return
         if self.transport is not None:
             self.transport.resume_reading()
-        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self.close)
+        self._await_request()
         if self.reader.buffer:
             self._begin_request()
             asyncio.get_running_loop().call_soon(self._read_next)
