Keep no empty list of idle connections for an endpoint that is gone

A call that ended after its endpoint had left put its connection back, and the list that held it stayed under the endpoint's id when the connection closed. The list goes with its last connection. Small, but without a bound. Failed before: test_connections_to_endpoints_that_are_gone_leave_nothing.

--- a/src/mimosafork/gateway/pool.py
+++ b/src/mimosafork/gateway/pool.py
@@ -109,6 +109,9 @@
             kept = self.idle.get(wanted.endpoint, [])
             if connection in kept:
                 kept.remove(connection)
+            # Ids are new with each start: an empty list for each would stay for good.
+            if not kept:
+                self.idle.pop(wanted.endpoint, None)
 
         return forget
 
