Wait at a stop for callers that have yet to take the rest of an answer

A call ends with its endpoint's answer, and the stop waited for open calls only: what a slow caller had not read yet went down with the process 50 ms later, and its stream ended early. The stop also waits for bytes that are not sent, within the same share of the grace. The asyncio loop flushes nothing at its end, so closing the connections is not enough. Failed before: test_a_slow_caller_gets_the_rest_of_its_answer (the stop ended within 0.3 s while the caller read nothing).

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -99,6 +99,11 @@
         """Whether no request is being read or answered."""
         return self.exchange is None and not self.reader.begun
 
+    @property
+    def unsent(self) -> bool:
+        """Whether bytes of an answer still wait for a caller that is slow."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def close(self) -> None:
         """Close after what has been written."""
         if self.transport is not None:
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -100,6 +100,15 @@
         table = self.table()
         return DEFAULT_LIMITS if table is None else table.limits
 
+    @property
+    def busy(self) -> bool:
+        """Whether a call is open, or a caller has yet to take its answer's rest.
+
+        A call ends with its endpoint's answer. A process that ended then would cut
+        an answer which its caller was still reading.
+        """
+        return bool(self.calls) or any(each.unsent for each in self.connections)
+
     def start(self) -> None:
         """Begin to tell the kernel of time."""
         self._tick()
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -250,7 +250,7 @@
         last = asked_at + self.settings.bounds.grace * LAST_SHARE
         while self.clock.monotonic() < last:
             lagged = self.clock.monotonic() - asked_at >= BALANCER_LAG
-            if lagged and not gateway.calls:
+            if lagged and not gateway.busy:
                 break
             await asyncio.sleep(LOOK_AGAIN.total_seconds())
         cut = len(gateway.calls)
--- /dev/null
+++ b/tests/unit/gateway/test_gateway_stopping.py
@@ -0,0 +1,126 @@
+"""Tests of a stop: callers are served on, and nothing of an answer is lost."""
+
+import asyncio
+from collections.abc import Iterator
+from concurrent.futures import Future
+from contextlib import contextmanager
+from datetime import timedelta
+from unittest import TestCase
+from unittest.mock import patch
+
+from mimosafork.gateway import server as server_module
+from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.faults import Garbage
+from mimosafork.standins.prepared.words import REQUEST_ID
+
+from ...support.functions import function_tests
+from ...support.gateway import BEARER, World, gateway_world
+from ...support.prepared import DESKS, call
+from .test_gateway_callers import EVENTS, accepted, set_buffers, whole_stream
+
+case = TestCase()
+
+NARROW = 4096
+WIDE = 1 << 20
+A_WHILE_S = 0.3
+
+
+@contextmanager
+def stopping(world: World, lag: timedelta = timedelta(0)) -> Iterator[Future[int]]:
+    """Begin to stop an instance; the balancer notices at once, or after a lag."""
+    server = world.running.server
+    with patch.object(server_module, "BALANCER_LAG", lag):
+        loop = world.running.thread.loop
+        future = asyncio.run_coroutine_threadsafe(server.stop(), loop)
+        world.running.until(lambda: server.gateway.draining)
+        yield future
+
+
+def test_callers_are_served_on_while_the_balancer_notices() -> None:
+    with gateway_world() as world, world.running.channel() as kept:
+        world.add_desk()
+        kept.send("POST", "/safe/1", {REQUEST_ID: "c1", **BEARER})
+        kept.read_answer()
+        with stopping(world, timedelta(seconds=60)) as future:
+            ready = call(world.running.ready_address, "GET", "/-/ready")
+            case.assertEqual(503, ready.status)
+            kept.send("POST", "/safe/1", {REQUEST_ID: "c2", **BEARER})
+            result = kept.read_answer()
+            case.assertEqual(
+                (200, "close"), (result.status, result.headers["connection"])
+            )
+            case.assertTrue(kept.ended())
+            result = world.running.ask("/safe/1", "c3")
+            case.assertEqual(
+                (200, "close"), (result.status, result.headers["connection"])
+            )
+            case.assertFalse(future.done())
+            future.cancel()
+
+
+def test_an_open_call_is_waited_for() -> None:
+    with gateway_world() as world, world.running.channel() as channel:
+        desk = world.add_desk()
+        desk.hold()
+        channel.send("POST", "/unsafe/1", {REQUEST_ID: "c1", **BEARER})
+        world.platform.log.wait_until(lambda log: len(log.runs) == 1)
+        with stopping(world) as future:
+            case.assertFalse(finished(future))
+            desk.let_go()
+            case.assertEqual(200, channel.read_answer().status)
+            case.assertEqual(0, future.result())
+
+
+def finished(future: Future[int]) -> bool:
+    """Return whether a stop ends within a while."""
+    try:
+        future.result(A_WHILE_S)
+    except TimeoutError:
+        return False
+    return True
+
+
+def test_a_slow_caller_gets_the_rest_of_its_answer() -> None:
+    """A stream that was written whole ends early at its reader.
+
+    Its endpoint had finished, so no call was open, but half of the answer was still
+    on its way to a slow caller when the process ended.
+    """
+    with gateway_world() as world, world.running.channel() as channel:
+        world.add_engine().play(Garbage(whole_stream(EVENTS)))
+        set_buffers(world, channel, NARROW)
+        transport = accepted(world).transport
+        assert transport is not None
+        # The endpoint isn't held back: all of its answer waits in this instance.
+        world.running.see(lambda: transport.set_write_buffer_limits(WIDE))
+        channel.send("POST", "/stream/1", {REQUEST_ID: "c1", **BEARER})
+        world.running.until(lambda: not world.running.gateway.calls)
+        world.running.until(lambda: transport.get_write_buffer_size() > 0)
+        with stopping(world) as future:
+            case.assertFalse(finished(future))
+            set_buffers(world, channel, WIDE)
+            result = channel.read_answer()
+            case.assertEqual(EVENTS, len(result.events))
+            case.assertTrue(result.complete)
+            channel.hang_up()
+            case.assertEqual(0, future.result())
+
+
+def test_what_can_not_be_finished_is_ended_within_the_grace() -> None:
+    with gateway_world() as world, world.running.channel() as channel:
+        desk = world.add_desk(EndpointSettings(DESKS))
+        desk.hold()
+        channel.send("POST", "/unsafe/1", {REQUEST_ID: "c1", **BEARER})
+        world.platform.log.wait_until(lambda log: len(log.runs) == 1)
+        server = world.running.server
+        bounds = server.settings.bounds.model_copy(
+            update={"grace": timedelta(milliseconds=300)}
+        )
+        server.settings = server.settings.model_copy(update={"bounds": bounds})
+        with stopping(world) as future:
+            case.assertEqual(502, channel.read_answer().status)
+            case.assertEqual(1, future.result())
+        world.platform.log.wait_until(lambda log: log.runs[0].cancelled)
+
+
+load_tests = function_tests(__name__)
