--- /dev/null
+++ b/tests/support/gateway_processes.py
@@ -0,0 +1,104 @@
+"""Gateways as real processes, with the prepared stand-ins in the test's own."""
+
+import os
+import socket
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from itertools import count
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from mimosafork.standins.prepared.deployment import Deployment
+
+from .prepared import CallResult, NoAnswerError, ask, call
+from .processes import Process
+from .waiting import eventually
+
+SETTINGS = """\
+[instance]
+id = {id}
+availability_zone = zone-a
+region = sierra-norte
+
+[listen]
+front = {front}
+ready = {ready}
+
+[store]
+address = {store}
+
+[gossip]
+first_port = {gossip}
+last_port = {gossip}
+seeds = {seeds}
+
+[bounds]
+grace = 8s
+
+[logging]
+level = INFO
+"""
+READY_PATH = "/-/ready"
+HOSTS = count(1)
+
+
+def own_host() -> str:
+    """Return a loopback address that no other test uses at the same time."""
+    return f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}.{next(HOSTS)}"
+
+
+def free_port(host: str) -> int:
+    """Return a port that the system picks on an address of the test's own."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class GatewayProcess:
+    """One instance in a process of its own."""
+
+    def __init__(self, folder: Path, name: str, store: str) -> None:
+        host = own_host()
+        self.front = f"{host}:{free_port(host)}"
+        self.ready = f"{host}:{free_port(host)}"
+        self.path = folder / f"{name}.ini"
+        self.path.write_text(
+            SETTINGS.format(
+                id=name,
+                front=self.front,
+                ready=self.ready,
+                store=store,
+                gossip=free_port(host),
+                seeds="",
+            )
+        )
+        self.process = Process(["gateway", "--settings", str(self.path)])
+
+    def ready_status(self) -> int:
+        """Return what the balancer is told; 0 without an answer."""
+        try:
+            return call(self.ready, "GET", READY_PATH).status
+        except (NoAnswerError, OSError):
+            return 0
+
+    def until_ready(self, status: int = 200) -> None:
+        """Wait until the balancer is told something."""
+        eventually(lambda: self.ready_status() == status)
+
+    def ask(self, path: str, name: str, **headers: str) -> CallResult:
+        """Post a request with an id."""
+        return ask(self.front, path, name, b"body", **headers)
+
+    def until_logged(self, text: str) -> None:
+        """Wait for a line with some text."""
+        eventually(lambda: any(text in line for line in self.process.lines))
+
+
+@contextmanager
+def gateway_process(platform: Deployment) -> Iterator[GatewayProcess]:
+    """Run an instance before a prepared platform; it ends with the test."""
+    with TemporaryDirectory() as folder, ExitStack() as stack:
+        started = GatewayProcess(Path(folder), "entry-1", platform.store.address)
+        stack.callback(started.process.kill)
+        yield started
