Test what three gateways tell each other, and what follows from it

Three instances before one platform, the last one turned away by its store: work spreads over engines and plain endpoints, a configuration and a draining endpoint reach the one that is shut out, repeats draw on one budget, a request that crashes endpoints is known to all.

--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -88,7 +88,7 @@
 
     thread: LoopThread
     server: GatewayServer
-    store: PreparedStore
+    stores: tuple[PreparedStore, ...]
     faults: list[dict[str, Any]]
 
     @property
@@ -202,15 +202,27 @@
 
 @contextmanager
 def gateway_before(
-    platform: Deployment, instance: str = "entry-1", host: str = "127.0.0.1"
+    platform: Deployment,
+    instance: str = "entry-1",
+    host: str = "127.0.0.1",
+    follows: Deployment | None = None,
 ) -> Iterator[RunningGateway]:
-    """Run an instance; whatever a test does, nothing of a call may stay behind."""
+    """Run an instance; whatever a test does, nothing of a call may stay behind.
+
+    Parameters
+    ----------
+    platform : Deployment
+        Where it finds its peers.
+    follows : Deployment or None
+        Whose store it follows, if it is another one.
+    """
     thread = LoopThread()
     faults: list[dict[str, Any]] = []
     thread.loop.set_exception_handler(lambda _, context: faults.append(context))
     thread.start()
     try:
-        running = thread.run(start(thread, settings_of(platform, instance, host)))
+        settings = settings_of(follows or platform, instance, host)
+        running = thread.run(start(thread, settings, platform.store.address))
         running.faults = faults
         try:
             yield running
@@ -221,10 +233,12 @@
         thread.stop()
 
 
-async def start(thread: LoopThread, settings: GatewaySettings) -> RunningGateway:
+async def start(
+    thread: LoopThread, settings: GatewaySettings, peers: str
+) -> RunningGateway:
     """Wire an instance as its command does, and start it."""
-    clock, random = SystemClock(), Random(1)
-    store = PreparedStore(settings.store.address)
+    clock, random = SystemClock(), Random(settings.instance.id)
+    store, peer_store = PreparedStore(settings.store.address), PreparedStore(peers)
     directory = Directory(
         ConfigurationRows(store), EndpointRows(store), clock, random, FOLLOWING
     )
@@ -233,12 +247,12 @@
         lambda: settings,
         directory,
         PreparedDialect(),
-        SharedPeerRows(store),
+        SharedPeerRows(peer_store),
         clock,
         random,
     )
     await server.start()
-    return RunningGateway(thread, server, store, [])
+    return RunningGateway(thread, server, (store, peer_store), [])
 
 
 async def stop(running: RunningGateway) -> None:
@@ -250,7 +264,8 @@
     await server.directory.stop()
     if server.sharing.gossip is not None:
         await server.sharing.gossip.close()
-    running.store.close()
+    for store in running.stores:
+        store.close()
     await asyncio.sleep(0)
 
 
--- /dev/null
+++ b/tests/unit/gateway/test_gateway_peers.py
@@ -0,0 +1,203 @@
+"""Tests of what three instances tell each other, and what follows from it."""
+
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, replace
+from unittest import TestCase
+
+from mimosafork.gateway.policies.placing import WorkPlacer
+from mimosafork.gateway.policies.retrying import BudgetedRetry
+from mimosafork.ids import ServiceId
+from mimosafork.standins.prepared.deployment import Deployment
+from mimosafork.standins.prepared.documents import RouteEntry
+from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.faults import CrashOnRun, LostAnswer
+from mimosafork.standins.prepared.store import Refusal, StoreFaults
+from mimosafork.standins.prepared.words import REQUEST_ID, SEAL, TOKEN_USAGE
+
+from ...support.functions import function_tests
+from ...support.gateway import BEARER, RunningGateway, gateway_before
+from ...support.prepared import DESKS, ENGINES, HOST, USUAL_CONFIG, deployment
+
+case = TestCase()
+
+
+@dataclass
+class Fleet:
+    """Three instances before one platform; the store turns the last one away."""
+
+    platform: Deployment
+    instances: list[RunningGateway]
+
+    @property
+    def shut_out(self) -> RunningGateway:
+        """The instance that gets nothing from its store."""
+        return self.instances[-1]
+
+
+@contextmanager
+def fleet(shut_out: bool = False) -> Iterator[Fleet]:
+    """Run three instances that have found each other."""
+    with ExitStack() as stack:
+        platform = stack.enter_context(deployment())
+        deaf = stack.enter_context(deployment(None))
+        deaf.store.set_faults(StoreFaults(down=Refusal.UNAVAILABLE))
+        instances = []
+        for number in range(3):
+            follows = deaf if shut_out and number == 2 else None
+            name = f"entry-{number}"
+            instances.append(
+                stack.enter_context(gateway_before(platform, name, follows=follows))
+            )
+        for each in instances:
+            each.until(lambda each=each: peers_of(each) == 2)  # type: ignore[misc]
+        yield Fleet(platform, instances)
+
+
+def peers_of(running: RunningGateway) -> int:
+    gossip = running.server.sharing.gossip
+    return 0 if gossip is None else len(gossip.peers)
+
+
+def peer_works(running: RunningGateway) -> int:
+    book = running.server.kernel.plugin(WorkPlacer).book
+    return sum(len(works) for works in book.peers.values())
+
+
+def test_work_of_peers_spreads_the_load() -> None:
+    """All instances send their calls to the same engine.
+
+    Each one knew its own work only, and took the engine that it had not used; so
+    the calls of three instances met at one while others were idle.
+    """
+    for path, service in (("/stream/1", ENGINES), ("/unsafe/1", DESKS)):
+        with fleet() as running, ExitStack() as stack:
+            settings = EndpointSettings(service, slots=1)
+            for _ in range(3):
+                if service == ENGINES:
+                    end = running.platform.add_engine(settings)
+                else:
+                    end = running.platform.add_desk(settings)  # type: ignore[assignment]
+                end.hold()
+                for each in running.instances:
+                    each.until_known(end)
+            for number, each in enumerate(running.instances):
+                each.until(lambda e=each, n=number: peer_works(e) == n)  # type: ignore[misc]
+                channel = stack.enter_context(each.channel())
+                headers = {REQUEST_ID: f"c{number}", TOKEN_USAGE: "1000,80", **BEARER}
+                channel.send("POST", path, headers, b"%d" % number)
+                running.platform.log.wait_until(
+                    lambda log, n=number: len(log.runs) == n + 1  # type: ignore[misc]
+                )
+            used = {run.instance for run in running.platform.log.runs}
+            case.assertEqual(3, len(used), path)
+            for endpoint in running.platform.endpoints:
+                endpoint.let_go()
+            running.platform.log.wait_until(lambda log: not log.at_work())
+            for each in running.instances:
+                each.until(lambda e=each: peer_works(e) == 0)  # type: ignore[misc]
+
+
+def test_an_instance_that_the_store_turns_away_follows_its_peers() -> None:
+    """One instance serves an old configuration, and sends calls to what has left.
+
+    The store answers everybody but this instance. Its peers hand it what they know:
+    the configuration, the endpoints, and that one of them drains.
+    """
+    with fleet(shut_out=True) as running:
+        leaving = running.platform.add_desk(EndpointSettings(DESKS))
+        staying = running.platform.add_desk(EndpointSettings(DESKS))
+        shut_out = running.shut_out
+        shut_out.until_known(leaving, staying)
+        case.assertEqual(200, shut_out.ask("/safe/1", "c1").status)
+        fresh = RouteEntry("r-new", "/new/", "safe", DESKS, HOST)
+        changed = replace(USUAL_CONFIG, routes=(*USUAL_CONFIG.routes, fresh))
+        version = running.platform.configure(changed)
+        directory = shut_out.server.directory
+        shut_out.until(
+            lambda: directory.table is not None and directory.table.version == version
+        )
+        case.assertEqual(200, shut_out.ask("/new/1", "c2").status)
+        running.platform.drain(leaving)
+        shut_out.until(lambda: not usable_at(shut_out, leaving.id))
+        for number in range(6):
+            seal = shut_out.ask("/safe/1", f"s{number}").headers[SEAL.lower()]
+            case.assertTrue(seal.startswith(staying.id))
+
+
+def usable_at(running: RunningGateway, endpoint: str) -> bool:
+    view = running.server.kernel.plugin(WorkPlacer).fleet
+    assert view is not None
+    return endpoint in view.endpoints
+
+
+def test_repeats_of_all_instances_draw_on_one_budget() -> None:
+    """Instances that have just started repeat as if each were alone.
+
+    What one had spent before its peers heard of it for the first time was missing
+    from their sums.
+    """
+    with fleet() as running:
+        for _ in range(2):
+            desk = running.platform.add_desk(EndpointSettings(DESKS))
+            desk.play(LostAnswer(), None)
+            for each in running.instances:
+                each.until_known(desk)
+                set_budget(each)
+        first, second, _ = running.instances
+        second.until(lambda: meters_of(second) == 3)
+        for number in range(4):
+            first.ask("/safe/1", f"a{number}", b"a%d" % number)
+        repeats = len(running.platform.log.runs) - 4
+        case.assertEqual(3, repeats)
+        service = ServiceId(DESKS)
+        retry = second.server.kernel.plugin(BudgetedRetry)
+        second.until(lambda: retry.spent(service).repeats == repeats)
+        second.ask("/safe/1", "b1", b"b")
+        case.assertEqual(1, len(running.platform.log.of("b1")))
+
+
+def meters_of(running: RunningGateway) -> int:
+    """Return how many instances' counters for the service are known."""
+    gossip = running.server.sharing.gossip
+    assert gossip is not None
+    samples = gossip.state.spending.samples
+    return sum(meter.service == DESKS for meter in samples)
+
+
+def set_budget(running: RunningGateway) -> None:
+    bounds = running.server.settings.bounds.model_copy(
+        update={"retry_ratio": 0.0, "retry_slack": 5.0}
+    )
+    running.see(lambda: running.server._apply_bounds(bounds))
+
+
+def test_a_request_that_crashes_endpoints_is_known_to_all() -> None:
+    """A poisoned request takes one endpoint after another down.
+
+    Its caller sends it to another instance each time; no instance alone has seen it
+    crash more than one endpoint.
+    """
+    with fleet() as running:
+        for _ in range(4):
+            desk = running.platform.add_desk(EndpointSettings(DESKS))
+            desk.play(CrashOnRun(), None)
+            for each in running.instances:
+                each.until_known(desk)
+        first, second, third = running.instances
+        for number in range(3):
+            asked = (first, second)[number % 2]
+            case.assertEqual(502, asked.ask("/unsafe/1", f"c{number}", b"x").status)
+        digests = third.server.kernel.plugins
+        quarantine = next(p for p in digests if p.name == "crash-quarantine")
+        third.until(
+            lambda: any(
+                len(seen.endpoints) == 3
+                for seen in quarantine.suspicions.values()  # type: ignore[attr-defined]
+            )
+        )
+        case.assertEqual(503, third.ask("/unsafe/1", "last", b"x").status)
+        case.assertEqual([], running.platform.log.visits_of("last"))
+
+
+load_tests = function_tests(__name__)
