Tell peers where a life's counters begin, before anything is spent

Peers sum the growth of each other's counters from the first word that they hear. The first word came with the first calls, 200 ms of them at once, so what was spent until then was missing from the budget of all: after 4 requests with 3 repeats at one instance its peers summed 0 and 0 (measured), for good. Zeros go out for each service as soon as a routing table names it, which is before the instance takes calls. To place a first word at its life's start in the gossip itself was ruled out: a peer may hear of a life long after it.

--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -1,7 +1,7 @@
 """Tells peers what this instance knows, and the kernel what peers know."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -79,6 +79,7 @@
         self.clock = clock
         self.gossip: Gossip | None = None
         self.known_peers: set[InstanceId] = set()
+        self.metered: set[ServiceId] = set()
         self.offer_timer: asyncio.TimerHandle | None = None
         self.callbacks = Callbacks(
             on_configuration_offered=self.configuration_offered,
@@ -108,6 +109,7 @@
     @tell.register
     def _(self, effect: SpendingGrown) -> None:
         if self.gossip is not None:
+            self.metered.add(effect.service)
             spent = Spent(effect.requests, effect.repeats)
             self.gossip.publish_spending(effect.service, spent)
 
@@ -132,7 +134,10 @@
             self.offer_timer = loop.call_later(
                 OFFER_AFTER.total_seconds(), self.offer_versions
             )
-        if isinstance(change, TableChanged) or change.entry.takes_new_work:
+        if isinstance(change, TableChanged):
+            self.begin_meters(change.table.services)
+            return
+        if change.entry.takes_new_work:
             return
         if change.entry.state is EndpointState.DRAINING:
             said = EndpointWord(Word.LEAVING, change.entry.row.version)
@@ -143,6 +148,20 @@
             said = EndpointWord(Word.GONE, word.row.version)
             self.gossip.publish_endpoint_word(change.endpoint, said)
 
+    def begin_meters(self, services: Iterable[ServiceId]) -> None:
+        """Tell peers where this life's counters begin.
+
+        Peers count the growth from the first word that they hear. When that was told
+        with the first calls, all that was spent until then was missing from the
+        budget: a fleet that had just started repeated several times what it may.
+        """
+        if self.gossip is None:
+            return
+        for service in services:
+            if service not in self.metered:
+                self.metered.add(service)
+                self.gossip.publish_spending(service, Spent())
+
     def offer_versions(self) -> None:
         """Tell peers which versions this instance can hand over."""
         self.offer_timer = None
