Turn callers away once a stopping instance has left the rotation

An instance that was asked to stop took calls until its last moment. Where a whole zone restarts in turn, its balancer has too few ready instances and goes on sending callers to those that stop; what they took late was cut by the end of the stop, in the middle of the answer or before its first event.

Ruled out: the balancer's lag alone, as cut calls had come 3.1 to 7.2 s after the signal; a kept connection alone, as each answer of a stopping instance closes its own.

Change: after the balancer's lag (3 s, the bound within which a call may still be taken) the door is closed and connections between two calls are closed; a request that comes whole only then is refused as not run. What is open runs to its end.

--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -38,7 +38,7 @@
 from .errors import BadRequestError
 from .freeze import FreezeWatch
 from .heads import Header
-from .intake import Admission, Refusal, admit
+from .intake import STOPPING, Admission, Refusal, admit
 from .orders import Orders
 from .outlook import milliseconds
 from .pool import ConnectionPool
@@ -90,6 +90,7 @@
         self.inbox: deque[Message] = deque()
         self.handling = False
         self.draining = False
+        self.intake_ended = False
         self.ticker: asyncio.TimerHandle | None = None
         self.on_effect: Callable[[Effect], None] = lambda effect: None
         self.on_ended: Callable[[Call, Conclude], None] = lambda call, end: None
@@ -113,6 +114,13 @@
         """Begin to tell the kernel of time."""
         self._tick()
 
+    def end_intake(self) -> None:
+        """Take no further calls: callers in between two go elsewhere."""
+        self.intake_ended = True
+        for connection in list(self.connections):
+            if connection.idle and not connection.lingering:
+                connection.close()
+
     def stop(self) -> None:
         """Close everything; open calls should have ended."""
         if self.ticker is not None:
@@ -164,7 +172,9 @@
             self._answer(connection, CallMarks(""), Refusal(error.status, "malformed"))
             return
         request_id = RequestId(f"{next(self.numbers)}")
-        found = admit(message, marks, self.table(), request_id, at, self.random)
+        found: Admission | Refusal = STOPPING
+        if not self.intake_ended:
+            found = admit(message, marks, self.table(), request_id, at, self.random)
         if isinstance(found, Refusal):
             self._refuse(connection, message, marks, found)
             return
--- a/src/mimosafork/gateway/intake.py
+++ b/src/mimosafork/gateway/intake.py
@@ -32,6 +32,12 @@
     retry_after: timedelta | None = None
 
 
+STOPPING = Refusal(
+    HTTPStatus.SERVICE_UNAVAILABLE, "stopping", timedelta(milliseconds=100)
+)
+"""What a caller is told whose request came whole only after the last were taken."""
+
+
 @dataclass(frozen=True, slots=True)
 class Admission:
     """What a request asks for, by the routing table in force."""
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -9,6 +9,7 @@
 
 from ..clock import Clock
 from ..directory.directory import Directory
+from ..directory.follower import sleep
 from ..directory.messages import (
     DirectoryChange,
     EndpointChanged,
@@ -47,6 +48,7 @@
 from .policies.retrying import BudgetedRetry
 from .ready import ReadyConnection
 from .sharing import Sharing
+from .stopping import LOOK_AGAIN, run_out
 
 logger = logging.getLogger(__name__)
 
@@ -54,16 +56,10 @@
 FLEET = "entry"
 """Name under which the instances of a deployment talk to each other."""
 
-BALANCER_LAG = timedelta(milliseconds=3200)
+BALANCER_LAG = timedelta(seconds=3)
 """After a stop was asked for, callers still come until the balancer has missed the
 ready answer twice."""
 
-LAST_SHARE = 0.9
-"""Share of the grace after which open calls are ended: the process must be gone
-before it is killed."""
-
-LOOK_AGAIN = timedelta(milliseconds=50)
-
 
 class GatewayServer:
     """One entry instance.
@@ -235,6 +231,22 @@
             endpoints=len(self.directory.endpoints),
         )
 
+    @property
+    def open_calls(self) -> int:
+        """Calls that have not ended."""
+        return len(self.gateway.calls)
+
+    @property
+    def busy(self) -> bool:
+        """Whether a call is open, or a caller has yet to take its answer's rest."""
+        return self.gateway.busy
+
+    def end_intake(self) -> None:
+        """Close the door to callers; calls that are open go on."""
+        front, *_ = self.listeners
+        front.close()
+        self.gateway.end_intake()
+
     async def stop(self) -> int:
         """Serve on while the balancer notices, then let open calls end.
 
@@ -246,14 +258,9 @@
         gateway = self.gateway
         gateway.draining = True
         log_event(logger, GATEWAY_STOPPING, open=len(gateway.calls))
-        asked_at = self.clock.monotonic()
-        last = asked_at + self.settings.bounds.grace * LAST_SHARE
-        while self.clock.monotonic() < last:
-            lagged = self.clock.monotonic() - asked_at >= BALANCER_LAG
-            if lagged and not gateway.busy:
-                break
-            await asyncio.sleep(LOOK_AGAIN.total_seconds())
-        cut = len(gateway.calls)
+        cut = await run_out(
+            self, BALANCER_LAG, self.settings.bounds.grace, self.clock, sleep
+        )
         gateway.post(StopNow())
         for listener in self.listeners:
             listener.close()
