Send a call again on a connection that is known to work

When connections are reset on the way, idle ones learn of it only by their next call. A call broke on one kept connection, was sent again at once on another that was as dead, and was answered 502 after 11 ms with both attempts used, seen by no endpoint.

Ruled out: the endpoints, of which 15 broke within 50 ms while all went on reporting; a crash, which closes idle connections too; a pause before the second attempt, as the kept connection stays dead.

Change: the pool notes when a connection last broke under a call. A call that is sent again, or that may run only once, takes a kept connection only if it has answered since; other calls go on with kept ones, as new ones cost the endpoint time. The line of a failed attempt also says truly whether its connection was kept: it was asked for after the loss, so that each break was told as on a new one.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -76,6 +76,7 @@
         self.ended = False
         self.first_reported = False
         self.heard_at = tools.clock.monotonic()
+        self.reused = False
 
     @property
     def without_body(self) -> bool:
@@ -89,6 +90,7 @@
             self.dispatch.endpoint,
             self.dispatch.address,
             FRESH_FOR_ONCE if once else None,
+            proven=once or self.dispatch.attempt > 1,
         )
         kept = self.tools.pool.take(wanted)
         if kept is not None:
@@ -149,6 +151,7 @@
             self._fail(FailureKind.DEADLINE, Exposure.NEVER_SENT)
             return
         self.connection = connection
+        self.reused = connection.used > 0
         sink = CallSink(self._on_head, self._on_data, self._on_end, self._on_lost)
         connection.send(self._request(time_left), sink, self.without_body)
 
@@ -293,6 +296,8 @@
             self._refuse()
             return
         garbled = loss is ConnectionLoss.GARBLED
+        if not garbled:
+            self.tools.pool.note_broken()
         kind = FailureKind.INVALID if garbled else FailureKind.BROKEN
         self._fail(kind, Exposure.POSSIBLE)
 
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -358,5 +358,4 @@
         attempt = self.attempts.get(failure.request_id)
         if call is None or attempt is None:
             return
-        reused = attempt.connection is not None and attempt.connection.used > 1
-        self.lines.attempt_failed(call, failure, reused, then)
+        self.lines.attempt_failed(call, failure, attempt.reused, then)
--- a/src/mimosafork/gateway/pool.py
+++ b/src/mimosafork/gateway/pool.py
@@ -29,11 +29,14 @@
     ----------
     fresh_within : timedelta or None
         A kept connection must have been idle for no longer.
+    proven : bool
+        A kept connection must have answered since any connection broke last.
     """
 
     endpoint: EndpointId
     address: str
     fresh_within: timedelta | None = None
+    proven: bool = False
 
 
 class ConnectionPool:
@@ -42,10 +45,16 @@
     Parameters
     ----------
     clock : Clock
+
+    Attributes
+    ----------
+    broke_at : timedelta or None
+        Monotonic instant at which a connection last broke under a call.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
+        self.broke_at: timedelta | None = None
         self.idle: dict[EndpointId, list[EndpointConnection]] = {}
         self.opened = 0
         self.connecting: set[asyncio.Task[None]] = set()
@@ -60,11 +69,25 @@
             limit = (connection.keep_for or DEFAULT_KEEP) - MARGIN
             if wanted.fresh_within is not None:
                 limit = min(limit, wanted.fresh_within)
-            if connection.reusable and connection.transport and idle < limit:
+            usable = connection.reusable and connection.transport and idle < limit
+            if usable and not (wanted.proven and self.doubtful(connection)):
                 return connection
             connection.close()
         return None
 
+    def note_broken(self) -> None:
+        """Note that a connection broke under a call."""
+        self.broke_at = self.clock.monotonic()
+
+    def doubtful(self, connection: EndpointConnection) -> bool:
+        """Whether a connection was idle when another broke.
+
+        Guard: what breaks one may have broken them all, such as a device on the way
+        that forgot its connections. An idle one learns of it only by its next call,
+        and a call that is sent again would lose its last attempt to it.
+        """
+        return self.broke_at is not None and connection.idle_since <= self.broke_at
+
     def open(
         self,
         wanted: Wanted,
