--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -4,11 +4,10 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import Field, ValidationError
+from pydantic import Field
 
-from .errors import SettingsError
 from .ini import IniFile, parse_ini, read_ini
-from .loader import faults_of
+from .loader import checked
 from .model import InstanceSection, Positive, Section
 from .types import Address, Duration, NameList
 
@@ -118,12 +117,4 @@
     ------
     SettingsError
     """
-    faults = list(file.faults)
-    settings: GatewaySettings | None = None
-    try:
-        settings = GatewaySettings.model_validate(file.sections)
-    except ValidationError as error:
-        faults += faults_of(error, file.name, GatewaySettings)
-    if faults or settings is None:
-        raise SettingsError(faults)
-    return settings
+    return checked(file, GatewaySettings)
--- a/tests/unit/settings/test_loader.py
+++ b/tests/unit/settings/test_loader.py
@@ -93,6 +93,22 @@
     case.assertTrue(any("[instance] region: is missing" in fault for fault in faults))
 
 
+def test_bounds_of_durations_are_told_as_they_are_written() -> None:
+    """An operator reads "should be greater than datetime.timedelta(0)".
+
+    The validator tells a bound in its own terms, which no settings file has.
+    """
+    text = WHOLE + "configuration_period = 9s\ninstances_period = 0s\n"
+    case.assertEqual(
+        [
+            "f.ini: [platform] instances_period: '0s': input should be greater than 0s",
+            "f.ini: [platform] configuration_period: '9s': input should be less than "
+            "or equal to 8s",
+        ],
+        faults_in(text),
+    )
+
+
 def test_durations_are_written_back_as_they_were() -> None:
     for text in ("250ms", "2s", "5min", "1h", "90s", "0s"):
         case.assertEqual(text, format_duration(parse_duration(text)))
