Check a gateway's settings offline, and write their reference from the model

The settings of 'mimosafork gateway' had no reference page and no check without a start; the example in its help named the template, which no gateway can take. Ruled out: one page with two parts, as the two files share one section of nine. Tests give the exact messages and fill the template as the platform does.

--- a/src/mimosafork/cli/lazy.py
+++ b/src/mimosafork/cli/lazy.py
@@ -16,7 +16,7 @@
     "fleet": "show what each entry instance reports",
     "audit": "show who changed what and when",
     "ask": "send a prompt and print the answer as it comes",
-    "settings": "check the settings of an entry instance",
+    "settings": "check the settings of an entry instance or a gateway",
 }
 """Command names and their one-line help."""
 
--- a/src/mimosafork/commands/gateway.py
+++ b/src/mimosafork/commands/gateway.py
@@ -28,7 +28,7 @@
 ) -> None:
     """Pass calls on to endpoints until SIGTERM, then let open calls end.
 
-    Example: mimosafork gateway --settings deploy/instance.ini
+    Example: mimosafork gateway --settings examples/gateway.ini
     """
     checked = load_gateway_settings(settings)
     options = LogOptions(checked.logging.level, LogFormat(checked.logging.format))
--- a/src/mimosafork/commands/settings.py
+++ b/src/mimosafork/commands/settings.py
@@ -1,4 +1,4 @@
-"""``mimosafork settings``: check the settings of an entry instance."""
+"""``mimosafork settings``: check the settings of an entry instance or a gateway."""
 
 from pathlib import Path
 from typing import Annotated
@@ -6,8 +6,10 @@
 import typer
 
 from .. import policies
+from ..ids import InstanceId
 from ..kernel.registry import known_names
 from ..settings.errors import Fault, SettingsError
+from ..settings.gateway import load_gateway_settings
 from ..settings.loader import load_settings
 from ..settings.model import InstanceSettings
 
@@ -16,20 +18,45 @@
 
 @app.callback()
 def settings() -> None:
-    """Check the settings of an entry instance."""
+    """Check the settings of an entry instance or a gateway."""
 
 
 @app.command()
 def check(
-    file: Annotated[Path, typer.Argument(help="INI file for 'mimosafork serve'")],
+    file: Annotated[Path, typer.Argument(help="INI file with the settings")],
+    gateway: Annotated[
+        bool,
+        typer.Option("--gateway", help="a file for 'mimosafork gateway', not 'serve'"),
+    ] = False,
 ) -> None:
     """Check a settings file offline and list every fault.
 
-    Example: mimosafork settings check examples/instance.ini
+    Example: mimosafork settings check --gateway examples/gateway.ini
+    """
+    instance = gateway_of(file) if gateway else entry_instance_of(file)
+    typer.echo(f"{file}: no fault; instance {instance}")
+
+
+def entry_instance_of(file: Path) -> InstanceId:
+    """Check what ``mimosafork serve`` reads; return the instance's id.
+
+    Raises
+    ------
+    SettingsError
     """
     checked = load_settings(file)
     refuse_unknown_plugins(file, checked)
-    typer.echo(f"{file}: no fault; instance {checked.instance.id}")
+    return checked.instance.id
+
+
+def gateway_of(file: Path) -> InstanceId:
+    """Check what ``mimosafork gateway`` reads; return the instance's id.
+
+    Raises
+    ------
+    SettingsError
+    """
+    return load_gateway_settings(file).instance.id
 
 
 def refuse_unknown_plugins(file: Path, settings: InstanceSettings) -> None:
--- a/tests/functional/test_manifest_commands.py
+++ b/tests/functional/test_manifest_commands.py
@@ -148,6 +148,19 @@
         case.assertIn("[policies] plugins: no plug-in is called fastest", refused.err)
 
 
+def test_a_gateways_settings_are_checked_by_their_own_model() -> None:
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "gateway.ini"
+        path.write_text((ROOT / "examples" / "gateway.ini").read_text())
+        case.assertEqual(
+            0, run_command("settings", "check", "--gateway", str(path)).code
+        )
+        path.write_text(path.read_text().replace("last_port = 7355", ""))
+        refused = run_command("settings", "check", "--gateway", str(path))
+        case.assertEqual(ExitCode.INVALID, refused.code)
+        case.assertIn(f"{path}: [gossip] last_port: is missing", refused.err)
+
+
 def test_a_key_is_hashed_from_standard_input() -> None:
     hashed = run_command("manifest", "hash-key", "--json", stdin=f"{KEY}\n")
     case.assertEqual(hash_key(KEY), hashed.json()["hash"])
--- a/tools/docs_check.py
+++ b/tools/docs_check.py
@@ -15,6 +15,7 @@
 from . import telemetry_calls
 from .pages.commands import PROGRAM, announced, commands_page, leaves, root_command
 from .pages.events import events_page
+from .pages.gateway_settings import gateway_settings_page
 from .pages.metrics import metrics_page
 from .pages.page import Page
 from .pages.settings import manifest_page, settings_page
@@ -62,6 +63,7 @@
         events_page(),
         metrics_page(),
         settings_page(),
+        gateway_settings_page(),
         manifest_page(),
         commands_page(),
     ]
