--- a/tests/unit/gateway/test_gateway_failures.py
+++ b/tests/unit/gateway/test_gateway_failures.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from unittest import TestCase
 
-from mimosafork.standins.prepared.documents import RouteEntry
+from mimosafork.standins.prepared.documents import RouteEntry, beat_document
 from mimosafork.standins.prepared.endpoint import EndpointSettings
 from mimosafork.standins.prepared.engine import EngineFigures, expected_texts
 from mimosafork.standins.prepared.faults import (
@@ -26,6 +26,7 @@
     REQUEST_ID,
     RETRY_AFTER,
     SEAL,
+    TABLE_SERVERS,
     TOKEN_USAGE,
 )
 
@@ -364,4 +365,31 @@
         case.assertIn(world.platform.log.of("c1")[0].end, ends)
 
 
+def test_an_endpoint_whose_address_is_none_costs_no_call() -> None:
+    """A call hangs until its deadline.
+
+    The list named something else than a number and a port; opening a connection
+    there raised what nobody awaited, and the call heard neither yes nor no.
+    """
+    with gateway_world() as world:
+        desk = world.add_desk()
+        document = beat_document(desk, 1, False)
+        document["address"] = "somewhere:80"
+        world.platform.store.put(TABLE_SERVERS, "i-odd", document)
+        world.add_desk()
+        for number in range(6):
+            result = world.running.ask("/unsafe/1", f"c{number}", X_Deadline_Ms="900")
+            case.assertEqual(200, result.status)
+
+
+def test_absurd_sizes_are_refused_at_once() -> None:
+    with gateway_world() as world:
+        world.add_engine()
+        for number, usage in enumerate(("9" * 15 + ",1", "1," + "9" * 15, "9" * 40)):
+            headers = {TOKEN_USAGE: usage, REQUEST_ID: f"c{number}", **BEARER}
+            with world.running.channel() as channel:
+                channel.send("POST", "/stream/1", headers)
+                case.assertIn(channel.read_answer().status, {200, 503})
+
+
 load_tests = function_tests(__name__)
