Count an endpoint whose address is no address as unreached

The list of endpoints may name anything. Splitting such an address raised in a task that nobody awaits: the call heard neither that the connection was there nor that it failed, and hung until its deadline (504 after 0.9 s of 0.9 s). The pool now keeps its word that one of both callbacks is called. The endpoint is left alone like any that can't be reached. Refusing the row when it is read was weighed; it would hide the endpoint from the log of the failed attempt. Failed before: test_an_endpoint_whose_address_is_none_costs_no_call.

--- a/src/mimosafork/gateway/pool.py
+++ b/src/mimosafork/gateway/pool.py
@@ -109,9 +109,9 @@
         ready: Callable[[EndpointConnection], None],
         failed: Callable[[OSError], None],
     ) -> None:
-        place = split_address(wanted.address)
         loop = asyncio.get_running_loop()
         try:
+            place = split_address(wanted.address)
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 _, connection = await loop.create_connection(
                     lambda: EndpointConnection(self.clock, self._forget(wanted)),
@@ -124,6 +124,11 @@
         except OSError as error:
             failed(error)
             return
+        except ValueError as error:
+            # The list of endpoints may name anything. Raised in a task that nobody
+            # awaits, it would leave the call without a word until its deadline.
+            failed(OSError(str(error)))
+            return
         self.opened += 1
         ready(connection)
 
