Leave connections that are too old for one call to the others

A call that may run only once takes a kept connection only if it was used in the last 1.5 s. Looking for one, it closed all that were older, which endpoints keep for seconds more and which repeatable calls may use: connections were opened anew without need, and each new one has a price at the endpoints. The newest stands last, so that one look is enough. Failed before: test_a_call_that_needs_a_fresh_one_leaves_the_others.

--- a/src/mimosafork/gateway/pool.py
+++ b/src/mimosafork/gateway/pool.py
@@ -64,12 +64,14 @@
         kept = self.idle.get(wanted.endpoint, [])
         now = self.clock.monotonic()
         while kept:
-            connection = kept.pop()
+            connection = kept[-1]
             idle = now - connection.idle_since
             limit = (connection.keep_for or DEFAULT_KEEP) - MARGIN
-            if wanted.fresh_within is not None:
-                limit = min(limit, wanted.fresh_within)
             usable = connection.reusable and connection.transport and idle < limit
+            # The others are older still: too old for this call, good for others.
+            if usable and wanted.fresh_within and idle >= wanted.fresh_within:
+                return None
+            kept.pop()
             if usable and not (wanted.proven and self.doubtful(connection)):
                 return connection
             connection.close()
