Pass over a time to keep a connection that fits into no span

An endpoint that states a number of 30 digits in Keep-Alive made keep_alive_of raise OverflowError inside the parser's callback. By the code, the parser wraps such an exception and the answer then counts as none in the protocol, though the call has run (not tried with a whole call). Numbers of more than six digits count as not stated. Failed before: test_how_long_an_endpoint_keeps_a_connection (OverflowError).

--- a/src/mimosafork/gateway/upstream.py
+++ b/src/mimosafork/gateway/upstream.py
@@ -1,6 +1,7 @@
 """A connection to an endpoint, used for one call at a time."""
 
 import asyncio
+import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,6 +19,9 @@
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 2000
 
+SECONDS = re.compile(rb"[0-9]{1,6}")
+"""A longer number would not fit into a span of time."""
+
 
 class ConnectionLoss(Enum):
     """How a connection ended under a call."""
@@ -191,6 +195,6 @@
         return None
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+        if name.strip().lower() == b"timeout" and SECONDS.fullmatch(number.strip()):
             return timedelta(seconds=int(number))
     return None
