--- a/src/mimosafork/placement/front.py
+++ b/src/mimosafork/placement/front.py
@@ -9,7 +9,7 @@
 
 BEYOND_COST = 0.5
 """Cost of a short request on the engine at the far end of the order."""
-FRONT_WRITERS = 2.0
+FRONT_WRITERS = 3.0
 """Short requests that an engine of the front is meant to have."""
 LEAST_FRONT = 2
 """Engines that the front has at least."""
--- a/src/mimosafork/placement/state.py
+++ b/src/mimosafork/placement/state.py
@@ -85,13 +85,12 @@
 ) -> EngineState:
     """Return an engine's state.
 
-    Beside writers, a pass that runs already ends before a new part is read, and the
-    first event comes with the pass after the part's.
+    Beside writers, a pass that runs already ends before a new part is read; the first
+    event comes with the end of the part's own pass.
     """
     pace = pace_of(view)
     pass_ms = pass_length(load, figures) * pace
-    step_ms = (figures.step_ms + figures.per_sequence_ms) * pace
-    wait_ms = pass_ms + max(pass_ms, step_ms * max(1, figures.stride))
+    wait_ms = pass_ms
     if load.writers:
         wait_ms += REST_OF_PASS * (pass_ms + load.reading_ms)
     tightest = min((pace.pause_ms for pace in load.paces), default=float("inf"))
