--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -81,7 +81,7 @@
         self.tools = AttemptTools(clock, self.pool, dialect, self.post)
         self.lines = CallLines(clock)
         self.freezes = FreezeWatch(clock, BootClock(), TICK)
-        self.orders = Orders(self.pool, dialect, self.post)
+        self.orders = Orders(clock, self.pool, dialect, self.post)
         self.connections: set[ClientConnection] = set()
         self.calls: dict[RequestId, Call] = {}
         self.by_connection: dict[ClientConnection, RequestId] = {}
--- a/src/mimosafork/gateway/orders.py
+++ b/src/mimosafork/gateway/orders.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import singledispatchmethod
+from logging import getLogger
 
+from ..clock import Clock
 from ..ids import EndpointId
 from ..kernel.messages.base import Effect, Message
 from ..kernel.messages.placement import (
@@ -15,12 +17,17 @@
     ReservationFailed,
     ReserveMemory,
 )
+from ..telemetry.catalogue.gateway import MEMORY_NOT_RESERVED
+from ..telemetry.logs import log_event
 from .answer_reader import AnswerHead
 from .dialect import Dialect, OrderMessage
 from .heads import Header, render_head
 from .pool import ConnectionPool, Wanted
 from .upstream import CallSink, ConnectionLoss, EndpointConnection
 
+logger = getLogger(__name__)
+
+MILLISECOND = timedelta(milliseconds=1)
 ANSWER_WITHIN = timedelta(milliseconds=250)
 """An engine answers an order within a few milliseconds; one that is silent for so
 long is taken to have lost it, and the next step must not wait longer."""
@@ -146,16 +153,19 @@
 
     Parameters
     ----------
+    clock : Clock
     report : callable
         Hands a message to the kernel.
     """
 
     def __init__(
         self,
+        clock: Clock,
         pool: ConnectionPool,
         dialect: Dialect,
         report: Callable[[Message], None],
     ) -> None:
+        self.clock = clock
         self.tools = OrderTools(pool, dialect)
         self.report = report
         self.open: set[OrderCall] = set()
@@ -167,12 +177,15 @@
 
     @perform.register
     def _(self, effect: ReserveMemory) -> None:
+        sent_at = self.clock.monotonic()
+
         def done(failure: PartFailure | None) -> None:
             request, reservation = effect.request_id, effect.reservation
             if failure is None:
                 self.report(MemoryReserved(request, reservation))
-            else:
-                self.report(ReservationFailed(request, reservation, failure))
+                return
+            self._log_failure(effect, failure, self.clock.monotonic() - sent_at)
+            self.report(ReservationFailed(request, reservation, failure))
 
         self._send(effect.endpoint, effect.address, effect, done)
 
@@ -201,6 +214,19 @@
         self.none_open.clear()
         call.start()
 
+    def _log_failure(
+        self, effect: ReserveMemory, failure: PartFailure, after: timedelta
+    ) -> None:
+        log_event(
+            logger,
+            MEMORY_NOT_RESERVED,
+            endpoint=effect.endpoint,
+            reservation=effect.reservation,
+            tokens=effect.tokens,
+            why=failure.value,
+            after_ms=int(after / MILLISECOND),
+        )
+
     async def settle(self) -> None:
         """Wait until all orders are answered; each one's time is bounded."""
         if self.open:
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -66,7 +66,7 @@
         service = ServiceId(record.request.target)
         engines = [b.view(context.now) for b in self.fleet.of_service(service)]
         if self.memory.pauses(record.request_id, context.now):
-            return self._wait(record, WaitForRoom(Shortage.MEMORY), context.now)
+            return Wait(Shortage.MEMORY.value)
         figures = self.figures_of(service)
         ask = self._ask(record, figures, context)
         choice = choose(
--- a/src/mimosafork/gateway/policies/tickets.py
+++ b/src/mimosafork/gateway/policies/tickets.py
@@ -1,5 +1,6 @@
 """Memory that is reserved on several engines for one attempt of a request."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -30,6 +31,8 @@
         An order for it is not answered yet.
     lost : bool
         The engine has said that it isn't held.
+    not_before : timedelta
+        It is not asked for again before.
     """
 
     reservation: ReservationId
@@ -40,6 +43,7 @@
     held_until: timedelta | None = None
     open: bool = False
     lost: bool = False
+    not_before: timedelta = timedelta(0)
 
     def ask(self, now: timedelta) -> None:
         """Note that an order for it is sent."""
@@ -65,6 +69,8 @@
         """
         if self.open or self.lost or self.held_until is None:
             return False
+        if now < self.not_before:
+            return False
         return self.held_until - last <= now < self.held_until
 
 
@@ -112,7 +118,7 @@
 
 
 def tickets_of(
-    reservations: tuple[Reservation, ...], life: str, first: int
+    reservations: tuple[Reservation, ...], new_id: Callable[[], ReservationId]
 ) -> list[Ticket]:
     """Return tickets in the order that all instances share.
 
@@ -121,18 +127,10 @@
 
     Parameters
     ----------
-    life : str
-        Tells this life of this instance apart from all others.
-    first : int
-        Number of the first ticket; none is used twice in a life.
+    new_id : callable
+        Returns an id that no reservation has had.
     """
     ordered = sorted(reservations, key=lambda each: each.endpoint)
     return [
-        Ticket(
-            ReservationId(f"{life}.{first + index}"),
-            each.endpoint,
-            each.address,
-            each.tokens,
-        )
-        for index, each in enumerate(ordered)
+        Ticket(new_id(), each.endpoint, each.address, each.tokens) for each in ordered
     ]
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -128,3 +128,14 @@
     "Streams paused for so long, and what was known of peers and the store is older.",
     "If it comes often, look at the machine: its processor share or its host.",
 )
+MEMORY_NOT_RESERVED = Event(
+    2050,
+    "memory-not-reserved",
+    Level.INFO,
+    "{tokens} tokens at endpoint {endpoint} were not reserved under {reservation}:"
+    " {why}, after {after_ms} ms",
+    "A prompt larger than one engine's memory needs them. Before it is sent, all that "
+    "was reserved for it is released, or the order is repeated where it got no answer; "
+    "while it runs, the engine may cut it off.",
+    "If it is often no-memory, the engines are full; if lost, look at the network.",
+)
