Take the endpoints of a zone last that looks cut off

While a zone was cut off, each of its endpoints had to fail calls of its own before it was left alone, and was tried again one to four seconds later. With six engines behind the cut and nine instances, most calls of those seconds went to one of them first.

Change: endpoints of another zone that can't be connected to, or are silent too long, speak for their zone within 2 s of each other, by weight, unless any endpoint there answers meanwhile: two of the first kind, four of the second. Its endpoints are then taken last for 2 s; the next call tries it, and one failure renews the doubt. Two new events tell of it (MF2301, MF2302).

--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -1,6 +1,6 @@
 """What this instance believes of each endpoint."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -20,6 +20,7 @@
 from ...routing.listing import ListedEndpoint
 from ...routing.table import RoutingTable
 from .standing import Standing, tell_doubt, tell_return
+from .zone_doubt import UNHEARD, ZoneDoubts
 
 UNREACHED_FOR = timedelta(seconds=1)
 """An endpoint that couldn't be connected to is left alone for so long at first."""
@@ -51,6 +52,8 @@
         Share of its latest attempts that it failed, newest weighing most.
     doubted_at : timedelta or None
         Since when it has been left alone or taken last.
+    zones : ZoneDoubts
+        What is known of all zones.
     """
 
     listed: ListedEndpoint
@@ -60,6 +63,7 @@
     misses: int = 0
     failure_rate: float = 0.0
     doubted_at: timedelta | None = None
+    zones: ZoneDoubts = field(default_factory=ZoneDoubts)
 
     def note_unreached(self, now: timedelta) -> None:
         """Leave it alone, longer each time up to a bound."""
@@ -81,6 +85,8 @@
 
     def suspect(self, now: timedelta) -> bool:
         """Return whether it is taken last."""
+        if self.zones.doubted(self.listed.zone, now):
+            return True
         return now < self.suspect_until or self.failure_rate > BAD_RATE
 
     def view(self, now: timedelta) -> EngineView:
@@ -105,6 +111,7 @@
         self.endpoints: dict[EndpointId, EndpointBelief] = {}
         self.by_service: dict[ServiceId, dict[EndpointId, EndpointBelief]] = {}
         self.left: set[EndpointId] = set()
+        self.zones = ZoneDoubts()
 
     def of_service(self, service: ServiceId) -> list[EndpointBelief]:
         """Return the endpoints of a service that aren't leaving."""
@@ -127,7 +134,7 @@
             return
         known = self.endpoints.get(listed.endpoint)
         if known is None:
-            known = EndpointBelief(listed)
+            known = EndpointBelief(listed, zones=self.zones)
             self.endpoints[listed.endpoint] = known
         known.listed = listed
         known.leaving = False
@@ -149,6 +156,7 @@
             known = self.endpoints.get(record.current.endpoint)
             if known is not None:
                 known.note_outcome(False, context.now)
+                self.zones.note_answer(known.listed.zone, context.now)
                 tell_return(known, context.now)
 
     @handle.register
@@ -162,6 +170,9 @@
         if known is None:
             return
         before = Standing.of(known, context.now)
+        away = known.listed.zone != context.state.identity.availability_zone
+        if message.kind in UNHEARD and away:
+            self.zones.note_unheard(known.listed, message.kind, context.now)
         if message.kind is FailureKind.UNREACHED:
             known.note_unreached(context.now)
         elif message.refusal == "elsewhere":
--- /dev/null
+++ b/tests/unit/gateway/test_zone_doubt.py
@@ -0,0 +1,153 @@
+"""Tests of how an instance notices that a zone is cut off from it."""
+
+from dataclasses import replace
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.gateway.policies.fleet_view import LONGEST_ABSENCE, FleetView
+from mimosafork.gateway.policies.zone_doubt import (
+    DOUBT_FOR,
+    WITHIN,
+    WITNESSES,
+    ZoneDoubts,
+)
+from mimosafork.ids import AvailabilityZoneId
+from mimosafork.kernel.messages.requests import Dispatch, Exposure, FailureKind
+from mimosafork.kernel.messages.routing import EndpointUsable
+from mimosafork.routing.listing import ListedEndpoint
+from mimosafork.telemetry.catalogue.zones import ZONE_ANSWERS, ZONE_DOUBTED
+
+from ...support.functions import function_tests
+from ...support.gateway_kernels import (
+    ZONE,
+    GatewayBench,
+    gateway_bench,
+    listed,
+    request_of,
+)
+from ...support.log_lines import caught_lines
+
+case = TestCase()
+
+FAR = AvailabilityZoneId("zone-b")
+OTHER = AvailabilityZoneId("zone-c")
+LONG = timedelta(seconds=60)
+BETWEEN = timedelta(milliseconds=100)
+MOMENT = timedelta(milliseconds=1)
+
+
+def bench_of_zones(*zones: AvailabilityZoneId, each: int = 4) -> GatewayBench:
+    """Return a kernel that knows some endpoints in each zone."""
+    bench = gateway_bench(endpoints=0)
+    for zone in zones:
+        for number in range(each):
+            told = replace(listed(f"{zone}/{number}"), zone=zone)
+            bench.tell(EndpointUsable(told))
+    return bench
+
+
+def zone_of(dispatch: Dispatch) -> str:
+    return dispatch.endpoint.partition("/")[0]
+
+
+def serve(bench: GatewayBench, calls: int, cut: str = "", name: str = "a") -> int:
+    """Let calls come in turn; return how many went to the cut zone first."""
+    lost = 0
+    for number in range(calls):
+        bench.clock.advance(BETWEEN)
+        dispatch = bench.begin(request_of(bench, f"{name}{number}", time=LONG))
+        lost += zone_of(dispatch) == cut
+        while zone_of(dispatch) == cut:
+            bench.fail(dispatch, FailureKind.UNREACHED, Exposure.NEVER_SENT)
+            again = bench.retried(dispatch)
+            assert again is not None
+            dispatch = again
+        bench.finish(dispatch)
+    return lost
+
+
+def test_calls_leave_a_zone_that_is_cut_off() -> None:
+    """Callers wait for endpoints of a zone that is cut off, one after the other.
+
+    Each endpoint there was left alone only once it had failed calls of its own, and
+    was tried again soon; with several behind the cut, many calls went to one of them
+    first and lost the time that it took to notice.
+    """
+    bench = bench_of_zones(FAR, OTHER, each=6)
+    with caught_lines() as lines:
+        lost = serve(bench, 100, FAR)
+    seconds = 100 * BETWEEN / DOUBT_FOR
+    case.assertLessEqual(lost, WITNESSES + seconds)
+    case.assertEqual(FAR, lines.one(ZONE_DOUBTED)["zone"])
+
+
+def test_a_zone_that_answers_again_is_taken_again() -> None:
+    bench = bench_of_zones(FAR, OTHER)
+    serve(bench, 40, FAR)
+    with caught_lines() as lines:
+        bench.clock.advance(LONGEST_ABSENCE)
+        serve(bench, 40, name="b")
+    case.assertEqual(FAR, lines.one(ZONE_ANSWERS)["zone"])
+    later = [d for d in bench.emitted(Dispatch) if d.request_id.startswith("b")]
+    case.assertGreater(sum(zone_of(d) == FAR for d in later), 10)
+
+
+def doubts(
+    *unheard: str, kind: FailureKind = FailureKind.UNREACHED
+) -> tuple[ZoneDoubts, timedelta]:
+    """Return what is believed once some endpoints were not heard at one moment."""
+    zones, now = ZoneDoubts(), timedelta(seconds=100)
+    for endpoint in unheard:
+        zones.note_unheard(far(endpoint), kind, now)
+    return zones, now
+
+
+def far(name: str) -> ListedEndpoint:
+    return replace(listed(name), zone=FAR)
+
+
+def test_one_endpoint_that_is_gone_does_not_speak_for_its_zone() -> None:
+    zones, now = doubts("a", "a", "a")
+    case.assertFalse(zones.doubted(FAR, now))
+    later = now + WITHIN + MOMENT
+    zones.note_unheard(far("b"), FailureKind.UNREACHED, later)
+    case.assertFalse(zones.doubted(FAR, later))
+
+
+def test_endpoints_that_are_silent_together_may_read_a_long_prompt() -> None:
+    """A sound zone is left for seconds.
+
+    Several engines read a prompt of 270,000 tokens together, and what they wrote
+    before stood still so long that its calls were tried elsewhere. Two such engines
+    of a zone were taken for a cut.
+    """
+    for count, doubted in ((3, False), (4, True)):
+        zones, now = doubts(*"abcd"[:count], kind=FailureKind.STALLED)
+        case.assertEqual(doubted, zones.doubted(FAR, now))
+
+
+def test_an_answer_between_two_that_are_gone_speaks_for_the_zone() -> None:
+    zones, now = doubts("a")
+    zones.note_answer(FAR, now)
+    zones.note_unheard(far("b"), FailureKind.UNREACHED, now)
+    case.assertFalse(zones.doubted(FAR, now))
+
+
+def test_a_doubt_ends_by_itself_and_one_more_renews_it() -> None:
+    zones, now = doubts("a", "b")
+    case.assertTrue(zones.doubted(FAR, now + DOUBT_FOR - MOMENT))
+    case.assertFalse(zones.doubted(OTHER, now))
+    later = now + DOUBT_FOR * 3
+    case.assertFalse(zones.doubted(FAR, later))
+    zones.note_unheard(far("c"), FailureKind.UNREACHED, later)
+    case.assertTrue(zones.doubted(FAR, later))
+
+
+def test_the_own_zone_is_never_doubted() -> None:
+    bench = bench_of_zones(ZONE, OTHER)
+    serve(bench, 20, ZONE)
+    now = bench.clock.monotonic()
+    case.assertFalse(bench.kernel.plugin(FleetView).zones.doubted(ZONE, now))
+
+
+load_tests = function_tests(__name__)
