--- a/tests/unit/tooling/test_platform_words.py
+++ b/tests/unit/tooling/test_platform_words.py
@@ -10,6 +10,7 @@
 from tests.support.platform_words import KNOWING, findings, wire_words
 
 PACKAGE = Path(mimosafork.__file__).parent
+GLOSSARY = Path(__file__).resolve().parents[3] / "docs" / "GLOSSARY.md"
 
 
 @contextmanager
@@ -79,4 +80,14 @@
     assert len(words) > 40
 
 
+def test_the_glossary_maps_every_wire_word() -> None:
+    """A newcomer meets a wire word in `platform/` and no page says what it is.
+
+    A word was added with a feature and the glossary was left as it was.
+    """
+    glossary = GLOSSARY.read_text("utf-8").lower()
+    missing = [word for word in sorted(wire_words()) if word not in glossary]
+    assert not missing, missing
+
+
 load_tests = function_tests(__name__)
