Keep the gateway's log to a budget of lines, and never wait for its reader

Cause: each call has a line, so a flood of calls was a flood of lines; a reader that stood still was met by a queue of ten thousand records, and the drops were said before each line that followed. The test of a process whose output nobody reads hung for 60 s: at the end `logging` takes the lock of each handler, and the one that is stuck in the pipe never gives it back.

Change: events say how important they are; a bucket of 50 lines a second with a burst of 200 (both settings) lets lines of served calls use half of it, failures and refusals most, changes of belief all. What is left out, and what a full queue drops, is counted and said at most once a second, also when nothing more is logged and at the stop. The gateway writes to its descriptor without Python's buffer, by a handler without a lock.

Ruled out: making standard output non-blocking; the setting belongs to the open file and would change it for whoever shares it.

--- a/src/mimosafork/commands/gateway.py
+++ b/src/mimosafork/commands/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 import time
+from datetime import timedelta
 from pathlib import Path
 from random import Random
 from typing import Annotated
@@ -11,10 +12,17 @@
 
 from ..clock import SystemClock
 from ..settings.gateway import GatewaySettings, load_gateway_settings
-from ..telemetry.logs import LogFormat, Logging, LogOptions
+from ..telemetry.logs import LogFormat, Logging, LogLimits, LogOptions
+from ..telemetry.writing import DescriptorStream
 
 app = typer.Typer(add_completion=False)
 
+LOG_QUEUE = 2000
+"""Lines that wait for a slow reader; each takes about a kilobyte."""
+
+LOG_STOP_TIMEOUT = timedelta(milliseconds=300)
+"""The time of a planned stop is for callers, not for a reader that stands still."""
+
 
 @app.command()
 def gateway(
@@ -32,7 +40,13 @@
     """
     checked = load_gateway_settings(settings)
     options = LogOptions(checked.logging.level, LogFormat(checked.logging.format))
-    with Logging(options, sys.stdout):
+    limits = LogLimits(
+        LOG_QUEUE,
+        checked.logging.lines_a_second,
+        checked.logging.burst,
+        LOG_STOP_TIMEOUT,
+    )
+    with Logging(options, DescriptorStream(sys.stdout.fileno()), limits):
         asyncio.run(serve(checked, settings))
 
 
--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -76,6 +76,12 @@
     format: Literal["text", "json"] = Field(
         default="json", description="form of a line on standard output"
     )
+    lines_a_second: Annotated[float, Field(gt=0)] = Field(
+        default=50.0, description="lines that are written in the long run"
+    )
+    burst: Annotated[float, Field(ge=10)] = Field(
+        default=200.0, description="lines that may come at once after a quiet time"
+    )
 
 
 class GatewaySettings(Section):
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -1,6 +1,6 @@
 """Events of calls that are passed on as they are."""
 
-from ..events import Event, Level
+from ..events import Event, Importance, Level
 
 RANGE = 2000
 
@@ -60,6 +60,7 @@
     "The caller has got an endpoint's whole answer. The fields say when and by what "
     "it was placed, and the times of its parts.",
     "None.",
+    Importance.SERVED,
 )
 CALL_NOT_SERVED = Event(
     2011,
@@ -69,6 +70,7 @@
     " {total_ms} ms and {attempts} attempts",
     "The caller got no whole answer; the lines of its attempts say why.",
     "See docs/OPERATIONS.md for the way from a call's id to its cause.",
+    Importance.CALL,
 )
 CALL_REFUSED = Event(
     2012,
@@ -77,6 +79,7 @@
     "call {call} to {host}{path} refused with {status}: {reason}, by version {version}",
     "No route or key of the configuration in force fits it.",
     "Compare with the accepted configuration if the caller should be served.",
+    Importance.CALL,
 )
 MALFORMED_REQUEST = Event(
     2013,
@@ -85,6 +88,7 @@
     "a caller's bytes were refused with {status}: {why}",
     "Nothing of them reached an endpoint; the connection was closed.",
     "None.",
+    Importance.CALL,
 )
 ATTEMPT_FAILED = Event(
     2020,
@@ -94,6 +98,7 @@
     " {after_ms} ms and {events} events; {then}",
     "The attempt brought no whole answer; what follows depends on its exposure.",
     "If an endpoint's attempts fail often, see whether it was ejected.",
+    Importance.CALL,
 )
 ENDPOINT_LEFT_ALONE = Event(
     2030,
--- a/src/mimosafork/telemetry/catalogue/lifecycle.py
+++ b/src/mimosafork/telemetry/catalogue/lifecycle.py
@@ -50,7 +50,7 @@
     1006,
     "log-records-dropped",
     Level.WARNING,
-    "{count} log records were dropped, whoever reads stderr is too slow",
+    "{count} log records were dropped, whoever reads them is too slow",
     "Logging never holds up requests: when its queue is full, records are dropped "
     "and counted.",
     "See why the log collector does not keep up.",
@@ -63,6 +63,16 @@
     "A fault in the code; the message is lost.",
     "Report it.",
 )
+LOG_LINES_LEFT_OUT = Event(
+    1008,
+    "log-lines-left-out",
+    Level.WARNING,
+    "in {seconds} s {served} lines of served calls, {calls} of other calls and "
+    "{others} others were left out",
+    "There were more than the budget of lines allows. Lines of served calls go first, "
+    "those of failures and refusals next.",
+    "See what floods the instance; the metrics count what lines don't show.",
+)
 
 STREAMS_IN_PROGRESS = Instrument(
     "mimosafork.streams.in_progress",
--- a/src/mimosafork/telemetry/events.py
+++ b/src/mimosafork/telemetry/events.py
@@ -29,6 +29,17 @@
     ERROR = ERROR
 
 
+class Importance(IntEnum):
+    """What is left out first where there are too many lines."""
+
+    SERVED = 0
+    """A call that went well."""
+    CALL = 1
+    """A call that was refused or failed."""
+    BELIEF = 2
+    """Anything else: a start, a stop, a change of what the process believes."""
+
+
 @dataclass(frozen=True, slots=True)
 class Event:
     """One kind of log line.
@@ -47,6 +58,8 @@
         What has happened and which effect it has.
     action : str
         What an operator should do; "None." where that is nothing.
+    importance : Importance, optional
+        Lines of little importance are left out first in a flood.
     """
 
     number: int
@@ -55,6 +68,7 @@
     template: str
     meaning: str
     action: str
+    importance: Importance = Importance.BELIEF
 
     @property
     def code(self) -> str:
--- a/src/mimosafork/telemetry/logs.py
+++ b/src/mimosafork/telemetry/logs.py
@@ -2,14 +2,23 @@
 
 import logging
 from dataclasses import dataclass
+from datetime import timedelta
 from enum import Enum
 from types import TracebackType
-from typing import TextIO
+from typing import Protocol
 
+from ..clock import SystemClock
+from .budget import LineBudget
 from .events import Event
 from .formats import JsonFormatter, PlainFormatter
 from .messages import EventMessage
-from .pipeline import DroppingHandler, LogListener
+from .pipeline import (
+    QUEUE_LIMIT,
+    STOP_TIMEOUT,
+    DroppingHandler,
+    LineWriter,
+    LogListener,
+)
 
 PACKAGE_LOGGER = "mimosafork"
 
@@ -40,6 +49,44 @@
     library_level: str = "WARNING"
 
 
+@dataclass(frozen=True, slots=True)
+class LogLimits:
+    """What the logs of a process may cost.
+
+    Parameters
+    ----------
+    queue : int
+        Records that may wait for the reader.
+    rate : float or None
+        Lines a second; None for no bound.
+    burst : float
+        Lines that may come at once.
+    stop_timeout : timedelta
+        How long a stop waits for the reader.
+    """
+
+    queue: int = QUEUE_LIMIT
+    rate: float | None = None
+    burst: float = 0.0
+    stop_timeout: timedelta = STOP_TIMEOUT
+
+    def budget(self) -> LineBudget | None:
+        """Return a new budget of lines, if there is a bound."""
+        if self.rate is None:
+            return None
+        return LineBudget(SystemClock(), self.rate, self.burst)
+
+
+class LineStream(Protocol):
+    """Where lines go."""
+
+    def write(self, text: str, /) -> int:
+        """Take a text."""
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+
+
 def log_event(
     logger: logging.Logger,
     event: Event,
@@ -70,7 +117,7 @@
     """Logging of a process, from start to stop.
 
     Records go through a bounded queue to one thread that writes them, so that a
-    reader of stderr who stops reading cannot hold up the threads that serve
+    reader who stops reading cannot hold up the threads that serve
     requests: the queue fills, records are dropped and counted, and the count is
     logged once there is room.
 
@@ -78,16 +125,24 @@
     ----------
     options : LogOptions
         From the settings.
-    stream : TextIO
+    stream : LineStream
         Where lines go, as a rule ``sys.stderr``.
+    limits : LogLimits, optional
     """
 
-    def __init__(self, options: LogOptions, stream: TextIO) -> None:
+    def __init__(
+        self,
+        options: LogOptions,
+        stream: LineStream,
+        limits: LogLimits | None = None,
+    ) -> None:
+        chosen = limits or LogLimits()
         self.options = options
-        self.handler = DroppingHandler()
-        writer = logging.StreamHandler(stream)
+        self.handler = DroppingHandler(chosen.queue, chosen.budget())
+        writer = LineWriter(stream)
         writer.setFormatter(formatter(options.format))
         self.listener = LogListener(self.handler, writer)
+        self.listener.stop_timeout = chosen.stop_timeout
 
     def start(self) -> "Logging":
         """Route the process's log records here.
