Explain from logs why a call ended as it did

Cause: the lines of instances tell all there is to know of a failed call, but an engineer on call had to find and read them one by one, among those of all others.

Its package needs no rest of the product but the catalogue.

--- /dev/null
+++ b/src/mimosafork/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Explains from recorded log lines why something came to pass."""
--- /dev/null
+++ b/src/mimosafork/explain/causes.py
@@ -0,0 +1,264 @@
+"""The cause of a call's end, in one line."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+from . import events
+from .lines import LogLine
+
+LONG_SHARE = 0.5
+"""A pause or wait is named if it is this much of the whole time."""
+
+MOST_ATTEMPTS = 6
+"""Attempts that a cause names."""
+
+SHORTLY_MS = 3000
+"""So long before a call's end a start or a freeze of its instance is named."""
+
+SHORTAGES = {
+    "no endpoint is usable": "all endpoints were left alone, leaving or unlisted",
+    "all slots are taken": "each usable endpoint ran as many calls as it takes",
+    "the memory is promised to others": "slots may have been free, but the memory "
+    "that the prompt needs was promised to calls that were placed before",
+    "the prompt is larger than all memory": "no set of endpoints could hold it",
+    "the time that is left is too short": "an endpoint had room, but reading the "
+    "prompt behind what it had promised would have taken longer than was left",
+}
+"""What a shortage of placement means."""
+
+
+def cause_of(lines: Sequence[LogLine]) -> str:
+    """Return why a call ended as it did.
+
+    Parameters
+    ----------
+    lines : sequence of LogLine
+        Its lines in order, and those of what surrounded it.
+    """
+    own = [line for line in lines if line.event in events.CALL_EVENTS]
+    if not own:
+        return "no line names it"
+    return "; ".join([end_of(own, lines), *circumstances(own, lines)])
+
+
+def end_of(own: Sequence[LogLine], lines: Sequence[LogLine]) -> str:
+    """Return what the last line of a call comes to."""
+    end = own[-1]
+    if end.event == events.REFUSED:
+        return refused(end)
+    if end.event == events.SERVED:
+        return served(end, own)
+    if end.event == events.NOT_SERVED:
+        return not_served(end, own)
+    return unended(lines)
+
+
+def circumstances(own: Sequence[LogLine], lines: Sequence[LogLine]) -> list[str]:
+    """Return what its instance went through shortly before a call's last line."""
+    found = []
+    for line in lines:
+        before = (own[-1].instant - line.instant) // timedelta(milliseconds=1)
+        if not 0 <= before <= SHORTLY_MS:
+            continue
+        if line.event == events.STARTING:
+            found.append(f"its instance had started {before} ms before")
+        if line.event == events.FREEZE:
+            late = line.text("late_ms")
+            found.append(f"its instance had stood still for {late} ms until then")
+    return found
+
+
+def refused(end: LogLine) -> str:
+    """Tell of a call that no route or key fits."""
+    meaning = {
+        "no-route": "has no route for its host and path",
+        "unknown-key": "knows no account with its API key",
+        "no-configuration": "there is none yet",
+    }.get(end.text("reason"), end.text("reason"))
+    version = end.text("version") or "none"
+    age = end.fields.get("table_age_ms")
+    told = f", which the store confirmed {age} ms before" if age is not None else ""
+    return (
+        f"refused with {end.text('status')} by {end.text('rule') or 'routing'}: "
+        f"configuration {version} {meaning}{told}"
+    )
+
+
+def served(end: LogLine, own: Sequence[LogLine]) -> str:
+    """Tell what took the time of a call that was served."""
+    total = max(1, end.number("total_ms"))
+    parts = [f"served with {end.text('status')} after {total} ms"]
+    if end.number("waited_ms") > LONG_SHARE * total:
+        parts.append(f"most of it waiting for a place ({end.text('waited_ms')} ms)")
+    if end.number("pause_ms") > LONG_SHARE * total:
+        parts.append(f"with a pause of {end.text('pause_ms')} ms")
+    failed = [line for line in own if line.event == events.ATTEMPT_FAILED]
+    if failed:
+        parts.append(f"after {len(failed)} failed attempts ({attempts_text(failed)})")
+    return ", ".join(parts)
+
+
+def not_served(end: LogLine, own: Sequence[LogLine]) -> str:
+    """Tell why a call got no whole answer."""
+    failed = [line for line in own if line.event == events.ATTEMPT_FAILED]
+    why = end.text("why")
+    if why == "overloaded":
+        return no_place(end)
+    if why in {"endpoint-failed", "no-endpoint"}:
+        return given_up(end, failed)
+    if why == "deadline-passed":
+        return too_late(end, failed)
+    if why == "caller-gone":
+        return caller_gone(end)
+    if why == "quarantined":
+        return (
+            f"refused with {end.text('status')} by {end.text('rule')}: the same "
+            f"content {end.text('detail')}, and is kept from further ones"
+        )
+    if why == "shutting-down":
+        return stopped(end)
+    return f"{why} by {end.text('rule')}: {end.text('detail')}"
+
+
+def no_place(end: LogLine) -> str:
+    """Tell which shortage refused a call, by what counts."""
+    shortage = end.text("detail")
+    meaning = SHORTAGES.get(shortage, "")
+    return (
+        f"refused with {end.text('status')} by {end.text('rule')}: {shortage} for its "
+        f"{end.text('prompt_tokens')} prompt tokens ({meaning}); {inputs_text(end)}"
+    )
+
+
+def given_up(end: LogLine, failed: Sequence[LogLine]) -> str:
+    """Tell how the attempts failed, and why there was no further one."""
+    how = attempts_text(failed) or "no line of its attempts"
+    rule = f"{end.text('rule')} tried no more as {end.text('detail')}"
+    if end.fields.get("cut"):
+        return (
+            f"stream broken off after {end.text('events')} events and not resumed: "
+            f"{how}; {rule}"
+        )
+    unsafe = end.text("repeatability") == "non-idempotent"
+    if unsafe and end.text("outcome") == "unknown":
+        return (
+            f"told {end.text('status')} as its fate is unknown: {how} after it was "
+            f"sent; {rule}"
+        )
+    seemed = f"; {inputs_text(end)}" if end.text("outcome") == "not-run" else ""
+    return f"told {end.text('status')}: {how}; {rule}{seemed}"
+
+
+def stopped(end: LogLine) -> str:
+    """Tell of a call that outlasted its instance's planned stop."""
+    got = f"stream broken off after {end.text('events')} events"
+    if not end.fields.get("cut"):
+        got = f"told {end.text('status')}"
+    return (
+        f"{got}: its instance was asked to stop, and the call had not ended, "
+        f"{end.text('total_ms')} ms after its arrival, when the time for that was over"
+    )
+
+
+def too_late(end: LogLine, failed: Sequence[LogLine]) -> str:
+    """Tell where a call's time went."""
+    before = f", after {attempts_text(failed)}" if failed else ""
+    allowed = f"its {end.text('allowed_ms')} ms were over"
+    where = end.names("endpoints")
+    if not where:
+        return (
+            f"told {end.text('status')} as {allowed} while it waited for a place; "
+            f"{inputs_text(end)}"
+        )
+    if end.fields.get("cut") or end.number("events"):
+        return (
+            f"stream broken off after {end.text('events')} events as {allowed}; "
+            f"endpoint {where[-1]} was still writing{before}"
+        )
+    return (
+        f"told {end.text('status')} as {allowed} and endpoint {where[-1]} had not "
+        f"answered{before}"
+    )
+
+
+def caller_gone(end: LogLine) -> str:
+    """Tell when a caller left, and what it had got."""
+    got = f"{end.text('events')} events"
+    if end.fields.get("first_ms") is None:
+        got = "nothing: " + silence_of(end)
+    allowed = end.number("allowed_ms")
+    patience = ""
+    if allowed and end.number("total_ms") >= allowed:
+        patience = f", as its {allowed} ms were over"
+    return (
+        f"the caller closed its connection after {end.text('total_ms')} ms{patience}, "
+        f"having got {got}"
+    )
+
+
+def silence_of(end: LogLine) -> str:
+    """Return why a caller had nothing yet."""
+    where = end.names("endpoints")
+    if not where:
+        return f"it waited for a place; {inputs_text(end)}"
+    waited = end.number("waited_ms")
+    return f"endpoint {where[-1]} had not answered, {waited} ms were spent waiting"
+
+
+def unended(lines: Sequence[LogLine]) -> str:
+    """Tell why the line of a call's end is missing."""
+    if any(line.event in events.GAPS for line in lines):
+        return "the line of its end was left out or dropped; see the gaps above"
+    return (
+        "no line of its end: it still runs, its instance was killed, or the log is cut"
+    )
+
+
+def attempts_text(failed: Sequence[LogLine]) -> str:
+    """Return how the attempts failed, in order; of many the first and the last."""
+    texts = [attempt_text(line) for line in failed]
+    if len(texts) > MOST_ATTEMPTS:
+        left_out = len(texts) - MOST_ATTEMPTS
+        texts[MOST_ATTEMPTS - 1 : -1] = [f"{left_out} more"]
+    return "; ".join(texts)
+
+
+def attempt_text(line: LogLine) -> str:
+    """Return how one attempt failed."""
+    endpoint, kind = line.text("endpoint"), line.text("kind")
+    status = line.text("status")
+    if kind == "refused" and line.text("refusal") == "elsewhere":
+        return f"{endpoint} was no longer at its address"
+    if kind == "refused":
+        at = line.text("fault_at")
+        return f"{endpoint} refused it ({status}{f', for {at}' if at else ''})"
+    if kind == "engine-failed":
+        return f"{endpoint} answered {status}"
+    meaning = {
+        "unreached": "could not be connected to",
+        "broken": "broke the connection",
+        "invalid": "answered what makes no sense",
+        "stalled": "fell silent",
+        "deadline": "was reached too late",
+    }.get(kind, kind)
+    after = line.number("events")
+    return f"{endpoint} {meaning}" + (f" after {after} events" if after else "")
+
+
+def inputs_text(line: LogLine) -> str:
+    """Return by what an instance decided, and how old that was."""
+    ages = []
+    for name, what in (
+        ("load_age_ms", "peers' load"),
+        ("listing_age_ms", "the listing"),
+        ("table_age_ms", "the configuration"),
+    ):
+        age = line.fields.get(name)
+        if age is not None:
+            ages.append(f"{what} {age} ms old")
+    return (
+        f"it knew {line.text('usable')} usable of {line.text('listed')} endpoints, "
+        f"{line.text('running')} calls of its own and {line.text('peers_running')} of "
+        f"{line.text('peers')} peers running, {line.text('waiting')} waiting; "
+        + ", ".join(ages)
+    )
--- /dev/null
+++ b/src/mimosafork/explain/events.py
@@ -0,0 +1,45 @@
+"""Codes of the events that explanations know."""
+
+from ..telemetry.catalogue import directory, gateway, gossip, lifecycle
+
+SERVED = gateway.CALL_ENDED.code
+NOT_SERVED = gateway.CALL_NOT_SERVED.code
+REFUSED = gateway.CALL_REFUSED.code
+ATTEMPT_FAILED = gateway.ATTEMPT_FAILED.code
+STARTING = gateway.GATEWAY_STARTING.code
+FREEZE = gateway.FREEZE_NOTICED.code
+LEFT_ALONE = gateway.ENDPOINT_LEFT_ALONE.code
+SUSPECTED = gateway.ENDPOINT_SUSPECTED.code
+BACK = gateway.ENDPOINT_BACK.code
+LISTED = directory.ENDPOINT_LISTED.code
+DRAINING = directory.ENDPOINT_DRAINING.code
+GONE = directory.ENDPOINT_GONE.code
+HELD = directory.ENDPOINT_HELD.code
+TABLE_TAKEN = directory.TABLE_TAKEN.code
+UNREADABLE = directory.ENTRY_UNREADABLE.code
+PULLED = gossip.GOSSIP_PULLED.code
+
+CALL_EVENTS = frozenset(
+    {SERVED, NOT_SERVED, REFUSED, ATTEMPT_FAILED, gateway.MALFORMED_REQUEST.code}
+)
+"""Lines of calls; all others tell of beliefs, starts and stops."""
+
+GAPS = frozenset(
+    {lifecycle.LOG_RECORDS_DROPPED.code, lifecycle.LOG_LINES_LEFT_OUT.code}
+)
+"""Lines that say that there should be others."""
+
+SURROUNDINGS = GAPS | {
+    FREEZE,
+    TABLE_TAKEN,
+    directory.STORE_LOST.code,
+    directory.STORE_REGAINED.code,
+    gossip.GOSSIP_PEER_DOWN.code,
+    gossip.GOSSIP_PEER_UP.code,
+    gossip.GOSSIP_PEER_RESTARTED.code,
+    STARTING,
+    gateway.GATEWAY_STOPPING.code,
+    gateway.GATEWAY_STOPPED.code,
+    gateway.SETTINGS_TAKEN.code,
+}
+"""What may matter to any call of its instance."""
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -94,7 +94,7 @@
     2020,
     "attempt-failed",
     Level.WARNING,
-    "call {call} at endpoint {endpoint}: {kind}, {exposure}, status {status}, after"
+    "call {call} at endpoint {endpoint}: {kind}, {exposure}, after"
     " {after_ms} ms and {events} events; {then}",
     "The attempt brought no whole answer; what follows depends on its exposure.",
     "If an endpoint's attempts fail often, see whether it was ejected.",
--- /dev/null
+++ b/tests/unit/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of explanations from recorded logs."""
