Serve the gateway's counters and histograms on a metrics address

Cause: an engineer on call has logs and metrics, and the gateway had no metrics.

Calls are counted by service, status, outcome and why, attempts by result, refusals by reason; the first part by band of the prompt's length, the largest pause and the wait for a place are timed; ages of load, listing and configuration, the room for repeats, calls of the store, bytes of gossip, open calls and idle connections are read from their owners when the page is asked for. It is loaded by a thread after the listeners are up, as the SDK would delay readiness.

--- a/src/mimosafork/commands/gateway.py
+++ b/src/mimosafork/commands/gateway.py
@@ -78,6 +78,7 @@
         clock,
         random,
     )
+    server.store_counts = store
     try:
         return await server.run()
     finally:
--- a/src/mimosafork/gateway/call_lines.py
+++ b/src/mimosafork/gateway/call_lines.py
@@ -1,4 +1,4 @@
-"""The log lines of calls: how each ended, who decided it, and by what."""
+"""Tells log and metrics of calls: how each ended, who decided it, and by what."""
 
 import logging
 from collections.abc import Iterable
@@ -25,6 +25,7 @@
 from .call import Call
 from .dialect import CallMarks
 from .intake import Refusal
+from .meters import CallMeter
 from .outlook import LineFields, Look, Unknown, milliseconds
 from .policies.placing import WorkPlacer
 from .policies.quarantining import CrashQuarantine
@@ -62,11 +63,14 @@
     ----------
     look : Look
         Tells what decisions go by.
+    meter : CallMeter or None
+        Counts what is told here, where there is a metrics page.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.look: Look = Unknown()
+        self.meter: CallMeter | None = None
 
     def placed(self, call: Call, dispatch: Dispatch) -> None:
         """Note where a call goes, and by what; its end tells it."""
@@ -75,6 +79,8 @@
         call.endpoints.append(dispatch.endpoint)
         call.helpers = dispatch.helpers
         call.inputs = self.look.inputs(ServiceId(call.request.target))
+        if self.meter is not None:
+            self.meter.placed(call)
 
     def refused(
         self,
@@ -84,6 +90,8 @@
         table: RoutingTable | None,
     ) -> None:
         """Tell of a call that no route or key fits."""
+        if self.meter is not None:
+            self.meter.refused(refusal.reason)
         inputs = self.look.inputs(ServiceId(""))
         log_event(
             logger,
@@ -111,6 +119,8 @@
         then : iterable of Effect
             What the kernel decided on it.
         """
+        if self.meter is not None:
+            self.meter.attempt_failed(call, failure)
         now = self.clock.monotonic()
         log_event(
             logger,
@@ -137,6 +147,8 @@
 
     def ended(self, call: Call, conclusion: Conclude) -> None:
         """Tell how a call ended: shortly where it was served."""
+        if self.meter is not None:
+            self.meter.ended(call, conclusion)
         if conclusion.problem is None:
             self._served(call, conclusion)
         else:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -35,12 +35,16 @@
     GATEWAY_STARTING,
     GATEWAY_STOPPED,
     GATEWAY_STOPPING,
+    METRICS_NOT_SERVED,
     SETTINGS_REFUSED,
     SETTINGS_TAKEN,
 )
 from ..telemetry.logs import PACKAGE_LOGGER, log_event
 from .dialect import Dialect
 from .gateway import Gateway
+from .gauges import Gauges, StoreCounts
+from .meters import CallMeter
+from .metrics_page import MetricsConnection, new_metrics
 from .outlook import Outlook, milliseconds
 from .policies import PLUGINS
 from .policies.fleet_view import FleetView
@@ -104,12 +108,13 @@
         )
         self.sharing = Sharing(directory, self.gateway.post, self.figures_of, clock)
         self.gateway.on_effect = self.sharing.tell
-        self.gateway.lines.look = Outlook(
-            self.kernel, directory, self.sharing, clock.monotonic
-        )
+        self.outlook = Outlook(self.kernel, directory, self.sharing, clock.monotonic)
+        self.gateway.lines.look = self.outlook
+        self.store_counts: StoreCounts | None = None
         self.peer_rows = peer_rows
         self._apply_bounds(settings.bounds)
         self.listeners: list[asyncio.Server] = []
+        self.metrics_task: asyncio.Task[None] | None = None
         self.stop_asked = asyncio.Event()
         self.was_ready = False
 
@@ -155,6 +160,23 @@
                 lambda: ReadyConnection(lambda: self.ready), ready.host, ready.port
             ),
         ]
+        metrics = self.settings.listen.metrics
+        if metrics is not None:
+            self.metrics_task = loop.create_task(self._serve_metrics(metrics))
+
+    async def _serve_metrics(self, address: str) -> None:
+        metrics = await asyncio.to_thread(new_metrics)
+        self.gateway.lines.meter = CallMeter(metrics)
+        Gauges(self.gateway, self.outlook, self.store_counts).join(metrics)
+        place = split_address(address)
+        try:
+            listener = await asyncio.get_running_loop().create_server(
+                lambda: MetricsConnection(metrics.page), place.host, place.port
+            )
+        except OSError as error:
+            log_event(logger, METRICS_NOT_SERVED, address=address, why=error)
+            return
+        self.listeners.append(listener)
 
     def reload(self) -> None:
         """Take changed settings; those that can't be used leave the old in force."""
@@ -261,6 +283,8 @@
         cut = await run_out(
             self, BALANCER_LAG, self.settings.bounds.grace, self.clock, sleep
         )
+        if self.metrics_task is not None:
+            self.metrics_task.cancel()
         gateway.post(StopNow())
         for listener in self.listeners:
             listener.close()
--- a/src/mimosafork/platform/store.py
+++ b/src/mimosafork/platform/store.py
@@ -70,11 +70,18 @@
         ``IP:PORT``.
     timeouts : StoreTimeouts, optional
         Bounds of its calls.
+
+    Attributes
+    ----------
+    answered, unanswered : int
+        Calls so far, by whether an answer came in time.
     """
 
     def __init__(self, address: str, timeouts: StoreTimeouts | None = None) -> None:
         self.address = address
         self.timeouts = timeouts or StoreTimeouts()
+        self.answered = 0
+        self.unanswered = 0
         self.calls = self.new_lane()
         self.feeds: dict[str, Lane] = {}
 
@@ -133,8 +140,8 @@
         )
         request = self.post(names.ROWS_TX_PATH, body)
         try:
-            answer = await self.calls.call(
-                request, self.timeouts.call, repeatable=False
+            answer = await self.counted(
+                self.calls, request, self.timeouts.call, repeatable=False
             )
         except NoAnswerError as error:
             raise UnknownResultError(str(error)) from error
@@ -156,7 +163,7 @@
             By status; no answer to a read means that nothing was done.
         """
         try:
-            answer = await lane.call(request, timeout, repeatable=True)
+            answer = await self.counted(lane, request, timeout, repeatable=True)
         except NetworkError as error:
             # Not for a connection that merely ended: a feed that was dropped here
             # ends so, and would drop the one that took its place.
@@ -170,6 +177,23 @@
         except (DocumentError, ValueError) as error:
             raise StoreUnavailableError(f"answer not read: {error}") from error
 
+    async def counted(
+        self, lane: Lane, request: bytes, timeout: timedelta, *, repeatable: bool
+    ) -> Answer:
+        """Send a call, and count whether it was answered.
+
+        Raises
+        ------
+        NetworkError
+        """
+        try:
+            answer = await lane.call(request, timeout, repeatable=repeatable)
+        except NetworkError:
+            self.unanswered += 1
+            raise
+        self.answered += 1
+        return answer
+
     def drop_feeds(self) -> None:
         """End the feeds' connections after one call met silence.
 
--- a/src/mimosafork/runtime/reporting_adapter.py
+++ b/src/mimosafork/runtime/reporting_adapter.py
@@ -1,7 +1,6 @@
 """Turns the kernel's reports into metrics and numbered log events."""
 
 import threading
-from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterable
 from functools import singledispatchmethod
@@ -44,16 +43,13 @@
     REQUESTS,
     REQUESTS_WAITING,
 )
+from ..telemetry.lengths import length_band
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics, Reading
 from .kernel_task import KernelTask
 
 logger = getLogger(__name__)
 
-LENGTH_BOUNDS: Final = (1_000, 10_000, 100_000)
-LENGTH_BANDS: Final = ("up to 1k", "up to 10k", "up to 100k", "over 100k")
-"""Bands of prompt length in tokens, by which the time to first token is measured."""
-
 UNKNOWN_TARGETS: Final = {ProblemCode.UNKNOWN_MODEL, ProblemCode.UNKNOWN_SERVICE}
 NO_TARGET: Final = "none"
 NO_CODE: Final = "none"
@@ -170,11 +166,6 @@
     return NO_TARGET if report.code in UNKNOWN_TARGETS else str(report.target)
 
 
-def length_band(prompt_tokens: int) -> str:
-    """Return the band of a prompt's length."""
-    return LENGTH_BANDS[bisect_left(LENGTH_BOUNDS, prompt_tokens)]
-
-
 def log_request(report: RequestReport, target: str, code: str) -> None:
     """Log how a request ended."""
     if report.code is ProblemCode.CALLER_GONE:
--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -19,6 +19,9 @@
 
     front: Address = Field(description="callers' connections")
     ready: Address = Field(description="the balancer's question whether to send")
+    metrics: Address | None = Field(
+        default=None, description="the metrics page, under /metrics; none if absent"
+    )
 
 
 class StoreSection(Section):
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -1,6 +1,7 @@
 """Events of calls that are passed on as they are."""
 
 from ..events import Event, Importance, Level
+from ..instruments import Instrument, Kind
 
 RANGE = 2000
 
@@ -52,6 +53,14 @@
     "The settings that were in force stay so.",
     "Mend the file and send the signal again.",
 )
+METRICS_NOT_SERVED = Event(
+    2007,
+    "metrics-not-served",
+    Level.ERROR,
+    "the metrics page can't be served at {address}: {why}",
+    "Calls are served all the same.",
+    "See what else listens there, or set another address.",
+)
 CALL_ENDED = Event(
     2010,
     "call-ended",
@@ -144,3 +153,137 @@
     "while it runs, the engine may cut it off.",
     "If it is often no-memory, the engines are full; if lost, look at the network.",
 )
+
+CALLS = Instrument(
+    "mimosafork.calls",
+    Kind.COUNTER,
+    "{call}",
+    "Calls that have ended, by status, outcome, and why; served ones have none.",
+    ("service", "status", "outcome", "why"),
+)
+CALLS_REFUSED = Instrument(
+    "mimosafork.calls.refused",
+    Kind.COUNTER,
+    "{call}",
+    "Calls that no route or key fits, and bytes that are no request, by reason.",
+    ("reason",),
+)
+CALL_ATTEMPTS = Instrument(
+    "mimosafork.call.attempts",
+    Kind.COUNTER,
+    "{attempt}",
+    "Attempts that were sent, and those of them that failed, by how.",
+    ("service", "result"),
+)
+CALL_FIRST_PART_TIME = Instrument(
+    "mimosafork.call.first_part.duration",
+    Kind.HISTOGRAM,
+    "s",
+    "Time from a call's first byte to the first event or the answer, by the prompt's "
+    "length.",
+    ("service", "length"),
+)
+CALL_PAUSE = Instrument(
+    "mimosafork.call.pause.duration",
+    Kind.HISTOGRAM,
+    "s",
+    "Largest pause between two events of an answer.",
+    ("service",),
+)
+CALL_WAIT_TIME = Instrument(
+    "mimosafork.call.wait.duration",
+    Kind.HISTOGRAM,
+    "s",
+    "Time from a call's first byte until it had a place.",
+    ("service",),
+)
+CALLS_OPEN = Instrument(
+    "mimosafork.calls.open",
+    Kind.OBSERVABLE_GAUGE,
+    "{call}",
+    "Calls that have not ended.",
+)
+CALLS_WAITING = Instrument(
+    "mimosafork.calls.waiting",
+    Kind.OBSERVABLE_GAUGE,
+    "{call}",
+    "Calls that wait for a place.",
+)
+WORK_KNOWN = Instrument(
+    "mimosafork.work.known",
+    Kind.OBSERVABLE_GAUGE,
+    "{call}",
+    "Calls known to run, of this instance and as peers have told.",
+    ("whose",),
+)
+LOAD_AGE = Instrument(
+    "mimosafork.load.age",
+    Kind.OBSERVABLE_GAUGE,
+    "s",
+    "Age of the oldest word of a peer that counts.",
+)
+TABLE_AGE = Instrument(
+    "mimosafork.table.age",
+    Kind.OBSERVABLE_GAUGE,
+    "s",
+    "Time since the store last told the configuration and the listing.",
+    ("table",),
+)
+TABLE_VERSION = Instrument(
+    "mimosafork.table.version",
+    Kind.OBSERVABLE_GAUGE,
+    "{version}",
+    "Version of the configuration in force.",
+)
+ENDPOINTS_KNOWN = Instrument(
+    "mimosafork.endpoints.known",
+    Kind.OBSERVABLE_GAUGE,
+    "{endpoint}",
+    "Endpoints that this instance knows, by service; usable ones get new work.",
+    ("service", "state"),
+)
+REPEATS_LEFT = Instrument(
+    "mimosafork.repeats.left",
+    Kind.OBSERVABLE_GAUGE,
+    "{repeat}",
+    "Repeats for which the budget of all instances has room, as far as is known.",
+    ("service",),
+)
+PEERS_HEARD = Instrument(
+    "mimosafork.peers.heard",
+    Kind.OBSERVABLE_GAUGE,
+    "{instance}",
+    "Entry instances that are heard.",
+)
+GOSSIP_SENT = Instrument(
+    "mimosafork.gossip.sent",
+    Kind.OBSERVABLE_COUNTER,
+    "By",
+    "Bytes of datagrams sent to peers.",
+)
+GOSSIP_DATAGRAMS = Instrument(
+    "mimosafork.gossip.datagrams",
+    Kind.OBSERVABLE_COUNTER,
+    "{datagram}",
+    "Datagrams, by what became of them.",
+    ("result",),
+)
+ROWS_CALLS = Instrument(
+    "mimosafork.rows.calls",
+    Kind.OBSERVABLE_COUNTER,
+    "{call}",
+    "Calls of the platform's store, by whether an answer came.",
+    ("result",),
+)
+CONNECTIONS_IDLE = Instrument(
+    "mimosafork.connections.idle",
+    Kind.OBSERVABLE_GAUGE,
+    "{connection}",
+    "Kept connections to endpoints that are not in use.",
+)
+MEMORY_PEAK = Instrument(
+    "mimosafork.process.memory.peak",
+    Kind.OBSERVABLE_GAUGE,
+    "By",
+    "Most memory that this process has held.",
+)
--- a/src/mimosafork/telemetry/metrics.py
+++ b/src/mimosafork/telemetry/metrics.py
@@ -4,8 +4,7 @@
 in one process, as in the demonstration and in tests, do not share any state.
 """
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import (
@@ -23,6 +22,9 @@
 from .errors import CatalogueError
 from .events import catalogue_modules, check_unique
 from .instruments import Instrument, Kind
+from .readings import Reading, ReadingSource
+
+__all__ = ["Metrics", "Reading", "ReadingSource", "all_instruments"]
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SERVICE_NAME = "mimosafork"
@@ -30,25 +32,6 @@
 OBSERVABLE_KINDS = {Kind.OBSERVABLE_COUNTER, Kind.OBSERVABLE_GAUGE}
 
 
-@dataclass(frozen=True, slots=True)
-class Reading:
-    """A value of an observable instrument.
-
-    Parameters
-    ----------
-    value : int or float
-        In the instrument's unit.
-    attributes : tuple of (str, str)
-        Its attributes' names and values.
-    """
-
-    value: float
-    attributes: tuple[tuple[str, str], ...] = ()
-
-
-ReadingSource = Callable[[], Iterable[Reading]]
-
-
 def all_instruments() -> tuple[Instrument, ...]:
     """Gather the instruments of the whole catalogue.
 
--- /dev/null
+++ b/src/mimosafork/telemetry/readings.py
@@ -0,0 +1,23 @@
+"""Values of observable instruments."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """A value of an observable instrument.
+
+    Parameters
+    ----------
+    value : int or float
+        In the instrument's unit.
+    attributes : tuple of (str, str)
+        Its attributes' names and values.
+    """
+
+    value: float
+    attributes: tuple[tuple[str, str], ...] = ()
+
+
+ReadingSource = Callable[[], Iterable[Reading]]
--- a/tests/unit/telemetry/test_reporting_adapter.py
+++ b/tests/unit/telemetry/test_reporting_adapter.py
@@ -27,7 +27,6 @@
 from mimosafork.kernel.messages.requests import FailureKind, Outcome, ProblemCode
 from mimosafork.runtime.reporting_adapter import (
     ReportingAdapter,
-    length_band,
     logger,
 )
 from mimosafork.storage.errors import (
@@ -36,6 +35,7 @@
     UnknownResultError,
 )
 from mimosafork.storage.meter import StoreMeter
+from mimosafork.telemetry.lengths import length_band
 from mimosafork.telemetry.messages import EventMessage
 from mimosafork.telemetry.metrics import Metrics
 from tests.support.functions import function_tests
