Show how to get from a failed call's id to its cause

The lines say everything, but nowhere stood what their fields mean.

A test reads the metrics page of a gateway process.

Ruled out: taking the pages of the older instances as they are; their alarms name metrics that a gateway does not have.

--- a/tests/support/gateway_processes.py
+++ b/tests/support/gateway_processes.py
@@ -23,6 +23,7 @@
 [listen]
 front = {front}
 ready = {ready}
+metrics = {metrics}
 
 [store]
 address = {store}
@@ -62,12 +63,14 @@
         host = own_host()
         self.front = f"{host}:{free_port(host)}"
         self.ready = f"{host}:{free_port(host)}"
+        self.metrics = f"{host}:{free_port(host)}"
         self.path = folder / f"{name}.ini"
         self.path.write_text(
             SETTINGS.format(
                 id=name,
                 front=self.front,
                 ready=self.ready,
+                metrics=self.metrics,
                 store=store,
                 gossip=free_port(host),
                 seeds="",
--- a/tools/pages/events.py
+++ b/tools/pages/events.py
@@ -16,8 +16,9 @@
 INTRODUCTION = """# Log events
 
 Each log line of the product carries the number of its event. The process writes
-them to stderr, one line each, as plain text or as a JSON object, as the settings
-say. A number never changes its meaning. Credentials and callers' texts are never
+them to stderr, a gateway to standard output, one line each, as plain text or as a
+JSON object, as the settings say; [OPERATIONS.md](OPERATIONS.md) shows how to read
+them. A number never changes its meaning. Credentials and callers' texts are never
 logged. `make docs` writes this page from the code.
 """
 
--- a/tools/pages/metrics.py
+++ b/tools/pages/metrics.py
@@ -10,8 +10,9 @@
 INTRODUCTION = """# Metrics
 
 Every instance exposes its metrics in Prometheus' text format under `/metrics` on
-its health address. Names are those of OpenTelemetry, and beside them the name that
-stands on the page. `make docs` writes this page from the code.
+its health address, a gateway at that of `[listen] metrics`. Names are those of
+OpenTelemetry, and beside them the name that stands on the page. `make docs` writes
+this page from the code.
 
 """
 
