Test the placer, callers that never read, and faults of one's own

Each end of a call leaves the book of running work, peers' work counts until they are silent, a call without an endpoint is given up in time. Callers that never take their answer must be let go, and what a callback raises must not be taken for an endpoint's bytes.

--- a/tests/unit/gateway/test_answer_reader.py
+++ b/tests/unit/gateway/test_answer_reader.py
@@ -170,4 +170,21 @@
             case.assertEqual((b"hello", 1), (again.body, again.ended))
 
 
+def test_a_fault_of_ones_own_is_not_taken_for_the_endpoints() -> None:
+    """An endpoint is blamed for an exception of this program.
+
+    The parser wraps what its callbacks raise into an error of its own; taken for
+    bytes that are no answer, a fault in the handling of answers was never seen.
+    """
+
+    def fail(_: bytes) -> None:
+        raise ZeroDivisionError
+
+    reader = AnswerReader()
+    heard = Heard()
+    reader.expect(AnswerSink(heard.heads.append, fail, heard.end), False)
+    with case.assertRaises(ZeroDivisionError):
+        reader.feed(PLAIN)
+
+
 load_tests = function_tests(__name__)
--- a/tests/unit/gateway/test_gateway_callers.py
+++ b/tests/unit/gateway/test_gateway_callers.py
@@ -2,12 +2,13 @@
 
 import socket
 from contextlib import ExitStack
+from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
 from mimosafork.gateway.client_connection import ClientConnection
 from mimosafork.standins.prepared.desk import expected_body
-from mimosafork.standins.prepared.documents import beat_document
+from mimosafork.standins.prepared.documents import LimitsEntry, beat_document
 from mimosafork.standins.prepared.engine import EngineFigures
 from mimosafork.standins.prepared.faults import Garbage
 from mimosafork.standins.prepared.runs import RunEnd
@@ -16,7 +17,7 @@
 
 from ...support.functions import function_tests
 from ...support.gateway import BEARER, World, gateway_world
-from ...support.prepared import Channel
+from ...support.prepared import USUAL_CONFIG, Channel
 from ...support.waiting import eventually
 
 case = TestCase()
@@ -222,4 +223,28 @@
         case.assertEqual(200, channel.read_answer().status)
 
 
+def test_a_caller_that_never_takes_its_answer_is_let_go() -> None:
+    """The instance runs out of memory and sockets.
+
+    Callers ask and never read. Their calls have ended, so no deadline is left that
+    would end them, and a close waits until all has been taken.
+    """
+    limits = LimitsEntry(idle_timeout=timedelta(milliseconds=200))
+    config = replace(USUAL_CONFIG, limits=limits)
+    with gateway_world(config) as world, ExitStack() as stack:
+        world.add_engine().play(Garbage(whole_stream(EVENTS)))
+        channel = stack.enter_context(world.running.channel())
+        set_buffers(world, channel, NARROW)
+        connection = accepted(world)
+        transport = connection.transport
+        assert transport is not None
+        # The endpoint isn't held back: all of its answer waits in this instance.
+        world.running.see(lambda: transport.set_write_buffer_limits(WIDE))
+        headers = {REQUEST_ID: "c1", "Connection": "close", **BEARER}
+        channel.send("POST", "/stream/1", headers)
+        world.running.until(lambda: not world.running.gateway.calls)
+        case.assertTrue(world.running.see(lambda: connection.unsent))
+        world.running.until(lambda: not world.running.gateway.connections)
+
+
 load_tests = function_tests(__name__)
--- /dev/null
+++ b/tests/unit/gateway/test_placing.py
@@ -0,0 +1,110 @@
+"""Tests of the placer: where calls go, what is kept of them, and when it gives up."""
+
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.gateway.policies.placing import WorkPlacer
+from mimosafork.ids import EndpointId, InstanceId, RequestId
+from mimosafork.kernel.messages.base import Tick
+from mimosafork.kernel.messages.requests import (
+    CallerGone,
+    Exposure,
+    FailureKind,
+    Outcome,
+    ProblemCode,
+)
+from mimosafork.kernel.messages.routing import EndpointLeaving, PeerSilent, PeerWorkTold
+from mimosafork.kernel.messages.sharing import WorkBegun, WorkEnded
+from mimosafork.placement.work import LoadBook, Work
+
+from ...support.functions import function_tests
+from ...support.gateway_kernels import DEADLINE, GatewayBench, gateway_bench, request_of
+
+case = TestCase()
+
+PEER = InstanceId("entry-2")
+MOMENT = timedelta(milliseconds=1)
+
+
+def book_of(bench: GatewayBench) -> LoadBook:
+    return bench.kernel.plugin(WorkPlacer).book
+
+
+def test_calls_spread_over_the_endpoints() -> None:
+    bench = gateway_bench(endpoints=3)
+    used = [bench.begin(request_of(bench, f"a{n}")).endpoint for n in range(9)]
+    case.assertEqual([3, 3, 3], sorted(used.count(name) for name in set(used)))
+
+
+def test_every_end_of_a_call_leaves_the_book() -> None:
+    """An endpoint gets less and less to do until it gets nothing.
+
+    The work of calls that had ended in some way stayed in the book for good.
+    """
+    bench = gateway_bench()
+    finished = bench.begin(request_of(bench, "a"))
+    failed = bench.begin(request_of(bench, "b", once=True))
+    left = bench.begin(request_of(bench, "c"))
+    late = bench.begin(request_of(bench, "d", time=timedelta(seconds=1)))
+    case.assertEqual(4, len(book_of(bench).own))
+    bench.finish(finished)
+    bench.fail(failed)
+    bench.tell(CallerGone(left.request_id))
+    bench.pass_time(timedelta(seconds=1), Tick())
+    case.assertIsNotNone(bench.concluded(late.request_id))
+    case.assertEqual({}, book_of(bench).own)
+    case.assertFalse(any(book_of(bench).by_engine.values()))
+    begun = {effect.work.request for effect in bench.emitted(WorkBegun)}
+    ended = [effect.request_id for effect in bench.emitted(WorkEnded)]
+    case.assertEqual(sorted(begun), sorted(ended))
+
+
+def test_a_further_attempt_is_booked_where_it_is() -> None:
+    bench = gateway_bench()
+    first = bench.begin(request_of(bench, "a"))
+    bench.fail(first, FailureKind.REFUSED, Exposure.REFUSED, 503, "not-run")
+    second = bench.retried(first)
+    assert second is not None
+    hosts = [work.host for work in book_of(bench).own.values()]
+    case.assertEqual([second.endpoint], hosts)
+    case.assertNotEqual(first.endpoint, second.endpoint)
+
+
+def test_work_of_peers_counts_until_they_are_silent() -> None:
+    bench = gateway_bench(endpoints=2)
+    busy = EndpointId("desk-0")
+    works = tuple(
+        Work(RequestId(f"{PEER}/{n}"), busy, started_at=bench.clock.monotonic())
+        for n in range(5)
+    )
+    bench.tell(PeerWorkTold(PEER, works))
+    used = {bench.begin(request_of(bench, f"a{n}")).endpoint for n in range(4)}
+    case.assertEqual({EndpointId("desk-1")}, used)
+    bench.tell(PeerSilent(PEER))
+    case.assertEqual(busy, bench.begin(request_of(bench, "b")).endpoint)
+
+
+def test_a_call_without_an_endpoint_waits_and_is_given_up_in_time() -> None:
+    bench = gateway_bench(endpoints=0)
+    bench.submit(request_of(bench, "a"))
+    bench.pass_time(DEADLINE * 0.25, Tick())
+    case.assertIsNone(bench.conclusion("a"))
+    bench.pass_time(MOMENT, Tick())
+    end = bench.concluded("a")
+    assert end.problem is not None
+    case.assertIs(Outcome.NOT_RUN, end.outcome)
+    case.assertIs(ProblemCode.OVERLOADED, end.problem.code)
+    case.assertIsNotNone(end.problem.retry_after)
+
+
+def test_a_waiting_call_is_placed_when_an_endpoint_comes() -> None:
+    bench = gateway_bench(endpoints=1)
+    bench.tell(EndpointLeaving(EndpointId("desk-0")))
+    bench.submit(request_of(bench, "a"))
+    case.assertEqual([], bench.dispatches("a"))
+    bench.list_endpoint("desk-1")
+    bench.tell(Tick())
+    case.assertEqual(1, len(bench.dispatches("a")))
+
+
+load_tests = function_tests(__name__)
