Let go of callers that never take their answer

A close waits until all is written, and a call ends with its endpoint's answer: a caller that asked and never read kept its answer and its socket for good, as no deadline and no timer was left to end them (still there after 10 s with an idle time of 0.2 s). When an idle connection's time is over, bytes that wait are given one idle time after the other as long as some are taken, and the connection is reset once none is. A bound for the whole answer was ruled out: it would cut callers that are merely slow. Failed before: test_a_caller_that_never_takes_its_answer_is_let_go.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -84,6 +84,7 @@
         self.first_byte_at: timedelta | None = None
         self.lingering = False
         self.continued = False
+        self.left = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for a request."""
@@ -92,7 +93,7 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.registry.add(self)
-        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self.close)
+        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self._let_go)
 
     @property
     def idle(self) -> bool:
@@ -109,6 +110,24 @@
         if self.transport is not None:
             self.transport.close()
 
+    def _let_go(self) -> None:
+        """Close, once the caller has taken its answer or takes no more of it.
+
+        A close waits until all is written. A caller that never reads kept its
+        answer, and its socket, for good: its call was over, so no deadline was left
+        to end it. One that is merely slow takes something in each idle time.
+        """
+        left = 0
+        if self.transport is not None:
+            left = self.transport.get_write_buffer_size()
+        if left and left == self.left:
+            self._reset()
+        elif left:
+            self.left = left
+            self._wait(self.front.limits.idle_timeout, self._let_go)
+        else:
+            self.close()
+
     def data_received(self, data: bytes) -> None:
         """Read on, unless the connection only waits to be closed."""
         if self.lingering:
@@ -159,7 +178,7 @@
         # Blank lines between requests begin none: one that was counted from such a
         # line had its time cut, or its idle connection got a 408 nobody asked for.
         self.first_byte_at = None
-        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self.close)
+        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self._let_go)
 
     def _too_slow(self) -> None:
         self._refuse(
@@ -179,7 +198,7 @@
         self.reader.closing = True
         if self.transport is not None and self.transport.can_write_eof():
             self.transport.write_eof()
-        self._wait(LINGER, self.close)
+        self._wait(LINGER, self._let_go)
 
     def answer(
         self, status: int, reason: bytes, headers: list[Header], body: bytes
@@ -233,9 +252,15 @@
         # Without chunks an orderly end is the end of a whole answer: a reader would
         # take half of it for all. Only a reset says that it was broken off.
         if exchange is not None and exchange.begun and not exchange.chunked:
+            self._reset()
+        else:
+            self.transport.abort()
+
+    def _reset(self) -> None:
+        if self.transport is not None:
             sock = self.transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-        self.transport.abort()
+            self.transport.abort()
 
     def _head(self, status: int, reason: bytes, headers: list[Header]) -> bytes:
         if self._closes():
@@ -253,6 +278,7 @@
 
     def _done(self) -> None:
         self.exchange = None
+        self.left = 0
         if self.reader.closing:
             self._linger()
             return
