Let a fault of one's own be seen where an answer is handled

The parser wraps what its callbacks raise into an error of its own, and that was taken for bytes that are no answer: the call failed as the endpoint's fault, and no line told of the exception. What was raised comes out now. It ends that connection and its call, and asyncio hands it to the loop's exception handler.

--- a/src/mimosafork/gateway/answer_reader.py
+++ b/src/mimosafork/gateway/answer_reader.py
@@ -85,6 +85,11 @@
         """
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            # The parser wraps what its callbacks raise. That is a fault of this
+            # program: taken for the endpoint's bytes it would never be seen.
+            self.stray = True
+            raise error.__context__ or error from None
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.stray = True
             if self.sink is not None:
--- a/tests/unit/gateway/test_gateway_failures.py
+++ b/tests/unit/gateway/test_gateway_failures.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
+from unittest.mock import patch
 
 from mimosafork.standins.prepared.documents import RouteEntry, beat_document
 from mimosafork.standins.prepared.endpoint import EndpointSettings
@@ -382,6 +383,24 @@
             case.assertEqual(200, result.status)
 
 
+def test_a_fault_of_ones_own_ends_one_call_and_is_told() -> None:
+    """Calls fail and no line of the log says why.
+
+    What raised in the handling of an answer was taken for an endpoint's garbage. It
+    must end that call alone, at once, and come to the handler of the loop.
+    """
+    with gateway_world() as world:
+        world.add_desk()
+        dialect = world.running.gateway.dialect
+        with patch.object(dialect, "read_answer", side_effect=ZeroDivisionError):
+            result = world.running.ask("/unsafe/1", "c1")
+        case.assertEqual(502, result.status)
+        world.running.until(lambda: len(world.running.faults) == 1)
+        raised = world.running.faults.pop()["exception"]
+        case.assertIsInstance(raised, ZeroDivisionError)
+        case.assertEqual(200, world.running.ask("/unsafe/1", "c2").status)
+
+
 def test_absurd_sizes_are_refused_at_once() -> None:
     with gateway_world() as world:
         world.add_engine()
