--- a/tests/unit/gateway/test_reserving.py
+++ b/tests/unit/gateway/test_reserving.py
@@ -1,5 +1,6 @@
 """Memory for prompts beyond one engine is reserved whole, and left nowhere."""
 
+from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
@@ -20,6 +21,7 @@
     LAST_OF_HOLD,
     MemoryKeeper,
 )
+from mimosafork.gateway.sharing import note_of
 from mimosafork.ids import EndpointId, RequestId
 from mimosafork.kernel.messages.base import Tick
 from mimosafork.kernel.messages.lifecycle import StopNow
@@ -373,6 +375,20 @@
     case.assertEqual({at_fault.endpoint}, suspects)
 
 
+def test_peers_are_told_whose_memory_is_held() -> None:
+    """A peer that didn't know would promise the same memory to its own requests."""
+    bench = reserving_bench()
+    begun(bench)
+    work = bench.kernel.plugin(WorkPlacer).book.own[RequestId("r")]
+    numbered = replace(work, request=RequestId("7"))
+    told = note_of(numbered, bench.clock.monotonic())
+    case.assertEqual(
+        {(held.endpoint, held.tokens) for held in work.held},
+        {(part.helper, part.tokens) for part in told.held},
+    )
+    case.assertGreaterEqual(sum(part.tokens for part in told.held), HUGE)
+
+
 class Reserving(RuleBasedStateMachine):
     """Requests come, end and fail while engines fill up, fall silent and recover."""
 
--- a/tests/unit/gossip/test_codec.py
+++ b/tests/unit/gossip/test_codec.py
@@ -45,6 +45,7 @@
     age_ms=count,
     writing_ms=st.none() | count,
     parts=st.lists(st.builds(Part, endpoint, count), max_size=4).map(tuple),
+    held=st.lists(st.builds(Part, endpoint, count), max_size=3).map(tuple),
 )
 versions = st.builds(Versions, count, st.binary(max_size=16), count)
 words = st.builds(EndpointWord, st.sampled_from(Word), count)
--- a/tests/unit/placement/test_policy.py
+++ b/tests/unit/placement/test_policy.py
@@ -260,6 +260,24 @@
     case.assertTrue(all(r.tokens <= 405_000 for r in place.reservations))
 
 
+def test_reservations_are_few_and_fill_no_engine() -> None:
+    """Each one costs orders and may be refused; a full engine admits nothing else."""
+    place = placed(long(900_000), views(16))
+    case.assertEqual(5, len(place.reservations))
+    case.assertLess(max(r.tokens for r in place.reservations), 405_000 * 0.5)
+    case.assertLessEqual(len(place.helpers), 15)
+
+
+def test_engines_with_little_room_are_spared() -> None:
+    engines = views(6)
+    book = LoadBook()
+    for view in engines[:2]:
+        fill(book, view.endpoint, prompt=350_000, pause=1_000)
+    place = placed(long(700_000), engines, book)
+    holders = {reservation.endpoint for reservation in place.reservations}
+    case.assertFalse(holders & {view.endpoint for view in engines[:2]})
+
+
 def test_memory_is_never_promised_twice() -> None:
     """One engine holds a prompt of 300,000 tokens and the next has 182,000.
 
