--- a/src/mimosafork/placement/admission.py
+++ b/src/mimosafork/placement/admission.py
@@ -5,7 +5,7 @@
 
 from ..routing.engine import EngineFigures
 from .choice import PlacementAsk
-from .state import EngineState
+from .forecast import EngineState
 
 SURE_SHARE = 0.5
 """Share of the expected answer that is counted: the expectation is often far off."""
--- a/src/mimosafork/placement/choice.py
+++ b/src/mimosafork/placement/choice.py
@@ -119,7 +119,6 @@
             prompt_tokens=ask.prompt_tokens,
             answer_tokens=ask.answer_tokens,
             longest_pause=ask.longest_pause,
-            due_at=now + ask.objective,
             started_at=now,
         )
 
--- a/src/mimosafork/placement/forecast.py
+++ b/src/mimosafork/placement/forecast.py
@@ -1,16 +1,87 @@
-"""What delays are expected to cost, in the worth of a request without a prompt."""
+"""How long an engine's passes and reads will take, and what a delay costs.
 
-from .state import PAUSE_SLACK_MS, EngineState
-from .work import Due, Pace
+All times are milliseconds as floats, as each placement calculates hundreds of them.
+Costs are in the worth of a request without a prompt.
+"""
+
+from dataclasses import dataclass
+
+from ..routing.engine import EngineFigures
+from .choice import EngineView
+from .work import EngineLoad, Pace
 
 LATE_LOSS = 0.75
 """Share of its worth that a late answer loses."""
 TOKENS_OF_WORTH = 9_000.0
 """A prompt of so many tokens is worth as much as the request itself."""
+PAUSE_SLACK_MS = 70.0
+"""A pass that stays so far below a pause is safe from what is not yet known."""
+COLD_PACE = 1.5
+"""How much slower an engine is taken to be just after its start."""
 FIRST_EVENT_SLACK = 0.3
 """Share of an objective that a prediction must leave to be sure of it."""
-LIMIT_SLACK = 0.5
-"""Share of the time until a caller stops waiting that should be left for writing."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """One engine as a placement sees it.
+
+    Attributes
+    ----------
+    pace : float
+        How many times longer than stated its work takes.
+    pass_ms : float
+        Length of a pass without reading; a single step without writers.
+    order : float
+        Its place in the order that all instances share, from 0 to 1.
+    penalty : float
+        Added to the cost of using it.
+    """
+
+    view: EngineView
+    load: EngineLoad
+    pace: float
+    pass_ms: float
+    order: float
+    penalty: float = 0.0
+
+    @property
+    def has_slot(self) -> bool:
+        """Whether it may be host of one more request."""
+        return self.load.running < self.view.slots
+
+    @property
+    def can_help(self) -> bool:
+        """Whether it may read a part of one more request of another host."""
+        return self.load.helping < self.view.slots
+
+
+def pace_of(view: EngineView) -> float:
+    """Return how many times longer than stated an engine's work takes."""
+    return max(1.0, view.pace) * (COLD_PACE if view.cold else 1.0)
+
+
+def pass_length(load: EngineLoad, figures: EngineFigures) -> float:
+    """Return the milliseconds of a pass without reading."""
+    if not load.running:
+        return figures.step_ms
+    step = figures.step_ms + figures.per_sequence_ms * load.running
+    step += figures.context_ms_per_k * load.context_tokens / 1e3
+    return step * max(1, figures.stride)
+
+
+def read_done(state: EngineState, read_ms: float) -> float:
+    """Return when an engine will have read a part that is sent now.
+
+    A pass that runs already ends first, and the read ends with its own pass.
+    """
+    reading = state.load.reading_ms + read_ms * state.pace
+    return 1.5 * state.pass_ms + reading
+
+
+def longest_pass(state: EngineState, read_ms: float) -> float:
+    """Return the milliseconds of a pass in which all promised reading is done."""
+    return state.pass_ms + state.load.reading_ms + read_ms * state.pace
 
 
 def worth_of(prompt_tokens: int) -> float:
@@ -36,43 +107,16 @@
 
 def harm(state: EngineState, read_ms: float) -> float:
     """Return what a part costs the engine's own requests, beside what is so already."""
-    if read_ms * state.pace <= state.calm_ms:
+    if not state.load.paces:
         return 0.0
-    before = state.longest_pass(0.0)
-    after = state.longest_pass(read_ms)
+    before = longest_pass(state, 0.0)
+    after = longest_pass(state, read_ms)
     return sum(
         pause_loss(pace, after) - pause_loss(pace, before) for pace in state.load.paces
     )
 
 
-def due_loss(due: Due, done_ms: float) -> float:
-    """Return what a first event at some time is expected to cost one request."""
-    slack = FIRST_EVENT_SLACK * max(0.0, due.left_ms)
-    return risk(done_ms, due.left_ms, slack) * LATE_LOSS * worth_of(due.prompt_tokens)
-
-
-def delay_loss(state: EngineState, read_ms: float) -> float:
-    """Return what the engine's own prompts lose by a part that goes ahead of them."""
-    if not state.load.dues:
-        return 0.0
-    before = state.host_ms
-    after = before + read_ms * state.pace
-    return sum(due_loss(due, after) - due_loss(due, before) for due in state.load.dues)
-
-
-def lateness(
-    done_ms: float, objective_ms: float, limit_ms: float, prompt_tokens: int
-) -> float:
-    """Return what a request itself is expected to lose by its first event.
-
-    Parameters
-    ----------
-    done_ms : float
-        Predicted time of the event.
-    objective_ms, limit_ms : float
-        Beyond the first the answer is late, beyond the second it is of no use.
-    """
-    late = due_loss(Due(objective_ms, prompt_tokens), done_ms)
-    slack = LIMIT_SLACK * max(0.0, limit_ms)
-    lost = risk(done_ms, limit_ms, slack) * (1.0 - LATE_LOSS)
-    return late + lost * worth_of(prompt_tokens)
+def lateness(done_ms: float, objective_ms: float, prompt_tokens: int) -> float:
+    """Return what a request itself is expected to lose by its first event."""
+    slack = FIRST_EVENT_SLACK * max(0.0, objective_ms)
+    return risk(done_ms, objective_ms, slack) * LATE_LOSS * worth_of(prompt_tokens)
--- a/src/mimosafork/placement/memory.py
+++ b/src/mimosafork/placement/memory.py
@@ -4,7 +4,7 @@
 
 from ..routing.engine import EngineFigures
 from .choice import PlacementAsk, Reservation
-from .state import EngineState
+from .forecast import EngineState
 
 FULL_SHARE = 0.97
 """Share of an engine's memory that is given out; blocks round each request up."""
--- a/src/mimosafork/placement/plain.py
+++ b/src/mimosafork/placement/plain.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from .choice import Choice, EngineView, Place, PlacementAsk, Shortage, WaitForRoom
-from .state import pace_of
+from .forecast import pace_of
 from .work import LoadBook
 
 SUSPECT_BUSY = 10.0
--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -2,10 +2,8 @@
 
 Each number of engines is tried; for each, the engines are taken on which a part of
 that size costs least. The costs are what the request itself may lose by a late first
-event, what the writers on those engines may lose by a longer pause, and what short
-requests to come may lose at the front: the first engines of an order that all
-instances share, as many as the short requests now running need. So the border between
-short and long moves by itself with the mix.
+event, what the writers on those engines may lose by a longer pause, and what is lost
+of the room for long reads when a request with a short pause opens one more engine.
 """
 
 from collections.abc import Sequence
@@ -14,10 +12,8 @@
 
 from ..routing.engine import EngineFigures
 from .choice import PlacementAsk
-from .forecast import delay_loss, harm, lateness
-from .front import Front, front_of, is_short
+from .forecast import EngineState, harm, lateness, read_done, worth_of
 from .memory import free_tokens, needs_tickets, total_tokens
-from .state import EngineState
 
 GANG_SIZES = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 """Numbers of engines that are tried; a request may name 16 beside its host."""
@@ -25,16 +21,18 @@
 """Engines of a prompt whose memory is reserved: its host may be named too then."""
 HELPER_COST = 0.02
 """Cost of each helper, as one that is gone fails the whole request."""
+OPENING_COST = 0.3
+"""Cost of taking a second of longest pause away from an engine's requests."""
+LONGEST_PAUSE_MS = 1_500.0
+"""Longest pause that an engine without requests counts as having."""
+ORDER_COST = 0.1
+"""Cost of an engine at the far end of the order."""
 NOISE_COST = 0.05
 """Instances that don't know of one another's last requests spread by this much."""
 DELAY_COST_PER_MS = 0.0002
-"""Cost of each millisecond until the first event."""
-CROWD_COST = 0.3
-"""Cost of taking an engine's last free slot, as a peer may just have done so."""
-CROWD_FALL = 0.15
-"""By how much that falls with each further free slot."""
-LEAST_PART_MS = 15.0
-"""Prompts are not cut into parts that are read faster."""
+"""Cost of each millisecond until the first token, for each request's worth."""
+SMALL_PROMPT_MS = 200.0
+"""Prompts that are read within this go to the front of the order, others behind."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,27 +79,29 @@
     states: Sequence[EngineState]
     figures: EngineFigures
     noise: tuple[float, ...]
-    front: Front
 
     def own_loss(self, done_ms: float) -> float:
         """Return what the request loses by a time until its first token."""
         objective_ms = self.ask.objective.total_seconds() * 1e3
-        limit_ms = self.ask.time_left.total_seconds() * 1e3
-        loss = lateness(done_ms, objective_ms, limit_ms, self.ask.prompt_tokens)
-        return loss + DELAY_COST_PER_MS * done_ms
+        prompt = self.ask.prompt_tokens
+        delay = DELAY_COST_PER_MS * done_ms * worth_of(prompt)
+        return lateness(done_ms, objective_ms, prompt) + delay
 
-    def seats(self, read_ms: float, helping: bool) -> list[Seat]:
-        """Return each engine with one part, as a helper or as the host."""
+    def is_small(self) -> bool:
+        """Whether the prompt is read so fast that it goes to the front."""
+        tokens = self.ask.prompt_tokens
+        return self.figures.read_ms(tokens, tokens) < SMALL_PROMPT_MS
+
+    def seats(self, size: int) -> list[Seat]:
+        """Return each engine with one of `size` even parts."""
+        tokens = -(-self.ask.prompt_tokens // size)
+        read_ms = self.figures.read_ms(tokens, self.ask.prompt_tokens)
+        small = self.is_small()
         seats = []
-        short = is_short(self.ask.prompt_tokens, self.figures)
         for state, extra in zip(self.states, self.noise, strict=True):
-            done_ms = state.done_ms(read_ms, helping)
+            done_ms = read_done(state, read_ms)
             cost = harm(state, read_ms) + extra + state.penalty
-            cost += self.front.blocking(state, read_ms)
-            if helping:
-                cost += delay_loss(state, read_ms)
-            else:
-                cost += self.front.hosting(state, short) + crowding(state)
+            cost += ORDER_COST * (state.order if small else 1.0 - state.order)
             seats.append(Seat(state, done_ms, cost, cost + self.own_loss(done_ms)))
         return seats
 
@@ -114,30 +114,27 @@
             for seat in seats
             if seat.state.has_slot and free_tokens(seat.state, self.figures) >= needed
         ]
-        return min(fitting, key=lambda seat: seat.rank, default=None)
+        return min(
+            fitting,
+            key=lambda seat: seat.rank + opening(self.ask, seat.state),
+            default=None,
+        )
 
     def plan(self, size: int) -> Plan | None:
         """Return the cheapest plan with some number of engines, or None."""
-        tokens = -(-self.ask.prompt_tokens // size)
-        read_ms = self.figures.read_ms(tokens, self.ask.prompt_tokens)
-        host = self.host(self.seats(read_ms, helping=False))
+        seats = self.seats(size)
+        host = self.host(seats)
         if host is None:
             return None
-        helpers = self.helpers(host, read_ms, size - 1) if size > 1 else []
-        gang = [host, *helpers]
-        if len(gang) < size or not self.fits(gang):
+        able = [s for s in seats if s is not host and s.state.can_help]
+        helpers = sorted(able, key=lambda seat: seat.rank)[: size - 1]
+        if len(helpers) < size - 1 or not self.fits([host, *helpers]):
             return None
-        done_ms = max(seat.done_ms for seat in gang)
-        cost = self.own_loss(done_ms) + sum(seat.cost for seat in gang)
-        cost += HELPER_COST * len(helpers)
+        done_ms = max(seat.done_ms for seat in (host, *helpers))
+        cost = self.own_loss(done_ms) + opening(self.ask, host.state) + host.cost
+        cost += sum(seat.cost + HELPER_COST for seat in helpers)
         return Plan(host.state, tuple(s.state for s in helpers), done_ms, cost)
 
-    def helpers(self, host: Seat, read_ms: float, count: int) -> list[Seat]:
-        """Return the cheapest helpers of a host."""
-        seats = self.seats(read_ms, helping=True)
-        able = [s for s in seats if s.state is not host.state and s.state.can_help]
-        return sorted(able, key=lambda seat: seat.rank)[:count]
-
     def fits(self, gang: Sequence[Seat]) -> bool:
         """Return whether a prompt larger than one engine's memory fits into all."""
         if not needs_tickets(self.ask, self.figures):
@@ -146,12 +143,6 @@
         return free >= total_tokens(self.ask)
 
 
-def crowding(state: EngineState) -> float:
-    """Return the expected cost of finding all slots taken by requests unheard of."""
-    left = state.view.slots - 1 - state.load.running
-    return CROWD_COST * CROWD_FALL**left
-
-
 def best_plan(
     ask: PlacementAsk,
     states: Sequence[EngineState],
@@ -160,16 +151,17 @@
 ) -> Plan | None:
     """Return the plan that costs least, or None if no engine has room."""
     noise = tuple(random.random() * NOISE_COST for _ in states)
-    search = Search(ask, states, figures, noise, front_of(states, figures))
-    plans = [plan for size in sizes_for(search) if (plan := search.plan(size))]
+    search = Search(ask, states, figures, noise)
+    most = MOST_WITH_MEMORY if needs_tickets(ask, figures) else GANG_SIZES[-1]
+    sizes = sorted({min(size, len(states), most) for size in GANG_SIZES})
+    plans = [plan for size in sizes if (plan := search.plan(size)) is not None]
     return min(plans, key=lambda plan: plan.cost, default=None)
 
 
-def sizes_for(search: Search) -> list[int]:
-    """Return the numbers of engines that are worth a try, the least first."""
-    tokens = search.ask.prompt_tokens
-    most = max(1.0, search.figures.read_ms(tokens, tokens) / LEAST_PART_MS)
-    limit = len(search.states)
-    if needs_tickets(search.ask, search.figures):
-        limit = min(limit, MOST_WITH_MEMORY)
-    return sorted({min(size, limit) for size in GANG_SIZES if size <= most})
+def opening(ask: PlacementAsk, state: EngineState) -> float:
+    """Return the cost of shortening the pause that an engine's requests bear."""
+    if ask.longest_pause is None:
+        return 0.0
+    own = ask.longest_pause.total_seconds() * 1e3
+    borne = min((pace.pause_ms for pace in state.load.paces), default=LONGEST_PAUSE_MS)
+    return OPENING_COST * max(0.0, borne - own) / 1e3
--- a/src/mimosafork/placement/policy.py
+++ b/src/mimosafork/placement/policy.py
@@ -17,10 +17,10 @@
     Shortage,
     WaitForRoom,
 )
+from .forecast import EngineState, pace_of, pass_length
 from .memory import needs_tickets, shares, total_tokens
 from .plain import choose_plain, preferred
 from .plan import Plan, best_plan
-from .state import EngineState, state_of
 from .work import LoadBook, Part
 
 __all__ = ["choose", "choose_plain"]
@@ -71,16 +71,21 @@
 ) -> list[EngineState]:
     """Return the engines in the order that all instances share."""
     ordered = sorted(usable, key=lambda view: crc32(view.endpoint.encode()))
-    return [
-        state_of(
-            view,
-            book.load(view.endpoint, now),
-            figures,
-            order=index / len(ordered),
-            penalty=SUSPECT_COST if view.suspect else 0.0,
+    states = []
+    for index, view in enumerate(ordered):
+        load = book.load(view.endpoint, now)
+        pace = pace_of(view)
+        states.append(
+            EngineState(
+                view=view,
+                load=load,
+                pace=pace,
+                pass_ms=pass_length(load, figures) * pace,
+                order=index / len(ordered),
+                penalty=SUSPECT_COST if view.suspect else 0.0,
+            )
         )
-        for index, view in enumerate(ordered)
-    ]
+    return states
 
 
 def without_plan(
--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -8,9 +8,6 @@
 
 from ..ids import EndpointId, InstanceId, RequestId
 
-OVERDUE_SHARE = 0.5
-"""How much longer a read that is overdue will take, against the time that it is so."""
-
 
 @dataclass(frozen=True, slots=True)
 class Part:
@@ -53,8 +50,6 @@
         Length of the prompt, and the expected length of the answer.
     longest_pause : timedelta or None
         Between two events of an answer that is on time.
-    due_at : timedelta or None
-        When its first event has to be there to be on time.
     started_at : timedelta
         When the request was sent.
     first_token_at : timedelta or None
@@ -70,7 +65,6 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     longest_pause: timedelta | None = None
-    due_at: timedelta | None = None
     started_at: timedelta = timedelta(0)
     first_token_at: timedelta | None = None
     ended: bool = False
@@ -92,22 +86,6 @@
     prompt_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class Due:
-    """When a request whose host an engine is needs its first event.
-
-    Attributes
-    ----------
-    left_ms : float
-        Milliseconds from the moment of the load.
-    prompt_tokens : int
-        Length of its prompt, by which its worth is told.
-    """
-
-    left_ms: float
-    prompt_tokens: int
-
-
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
     """What is known of the work on one engine at one moment.
@@ -122,16 +100,12 @@
         Requests of other hosts, of which it still reads a part.
     reading_ms : float
         Milliseconds of reading that are promised and not yet done.
-    helping_ms : float
-        What of it is for requests of other hosts; that goes first.
     promised_tokens : int
         Tokens of prompts and expected answers that it holds or will hold.
     context_tokens : int
         Tokens that its writers attend to in each step.
     paces : tuple of Pace
         Of the requests whose host it is and that have a longest pause.
-    dues : tuple of Due
-        Of the requests whose host it is and whose prompts are being read.
     """
 
     running: int = 0
@@ -141,8 +115,6 @@
     promised_tokens: int = 0
     context_tokens: int = 0
     paces: tuple[Pace, ...] = ()
-    helping_ms: float = 0.0
-    dues: tuple[Due, ...] = ()
 
     @property
     def tightest_pause(self) -> timedelta | None:
@@ -253,40 +225,25 @@
 
 def load_of(endpoint: EndpointId, works: Iterable[Work], now: timedelta) -> EngineLoad:
     """Sum up the works on one engine."""
-    running = writers = promised = context = 0
-    now_ms = now.total_seconds() * 1e3
+    running = writers = helping = promised = context = 0
     paces: list[Pace] = []
-    dues: list[Due] = []
-    own_reads: list[Read] = []
-    foreign_reads: list[Read] = []
+    reads: list[Read] = []
     for work in works:
         promised += held_at(work, endpoint)
         reading = work.first_token_at is None
+        if work.host == endpoint:
+            running += 1
+            writers += not reading
+            context += 0 if reading else work.prompt_tokens
+            if work.longest_pause is not None:
+                pause_ms = work.longest_pause.total_seconds() * 1e3
+                paces.append(Pace(pause_ms, work.prompt_tokens))
         if reading:
-            reads = own_reads if work.host == endpoint else foreign_reads
+            helping += work.host != endpoint
             reads.append(read_of(work, endpoint))
-        if work.host != endpoint:
-            continue
-        running += 1
-        if not reading:
-            writers += 1
-            context += work.prompt_tokens
-        elif work.due_at is not None:
-            due_ms = work.due_at.total_seconds() * 1e3 - now_ms
-            dues.append(Due(due_ms, work.prompt_tokens))
-        if work.longest_pause is not None:
-            pause_ms = work.longest_pause.total_seconds() * 1e3
-            paces.append(Pace(pause_ms, work.prompt_tokens))
+    left_ms = reading_left(reads, now.total_seconds() * 1e3) if reads else 0.0
     return EngineLoad(
-        running=running,
-        writers=writers,
-        helping=len(foreign_reads),
-        reading_ms=reading_left([*own_reads, *foreign_reads], now_ms),
-        promised_tokens=promised,
-        context_tokens=context,
-        paces=tuple(paces),
-        helping_ms=reading_left(foreign_reads, now_ms),
-        dues=tuple(dues),
+        running, writers, helping, left_ms, promised, context, tuple(paces)
     )
 
 
@@ -304,20 +261,11 @@
 
 
 def reading_left(reads: list[Read], now_ms: float) -> float:
-    """Return the milliseconds left of reads that are done one after the other.
-
-    Reads that should be over but are not told to be so have been held up by something
-    unknown; the longer, the more of them is taken to be left.
-    """
-    if not reads:
-        return 0.0
+    """Return the milliseconds left of reads that are done one after the other."""
     free_at = -inf
     for read in sorted(reads):
         free_at = max(free_at, read.start_ms) + read.length_ms
-    if free_at >= now_ms:
-        return free_at - now_ms
-    longest_ms = max(read.length_ms for read in reads)
-    return min(longest_ms, OVERDUE_SHARE * (now_ms - free_at))
+    return max(0.0, free_at - now_ms)
 
 
 def held_at(work: Work, endpoint: EndpointId) -> int:
