Explain refusals after a freeze, and streams that found no place to go on

Change: a shortage of places names the failed attempts before it and the broken stream; a freeze is named up to 200 ms after a call's end too.

--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -15,6 +15,9 @@
 SHORTLY_MS = 3000
 """So long before a call's end a start or a freeze of its instance is named."""
 
+SHORTLY_AFTER_MS = 200
+"""A freeze is told by the tick that ends it; calls that waited go before it."""
+
 SHORTAGES = {
     "no endpoint is usable": "all endpoints were left alone, leaving or unlisted",
     "all slots are taken": "each usable endpoint ran as many calls as it takes",
@@ -58,13 +61,13 @@
     found = []
     for line in lines:
         before = (own[-1].instant - line.instant) // timedelta(milliseconds=1)
-        if not 0 <= before <= SHORTLY_MS:
+        if not -SHORTLY_AFTER_MS <= before <= SHORTLY_MS:
             continue
-        if line.event == events.STARTING:
+        if line.event == events.STARTING and before >= 0:
             found.append(f"its instance had started {before} ms before")
         if line.event == events.FREEZE:
             late = line.text("late_ms")
-            found.append(f"its instance had stood still for {late} ms until then")
+            found.append(f"its instance had stood still for {late} ms just before")
     return found
 
 
@@ -103,7 +106,7 @@
     failed = [line for line in own if line.event == events.ATTEMPT_FAILED]
     why = end.text("why")
     if why == "overloaded":
-        return no_place(end)
+        return no_place(end, failed)
     if why in {"endpoint-failed", "no-endpoint"}:
         return given_up(end, failed)
     if why == "deadline-passed":
@@ -120,13 +123,17 @@
     return f"{why} by {end.text('rule')}: {end.text('detail')}"
 
 
-def no_place(end: LogLine) -> str:
+def no_place(end: LogLine, failed: Sequence[LogLine]) -> str:
     """Tell which shortage refused a call, by what counts."""
     shortage = end.text("detail")
-    meaning = SHORTAGES.get(shortage, "")
+    what = f"refused with {end.text('status')}"
+    if end.fields.get("cut"):
+        what = f"stream broken off after {end.text('events')} events and not resumed"
+    after = f" after {attempts_text(failed)}" if failed else ""
     return (
-        f"refused with {end.text('status')} by {end.text('rule')}: {shortage} for its "
-        f"{end.text('prompt_tokens')} prompt tokens ({meaning}); {inputs_text(end)}"
+        f"{what} by {end.text('rule')}{after}: {shortage} for its "
+        f"{end.text('prompt_tokens')} prompt tokens ({SHORTAGES.get(shortage, '')}); "
+        f"{inputs_text(end)}"
     )
 
 
@@ -259,6 +266,6 @@
     return (
         f"it knew {line.text('usable')} usable of {line.text('listed')} endpoints, "
         f"{line.text('running')} calls of its own and {line.text('peers_running')} of "
-        f"{line.text('peers')} peers running, {line.text('waiting')} waiting; "
+        f"its {line.text('peers')} peers running, {line.text('waiting')} waiting; "
         + ", ".join(ages)
     )
--- a/tests/unit/explain/test_explain.py
+++ b/tests/unit/explain/test_explain.py
@@ -16,6 +16,9 @@
 REFUSED = "refused-though-free.log"
 BROKEN = "stream-not-resumed.log"
 UNSAFE = "unsafe-call-502.log"
+CROWDED = "stream-without-place.log"
+FROZEN = "refused-after-freeze.log"
+FROZEN_CALL = "ec61d7f6d2549037"
 MILLION = 1_000_000
 
 
@@ -36,7 +39,10 @@
     cause = told(CallStory("41d4689651cec302"), REFUSED).cause
     assert cause.startswith("told 503: i-2b5010e616 refused it")
     assert "budgeted-retry tried no more as it was refused too often" in cause
-    assert "it knew 12 usable of 12 endpoints, 5 calls of its own and 6" in cause
+    assert (
+        "it knew 12 usable of 12 endpoints, 5 calls of its own and 6 of its 6 peers"
+        in cause
+    )
     assert "its instance had started 250 ms before" in cause
 
 
@@ -73,6 +79,32 @@
     )
 
 
+def test_stream_for_which_no_place_was_left_is_explained() -> None:
+    """A reader's text stops in the middle of a crowded time.
+
+    The endpoint fell silent after 43 events. To go on elsewhere the stream needed a
+    slot, all were taken, and it had used up the time for which placement waits.
+    """
+    cause = told(CallStory("1388fc03d8f28c93"), CROWDED).cause
+    assert cause.startswith(
+        "stream broken off after 43 events and not resumed by work-placer after "
+        "i-069418a01d fell silent after 43 events: all slots are taken"
+    )
+    assert "122 of its 8 peers running, 5 waiting; peers' load 77 ms old" in cause
+
+
+def test_refusal_by_an_old_picture_after_a_freeze_is_explained() -> None:
+    """A machine stands still for 3.5 s; what came meanwhile is decided at once after.
+
+    The peers' load was 3728 ms old when the call was refused. The freeze is told by
+    the tick that ends it, some milliseconds after the refusal.
+    """
+    cause = told(CallStory(FROZEN_CALL), FROZEN).cause
+    assert cause.startswith("refused with 503 by work-placer: all slots are taken")
+    assert "peers' load 3728 ms old" in cause
+    assert cause.endswith("its instance had stood still for 3500 ms just before")
+
+
 def test_logs_of_several_days_and_instances_are_read_at_once() -> None:
     story = told(CallStory("414d75934c02a75b"), REFUSED, BROKEN, UNSAFE)
     assert {line.instance for line in story.lines} == {"front-sala-pichincha-2"}
