Count on the metrics page which log lines were left out or dropped

Cause: the alarm for lost lines could only look into the very log that loses them.

Change: two totals stand on the gateway's page: records that the reader was too slow for, and those that the budget of lines left out. They are read from the log's handler when the page is asked for.

Ruled out: handing the handler to the server; the root logger has it.

--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -1,5 +1,6 @@
 """What the metrics page reads from its owners when it is asked for."""
 
+import logging
 import resource
 from collections.abc import Iterable
 from datetime import timedelta
@@ -22,7 +23,9 @@
     TABLE_VERSION,
     WORK_KNOWN,
 )
+from ..telemetry.catalogue.lifecycle import LOG_DROPS, LOG_LEFT_OUT
 from ..telemetry.instruments import Instrument
+from ..telemetry.pipeline import DroppingHandler
 from ..telemetry.readings import Reading, ReadingSource
 from .gateway import Gateway
 from .outlook import Outlook
@@ -78,6 +81,8 @@
         page.observe(GOSSIP_DATAGRAMS, self.datagrams)
         page.observe(ROWS_CALLS, self.rows)
         page.observe(MEMORY_PEAK, peak_memory)
+        page.observe(LOG_DROPS, dropped_lines)
+        page.observe(LOG_LEFT_OUT, left_out_lines)
 
     def waiting(self) -> Iterable[Reading]:
         """Return how many calls wait."""
@@ -180,3 +185,20 @@
     """Return the most memory that this process has held."""
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     return [Reading(peak * KILOBYTE)]
+
+
+def log_handlers() -> list[DroppingHandler]:
+    """Return what takes this process's log records; none without a log."""
+    handlers = logging.getLogger().handlers
+    return [each for each in handlers if isinstance(each, DroppingHandler)]
+
+
+def dropped_lines() -> list[Reading]:
+    """Return how many log records their reader was too slow for."""
+    return [Reading(sum(each.dropped for each in log_handlers()))]
+
+
+def left_out_lines() -> list[Reading]:
+    """Return how many log records the budget of lines left out."""
+    budgets = [each.budget for each in log_handlers() if each.budget is not None]
+    return [Reading(sum(each.total for each in budgets))]
--- a/src/mimosafork/telemetry/budget.py
+++ b/src/mimosafork/telemetry/budget.py
@@ -42,6 +42,11 @@
         Lines a second.
     burst : float
         Lines that may come at once after a quiet time.
+
+    Attributes
+    ----------
+    total : int
+        Lines left out since the start.
     """
 
     def __init__(self, clock: Clock, rate: float, burst: float) -> None:
@@ -52,6 +57,7 @@
         self.filled_at = clock.monotonic()
         self.first_left_out: timedelta | None = None
         self.counts: Counter[Importance] = Counter()
+        self.total = 0
         self.lock = threading.Lock()
 
     def admits(self, importance: Importance) -> bool:
@@ -65,6 +71,7 @@
                 self.room -= 1
                 return True
             self.counts[importance] += 1
+            self.total += 1
             if self.first_left_out is None:
                 self.first_left_out = now
             return False
--- a/src/mimosafork/telemetry/catalogue/lifecycle.py
+++ b/src/mimosafork/telemetry/catalogue/lifecycle.py
@@ -90,5 +90,11 @@
     "mimosafork.log.dropped",
     Kind.OBSERVABLE_COUNTER,
     "{record}",
-    "Log records dropped because the reader of stderr was too slow.",
+    "Log records dropped because their reader was too slow.",
+)
+LOG_LEFT_OUT = Instrument(
+    "mimosafork.log.left_out",
+    Kind.OBSERVABLE_COUNTER,
+    "{record}",
+    "Log records left out because there were more than the budget of lines allows.",
 )
--- a/tests/functional/test_gateway_metrics.py
+++ b/tests/functional/test_gateway_metrics.py
@@ -12,6 +12,7 @@
     TABLE_AGE,
     TABLE_VERSION,
 )
+from mimosafork.telemetry.catalogue.lifecycle import LOG_DROPS, LOG_LEFT_OUT
 
 from ..support.functions import function_tests
 from ..support.gateway_processes import GatewayProcess, gateway_process
@@ -54,6 +55,8 @@
             ROWS_CALLS,
             TABLE_AGE,
             TABLE_VERSION,
+            LOG_DROPS,
+            LOG_LEFT_OUT,
         ):
             assert known.exposed_name in page, known.name
 
--- a/tests/unit/telemetry/test_line_budget.py
+++ b/tests/unit/telemetry/test_line_budget.py
@@ -110,6 +110,7 @@
     assert left_out is not None
     assert left_out.counts[Importance.SERVED] == 3
     assert budget.due_in() is None
+    assert budget.total == 3
 
 
 def test_line_says_what_was_left_out_and_by_kind() -> None:
