Hold the times of the gateway's page to those of the code

Within ten minutes of its writing, three constants on the operators' page had changed with their mechanisms; nobody who changes one is told of the page. Ruled out: a generated page, as the figures stand in sentences; no figures at all. Change: a unit test reads the constants and looks for their sentences.

--- /dev/null
+++ b/tests/unit/tooling/test_gateway_page.py
@@ -0,0 +1,82 @@
+"""The operators' page of the gateway tells the times that the code goes by."""
+
+import re
+from datetime import timedelta
+from pathlib import Path
+
+from mimosafork.directory.endpoint_book import ROW_EXPIRY
+from mimosafork.directory.settings import DirectorySettings
+from mimosafork.gateway import pool, server, stopping
+from mimosafork.gateway.policies import (
+    fleet_view,
+    quarantining,
+    reserving,
+    retrying,
+    silence,
+    zone_doubt,
+)
+from mimosafork.gossip.timing import Timing
+from mimosafork.platform.store import StoreTimeouts
+from tests.support.functions import function_tests
+
+PAGE = Path(__file__).resolve().parents[3] / "docs" / "operators" / "gateway.md"
+WORDS = {0.7: "seven", 0.9: "nine", 3: "three", 6: "six", 8: "eight"}
+
+
+def s(value: timedelta) -> str:
+    """Return a time in seconds as the page writes it."""
+    return f"{value.total_seconds():g} s"
+
+
+def told() -> list[str]:
+    """Return what the page must say, with the figures of the code."""
+    follow, gossip = DirectorySettings(), Timing()
+    longest = fleet_view.LONGEST_ABSENCE
+    return [
+        f"For {s(server.BALANCER_LAG)} calls are served as before",
+        f"after {WORDS[stopping.LAST_SHARE]} tenths of `bounds.grace`",
+        f"plus {WORDS[retrying.SPENT_SHARE]} tenths of `retry_slack`",
+        f"endpoints refused are at most {WORDS[retrying.MOST_SENDS]}",
+        f"after {silence.STREAM_SHARE} of the longest of "
+        f"{s(silence.SHORTEST_GIVE_UP)}, {silence.GIVE_UP_OBJECTIVES} objectives and "
+        f"{silence.GIVE_UP_PAUSES} longest pauses",
+        f"plain calls after {silence.CALL_OBJECTIVES} objectives, at least "
+        f"{silence.SHORTEST_CALL // timedelta(milliseconds=1)} ms",
+        f"tries again after {s(follow.endpoints.first_retry)}, doubled up to "
+        f"{s(follow.endpoints.last_retry)}",
+        f"found within {s(StoreTimeouts().feed_slack)} after the long poll's wait "
+        f"({s(follow.endpoints.wait)} for endpoints, "
+        f"{s(follow.configuration.wait)} for the configuration)",
+        f"outage of {s(follow.least_outage)} or more | endpoints stay in use until "
+        f"{s(follow.return_grace)} after",
+        f"peers count as silent after {s(gossip.suspect_after)} "
+        f"({s(gossip.relayed_suspect_after)} beyond {gossip.mesh_size} instances)",
+        f"its row is back and lasts {s(ROW_EXPIRY)}",
+        f"cannot be connected to within {s(pool.CONNECT_TIMEOUT)} | left alone for "
+        f"{s(fleet_view.UNREACHED_FOR)}, then 2 s, then {s(longest)}",
+        f"taken last for {s(fleet_view.SUSPECT_FOR)}, and while over a quarter",
+        f"were silent, within {s(zone_doubt.WITHIN)} and none answered | its endpoints "
+        f"are taken last for {s(zone_doubt.DOUBT_FOR)}",
+        f"the address is left alone for {s(longest)}",
+        f"broke at {WORDS[quarantining.CRASHES + 1]} endpoints",
+        f"for {s(quarantining.KEPT_FOR)} after the last such break",
+        f"`Retry-After: {quarantining.COME_BACK.total_seconds():.2f}`",
+        f"not reserved within {s(reserving.RESERVE_WITHIN)}",
+        f"a pause of {s(reserving.PAUSE)}, doubled up to {s(reserving.LONGEST_PAUSE)}",
+        f"after {WORDS[reserving.MOST_GANGS]} times in vain",
+        f"A reservation lasts {s(reserving.HOLD)}",
+        f"renewed when {s(reserving.LAST_OF_HOLD)} of it is left",
+    ]
+
+
+def test_the_page_has_the_times_of_the_code() -> None:
+    """An operator waits for a time that the code no longer goes by.
+
+    A constant was changed with its mechanism, and the page was left as it was.
+    """
+    text = re.sub(r"\s+", " ", PAGE.read_text("utf-8"))
+    missing = [phrase for phrase in told() if phrase not in text]
+    assert not missing, f"not on {PAGE.name}: {missing}"
+
+
+load_tests = function_tests(__name__)
