Hold silence against no endpoint: engines that read long prompts are silent

Cause: a call that is silent for long is tried elsewhere, and its engine was taken last for two seconds; after a flood of long prompts many sound engines are silent at once, and all calls crowded onto the others. Change: silence makes no endpoint suspect; one that is dark is found by its next new connection, as the pool's kept ones are dropped.

--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -30,7 +30,8 @@
 """One whose answers failed is taken last for so long."""
 
 NAMED_AT_FAULT = "named-at-fault"
-BAD_KINDS = frozenset({FailureKind.BROKEN, FailureKind.INVALID, FailureKind.STALLED})
+BAD_KINDS = frozenset({FailureKind.BROKEN, FailureKind.INVALID})
+"""Silence isn't among them: an engine that reads long prompts is silent and sound."""
 FAILURE_WEIGHT = 0.3
 """Share of the newest outcome in an endpoint's failure rate."""
 
--- a/tests/unit/gateway/test_fleet_view.py
+++ b/tests/unit/gateway/test_fleet_view.py
@@ -45,6 +45,18 @@
     bench.fail(first, FailureKind.UNREACHED, Exposure.NEVER_SENT)
 
 
+def test_an_endpoint_that_is_merely_silent_is_no_suspect() -> None:
+    """A flood ends, and engines still read long prompts; short calls there wait.
+
+    Their calls are tried elsewhere. Were each silent engine taken last for seconds,
+    all calls would crowd onto the few others, which would fall silent in turn.
+    """
+    bench = gateway_bench()
+    first = bench.begin(request_of(bench, "a"))
+    bench.fail(first, FailureKind.STALLED)
+    case.assertEqual(set(), suspects(bench))
+
+
 def test_an_unreached_endpoint_is_left_alone_longer_each_time() -> None:
     bench = gateway_bench(endpoints=1)
     absence = UNREACHED_FOR
