Tell when an endpoint is out by a peer's word, and when a content is quarantined

Cause: two changes of belief had no line. A peer's word takes an endpoint out at once, and the line of the list came only later; a content that is refused for what it broke was told only by the refusals themselves.

Change: an endpoint that gets no new work is told once, whoever said so; a content that is kept from endpoints, by own attempts or a peer's word, and its clearing are told once each.

Ruled out: lines for each broken attempt's suspicion; the attempt's own line says it.

--- a/src/mimosafork/explain/events.py
+++ b/src/mimosafork/explain/events.py
@@ -31,6 +31,8 @@
 
 SURROUNDINGS = GAPS | {
     FREEZE,
+    gateway.CONTENT_QUARANTINED.code,
+    gateway.CONTENT_CLEARED.code,
     TABLE_TAKEN,
     directory.STORE_LOST.code,
     directory.STORE_REGAINED.code,
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -19,7 +19,7 @@
 from ...placement.choice import EngineView
 from ...routing.listing import ListedEndpoint
 from ...routing.table import RoutingTable
-from .standing import Standing, tell_doubt, tell_return
+from .standing import Standing, tell_doubt, tell_out, tell_return
 from .zone_doubt import UNHEARD, ZoneDoubts
 
 UNREACHED_FOR = timedelta(seconds=1)
@@ -149,6 +149,7 @@
         if known is not None:
             known.leaving = True
             self.by_service[known.listed.service].pop(message.endpoint, None)
+            tell_out(known, message.final)
 
     @handle.register
     def _(self, message: FirstToken, context: Context) -> None:
--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -1,5 +1,6 @@
 """Keeps a request that crashes endpoints from reaching further ones."""
 
+import logging
 from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import singledispatchmethod
@@ -18,6 +19,10 @@
 from ...kernel.plugins import Concluded, Proceed, Refuse, Stage, Verdict
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
+from ...telemetry.catalogue.gateway import CONTENT_CLEARED, CONTENT_QUARANTINED
+from ...telemetry.logs import log_event
+
+logger = logging.getLogger(__name__)
 
 CRASHES = 2
 """Endpoints that a request may have brought down before it is refused."""
@@ -25,6 +30,10 @@
 KEPT_FOR = timedelta(seconds=60)
 COME_BACK = timedelta(seconds=5)
 
+OWN = "own attempts"
+PEER = "peer"
+"""Whose word a line tells."""
+
 
 @dataclass(slots=True)
 class Suspicion:
@@ -66,7 +75,7 @@
             return
         suspicion = self._seen(message.digest, context.now)
         if message.endpoint is not None:
-            suspicion.endpoints.add(message.endpoint)
+            self._add(message.digest, suspicion, {message.endpoint}, OWN)
             context.emit(CrashSuspected(message.digest, message.endpoint))
 
     @handle.register
@@ -77,15 +86,45 @@
         if message.conclusion.outcome is not Outcome.COMPLETED:
             return
         digest = message.record.request.body_digest
-        if self.suspicions.pop(digest, None) is not None:
+        if self._clear(digest, OWN):
             context.emit(CrashCleared(digest))
 
     @handle.register
     def _(self, message: CrashTold, context: Context) -> None:
         if message.cleared:
-            self.suspicions.pop(message.digest, None)
+            self._clear(message.digest, PEER)
             return
-        self._seen(message.digest, context.now).endpoints.update(message.endpoints)
+        suspicion = self._seen(message.digest, context.now)
+        self._add(message.digest, suspicion, set(message.endpoints), PEER)
+
+    def _add(
+        self,
+        digest: Digest,
+        suspicion: Suspicion,
+        endpoints: set[EndpointId],
+        source: str,
+    ) -> None:
+        before = len(suspicion.endpoints)
+        suspicion.endpoints |= endpoints
+        count = len(suspicion.endpoints)
+        if before <= CRASHES < count:
+            log_event(
+                logger,
+                CONTENT_QUARANTINED,
+                content=digest,
+                count=count,
+                source=source,
+                endpoints=",".join(sorted(suspicion.endpoints)),
+            )
+
+    def _clear(self, digest: Digest, source: str) -> bool:
+        """Forget a suspicion; return whether there was one."""
+        suspicion = self.suspicions.pop(digest, None)
+        if suspicion is None:
+            return False
+        if len(suspicion.endpoints) > CRASHES:
+            log_event(logger, CONTENT_CLEARED, content=digest, source=source)
+        return True
 
     def _seen(self, digest: Digest, now: timedelta) -> Suspicion:
         """Return the suspicion of a content that was seen now; forget old ones."""
--- a/src/mimosafork/gateway/policies/standing.py
+++ b/src/mimosafork/gateway/policies/standing.py
@@ -9,6 +9,7 @@
 from ...telemetry.catalogue.gateway import (
     ENDPOINT_BACK,
     ENDPOINT_LEFT_ALONE,
+    ENDPOINT_OUT,
     ENDPOINT_SUSPECTED,
 )
 from ...telemetry.logs import log_event
@@ -92,3 +93,20 @@
         failure_rate=round(known.failure_rate, 2),
     )
     known.doubted_at = None
+
+
+def tell_out(known: Doubted, final: bool) -> None:
+    """Tell that an endpoint gets no new work any more.
+
+    Parameters
+    ----------
+    final : bool
+        Nothing brings it back.
+    """
+    log_event(
+        logger,
+        ENDPOINT_OUT,
+        endpoint=known.listed.endpoint,
+        service=known.listed.service,
+        final=final,
+    )
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -134,6 +134,32 @@
     "It is taken like any other from now on.",
     "None.",
 )
+ENDPOINT_OUT = Event(
+    2033,
+    "endpoint-out",
+    Level.INFO,
+    "endpoint {endpoint} of {service} gets no new work from here",
+    "The list or a peer says that it is leaving or gone. Without a line of the list "
+    "just before, it was a peer.",
+    "None.",
+)
+CONTENT_QUARANTINED = Event(
+    2034,
+    "content-quarantined",
+    Level.WARNING,
+    "content {content} broke off at {count} endpoints, told by {source}",
+    "Calls with this content are refused for a minute, so that it brings no further "
+    "endpoint down.",
+    "See what its callers send; the lines of its attempts have the same digest.",
+)
+CONTENT_CLEARED = Event(
+    2035,
+    "content-cleared",
+    Level.INFO,
+    "content {content} is no longer kept from endpoints, told by {source}",
+    "A call with it has run well.",
+    "None.",
+)
 FREEZE_NOTICED = Event(
     2040,
     "freeze-noticed",
--- a/tests/unit/gateway/test_standing.py
+++ b/tests/unit/gateway/test_standing.py
@@ -1,14 +1,32 @@
 """Each change of the belief about an endpoint is logged once."""
 
 from datetime import timedelta
+from random import Random
 
+from mimosafork.clock import ManualClock
+from mimosafork.gateway.policies import PLUGINS
 from mimosafork.gateway.policies.fleet_view import EndpointBelief
 from mimosafork.gateway.policies.standing import Standing, tell_doubt, tell_return
-from mimosafork.ids import AvailabilityZoneId, EndpointId, ServiceId
+from mimosafork.ids import (
+    AvailabilityZoneId,
+    Digest,
+    EndpointId,
+    Incarnation,
+    InstanceId,
+    ServiceId,
+)
+from mimosafork.kernel.context import Identity
+from mimosafork.kernel.core import Kernel
+from mimosafork.kernel.messages.routing import EndpointLeaving, EndpointUsable
+from mimosafork.kernel.messages.sharing import CrashTold
+from mimosafork.kernel.registry import create
 from mimosafork.routing.listing import ListedEndpoint, ListedState
 from mimosafork.telemetry.catalogue.gateway import (
+    CONTENT_CLEARED,
+    CONTENT_QUARANTINED,
     ENDPOINT_BACK,
     ENDPOINT_LEFT_ALONE,
+    ENDPOINT_OUT,
     ENDPOINT_SUSPECTED,
 )
 from tests.support.functions import function_tests
@@ -16,6 +34,12 @@
 
 START = timedelta(seconds=100)
 SECOND = timedelta(seconds=1)
+DIGEST = Digest("00ff")
+
+
+def new_kernel() -> Kernel:
+    identity = Identity(InstanceId("i1"), Incarnation(1), AvailabilityZoneId("z1"))
+    return Kernel(identity, ManualClock(), Random(1), create(PLUGINS))
 
 
 def belief() -> EndpointBelief:
@@ -60,4 +84,32 @@
     assert (fields["endpoint"], fields["why"]) == ("e1", "broken")
 
 
+def test_content_that_is_kept_from_endpoints_is_told_once_and_told_free() -> None:
+    """A prompt crashes engine after engine, here and as a peer has seen.
+
+    From the third engine on its calls are refused. The log says so once, and once
+    more when a call with it has run well somewhere.
+    """
+    kernel = new_kernel()
+    with caught_lines() as caught:
+        for endpoints in ({"e1", "e2"}, {"e2", "e3"}, {"e4"}):
+            named = frozenset(EndpointId(each) for each in endpoints)
+            kernel.handle(CrashTold(DIGEST, named, cleared=False))
+        for _ in range(2):
+            kernel.handle(CrashTold(DIGEST, frozenset(), cleared=True))
+    quarantined = caught.one(CONTENT_QUARANTINED)
+    assert (quarantined["content"], quarantined["count"]) == ("00ff", 3)
+    assert quarantined["endpoints"] == "e1,e2,e3"
+    assert caught.one(CONTENT_CLEARED)["source"] == "peer"
+
+
+def test_endpoint_that_leaves_by_a_peers_word_is_told_once() -> None:
+    kernel = new_kernel()
+    kernel.handle(EndpointUsable(belief().listed))
+    with caught_lines() as caught:
+        for _ in range(2):
+            kernel.handle(EndpointLeaving(EndpointId("e1"), final=True))
+    assert caught.one(ENDPOINT_OUT)["endpoint"] == "e1"
+
+
 load_tests = function_tests(__name__)
