Test that an endpoint's idle close costs no call

An endpoint that closes idle connections after 50 ms has each connection leave the pool before the next call, which may run once and opens its own. Passes as the code is; it guards the pool's reaction to an orderly end while no call uses the connection.

--- a/tests/unit/gateway/test_gateway_rules.py
+++ b/tests/unit/gateway/test_gateway_rules.py
@@ -167,6 +167,23 @@
         world.running.until(lambda: not pool.idle)
 
 
+def test_a_connection_that_its_endpoint_closes_when_idle_costs_no_call() -> None:
+    """A call is lost on a connection that its endpoint has closed.
+
+    The end came while nobody used the connection; it must leave the pool then, and
+    not be found by the next call.
+    """
+    with gateway_world() as world:
+        idle = timedelta(milliseconds=50)
+        world.add_desk(EndpointSettings(DESKS, idle=idle))
+        pool = world.running.gateway.pool
+        for number in range(3):
+            case.assertEqual(200, world.running.ask("/unsafe/1", f"c{number}").status)
+            world.running.until(lambda: not pool.idle)
+        case.assertEqual(3, world.running.see(lambda: pool.opened))
+        case.assertEqual([], world.platform.log.ran_twice())
+
+
 def test_a_caller_that_sends_its_head_too_slowly() -> None:
     with gateway_world(replace(USUAL_CONFIG, limits=QUICK_LIMITS)) as world:
         for part in (b"POST /safe/1 HT", b"POST /safe/1 HTTP/1.1\r\nHost: h\r\n"):
