Count only waiting against a call's share of waiting, and drop unused bounds

Two bounds of the settings were checked and used by nothing. Ruled out: no bound on waiting at all; a call held long can hardly be served.

--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -54,6 +54,7 @@
         self.fleet: FleetView | None = None
         self.memory = MemoryKeeper()
         self.book = LoadBook()
+        self.waiting_since: dict[RequestId, timedelta] = {}
 
     def join(self, find: PluginFinder) -> None:
         """Keep the view of the endpoints, and the keeper of reservations."""
@@ -80,6 +81,7 @@
         if isinstance(choice, Place):
             work = choice.work(ask, context.now)
             self.book.note(work)
+            self.waiting_since.pop(record.request_id, None)
             context.emit(WorkBegun(work))
             if choice.reservations:
                 return self.memory.begin(choice, record, context)
@@ -100,8 +102,14 @@
     def _wait(
         self, record: RequestRecord, choice: WaitForRoom, now: timedelta
     ) -> Placement:
+        """Let a call wait, unless it has waited for long.
+
+        Only waiting counts: a stream that breaks late in its life, when all places
+        are taken, would else be given up at once with most of its time left.
+        """
+        since = self.waiting_since.setdefault(record.request_id, now)
         allowed = record.request.deadline - record.submitted_at
-        if now - record.submitted_at > allowed * HOPELESS_SHARE:
+        if now - since > allowed * HOPELESS_SHARE:
             return Refuse(overloaded(choice.reason.value, COME_BACK))
         return Wait(choice.reason.value)
 
@@ -137,6 +145,7 @@
 
     @handle.register
     def _(self, message: Concluded, context: Context) -> None:
+        self.waiting_since.pop(message.record.request_id, None)
         if message.record.request_id in self.book.own:
             self._end(message.record.request_id, context)
 
--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -47,14 +47,6 @@
         default=timedelta(seconds=8),
         description="time from a planned stop to the end of the process",
     )
-    drain: Positive = Field(
-        default=timedelta(seconds=2),
-        description="after it a leaving endpoint gets no new work",
-    )
-    listing_reuse: Positive = Field(
-        default=timedelta(seconds=2),
-        description="after it the address of an endpoint that ended is used again",
-    )
     retry_ratio: Annotated[float, Field(ge=0)] = Field(
         default=0.2, description="repeats of all instances a request, in a window"
     )
--- a/tests/unit/gateway/test_placing.py
+++ b/tests/unit/gateway/test_placing.py
@@ -12,6 +12,7 @@
     FailureKind,
     Outcome,
     ProblemCode,
+    RetryDue,
 )
 from mimosafork.kernel.messages.routing import EndpointLeaving, PeerSilent, PeerWorkTold
 from mimosafork.kernel.messages.sharing import WorkBegun, WorkEnded
@@ -97,6 +98,24 @@
     case.assertIsNotNone(end.problem.retry_after)
 
 
+def test_a_call_that_breaks_late_still_waits_for_a_place() -> None:
+    """A dossier's answer breaks off after half of its caller's time.
+
+    All places are taken at that moment. The time that it ran was counted as waiting,
+    so that it was given up at once with seconds left.
+    """
+    bench = gateway_bench(endpoints=1)
+    first = bench.begin(request_of(bench, "a"))
+    bench.pass_time(DEADLINE / 2, Tick())
+    bench.tell(EndpointLeaving(first.endpoint))
+    bench.fail(first)
+    bench.pass_time(MOMENT * 30, RetryDue(first.request_id))
+    case.assertIsNone(bench.conclusion("a"))
+    bench.list_endpoint("desk-9")
+    bench.pass_time(MOMENT, Tick())
+    case.assertEqual("desk-9", bench.dispatches("a")[-1].endpoint)
+
+
 def test_a_waiting_call_is_placed_when_an_endpoint_comes() -> None:
     bench = gateway_bench(endpoints=1)
     bench.tell(EndpointLeaving(EndpointId("desk-0")))
--- a/tests/unit/settings/test_gateway_settings.py
+++ b/tests/unit/settings/test_gateway_settings.py
@@ -37,8 +37,6 @@
     "port-range.1": "7355",
     "seeds": "10.0.0.1:8009,10.0.0.2:8009",
     "bounds.grace-s": "8",
-    "bounds.drain-ms": "2000",
-    "bounds.reuse-after-s": "2",
     "bounds.retry-budget-ratio": "0.2",
     "bounds.retry-slack": "102",
     "bounds.retry-window-s": "10",
@@ -78,7 +76,7 @@
     case.assertEqual("front-a-1", settings.instance.id)
     case.assertEqual(("10.0.0.1:8009", "10.0.0.2:8009"), settings.gossip.seeds)
     case.assertEqual(timedelta(seconds=8), settings.bounds.grace)
-    case.assertEqual(timedelta(seconds=2), settings.bounds.drain)
+    case.assertEqual(timedelta(seconds=10), settings.bounds.retry_window)
     case.assertEqual(102, settings.bounds.retry_slack)
 
 
