Tell how many tokens own calls hold on engines

Cause: the issue asks for held memory on the metrics page; a reservation that stays behind could only be seen on the engines themselves. Ruled out: counting orders as they are sent and answered, as an order without an answer belongs to neither side; the tickets know it. Change: mimosafork.memory.reserved, by state: held as an engine said and not yet over, or unsure. It is read from the tickets when the page is asked for, and costs nothing else. Conclusion: an alarm of memory that stays held has a figure to look at.

--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -16,6 +16,7 @@
     GOSSIP_SENT,
     LOAD_AGE,
     MEMORY_PEAK,
+    MEMORY_RESERVED,
     PEERS_HEARD,
     REPEATS_LEFT,
     ROWS_CALLS,
@@ -29,6 +30,8 @@
 from ..telemetry.readings import Reading, ReadingSource
 from .gateway import Gateway
 from .outlook import Outlook
+from .policies.reserving import MemoryKeeper
+from .policies.tickets import HeldState
 
 KILOBYTE = 1024
 
@@ -71,6 +74,7 @@
         page.observe(CALLS_WAITING, self.waiting)
         page.observe(CONNECTIONS_IDLE, self.idle)
         page.observe(WORK_KNOWN, self.work)
+        page.observe(MEMORY_RESERVED, self.reserved)
         page.observe(LOAD_AGE, lambda: aged(self.outlook.load_age()))
         page.observe(TABLE_AGE, self.table_ages)
         page.observe(TABLE_VERSION, self.version)
@@ -101,6 +105,14 @@
             Reading(told, (("whose", "peers"),)),
         ]
 
+    def reserved(self) -> Iterable[Reading]:
+        """Return the tokens that own calls hold on engines."""
+        keeper = self.gateway.kernel.plugin(MemoryKeeper)
+        tokens = keeper.tokens_held(self.gateway.clock.monotonic())
+        return [
+            Reading(tokens[state], (("state", state.value),)) for state in HeldState
+        ]
+
     def table_ages(self) -> Iterable[Reading]:
         """Return when the store last told each table."""
         directory = self.outlook.directory
--- a/src/mimosafork/gateway/policies/reserving.py
+++ b/src/mimosafork/gateway/policies/reserving.py
@@ -9,6 +9,7 @@
 than that.
 """
 
+from collections import Counter
 from datetime import timedelta
 from functools import singledispatchmethod
 from itertools import count
@@ -40,7 +41,7 @@
 from ...placement.choice import Place
 from .fleet_view import FleetView
 from .place_words import place_on
-from .tickets import Gang, Step, Ticket, tickets_of
+from .tickets import Gang, HeldState, Step, Ticket, tickets_of
 
 HOLD = timedelta(milliseconds=3750)
 """Memory is reserved for so long. It must be free within four seconds after an
@@ -125,6 +126,19 @@
         }
         return frozenset(self.short_until)
 
+    def tokens_held(self, now: timedelta) -> Counter[HeldState]:
+        """Return the tokens on engines that this instance's calls hold now.
+
+        Safe for any thread: what a gang begun meanwhile holds may be left out.
+        """
+        tokens: Counter[HeldState] = Counter()
+        for gang in list(self.gangs.values()):
+            for ticket in gang.tickets:
+                state = ticket.state(now)
+                if state is not None:
+                    tokens[state] += ticket.tokens
+        return tokens
+
     def begin(self, place: Place, record: RequestRecord, context: Context) -> Placement:
         """Reserve what a place needs; `Placed` or `PlacementFailed` follows."""
         request_id = record.request_id
--- a/src/mimosafork/gateway/policies/tickets.py
+++ b/src/mimosafork/gateway/policies/tickets.py
@@ -17,6 +17,15 @@
     RUNNING = "running"
 
 
+class HeldState(Enum):
+    """What is known of memory that was asked for."""
+
+    HELD = "held"
+    """The engine has said so, and its time is not over."""
+    UNSURE = "unsure"
+    """It may be held: its order is not answered, or its time may be over."""
+
+
 @dataclass(slots=True)
 class Ticket:
     """Memory on one engine, and what is known of it.
@@ -56,6 +65,13 @@
         self.open = False
         self.held_until = self.asked_at + hold
 
+    def state(self, now: timedelta) -> HeldState | None:
+        """Return what is known of it; None if it is surely not held."""
+        if self.asked_at is None or self.lost:
+            return None
+        sure = self.held_until is not None and now < self.held_until
+        return HeldState.HELD if sure else HeldState.UNSURE
+
     def wants_renewal(self, now: timedelta, last: timedelta) -> bool:
         """Return whether it should be asked for again.
 
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -242,6 +242,14 @@
     "Calls known to run, of this instance and as peers have told.",
     ("whose",),
 )
+MEMORY_RESERVED = Instrument(
+    "mimosafork.memory.reserved",
+    Kind.OBSERVABLE_GAUGE,
+    "{token}",
+    "Tokens reserved on engines by own calls: held as the engines said, or unsure"
+    " while an order has no answer.",
+    ("state",),
+)
 LOAD_AGE = Instrument(
     "mimosafork.load.age",
     Kind.OBSERVABLE_GAUGE,
