--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -23,6 +23,7 @@
 from mimosafork.kernel.configuration import Configuration, ModelPolicy
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import Kernel
+from mimosafork.kernel.messages.attempts import AttemptFinished, FirstToken
 from mimosafork.kernel.messages.base import Tick
 from mimosafork.kernel.messages.configuration import ConfigurationReceived
 from mimosafork.kernel.messages.fleet import (
@@ -33,13 +34,7 @@
     LoadReport,
     LoadReported,
 )
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    FirstToken,
-    Request,
-    RequestKind,
-    Submit,
-)
+from mimosafork.kernel.messages.requests import Request, RequestKind, Submit
 from mimosafork.policies import LOAD_PLUGINS
 
 SIZES = (3, 20, 100, 600)
--- a/benchmarks/fake_endpoints.py
+++ b/benchmarks/fake_endpoints.py
@@ -9,7 +9,16 @@
 from typing import TYPE_CHECKING
 
 from mimosafork.ids import EndpointId, Incarnation, ModelId, StreamId
+from mimosafork.kernel.messages.attempts import (
+    AttemptFailed,
+    AttemptFinished,
+    Exposure,
+    FailureKind,
+    FirstToken,
+    Usage,
+)
 from mimosafork.kernel.messages.base import Message
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.fleet import EndpointKind, LoadReport, LoadReported
 from mimosafork.kernel.messages.placement import (
     FreePart,
@@ -25,15 +34,6 @@
     SegmentPrefilled,
 )
 from mimosafork.kernel.messages.recovery import HoldingKind
-from mimosafork.kernel.messages.requests import (
-    AttemptFailed,
-    AttemptFinished,
-    Dispatch,
-    Exposure,
-    FailureKind,
-    FirstToken,
-    Usage,
-)
 
 from .fake_engine import FakeEngine, Stream, export_name
 from .workload import Call
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -33,6 +33,7 @@
     ConfigurationChanged,
     ConfigurationReceived,
 )
+from mimosafork.kernel.messages.dispatch import CancelAttempt, Dispatch
 from mimosafork.kernel.messages.fleet import (
     EndpointEntry,
     EndpointKind,
@@ -40,22 +41,15 @@
     InstancesListed,
     LifeState,
 )
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome
 from mimosafork.kernel.messages.placement import (
     FreePart,
     ImportKv,
     PrefillSegment,
     ReserveMemory,
 )
-from mimosafork.kernel.messages.requests import (
-    CancelAttempt,
-    Conclude,
-    Dispatch,
-    Outcome,
-    Request,
-    RequestKind,
-    Submit,
-    WakeAt,
-)
+from mimosafork.kernel.messages.requests import Request, RequestKind, Submit
+from mimosafork.kernel.messages.timers import WakeAt
 
 from .deployments import Deployment
 from .fake_endpoints import EngineEndpoint, ServiceEndpoint
--- a/src/mimosafork/claims/book.py
+++ b/src/mimosafork/claims/book.py
@@ -19,7 +19,7 @@
     StreamPlace,
     WriteClaim,
 )
-from ..kernel.messages.requests import Outcome
+from ..kernel.messages.outcomes import Outcome
 from ..storage.table import ABSENT, Condition, Conflict, Write
 from .errors import BadClaimRowError
 from .rows import TABLE, ClaimRow, decoded, encoded, expired, row_of
--- a/src/mimosafork/claims/keeper.py
+++ b/src/mimosafork/claims/keeper.py
@@ -9,7 +9,7 @@
 from ..ids import RequestId
 from ..kernel.messages.base import Effect, Message
 from ..kernel.messages.claims import AnswerKept, EndClaim, KeepAnswer
-from ..kernel.messages.requests import Outcome
+from ..kernel.messages.outcomes import Outcome
 from ..runtime.task import Task
 from ..storage.errors import PlatformError, UnknownResultError
 from ..storage.objects import ObjectClient, PreconditionFailedError
--- a/src/mimosafork/claims/rows.py
+++ b/src/mimosafork/claims/rows.py
@@ -9,7 +9,7 @@
 
 from ..ids import ClaimId, Digest, Incarnation, InstanceId
 from ..kernel.messages.claims import Claim, ClaimState, StreamPlace
-from ..kernel.messages.requests import Outcome
+from ..kernel.messages.outcomes import Outcome
 from .errors import BadClaimRowError
 
 TABLE = "claims"
--- a/src/mimosafork/client/ask.py
+++ b/src/mimosafork/client/ask.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from ..clock import Clock
-from ..kernel.messages.requests import Outcome
+from ..kernel.messages.outcomes import Outcome
 from .errors import BrokenAnswerError
 from .events import AnswerEvent, EndEvent, ErrorEvent, ProblemBody, TextEvent
 from .transport import Question, Transport
--- a/src/mimosafork/commands/ask.py
+++ b/src/mimosafork/commands/ask.py
@@ -13,7 +13,7 @@
 from ..client.ask import Asked, Asker
 from ..client.transport import HttpTransport, Question
 from ..clock import SystemClock
-from ..kernel.messages.requests import Outcome
+from ..kernel.messages.outcomes import Outcome
 from ..settings.types import parse_duration, split_address
 
 app = typer.Typer(add_completion=False)
--- a/src/mimosafork/endpoints/calls.py
+++ b/src/mimosafork/endpoints/calls.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ..ids import AdapterId, ModelId, ServiceId, StreamId
-from ..kernel.messages.requests import Dispatch
+from ..kernel.messages.dispatch import Dispatch
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mimosafork/endpoints/connector.py
+++ b/src/mimosafork/endpoints/connector.py
@@ -18,7 +18,7 @@
 
 from ..clock import Clock
 from ..kernel.context import Identity
-from ..kernel.messages.requests import Exposure, FailureKind
+from ..kernel.messages.attempts import Exposure, FailureKind
 from ..network.errors import NetworkError
 from ..network.http import HttpClient
 from ..relay.messages import Opened, OpenFailed, RelayMessage
--- a/src/mimosafork/endpoints/errors.py
+++ b/src/mimosafork/endpoints/errors.py
@@ -1,7 +1,7 @@
 """Errors of calls to endpoints."""
 
 from ..errors import MimosaforkError
-from ..kernel.messages.requests import Exposure, FailureKind
+from ..kernel.messages.attempts import Exposure, FailureKind
 
 
 class EndpointError(MimosaforkError):
--- a/src/mimosafork/endpoints/reservations.py
+++ b/src/mimosafork/endpoints/reservations.py
@@ -10,6 +10,7 @@
 
 from ..clock import Clock
 from ..kernel.context import Identity
+from ..kernel.messages.attempts import Exposure
 from ..kernel.messages.base import Effect, Message
 from ..kernel.messages.placement import (
     FreePart,
@@ -24,7 +25,6 @@
     SegmentFailed,
     SegmentPrefilled,
 )
-from ..kernel.messages.requests import Exposure
 from ..network.errors import NetworkError, NeverSentError
 from ..network.http import Answer, HttpClient
 from ..runtime.kernel_task import KernelTask
--- a/src/mimosafork/endpoints/wire.py
+++ b/src/mimosafork/endpoints/wire.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..kernel.context import Identity
-from ..kernel.messages.requests import Dispatch
+from ..kernel.messages.dispatch import Dispatch
 from ..network.http import INSTANCE_HEADER
 from .calls import EndpointCall, ModelCall, ServiceCall
 from .segments import prompt_part
--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -7,17 +7,17 @@
 from enum import Enum
 
 from ..clock import Clock
-from ..kernel.messages.base import Message
-from ..kernel.messages.requests import (
+from ..kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
     AttemptSilent,
-    Dispatch,
     Exposure,
     FailureKind,
     FirstToken,
-    Repeatability,
 )
+from ..kernel.messages.base import Message
+from ..kernel.messages.dispatch import Dispatch
+from ..kernel.messages.requests import Repeatability
 from .answer_reader import AnswerHead
 from .call import Call, WholeAnswer
 from .dialect import AnswerMarks, AttemptMarks, Dialect
--- a/src/mimosafork/gateway/call.py
+++ b/src/mimosafork/gateway/call.py
@@ -5,7 +5,8 @@
 from typing import Protocol
 
 from ..ids import AccountId, EndpointId, RequestId
-from ..kernel.messages.requests import Helper, Request
+from ..kernel.messages.dispatch import Helper
+from ..kernel.messages.requests import Request
 from ..routing.table import Route
 from .answer_reader import AnswerHead
 from .dialect import CallMarks
--- a/src/mimosafork/gateway/call_lines.py
+++ b/src/mimosafork/gateway/call_lines.py
@@ -6,14 +6,12 @@
 
 from ..clock import Clock
 from ..ids import ServiceId
+from ..kernel.messages.attempts import AttemptFailed
 from ..kernel.messages.base import Effect
-from ..kernel.messages.requests import (
-    AttemptFailed,
-    Conclude,
-    Dispatch,
-    ProblemCode,
-    WakeAt,
-)
+from ..kernel.messages.dispatch import Dispatch
+from ..kernel.messages.outcomes import Conclude
+from ..kernel.messages.problems import ProblemCode
+from ..kernel.messages.timers import WakeAt
 from ..routing.table import RoutingTable
 from ..telemetry.catalogue.gateway import (
     ATTEMPT_FAILED,
--- a/src/mimosafork/gateway/dialect.py
+++ b/src/mimosafork/gateway/dialect.py
@@ -6,8 +6,8 @@
 
 from ..ids import AccountId, EndpointId
 from ..kernel.messages.base import Effect
+from ..kernel.messages.dispatch import Helper
 from ..kernel.messages.placement import PartFailure
-from ..kernel.messages.requests import Helper
 from ..routing.table import ApiKey
 from .answer_reader import AnswerHead
 from .heads import Header, RequestHead
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -14,19 +14,14 @@
 from ..gossip.boot_clock import BootClock
 from ..ids import RequestId
 from ..kernel.core import TICK, Kernel
+from ..kernel.messages.attempts import AttemptFailed, EndSilentAttempt
 from ..kernel.messages.base import Effect, Message, Tick
+from ..kernel.messages.dispatch import CancelAttempt, Dispatch
+from ..kernel.messages.outcomes import Conclude
 from ..kernel.messages.placement import FreePart, ReserveMemory
-from ..kernel.messages.requests import (
-    AttemptFailed,
-    CallerGone,
-    CancelAttempt,
-    Conclude,
-    Dispatch,
-    EndSilentAttempt,
-    ProblemCode,
-    Submit,
-    WakeAt,
-)
+from ..kernel.messages.problems import ProblemCode
+from ..kernel.messages.requests import CallerGone, Submit
+from ..kernel.messages.timers import WakeAt
 from ..routing.table import ClientLimits, RoutingTable
 from ..telemetry.catalogue.gateway import FREEZE_NOTICED, MALFORMED_REQUEST
 from ..telemetry.logs import log_event
--- a/src/mimosafork/gateway/intake.py
+++ b/src/mimosafork/gateway/intake.py
@@ -8,12 +8,7 @@
 from random import Random
 
 from ..ids import AccountId, Digest, ModelId, RequestId, ServiceId
-from ..kernel.messages.requests import (
-    CallTerms,
-    Repeatability,
-    Request,
-    RequestKind,
-)
+from ..kernel.messages.requests import CallTerms, Repeatability, Request, RequestKind
 from ..routing.table import Account, CallKind, Route, RoutingTable, Split
 from .dialect import CallMarks
 from .request_reader import RequestMessage
--- a/src/mimosafork/gateway/meters.py
+++ b/src/mimosafork/gateway/meters.py
@@ -4,7 +4,8 @@
 from datetime import timedelta
 from typing import Protocol
 
-from ..kernel.messages.requests import AttemptFailed, Conclude
+from ..kernel.messages.attempts import AttemptFailed
+from ..kernel.messages.outcomes import Conclude
 from ..telemetry.catalogue.gateway import (
     CALL_ATTEMPTS,
     CALL_FIRST_PART_TIME,
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -6,13 +6,13 @@
 
 from ...ids import EndpointId, ServiceId
 from ...kernel.context import Context
-from ...kernel.messages.base import Message
-from ...kernel.messages.requests import (
+from ...kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
     FailureKind,
     FirstToken,
 )
+from ...kernel.messages.base import Message
 from ...kernel.messages.routing import EndpointLeaving, EndpointUsable, TableInForce
 from ...kernel.plugins import Plugin
 from ...kernel.registry import register
--- a/src/mimosafork/gateway/policies/place_words.py
+++ b/src/mimosafork/gateway/policies/place_words.py
@@ -1,7 +1,8 @@
 """The kernel's word for a place that placement has chosen."""
 
 from ...ids import Incarnation
-from ...kernel.messages.requests import Helper, Request
+from ...kernel.messages.dispatch import Helper
+from ...kernel.messages.requests import Request
 from ...kernel.plugins import PlaceOn
 from ...placement.choice import Place
 from .silence import patience_of
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -6,14 +6,10 @@
 
 from ...ids import RequestId, ServiceId
 from ...kernel.context import Context
+from ...kernel.messages.attempts import AttemptFailed, FirstToken
 from ...kernel.messages.base import Message
-from ...kernel.messages.requests import (
-    AttemptFailed,
-    FirstToken,
-    Problem,
-    ProblemCode,
-    Request,
-)
+from ...kernel.messages.problems import Problem, ProblemCode
+from ...kernel.messages.requests import Request
 from ...kernel.messages.routing import PeerSilent, PeerWorkTold
 from ...kernel.messages.sharing import WorkBegun, WorkEnded
 from ...kernel.plugins import (
--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -7,14 +7,10 @@
 
 from ...ids import Digest, EndpointId
 from ...kernel.context import Context
+from ...kernel.messages.attempts import AttemptFailed, FailureKind
 from ...kernel.messages.base import Message
-from ...kernel.messages.requests import (
-    AttemptFailed,
-    FailureKind,
-    Outcome,
-    Problem,
-    ProblemCode,
-)
+from ...kernel.messages.outcomes import Outcome
+from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.sharing import CrashCleared, CrashSuspected, CrashTold
 from ...kernel.plugins import Concluded, Proceed, Refuse, Stage, Verdict
 from ...kernel.records import RequestRecord
--- a/src/mimosafork/gateway/policies/reserving.py
+++ b/src/mimosafork/gateway/policies/reserving.py
@@ -16,6 +16,7 @@
 
 from ...ids import AttemptNumber, EndpointId, RequestId, ReservationId
 from ...kernel.context import Context
+from ...kernel.messages.attempts import AttemptFailed
 from ...kernel.messages.base import Message, Tick
 from ...kernel.messages.placement import (
     FreePart,
@@ -24,8 +25,8 @@
     ReservationFailed,
     ReserveMemory,
 )
+from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.recovery import HoldingKind
-from ...kernel.messages.requests import AttemptFailed, Problem, ProblemCode
 from ...kernel.plugins import (
     Concluded,
     InHand,
--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -7,16 +7,10 @@
 
 from ...ids import ServiceId
 from ...kernel.context import Context
+from ...kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from ...kernel.messages.base import Message
-from ...kernel.messages.requests import (
-    AttemptFailed,
-    Exposure,
-    FailureKind,
-    Problem,
-    ProblemCode,
-    Repeatability,
-    Submit,
-)
+from ...kernel.messages.problems import Problem, ProblemCode
+from ...kernel.messages.requests import Repeatability, Submit
 from ...kernel.messages.sharing import FleetSpending, SpendingGrown
 from ...kernel.plugins import GiveUp, RetryDecision, RetryLater, RetryPolicy
 from ...kernel.records import RequestRecord
--- a/src/mimosafork/gateway/policies/silence.py
+++ b/src/mimosafork/gateway/policies/silence.py
@@ -5,17 +5,16 @@
 
 from ...ids import ServiceId
 from ...kernel.context import Context
-from ...kernel.messages.base import Message
-from ...kernel.messages.requests import (
+from ...kernel.messages.attempts import (
     AttemptFailed,
     AttemptSilent,
     EndSilentAttempt,
     Exposure,
     FailureKind,
-    Patience,
-    Repeatability,
-    Request,
 )
+from ...kernel.messages.base import Message
+from ...kernel.messages.dispatch import Patience
+from ...kernel.messages.requests import Repeatability, Request
 from ...kernel.plugins import Plugin, PluginFinder
 from ...kernel.records import RequestRecord, RequestState
 from ...kernel.registry import register
--- a/src/mimosafork/gateway/policies/tickets.py
+++ b/src/mimosafork/gateway/policies/tickets.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from ...ids import AttemptNumber, EndpointId, RequestId, ReservationId
-from ...kernel.messages.requests import Helper
+from ...kernel.messages.dispatch import Helper
 from ...placement.choice import Place, Reservation
 
 
--- a/src/mimosafork/gateway/policies/zone_doubt.py
+++ b/src/mimosafork/gateway/policies/zone_doubt.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from ...ids import AvailabilityZoneId, EndpointId
-from ...kernel.messages.requests import FailureKind
+from ...kernel.messages.attempts import FailureKind
 from ...routing.listing import ListedEndpoint
 from ...telemetry.catalogue.zones import ZONE_ANSWERS, ZONE_DOUBTED
 from ...telemetry.logs import log_event
--- a/src/mimosafork/gateway/problems.py
+++ b/src/mimosafork/gateway/problems.py
@@ -4,7 +4,8 @@
 from datetime import timedelta
 from http import HTTPStatus
 
-from ..kernel.messages.requests import Conclude, Outcome, ProblemCode
+from ..kernel.messages.outcomes import Conclude, Outcome
+from ..kernel.messages.problems import ProblemCode
 
 COME_BACK = timedelta(milliseconds=500)
 """Told where the kernel gives no time of its own."""
--- a/src/mimosafork/kernel/attempts.py
+++ b/src/mimosafork/kernel/attempts.py
@@ -4,7 +4,7 @@
 
 from ..ids import AttemptNumber, StreamId
 from .fleet import OwnDispatch
-from .messages.requests import Dispatch
+from .messages.dispatch import Dispatch
 from .plugins import PlaceOn
 from .records import Attempt, RequestRecord
 
--- a/src/mimosafork/kernel/context.py
+++ b/src/mimosafork/kernel/context.py
@@ -9,7 +9,7 @@
 from .configuration import Configuration
 from .fleet import Fleet
 from .messages.base import Effect, Message
-from .messages.requests import WakeAt
+from .messages.timers import WakeAt
 from .queue import WaitingQueue
 from .records import RequestRecord
 
--- a/src/mimosafork/kernel/core.py
+++ b/src/mimosafork/kernel/core.py
@@ -11,19 +11,13 @@
 from .errors import KernelError
 from .fleet import Fleet
 from .lifecycle import Lifecycle
+from .messages.attempts import AttemptFailed, AttemptFinished, FirstToken, RetryDue
 from .messages.base import Effect, Message, Tick
 from .messages.configuration import ConfigurationChanged, ConfigurationReceived
 from .messages.fleet import InstancesListed, LoadReported, ProbeFailed
 from .messages.lifecycle import DrainBegun, StopNow
 from .messages.peers import DrainAnnounced
-from .messages.requests import (
-    AttemptFailed,
-    AttemptFinished,
-    CallerGone,
-    FirstToken,
-    RetryDue,
-    Submit,
-)
+from .messages.requests import CallerGone, Submit
 from .plugins import (
     CompletionCleared,
     Finisher,
--- a/src/mimosafork/kernel/lifecycle.py
+++ b/src/mimosafork/kernel/lifecycle.py
@@ -11,20 +11,17 @@
 from ..ids import AttemptNumber, ModelId, RequestId, ServiceId
 from .attempts import dispatch_of, new_attempt, own_dispatch_of
 from .context import Context
-from .messages.requests import (
+from .messages.attempts import (
     AttemptFailed,
     AttemptFinished,
-    CancelAttempt,
-    Conclude,
     FailureKind,
     FirstToken,
-    Outcome,
-    Problem,
-    ProblemCode,
-    Request,
-    Retention,
     RetryDue,
 )
+from .messages.dispatch import CancelAttempt
+from .messages.outcomes import Conclude, Outcome, Retention
+from .messages.problems import Problem, ProblemCode
+from .messages.requests import Request
 from .plugins import (
     Answered,
     Bypass,
--- /dev/null
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -0,0 +1,118 @@
+"""How an attempt at a request goes on and ends."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from ...ids import AttemptNumber, Digest, EndpointId, RequestId
+from .base import Effect, Message
+
+
+class Exposure(Enum):
+    """How far an attempt can have reached its endpoint."""
+
+    NEVER_SENT = "never-sent"
+    """No byte left this process."""
+    REFUSED = "refused"
+    """The endpoint itself said that it did not run it."""
+    POSSIBLE = "possible"
+    """It may have run, wholly or in part."""
+
+
+class FailureKind(Enum):
+    """How an attempt failed."""
+
+    UNREACHED = "unreached"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    """The connection ended before the answer did."""
+    STALLED = "stalled"
+    """No byte for longer than the stall timeout."""
+    INVALID = "invalid"
+    """The endpoint's answer does not follow its protocol."""
+    ENGINE_FAILED = "engine-failed"
+    """The engine ended the stream as failed."""
+    DEADLINE = "deadline"
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What an engine says a stream has cost, in tokens."""
+
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class FirstToken(Message):
+    """The first chunk of an attempt has arrived."""
+
+    request_id: RequestId
+    attempt: AttemptNumber
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFinished(Message):
+    """An attempt has delivered its whole answer to the caller."""
+
+    request_id: RequestId
+    attempt: AttemptNumber
+    usage: Usage | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailed(Message):
+    """An attempt ended without its whole answer.
+
+    Attributes
+    ----------
+    delivered_tokens : int
+        Tokens of the answer, over all attempts, that the caller has been sent.
+    refusal : str or None
+        The endpoint's own reason, when it refused.
+    status : int or None
+        Of the endpoint's whole answer, when that tells of a failure.
+    fault_at : str or None
+        Address of the endpoint at fault, if the one that answered names another.
+    endpoint : EndpointId or None
+        Where the attempt was made, and `digest` of the request: the record may be
+        gone when plug-ins hear of the failure.
+    """
+
+    request_id: RequestId
+    attempt: AttemptNumber
+    kind: FailureKind
+    exposure: Exposure
+    delivered_tokens: int = 0
+    refusal: str | None = None
+    status: int | None = None
+    fault_at: str | None = None
+    endpoint: EndpointId | None = None
+    digest: Digest | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RetryDue(Message):
+    """The pause before a further attempt is over."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptSilent(Message):
+    """An attempt has been silent for longer than its patience.
+
+    It goes on meanwhile: silence alone proves nothing.
+    """
+
+    request_id: RequestId
+    attempt: AttemptNumber
+    silence: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class EndSilentAttempt(Effect):
+    """Cancel an attempt and report it as failed, so that another may follow."""
+
+    failure: AttemptFailed
--- a/src/mimosafork/kernel/messages/claims.py
+++ b/src/mimosafork/kernel/messages/claims.py
@@ -20,7 +20,7 @@
     StreamId,
 )
 from .base import Effect, Message
-from .requests import Outcome
+from .outcomes import Outcome
 
 
 class ClaimState(Enum):
--- a/src/mimosafork/kernel/messages/placement.py
+++ b/src/mimosafork/kernel/messages/placement.py
@@ -5,9 +5,9 @@
 from enum import Enum
 
 from ...ids import EndpointId, Incarnation, RequestId, ReservationId, StreamId
+from .attempts import Exposure
 from .base import Effect, Message
 from .recovery import HoldingKind
-from .requests import Exposure
 
 
 class PartFailure(Enum):
--- a/src/mimosafork/kernel/messages/reports.py
+++ b/src/mimosafork/kernel/messages/reports.py
@@ -13,10 +13,12 @@
     RequestId,
     ServiceId,
 )
+from .attempts import FailureKind
 from .base import Effect
 from .orders import OrderKind, OrderResult
+from .outcomes import Outcome
 from .peers import MemberState
-from .requests import FailureKind, Outcome, ProblemCode
+from .problems import ProblemCode
 
 
 class AttemptEnd(Enum):
--- a/src/mimosafork/kernel/plugins.py
+++ b/src/mimosafork/kernel/plugins.py
@@ -11,16 +11,11 @@
 from typing import TYPE_CHECKING, ClassVar, Protocol, TypeVar
 
 from ..ids import EndpointId, Incarnation, ReservationId, StreamId
+from .messages.attempts import AttemptFailed
 from .messages.base import Message
-from .messages.requests import (
-    AttemptFailed,
-    Conclude,
-    Helper,
-    Outcome,
-    Patience,
-    Problem,
-    Retention,
-)
+from .messages.dispatch import Helper, Patience
+from .messages.outcomes import Conclude, Outcome, Retention
+from .messages.problems import Problem
 
 if TYPE_CHECKING:
     from datetime import timedelta
--- a/src/mimosafork/kernel/records.py
+++ b/src/mimosafork/kernel/records.py
@@ -13,13 +13,9 @@
     RequestId,
     StreamId,
 )
-from .messages.requests import (
-    AttemptFailed,
-    Exposure,
-    Outcome,
-    Repeatability,
-    Request,
-)
+from .messages.attempts import AttemptFailed, Exposure
+from .messages.outcomes import Outcome
+from .messages.requests import Repeatability, Request
 from .plugins import PlaceOn
 
 
--- a/src/mimosafork/platform/calls.py
+++ b/src/mimosafork/platform/calls.py
@@ -10,8 +10,8 @@
 from ..gateway.errors import BadRequestError
 from ..gateway.heads import Header, RequestHead, end_to_end, first_value
 from ..kernel.messages.base import Effect
+from ..kernel.messages.dispatch import Helper
 from ..kernel.messages.placement import PartFailure
-from ..kernel.messages.requests import Helper
 from ..routing.table import ApiKey
 from . import names
 from .orders import failure_of, order_of
--- a/src/mimosafork/policies/admission.py
+++ b/src/mimosafork/policies/admission.py
@@ -4,7 +4,8 @@
 
 from ..ids import ModelId
 from ..kernel.context import Context
-from ..kernel.messages.requests import Problem, ProblemCode, RequestKind
+from ..kernel.messages.problems import Problem, ProblemCode
+from ..kernel.messages.requests import RequestKind
 from ..kernel.plugins import Proceed, Refuse, Stage, Verdict
 from ..kernel.records import RequestRecord
 from ..kernel.registry import register
--- a/src/mimosafork/policies/affinity.py
+++ b/src/mimosafork/policies/affinity.py
@@ -12,8 +12,9 @@
 from ..ids import Digest, EndpointId, RequestId
 from ..kernel.context import Context
 from ..kernel.fleet import Endpoint
+from ..kernel.messages.attempts import FirstToken
 from ..kernel.messages.base import Message
-from ..kernel.messages.requests import FirstToken, Request
+from ..kernel.messages.requests import Request
 from ..kernel.plugins import Plugin, PluginFinder
 from ..kernel.registry import register
 from .cache_index import CacheIndex
--- a/src/mimosafork/policies/claims/attach.py
+++ b/src/mimosafork/policies/claims/attach.py
@@ -1,8 +1,9 @@
 """Attaching to a stream that already runs, in place of running it again."""
 
 from ...kernel.context import Context
+from ...kernel.messages.attempts import Exposure, FailureKind
 from ...kernel.messages.fleet import EndpointKind
-from ...kernel.messages.requests import Exposure, FailureKind, Repeatability
+from ...kernel.messages.requests import Repeatability
 from ...kernel.plugins import NotMine, Placement, PlaceOn, Placer
 from ...kernel.records import Attempt, RequestRecord
 from ...kernel.registry import register
--- a/src/mimosafork/policies/claims/closing.py
+++ b/src/mimosafork/policies/claims/closing.py
@@ -4,6 +4,7 @@
 from functools import singledispatchmethod
 
 from ...kernel.context import Context
+from ...kernel.messages.attempts import FirstToken
 from ...kernel.messages.base import Message
 from ...kernel.messages.claims import (
     AnswerKept,
@@ -14,13 +15,8 @@
     ReleaseClaim,
     StreamPlace,
 )
-from ...kernel.messages.requests import (
-    FirstToken,
-    Outcome,
-    Repeatability,
-    RequestKind,
-    Retention,
-)
+from ...kernel.messages.outcomes import Outcome, Retention
+from ...kernel.messages.requests import Repeatability, RequestKind
 from ...kernel.plugins import CompletionCleared, Concluded, Finisher, Hold, Proceed
 from ...kernel.records import HeldClaim, RequestRecord
 from ...kernel.registry import register
--- a/src/mimosafork/policies/claims/problems.py
+++ b/src/mimosafork/policies/claims/problems.py
@@ -2,7 +2,8 @@
 
 from datetime import timedelta
 
-from ...kernel.messages.requests import Outcome, Problem, ProblemCode
+from ...kernel.messages.outcomes import Outcome
+from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.plugins import Refuse
 
 STORE_COME_BACK = timedelta(seconds=2)
--- a/src/mimosafork/policies/deadlines.py
+++ b/src/mimosafork/policies/deadlines.py
@@ -4,7 +4,8 @@
 from datetime import timedelta
 
 from ..kernel.context import Context
-from ..kernel.messages.requests import Problem, ProblemCode, RequestKind
+from ..kernel.messages.problems import Problem, ProblemCode
+from ..kernel.messages.requests import RequestKind
 from ..kernel.plugins import (
     PluginFinder,
     Proceed,
--- a/src/mimosafork/policies/ejection.py
+++ b/src/mimosafork/policies/ejection.py
@@ -14,9 +14,9 @@
 from ..ids import EndpointId, Incarnation, ModelId, RequestId, ServiceId
 from ..kernel.context import Context
 from ..kernel.fleet import LONG_AGO, Endpoint
+from ..kernel.messages.attempts import AttemptFinished, FirstToken
 from ..kernel.messages.base import Message, Tick
 from ..kernel.messages.fleet import InstancesListed
-from ..kernel.messages.requests import AttemptFinished, FirstToken
 from ..kernel.plugins import Concluded, Plugin, PluginFinder
 from ..kernel.registry import register
 from .prediction import SHORTEST_S, Prediction, fleet_policy
--- a/src/mimosafork/policies/gangs/allowance.py
+++ b/src/mimosafork/policies/gangs/allowance.py
@@ -2,7 +2,7 @@
 
 from ...kernel.context import Context
 from ...kernel.fleet import Endpoint
-from ...kernel.messages.requests import Problem, ProblemCode
+from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.plugins import Refuse
 from ...kernel.records import RequestRecord
 from ..engine_load import EngineLoad
--- a/src/mimosafork/policies/gangs/placer.py
+++ b/src/mimosafork/policies/gangs/placer.py
@@ -12,7 +12,9 @@
 
 from ...ids import RequestId, ReservationId, StreamId
 from ...kernel.context import Context
+from ...kernel.messages.attempts import AttemptFailed
 from ...kernel.messages.base import Message, Tick
+from ...kernel.messages.outcomes import Outcome
 from ...kernel.messages.placement import (
     FreePart,
     ImportFailed,
@@ -26,14 +28,9 @@
     SegmentFailed,
     SegmentPrefilled,
 )
+from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.recovery import HoldingKind
-from ...kernel.messages.requests import (
-    AttemptFailed,
-    Outcome,
-    Problem,
-    ProblemCode,
-    RequestKind,
-)
+from ...kernel.messages.requests import RequestKind
 from ...kernel.plugins import (
     Concluded,
     InHand,
--- a/src/mimosafork/policies/limits/stage.py
+++ b/src/mimosafork/policies/limits/stage.py
@@ -8,18 +8,14 @@
 from ...kernel.configuration import AccountPolicy
 from ...kernel.context import Context
 from ...kernel.fleet import LONG_AGO
+from ...kernel.messages.attempts import AttemptFinished, Usage
 from ...kernel.messages.base import Message, Tick
 from ...kernel.messages.configuration import ConfigurationReceived
 from ...kernel.messages.limits import AccountDemandHeard, account_key
+from ...kernel.messages.outcomes import Outcome
 from ...kernel.messages.peers import MembersChanged
-from ...kernel.messages.requests import (
-    AttemptFinished,
-    Outcome,
-    Problem,
-    ProblemCode,
-    RequestKind,
-    Usage,
-)
+from ...kernel.messages.problems import Problem, ProblemCode
+from ...kernel.messages.requests import RequestKind
 from ...kernel.messages.watch import SpeakForZone
 from ...kernel.plugins import Concluded, Proceed, Refuse, Stage, Verdict
 from ...kernel.records import RequestRecord
--- a/src/mimosafork/policies/membership.py
+++ b/src/mimosafork/policies/membership.py
@@ -11,10 +11,10 @@
 
 from ..ids import AvailabilityZoneId, EndpointId, InstanceId
 from ..kernel.context import Context
+from ..kernel.messages.attempts import AttemptFailed
 from ..kernel.messages.base import Message, Tick
 from ..kernel.messages.fleet import EndpointEntry, InstancesListed, LifeState
 from ..kernel.messages.peers import MeetInstances, Member, MembersChanged, MemberState
-from ..kernel.messages.requests import AttemptFailed
 from ..kernel.messages.watch import SpeakForZone, WatchedEndpoint, WatchEndpoints
 from ..kernel.plugins import Plugin
 from ..kernel.registry import register
--- a/src/mimosafork/policies/prediction.py
+++ b/src/mimosafork/policies/prediction.py
@@ -16,9 +16,10 @@
 from ..kernel.configuration import FleetPolicy
 from ..kernel.context import Context
 from ..kernel.fleet import Endpoint
+from ..kernel.messages.attempts import AttemptFailed, FirstToken
 from ..kernel.messages.base import Message
 from ..kernel.messages.fleet import EndpointKind, InstancesListed, LoadReported
-from ..kernel.messages.requests import AttemptFailed, FirstToken, Request
+from ..kernel.messages.requests import Request
 from ..kernel.plugins import Concluded, Plugin
 from ..kernel.registry import register
 from .engine_load import EngineLoad, Sent
--- a/src/mimosafork/policies/quarantine/stage.py
+++ b/src/mimosafork/policies/quarantine/stage.py
@@ -6,8 +6,11 @@
 
 from ...ids import Digest, RequestId
 from ...kernel.context import Context
+from ...kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from ...kernel.messages.base import Message, Tick
+from ...kernel.messages.outcomes import Outcome
 from ...kernel.messages.peers import Publish, Scope
+from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.quarantine import (
     DropSuspicion,
     KeepSuspicion,
@@ -15,14 +18,6 @@
     SuspicionHeard,
     SuspicionsRead,
 )
-from ...kernel.messages.requests import (
-    AttemptFailed,
-    Exposure,
-    FailureKind,
-    Outcome,
-    Problem,
-    ProblemCode,
-)
 from ...kernel.plugins import Concluded, Proceed, Refuse, Stage
 from ...kernel.plugins import Verdict as StageVerdict
 from ...kernel.records import Attempt, RequestRecord
--- a/src/mimosafork/policies/reporting.py
+++ b/src/mimosafork/policies/reporting.py
@@ -5,10 +5,12 @@
 
 from ..kernel.context import Context
 from ..kernel.fleet import Endpoint
+from ..kernel.messages.attempts import FailureKind
 from ..kernel.messages.base import Message, Tick
 from ..kernel.messages.fleet import EndpointKind
 from ..kernel.messages.leases import Duty, LeaseChanged
 from ..kernel.messages.orders import OrderAnswered
+from ..kernel.messages.outcomes import Outcome
 from ..kernel.messages.reports import (
     AttemptEnd,
     EndpointCondition,
@@ -17,7 +19,6 @@
     OrderReport,
     RequestReport,
 )
-from ..kernel.messages.requests import FailureKind, Outcome
 from ..kernel.plugins import Concluded, Plugin
 from ..kernel.records import Attempt, RequestRecord
 from ..kernel.registry import register
--- a/src/mimosafork/policies/retry.py
+++ b/src/mimosafork/policies/retry.py
@@ -7,16 +7,10 @@
 from ..ids import ModelId, ServiceId
 from ..kernel.configuration import FleetPolicy
 from ..kernel.context import Context
+from ..kernel.messages.attempts import AttemptFailed, Exposure, FailureKind, FirstToken
 from ..kernel.messages.base import Message
-from ..kernel.messages.requests import (
-    AttemptFailed,
-    Exposure,
-    FailureKind,
-    FirstToken,
-    Problem,
-    ProblemCode,
-    Repeatability,
-)
+from ..kernel.messages.problems import Problem, ProblemCode
+from ..kernel.messages.requests import Repeatability
 from ..kernel.plugins import (
     GiveUp,
     PluginFinder,
--- a/src/mimosafork/relay/answers.py
+++ b/src/mimosafork/relay/answers.py
@@ -10,13 +10,8 @@
 import msgspec
 
 from ..ids import RequestId
-from ..kernel.messages.requests import (
-    Conclude,
-    Outcome,
-    Problem,
-    ProblemCode,
-    Retention,
-)
+from ..kernel.messages.outcomes import Conclude, Outcome, Retention
+from ..kernel.messages.problems import Problem, ProblemCode
 from ..server.problems import problem_answer, problem_body
 from . import http
 from .events import StreamEvent, UsageMember
--- a/src/mimosafork/relay/containment.py
+++ b/src/mimosafork/relay/containment.py
@@ -6,7 +6,8 @@
 from typing import Any, Concatenate, ParamSpec, Protocol, TypeVar
 
 from ..ids import RequestId
-from ..kernel.messages.requests import Conclude, Outcome, Problem, ProblemCode
+from ..kernel.messages.outcomes import Conclude, Outcome
+from ..kernel.messages.problems import Problem, ProblemCode
 from ..telemetry.catalogue.requests import REQUEST_FAULT
 from ..telemetry.logs import log_event
 
--- a/src/mimosafork/relay/exchange.py
+++ b/src/mimosafork/relay/exchange.py
@@ -6,21 +6,19 @@
 
 from ..claims.replayer import AnswerToReplay
 from ..endpoints.calls import OpenCall
-from ..kernel.messages.claims import AnswerReplayed
-from ..kernel.messages.requests import (
+from ..kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
-    CallerGone,
-    CancelAttempt,
-    Conclude,
-    Dispatch,
     Exposure,
     FailureKind,
     FirstToken,
-    Outcome,
-    ProblemCode,
     Usage,
 )
+from ..kernel.messages.claims import AnswerReplayed
+from ..kernel.messages.dispatch import CancelAttempt, Dispatch
+from ..kernel.messages.outcomes import Conclude, Outcome
+from ..kernel.messages.problems import ProblemCode
+from ..kernel.messages.requests import CallerGone
 from .caller import Caller
 from .cancelling import cancel_stream, drop_opened
 from .capture import AnswerCapture
--- a/src/mimosafork/relay/messages.py
+++ b/src/mimosafork/relay/messages.py
@@ -5,8 +5,9 @@
 
 from ..claims.replayer import AnswerToReplay
 from ..endpoints.calls import EndpointCall, OpenCall
+from ..kernel.messages.attempts import Exposure, FailureKind
 from ..kernel.messages.base import Effect
-from ..kernel.messages.requests import Exposure, FailureKind, Request
+from ..kernel.messages.requests import Request
 from .answers import Answer
 
 
--- a/src/mimosafork/relay/task.py
+++ b/src/mimosafork/relay/task.py
@@ -11,16 +11,11 @@
 from ..claims.replayer import AnswerToReplay
 from ..clock import Clock
 from ..ids import RequestId
+from ..kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from ..kernel.messages.base import Message
+from ..kernel.messages.dispatch import CancelAttempt, Dispatch
+from ..kernel.messages.outcomes import Conclude
 from ..kernel.messages.placement import PartFailure, PrefillSegment, SegmentFailed
-from ..kernel.messages.requests import (
-    AttemptFailed,
-    CancelAttempt,
-    Conclude,
-    Dispatch,
-    Exposure,
-    FailureKind,
-)
 from ..runtime.kernel_task import KernelTask
 from ..runtime.task import Task
 from .cancelling import drop_opened
--- a/src/mimosafork/relay/upstream.py
+++ b/src/mimosafork/relay/upstream.py
@@ -7,7 +7,8 @@
 from http import HTTPStatus
 
 from ..endpoints.calls import EndpointCall, ModelCall, ServiceCall
-from ..kernel.messages.requests import Dispatch, Exposure, FailureKind
+from ..kernel.messages.attempts import Exposure, FailureKind
+from ..kernel.messages.dispatch import Dispatch
 from .answers import ServiceResponse
 from .counters import RelayCounters
 from .errors import InvalidAnswerError
--- a/src/mimosafork/runtime/instance.py
+++ b/src/mimosafork/runtime/instance.py
@@ -11,7 +11,7 @@
 from ..kernel.context import Identity
 from ..kernel.core import Kernel
 from ..kernel.messages.configuration import ConfigurationReceived
-from ..kernel.messages.requests import ProblemCode
+from ..kernel.messages.problems import ProblemCode
 from ..kernel.registry import create
 from ..network.http import HttpClient
 from ..policies import DEFAULT_PLUGINS
--- a/src/mimosafork/runtime/kernel_task.py
+++ b/src/mimosafork/runtime/kernel_task.py
@@ -14,7 +14,7 @@
 from ..clock import Clock
 from ..kernel.core import TICK, Kernel
 from ..kernel.messages.base import Effect, Message, Tick
-from ..kernel.messages.requests import WakeAt
+from ..kernel.messages.timers import WakeAt
 from .inspection import Inspection, Reader
 from .task import Task
 
--- a/src/mimosafork/runtime/reporting_adapter.py
+++ b/src/mimosafork/runtime/reporting_adapter.py
@@ -9,7 +9,9 @@
 
 from ..ids import EndpointId, InstanceId
 from ..kernel.messages.base import Effect
+from ..kernel.messages.outcomes import Outcome
 from ..kernel.messages.peers import MemberState
+from ..kernel.messages.problems import ProblemCode
 from ..kernel.messages.reports import (
     EndpointCondition,
     EndpointView,
@@ -17,7 +19,6 @@
     OrderReport,
     RequestReport,
 )
-from ..kernel.messages.requests import Outcome, ProblemCode
 from ..telemetry.catalogue.endpoints import (
     ENDPOINT_EJECTED,
     ENDPOINT_LEAVING,
--- a/src/mimosafork/server/application.py
+++ b/src/mimosafork/server/application.py
@@ -9,7 +9,8 @@
 import cherrypy
 
 from ..ids import RequestId
-from ..kernel.messages.requests import Outcome, Problem, ProblemCode
+from ..kernel.messages.outcomes import Outcome
+from ..kernel.messages.problems import Problem, ProblemCode
 from ..relay.http import ATTEMPTS_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER
 from ..telemetry.catalogue.requests import REQUEST_FAULT
 from ..telemetry.logs import log_event
--- a/src/mimosafork/server/bodies.py
+++ b/src/mimosafork/server/bodies.py
@@ -6,7 +6,7 @@
 
 from ..endpoints.calls import ModelCall
 from ..ids import AdapterId, ModelId
-from ..kernel.messages.requests import ProblemCode
+from ..kernel.messages.problems import ProblemCode
 from .errors import RejectedError
 
 DEFAULT_MAX_TOKENS = 256
--- a/src/mimosafork/server/errors.py
+++ b/src/mimosafork/server/errors.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from ..errors import MimosaforkError
-from ..kernel.messages.requests import Problem, ProblemCode
+from ..kernel.messages.problems import Problem, ProblemCode
 
 
 class ServerError(MimosaforkError):
--- a/src/mimosafork/server/front.py
+++ b/src/mimosafork/server/front.py
@@ -11,7 +11,7 @@
 
 from ..endpoints.calls import ServiceCall
 from ..ids import ModelId, RequestId, ServiceId
-from ..kernel.messages.requests import Outcome
+from ..kernel.messages.outcomes import Outcome
 from ..relay.shapes import ChatShape, CompletionShape
 from .application import quiet_application, respond
 from .bodies import (
--- a/src/mimosafork/server/intake.py
+++ b/src/mimosafork/server/intake.py
@@ -9,13 +9,8 @@
 from ..ids import AccountId, RequestId
 from ..kernel.configuration import Configuration, ServicePolicy
 from ..kernel.messages.base import Message
-from ..kernel.messages.requests import (
-    ProblemCode,
-    Repeatability,
-    Request,
-    RequestKind,
-    Submit,
-)
+from ..kernel.messages.problems import ProblemCode
+from ..kernel.messages.requests import Repeatability, Request, RequestKind, Submit
 from ..relay.answers import Answer, ServiceAnswer, StreamedAnswer, WholeAnswer
 from ..relay.counters import RelayCounters
 from ..relay.messages import CallerAttached, RelayMessage
--- a/src/mimosafork/server/options.py
+++ b/src/mimosafork/server/options.py
@@ -5,7 +5,8 @@
 from datetime import timedelta
 
 from ..kernel.configuration import FleetPolicy
-from ..kernel.messages.requests import ProblemCode, Repeatability
+from ..kernel.messages.problems import ProblemCode
+from ..kernel.messages.requests import Repeatability
 from .errors import RejectedError
 
 DEADLINE_HEADER = "X-Deadline-Ms"
--- a/src/mimosafork/server/problems.py
+++ b/src/mimosafork/server/problems.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from ..ids import RequestId
-from ..kernel.messages.requests import Outcome, Problem, ProblemCode
+from ..kernel.messages.outcomes import Outcome
+from ..kernel.messages.problems import Problem, ProblemCode
 
 PROBLEM_TYPE_PREFIX = "urn:mimosafork:problem:"
 PROBLEM_MEDIA_TYPE = "application/problem+json"
--- a/src/mimosafork/server/reading.py
+++ b/src/mimosafork/server/reading.py
@@ -4,7 +4,7 @@
 
 import cherrypy
 
-from ..kernel.messages.requests import ProblemCode
+from ..kernel.messages.problems import ProblemCode
 from .errors import RejectedError
 from .gateway import CALLER_KEY, DetachableConnection
 
--- a/tests/support/claim_world.py
+++ b/tests/support/claim_world.py
@@ -17,6 +17,13 @@
 from mimosafork.ids import Incarnation, InstanceId, StreamId
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import Kernel
+from mimosafork.kernel.messages.attempts import (
+    AttemptFailed,
+    AttemptFinished,
+    Exposure,
+    FailureKind,
+    FirstToken,
+)
 from mimosafork.kernel.messages.base import Effect, Message, Tick
 from mimosafork.kernel.messages.claims import (
     AnswerReplayed,
@@ -35,25 +42,16 @@
     ConfigurationChanged,
     ConfigurationReceived,
 )
+from mimosafork.kernel.messages.dispatch import CancelAttempt, Dispatch
 from mimosafork.kernel.messages.fleet import (
     EntryInstance,
     InstancesListed,
     LifeState,
     LoadReported,
 )
-from mimosafork.kernel.messages.requests import (
-    AttemptFailed,
-    AttemptFinished,
-    CancelAttempt,
-    Conclude,
-    Dispatch,
-    Exposure,
-    FailureKind,
-    FirstToken,
-    Request,
-    Submit,
-    WakeAt,
-)
+from mimosafork.kernel.messages.outcomes import Conclude
+from mimosafork.kernel.messages.requests import Request, Submit
+from mimosafork.kernel.messages.timers import WakeAt
 from mimosafork.kernel.plugins import RetryPolicy
 from mimosafork.storage.errors import PlatformError
 from tests.support.claims import claim_plugins
--- a/tests/support/claims.py
+++ b/tests/support/claims.py
@@ -7,6 +7,7 @@
 
 from mimosafork.ids import ClaimId, Digest, Incarnation, InstanceId, RequestId, StreamId
 from mimosafork.kernel.context import Context
+from mimosafork.kernel.messages.attempts import AttemptFailed
 from mimosafork.kernel.messages.claims import (
     Claim,
     ClaimLost,
@@ -17,7 +18,7 @@
     StreamSearched,
     WriteClaim,
 )
-from mimosafork.kernel.messages.requests import AttemptFailed, Repeatability, Request
+from mimosafork.kernel.messages.requests import Repeatability, Request
 from mimosafork.kernel.plugins import Plugin, RetryDecision, RetryLater, RetryPolicy
 from mimosafork.kernel.records import RequestRecord
 from mimosafork.policies.admission import KnownTarget
--- a/tests/support/crashing_fleet.py
+++ b/tests/support/crashing_fleet.py
@@ -13,28 +13,26 @@
 from mimosafork.ids import Incarnation, InstanceId, RequestId
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import TICK, Kernel
+from mimosafork.kernel.messages.attempts import (
+    AttemptFailed,
+    AttemptFinished,
+    Exposure,
+    FailureKind,
+    FirstToken,
+)
 from mimosafork.kernel.messages.base import Effect, Message, Tick
 from mimosafork.kernel.messages.configuration import ConfigurationReceived
+from mimosafork.kernel.messages.dispatch import CancelAttempt, Dispatch
 from mimosafork.kernel.messages.fleet import (
     InstancesListed,
     LoadReported,
     ProbeFailed,
 )
+from mimosafork.kernel.messages.outcomes import Conclude
 from mimosafork.kernel.messages.peers import Origin, Publish
 from mimosafork.kernel.messages.quarantine import DropSuspicion, KeepSuspicion
-from mimosafork.kernel.messages.requests import (
-    AttemptFailed,
-    AttemptFinished,
-    CancelAttempt,
-    Conclude,
-    Dispatch,
-    Exposure,
-    FailureKind,
-    FirstToken,
-    Request,
-    Submit,
-    WakeAt,
-)
+from mimosafork.kernel.messages.requests import Request, Submit
+from mimosafork.kernel.messages.timers import WakeAt
 from mimosafork.kernel.registry import create
 from mimosafork.peers.kinds.base import kind_of
 
--- a/tests/support/gang_engines.py
+++ b/tests/support/gang_engines.py
@@ -4,6 +4,7 @@
 from functools import singledispatchmethod
 
 from mimosafork.kernel.messages.base import Effect, Message
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.placement import (
     FreePart,
     ImportFailed,
@@ -16,7 +17,6 @@
     ReserveMemory,
     SegmentPrefilled,
 )
-from mimosafork.kernel.messages.requests import Dispatch
 
 from .kernels import Bench
 
--- a/tests/support/gateway_kernels.py
+++ b/tests/support/gateway_kernels.py
@@ -18,19 +18,21 @@
 )
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import Kernel
-from mimosafork.kernel.messages.requests import (
+from mimosafork.kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
-    CallTerms,
-    Conclude,
-    Dispatch,
     Exposure,
     FailureKind,
     FirstToken,
+    RetryDue,
+)
+from mimosafork.kernel.messages.dispatch import Dispatch
+from mimosafork.kernel.messages.outcomes import Conclude
+from mimosafork.kernel.messages.requests import (
+    CallTerms,
     Repeatability,
     Request,
     RequestKind,
-    RetryDue,
 )
 from mimosafork.kernel.messages.routing import EndpointUsable
 from mimosafork.kernel.registry import create
--- a/tests/support/kernels.py
+++ b/tests/support/kernels.py
@@ -30,8 +30,10 @@
 )
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import Kernel
+from mimosafork.kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from mimosafork.kernel.messages.base import Effect, Message
 from mimosafork.kernel.messages.configuration import ConfigurationReceived
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.fleet import (
     EndpointEntry,
     EndpointKind,
@@ -40,16 +42,8 @@
     LoadReport,
     LoadReported,
 )
-from mimosafork.kernel.messages.requests import (
-    AttemptFailed,
-    Conclude,
-    Dispatch,
-    Exposure,
-    FailureKind,
-    Request,
-    RequestKind,
-    Submit,
-)
+from mimosafork.kernel.messages.outcomes import Conclude
+from mimosafork.kernel.messages.requests import Request, RequestKind, Submit
 from mimosafork.kernel.plugins import Plugin
 
 MODEL = ModelId("reader")
--- a/tests/support/limits.py
+++ b/tests/support/limits.py
@@ -16,6 +16,7 @@
 from mimosafork.kernel.messages.base import Effect, Tick
 from mimosafork.kernel.messages.configuration import ConfigurationReceived
 from mimosafork.kernel.messages.fleet import EntryInstance, InstancesListed, LifeState
+from mimosafork.kernel.messages.outcomes import Conclude
 from mimosafork.kernel.messages.peers import (
     Member,
     MembersChanged,
@@ -24,7 +25,8 @@
     Publish,
     Scope,
 )
-from mimosafork.kernel.messages.requests import Conclude, ProblemCode, Submit
+from mimosafork.kernel.messages.problems import ProblemCode
+from mimosafork.kernel.messages.requests import Submit
 from mimosafork.kernel.messages.watch import SpeakForZone
 from mimosafork.peers.kinds.base import kind_of
 from mimosafork.policies.limits import AccountLimits
--- a/tests/support/policies.py
+++ b/tests/support/policies.py
@@ -7,8 +7,8 @@
 from mimosafork.kernel import registry
 from mimosafork.kernel.configuration import Configuration
 from mimosafork.kernel.messages.base import Tick
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.fleet import EndpointEntry
-from mimosafork.kernel.messages.requests import Dispatch
 
 from .kernels import Bench, running_kernel
 
--- a/tests/support/recovery_engine.py
+++ b/tests/support/recovery_engine.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from mimosafork.ids import Digest, EndpointId, Incarnation, InstanceId
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.fleet import (
     EndpointEntry,
     EndpointKind,
@@ -15,7 +16,6 @@
     LifeState,
     LoadReport,
 )
-from mimosafork.kernel.messages.requests import Dispatch
 from mimosafork.network.http import Answer
 
 from .kernels import MODEL, ZONE
--- a/tests/support/recovery_world.py
+++ b/tests/support/recovery_world.py
@@ -12,8 +12,16 @@
 from mimosafork.kernel.configuration import Configuration, ModelPolicy
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import Kernel
+from mimosafork.kernel.messages.attempts import (
+    AttemptFailed,
+    AttemptFinished,
+    Exposure,
+    FailureKind,
+    FirstToken,
+)
 from mimosafork.kernel.messages.base import Message, Tick
 from mimosafork.kernel.messages.configuration import ConfigurationReceived
+from mimosafork.kernel.messages.dispatch import CancelAttempt, Dispatch
 from mimosafork.kernel.messages.fleet import (
     EntryInstance,
     FencingMode,
@@ -24,22 +32,12 @@
 )
 from mimosafork.kernel.messages.leases import Duty
 from mimosafork.kernel.messages.orders import ReadState, SendOrder
+from mimosafork.kernel.messages.outcomes import Conclude
 from mimosafork.kernel.messages.peers import Origin, Publish
 from mimosafork.kernel.messages.quarantine import DropSuspicion, KeepSuspicion
 from mimosafork.kernel.messages.recovery import FreeHolding, ListHoldings
-from mimosafork.kernel.messages.requests import (
-    AttemptFailed,
-    AttemptFinished,
-    CancelAttempt,
-    Conclude,
-    Dispatch,
-    Exposure,
-    FailureKind,
-    FirstToken,
-    Request,
-    Submit,
-    WakeAt,
-)
+from mimosafork.kernel.messages.requests import Request, Submit
+from mimosafork.kernel.messages.timers import WakeAt
 from mimosafork.kernel.registry import create
 from mimosafork.leases.keeper import LeaseKeeper
 from mimosafork.leases.task import LeaseTask
--- a/tests/support/relays.py
+++ b/tests/support/relays.py
@@ -22,7 +22,8 @@
     StreamId,
 )
 from mimosafork.kernel.messages.base import Message
-from mimosafork.kernel.messages.requests import Dispatch, Request, RequestKind
+from mimosafork.kernel.messages.dispatch import Dispatch
+from mimosafork.kernel.messages.requests import Request, RequestKind
 from mimosafork.relay.answers import Answer, StreamedAnswer, WholeAnswer
 from mimosafork.relay.limits import RelayLimits
 from mimosafork.relay.messages import CallerAttached, Opened
--- a/tests/support/reserving_engines.py
+++ b/tests/support/reserving_engines.py
@@ -21,7 +21,9 @@
 )
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import TICK, Kernel
+from mimosafork.kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from mimosafork.kernel.messages.base import Effect, Message, Tick
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.placement import (
     FreePart,
     MemoryReserved,
@@ -29,17 +31,9 @@
     ReservationFailed,
     ReserveMemory,
 )
-from mimosafork.kernel.messages.requests import (
-    AttemptFailed,
-    CallTerms,
-    Dispatch,
-    Exposure,
-    FailureKind,
-    Request,
-    RequestKind,
-    WakeAt,
-)
+from mimosafork.kernel.messages.requests import CallTerms, Request, RequestKind
 from mimosafork.kernel.messages.routing import EndpointUsable, TableInForce
+from mimosafork.kernel.messages.timers import WakeAt
 from mimosafork.kernel.registry import create
 from mimosafork.routing.engine import EngineFigures
 from mimosafork.routing.listing import ListedEndpoint, ListedState
--- a/tests/support/storm.py
+++ b/tests/support/storm.py
@@ -29,8 +29,16 @@
 from mimosafork.kernel.configuration import Configuration, FleetPolicy, ModelPolicy
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import TICK, Kernel
+from mimosafork.kernel.messages.attempts import (
+    AttemptFailed,
+    AttemptFinished,
+    Exposure,
+    FailureKind,
+    FirstToken,
+)
 from mimosafork.kernel.messages.base import Message, Tick
 from mimosafork.kernel.messages.configuration import ConfigurationReceived
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.fleet import (
     EndpointEntry,
     EndpointKind,
@@ -39,18 +47,9 @@
     LoadReport,
     LoadReported,
 )
-from mimosafork.kernel.messages.requests import (
-    AttemptFailed,
-    AttemptFinished,
-    Conclude,
-    Dispatch,
-    Exposure,
-    FailureKind,
-    FirstToken,
-    Outcome,
-    Submit,
-    WakeAt,
-)
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome
+from mimosafork.kernel.messages.requests import Submit
+from mimosafork.kernel.messages.timers import WakeAt
 from mimosafork.kernel.plugins import Plugin
 from mimosafork.kernel.registry import create
 
--- a/tests/support/zones.py
+++ b/tests/support/zones.py
@@ -13,6 +13,7 @@
 from mimosafork.kernel.core import Kernel
 from mimosafork.kernel.messages.base import Message, Tick
 from mimosafork.kernel.messages.configuration import ConfigurationReceived
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.fleet import (
     EndpointEntry,
     EntryInstance,
@@ -28,7 +29,7 @@
     MemberState,
     Publish,
 )
-from mimosafork.kernel.messages.requests import Dispatch, Submit
+from mimosafork.kernel.messages.requests import Submit
 from mimosafork.kernel.messages.watch import WatchedEndpoint, WatchEndpoints
 from mimosafork.kernel.registry import create
 from mimosafork.peers.members import MembersView
--- a/tests/unit/claims/test_claim_machine.py
+++ b/tests/unit/claims/test_claim_machine.py
@@ -17,13 +17,8 @@
 )
 
 from mimosafork.ids import Digest
-from mimosafork.kernel.messages.requests import (
-    CallerGone,
-    Outcome,
-    Repeatability,
-    Request,
-    Retention,
-)
+from mimosafork.kernel.messages.outcomes import Outcome, Retention
+from mimosafork.kernel.messages.requests import CallerGone, Repeatability, Request
 from mimosafork.kernel.plugins import RetryPolicy
 from mimosafork.policies.claims.stage import SILENCE
 from tests.support.claim_world import ENGINES, Call, Fate, World
--- a/tests/unit/claims/test_claim_stage.py
+++ b/tests/unit/claims/test_claim_stage.py
@@ -4,6 +4,13 @@
 from datetime import timedelta
 
 from mimosafork.ids import AttemptNumber, Digest, Incarnation, InstanceId, RequestId
+from mimosafork.kernel.messages.attempts import (
+    AttemptFinished,
+    Exposure,
+    FailureKind,
+    FirstToken,
+    RetryDue,
+)
 from mimosafork.kernel.messages.base import Tick
 from mimosafork.kernel.messages.claims import (
     AnswerKept,
@@ -18,17 +25,8 @@
     WriteClaim,
 )
 from mimosafork.kernel.messages.fleet import EntryInstance, InstancesListed, LifeState
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    Conclude,
-    Exposure,
-    FailureKind,
-    FirstToken,
-    Outcome,
-    ProblemCode,
-    Retention,
-    RetryDue,
-)
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome, Retention
+from mimosafork.kernel.messages.problems import ProblemCode
 from mimosafork.policies.claims.stage import REQUIRED_PATIENCE
 from tests.support.claims import (
     CarelessRetry,
--- a/tests/unit/claims/test_claim_writer.py
+++ b/tests/unit/claims/test_claim_writer.py
@@ -28,7 +28,7 @@
     ReleaseClaim,
     WriteClaim,
 )
-from mimosafork.kernel.messages.requests import Outcome
+from mimosafork.kernel.messages.outcomes import Outcome
 from tests.support.fake_table import FakeTable, Fault
 from tests.support.functions import function_tests
 
--- a/tests/unit/claims/test_lifecycle_seam.py
+++ b/tests/unit/claims/test_lifecycle_seam.py
@@ -5,16 +5,12 @@
 
 from mimosafork.ids import AttemptNumber, ClaimId, ClaimKey, RequestId
 from mimosafork.kernel.context import Context
+from mimosafork.kernel.messages.attempts import AttemptFinished
 from mimosafork.kernel.messages.base import Tick
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    CallerGone,
-    CancelAttempt,
-    Conclude,
-    Outcome,
-    ProblemCode,
-    Retention,
-)
+from mimosafork.kernel.messages.dispatch import CancelAttempt
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome, Retention
+from mimosafork.kernel.messages.problems import ProblemCode
+from mimosafork.kernel.messages.requests import CallerGone
 from mimosafork.kernel.plugins import (
     Answered,
     Bypass,
--- a/tests/unit/claims/test_relayed_claims.py
+++ b/tests/unit/claims/test_relayed_claims.py
@@ -5,17 +5,15 @@
 
 from mimosafork.claims.answers import AnswerCaptured, KeptTokens
 from mimosafork.claims.replayer import AnswerToReplay
-from mimosafork.kernel.messages.claims import AnswerReplayed
-from mimosafork.kernel.messages.requests import (
+from mimosafork.kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
-    CallerGone,
-    CancelAttempt,
-    Conclude,
     FirstToken,
-    Outcome,
-    Retention,
 )
+from mimosafork.kernel.messages.claims import AnswerReplayed
+from mimosafork.kernel.messages.dispatch import CancelAttempt
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome, Retention
+from mimosafork.kernel.messages.requests import CallerGone
 from mimosafork.relay.exchange import Exchange
 from mimosafork.relay.limits import RelayLimits
 from tests.support.functions import function_tests
--- a/tests/unit/client/test_ask.py
+++ b/tests/unit/client/test_ask.py
@@ -18,7 +18,7 @@
 )
 from mimosafork.client.transport import Question
 from mimosafork.clock import ManualClock
-from mimosafork.kernel.messages.requests import Outcome
+from mimosafork.kernel.messages.outcomes import Outcome
 
 from ...support.functions import function_tests
 
--- a/tests/unit/endpoints/test_connector.py
+++ b/tests/unit/endpoints/test_connector.py
@@ -25,7 +25,8 @@
     StreamId,
 )
 from mimosafork.kernel.context import Identity
-from mimosafork.kernel.messages.requests import Dispatch, Exposure, FailureKind
+from mimosafork.kernel.messages.attempts import Exposure, FailureKind
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.network.http import HttpClient
 from mimosafork.relay.messages import Opened, OpenFailed, RelayMessage
 from tests.support.functions import function_tests
--- a/tests/unit/endpoints/test_reservations.py
+++ b/tests/unit/endpoints/test_reservations.py
@@ -12,7 +12,9 @@
 from mimosafork.endpoints.wire import STREAMS_PATH, wire_request
 from mimosafork.ids import EndpointId, Incarnation, InstanceId, ModelId, RequestId
 from mimosafork.kernel.context import Identity
+from mimosafork.kernel.messages.attempts import AttemptFinished, Exposure
 from mimosafork.kernel.messages.base import Effect, Message
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.placement import (
     FreePart,
     ImportKv,
@@ -24,12 +26,7 @@
     SegmentPrefilled,
 )
 from mimosafork.kernel.messages.recovery import HoldingKind
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    CallerGone,
-    Dispatch,
-    Exposure,
-)
+from mimosafork.kernel.messages.requests import CallerGone
 from mimosafork.network.http import HttpClient
 from mimosafork.standins import EngineSettings
 from tests.support.functions import function_tests
--- a/tests/unit/gateway/test_call_lines.py
+++ b/tests/unit/gateway/test_call_lines.py
@@ -22,21 +22,17 @@
     ServiceId,
     StreamId,
 )
-from mimosafork.kernel.messages.requests import (
+from mimosafork.kernel.messages.attempts import (
     AttemptFailed,
-    Conclude,
-    Dispatch,
     Exposure,
     FailureKind,
-    Helper,
-    Outcome,
-    Problem,
-    ProblemCode,
-    Request,
-    RequestKind,
     RetryDue,
-    WakeAt,
 )
+from mimosafork.kernel.messages.dispatch import Dispatch, Helper
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome
+from mimosafork.kernel.messages.problems import Problem, ProblemCode
+from mimosafork.kernel.messages.requests import Request, RequestKind
+from mimosafork.kernel.messages.timers import WakeAt
 from mimosafork.routing.table import CallKind, Route, RouteName, Split
 from mimosafork.telemetry.catalogue.gateway import (
     ATTEMPT_FAILED,
--- a/tests/unit/gateway/test_doubtful_connections.py
+++ b/tests/unit/gateway/test_doubtful_connections.py
@@ -26,15 +26,10 @@
     ServiceId,
     StreamId,
 )
+from mimosafork.kernel.messages.attempts import AttemptFailed, FailureKind
 from mimosafork.kernel.messages.base import Message
-from mimosafork.kernel.messages.requests import (
-    AttemptFailed,
-    Dispatch,
-    FailureKind,
-    Repeatability,
-    Request,
-    RequestKind,
-)
+from mimosafork.kernel.messages.dispatch import Dispatch
+from mimosafork.kernel.messages.requests import Repeatability, Request, RequestKind
 from mimosafork.routing.table import CallKind, Route, RouteName, Split
 
 from ...support.functions import function_tests
--- a/tests/unit/gateway/test_fleet_view.py
+++ b/tests/unit/gateway/test_fleet_view.py
@@ -10,8 +10,8 @@
     FleetView,
 )
 from mimosafork.ids import EndpointId
+from mimosafork.kernel.messages.attempts import Exposure, FailureKind
 from mimosafork.kernel.messages.base import Tick
-from mimosafork.kernel.messages.requests import Exposure, FailureKind
 from mimosafork.kernel.messages.routing import EndpointLeaving
 
 from ...support.functions import function_tests
--- a/tests/unit/gateway/test_metrics_page.py
+++ b/tests/unit/gateway/test_metrics_page.py
@@ -6,12 +6,8 @@
 
 from mimosafork.gateway.meters import CallMeter
 from mimosafork.gateway.metrics_page import MetricsConnection
-from mimosafork.kernel.messages.requests import (
-    Conclude,
-    Outcome,
-    Problem,
-    ProblemCode,
-)
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome
+from mimosafork.kernel.messages.problems import Problem, ProblemCode
 from mimosafork.telemetry.catalogue.gateway import CALL_FIRST_PART_TIME, CALLS
 from mimosafork.telemetry.metrics import Metrics
 from tests.support.functions import function_tests
--- a/tests/unit/gateway/test_placing.py
+++ b/tests/unit/gateway/test_placing.py
@@ -5,15 +5,11 @@
 
 from mimosafork.gateway.policies.placing import WorkPlacer
 from mimosafork.ids import EndpointId, InstanceId, RequestId
+from mimosafork.kernel.messages.attempts import Exposure, FailureKind, RetryDue
 from mimosafork.kernel.messages.base import Tick
-from mimosafork.kernel.messages.requests import (
-    CallerGone,
-    Exposure,
-    FailureKind,
-    Outcome,
-    ProblemCode,
-    RetryDue,
-)
+from mimosafork.kernel.messages.outcomes import Outcome
+from mimosafork.kernel.messages.problems import ProblemCode
+from mimosafork.kernel.messages.requests import CallerGone
 from mimosafork.kernel.messages.routing import EndpointLeaving, PeerSilent, PeerWorkTold
 from mimosafork.kernel.messages.sharing import WorkBegun, WorkEnded
 from mimosafork.placement.work import LoadBook, Work
--- a/tests/unit/gateway/test_problems.py
+++ b/tests/unit/gateway/test_problems.py
@@ -7,12 +7,8 @@
 
 from mimosafork.gateway.problems import COME_BACK, PROMISES, final_status
 from mimosafork.ids import RequestId
-from mimosafork.kernel.messages.requests import (
-    Conclude,
-    Outcome,
-    Problem,
-    ProblemCode,
-)
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome
+from mimosafork.kernel.messages.problems import Problem, ProblemCode
 
 from ...support.functions import function_tests
 
--- a/tests/unit/gateway/test_quarantining.py
+++ b/tests/unit/gateway/test_quarantining.py
@@ -5,8 +5,10 @@
 
 from mimosafork.gateway.policies.quarantining import KEPT_FOR, CrashQuarantine
 from mimosafork.ids import EndpointId
+from mimosafork.kernel.messages.attempts import FailureKind
 from mimosafork.kernel.messages.base import Tick
-from mimosafork.kernel.messages.requests import FailureKind, Outcome, ProblemCode
+from mimosafork.kernel.messages.outcomes import Outcome
+from mimosafork.kernel.messages.problems import ProblemCode
 from mimosafork.kernel.messages.sharing import (
     CrashCleared,
     CrashSuspected,
--- a/tests/unit/gateway/test_reserving.py
+++ b/tests/unit/gateway/test_reserving.py
@@ -23,17 +23,13 @@
 )
 from mimosafork.gateway.sharing import note_of
 from mimosafork.ids import EndpointId, RequestId
+from mimosafork.kernel.messages.attempts import AttemptFinished, FirstToken
 from mimosafork.kernel.messages.base import Tick
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.lifecycle import StopNow
+from mimosafork.kernel.messages.outcomes import Outcome
 from mimosafork.kernel.messages.placement import FreePart, PartFailure, ReserveMemory
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    CallerGone,
-    Dispatch,
-    FirstToken,
-    Outcome,
-    Submit,
-)
+from mimosafork.kernel.messages.requests import CallerGone, Submit
 
 from ...support.functions import function_tests
 from ...support.reserving_engines import (
--- a/tests/unit/gateway/test_retrying.py
+++ b/tests/unit/gateway/test_retrying.py
@@ -5,13 +5,10 @@
 
 from mimosafork.gateway.policies.retrying import MOST_SENDS, BudgetedRetry
 from mimosafork.ids import ServiceId
-from mimosafork.kernel.messages.requests import (
-    Dispatch,
-    Exposure,
-    FailureKind,
-    Outcome,
-    ProblemCode,
-)
+from mimosafork.kernel.messages.attempts import Exposure, FailureKind
+from mimosafork.kernel.messages.dispatch import Dispatch
+from mimosafork.kernel.messages.outcomes import Outcome
+from mimosafork.kernel.messages.problems import ProblemCode
 from mimosafork.kernel.messages.sharing import FleetSpending, SpendingGrown
 
 from ...support.functions import function_tests
--- a/tests/unit/gateway/test_silence.py
+++ b/tests/unit/gateway/test_silence.py
@@ -4,12 +4,9 @@
 from unittest import TestCase
 
 from mimosafork.gateway.policies.silence import patience_of
-from mimosafork.kernel.messages.requests import (
-    AttemptSilent,
-    CallTerms,
-    Dispatch,
-    EndSilentAttempt,
-)
+from mimosafork.kernel.messages.attempts import AttemptSilent, EndSilentAttempt
+from mimosafork.kernel.messages.dispatch import Dispatch
+from mimosafork.kernel.messages.requests import CallTerms
 
 from ...support.functions import function_tests
 from ...support.gateway_kernels import GatewayBench, gateway_bench, request_of
--- a/tests/unit/gateway/test_zone_doubt.py
+++ b/tests/unit/gateway/test_zone_doubt.py
@@ -12,7 +12,8 @@
     ZoneDoubts,
 )
 from mimosafork.ids import AvailabilityZoneId
-from mimosafork.kernel.messages.requests import Dispatch, Exposure, FailureKind
+from mimosafork.kernel.messages.attempts import Exposure, FailureKind
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.routing import EndpointUsable
 from mimosafork.routing.listing import ListedEndpoint
 from mimosafork.telemetry.catalogue.zones import ZONE_ANSWERS, ZONE_DOUBTED
--- a/tests/unit/kernel/test_request_life.py
+++ b/tests/unit/kernel/test_request_life.py
@@ -6,25 +6,21 @@
 
 from mimosafork.ids import AttemptNumber, RequestId, StreamId
 from mimosafork.kernel.context import Context
-from mimosafork.kernel.messages.base import Message, Tick
-from mimosafork.kernel.messages.fleet import ProbeFailed
-from mimosafork.kernel.messages.requests import (
+from mimosafork.kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
-    CallerGone,
-    CancelAttempt,
-    Conclude,
-    Dispatch,
     Exposure,
     FailureKind,
     FirstToken,
-    Outcome,
-    Problem,
-    ProblemCode,
-    Repeatability,
     RetryDue,
-    WakeAt,
 )
+from mimosafork.kernel.messages.base import Message, Tick
+from mimosafork.kernel.messages.dispatch import CancelAttempt, Dispatch
+from mimosafork.kernel.messages.fleet import ProbeFailed
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome
+from mimosafork.kernel.messages.problems import Problem, ProblemCode
+from mimosafork.kernel.messages.requests import CallerGone, Repeatability
+from mimosafork.kernel.messages.timers import WakeAt
 from mimosafork.kernel.plugins import (
     GiveUp,
     Hold,
--- a/tests/unit/kernel/test_stopping.py
+++ b/tests/unit/kernel/test_stopping.py
@@ -3,14 +3,12 @@
 from contextlib import AbstractContextManager
 
 from mimosafork.ids import AttemptNumber, RequestId
+from mimosafork.kernel.messages.attempts import FirstToken
+from mimosafork.kernel.messages.dispatch import CancelAttempt
 from mimosafork.kernel.messages.lifecycle import DrainBegun, StopNow
+from mimosafork.kernel.messages.outcomes import Outcome
 from mimosafork.kernel.messages.peers import DrainAnnounced
-from mimosafork.kernel.messages.requests import (
-    CancelAttempt,
-    FirstToken,
-    Outcome,
-    ProblemCode,
-)
+from mimosafork.kernel.messages.problems import ProblemCode
 from mimosafork.policies.admission import KnownTarget
 from mimosafork.policies.baselines import LeastRequests
 from mimosafork.policies.priorities import FirstCome
--- a/tests/unit/platform/test_calls.py
+++ b/tests/unit/platform/test_calls.py
@@ -8,7 +8,7 @@
 from mimosafork.gateway.errors import BadRequestError
 from mimosafork.gateway.heads import Header, RequestHead, parse_request_head
 from mimosafork.ids import AccountId, EndpointId, ReservationId
-from mimosafork.kernel.messages.requests import Helper
+from mimosafork.kernel.messages.dispatch import Helper
 from mimosafork.platform import names
 from mimosafork.platform.calls import PreparedDialect
 
--- a/tests/unit/policies/test_bounds.py
+++ b/tests/unit/policies/test_bounds.py
@@ -4,7 +4,7 @@
 
 from mimosafork.ids import AttemptNumber, RequestId
 from mimosafork.kernel.configuration import FleetPolicy
-from mimosafork.kernel.messages.requests import AttemptFinished, FirstToken
+from mimosafork.kernel.messages.attempts import AttemptFinished, FirstToken
 from tests.support.functions import function_tests
 from tests.support.kernels import configuration, engine_entry, model_request
 from tests.support.policies import BOUNDED, policy_kernel, tick
--- a/tests/unit/policies/test_deadlines.py
+++ b/tests/unit/policies/test_deadlines.py
@@ -3,14 +3,9 @@
 from datetime import timedelta
 
 from mimosafork.ids import AttemptNumber, RequestId
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    Conclude,
-    FirstToken,
-    Outcome,
-    Problem,
-    ProblemCode,
-)
+from mimosafork.kernel.messages.attempts import AttemptFinished, FirstToken
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome
+from mimosafork.kernel.messages.problems import Problem, ProblemCode
 from tests.support.functions import function_tests
 from tests.support.kernels import Bench, engine_entry, model_request
 from tests.support.policies import ADMITTED, policy_kernel, tick
--- a/tests/unit/policies/test_ejection.py
+++ b/tests/unit/policies/test_ejection.py
@@ -5,9 +5,9 @@
 from mimosafork.ids import EndpointId, ModelId
 from mimosafork.kernel.configuration import FleetPolicy
 from mimosafork.kernel.fleet import Endpoint
+from mimosafork.kernel.messages.attempts import AttemptFinished, FirstToken, Usage
 from mimosafork.kernel.messages.base import Tick
 from mimosafork.kernel.messages.fleet import InstancesListed
-from mimosafork.kernel.messages.requests import AttemptFinished, FirstToken, Usage
 from mimosafork.policies.ejection import FIRST_PAUSE
 from tests.support.functions import function_tests
 from tests.support.kernels import (
--- a/tests/unit/policies/test_gangs.py
+++ b/tests/unit/policies/test_gangs.py
@@ -5,8 +5,10 @@
 from datetime import timedelta
 
 from mimosafork.ids import AttemptNumber, RequestId
+from mimosafork.kernel.messages.attempts import AttemptFinished, Exposure, RetryDue
 from mimosafork.kernel.messages.base import Tick
 from mimosafork.kernel.messages.fleet import InstancesListed
+from mimosafork.kernel.messages.outcomes import Outcome
 from mimosafork.kernel.messages.placement import (
     FreePart,
     ImportKv,
@@ -18,15 +20,8 @@
     SegmentFailed,
     SegmentPrefilled,
 )
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    CallerGone,
-    Exposure,
-    Outcome,
-    ProblemCode,
-    Repeatability,
-    RetryDue,
-)
+from mimosafork.kernel.messages.problems import ProblemCode
+from mimosafork.kernel.messages.requests import CallerGone, Repeatability
 from mimosafork.policies.gangs.placer import MOST_FAILURES, GangPlacer
 from mimosafork.policies.prediction import Prediction
 from tests.support.functions import function_tests
--- a/tests/unit/policies/test_limits.py
+++ b/tests/unit/policies/test_limits.py
@@ -6,14 +6,10 @@
 from mimosafork.ids import AccountId
 from mimosafork.kernel.configuration import AccountPolicy
 from mimosafork.kernel.context import Context
+from mimosafork.kernel.messages.attempts import AttemptFinished, FirstToken, Usage
 from mimosafork.kernel.messages.claims import ClaimState, ReplayAnswer
 from mimosafork.kernel.messages.limits import account_key
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    FirstToken,
-    Outcome,
-    Usage,
-)
+from mimosafork.kernel.messages.outcomes import Outcome
 from mimosafork.peers.kinds.base import kind_of
 from mimosafork.policies.limits import AccountLimits
 from mimosafork.policies.limits.shares import Shares
--- a/tests/unit/policies/test_model_rights.py
+++ b/tests/unit/policies/test_model_rights.py
@@ -4,7 +4,9 @@
 
 from mimosafork.ids import AdapterId, ModelId
 from mimosafork.kernel.configuration import AccountPolicy, ModelPolicy
-from mimosafork.kernel.messages.requests import Outcome, ProblemCode, Request
+from mimosafork.kernel.messages.outcomes import Outcome
+from mimosafork.kernel.messages.problems import ProblemCode
+from mimosafork.kernel.messages.requests import Request
 from mimosafork.policies.admission import KnownTarget
 from mimosafork.policies.baselines import LeastRequests
 from mimosafork.policies.model_rights import ModelRights
--- a/tests/unit/policies/test_reporting.py
+++ b/tests/unit/policies/test_reporting.py
@@ -12,24 +12,24 @@
     RequestId,
     Revision,
 )
+from mimosafork.kernel.messages.attempts import (
+    AttemptFinished,
+    Exposure,
+    FailureKind,
+    FirstToken,
+    RetryDue,
+)
 from mimosafork.kernel.messages.base import Tick
 from mimosafork.kernel.messages.fleet import ProbeFailed
+from mimosafork.kernel.messages.outcomes import Outcome
 from mimosafork.kernel.messages.peers import Member, MemberState
+from mimosafork.kernel.messages.problems import ProblemCode
 from mimosafork.kernel.messages.reports import (
     AttemptEnd,
     EndpointCondition,
     FleetReport,
     RequestReport,
 )
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    Exposure,
-    FailureKind,
-    FirstToken,
-    Outcome,
-    ProblemCode,
-    RetryDue,
-)
 from mimosafork.kernel.registry import create
 from mimosafork.policies.reporting import PERIOD
 from tests.support.functions import function_tests
--- a/tests/unit/policies/test_routing.py
+++ b/tests/unit/policies/test_routing.py
@@ -4,15 +4,11 @@
 from datetime import timedelta
 
 from mimosafork.ids import AttemptNumber, Digest, EndpointId, RequestId
+from mimosafork.kernel.messages.attempts import AttemptFinished, FirstToken
 from mimosafork.kernel.messages.fleet import ProbeFailed
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    FirstToken,
-    Outcome,
-    PrefixMark,
-    ProblemCode,
-    RequestKind,
-)
+from mimosafork.kernel.messages.outcomes import Outcome
+from mimosafork.kernel.messages.problems import ProblemCode
+from mimosafork.kernel.messages.requests import PrefixMark, RequestKind
 from mimosafork.policies.prediction import Prediction
 from tests.support.functions import function_tests
 from tests.support.kernels import (
--- a/tests/unit/quarantine/test_poisoned_request.py
+++ b/tests/unit/quarantine/test_poisoned_request.py
@@ -6,17 +6,14 @@
 
 from mimosafork.ids import Digest, RequestId
 from mimosafork.kernel.core import Kernel
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome
+from mimosafork.kernel.messages.problems import ProblemCode
 from mimosafork.kernel.messages.quarantine import (
     DropSuspicion,
     KeepSuspicion,
     KeptSuspicion,
     SuspicionsRead,
 )
-from mimosafork.kernel.messages.requests import (
-    Conclude,
-    Outcome,
-    ProblemCode,
-)
 from mimosafork.policies.quarantine.ledger import (
     SUSPECT_CRASHES,
     SUSPECT_WEIGHT,
--- a/tests/unit/recovery/test_recovery_machine.py
+++ b/tests/unit/recovery/test_recovery_machine.py
@@ -16,7 +16,8 @@
 from mimosafork.ids import Digest, RequestId
 from mimosafork.kernel.messages.fleet import FencingMode
 from mimosafork.kernel.messages.leases import Duty
-from mimosafork.kernel.messages.requests import Outcome, ProblemCode
+from mimosafork.kernel.messages.outcomes import Outcome
+from mimosafork.kernel.messages.problems import ProblemCode
 from mimosafork.policies.recovery import OVERDUE
 from tests.support.fake_table import Fault
 from tests.support.functions import function_tests
--- a/tests/unit/relay/test_relay.py
+++ b/tests/unit/relay/test_relay.py
@@ -3,19 +3,17 @@
 from datetime import timedelta
 from queue import Empty
 
-from mimosafork.kernel.messages.requests import (
+from mimosafork.kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
-    CallerGone,
-    CancelAttempt,
-    Conclude,
     Exposure,
     FailureKind,
     FirstToken,
-    Outcome,
-    Problem,
-    ProblemCode,
 )
+from mimosafork.kernel.messages.dispatch import CancelAttempt
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome
+from mimosafork.kernel.messages.problems import Problem, ProblemCode
+from mimosafork.kernel.messages.requests import CallerGone
 from mimosafork.relay.limits import RelayLimits
 from mimosafork.relay.messages import OpenFailed
 from mimosafork.relay.sequence import Judgement
--- a/tests/unit/retry/test_retry_decisions.py
+++ b/tests/unit/retry/test_retry_decisions.py
@@ -4,17 +4,11 @@
 
 from mimosafork.ids import RequestId
 from mimosafork.kernel.configuration import FleetPolicy
-from mimosafork.kernel.messages.requests import (
-    AttemptFailed,
-    Conclude,
-    Dispatch,
-    Exposure,
-    FailureKind,
-    Outcome,
-    Repeatability,
-    Submit,
-    WakeAt,
-)
+from mimosafork.kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
+from mimosafork.kernel.messages.dispatch import Dispatch
+from mimosafork.kernel.messages.outcomes import Conclude, Outcome
+from mimosafork.kernel.messages.requests import Repeatability, Submit
+from mimosafork.kernel.messages.timers import WakeAt
 from mimosafork.kernel.plugins import Plugin
 from mimosafork.policies.claims.attach import AttachToRun
 from mimosafork.policies.retry import RESERVE, BoundedRetry
--- a/tests/unit/server/test_faults.py
+++ b/tests/unit/server/test_faults.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from mimosafork.kernel.messages.requests import ProblemCode
+from mimosafork.kernel.messages.problems import ProblemCode
 from mimosafork.server import application
 from mimosafork.server.errors import RejectedError
 from mimosafork.server.front import Front, make_app
--- a/tests/unit/server/test_parsing.py
+++ b/tests/unit/server/test_parsing.py
@@ -8,7 +8,8 @@
 from mimosafork.endpoints.calls import ServiceCall
 from mimosafork.ids import ServiceId
 from mimosafork.kernel.configuration import FleetPolicy, ServicePolicy
-from mimosafork.kernel.messages.requests import ProblemCode, Repeatability
+from mimosafork.kernel.messages.problems import ProblemCode
+from mimosafork.kernel.messages.requests import Repeatability
 from mimosafork.server.bodies import (
     chat_call,
     completion_call,
--- a/tests/unit/server/test_problem_statuses.py
+++ b/tests/unit/server/test_problem_statuses.py
@@ -1,6 +1,6 @@
 """HTTP statuses of problems."""
 
-from mimosafork.kernel.messages.requests import ProblemCode
+from mimosafork.kernel.messages.problems import ProblemCode
 from mimosafork.server.problems import STATUSES
 from tests.support.functions import function_tests
 
--- a/tests/unit/telemetry/test_reporting_adapter.py
+++ b/tests/unit/telemetry/test_reporting_adapter.py
@@ -14,8 +14,11 @@
     ModelId,
     RequestId,
 )
+from mimosafork.kernel.messages.attempts import FailureKind
 from mimosafork.kernel.messages.orders import OrderKind, OrderResult
+from mimosafork.kernel.messages.outcomes import Outcome
 from mimosafork.kernel.messages.peers import MemberState
+from mimosafork.kernel.messages.problems import ProblemCode
 from mimosafork.kernel.messages.reports import (
     AttemptEnd,
     EndpointCondition,
@@ -24,7 +27,6 @@
     OrderReport,
     RequestReport,
 )
-from mimosafork.kernel.messages.requests import FailureKind, Outcome, ProblemCode
 from mimosafork.runtime.reporting_adapter import (
     ReportingAdapter,
     logger,
--- a/tools/slopes/fixtures.py
+++ b/tools/slopes/fixtures.py
@@ -21,8 +21,10 @@
 from mimosafork.kernel.configuration import AccountPolicy, Configuration, ModelPolicy
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import Kernel
+from mimosafork.kernel.messages.attempts import AttemptFinished, FirstToken, Usage
 from mimosafork.kernel.messages.base import Effect
 from mimosafork.kernel.messages.configuration import ConfigurationReceived
+from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.fleet import (
     EndpointEntry,
     EndpointKind,
@@ -31,15 +33,7 @@
     LoadReport,
     LoadReported,
 )
-from mimosafork.kernel.messages.requests import (
-    AttemptFinished,
-    Dispatch,
-    FirstToken,
-    Request,
-    RequestKind,
-    Submit,
-    Usage,
-)
+from mimosafork.kernel.messages.requests import Request, RequestKind, Submit
 from mimosafork.kernel.registry import create
 from mimosafork.policies import DEFAULT_PLUGINS
 
