Split the exchange of the gossip into parts with one job each

Ruled out: changing any behaviour on the way; the order in which links are served and the draws of random numbers stay as they were. Conclusion: the same exchange in smaller parts.

--- /dev/null
+++ b/src/mimosafork/gossip/circle.py
@@ -0,0 +1,146 @@
+"""Whom an instance tells what: its links, its partners and the news due to them."""
+
+from datetime import timedelta
+
+from ..ids import InstanceId
+from .effects import Effect, PeerDown
+from .ledger import Ledger
+from .links import Link, News
+from .members import Identity, Member
+from .outbox import Source
+from .partners import chosen_partners
+from .roster import Roster
+from .timing import Timing
+
+HURRY = timedelta(milliseconds=25)
+
+
+class Circle:
+    """A link to each member, and who of them are partners.
+
+    Parameters
+    ----------
+    me : Identity
+        This life of this instance.
+    own : Ledger
+        Its words.
+
+    Attributes
+    ----------
+    relaying : bool
+        The fleet is too large for everyone to tell everyone.
+    """
+
+    def __init__(
+        self, me: Identity, own: Ledger, roster: Roster, timing: Timing
+    ) -> None:
+        self.me = me
+        self.own = own
+        self.roster = roster
+        self.timing = timing
+        self.links: dict[InstanceId, Link] = {}
+        self.partners: frozenset[InstanceId] = frozenset()
+        self.relaying = False
+
+    @property
+    def silence_limit(self) -> timedelta:
+        """Silence after which a peer is suspected."""
+        timing = self.timing
+        return timing.relayed_suspect_after if self.relaying else timing.suspect_after
+
+    # Members
+
+    def link_of(self, member: Member) -> Link:
+        """Return the link to a member."""
+        return self.links[member.identity.instance]
+
+    def learn(
+        self, identity: Identity, now: timedelta, direct: bool = False
+    ) -> list[Effect]:
+        """Take in that a life exists, from itself, another one or the store."""
+        known = identity.instance in self.links
+        effects = self.roster.learn(identity, now, direct)
+        if effects or (not known and identity.instance in self.roster.members):
+            self.links[identity.instance] = Link()
+            self.partners -= {identity.instance}
+        return effects
+
+    def revive(self, member: Member, now: timedelta) -> list[Effect]:
+        """Note a sign of life of one that speaks itself."""
+        effects = self.roster.hear(member, now)
+        if effects:
+            self.choose_partners(now)
+            self.link_of(member).names_due = True
+        return effects
+
+    def review(self, now: timedelta) -> list[Effect]:
+        """Suspect the silent, and drop those that were so for long."""
+        effects = self.roster.review(now, self.silence_limit)
+        for effect in effects:
+            if isinstance(effect, PeerDown):
+                link = self.links[effect.identity.instance]
+                link.reset()
+                link.wants_all = True
+        for name in self.roster.drop_silent(now):
+            del self.links[name]
+        if effects:
+            self.choose_partners(now)
+        return effects
+
+    # Partners
+
+    def choose_partners(self, now: timedelta) -> None:
+        """Choose among the living; one that is new gets everything."""
+        before = self.partners
+        alive = {
+            each.identity.instance: each.identity.zone for each in self.roster.alive()
+        }
+        self.relaying = len(alive) >= self.timing.mesh_size
+        self.partners = chosen_partners(
+            self.me.instance,
+            self.me.zone,
+            alive,
+            self.timing.mesh_size,
+            self.timing.fan_out,
+        )
+        for name in sorted(self.partners - before):
+            self.send_all(self.links[name], now)
+
+    def is_partner(self, name: InstanceId, now: timedelta) -> bool:
+        """Whether a peer is told the news: chosen from here or from there."""
+        return name in self.partners or self.links[name].chosen_until > now
+
+    # News
+
+    def spread(
+        self, news: News, due: timedelta, besides: InstanceId | None = None
+    ) -> None:
+        """Make news due to the partners."""
+        for name, link in self.links.items():
+            member = self.roster.members[name]
+            if name != besides and member.alive and self.is_partner(name, due):
+                link.add(news, due)
+
+    def send_all(self, link: Link, now: timedelta) -> None:
+        """Make everything due to a peer."""
+        link.sends_all = True
+        link.all_since = now
+        for slot in self.own.entries:
+            link.add(News(self.me.instance, slot), now + HURRY)
+        link.hurry(now + HURRY)
+        if not self.relaying:
+            return
+        for member in self.roster.alive():
+            for slot in member.ledger.entries:
+                link.add(News(member.identity.instance, slot), now + HURRY)
+
+    def source_of(self, origin: InstanceId) -> Source | None:
+        """Find an origin's entries."""
+        if origin == self.me.instance:
+            return Source(self.me.tag, self.own)
+        member = self.roster.members.get(origin)
+        if member is None or not member.alive:
+            # A silent origin's entries aren't passed on: a word that it has taken
+            # back meanwhile would come to life again elsewhere.
+            return None
+        return Source(member.identity.tag, member.ledger)
--- /dev/null
+++ b/src/mimosafork/gossip/reading.py
@@ -0,0 +1,63 @@
+"""Reading the entries of a datagram."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from .errors import BadDatagramError
+from .ids import IdReader
+from .kinds.base import kind_of
+from .ledger import Entry, Slot
+from .wire import KIND_BITS, KIND_MASK, Datagram, WireEntry
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """An entry that came.
+
+    Parameters
+    ----------
+    origin : int
+        Tag of its origin.
+    """
+
+    origin: int
+    slot: Slot
+    entry: Entry
+
+
+def read_entries(datagram: Datagram, now: timedelta) -> list[Told]:
+    """Read all entries before any is taken, so that a bad one spoils nothing.
+
+    Raises
+    ------
+    BadDatagramError, msgspec.ValidationError
+        If one breaks the format.
+    """
+    ids = IdReader(datagram.ids)
+    tags = [datagram.sender, *datagram.origins]
+    return [read_entry(each, tags, ids, now) for each in datagram.entries]
+
+
+def read_entry(wire: WireEntry, tags: list[int], ids: IdReader, now: timedelta) -> Told:
+    """Return an entry with its origin and place.
+
+    Raises
+    ------
+    BadDatagramError, msgspec.ValidationError
+        If it breaks the format.
+    """
+    index = wire.place >> KIND_BITS
+    if index >= len(tags):
+        raise BadDatagramError(f"no origin has index {index}")
+    if not isinstance(wire.key, (int, str, bytes)):
+        raise BadDatagramError("a key of no known type")
+    slot = Slot(wire.place & KIND_MASK, wire.key)
+    kind = kind_of(slot.kind)
+    value = None if wire.value is None else kind.codec.unpack(wire.value, ids)
+    try:
+        born = now - wire.age * MILLISECOND
+    except OverflowError as error:
+        raise BadDatagramError(f"age {wire.age}") from error
+    return Told(tags[index], slot, Entry(wire.sequence, born, value))
--- /dev/null
+++ b/src/mimosafork/gossip/receiving.py
@@ -0,0 +1,111 @@
+"""Taking in whole datagrams: who speaks, and what it confirms and wishes."""
+
+from datetime import timedelta
+
+from .calling import Caller
+from .circle import HURRY, Circle
+from .counters import Counters
+from .effects import Effect
+from .errors import BadDatagramError
+from .links import Link
+from .members import TAG_MASK, Address, Member
+from .reading import read_entries
+from .taking import Intake
+from .wire import Datagram, Flag
+from .wire import from_wire as identity_of
+
+
+class Receiver:
+    """Takes in datagrams of this fleet."""
+
+    def __init__(
+        self, circle: Circle, caller: Caller, intake: Intake, counters: Counters
+    ) -> None:
+        self.circle = circle
+        self.roster = circle.roster
+        self.caller = caller
+        self.intake = intake
+        self.counters = counters
+
+    def take(
+        self, datagram: Datagram, address: Address, now: timedelta
+    ) -> list[Effect]:
+        """Take in a datagram.
+
+        Raises
+        ------
+        BadDatagramError, msgspec.ValidationError
+            If it breaks the format; none of its entries is taken then.
+        """
+        if datagram.sender == self.circle.me.tag:
+            return []
+        told = read_entries(datagram, now)
+        effects = self.learn_names(datagram, now)
+        member = self.roster.member_of(datagram.sender)
+        if member is None:
+            self.meet_stranger(datagram, address)
+            return effects
+        if not self.is_new(datagram, member):
+            self.counters.repeated += 1
+            return effects
+        self.roster.moved(member, address)
+        effects += self.circle.revive(member, now)
+        self.take_head(datagram, member, now)
+        return effects + self.intake.take(told, member, now)
+
+    def is_new(self, datagram: Datagram, member: Member) -> bool:
+        """Note a datagram's number; return whether it came for the first time."""
+        receipts = self.circle.link_of(member).receipts
+        if not member.alive:
+            # It may have forgotten this instance and count anew: its low numbers
+            # would be taken for repeated datagrams for good.
+            receipts.highest = receipts.missing = 0
+        return not datagram.number or receipts.take(datagram.number)
+
+    def learn_names(self, datagram: Datagram, now: timedelta) -> list[Effect]:
+        """Take in the sender's name, and those of others that it brings."""
+        effects: list[Effect] = []
+        if datagram.name is not None:
+            if datagram.name.boot & TAG_MASK != datagram.sender:
+                raise BadDatagramError("the sender's name has another tag")
+            effects += self.circle.learn(identity_of(datagram.name), now, direct=True)
+        for name in datagram.names:
+            effects += self.circle.learn(identity_of(name), now)
+        return effects
+
+    def meet_stranger(self, datagram: Datagram, address: Address) -> None:
+        """Ask an unknown sender for its name, but not one of a life that is over.
+
+        One that has said its name and was not taken in is not asked again: it would
+        say it again, and both would go on as fast as the network allows.
+        """
+        if datagram.sender not in self.roster.replaced and datagram.name is None:
+            self.caller.meet(address)
+
+    def take_head(self, datagram: Datagram, member: Member, now: timedelta) -> None:
+        """Take in confirmations and wishes."""
+        link, timing = self.circle.link_of(member), self.circle.timing
+        link.confirmed(datagram.heard, datagram.missing, now, timing)
+        flags = Flag(datagram.flags)
+        if Flag.PARTNER in flags:
+            if not self.circle.is_partner(member.identity.instance, now):
+                self.circle.send_all(link, now)
+            link.chosen_until = now + timing.suspect_after
+        if Flag.WANT_NAME in flags:
+            link.named = False
+            link.hurry(now)
+        if Flag.WANT_NAMES in flags:
+            link.names_due = True
+        if Flag.ALL in flags:
+            link.wants_all = False
+        if Flag.WANT_ALL in flags and self.may_send_all(link, now):
+            self.circle.send_all(link, now)
+        if link.receipts.missing & 1:
+            # A gap is told at once: the sender repeats what was lost within a few
+            # times ten milliseconds, where a heartbeat would take half a second.
+            link.hurry(now + HURRY)
+
+    def may_send_all(self, link: Link, now: timedelta) -> bool:
+        """Whether the last time was long enough ago for its wish to be a new one."""
+        heartbeat = self.circle.timing.heartbeat
+        return link.all_since is None or now - link.all_since > heartbeat
--- /dev/null
+++ b/src/mimosafork/gossip/sending.py
@@ -0,0 +1,100 @@
+"""Sending members what is due to them."""
+
+from datetime import timedelta
+
+from ..ids import InstanceId
+from .calling import Caller
+from .circle import Circle
+from .links import Link
+from .members import Member
+from .outbox import Outbox, Outgoing
+from .wire import Flag
+
+TOGETHER = 0.8
+"""Share of a heartbeat's time after which it goes along with another one."""
+RETRIES = 5
+"""Times in a heartbeat that news is tried which the budget kept back."""
+
+
+class Sender:
+    """Serves the links of a circle."""
+
+    def __init__(self, circle: Circle, outbox: Outbox, caller: Caller) -> None:
+        self.circle = circle
+        self.timing = circle.timing
+        self.outbox = outbox
+        self.caller = caller
+
+    def serve_all(self, now: timedelta) -> list[Outgoing]:
+        """Build what is due to all members."""
+        datagrams: list[Outgoing] = []
+        for name, link in sorted(self.circle.links.items(), key=last_sent):
+            datagrams += self.serve(name, link, now)
+        return datagrams
+
+    def serve(self, name: InstanceId, link: Link, now: timedelta) -> list[Outgoing]:
+        """Build what is due to one member."""
+        member = self.circle.roster.members[name]
+        link.overdue(now, self.timing)
+        if not self.is_due(name, member, link, now):
+            return []
+        address = member.identity.address
+        link.due = None
+        datagrams = self.outbox.flush(address, link, self.flags(name, link), now)
+        link.wants_names = False
+        if link.pending:
+            link.due = now + self.timing.heartbeat / RETRIES
+        else:
+            link.sends_all = False
+        if link.names_due and member.alive:
+            link.names_due = False
+            datagrams += self.caller.answer(name, address)
+        return datagrams
+
+    def is_due(
+        self, name: InstanceId, member: Member, link: Link, now: timedelta
+    ) -> bool:
+        """Whether a member is to be sent something now."""
+        if link.sent is None:
+            return True
+        if not member.alive:
+            calm = now - member.heard > self.timing.suspect_after
+            return now - link.sent >= self.timing.probe_gap(calm)
+        if link.due is not None and link.due <= now:
+            if self.outbox.budget.left > 0:
+                return True
+            link.due = now + self.timing.heartbeat / RETRIES
+        # Heartbeats to all partners go together, so that an idle instance wakes up
+        # for one of them only.
+        idle = self.timing.heartbeat * TOGETHER
+        return self.circle.is_partner(name, now) and now - link.sent >= idle
+
+    def flags(self, name: InstanceId, link: Link) -> Flag:
+        """Return what else is to be said to a member."""
+        flags = Flag(0)
+        if name in self.circle.partners:
+            flags |= Flag.PARTNER
+        if link.wants_names:
+            flags |= Flag.WANT_NAMES
+        if link.wants_all:
+            flags |= Flag.WANT_ALL
+        if link.sends_all:
+            flags |= Flag.ALL
+        return flags
+
+    def next_due(self, now: timedelta) -> timedelta:
+        """Return when a link is to be served next: at its news or its heartbeat."""
+        due = now + self.timing.heartbeat
+        for name, link in self.circle.links.items():
+            if link.sent is None:
+                return now
+            if link.due is not None:
+                due = min(due, link.due)
+            if name in self.circle.partners:
+                due = min(due, link.sent + self.timing.heartbeat)
+        return max(due, now)
+
+
+def last_sent(pair: tuple[InstanceId, Link]) -> timedelta:
+    """Return when a link was served, so that short bytes go round."""
+    return pair[1].sent or timedelta.min
--- a/src/mimosafork/gossip/timing.py
+++ b/src/mimosafork/gossip/timing.py
@@ -53,3 +53,7 @@
     fan_out: int = 6
     datagram_bytes: int = 1200
     budget_bytes_s: int = 27_000
+
+    def probe_gap(self, calm: bool) -> timedelta:
+        """Return how long to wait before calling into silence again."""
+        return self.probe_every if calm else self.heartbeat
