Split the prepared store's stand-in by concern

Ruled out: a class for the answers about rows, as it would hold nothing but the rows that each call passes anyway. Change: store_faults (what can be wrong, how calls are turned away), row_format (rows and transactions as calls carry them), row_answers (answers about rows, as functions of rows, call and clock); store.py keeps its sockets, faults and order of events.

--- a/src/mimosafork/standins/prepared/store.py
+++ b/src/mimosafork/standins/prepared/store.py
@@ -1,29 +1,26 @@
 """The metadata store: rows under conditions, ranges, feeds, and faults on demand."""
 
 import asyncio
-import base64
-import binascii
 from collections import Counter
 from dataclasses import dataclass
-from datetime import timedelta
-from enum import Enum
 from http import HTTPStatus
-from typing import Any
 
 import msgspec
 
 from ..errors import BadRequestError
 from ..rate_limit import RateLimit
 from .background import LoopThread
-from .http import (
-    MAX_BODY_BYTES,
-    Answer,
-    Connection,
-    Listener,
-    Request,
-    whichever,
+from .http import Answer, Connection, Listener, Request, whichever
+from .row_answers import (
+    applied_answer,
+    conflict_answer,
+    feed_answer,
+    parts_answer,
+    range_answer,
 )
-from .rows import FEED_ROWS, Expected, Put, Row, RowName, Rows, Transaction
+from .row_format import decode_transaction, encode_value, tables_of
+from .rows import Put, Row, RowName, Rows, Transaction
+from .store_faults import LOSE_ALL, NO_FAULTS, Refusal, StoreFaults, refuse
 from .words import (
     ROWS_FEED,
     ROWS_GET,
@@ -34,79 +31,9 @@
 )
 
 MAX_WAIT_MS = 30_000
-MAX_PARTS = 1000
 MAX_CALL_NAME = 40
 DEFAULT_ROW_BYTES = 65_536
-LOSE_ALL = -1
-EXPECT = "expect-rev"
 PROTECTED_TABLES = frozenset({TABLE_OPERATOR, TABLE_SERVERS})
-NO_DELAY = timedelta(0)
-
-
-class Refusal(Enum):
-    """How the store turns a call away."""
-
-    SILENT = "silent"
-    UNAVAILABLE = "503"
-    TOO_MANY = "429"
-    RESET = "reset"
-
-
-@dataclass(frozen=True, slots=True)
-class TurnedAway:
-    """Callers that are refused while all others are served.
-
-    Attributes
-    ----------
-    addresses : frozenset of str
-        Source addresses (loopback has 127.0.0.2 and so on).
-    header, values
-        Or a header of the call that has one of these values.
-    """
-
-    how: Refusal
-    addresses: frozenset[str] = frozenset()
-    header: str = ""
-    values: frozenset[str] = frozenset()
-
-    def applies(self, request: Request) -> bool:
-        """Say whether this call's sender is one of them."""
-        if request.peer in self.addresses:
-            return True
-        return bool(self.header) and request.header(self.header) in self.values
-
-
-@dataclass(frozen=True, slots=True)
-class StoreFaults:
-    """What is wrong with the store, until it is told otherwise.
-
-    Attributes
-    ----------
-    down : Refusal or None
-        Calls are turned away, and nothing is done.
-    tables : frozenset of str
-        `down` goes for calls about these tables only; empty for all calls.
-    delay : timedelta
-        Calls are carried out and answered this much later.
-    lost_answers : int
-        So many writes more are done and not answered; `LOSE_ALL` for all of them.
-        Their channels deliver nothing further.
-    late_by : timedelta
-        Writes get no answer and are done this much later, if they still may be.
-    stale_reads : bool
-        Reads see the rows as they were when this began.
-    """
-
-    down: Refusal | None = None
-    tables: frozenset[str] = frozenset()
-    delay: timedelta = NO_DELAY
-    lost_answers: int = 0
-    late_by: timedelta = NO_DELAY
-    stale_reads: bool = False
-    turned_away: TurnedAway | None = None
-
-
-NO_FAULTS = StoreFaults()
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,11 +190,11 @@
             case "POST", path if path == ROWS_TX:
                 return self._transact(request, connection)
             case "GET", path if path == ROWS_GET:
-                return self._get(request)
+                return range_answer(self.seen, request, self._now_ms())
             case "GET", path if path == ROWS_FEED:
                 return await self._feed(request, connection)
             case "GET", path if path == ROWS_PARTS:
-                return self._parts(request)
+                return parts_answer(self.seen, request, self._now_ms())
         return Answer.json(HTTPStatus.NOT_FOUND, {"error": "no such call"})
 
     def _transact(self, request: Request, connection: Connection) -> Answer | None:
@@ -296,11 +223,9 @@
     def _applied(self, transaction: Transaction) -> Answer:
         if self.rows.apply(transaction):
             self._wake()
-            return Answer.json(HTTPStatus.OK, self._stamp(self.rows))
+            return applied_answer(self.rows, self._now_ms())
         found = [self.rows.current(each.name) for each in transaction.expected]
-        document = self._stamp(self.rows)
-        document["rows"] = [row_document(row) for row in found if row is not None]
-        return Answer.json(HTTPStatus.PRECONDITION_FAILED, document)
+        return conflict_answer(self.rows, found, self._now_ms())
 
     def _loses(self) -> bool:
         if self.losses_left == 0:
@@ -309,16 +234,6 @@
             self.losses_left -= 1
         return True
 
-    def _get(self, request: Request) -> Answer:
-        start, end = request.query("from").encode(), request.query("target").encode()
-        limit = min(int(request.query("limit", str(FEED_ROWS))), FEED_ROWS)
-        listed = self.seen.listed(request.query("table"), request.query("part"))
-        found = [row for row in listed if in_range(row.name.key.encode(), start, end)]
-        document = self._stamp(self.seen)
-        document["rows"] = [row_document(row) for row in found[:limit]]
-        document["truncated"] = len(found) > limit
-        return Answer.json(HTTPStatus.OK, document)
-
     async def _feed(self, request: Request, connection: Connection) -> Answer | None:
         table, after = request.query("table"), int(request.query("after", "0"))
         wait_ms = min(int(request.query("wait-ms", "0")), MAX_WAIT_MS)
@@ -336,118 +251,10 @@
         if refusal is not None:
             refuse(refusal, connection)
             return None
-        return self._feed_answer(table, after)
+        return feed_answer(self.seen, table, after, self._now_ms())
 
     def _nothing_new(self, table: str, after: int) -> bool:
         return after >= self.seen.oldest and not self.seen.changes(table, after)
 
-    def _feed_answer(self, table: str, after: int) -> Answer:
-        if after < self.seen.oldest:
-            return Answer.json(HTTPStatus.GONE, self._stamp(self.seen))
-        changes = self.seen.changes(table, after)
-        document = self._stamp(self.seen)
-        if len(changes) >= FEED_ROWS:
-            document["ver"] = changes[-1].ver
-        document["rows"] = [row_document(row) for row in changes]
-        return Answer.json(HTTPStatus.OK, document)
-
-    def _parts(self, request: Request) -> Answer:
-        after = request.query("after").encode()
-        parts = self.seen.parts(request.query("table"))
-        found = [part for part in parts if not after or part.encode() > after]
-        document = self._stamp(self.seen)
-        document["parts"] = found[:MAX_PARTS]
-        return Answer.json(HTTPStatus.OK, document)
-
-    def _stamp(self, rows: Rows) -> dict[str, Any]:
-        now_ms = int(asyncio.get_running_loop().time() * 1000)
-        return {"ver": rows.ver, "now-ms": now_ms}
-
-
-def in_range(key: bytes, start: bytes, end: bytes) -> bool:
-    """Say whether a key lies in a range that excludes its end, if it has one."""
-    return key >= start and (not end or key < end)
-
-
-def refuse(refusal: Refusal, connection: Connection) -> None:
-    """Turn a call away."""
-    match refusal:
-        case Refusal.SILENT:
-            connection.fall_silent()
-        case Refusal.RESET:
-            connection.reset()
-        case Refusal.UNAVAILABLE:
-            connection.write(Answer(HTTPStatus.SERVICE_UNAVAILABLE).encode())
-        case Refusal.TOO_MANY:
-            connection.write(Answer(HTTPStatus.TOO_MANY_REQUESTS).encode())
-
-
-def tables_of(request: Request) -> set[str]:
-    """Return the tables that a call is about."""
-    if request.path != ROWS_TX:
-        return {request.query("table")}
-    transaction = decode_transaction(bytes(request.body), MAX_BODY_BYTES)
-    return {name.table for name in transaction.names}
-
-
-def encode_value(document: object) -> str:
-    """Return a row's value: JSON in base64."""
-    return base64.b64encode(msgspec.json.encode(document)).decode()
-
-
-def decode_value(value: str) -> Any:
-    """Return what a row's value says."""
-    return msgspec.json.decode(base64.b64decode(value))
-
-
-def row_document(row: Row) -> dict[str, Any]:
-    """Return a row as it stands in an answer."""
-    document: dict[str, Any] = dict(row.name._asdict())
-    document["ver"] = row.ver
-    if row.value is None:
-        document["tombstone"] = True
-    else:
-        document["value"] = row.value
-    return document
-
-
-def decode_transaction(body: bytes, row_bytes: int) -> Transaction:
-    """Read the body of a transaction.
-
-    Raises
-    ------
-    BadRequestError
-        If the store would not take it.
-    """
-    document = msgspec.json.decode(body)
-    transaction = Transaction(
-        tuple(Expected(name_of(e), int(e["ver"])) for e in document.get(EXPECT, ())),
-        tuple(Put(name_of(e), str(e["value"])) for e in document.get("puts", ())),
-        tuple(name_of(e) for e in document.get("remove", ())),
-        bool(document.get("across", False)),
-    )
-    transaction.check()
-    for put in transaction.puts:
-        check_value(put.value, row_bytes)
-    return transaction
-
-
-def name_of(entry: Any) -> RowName:
-    """Return the row that an entry names."""
-    return RowName(str(entry["table"]), str(entry.get("part", "")), str(entry["key"]))
-
-
-def check_value(value: str, row_bytes: int) -> None:
-    """Refuse a value that is not base64, or too long.
-
-    Raises
-    ------
-    BadRequestError
-        With what is wrong.
-    """
-    try:
-        size = len(base64.b64decode(value, validate=True))
-    except binascii.Error as error:
-        raise BadRequestError("a value is not base64") from error
-    if size > row_bytes:
-        raise BadRequestError("a value is too long")
+    def _now_ms(self) -> int:
+        return int(asyncio.get_running_loop().time() * 1000)
--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -9,7 +9,7 @@
 
 from mimosafork.standins.prepared.endpoint import EndpointSettings
 from mimosafork.standins.prepared.engine import EngineFigures
-from mimosafork.standins.prepared.store import NO_FAULTS, Refusal, StoreFaults
+from mimosafork.standins.prepared.store_faults import NO_FAULTS, Refusal, StoreFaults
 from mimosafork.standins.prepared.words import REQUEST_ID
 
 from ..support.functions import function_tests
--- a/tests/unit/directory/test_over_store.py
+++ b/tests/unit/directory/test_over_store.py
@@ -17,7 +17,7 @@
 from mimosafork.platform.store import PreparedStore, StoreTimeouts
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.endpoint import EndpointSettings
-from mimosafork.standins.prepared.store import NO_FAULTS, Refusal, StoreFaults
+from mimosafork.standins.prepared.store_faults import NO_FAULTS, Refusal, StoreFaults
 
 from ...support.functions import function_tests
 from ...support.prepared import DESKS, USUAL_CONFIG, deployment
--- a/tests/unit/gateway/test_gateway_peers.py
+++ b/tests/unit/gateway/test_gateway_peers.py
@@ -12,7 +12,7 @@
 from mimosafork.standins.prepared.documents import RouteEntry
 from mimosafork.standins.prepared.endpoint import EndpointSettings
 from mimosafork.standins.prepared.faults import CrashOnRun, LostAnswer
-from mimosafork.standins.prepared.store import Refusal, StoreFaults
+from mimosafork.standins.prepared.store_faults import Refusal, StoreFaults
 from mimosafork.standins.prepared.words import REQUEST_ID, SEAL, TOKEN_USAGE
 
 from ...support.functions import function_tests
--- a/tests/unit/standins/test_prepared_contract.py
+++ b/tests/unit/standins/test_prepared_contract.py
@@ -23,7 +23,7 @@
 from mimosafork.standins.prepared import words
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.endpoint import EndpointSettings
-from mimosafork.standins.prepared.store import Refusal, StoreFaults
+from mimosafork.standins.prepared.store_faults import Refusal, StoreFaults
 
 from ...support.functions import function_tests
 from ...support.prepared import API_KEY, DESKS, ENGINES, HOST, deployment
--- a/tests/unit/standins/test_prepared_deployment.py
+++ b/tests/unit/standins/test_prepared_deployment.py
@@ -9,7 +9,8 @@
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.documents import RouteEntry
 from mimosafork.standins.prepared.endpoint import EndpointSettings
-from mimosafork.standins.prepared.store import Refusal, StoreFaults, decode_value
+from mimosafork.standins.prepared.row_format import decode_value
+from mimosafork.standins.prepared.store_faults import Refusal, StoreFaults
 from mimosafork.standins.prepared.words import (
     EXPECT_INSTANCE,
     KEY_CONFIG,
--- a/tests/unit/standins/test_prepared_store.py
+++ b/tests/unit/standins/test_prepared_store.py
@@ -7,16 +7,14 @@
 
 from mimosafork.standins.prepared.background import LoopThread
 from mimosafork.standins.prepared.deployment import Deployment
+from mimosafork.standins.prepared.row_format import decode_value, encode_value
 from mimosafork.standins.prepared.rows import RowName, Transaction
-from mimosafork.standins.prepared.store import (
+from mimosafork.standins.prepared.store import Store, StoreLimits
+from mimosafork.standins.prepared.store_faults import (
     LOSE_ALL,
     Refusal,
-    Store,
     StoreFaults,
-    StoreLimits,
     TurnedAway,
-    decode_value,
-    encode_value,
 )
 from mimosafork.standins.prepared.words import (
     ROWS_FEED,
