Carry out what was decided when a part of the kernel raises

Cause: an exception in a plug-in, or in the kernel's own part, left Kernel.handle with all effects collected so far: a tick had forgotten its late requests, but no caller was told and no attempt cancelled. The callers of handle did the same with effects behind one that raised, and an attempt whose connection was opened first raised in a task that nobody awaits. Ruled out: ending the process (cuts all calls for one); rolling the state back (plug-ins keep state of their own); a guard in the adapters alone (the effects are lost already). Change: each step of handle is guarded by itself. A fault is logged (MF1009, MF1010 with its trace), the other plug-ins hear the message, and the request is ended with what its attempts allow: not run (503) or no promise (502); one that runs or waits goes on. A request that breaks a placer or the ranking is ended alone, so that the queue behind it moves. A whole answer stays whole when a finisher raises. Effects are carried out one by one in the gateway and the kernel's task; an attempt that can't be made ends its call and isn't tried again, as a fault that comes with the call would come each time. Left: an order to reserve memory that raises waits for its call's deadline. Tests: each test now fails for a fault that the product logs and survives, so that no plug-in's fault is hidden from the tests that there are.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from logging import getLogger
 
 from ..clock import Clock
 from ..kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
     AttemptSilent,
+    DispatchFaulted,
     Exposure,
     FailureKind,
     FirstToken,
@@ -18,6 +20,8 @@
 from ..kernel.messages.base import Message
 from ..kernel.messages.dispatch import Dispatch
 from ..kernel.messages.requests import Repeatability
+from ..telemetry.catalogue.lifecycle import EFFECT_FAULT
+from ..telemetry.logs import log_event
 from .answer_reader import AnswerHead
 from .call import Call, WholeAnswer
 from .dialect import AnswerMarks, AttemptMarks, Dialect
@@ -27,6 +31,8 @@
 from .problems import PROMISES
 from .upstream import CallSink, ConnectionLoss, EndpointConnection
 
+logger = getLogger(__name__)
+
 FRESH_FOR_ONCE = timedelta(milliseconds=1500)
 """A call that may run only once takes a kept connection only if it was used just
 now: one that its endpoint closes under the request leaves its fate unknown."""
@@ -58,8 +64,8 @@
 class EndpointAttempt:
     """Sends a call to an endpoint and reads its answer.
 
-    Reports exactly one of `AttemptFinished` and `AttemptFailed`, unless it is
-    cancelled.
+    Reports exactly one of `AttemptFinished`, `AttemptFailed` and `DispatchFaulted`,
+    unless it is cancelled.
     """
 
     def __init__(self, call: Call, dispatch: Dispatch, tools: AttemptTools) -> None:
@@ -94,7 +100,7 @@
         )
         kept = self.tools.pool.take(wanted)
         if kept is not None:
-            self._send(kept)
+            self._opened(kept)
             return
         self.opening = self.tools.pool.open(wanted, self._opened, self._unreached)
 
@@ -136,7 +142,15 @@
         if self.ended:
             connection.close()
             return
-        self._send(connection)
+        # In a task that nobody awaits: raised there, a fault would be the last that
+        # was heard of the call before its deadline.
+        try:
+            self._send(connection)
+        except Exception:
+            log_event(logger, EFFECT_FAULT, exc_info=True, effect=Dispatch.__name__)
+            connection.abort()
+            self.ended = True
+            self.tools.report(faulted(self.dispatch, self.connection is not None))
 
     def _unreached(self, error: OSError) -> None:
         self.opening = None
@@ -150,10 +164,11 @@
             self.tools.pool.put_back(self.dispatch.endpoint, connection)
             self._fail(FailureKind.DEADLINE, Exposure.NEVER_SENT)
             return
+        request = self._request(time_left)
         self.connection = connection
         self.reused = connection.used > 0
         sink = CallSink(self._on_head, self._on_data, self._on_end, self._on_lost)
-        connection.send(self._request(time_left), sink, self.without_body)
+        connection.send(request, sink, self.without_body)
 
     def _request(self, time_left: timedelta) -> bytes:
         head, body = self.call.message.head, self.call.message.body
@@ -334,6 +349,18 @@
         )
 
 
+def faulted(dispatch: Dispatch, sent: bool) -> DispatchFaulted:
+    """Return the word that an attempt could not be made for a fault in the code."""
+    return DispatchFaulted(
+        AttemptFailed(
+            dispatch.request_id,
+            dispatch.attempt,
+            FailureKind.INVALID,
+            Exposure.POSSIBLE if sent else Exposure.NEVER_SENT,
+        )
+    )
+
+
 def is_stream(head: AnswerHead) -> bool:
     """Return whether an answer is a series of events."""
     kind = first_value(head.headers, b"content-type") or b""
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -24,8 +24,9 @@
 from ..kernel.messages.timers import WakeAt
 from ..routing.table import ClientLimits, RoutingTable
 from ..telemetry.catalogue.gateway import FREEZE_NOTICED, MALFORMED_REQUEST
+from ..telemetry.catalogue.lifecycle import EFFECT_FAULT
 from ..telemetry.logs import log_event
-from .attempt import AttemptTools, EndpointAttempt, deliver
+from .attempt import AttemptTools, EndpointAttempt, deliver, faulted
 from .call import Call
 from .call_lines import CallLines
 from .client_connection import ClientConnection
@@ -260,10 +261,37 @@
     def _handle(self, message: Message) -> None:
         effects = self.kernel.handle(message)
         if isinstance(message, AttemptFailed):
-            self._log_failure(message, effects)
+            self._guarded(message, self._log_failure, effects)
         for effect in effects:
-            self.perform(effect)
-            self.on_effect(effect)
+            done = self._guarded(effect, self.perform)
+            if isinstance(effect, Dispatch) and not done:
+                self._end_faulted(effect)
+            self._guarded(effect, self.on_effect)
+
+    def _guarded(
+        self, subject: Effect | Message, step: Callable[..., None], *more: object
+    ) -> bool:
+        """Run one step; return whether it went through.
+
+        Guard: an exception that went further would lose the effects behind it, and
+        with them final answers and the ends of attempts.
+        """
+        try:
+            step(subject, *more)
+        except Exception:
+            effect = type(subject).__name__
+            log_event(logger, EFFECT_FAULT, exc_info=True, effect=effect)
+            return False
+        return True
+
+    def _end_faulted(self, dispatch: Dispatch) -> None:
+        """Have the kernel end a call whose attempt could not be made.
+
+        It is not tried again: a fault that comes with the call would come each time.
+        """
+        attempt = self.attempts.get(dispatch.request_id)
+        sent = attempt is not None and attempt.connection is not None
+        self.inbox.append(faulted(dispatch, sent))
 
     @singledispatchmethod
     def perform(self, effect: Effect) -> None:
@@ -313,19 +341,21 @@
             return
         call.concluded = True
         self._forget(call)
-        if effect.problem is not None:
-            self._tell_problem(call, effect)
-        self.lines.ended(call, effect)
-        self.on_ended(call, effect)
         if self.kernel.state.waiting.by_target:
             self.inbox.append(Tick())
+        if effect.problem is not None and not self._guarded(
+            effect, self._tell_problem, call
+        ):
+            call.responder.break_off()
+        self.lines.ended(call, effect)
+        self.on_ended(call, effect)
 
     def _forget(self, call: Call) -> None:
         for connection, request_id in list(self.by_connection.items()):
             if request_id == call.request_id:
                 del self.by_connection[connection]
 
-    def _tell_problem(self, call: Call, conclusion: Conclude) -> None:
+    def _tell_problem(self, conclusion: Conclude, call: Call) -> None:
         problem = conclusion.problem
         if problem is not None and problem.code is ProblemCode.CALLER_GONE:
             return
--- a/src/mimosafork/kernel/context.py
+++ b/src/mimosafork/kernel/context.py
@@ -54,6 +54,8 @@
         Monotonic instant at which the message is handled.
     random : random.Random
         The kernel's only source of chance, seeded by its maker.
+    faults : list of Exception
+        What plug-ins and the kernel's own part raised while it was handled.
     """
 
     now: timedelta
@@ -61,6 +63,7 @@
     state: KernelState
     effects: list[Effect] = field(default_factory=list)
     posted: deque[Message] = field(default_factory=deque)
+    faults: list[Exception] = field(default_factory=list)
 
     def emit(self, effect: Effect) -> None:
         """Have an adapter do something."""
--- a/src/mimosafork/kernel/core.py
+++ b/src/mimosafork/kernel/core.py
@@ -3,15 +3,25 @@
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 from functools import singledispatchmethod
+from logging import getLogger
 from random import Random
 from typing import TypeVar
 
 from ..clock import Clock
+from ..ids import RequestId
+from ..telemetry.catalogue.lifecycle import KERNEL_FAULT
+from ..telemetry.logs import log_event
 from .context import Context, Identity, KernelState
 from .errors import KernelError
 from .fleet import Fleet
 from .lifecycle import Lifecycle
-from .messages.attempts import AttemptFailed, AttemptFinished, FirstToken, RetryDue
+from .messages.attempts import (
+    AttemptFailed,
+    AttemptFinished,
+    DispatchFaulted,
+    FirstToken,
+    RetryDue,
+)
 from .messages.base import Effect, Message, Tick
 from .messages.configuration import ConfigurationChanged, ConfigurationReceived
 from .messages.fleet import InstancesListed, LoadReported, ProbeFailed
@@ -32,6 +42,8 @@
 )
 from .queue import WaitingQueue
 
+logger = getLogger(__name__)
+
 TICK = timedelta(milliseconds=50)
 """How often adapters send `Tick`."""
 
@@ -84,16 +96,41 @@
         """Handle a message and all that it gives rise to; return the effects.
 
         Messages that plug-ins post are handled in order before this returns.
+
+        Guard: an exception that went further would take with it the effects of all
+        that had been decided before, such as final answers: callers would wait for
+        ever and endpoints go on working for nobody. Here it costs only the step that
+        raised it. The other plug-ins hear the message, what was decided is carried
+        out, and a request that nothing would move on any more is ended.
         """
         context = Context(self.clock.monotonic(), self.random, self.state)
         context.post(message)
         while context.posted:
             current = context.posted.popleft()
-            self.advance(current, context)
+            self._advance(current, context)
             for listener in self._listeners_of(type(current)):
-                listener(current, context)
+                self._tell(listener, current, context)
+        for fault in context.faults:
+            kind = type(message).__name__
+            log_event(logger, KERNEL_FAULT, exc_info=fault, message=kind)
         return context.effects
 
+    def _advance(self, message: Message, context: Context) -> None:
+        try:
+            self.advance(message, context)
+        except Exception as error:
+            context.faults.append(error)
+            self.lifecycle.end_faulted(_request_of(message), context)
+
+    def _tell(
+        self, listener: Callable[..., None], message: Message, context: Context
+    ) -> None:
+        try:
+            listener(message, context)
+        except Exception as error:
+            context.faults.append(error)
+            self.lifecycle.end_held(_request_of(message), context)
+
     def plugin(self, kind: type[P]) -> P:
         """Return the plug-in of a class, for tests and status pages."""
         return _only_one_of(self.plugins, kind)
@@ -142,6 +179,10 @@
     def _(self, message: AttemptFailed, context: Context) -> None:
         self.lifecycle.attempt_failed(message, context)
 
+    @advance.register
+    def _(self, message: DispatchFaulted, context: Context) -> None:
+        self.lifecycle.dispatch_faulted(message.failure, context)
+
     @advance.register
     def _(self, message: RetryDue, context: Context) -> None:
         self.lifecycle.retry_due(message, context)
@@ -193,6 +234,13 @@
             context.emit(ConfigurationChanged(message.configuration))
 
 
+def _request_of(message: Message) -> RequestId | None:
+    """Return the id of the request that a message is about, if it is about one."""
+    if isinstance(message, Submit):
+        return message.request.request_id
+    return getattr(message, "request_id", None)
+
+
 def _all_of(plugins: Sequence[Plugin], kind: type[P]) -> list[P]:
     return [plugin for plugin in plugins if isinstance(plugin, kind)]
 
--- a/src/mimosafork/kernel/lifecycle.py
+++ b/src/mimosafork/kernel/lifecycle.py
@@ -48,8 +48,14 @@
 
 COME_BACK = timedelta(seconds=1)
 DEADLINE_PASSED = Problem(ProblemCode.DEADLINE_PASSED, "the deadline has passed")
+FAULT = Problem(ProblemCode.INTERNAL, "a fault in this program")
 STOPPED = Problem(ProblemCode.SHUTTING_DOWN, "this instance had to stop", COME_BACK)
 
+HELD_BY_PLUGINS = frozenset(
+    {RequestState.HELD, RequestState.PLACING, RequestState.FINISHING}
+)
+"""Where a request is moved on by a plug-in's word alone."""
+
 QUEUE_SCAN = 64
 """Waiting requests of one target that are tried at a time: the best ranked ones.
 More would make a decision's cost grow with the backlog."""
@@ -141,21 +147,47 @@
             self.place_waiting(record.request.target, context)
 
     def place_waiting(self, target: ModelId | ServiceId, context: Context) -> None:
-        """Place as many waiting requests of a target as endpoints take."""
-        waiting = context.state.waiting.waiting_for(target)
-        now = context.now
-        waiting.sort(key=lambda record: self.discipline.rank(record, now))
+        """Place as many waiting requests of a target as endpoints take.
+
+        Guard: a request for which a plug-in raises is ended by itself. Left in the
+        queue it would raise at each tick, and all others would wait behind it.
+        """
         misses: Counter[str] = Counter()
-        for record in waiting[:QUEUE_SCAN]:
-            if record.state is not RequestState.WAITING:
-                continue
-            lane = self.discipline.lane(record)
-            if misses[lane] >= QUEUE_MISSES:
+        for record in self._ranked(target, context)[:QUEUE_SCAN]:
+            try:
+                self._place_in_turn(record, misses, context)
+            except Exception as error:
+                context.faults.append(error)
+                self.end_faulted(record.request_id, context)
+
+    def _ranked(
+        self, target: ModelId | ServiceId, context: Context
+    ) -> list[RequestRecord]:
+        ranks: dict[RequestId, float] = {}
+        ranked = []
+        for record in context.state.waiting.waiting_for(target):
+            try:
+                ranks[record.request_id] = self.discipline.rank(record, context.now)
+            except Exception as error:
+                context.faults.append(error)
+                self.end_faulted(record.request_id, context)
                 continue
-            if self._try_place(record, context):
-                misses[lane] = 0
-            else:
-                misses[lane] += 1
+            ranked.append(record)
+        ranked.sort(key=lambda record: ranks[record.request_id])
+        return ranked
+
+    def _place_in_turn(
+        self, record: RequestRecord, misses: Counter[str], context: Context
+    ) -> None:
+        if record.state is not RequestState.WAITING:
+            return
+        lane = self.discipline.lane(record)
+        if misses[lane] >= QUEUE_MISSES:
+            return
+        if self._try_place(record, context):
+            misses[lane] = 0
+        else:
+            misses[lane] += 1
 
     def _try_place(self, record: RequestRecord, context: Context) -> bool:
         """Ask the placers; return whether the request left the queue."""
@@ -231,9 +263,11 @@
         record = self._running(message.request_id, message.attempt, context)
         if record is None:
             return
+        # Before the finishers are asked: where one raises, the caller has a whole
+        # answer all the same, and must not be told that it failed.
+        record.state = RequestState.FINISHING
         for finisher in self.finishers:
             if isinstance(finisher.finish(record, context), Hold):
-                record.state = RequestState.FINISHING
                 return
         self.conclude(record, Outcome.COMPLETED, None, context)
 
@@ -281,6 +315,29 @@
             fleet = context.state.fleet
             fleet.apply_failure(attempt.endpoint, context.now, own=False)
 
+    def dispatch_faulted(self, failure: AttemptFailed, context: Context) -> None:
+        """End a request whose attempt this program itself could not make."""
+        record = self._running(failure.request_id, failure.attempt, context)
+        if record is None or record.current is None:
+            return
+        record.current.failure = failure
+        self._end(record, FAULT, context)
+
+    def end_faulted(self, request_id: RequestId | None, context: Context) -> None:
+        """End a request, if it is open, after a fault in what decides about it."""
+        record = _open_request(request_id, context)
+        if record is not None:
+            self._end(record, FAULT, context)
+
+    def end_held(self, request_id: RequestId | None, context: Context) -> None:
+        """End a request after a fault in a plug-in that may have had it in hand.
+
+        One that runs, waits or pauses goes on without the plug-in's word.
+        """
+        record = _open_request(request_id, context)
+        if record is not None and record.state in HELD_BY_PLUGINS:
+            self._end(record, FAULT, context)
+
     def retry_due(self, message: RetryDue, context: Context) -> None:
         """Queue a further attempt."""
         record = context.state.requests.get(message.request_id)
@@ -368,6 +425,14 @@
         return record
 
 
+def _open_request(
+    request_id: RequestId | None, context: Context
+) -> RequestRecord | None:
+    if request_id is None:
+        return None
+    return context.state.requests.get(request_id)
+
+
 def _runs_for_its_key(record: RequestRecord) -> bool:
     """Return whether a run goes on when its caller hangs up.
 
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -92,6 +92,19 @@
     digest: Digest | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class DispatchFaulted(Message):
+    """An attempt could not be made for a fault in the code that makes it.
+
+    Attributes
+    ----------
+    failure : AttemptFailed
+        Its exposure says whether anything may have been sent.
+    """
+
+    failure: AttemptFailed
+
+
 @dataclass(frozen=True, slots=True)
 class RetryDue(Message):
     """The pause before a further attempt is over."""
--- a/src/mimosafork/runtime/kernel_task.py
+++ b/src/mimosafork/runtime/kernel_task.py
@@ -108,5 +108,6 @@
                 entry = (effect.at, next(self.tie_breaker), effect.message)
                 heapq.heappush(self.timers, entry)
                 continue
+            # Each by itself: a sink that raises must not lose the effects behind.
             for sink in self.sinks.get(type(effect), ()):
-                sink(effect)
+                self._guarded(sink, effect)
--- a/src/mimosafork/telemetry/catalogue/lifecycle.py
+++ b/src/mimosafork/telemetry/catalogue/lifecycle.py
@@ -73,6 +73,24 @@
     "those of failures and refusals next.",
     "See what floods the instance; the metrics count what lines don't show.",
 )
+KERNEL_FAULT = Event(
+    1009,
+    "kernel-fault",
+    Level.ERROR,
+    "a fault in the code while a {message} was handled",
+    "What was decided before and beside it is carried out. A request that could not "
+    "go on for it was ended, and its caller told.",
+    "Report it with the trace that follows.",
+)
+EFFECT_FAULT = Event(
+    1010,
+    "effect-fault",
+    Level.ERROR,
+    "a fault in the code while a {effect} was carried out",
+    "All else that was decided is carried out. A request whose attempt could not be "
+    "made for it was ended, and its caller told.",
+    "Report it with the trace that follows.",
+)
 
 STREAMS_IN_PROGRESS = Instrument(
     "mimosafork.streams.in_progress",
--- a/tests/support/functions.py
+++ b/tests/support/functions.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from types import ModuleType
 
+from .faults import no_hidden_faults
+
 LoadTests = Callable[
     [unittest.TestLoader, unittest.TestSuite, str | None], unittest.TestSuite
 ]
@@ -30,6 +32,11 @@
         """Return the name under which the test can be run and listed."""
         return f"{self.function.__module__}.{self.function.__name__}"
 
+    def runTest(self) -> None:  # noqa: N802
+        """Run the test; a fault that the product survives fails it too."""
+        with no_hidden_faults():
+            super().runTest()
+
     def __str__(self) -> str:
         return self.id()
 
--- /dev/null
+++ b/tests/unit/kernel/test_faults.py
@@ -0,0 +1,292 @@
+"""A plug-in that raises costs nobody else anything, and nobody waits for ever."""
+
+from contextlib import AbstractContextManager
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from mimosafork.ids import AttemptNumber, RequestId
+from mimosafork.kernel.context import Context
+from mimosafork.kernel.messages.attempts import (
+    AttemptFailed,
+    AttemptFinished,
+    DispatchFaulted,
+    Exposure,
+    FirstToken,
+)
+from mimosafork.kernel.messages.base import Message, Tick
+from mimosafork.kernel.messages.dispatch import CancelAttempt
+from mimosafork.kernel.messages.fleet import InstancesListed
+from mimosafork.kernel.messages.outcomes import Outcome
+from mimosafork.kernel.messages.problems import ProblemCode
+from mimosafork.kernel.messages.requests import Submit
+from mimosafork.kernel.plugins import (
+    Finisher,
+    Hold,
+    NotMine,
+    Placement,
+    Placer,
+    Plugin,
+    Proceed,
+    RetryDecision,
+    RetryPolicy,
+    Stage,
+    Verdict,
+)
+from mimosafork.kernel.records import RequestRecord
+from mimosafork.policies.admission import KnownTarget
+from mimosafork.policies.baselines import LeastRequests
+from mimosafork.policies.priorities import FirstCome
+from mimosafork.policies.retry import BoundedRetry
+from tests.support.faults import expected_faults
+from tests.support.functions import function_tests
+from tests.support.kernels import (
+    Bench,
+    engine_entry,
+    failed,
+    model_request,
+    running_kernel,
+)
+
+POISON = "poison"
+LATE = timedelta(seconds=61)
+
+
+class PluginBrokenError(Exception):
+    """Raised by the plug-ins of these tests."""
+
+
+class BrokenListener(Plugin):
+    """Raises at each tick, first token and submission."""
+
+    @singledispatchmethod
+    def handle(self, message: Message, context: Context) -> None:
+        """Raise at what is registered."""
+
+    @handle.register
+    def _(self, message: Tick | FirstToken | Submit, context: Context) -> None:
+        raise PluginBrokenError
+
+
+class CountingListener(Plugin):
+    """Counts the ticks that it hears."""
+
+    def __init__(self) -> None:
+        self.ticks = 0
+
+    @singledispatchmethod
+    def handle(self, message: Message, context: Context) -> None:
+        """Count."""
+
+    @handle.register
+    def _(self, message: Tick, context: Context) -> None:
+        self.ticks += 1
+
+
+class BrokenStage(Stage):
+    """Raises for the poison."""
+
+    def review(self, record: RequestRecord, context: Context) -> Verdict:
+        """Raise, or let the request on."""
+        if record.request_id == POISON:
+            raise PluginBrokenError
+        return Proceed()
+
+
+class HoldingStage(Stage):
+    """Holds all requests."""
+
+    def review(self, record: RequestRecord, context: Context) -> Verdict:
+        """Hold."""
+        return Hold()
+
+
+class BrokenPlacer(Placer):
+    """Raises for the poison once it is armed, and leaves all else to others."""
+
+    order = 1
+
+    def __init__(self) -> None:
+        self.armed = False
+
+    def place(self, record: RequestRecord, context: Context) -> Placement:
+        """Raise, or pass on."""
+        if self.armed and record.request_id == POISON:
+            raise PluginBrokenError
+        return NotMine()
+
+
+class BrokenDiscipline(FirstCome):
+    """Can't rank the poison once it is armed."""
+
+    armed = False
+
+    def rank(self, record: RequestRecord, now: timedelta) -> float:
+        """Raise, or rank."""
+        if self.armed and record.request_id == POISON:
+            raise PluginBrokenError
+        return super().rank(record, now)
+
+
+class BrokenFinisher(Finisher):
+    """Raises at each end."""
+
+    def finish(self, record: RequestRecord, context: Context) -> Proceed | Hold:
+        """Raise."""
+        raise PluginBrokenError
+
+
+class BrokenRetry(RetryPolicy):
+    """Raises at each failure."""
+
+    def decide(
+        self, record: RequestRecord, failure: AttemptFailed, context: Context
+    ) -> RetryDecision:
+        """Raise."""
+        raise PluginBrokenError
+
+
+def kernel_with(*plugins: Plugin, engines: int = 1) -> AbstractContextManager[Bench]:
+    """Give a kernel of the simplest plug-ins and some broken ones, these first."""
+    found = list(plugins)
+    usual = [KnownTarget(), LeastRequests(), FirstCome(), BoundedRetry()]
+    roles = (RetryPolicy, FirstCome)
+    for each in usual:
+        taken = [role for role in roles if isinstance(each, role)]
+        if not any(isinstance(plugin, role) for plugin in found for role in taken):
+            found.append(each)
+    return running_kernel(found, [engine_entry(f"e{n}") for n in range(engines)])
+
+
+def check_ended(bench: Bench, name: str, outcome: Outcome) -> None:
+    conclusion = bench.conclusion(name)
+    assert conclusion is not None
+    assert conclusion.outcome is outcome
+    assert conclusion.problem is not None
+    assert conclusion.problem.code is ProblemCode.INTERNAL
+    assert RequestId(name) not in bench.kernel.state.requests
+
+
+def test_a_tick_that_fails_in_one_plug_in_still_ends_late_requests() -> None:
+    """Callers hang and endpoints work on for nobody.
+
+    A tick ended the late requests; then a plug-in raised at the same tick, and what
+    had been decided was lost with it: the kernel had forgotten requests whose callers
+    were never told, and whose attempts were never cancelled.
+    """
+    counting = CountingListener()
+    with kernel_with(BrokenListener(), counting) as bench, expected_faults() as faults:
+        bench.submit(model_request("late"))
+        bench.pass_time(LATE, Tick())
+        assert bench.conclusion("late") is not None
+        assert len(bench.emitted(CancelAttempt)) == 1
+        assert counting.ticks == 1
+        assert {type(fault) for fault in faults} == {PluginBrokenError}
+
+
+def test_a_stage_that_raises_has_the_caller_told_at_once() -> None:
+    with kernel_with(BrokenStage()) as bench, expected_faults() as faults:
+        bench.submit(model_request(POISON))
+        bench.submit(model_request("sound"))
+        check_ended(bench, POISON, Outcome.NOT_RUN)
+        assert len(bench.dispatches("sound")) == 1
+        assert len(faults) == 1
+
+
+def test_a_waiting_request_that_breaks_the_placer_stops_no_other() -> None:
+    """One request has all others of its target wait until their deadlines.
+
+    A placer raised for a request in the queue at each tick, and the requests behind
+    it were never tried again.
+    """
+    placer = BrokenPlacer()
+    with kernel_with(placer, engines=0) as bench, expected_faults() as faults:
+        bench.submit(model_request(POISON))
+        bench.submit(model_request("sound"))
+        placer.armed = True
+        add_engine(bench)
+        bench.tell(Tick())
+        check_ended(bench, POISON, Outcome.NOT_RUN)
+        assert len(bench.dispatches("sound")) == 1
+        bench.tell(Tick())
+        assert len(faults) == 1
+
+
+def test_a_request_that_can_not_be_ranked_stops_no_other() -> None:
+    discipline = BrokenDiscipline()
+    with kernel_with(discipline, engines=0) as bench, expected_faults() as faults:
+        bench.submit(model_request(POISON))
+        bench.submit(model_request("sound"))
+        discipline.armed = True
+        add_engine(bench)
+        bench.tell(Tick())
+        check_ended(bench, POISON, Outcome.NOT_RUN)
+        assert len(bench.dispatches("sound")) == 1
+        assert len(faults) == 1
+
+
+def add_engine(bench: Bench) -> None:
+    """Have one engine come up."""
+    bench.tell(InstancesListed((engine_entry("e9"),), ()))
+    bench.report("e9")
+
+
+def test_a_retry_that_can_not_be_decided_promises_no_more_than_is_known() -> None:
+    cases = (
+        (Exposure.POSSIBLE, Outcome.FAILED),
+        (Exposure.NEVER_SENT, Outcome.NOT_RUN),
+    )
+    for exposure, outcome in cases:
+        with kernel_with(BrokenRetry()) as bench, expected_faults() as faults:
+            bench.submit(model_request("r"))
+            bench.tell(failed("r", exposure=exposure))
+            check_ended(bench, "r", outcome)
+            assert len(faults) == 1
+
+
+def test_a_whole_answer_stays_whole_when_a_finisher_raises() -> None:
+    with kernel_with(BrokenFinisher()) as bench, expected_faults() as faults:
+        bench.submit(model_request("r"))
+        bench.tell(AttemptFinished(RequestId("r"), AttemptNumber(1)))
+        conclusion = bench.conclusion("r")
+        assert conclusion is not None
+        assert conclusion.outcome is Outcome.COMPLETED
+        assert len(faults) == 1
+
+
+def test_a_running_request_goes_on_after_a_listener_has_failed() -> None:
+    with kernel_with(BrokenListener()) as bench, expected_faults() as faults:
+        bench.submit(model_request("r"))
+        bench.tell(FirstToken(RequestId("r"), AttemptNumber(1)))
+        assert bench.conclusion("r") is None
+        bench.tell(AttemptFinished(RequestId("r"), AttemptNumber(1)))
+        conclusion = bench.conclusion("r")
+        assert conclusion is not None
+        assert conclusion.outcome is Outcome.COMPLETED
+        assert len(faults) == 2
+
+
+def test_a_request_in_a_plug_ins_hands_is_ended_when_one_raises() -> None:
+    """A caller waits until its deadline for a word that no plug-in will say."""
+    with (
+        kernel_with(BrokenListener(), HoldingStage()) as bench,
+        expected_faults() as faults,
+    ):
+        bench.submit(model_request("r"))
+        check_ended(bench, "r", Outcome.NOT_RUN)
+        assert len(faults) == 1
+
+
+def test_an_attempt_that_could_not_be_made_is_not_made_again() -> None:
+    cases = (
+        (Exposure.POSSIBLE, Outcome.FAILED),
+        (Exposure.NEVER_SENT, Outcome.NOT_RUN),
+    )
+    for exposure, outcome in cases:
+        with kernel_with() as bench:
+            bench.submit(model_request("r"))
+            bench.tell(DispatchFaulted(failed("r", exposure=exposure)))
+            check_ended(bench, "r", outcome)
+            assert len(bench.dispatches("r")) == 1
+
+
+load_tests = function_tests(__name__)
