Keep the load of each engine until its work changes

Each placement summed up all work on every engine, though the work of few engines changes between two placements. Ruled out: adding and taking away each work's share, as sums of floats would drift and the reads must be sorted anyway; the instant at which all reading is done does not depend on the time of asking, so that a sum stays valid until work begins, ends or is replaced. LoadBook keeps a LoadSum for each engine with work, and drops it with each change of it. The search itself is the dear part; this only makes room for mending it.

--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -127,18 +127,47 @@
 IDLE = EngineLoad()
 
 
+@dataclass(frozen=True, slots=True)
+class LoadSum:
+    """The load of one engine until its work changes.
+
+    Attributes
+    ----------
+    standing : EngineLoad
+        The load without reading.
+    read_until_ms : float
+        Instant at which all promised reading is done; -inf without any.
+    tightest_ms : float
+        Shortest of the longest pauses of its requests; inf without any.
+    """
+
+    standing: EngineLoad
+    read_until_ms: float = -inf
+    tightest_ms: float = inf
+
+    def reading_ms(self, now_ms: float) -> float:
+        """Return the milliseconds of reading that are promised and not yet done."""
+        return max(0.0, self.read_until_ms - now_ms)
+
+
+NOTHING = LoadSum(IDLE)
+
+
 @dataclass(slots=True)
 class LoadBook:
     """The running work of this instance and of its peers, by engine.
 
-    Adding or ending a request costs the number of its engines; the load of an engine
-    costs the number of requests on it. All times are of this instance's clock.
+    Adding or ending a request costs the number of its engines. The load of an engine
+    is summed up when it is asked for first after a change of the work on it. All times
+    are of this instance's clock.
     """
 
     own: dict[RequestId, Work] = field(default_factory=dict)
     peers: dict[InstanceId, dict[RequestId, Work]] = field(default_factory=dict)
     by_engine: dict[EndpointId, dict[int, Work]] = field(default_factory=dict)
     """Work under its identity, as two instances may name the same request."""
+    sums: dict[EndpointId, LoadSum] = field(default_factory=dict)
+    """Of engines with work that has not changed since it was summed up."""
 
     def note(self, work: Work) -> None:
         """Add own work, or replace what was known of it; ended work is dropped."""
@@ -198,10 +227,12 @@
         """Enter work under each of its engines."""
         for endpoint in engines_of(work):
             self.by_engine.setdefault(endpoint, {})[id(work)] = work
+            self.sums.pop(endpoint, None)
 
     def unlink(self, work: Work) -> None:
         """Take work out from under each of its engines."""
         for endpoint in engines_of(work):
+            self.sums.pop(endpoint, None)
             works = self.by_engine.get(endpoint)
             if works is None:
                 continue
@@ -211,8 +242,23 @@
 
     def load(self, endpoint: EndpointId, now: timedelta) -> EngineLoad:
         """Return the load of one engine; an unknown one is idle."""
+        found = self.sum_of(endpoint)
+        reading_ms = found.reading_ms(now.total_seconds() * 1e3)
+        if reading_ms == 0.0:
+            return found.standing
+        return replace(found.standing, reading_ms=reading_ms)
+
+    def sum_of(self, endpoint: EndpointId) -> LoadSum:
+        """Return the load of one engine as it is until its work changes."""
+        found = self.sums.get(endpoint)
+        if found is not None:
+            return found
         works = self.by_engine.get(endpoint)
-        return load_of(endpoint, works.values(), now) if works else IDLE
+        if works is None:
+            return NOTHING
+        found = summed(endpoint, works.values())
+        self.sums[endpoint] = found
+        return found
 
 
 def engines_of(work: Work) -> set[EndpointId]:
@@ -223,7 +269,7 @@
     return engines
 
 
-def load_of(endpoint: EndpointId, works: Iterable[Work], now: timedelta) -> EngineLoad:
+def summed(endpoint: EndpointId, works: Iterable[Work]) -> LoadSum:
     """Sum up the works on one engine."""
     running = writers = helping = promised = context = 0
     paces: list[Pace] = []
@@ -241,10 +287,11 @@
         if reading:
             helping += work.host != endpoint
             reads.append(read_of(work, endpoint))
-    left_ms = reading_left(reads, now.total_seconds() * 1e3) if reads else 0.0
-    return EngineLoad(
-        running, writers, helping, left_ms, promised, context, tuple(paces)
+    standing = EngineLoad(
+        running, writers, helping, 0.0, promised, context, tuple(paces)
     )
+    tightest_ms = min((pace.pause_ms for pace in paces), default=inf)
+    return LoadSum(standing, read_until(reads), tightest_ms)
 
 
 class Read(NamedTuple):
@@ -260,12 +307,12 @@
     return Read(work.started_at.total_seconds() * 1e3, length_ms)
 
 
-def reading_left(reads: list[Read], now_ms: float) -> float:
-    """Return the milliseconds left of reads that are done one after the other."""
+def read_until(reads: list[Read]) -> float:
+    """Return the instant, in ms, at which reads one after the other are done."""
     free_at = -inf
     for read in sorted(reads):
         free_at = max(free_at, read.start_ms) + read.length_ms
-    return max(0.0, free_at - now_ms)
+    return free_at
 
 
 def held_at(work: Work, endpoint: EndpointId) -> int:
