Weigh only sizes of gangs that can win

A place weighed every engine with eleven sizes of part, built an object for each, and sorted them all; so a place among 100 engines took longer than all else of a call. Ruled out: a shortlist of a few engines, as it would decide otherwise; numpy, as memory is billed. Weighing sizes in ascending order with the same bounds was tried: it helps short prompts as much, but long ones, whose best size is large, hardly. What doesn't depend on the size of a part is calculated once for each engine. A bound, as if the cheapest engines were free first and had nobody to harm, says what each size costs at least; sizes are weighed from the most promising on, until none left can win. Requests that are surely safe, or surely late, are not weighed one by one. Without a host nothing is weighed. Chance is used as before; tests/unit/placement/test_search.py holds the decisions equal to the plain search, and failed for each of nine bounds and sums that were spoilt on a scratch copy (the ninth only after prompts that fill an engine to the last token were drawn too).

--- a/src/mimosafork/placement/admission.py
+++ b/src/mimosafork/placement/admission.py
@@ -43,4 +43,4 @@
     taken = sum(state.load.running for state in states)
     if taken < TAKEN_SHARE * slots:
         return None
-    return timedelta(milliseconds=max(done_ms - left_ms, host.load.reading_ms))
+    return timedelta(milliseconds=max(done_ms - left_ms, host.reading_ms))
--- a/src/mimosafork/placement/forecast.py
+++ b/src/mimosafork/placement/forecast.py
@@ -8,7 +8,7 @@
 
 from ..routing.engine import EngineFigures
 from .choice import EngineView
-from .work import EngineLoad, Pace
+from .work import EngineLoad, LoadSum
 
 LATE_LOSS = 0.75
 """Share of its worth that a late answer loses."""
@@ -22,38 +22,85 @@
 """Share of an objective that a prediction must leave to be sure of it."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class EngineState:
-    """One engine as a placement sees it.
+    """One engine as a placement sees it; not changed once it is made.
+
+    Not frozen, as that would make each of hundreds twice as dear.
 
     Attributes
     ----------
+    found : LoadSum
+        Its load, whatever the time.
     pace : float
-        How many times longer than stated its work takes.
-    pass_ms : float
-        Length of a pass without reading; a single step without writers.
+        How many times longer than stated its work takes; at least 1.
+    reading_ms : float
+        Milliseconds of reading that are promised and not yet done.
     order : float
         Its place in the order that all instances share, from 0 to 1.
     penalty : float
         Added to the cost of using it.
+    begin_ms : float
+        When it can begin to read a further part.
+    busy_ms : float
+        Length of a pass in which all promised reading is done.
+    safe_ms : float
+        A pass of up to this length surely breaks none of them.
     """
 
     view: EngineView
-    load: EngineLoad
+    found: LoadSum
     pace: float
-    pass_ms: float
+    reading_ms: float
     order: float
-    penalty: float = 0.0
+    penalty: float
+    begin_ms: float
+    busy_ms: float
+    safe_ms: float
+
+    @property
+    def load(self) -> EngineLoad:
+        """Its load without reading."""
+        return self.found.standing
 
     @property
     def has_slot(self) -> bool:
         """Whether it may be host of one more request."""
-        return self.load.running < self.view.slots
+        return self.found.standing.running < self.view.slots
 
     @property
     def can_help(self) -> bool:
         """Whether it may read a part of one more request of another host."""
-        return self.load.helping < self.view.slots
+        return self.found.standing.helping < self.view.slots
+
+
+def state_of(
+    view: EngineView,
+    found: LoadSum,
+    figures: EngineFigures,
+    now_ms: float,
+    order: float,
+    penalty: float,
+) -> EngineState:
+    """Return an engine as a placement sees it.
+
+    A pass that runs already ends before a part is read, on the average half of it is
+    left, and the read ends with its own pass.
+    """
+    pace = pace_of(view)
+    pass_ms = pass_length(found.standing, figures) * pace
+    reading_ms = found.reading_ms(now_ms)
+    return EngineState(
+        view,
+        found,
+        pace,
+        reading_ms,
+        order,
+        penalty,
+        1.5 * pass_ms + reading_ms,
+        pass_ms + reading_ms,
+        found.tightest_ms - PAUSE_SLACK_MS,
+    )
 
 
 def pace_of(view: EngineView) -> float:
@@ -70,20 +117,6 @@
     return step * max(1, figures.stride)
 
 
-def read_done(state: EngineState, read_ms: float) -> float:
-    """Return when an engine will have read a part that is sent now.
-
-    A pass that runs already ends first, and the read ends with its own pass.
-    """
-    reading = state.load.reading_ms + read_ms * state.pace
-    return 1.5 * state.pass_ms + reading
-
-
-def longest_pass(state: EngineState, read_ms: float) -> float:
-    """Return the milliseconds of a pass in which all promised reading is done."""
-    return state.pass_ms + state.load.reading_ms + read_ms * state.pace
-
-
 def worth_of(prompt_tokens: int) -> float:
     """Return what an answer that is on time is worth, told by its prompt."""
     return 1.0 + prompt_tokens / TOKENS_OF_WORTH
@@ -99,24 +132,32 @@
     return min(1.0, max(0.0, (value_ms - limit_ms + slack_ms) / slack_ms))
 
 
-def pause_loss(pace: Pace, pass_ms: float) -> float:
-    """Return what a pass of some length is expected to cost one writer."""
-    chance = risk(pass_ms, pace.pause_ms, PAUSE_SLACK_MS)
-    return chance * LATE_LOSS * worth_of(pace.prompt_tokens)
-
-
 def harm(state: EngineState, read_ms: float) -> float:
     """Return what a part costs the engine's own requests, beside what is so already."""
-    if not state.load.paces:
+    before = state.busy_ms
+    after = before + read_ms * state.pace
+    if after <= state.safe_ms:
         return 0.0
-    before = longest_pass(state, 0.0)
-    after = longest_pass(state, read_ms)
-    return sum(
-        pause_loss(pace, after) - pause_loss(pace, before) for pace in state.load.paces
-    )
-
-
-def lateness(done_ms: float, objective_ms: float, prompt_tokens: int) -> float:
-    """Return what a request itself is expected to lose by its first event."""
+    found = state.found
+    paces = found.standing.paces
+    if before <= state.safe_ms and after >= found.loosest_ms:
+        # All of them are safe now and none would be.
+        return LATE_LOSS * (len(paces) + found.paced_tokens / TOKENS_OF_WORTH)
+    lost = 0.0
+    for pace in paces:
+        chance = risk(after, pace.pause_ms, PAUSE_SLACK_MS)
+        chance -= risk(before, pace.pause_ms, PAUSE_SLACK_MS)
+        lost += chance * worth_of(pace.prompt_tokens)
+    return lost * LATE_LOSS
+
+
+def lateness(done_ms: float, objective_ms: float, worth: float) -> float:
+    """Return what a request itself is expected to lose by its first event.
+
+    Parameters
+    ----------
+    worth : float
+        Of the request, if it is on time.
+    """
     slack = FIRST_EVENT_SLACK * max(0.0, objective_ms)
-    return risk(done_ms, objective_ms, slack) * LATE_LOSS * worth_of(prompt_tokens)
+    return risk(done_ms, objective_ms, slack) * LATE_LOSS * worth
--- a/src/mimosafork/placement/memory.py
+++ b/src/mimosafork/placement/memory.py
@@ -20,12 +20,17 @@
 
 def free_tokens(state: EngineState, figures: EngineFigures) -> int:
     """Return the tokens of an engine's memory that are promised to nobody."""
-    return int(figures.memory_tokens * FULL_SHARE) - state.load.promised_tokens
+    return most_promised(figures) - state.load.promised_tokens
+
+
+def most_promised(figures: EngineFigures) -> int:
+    """Return the tokens that an engine may promise in all."""
+    return int(figures.memory_tokens * FULL_SHARE)
 
 
 def needs_tickets(ask: PlacementAsk, figures: EngineFigures) -> bool:
     """Return whether a request is larger than one engine's memory."""
-    return total_tokens(ask) > int(figures.memory_tokens * FULL_SHARE)
+    return total_tokens(ask) > most_promised(figures)
 
 
 def shares(
--- a/src/mimosafork/placement/plain.py
+++ b/src/mimosafork/placement/plain.py
@@ -36,7 +36,7 @@
         return WaitForRoom(Shortage.ENDPOINTS)
 
     def rank(view: EngineView) -> tuple[float, bool, float]:
-        running = book.load(view.endpoint, now).running
+        running = book.sum_of(view.endpoint).standing.running
         busy = (running + 1) * pace_of(view) / max(1, view.slots)
         if view.suspect:
             busy += SUSPECT_BUSY
@@ -49,5 +49,7 @@
 def preferred(ask: PlacementAsk, endpoints: Sequence[EngineView]) -> list[EngineView]:
     """Return the usable endpoints, without those to avoid if others are left."""
     usable = [view for view in endpoints if view.usable]
+    if not ask.avoid:
+        return usable
     others = [view for view in usable if view.endpoint not in ask.avoid]
     return others or usable
--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -8,12 +8,13 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from ..routing.engine import EngineFigures
 from .choice import PlacementAsk
-from .forecast import EngineState, harm, lateness, read_done, worth_of
-from .memory import free_tokens, needs_tickets, total_tokens
+from .forecast import EngineState, harm, lateness, worth_of
+from .memory import free_tokens, most_promised, needs_tickets, total_tokens
 
 GANG_SIZES = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 """Numbers of engines that are tried; a request may name 16 beside its host."""
@@ -33,6 +34,8 @@
 """Cost of each millisecond until the first token, for each request's worth."""
 SMALL_PROMPT_MS = 200.0
 """Prompts that are read within this go to the front of the order, others behind."""
+ROUNDING = 1e-9
+"""A bound may lie so far above the cost that it bounds, as sums are rounded."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,103 +47,184 @@
     done_ms: float
     cost: float
 
+    def beats(self, other: "Plan") -> bool:
+        """Whether it costs less, or as much with fewer helpers."""
+        mine = (self.cost, len(self.helpers))
+        return mine < (other.cost, len(other.helpers))
 
-@dataclass(frozen=True, slots=True)
-class Seat:
-    """One engine with the part that it would read.
+
+@dataclass(slots=True)
+class Weights:
+    """All engines with one size of part, each list in their order.
 
     Attributes
     ----------
-    done_ms : float
-        When it will have read the part.
-    cost : float
+    done_ms : list of float
+        When each will have read the part.
+    costs : list of float
         To others, and by its place in the order.
-    rank : float
-        The cost with what the request itself would lose by this engine.
+    ranks : list of float
+        The costs with what the request itself would lose by the engine.
     """
 
-    state: EngineState
-    done_ms: float
-    cost: float
-    rank: float
+    done_ms: list[float]
+    costs: list[float]
+    ranks: list[float]
 
 
-@dataclass(frozen=True, slots=True)
 class Search:
     """One request and the engines that it may use.
 
-    Attributes
+    Engines are named by their index. What doesn't depend on the size of the parts is
+    calculated once.
+
+    Parameters
     ----------
-    noise : tuple of float
+    ask : PlacementAsk
+    states : sequence of EngineState
+    figures : EngineFigures
+    noise : sequence of float
         One cost for each engine.
+
+    Attributes
+    ----------
+    fixed : list of float
+        Costs of each engine whatever it reads.
+    openings : list of float
+        What each costs besides as a host.
+    hosts, helpers : list of int
+        Engines with a slot and memory for it, and those that may read for others.
     """
 
-    ask: PlacementAsk
-    states: Sequence[EngineState]
-    figures: EngineFigures
-    noise: tuple[float, ...]
+    def __init__(
+        self,
+        ask: PlacementAsk,
+        states: Sequence[EngineState],
+        figures: EngineFigures,
+        noise: Sequence[float],
+    ) -> None:
+        self.ask = ask
+        self.states = states
+        self.figures = figures
+        self.split = needs_tickets(ask, figures)
+        self.worth = worth_of(ask.prompt_tokens)
+        self.objective_ms = ask.objective.total_seconds() * 1e3
+        self.hosts = self._hosts()
+        self.helpers = [i for i, state in enumerate(states) if state.can_help]
+        small = figures.read_ms(ask.prompt_tokens, ask.prompt_tokens) < SMALL_PROMPT_MS
+        self.fixed = [
+            extra
+            + state.penalty
+            + ORDER_COST * (state.order if small else 1.0 - state.order)
+            for state, extra in zip(states, noise, strict=True)
+        ]
+        self.openings = opening_costs(ask, states)
+
+    def _hosts(self) -> list[int]:
+        room = most_promised(self.figures)
+        if not self.split:
+            room -= total_tokens(self.ask)
+        return [
+            index
+            for index, state in enumerate(self.states)
+            if state.has_slot and state.found.standing.promised_tokens <= room
+        ]
 
     def own_loss(self, done_ms: float) -> float:
         """Return what the request loses by a time until its first token."""
-        objective_ms = self.ask.objective.total_seconds() * 1e3
+        delay = DELAY_COST_PER_MS * done_ms * self.worth
+        return lateness(done_ms, self.objective_ms, self.worth) + delay
+
+    def read_ms(self, size: int) -> float:
+        """Return how long one of `size` even parts is read."""
         prompt = self.ask.prompt_tokens
-        delay = DELAY_COST_PER_MS * done_ms * worth_of(prompt)
-        return lateness(done_ms, objective_ms, prompt) + delay
-
-    def is_small(self) -> bool:
-        """Whether the prompt is read so fast that it goes to the front."""
-        tokens = self.ask.prompt_tokens
-        return self.figures.read_ms(tokens, tokens) < SMALL_PROMPT_MS
-
-    def seats(self, size: int) -> list[Seat]:
-        """Return each engine with one of `size` even parts."""
-        tokens = -(-self.ask.prompt_tokens // size)
-        read_ms = self.figures.read_ms(tokens, self.ask.prompt_tokens)
-        small = self.is_small()
-        seats = []
-        for state, extra in zip(self.states, self.noise, strict=True):
-            done_ms = read_done(state, read_ms)
-            cost = harm(state, read_ms) + extra + state.penalty
-            cost += ORDER_COST * (state.order if small else 1.0 - state.order)
-            seats.append(Seat(state, done_ms, cost, cost + self.own_loss(done_ms)))
-        return seats
-
-    def host(self, seats: Sequence[Seat]) -> Seat | None:
-        """Return the cheapest engine with a free slot and memory, or None."""
-        split = needs_tickets(self.ask, self.figures)
-        needed = 0 if split else total_tokens(self.ask)
-        fitting = [
-            seat
-            for seat in seats
-            if seat.state.has_slot and free_tokens(seat.state, self.figures) >= needed
+        return self.figures.read_ms(-(-prompt // size), prompt)
+
+    def weights(self, read_ms: float) -> Weights:
+        """Return what a part that is read within some time costs on each engine."""
+        own_loss = self.own_loss
+        done_ms = [state.begin_ms + read_ms * state.pace for state in self.states]
+        costs = [
+            fixed
+            if state.busy_ms + read_ms * state.pace <= state.safe_ms
+            else fixed + harm(state, read_ms)
+            for state, fixed in zip(self.states, self.fixed, strict=True)
         ]
-        return min(
-            fitting,
-            key=lambda seat: seat.rank + opening(self.ask, seat.state),
-            default=None,
-        )
+        pairs = zip(costs, done_ms, strict=True)
+        ranks = [cost + own_loss(done) for cost, done in pairs]
+        return Weights(done_ms, costs, ranks)
 
     def plan(self, size: int) -> Plan | None:
-        """Return the cheapest plan with some number of engines, or None."""
-        seats = self.seats(size)
-        host = self.host(seats)
-        if host is None:
+        """Return the cheapest plan with some number of engines, or None.
+
+        There must be a host.
+        """
+        if len(self.helpers) < size - 1:
             return None
-        able = [s for s in seats if s is not host and s.state.can_help]
-        helpers = sorted(able, key=lambda seat: seat.rank)[: size - 1]
+        weights = self.weights(self.read_ms(size))
+        ranks, openings = weights.ranks, self.openings
+        host = min(self.hosts, key=lambda index: ranks[index] + openings[index])
+        others = [index for index in self.helpers if index != host]
+        helpers = sorted(others, key=ranks.__getitem__)[: size - 1]
         if len(helpers) < size - 1 or not self.fits([host, *helpers]):
             return None
-        done_ms = max(seat.done_ms for seat in (host, *helpers))
-        cost = self.own_loss(done_ms) + opening(self.ask, host.state) + host.cost
-        cost += sum(seat.cost + HELPER_COST for seat in helpers)
-        return Plan(host.state, tuple(s.state for s in helpers), done_ms, cost)
+        done_ms = max(weights.done_ms[index] for index in (host, *helpers))
+        cost = self.own_loss(done_ms) + openings[host] + weights.costs[host]
+        cost += sum(weights.costs[index] + HELPER_COST for index in helpers)
+        gang = tuple(self.states[index] for index in helpers)
+        return Plan(self.states[host], gang, done_ms, cost)
 
-    def fits(self, gang: Sequence[Seat]) -> bool:
+    def fits(self, gang: Sequence[int]) -> bool:
         """Return whether a prompt larger than one engine's memory fits into all."""
-        if not needs_tickets(self.ask, self.figures):
+        if not self.split:
             return True
-        free = sum(max(0, free_tokens(seat.state, self.figures)) for seat in gang)
-        return free >= total_tokens(self.ask)
+        rooms = (free_tokens(self.states[index], self.figures) for index in gang)
+        return sum(max(0, room) for room in rooms) >= total_tokens(self.ask)
+
+    def cheapest(self) -> Plan | None:
+        """Return the plan that costs least, or None if no engine has room."""
+        if not self.hosts:
+            return None
+        most = MOST_WITH_MEMORY if self.split else GANG_SIZES[-1]
+        sizes = sorted({min(size, len(self.states), most) for size in GANG_SIZES})
+        bounds = Bounds(self)
+        least = {size: bounds.least_cost(size) for size in sizes}
+        best: Plan | None = None
+        # From the most promising size on, as most need not be weighed then.
+        for size in sorted(sizes, key=least.__getitem__):
+            if best is not None and least[size] > best.cost + ROUNDING:
+                break
+            plan = self.plan(size)
+            if plan is not None and (best is None or plan.beats(best)):
+                best = plan
+        return best
+
+
+class Bounds:
+    """What plans cost at least, told without weighing each engine.
+
+    As if the cheapest engines were those that are free first, and none had requests
+    of its own that a part could harm.
+
+    Parameters
+    ----------
+    search : Search
+        With a host.
+    """
+
+    def __init__(self, search: Search) -> None:
+        self.search = search
+        self.begins_ms = sorted(state.begin_ms for state in search.states)
+        self.costs = sorted(search.fixed)
+        self.host_cost = min(
+            search.fixed[index] + search.openings[index] for index in search.hosts
+        )
+
+    def least_cost(self, size: int) -> float:
+        """Return what a plan with some number of engines costs at least."""
+        done_ms = self.begins_ms[size - 1] + self.search.read_ms(size)
+        helpers = sum(self.costs[: size - 1]) + HELPER_COST * (size - 1)
+        return self.search.own_loss(done_ms) + self.host_cost + helpers
 
 
 def best_plan(
@@ -150,18 +234,15 @@
     random: Random,
 ) -> Plan | None:
     """Return the plan that costs least, or None if no engine has room."""
-    noise = tuple(random.random() * NOISE_COST for _ in states)
-    search = Search(ask, states, figures, noise)
-    most = MOST_WITH_MEMORY if needs_tickets(ask, figures) else GANG_SIZES[-1]
-    sizes = sorted({min(size, len(states), most) for size in GANG_SIZES})
-    plans = [plan for size in sizes if (plan := search.plan(size)) is not None]
-    return min(plans, key=lambda plan: plan.cost, default=None)
+    noise = [random.random() * NOISE_COST for _ in states]
+    return Search(ask, states, figures, noise).cheapest()
 
 
-def opening(ask: PlacementAsk, state: EngineState) -> float:
-    """Return the cost of shortening the pause that an engine's requests bear."""
+def opening_costs(ask: PlacementAsk, states: Sequence[EngineState]) -> list[float]:
+    """Return the cost of shortening the pause that each engine's requests bear."""
     if ask.longest_pause is None:
-        return 0.0
+        return [0.0] * len(states)
     own = ask.longest_pause.total_seconds() * 1e3
-    borne = min((pace.pause_ms for pace in state.load.paces), default=LONGEST_PAUSE_MS)
-    return OPENING_COST * max(0.0, borne - own) / 1e3
+    tightest = (state.found.tightest_ms for state in states)
+    borne = (LONGEST_PAUSE_MS if pause == inf else pause for pause in tightest)
+    return [OPENING_COST * max(0.0, pause - own) / 1e3 for pause in borne]
--- a/src/mimosafork/placement/policy.py
+++ b/src/mimosafork/placement/policy.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Sequence
 from datetime import timedelta
+from functools import lru_cache
 from random import Random
 from zlib import crc32
 
+from ..ids import EndpointId
 from ..routing.engine import EngineFigures
 from .admission import finish_ms, too_late
 from .choice import (
@@ -17,7 +19,7 @@
     Shortage,
     WaitForRoom,
 )
-from .forecast import EngineState, pace_of, pass_length
+from .forecast import EngineState, state_of
 from .memory import needs_tickets, shares, total_tokens
 from .plain import choose_plain, preferred
 from .plan import Plan, best_plan
@@ -27,6 +29,8 @@
 
 SUSPECT_COST = 50.0
 """Cost of an engine that failed lately."""
+KNOWN_RANKS = 4_096
+"""Engines whose place in the order is kept; more than one instance ever sees."""
 
 
 def choose(
@@ -70,22 +74,26 @@
     now: timedelta,
 ) -> list[EngineState]:
     """Return the engines in the order that all instances share."""
-    ordered = sorted(usable, key=lambda view: crc32(view.endpoint.encode()))
-    states = []
-    for index, view in enumerate(ordered):
-        load = book.load(view.endpoint, now)
-        pace = pace_of(view)
-        states.append(
-            EngineState(
-                view=view,
-                load=load,
-                pace=pace,
-                pass_ms=pass_length(load, figures) * pace,
-                order=index / len(ordered),
-                penalty=SUSPECT_COST if view.suspect else 0.0,
-            )
+    ordered = sorted(usable, key=lambda view: shared_rank(view.endpoint))
+    now_ms = now.total_seconds() * 1e3
+    count = len(ordered)
+    return [
+        state_of(
+            view,
+            book.sum_of(view.endpoint),
+            figures,
+            now_ms,
+            index / count,
+            SUSPECT_COST if view.suspect else 0.0,
         )
-    return states
+        for index, view in enumerate(ordered)
+    ]
+
+
+@lru_cache(KNOWN_RANKS)
+def shared_rank(endpoint: EndpointId) -> int:
+    """Return what an engine's place in the order of all instances goes by."""
+    return crc32(endpoint.encode())
 
 
 def without_plan(
--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -137,13 +137,17 @@
         The load without reading.
     read_until_ms : float
         Instant at which all promised reading is done; -inf without any.
-    tightest_ms : float
-        Shortest of the longest pauses of its requests; inf without any.
+    tightest_ms, loosest_ms : float
+        Shortest and longest of the longest pauses of its requests; inf without any.
+    paced_tokens : int
+        Prompt tokens of its requests that have a longest pause.
     """
 
     standing: EngineLoad
     read_until_ms: float = -inf
     tightest_ms: float = inf
+    loosest_ms: float = inf
+    paced_tokens: int = 0
 
     def reading_ms(self, now_ms: float) -> float:
         """Return the milliseconds of reading that are promised and not yet done."""
@@ -290,8 +294,14 @@
     standing = EngineLoad(
         running, writers, helping, 0.0, promised, context, tuple(paces)
     )
-    tightest_ms = min((pace.pause_ms for pace in paces), default=inf)
-    return LoadSum(standing, read_until(reads), tightest_ms)
+    pauses = [pace.pause_ms for pace in paces]
+    return LoadSum(
+        standing,
+        read_until(reads),
+        min(pauses, default=inf),
+        max(pauses, default=inf),
+        sum(pace.prompt_tokens for pace in paces),
+    )
 
 
 class Read(NamedTuple):
--- a/tests/unit/placement/test_search.py
+++ b/tests/unit/placement/test_search.py
@@ -8,6 +8,7 @@
 
 from mimosafork.ids import AvailabilityZoneId, EndpointId, InstanceId, RequestId
 from mimosafork.placement.choice import EngineView, PlacementAsk
+from mimosafork.placement.memory import FULL_SHARE
 from mimosafork.placement.plain import preferred
 from mimosafork.placement.plan import GANG_SIZES, best_plan
 from mimosafork.placement.policy import states_of
@@ -61,11 +62,18 @@
         pause = draw.choice(PAUSES)
         names = [view.endpoint for view in self.views]
         avoid = draw.sample(names, draw.choice((0, 0, 1, len(names) // 2)))
+        prompt = int(draw.choice(PROMPTS) * draw.uniform(1.0, 1.5))
+        answer = draw.randrange(1, 3_000)
+        if draw.random() < 0.1:
+            # As much as one engine has room for, to the last token.
+            load = self.book.load(draw.choice(names), self.now)
+            room = int(FIGURES.memory_tokens * FULL_SHARE) - load.promised_tokens
+            answer = max(answer, room - prompt)
         return PlacementAsk(
             request=RequestId("asked"),
-            prompt_tokens=int(draw.choice(PROMPTS) * draw.uniform(1.0, 1.5)),
+            prompt_tokens=prompt,
             max_answer_tokens=3_000,
-            answer_tokens=draw.randrange(1, 3_000),
+            answer_tokens=answer,
             time_left=timedelta(seconds=10),
             objective=ms(draw.choice((0, 5, 300, 1_500, 4_000))),
             longest_pause=None if pause is None else ms(pause),
