Split the prepared endpoint's stand-in by concern

Change: endpoint_settings, job (one request), refusals (answers that say "not run"), serving (refused, queued, run or met by a fault); endpoint.py keeps lives, health and the methods of a test. `seconds` is written out.

--- a/benchmarks/gateway_latency.py
+++ b/benchmarks/gateway_latency.py
@@ -11,7 +11,7 @@
 from statistics import median, quantiles
 
 from mimosafork.platform import names
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from tests.support.gateway_processes import GatewayProcess, gateway_process
 from tests.support.prepared import API_KEY, DESKS, HOST, Channel, deployment
 from tests.support.waiting import eventually
--- a/benchmarks/gateway_size.py
+++ b/benchmarks/gateway_size.py
@@ -25,7 +25,7 @@
 from mimosafork.platform.configuration import decode_configuration
 from mimosafork.routing.engine import EngineFigures
 from mimosafork.standins.prepared.documents import TenantEntry
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.engine import EngineFigures as Pace
 from tests.support.gateway_processes import GatewayProcess, gateway_process
 from tests.support.prepared import API_KEY, DESKS, ENGINES, USUAL_CONFIG, deployment
--- a/src/mimosafork/standins/prepared/deployment.py
+++ b/src/mimosafork/standins/prepared/deployment.py
@@ -8,7 +8,8 @@
 from .background import LoopThread
 from .desk import Desk
 from .documents import ConfigEntry, beat_document
-from .endpoint import Endpoint, EndpointSettings
+from .endpoint import Endpoint
+from .endpoint_settings import EndpointSettings
 from .engine import Engine, EngineFigures
 from .runs import RunLog
 from .store import NO_LIMITS, Store, StoreLimits
--- a/src/mimosafork/standins/prepared/desk.py
+++ b/src/mimosafork/standins/prepared/desk.py
@@ -2,8 +2,9 @@
 
 from http import HTTPStatus
 
-from .endpoint import Endpoint, Job, seconds
+from .endpoint import Endpoint
 from .http import Answer, Header
+from .job import Job
 from .runs import RunEnd, digest_of
 
 TEXT = Header("Content-Type", "text/plain")
@@ -20,7 +21,7 @@
         broken_off = await job.until(self.gate.passed())
         if broken_off is None:
             settings = self.settings
-            broken_off = await job.pause(seconds(settings.work) / settings.speed)
+            broken_off = await job.pause(settings.work.total_seconds() / settings.speed)
         if broken_off is RunEnd.EXPIRED:
             job.whole(Answer(HTTPStatus.GATEWAY_TIMEOUT))
         if broken_off is not None:
--- a/src/mimosafork/standins/prepared/documents.py
+++ b/src/mimosafork/standins/prepared/documents.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from ..errors import StandinError
-from .endpoint import Endpoint, EndpointSettings
+from .endpoint import Endpoint
+from .endpoint_settings import EndpointSettings
 from .engine import Engine, EngineFigures
 
 ENGINE_SLOTS = 8
--- a/src/mimosafork/standins/prepared/engine.py
+++ b/src/mimosafork/standins/prepared/engine.py
@@ -10,15 +10,11 @@
 
 from .admission import Admission
 from .background import LoopThread
-from .endpoint import (
-    Endpoint,
-    EndpointSettings,
-    Job,
-    misdirected,
-    not_run,
-    seconds,
-)
+from .endpoint import Endpoint
+from .endpoint_settings import EndpointSettings
 from .http import Answer, Header, Request, whichever
+from .job import Job
+from .refusals import misdirected, not_run
 from .reservations import Reservations, Ticket
 from .runs import Run, RunEnd, RunLog, digest_of
 from .sending import Sending
@@ -226,12 +222,12 @@
         weights = self.weights
         digest = job.run.body_digest
         first = int(job.request.header(LAST_EVENT_ID, "0")) + 1
-        span_s = seconds(settings.work) / settings.speed
+        span_s = settings.work.total_seconds() / settings.speed
         for number in range(first, self.event_count(job.request) + 1):
             broken_off = await self._step(job, fellows, span_s)
             if broken_off is not None:
                 return self._break_off(job, fellows, sending, broken_off)
-            span_s = seconds(self.figures.gap) / settings.speed
+            span_s = self.figures.gap.total_seconds() / settings.speed
             if sending is None:
                 sending = self._begin(job)
             changed = self.weights if self.weights != weights else None
@@ -257,7 +253,7 @@
         waits = (event.wait() for event in losses)
         broken_off = await job.until(whichever(step(), *waits))
         if broken_off is None and fellows.helper_lost():
-            broken_off = await job.pause(seconds(self.figures.stall))
+            broken_off = await job.pause(self.figures.stall.total_seconds())
         if broken_off is None and any(event.is_set() for event in losses):
             return RunEnd.CUT
         return broken_off
@@ -334,7 +330,7 @@
         return self._order_answer(HTTPStatus.BAD_REQUEST)
 
     def _reserve(self, order: dict[str, Any]) -> Answer:
-        longest_s = seconds(self.figures.hold_max)
+        longest_s = self.figures.hold_max.total_seconds()
         hold_s = min(float(order["hold-ms"]) / 1000.0, longest_s)
         wait = bool(order.get("wait", False))
         now_s = self.now_s()
--- a/tests/functional/test_gateway_metrics.py
+++ b/tests/functional/test_gateway_metrics.py
@@ -2,7 +2,7 @@
 
 from contextlib import ExitStack
 
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.telemetry.catalogue.gateway import (
     CALL_FIRST_PART_TIME,
     CALLS,
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -27,7 +27,7 @@
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.desk import Desk
 from mimosafork.standins.prepared.documents import ConfigEntry
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.engine import Engine, EngineFigures
 from mimosafork.standins.prepared.words import AUTHORIZATION
 
--- a/tests/support/prepared.py
+++ b/tests/support/prepared.py
@@ -18,7 +18,7 @@
     ServiceEntry,
     TenantEntry,
 )
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.engine import Engine, EngineFigures
 from mimosafork.standins.prepared.words import REQUEST_ID
 
--- a/tests/unit/directory/test_over_store.py
+++ b/tests/unit/directory/test_over_store.py
@@ -16,7 +16,7 @@
 from mimosafork.platform.sources import ConfigurationRows, EndpointRows
 from mimosafork.platform.store import PreparedStore, StoreTimeouts
 from mimosafork.standins.prepared.deployment import Deployment
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.store_faults import NO_FAULTS, Refusal, StoreFaults
 
 from ...support.functions import function_tests
--- a/tests/unit/gateway/test_gateway_failures.py
+++ b/tests/unit/gateway/test_gateway_failures.py
@@ -7,7 +7,7 @@
 from unittest.mock import patch
 
 from mimosafork.standins.prepared.documents import RouteEntry, beat_document
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.engine import EngineFigures, expected_texts
 from mimosafork.standins.prepared.faults import (
     CrashOnRun,
--- a/tests/unit/gateway/test_gateway_passing.py
+++ b/tests/unit/gateway/test_gateway_passing.py
@@ -4,7 +4,7 @@
 from unittest import TestCase
 
 from mimosafork.standins.prepared.desk import expected_body
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.engine import EngineFigures, expected_texts
 from mimosafork.standins.prepared.faults import CloseAfter, EarlyAnswer
 from mimosafork.standins.prepared.runs import RunEnd, digest_of
--- a/tests/unit/gateway/test_gateway_peers.py
+++ b/tests/unit/gateway/test_gateway_peers.py
@@ -10,7 +10,7 @@
 from mimosafork.ids import ServiceId
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.documents import RouteEntry
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.faults import CrashOnRun, LostAnswer
 from mimosafork.standins.prepared.store_faults import Refusal, StoreFaults
 from mimosafork.standins.prepared.words import REQUEST_ID, SEAL, TOKEN_USAGE
--- a/tests/unit/gateway/test_gateway_rules.py
+++ b/tests/unit/gateway/test_gateway_rules.py
@@ -10,7 +10,7 @@
     RouteEntry,
     TenantEntry,
 )
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.faults import LostAnswer
 from mimosafork.standins.prepared.runs import RunEnd
 from mimosafork.standins.prepared.words import (
--- a/tests/unit/gateway/test_gateway_stopping.py
+++ b/tests/unit/gateway/test_gateway_stopping.py
@@ -9,7 +9,7 @@
 from unittest.mock import patch
 
 from mimosafork.gateway import server as server_module
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.faults import Garbage
 from mimosafork.standins.prepared.words import REQUEST_ID
 
--- a/tests/unit/standins/test_prepared_contract.py
+++ b/tests/unit/standins/test_prepared_contract.py
@@ -22,7 +22,7 @@
 from mimosafork.routing.table import ApiKey, CallKind
 from mimosafork.standins.prepared import words
 from mimosafork.standins.prepared.deployment import Deployment
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.store_faults import Refusal, StoreFaults
 
 from ...support.functions import function_tests
--- a/tests/unit/standins/test_prepared_deployment.py
+++ b/tests/unit/standins/test_prepared_deployment.py
@@ -8,7 +8,7 @@
 from mimosafork.standins.errors import StandinError
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.documents import RouteEntry
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.row_format import decode_value
 from mimosafork.standins.prepared.store_faults import Refusal, StoreFaults
 from mimosafork.standins.prepared.words import (
--- a/tests/unit/standins/test_prepared_engine.py
+++ b/tests/unit/standins/test_prepared_engine.py
@@ -4,7 +4,7 @@
 from typing import Any
 from unittest import TestCase
 
-from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.engine import Engine, EngineFigures, expected_texts
 from mimosafork.standins.prepared.runs import RunEnd, RunLog, digest_of
 from mimosafork.standins.prepared.words import (
--- a/tests/unit/standins/test_prepared_faults.py
+++ b/tests/unit/standins/test_prepared_faults.py
@@ -4,7 +4,8 @@
 from unittest import TestCase
 
 from mimosafork.standins.prepared.desk import expected_body
-from mimosafork.standins.prepared.endpoint import Endpoint, EndpointSettings
+from mimosafork.standins.prepared.endpoint import Endpoint
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.faults import (
     CloseAfter,
     CrashOnRun,
