Split the prepared engine's stand-in by concern

One engine read another's private `_granted` to see its tickets. Ruled out: moving orders and the report out too, as they are short and touch the engine's life, memory and clock.

--- a/benchmarks/gateway_size.py
+++ b/benchmarks/gateway_size.py
@@ -26,7 +26,7 @@
 from mimosafork.routing.engine import EngineFigures
 from mimosafork.standins.prepared.documents import TenantEntry
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
-from mimosafork.standins.prepared.engine import EngineFigures as Pace
+from mimosafork.standins.prepared.engine_figures import EngineFigures as Pace
 from tests.support.gateway_processes import GatewayProcess, gateway_process
 from tests.support.prepared import API_KEY, DESKS, ENGINES, USUAL_CONFIG, deployment
 from tests.support.waiting import eventually
--- a/src/mimosafork/standins/prepared/deployment.py
+++ b/src/mimosafork/standins/prepared/deployment.py
@@ -10,7 +10,8 @@
 from .documents import ConfigEntry, beat_document
 from .endpoint import Endpoint
 from .endpoint_settings import EndpointSettings
-from .engine import Engine, EngineFigures
+from .engine import Engine
+from .engine_figures import EngineFigures
 from .runs import RunLog
 from .store import NO_LIMITS, Store, StoreLimits
 from .words import KEY_CONFIG, TABLE_OPERATOR, TABLE_SERVERS
--- a/src/mimosafork/standins/prepared/documents.py
+++ b/src/mimosafork/standins/prepared/documents.py
@@ -7,7 +7,8 @@
 from ..errors import StandinError
 from .endpoint import Endpoint
 from .endpoint_settings import EndpointSettings
-from .engine import Engine, EngineFigures
+from .engine import Engine
+from .engine_figures import EngineFigures
 
 ENGINE_SLOTS = 8
 MAX_CONNECTIONS = 264
--- a/src/mimosafork/standins/prepared/engine.py
+++ b/src/mimosafork/standins/prepared/engine.py
@@ -1,8 +1,6 @@
 """A model engine: event streams, resuming, memory that is set aside, and helpers."""
 
 import asyncio
-from dataclasses import dataclass, field
-from datetime import timedelta
 from http import HTTPStatus
 from typing import Any
 
@@ -12,125 +10,26 @@
 from .background import LoopThread
 from .endpoint import Endpoint
 from .endpoint_settings import EndpointSettings
+from .engine_figures import EngineFigures
+from .helping import Fellows, HeldTicket, HelperEntry, helpers_of
 from .http import Answer, Header, Request, whichever
 from .job import Job
 from .refusals import misdirected, not_run
-from .reservations import Reservations, Ticket
-from .runs import Run, RunEnd, RunLog, digest_of
+from .reservations import Reservations
+from .runs import RunEnd, RunLog
 from .sending import Sending
+from .stream_events import event_of, usage_of
 from .words import (
     EXPECT_VERSION,
-    HELPERS,
     LAST_EVENT_ID,
     ORDER_PATH,
     REPORT_PATH,
-    TOKEN_USAGE,
     WEIGHT_VERSIONS,
 )
 
-TEXT_DIGITS = 16
-MAX_HELPERS = 16
 EXPIRY_SLACK_S = 0.001
 
 
-@dataclass(frozen=True, slots=True)
-class EngineFigures:
-    """How an engine writes, and what fits into it.
-
-    Attributes
-    ----------
-    memory : int
-        Tokens that fit.
-    events : int
-        Length of an answer whose request does not say how many tokens it wants.
-    tokens_per_event : int
-        Tokens in one event.
-    gap : timedelta
-        Pause between events; the endpoint's `speed` divides it.
-    model : str
-        The model that is loaded.
-    hold_max : timedelta
-        Longest time for which memory is set aside at once.
-    stall : timedelta
-        Work whose helper is gone stalls for so long before it is broken off.
-    """
-
-    memory: int = 400_000
-    events: int = 4
-    tokens_per_event: int = 20
-    gap: timedelta = timedelta(0)
-    model: str = "m"
-    hold_max: timedelta = timedelta(seconds=20)
-    stall: timedelta = timedelta(milliseconds=50)
-
-
-@dataclass(frozen=True, slots=True)
-class Usage:
-    """Tokens of a prompt, and at most of its answer."""
-
-    prompt: int = 0
-    answer: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class HelperEntry:
-    """A helper that a request names, and the ticket there if it names one."""
-
-    address: str
-    ticket: str = ""
-
-
-@dataclass(slots=True)
-class HeldTicket:
-    """A ticket, and the engine at which it is."""
-
-    engine: "Engine"
-    ticket: Ticket
-
-
-@dataclass(slots=True)
-class Fellows:
-    """The helpers of one request."""
-
-    engines: list["Engine"] = field(default_factory=list)
-    held: list[HeldTicket] = field(default_factory=list)
-    lives: list[asyncio.Event] = field(default_factory=list)
-    ids: list[str] = field(default_factory=list)
-
-    @property
-    def losses(self) -> list[asyncio.Event]:
-        """Events of which each one takes away what the request relies on."""
-        return [*self.lives, *(each.ticket.lost for each in self.held)]
-
-    def helper_lost(self) -> bool:
-        """Say whether the life of a helper has ended."""
-        return any(life.is_set() for life in self.lives)
-
-    def lost_helper(self) -> str:
-        """Return the id of the first helper whose life has ended."""
-        return next(
-            name
-            for name, life in zip(self.ids, self.lives, strict=True)
-            if life.is_set()
-        )
-
-    def enter(self) -> None:
-        """Take their help and tickets, for as long as these lives last."""
-        self.lives = [engine.ended for engine in self.engines]
-        self.ids = [engine.id for engine in self.engines]
-        for engine in self.engines:
-            engine.helping += 1
-        for each in self.held:
-            each.engine.reservations.use(each.ticket)
-
-    def leave(self) -> None:
-        """Give their help and tickets back."""
-        for engine in self.engines:
-            engine.helping -= 1
-        for each in self.held:
-            each.engine.reservations.unuse(each.ticket)
-
-
 class Engine(Endpoint):
     """Answers each request with events that depend on the request alone.
 
@@ -202,7 +101,7 @@
         """Say whether it is there and can take a part of a prompt."""
         if not self.alive or self.draining and self is not asking:
             return False
-        if entry.ticket and self._granted(entry.ticket) is None:
+        if entry.ticket and self.reservations.granted(entry.ticket) is None:
             return False
         return self is asking or self.helping < self.settings.slots
 
@@ -286,15 +185,11 @@
                 continue
             if engine is not self:
                 fellows.engines.append(engine)
-            ticket = engine._granted(entry.ticket)
+            ticket = engine.reservations.granted(entry.ticket)
             if ticket is not None:
                 fellows.held.append(HeldTicket(engine, ticket))
         return fellows
 
-    def _granted(self, name: str) -> Ticket | None:
-        ticket = self.reservations.tickets.get(name)
-        return ticket if ticket is not None and ticket.granted else None
-
     def _report(self) -> dict[str, Any]:
         admission = self.admission
         return {
@@ -345,41 +240,3 @@
 
     def _order_answer(self, status: int) -> Answer:
         return Answer.json(status, {"free": self.reservations.free})
-
-
-def usage_of(request: Request) -> Usage:
-    """Return the sizes that a request states; none stated are 0."""
-    prompt, _, answer = request.header(TOKEN_USAGE).partition(",")
-    return Usage(int(prompt or 0), int(answer or 0))
-
-
-def helpers_of(request: Request) -> list[HelperEntry]:
-    """Return the helpers that a request names, at most `MAX_HELPERS`."""
-    named = [each.strip() for each in request.header(HELPERS).split(",")]
-    entries = [each.partition("/") for each in named if each]
-    found = [HelperEntry(address, ticket) for address, _, ticket in entries]
-    return found[:MAX_HELPERS]
-
-
-def text_of(body_digest: str, number: int) -> str:
-    """Return the text of an event, the same at whichever engine it is made."""
-    return digest_of(f"{body_digest}/{number}".encode())[:TEXT_DIGITS]
-
-
-def expected_texts(body: bytes, events: int, after: int = 0) -> list[str]:
-    """Return the texts of the events that follow `after`."""
-    digest = digest_of(body)
-    return [text_of(digest, number) for number in range(after + 1, events + 1)]
-
-
-def event_of(run: Run, digest: str, number: int, weights: int | None) -> bytes:
-    """Return the bytes of an event; its data names the run and the text.
-
-    Parameters
-    ----------
-    weights : int or None
-        The new version of the weights, at the event at which it changes.
-    """
-    line = "" if weights is None else f"{WEIGHT_VERSIONS.lower()}: {weights}\n"
-    data = f"{run.instance}/{run.number} {text_of(digest, number)}"
-    return f"{line}id: {number}\ndata: {data}\n\n".encode()
--- a/src/mimosafork/standins/prepared/reservations.py
+++ b/src/mimosafork/standins/prepared/reservations.py
@@ -113,6 +113,11 @@
         self.admission.held_back = waits
         self.admission.fill()
 
+    def granted(self, name: str) -> Ticket | None:
+        """Return a ticket whose memory is set aside; None for all others."""
+        ticket = self.tickets.get(name)
+        return ticket if ticket is not None and ticket.granted else None
+
     @property
     def free(self) -> int:
         """Free tokens; 0 while a reservation waits."""
--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -8,7 +8,7 @@
 from unittest import TestCase
 
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
-from mimosafork.standins.prepared.engine import EngineFigures
+from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.store_faults import NO_FAULTS, Refusal, StoreFaults
 from mimosafork.standins.prepared.words import REQUEST_ID
 
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -28,7 +28,8 @@
 from mimosafork.standins.prepared.desk import Desk
 from mimosafork.standins.prepared.documents import ConfigEntry
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
-from mimosafork.standins.prepared.engine import Engine, EngineFigures
+from mimosafork.standins.prepared.engine import Engine
+from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.words import AUTHORIZATION
 
 from .prepared import (
--- a/tests/support/prepared.py
+++ b/tests/support/prepared.py
@@ -19,7 +19,8 @@
     TenantEntry,
 )
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
-from mimosafork.standins.prepared.engine import Engine, EngineFigures
+from mimosafork.standins.prepared.engine import Engine
+from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.words import REQUEST_ID
 
 ENGINES = "engines"
--- a/tests/unit/gateway/test_gateway_callers.py
+++ b/tests/unit/gateway/test_gateway_callers.py
@@ -9,7 +9,7 @@
 from mimosafork.gateway.client_connection import ClientConnection
 from mimosafork.standins.prepared.desk import expected_body
 from mimosafork.standins.prepared.documents import LimitsEntry, beat_document
-from mimosafork.standins.prepared.engine import EngineFigures
+from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.faults import Garbage
 from mimosafork.standins.prepared.runs import RunEnd
 from mimosafork.standins.prepared.sending import LAST_CHUNK, chunk_of
--- a/tests/unit/gateway/test_gateway_failures.py
+++ b/tests/unit/gateway/test_gateway_failures.py
@@ -8,7 +8,7 @@
 
 from mimosafork.standins.prepared.documents import RouteEntry, beat_document
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
-from mimosafork.standins.prepared.engine import EngineFigures, expected_texts
+from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.faults import (
     CrashOnRun,
     CutAnswer,
@@ -23,6 +23,7 @@
     UnboundedAnswer,
 )
 from mimosafork.standins.prepared.runs import RunEnd
+from mimosafork.standins.prepared.stream_events import expected_texts
 from mimosafork.standins.prepared.words import (
     REQUEST_ID,
     RETRY_AFTER,
--- a/tests/unit/gateway/test_gateway_passing.py
+++ b/tests/unit/gateway/test_gateway_passing.py
@@ -5,9 +5,10 @@
 
 from mimosafork.standins.prepared.desk import expected_body
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
-from mimosafork.standins.prepared.engine import EngineFigures, expected_texts
+from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.faults import CloseAfter, EarlyAnswer
 from mimosafork.standins.prepared.runs import RunEnd, digest_of
+from mimosafork.standins.prepared.stream_events import expected_texts
 from mimosafork.standins.prepared.words import (
     AUTHORIZATION,
     DEADLINE_MS,
--- a/tests/unit/gateway/test_reserved_memory.py
+++ b/tests/unit/gateway/test_reserved_memory.py
@@ -19,7 +19,8 @@
 )
 from mimosafork.platform.calls import PreparedDialect
 from mimosafork.standins.prepared.background import LoopThread
-from mimosafork.standins.prepared.engine import Engine, EngineFigures
+from mimosafork.standins.prepared.engine import Engine
+from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.runs import RunLog
 from mimosafork.standins.prepared.words import (
     HELPERS,
--- a/tests/unit/standins/test_prepared_engine.py
+++ b/tests/unit/standins/test_prepared_engine.py
@@ -5,8 +5,10 @@
 from unittest import TestCase
 
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
-from mimosafork.standins.prepared.engine import Engine, EngineFigures, expected_texts
+from mimosafork.standins.prepared.engine import Engine
+from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.runs import RunEnd, RunLog, digest_of
+from mimosafork.standins.prepared.stream_events import expected_texts
 from mimosafork.standins.prepared.words import (
     AT_SERVER,
     DEADLINE_MS,
