Say in the line of a configuration what it changed

Its age_ms was the text "?" before the store's first answer, where readers expect a number. Ruled out: names of what changed, as a version may change thousands, and keys are secrets; a line for each change, for the same reason. Change: counts of routes, services, accounts and keys that are new, gone or changed, limits, and the version replaced. They are counted by the thread that writes, and only for a line that is written. The age is that of the store's last answer, as the message said; the age of the last one taken was that of the poll before. Absent before the first.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..ids import EndpointId
+from ..routing.changes import TableChanges
 from ..routing.table import RoutingTable
 from ..telemetry.catalogue.directory import (
     ENDPOINT_DRAINING,
@@ -203,13 +204,16 @@
 
     def tell_table(self, changed: TableChanged) -> None:
         """Log a configuration and tell the listeners."""
-        age = self.table_age
+        silence = self.configuration_follower.health.silence
+        before = changed.before
         log_event(
             logger,
             TABLE_TAKEN,
             version=changed.table.version,
             source=changed.teller.value,
-            age_ms="?" if age is None else age // MILLISECOND,
+            before=None if before is None else before.version,
+            changes=TableChanges(before, changed.table),
+            age_ms=None if silence is None else silence // MILLISECOND,
         )
         self.tell(changed)
 
--- a/src/mimosafork/directory/health.py
+++ b/src/mimosafork/directory/health.py
@@ -41,6 +41,13 @@
         self.outage_from: timedelta | None = None
         self.returned_at: timedelta | None = None
 
+    @property
+    def silence(self) -> timedelta | None:
+        """Time since the last answer; None before the first."""
+        if self.answered_at is None:
+            return None
+        return self.clock.monotonic() - self.answered_at
+
     @property
     def in_doubt(self) -> bool:
         """Whether an entry may be missing only because of an outage."""
--- a/src/mimosafork/directory/messages.py
+++ b/src/mimosafork/directory/messages.py
@@ -55,10 +55,17 @@
 
 @dataclass(frozen=True, slots=True)
 class TableChanged:
-    """A newer configuration is in force."""
+    """A newer configuration is in force.
+
+    Attributes
+    ----------
+    before : RoutingTable or None
+        The one that it replaces; None if there was none.
+    """
 
     table: RoutingTable
     teller: Teller
+    before: RoutingTable | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mimosafork/directory/table_book.py
+++ b/src/mimosafork/directory/table_book.py
@@ -37,5 +37,5 @@
         table = self.source.decode(row)
         if self.table is not None and table.version <= self.table.version:
             return None
-        self.table, self.row = table, row
-        return TableChanged(table, teller)
+        before, self.table, self.row = self.table, table, row
+        return TableChanged(table, teller, before)
--- a/src/mimosafork/telemetry/catalogue/directory.py
+++ b/src/mimosafork/telemetry/catalogue/directory.py
@@ -8,9 +8,10 @@
     2101,
     "table-taken",
     Level.INFO,
-    "configuration {version} in force, told by {source}; the store answered "
-    "{age_ms} ms ago",
-    "Calls that arrive from now on are routed by it.",
+    "configuration {version} in force, told by {source}: {changes}",
+    "Calls that arrive from now on are routed by it. `changes` counts what it adds "
+    "(+), removes (-) and changes (~), against the one in force `before`; `age_ms` "
+    "is the time since the store's last answer, absent before the first.",
     "None.",
 )
 ENDPOINT_LISTED = Event(
--- /dev/null
+++ b/tests/unit/directory/test_lines.py
@@ -0,0 +1,54 @@
+"""The lines of the directory say what changed and how old their word is."""
+
+from typing import Any
+
+from mimosafork.directory.errors import StoreUnavailableError
+from mimosafork.telemetry.catalogue.directory import TABLE_TAKEN
+
+from ...support.directories import configured, directory_world, page
+from ...support.functions import function_tests
+from ...support.log_lines import caught_lines
+
+DOWN = StoreUnavailableError("down")
+
+
+def is_number(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def test_a_configuration_has_the_age_of_the_stores_word_as_a_number() -> None:
+    """A tool that adds up ages met a question mark where a number was due."""
+    with directory_world() as world, caught_lines() as caught:
+        world.configuration(page(9, configured(3, 4)), DOWN)
+        world.pass_time(1.5)
+        world.directory.offer_configuration(configured(5, 10))
+    by_store, by_peer = caught.of(TABLE_TAKEN)
+    assert (by_store["source"], by_store["age_ms"]) == ("store", 0)
+    assert (by_peer["source"], by_peer["age_ms"]) == ("peer", 1500)
+    assert is_number(by_peer["age_ms"])
+
+
+def test_a_configuration_before_any_answer_of_the_store_has_no_age() -> None:
+    with directory_world() as world, caught_lines() as caught:
+        world.configuration(DOWN)
+        world.directory.offer_configuration(configured(5, 10))
+    assert "age_ms" not in caught.one(TABLE_TAKEN)
+    assert "?" not in str(caught.lines)
+
+
+def test_a_configuration_says_which_one_it_replaces() -> None:
+    """An instance that was cut off takes the eleventh version after the second.
+
+    What refuses its callers may stand in any version between.
+    """
+    with directory_world() as world, caught_lines() as caught:
+        world.configuration(page(9, configured(2, 4)))
+        world.pass_time(9)
+        world.configuration(page(20, configured(11, 19)))
+    first, second = caught.of(TABLE_TAKEN)
+    assert "before" not in first
+    assert (second["before"], second["version"]) == (2, 11)
+    assert second["changes"] == "nothing that matters here"
+
+
+load_tests = function_tests(__name__)
