Say in a call's lines which zones it crossed and how its connection ended

A reset, an orderly close, a machine that opens nothing and a time that ran out all stood there as "broken" or "unreached". Ruled out: looking zones up when a line is written, as an endpoint that has left is no longer known then; carrying the forecast through the kernel's messages, which decide nothing by it. Change: zones are looked up when an attempt is sent and joined to a text only where a line is written; connect_ms, ending, expected_ms and since_event_ms. A connection's end has two causes more that were told as resets: time out, and no way to the address. Conclusion: an attempt's line alone names the link that broke.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -29,7 +29,7 @@
 from .heads import CONTENT_LENGTH, HEAD, Header, end_to_end, first_value, render_head
 from .pool import ConnectionPool, Wanted
 from .problems import PROMISES
-from .upstream import CallSink, ConnectionLoss, EndpointConnection
+from .upstream import CallSink, ConnectionLoss, EndpointConnection, loss_of
 
 logger = getLogger(__name__)
 
@@ -83,6 +83,7 @@
         self.first_reported = False
         self.heard_at = tools.clock.monotonic()
         self.reused = False
+        self.notes = call.notes
 
     @property
     def without_body(self) -> bool:
@@ -102,15 +103,19 @@
         if kept is not None:
             self._opened(kept)
             return
+        self.notes.connecting_since = self.tools.clock.monotonic()
         self.opening = self.tools.pool.open(wanted, self._opened, self._unreached)
 
     def cancel(self) -> None:
         """Stop; closing the connection has the endpoint stop too."""
         self.ended = True
         if self.opening is not None:
+            self.notes.connected(self.tools.clock.monotonic())
             self.opening.cancel()
         if self.connection is not None:
             self.connection.abort()
+        if self.opening is not None or self.connection is not None:
+            self.notes.ending = ConnectionLoss.OWN
 
     def silent(self, now: timedelta) -> AttemptSilent | None:
         """Return the word that it has been silent for too long, if it has.
@@ -139,6 +144,7 @@
 
     def _opened(self, connection: EndpointConnection) -> None:
         self.opening = None
+        self.notes.connected(self.tools.clock.monotonic())
         if self.ended:
             connection.close()
             return
@@ -154,6 +160,8 @@
 
     def _unreached(self, error: OSError) -> None:
         self.opening = None
+        self.notes.connected(self.tools.clock.monotonic())
+        self.notes.ending = loss_of(error)
         self._fail(FailureKind.UNREACHED, Exposure.NEVER_SENT)
 
     def _send(self, connection: EndpointConnection) -> None:
@@ -307,6 +315,7 @@
 
     def _on_lost(self, loss: ConnectionLoss) -> None:
         self.connection = None
+        self.notes.ending = loss
         if self.reading is Reading.REFUSAL:
             self._refuse()
             return
@@ -319,6 +328,7 @@
     def _abort(self, kind: FailureKind) -> None:
         connection, self.connection = self.connection, None
         if connection is not None:
+            self.notes.ending = ConnectionLoss.OWN
             connection.abort()
         self._fail(kind, Exposure.POSSIBLE)
 
--- a/src/mimosafork/gateway/call.py
+++ b/src/mimosafork/gateway/call.py
@@ -4,11 +4,12 @@
 from datetime import timedelta
 from typing import Protocol
 
-from ..ids import AccountId, EndpointId, RequestId
+from ..ids import AccountId, AvailabilityZoneId, EndpointId, RequestId
 from ..kernel.messages.dispatch import Helper
 from ..kernel.messages.requests import Request
 from ..routing.table import Route
 from .answer_reader import AnswerHead
+from .attempt_notes import AttemptNotes
 from .dialect import CallMarks
 from .event_stream import StreamEvent
 from .heads import Header
@@ -80,6 +81,13 @@
         When it was first given a place.
     inputs : Inputs or None
         By which it was last given one.
+    notes : AttemptNotes
+        Of the latest attempt.
+    zones : list of AvailabilityZoneId or None
+        Of `endpoints`, in their order.
+    first_token_at : timedelta or None
+        Monotonic instant at which placement expected the first event, by the attempt
+        that was to bring it.
     """
 
     request_id: RequestId
@@ -105,6 +113,9 @@
     helpers: tuple[Helper, ...] = ()
     placed_at: timedelta | None = None
     inputs: Inputs | None = None
+    notes: AttemptNotes = field(default_factory=AttemptNotes)
+    zones: list[AvailabilityZoneId | None] = field(default_factory=list)
+    first_token_at: timedelta | None = None
 
     @property
     def begun(self) -> bool:
--- a/src/mimosafork/gateway/call_lines.py
+++ b/src/mimosafork/gateway/call_lines.py
@@ -20,6 +20,7 @@
     CALL_REFUSED,
 )
 from ..telemetry.logs import log_event
+from .attempt_notes import AttemptNotes, Names
 from .call import Call
 from .dialect import CallMarks
 from .intake import Refusal
@@ -76,6 +77,11 @@
             call.placed_at = self.clock.monotonic()
         call.endpoints.append(dispatch.endpoint)
         call.helpers = dispatch.helpers
+        spread = self.look.spread(dispatch)
+        call.notes = AttemptNotes(spread)
+        call.zones.append(spread.zone)
+        if call.first_sent_at is None:
+            call.first_token_at = spread.first_token_at
         call.inputs = self.look.inputs(ServiceId(call.request.target))
         if self.meter is not None:
             self.meter.placed(call)
@@ -126,7 +132,10 @@
             call=call.marks.call_id,
             **self._whose(call),
             endpoint=failure.endpoint,
+            zone=call.notes.spread.zone,
+            own_zone=self.look.own_zone,
             helpers=helpers_of(call),
+            helper_zones=helper_zones_of(call),
             attempt=failure.attempt,
             kind=failure.kind.value,
             exposure=failure.exposure.value,
@@ -137,7 +146,11 @@
             fault_at=failure.fault_at,
             events=call.events,
             reused=reused,
+            **connection_fields(call),
             after_ms=milliseconds(now - call.arrived_at),
+            since_event_ms=since_event(call, now),
+            expected_ms=since_arrival(call, call.first_token_at),
+            first_ms=since_arrival(call, call.first_sent_at),
             left_ms=milliseconds(call.request.deadline - now),
             rule=BudgetedRetry.name,
             then=decided(then),
@@ -184,7 +197,9 @@
             content=call.request.body_digest,
             allowed_ms=milliseconds(call.request.deadline - call.arrived_at),
             attempts=conclusion.attempts,
+            own_zone=self.look.own_zone,
             **self._course(call),
+            since_event_ms=since_event(call, self.clock.monotonic()),
             load_age_ms=milliseconds(self.look.load_age()),
             **self.look.inputs(ServiceId(call.request.target)).fields(),
         )
@@ -200,11 +215,15 @@
     def _course(self, call: Call) -> LineFields:
         return {
             "endpoints": LIST_MARK.join(call.endpoints),
+            "zones": Names(tuple(call.zones)) if any(call.zones) else None,
             "helpers": helpers_of(call),
+            "helper_zones": helper_zones_of(call),
+            **connection_fields(call),
             "prompt_tokens": call.request.prompt_tokens,
             "events": call.events,
             "waited_ms": since_arrival(call, call.placed_at),
             "first_ms": since_arrival(call, call.first_sent_at),
+            "expected_ms": since_arrival(call, call.first_token_at),
             "pause_ms": milliseconds(call.longest_pause),
             "total_ms": since_arrival(call, self.clock.monotonic()),
         }
@@ -215,6 +234,26 @@
     return LIST_MARK.join(each.endpoint for each in call.helpers) or None
 
 
+def helper_zones_of(call: Call) -> Names | None:
+    """Return the zones of a call's last helpers, in their order; None without any."""
+    zones = call.notes.spread.helper_zones
+    return Names(zones) if any(zones) else None
+
+
+def connection_fields(call: Call) -> LineFields:
+    """Return how the last attempt's connection came to be, and how it ended."""
+    notes = call.notes
+    return {
+        "connect_ms": milliseconds(notes.connect_time),
+        "ending": notes.ending,
+    }
+
+
+def since_event(call: Call, now: timedelta) -> int | None:
+    """Return milliseconds since the last event; None if there was none."""
+    return None if call.last_sent_at is None else milliseconds(now - call.last_sent_at)
+
+
 def since_arrival(call: Call, instant: timedelta | None) -> int | None:
     """Return milliseconds from a call's first byte; None if it never came to it."""
     return None if instant is None else milliseconds(instant - call.arrived_at)
--- a/src/mimosafork/gateway/outlook.py
+++ b/src/mimosafork/gateway/outlook.py
@@ -6,8 +6,10 @@
 from typing import Any, Protocol
 
 from ..directory.directory import Directory
-from ..ids import ServiceId
+from ..ids import AvailabilityZoneId, EndpointId, ServiceId
 from ..kernel.core import Kernel
+from ..kernel.messages.dispatch import Dispatch
+from .attempt_notes import Spread
 from .policies.fleet_view import FleetView
 from .policies.placing import WorkPlacer
 from .policies.retrying import BudgetedRetry
@@ -71,6 +73,13 @@
     def load_age(self) -> timedelta | None:
         """Return the age of the oldest word of a peer that still counts."""
 
+    def spread(self, dispatch: Dispatch) -> Spread:
+        """Return the zones of an attempt's endpoints, and what is expected of it."""
+
+    @property
+    def own_zone(self) -> AvailabilityZoneId | None:
+        """Where this instance runs."""
+
 
 class Unknown:
     """Knows nothing, until the gateway is joined with the rest of its instance."""
@@ -83,6 +92,15 @@
         """Return that no peer is heard."""
         return None
 
+    def spread(self, dispatch: Dispatch) -> Spread:
+        """Return nothing known."""
+        return Spread()
+
+    @property
+    def own_zone(self) -> AvailabilityZoneId | None:
+        """Return nothing known."""
+        return None
+
 
 class Outlook:
     """Reads what is known from its owners.
@@ -109,7 +127,8 @@
         self.sharing = sharing
         self.now = now
         self.fleet = kernel.plugin(FleetView)
-        self.book = kernel.plugin(WorkPlacer).book
+        self.placer = kernel.plugin(WorkPlacer)
+        self.book = self.placer.book
         self.retry = kernel.plugin(BudgetedRetry)
 
     def inputs(self, service: ServiceId) -> Inputs:
@@ -135,6 +154,28 @@
             max((peer.age for peer in gossip.peers), default=None) if gossip else None
         )
 
+    def spread(self, dispatch: Dispatch) -> Spread:
+        """Return the zones of an attempt's endpoints, and what is expected of it.
+
+        They are looked up when it is sent: an endpoint that is gone when its attempt
+        fails is no longer known then.
+        """
+        return Spread(
+            self.zone_of(dispatch.endpoint),
+            tuple(self.zone_of(each.endpoint) for each in dispatch.helpers),
+            self.placer.first_token_at.get(dispatch.request_id),
+        )
+
+    def zone_of(self, endpoint: EndpointId) -> AvailabilityZoneId | None:
+        """Return an endpoint's zone, if it is known."""
+        known = self.fleet.endpoints.get(endpoint)
+        return None if known is None else known.listed.zone
+
+    @property
+    def own_zone(self) -> AvailabilityZoneId | None:
+        """Where this instance runs."""
+        return self.kernel.state.identity.availability_zone
+
 
 def milliseconds(time: timedelta | None) -> int | None:
     """Return whole milliseconds; None stays what it is."""
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -44,13 +44,20 @@
 
 @register("work-placer")
 class WorkPlacer(Placer):
-    """Asks the placement policy, with the book of running work."""
+    """Asks the placement policy, with the book of running work.
+
+    Attributes
+    ----------
+    first_token_at : dict of RequestId to timedelta
+        Monotonic instant at which a call's latest place was to bring its first token.
+    """
 
     def __init__(self) -> None:
         self.fleet: FleetView | None = None
         self.memory = MemoryKeeper()
         self.book = LoadBook()
         self.waiting_since: dict[RequestId, timedelta] = {}
+        self.first_token_at: dict[RequestId, timedelta] = {}
 
     def join(self, find: PluginFinder) -> None:
         """Keep the view of the endpoints, and the keeper of reservations."""
@@ -78,6 +85,7 @@
             work = choice.work(ask, context.now)
             self.book.note(work)
             self.waiting_since.pop(record.request_id, None)
+            self._note_forecast(choice, record.request_id, context.now)
             context.emit(WorkBegun(work))
             if choice.reservations:
                 return self.memory.begin(choice, record, context)
@@ -86,6 +94,14 @@
             return Refuse(overloaded(choice.reason.value, choice.come_back))
         return self._wait(record, choice, context.now)
 
+    def _note_forecast(
+        self, place: Place, request_id: RequestId, now: timedelta
+    ) -> None:
+        """Note when the first token is expected, for the log; plain calls have none."""
+        self.first_token_at.pop(request_id, None)
+        if place.predicted_first_token > timedelta(0):
+            self.first_token_at[request_id] = now + place.predicted_first_token
+
     def _ask(
         self, record: RequestRecord, figures: EngineFigures | None, context: Context
     ) -> PlacementAsk:
@@ -142,6 +158,7 @@
     @handle.register
     def _(self, message: Concluded, context: Context) -> None:
         self.waiting_since.pop(message.record.request_id, None)
+        self.first_token_at.pop(message.record.request_id, None)
         if message.record.request_id in self.book.own:
             self._end(message.record.request_id, context)
 
--- a/src/mimosafork/gateway/upstream.py
+++ b/src/mimosafork/gateway/upstream.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from errno import EHOSTDOWN, EHOSTUNREACH, ENETDOWN, ENETUNREACH
 from fcntl import ioctl
 from termios import TIOCOUTQ
 from typing import cast
@@ -25,6 +26,7 @@
 LONG_REQUEST = 64 * 1024
 """A shorter one fits into the endpoint's buffers, whether it reads or not."""
 
+NO_WAY_ERRORS = frozenset({EHOSTUNREACH, ENETUNREACH, EHOSTDOWN, ENETDOWN})
 INT_BYTES = 4
 SECONDS = re.compile(rb"[0-9]{1,6}")
 """A longer number would not fit into a span of time."""
@@ -37,6 +39,14 @@
     RESET = "reset"
     GARBLED = "garbled"
     """Its bytes were no answer in the protocol."""
+    TIMED_OUT = "timed-out"
+    """Nothing was acknowledged for too long, or it could not be opened in time."""
+    NO_WAY = "no-way"
+    """The network has no way to the endpoint's address."""
+    REFUSED = "refused"
+    """The endpoint's machine refused to open it."""
+    OWN = "own-end"
+    """This instance closed it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,7 +174,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell whoever waits that the connection is gone."""
         self.transport = None
-        self._lose(ConnectionLoss.CLOSED if exc is None else ConnectionLoss.RESET)
+        self._lose(ConnectionLoss.CLOSED if exc is None else loss_of(exc))
 
     def _on_head(self, head: AnswerHead) -> None:
         if head.closes:
@@ -191,6 +201,17 @@
             self.on_idle_loss(self)
 
 
+def loss_of(error: BaseException) -> ConnectionLoss:
+    """Return how a connection ended, or was not opened, by its error."""
+    if isinstance(error, TimeoutError):
+        return ConnectionLoss.TIMED_OUT
+    if isinstance(error, ConnectionRefusedError):
+        return ConnectionLoss.REFUSED
+    if isinstance(error, OSError) and error.errno in NO_WAY_ERRORS:
+        return ConnectionLoss.NO_WAY
+    return ConnectionLoss.RESET
+
+
 def watch_peer(sock: socket.socket | None) -> None:
     """Have the system probe a silent peer.
 
--- /dev/null
+++ b/tests/unit/gateway/test_attempt_notes.py
@@ -0,0 +1,171 @@
+"""The lines of a call say which zones it crossed and how its connection ended."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from errno import EHOSTUNREACH, ENETDOWN, EPIPE, ETIMEDOUT
+from typing import Any
+
+from mimosafork.gateway.attempt_notes import AttemptNotes, Names
+from mimosafork.gateway.policies.placing import WorkPlacer
+from mimosafork.gateway.upstream import ConnectionLoss, loss_of
+from mimosafork.kernel.messages.attempts import FailureKind
+from mimosafork.standins.prepared.endpoint import EndpointSettings
+from mimosafork.standins.prepared.engine import EngineFigures
+from mimosafork.standins.prepared.faults import (
+    CutAnswer,
+    Fault,
+    Garbage,
+    LostAnswer,
+    Shed,
+)
+from mimosafork.standins.prepared.words import REQUEST_ID, TOKEN_USAGE
+from mimosafork.telemetry.catalogue.gateway import (
+    ATTEMPT_FAILED,
+    CALL_ENDED,
+    CALL_NOT_SERVED,
+)
+from mimosafork.telemetry.events import Event
+
+from ...support.functions import function_tests
+from ...support.gateway import BEARER, World, gateway_world
+from ...support.log_lines import CaughtLines, caught_lines
+from ...support.prepared import DESKS
+from ...support.waiting import eventually
+
+MS = timedelta(milliseconds=1)
+OTHER_ZONE = EndpointSettings(DESKS, zone="zone-b")
+LONG_PROMPT = {TOKEN_USAGE: "4000,40"}
+
+
+def only_line(caught: CaughtLines, event: Event) -> dict[str, Any]:
+    """Wait for the only line of an event; it is written in the gateway's thread."""
+    eventually(lambda: bool(caught.of(event)))
+    return caught.one(event)
+
+
+def failure_after(break_it: Callable[[World], None]) -> dict[str, Any]:
+    """Return the line of a call that may run once at an endpoint of another zone."""
+    with gateway_world() as world, caught_lines() as caught:
+        world.add_desk(OTHER_ZONE)
+        break_it(world)
+        world.running.ask("/unsafe/1", "c1", X_Deadline_Ms="400")
+        return only_line(caught, ATTEMPT_FAILED)
+
+
+def playing(fault: Fault) -> Callable[[World], None]:
+    return lambda world: world.platform.endpoints[0].play(fault)
+
+
+def test_errors_of_sockets_are_told_apart() -> None:
+    endings = {
+        ConnectionResetError(): ConnectionLoss.RESET,
+        BrokenPipeError(EPIPE, "pipe"): ConnectionLoss.RESET,
+        ConnectionRefusedError(): ConnectionLoss.REFUSED,
+        TimeoutError(ETIMEDOUT, "unacknowledged"): ConnectionLoss.TIMED_OUT,
+        TimeoutError("no connection in time"): ConnectionLoss.TIMED_OUT,
+        OSError(EHOSTUNREACH, "no way"): ConnectionLoss.NO_WAY,
+        OSError(ENETDOWN, "no way"): ConnectionLoss.NO_WAY,
+        OSError("the address makes no sense"): ConnectionLoss.RESET,
+    }
+    assert {error: loss_of(error) for error in endings} == endings
+
+
+def test_failed_attempt_names_both_zones_and_the_reset() -> None:
+    """All links into one zone broke at once, and looked like a general reset.
+
+    Only the zones of both ends beside each line told which zone was cut off.
+    """
+    fields = failure_after(playing(LostAnswer()))
+    assert (fields["zone"], fields["own_zone"]) == ("zone-b", "zone-a")
+    assert (fields["kind"], fields["ending"]) == ("broken", "reset")
+    assert fields["connect_ms"] >= 0
+    assert fields["reused"] is False
+
+
+def test_failed_attempt_tells_an_orderly_close_from_a_reset() -> None:
+    assert failure_after(playing(CutAnswer(reset=False)))["ending"] == "closed"
+
+
+def test_failed_attempt_tells_nonsense_from_a_loss() -> None:
+    assert failure_after(playing(Garbage()))["ending"] == "garbled"
+
+
+def test_refused_connection_is_told_with_the_time_it_took() -> None:
+    """An endpoint's process is gone, its machine answers at once."""
+    fields = failure_after(lambda world: world.platform.endpoints[0].crash())
+    assert (fields["kind"], fields["ending"]) == ("unreached", "refused")
+    assert fields["connect_ms"] >= 0
+
+
+def test_connection_that_goes_on_has_no_ending() -> None:
+    fields = failure_after(playing(Shed()))
+    assert fields["kind"] == FailureKind.REFUSED.value
+    assert "ending" not in fields
+
+
+def test_served_call_tells_a_connection_that_was_opened_for_it() -> None:
+    with gateway_world() as world, caught_lines() as caught:
+        world.add_desk(OTHER_ZONE)
+        for number in range(2):
+            assert world.running.ask("/safe/1", f"c{number}").status == 200
+        eventually(lambda: len(caught.of(CALL_ENDED)) == 2)
+    opened, kept = caught.of(CALL_ENDED)
+    assert opened["connect_ms"] >= 0
+    assert "connect_ms" not in kept
+    assert opened["zones"] == kept["zones"] == "zone-b"
+    assert "ending" not in kept
+
+
+def test_connection_of_a_caller_that_left_is_ended_here() -> None:
+    """A caller hangs up before its first event.
+
+    The endpoint's connection ends with it. Told as lost, the line would blame the
+    network for what the caller did.
+    """
+    with gateway_world() as world, caught_lines() as caught:
+        world.add_engine(EngineFigures(events=5)).hold()
+        channel = world.running.channel()
+        headers = {REQUEST_ID: "c1", **BEARER}
+        channel.send("POST", "/resume/1", headers)
+        world.platform.log.wait_until(lambda log: len(log.runs) == 1)
+        channel.hang_up(False)
+        fields = only_line(caught, CALL_NOT_SERVED)
+    assert (fields["why"], fields["ending"]) == ("caller-gone", "own-end")
+    assert fields["own_zone"] == fields["zones"] == "zone-a"
+    assert "since_event_ms" not in fields
+    assert "first_ms" not in fields
+
+
+def test_forecast_stands_beside_the_first_event_that_was_seen() -> None:
+    with gateway_world() as world, caught_lines() as caught:
+        world.add_engine()
+        world.running.ask("/stream/1", "c1", b"prompt", **LONG_PROMPT)
+        fields = only_line(caught, CALL_ENDED)
+        placer = world.running.gateway.kernel.plugin(WorkPlacer)
+        assert placer.first_token_at == {}
+    assert fields["expected_ms"] > 0
+    assert fields["first_ms"] > 0
+
+
+def test_plain_call_has_no_forecast() -> None:
+    with gateway_world() as world, caught_lines() as caught:
+        world.add_desk()
+        world.running.ask("/safe/1", "c1")
+        assert "expected_ms" not in only_line(caught, CALL_ENDED)
+
+
+def test_names_are_joined_only_when_a_line_is_written() -> None:
+    assert str(Names(("zone-a", None, "zone-b"))) == "zone-a,?,zone-b"
+
+
+def test_time_to_connect_is_noted_once() -> None:
+    notes = AttemptNotes()
+    notes.connected(5 * MS)
+    assert notes.connect_time is None
+    notes.connecting_since = 5 * MS
+    notes.connected(12 * MS)
+    notes.connected(90 * MS)
+    assert notes.connect_time == 7 * MS
+
+
+load_tests = function_tests(__name__)
--- a/tests/unit/gateway/test_call_lines.py
+++ b/tests/unit/gateway/test_call_lines.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from mimosafork.clock import ManualClock
+from mimosafork.gateway.attempt_notes import Spread
 from mimosafork.gateway.call import Call
 from mimosafork.gateway.call_lines import CallLines
 from mimosafork.gateway.dialect import CallMarks
@@ -15,6 +16,7 @@
 from mimosafork.ids import (
     AccountId,
     AttemptNumber,
+    AvailabilityZoneId,
     Digest,
     EndpointId,
     Incarnation,
@@ -44,6 +46,7 @@
 from tests.support.log_lines import CaughtLines, caught_lines
 
 MS = timedelta(milliseconds=1)
+ZONE_A, ZONE_B = AvailabilityZoneId("zone-a"), AvailabilityZoneId("zone-b")
 SERVICE = ServiceId("letters")
 HOST = Header(b"Host", b"a.example")
 HEAD = RequestHead(b"POST", b"/write", 1, (HOST,), 0)
@@ -90,6 +93,15 @@
         """Return some age."""
         return 400 * MS
 
+    def spread(self, dispatch: Dispatch) -> Spread:
+        """Return two zones, and a first token 250 ms after the clock's start."""
+        return Spread(ZONE_B, (ZONE_A,) * len(dispatch.helpers), 250 * MS)
+
+    @property
+    def own_zone(self) -> AvailabilityZoneId | None:
+        """Return some zone."""
+        return ZONE_A
+
 
 def call_at(clock: ManualClock) -> Call:
     route = Route(
@@ -137,6 +149,16 @@
     )
 
 
+def failed_at(endpoint: str) -> AttemptFailed:
+    return AttemptFailed(
+        RequestId("1"),
+        AttemptNumber(1),
+        FailureKind.BROKEN,
+        Exposure.POSSIBLE,
+        endpoint=EndpointId(endpoint),
+    )
+
+
 def lines_at(clock: ManualClock) -> CallLines:
     lines = CallLines(clock)
     lines.look = Known()
@@ -170,6 +192,9 @@
     assert (fields["waited_ms"], fields["first_ms"]) == (30, 130)
     assert (fields["pause_ms"], fields["total_ms"]) == (900, 1070)
     assert fields["prompt_tokens"] == 2932
+    assert (fields["zones"], fields["helper_zones"]) == ("zone-b", "zone-a")
+    assert fields["expected_ms"] == 250
+    assert "own_zone" not in fields
 
 
 def test_served_line_is_short() -> None:
@@ -206,13 +231,7 @@
     """
     clock = ManualClock()
     call, lines = call_at(clock), lines_at(clock)
-    failure = AttemptFailed(
-        RequestId("1"),
-        AttemptNumber(1),
-        FailureKind.BROKEN,
-        Exposure.POSSIBLE,
-        endpoint=EndpointId("e1"),
-    )
+    failure = failed_at("e1")
     again = [WakeAt(1 * MS, RetryDue(RequestId("1")))]
     with caught_lines() as caught:
         lines.attempt_failed(call, failure, True, again)
@@ -225,6 +244,34 @@
     assert first["reused"] is True
 
 
+def test_attempts_line_tells_the_silence_before_its_end_and_the_forecast() -> None:
+    """A stream falls silent after one event and goes on elsewhere, then ends there.
+
+    The second attempt was not to bring the first event; its forecast would be
+    compared with an event that another endpoint had sent.
+    """
+    clock = ManualClock()
+    call, lines = call_at(clock), lines_at(clock)
+    with caught_lines() as caught:
+        lines.placed(call, dispatch_to("e1"))
+        clock.advance(100 * MS)
+        call.pass_event(StreamEvent(b"data", None), clock.monotonic())
+        clock.advance(900 * MS)
+        lines.attempt_failed(call, failed_at("e1"), False, [])
+        call.first_token_at = None
+        lines.placed(call, dispatch_to("e2"))
+        clock.advance(50 * MS)
+        problem = Problem(ProblemCode.CALLER_GONE, "left")
+        lines.ended(call, ended_as(problem, Outcome.UNKNOWN))
+    first = caught.one(ATTEMPT_FAILED)
+    assert (first["since_event_ms"], first["first_ms"]) == (900, 100)
+    assert first["expected_ms"] == 250
+    assert (first["zone"], first["own_zone"]) == ("zone-b", "zone-a")
+    end = caught.one(CALL_NOT_SERVED)
+    assert (end["since_event_ms"], end["zones"]) == (950, "zone-b,zone-b")
+    assert "expected_ms" not in end
+
+
 def test_refusal_by_routing_tells_the_version_and_its_age() -> None:
     refusal = Refusal(HTTPStatus.NOT_FOUND, "no-route")
     with caught_lines() as caught:
