Say how an endpoint left, how old a lost store's word is, how long a stop took

An endpoint that was stopped as planned and one that was lost left by the same line; MF2107 did not tell a store that refused at once from one silent for seconds; a stop's length had to be worked out from two lines. Ruled out: a second event for a lost endpoint, as who reads MF2104 wants both kinds in one place. Change: MF2104 has what was believed before (draining, ready, held), and with its like the zone; MF2107 the age of the last answer; MF2004 its time, also in its message. Conclusion: planned and unplanned ends differ by a word of the line.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -39,6 +39,9 @@
 
 logger = logging.getLogger(__name__)
 
+HELD = "held"
+"""Of an endpoint that stays in use though its row vanished."""
+
 
 class Directory:
     """What this instance believes of the configuration and the endpoints.
@@ -307,9 +310,16 @@
         service=entry.listed.service,
         address=entry.listed.address,
         source=changed.teller.value,
+        zone=entry.listed.zone,
+        before=None if changed.before is None else word_of(changed.before),
     )
 
 
+def word_of(entry: DirectoryEntry) -> str:
+    """Return in a word what is believed of an endpoint."""
+    return HELD if entry.missing_version is not None else entry.state.value
+
+
 def log_unreadable(row: Row, teller: Teller, error: UnreadableError) -> None:
     """Log a row that cannot be read."""
     log_event(
--- a/src/mimosafork/directory/endpoint_book.py
+++ b/src/mimosafork/directory/endpoint_book.py
@@ -223,7 +223,7 @@
         del self.entries[known.listed.endpoint]
         self.remember(row, sure=sure)
         gone = replace(known, state=EndpointState.GONE, missing_version=None)
-        return EndpointChanged(gone, teller)
+        return EndpointChanged(gone, teller, known)
 
     def remember(self, row: Row, *, sure: bool) -> None:
         """Remember that an endpoint is gone; a sure word stays sure."""
--- a/src/mimosafork/directory/follower.py
+++ b/src/mimosafork/directory/follower.py
@@ -152,7 +152,14 @@
             self.position = None
         except RowsError as error:
             if self.health.failed():
-                log_event(logger, STORE_LOST, table=self.name, why=error)
+                silence = self.health.silence
+                log_event(
+                    logger,
+                    STORE_LOST,
+                    table=self.name,
+                    why=error,
+                    age_ms=None if silence is None else silence // MILLISECOND,
+                )
         return self.retry_pause()
 
     async def read_whole(self) -> timedelta:
--- a/src/mimosafork/directory/messages.py
+++ b/src/mimosafork/directory/messages.py
@@ -70,10 +70,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointChanged:
-    """An endpoint is new, changed, held, draining or gone; the entry says which."""
+    """An endpoint is new, changed, held, draining or gone; the entry says which.
+
+    Attributes
+    ----------
+    before : DirectoryEntry or None
+        What was believed of one that is gone.
+    """
 
     entry: DirectoryEntry
     teller: Teller
+    before: DirectoryEntry | None = None
 
     @property
     def endpoint(self) -> EndpointId:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -279,6 +279,7 @@
         """
         gateway = self.gateway
         gateway.draining = True
+        asked_at = self.clock.monotonic()
         log_event(logger, GATEWAY_STOPPING, open=len(gateway.calls))
         cut = await run_out(
             self, BALANCER_LAG, self.settings.bounds.grace, self.clock, sleep
@@ -293,6 +294,7 @@
         await self.directory.stop()
         if self.sharing.gossip is not None:
             await self.sharing.gossip.close()
-        log_event(logger, GATEWAY_STOPPED, cut=cut)
+        took = self.clock.monotonic() - asked_at
+        log_event(logger, GATEWAY_STOPPED, cut=cut, after_ms=milliseconds(took))
         await asyncio.sleep(LOOK_AGAIN.total_seconds())
         return cut
--- a/src/mimosafork/telemetry/catalogue/directory.py
+++ b/src/mimosafork/telemetry/catalogue/directory.py
@@ -34,8 +34,10 @@
     2104,
     "endpoint-gone",
     Level.INFO,
-    "endpoint {endpoint} of service {service} is gone, told by {source}",
-    "It gets no new work, and its address may be another's soon.",
+    "endpoint {endpoint} of service {service} is gone, {before} before, told by "
+    "{source}",
+    "It gets no new work, and its address may be another's soon. One that was ready "
+    "left without a word: it was lost, or cut off from the store.",
     "None.",
 )
 ENDPOINT_HELD = Event(
@@ -61,7 +63,8 @@
     "store-lost",
     Level.WARNING,
     "the store does not tell the {table}: {why}",
-    "What is known stays in use; peers may still tell newer words.",
+    "What is known stays in use; peers may still tell newer words. `age_ms` is the "
+    "time since its last answer, absent if there was none.",
     "See to the platform's store.",
 )
 STORE_REGAINED = Event(
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -33,7 +33,7 @@
     2004,
     "gateway-stopped",
     Level.INFO,
-    "stopped with {cut} calls cut",
+    "stopped after {after_ms} ms with {cut} calls cut",
     "A call that was cut had not ended within the time for a planned stop.",
     "If calls were cut, look for their lines.",
 )
--- a/tests/unit/directory/test_lines.py
+++ b/tests/unit/directory/test_lines.py
@@ -3,9 +3,21 @@
 from typing import Any
 
 from mimosafork.directory.errors import StoreUnavailableError
-from mimosafork.telemetry.catalogue.directory import TABLE_TAKEN
+from mimosafork.directory.rows import Row
+from mimosafork.telemetry.catalogue.directory import (
+    ENDPOINT_GONE,
+    STORE_LOST,
+    TABLE_TAKEN,
+)
 
-from ...support.directories import configured, directory_world, page
+from ...support.directories import (
+    DirectoryWorld,
+    configured,
+    directory_world,
+    listed,
+    page,
+    removed,
+)
 from ...support.functions import function_tests
 from ...support.log_lines import caught_lines
 
@@ -51,4 +63,47 @@
     assert second["changes"] == "nothing that matters here"
 
 
+def gone_line(world: DirectoryWorld, *rows: Row) -> dict[str, Any]:
+    with caught_lines() as caught:
+        world.endpoints(page(9, listed("a", 4)), *(page(r.version, r) for r in rows))
+    return caught.one(ENDPOINT_GONE)
+
+
+def test_a_gone_endpoint_says_whether_it_was_draining() -> None:
+    """Streams break at the moment at which their endpoint leaves the list.
+
+    One that had said before that it leaves was stopped as planned; one that was ready
+    was lost, and its neighbours may be next.
+    """
+    with directory_world() as world:
+        planned = gone_line(world, listed("a", 11, "draining"), removed("a", 12))
+    with directory_world() as world:
+        lost = gone_line(world, removed("a", 12))
+    assert (planned["before"], lost["before"]) == ("draining", "ready")
+    assert planned["zone"] == "z"
+
+
+def test_an_endpoint_that_was_held_through_an_outage_says_so_when_it_is_gone() -> None:
+    with directory_world() as world, caught_lines() as caught:
+        world.endpoints(page(9, listed("a", 4)))
+        world.outage()
+        world.endpoints(page(12, removed("a", 12)))
+        assert world.words() == ["a ready", "a ready held"]
+        world.pass_time(60)
+        world.endpoints(page(14))
+    assert caught.one(ENDPOINT_GONE)["before"] == "held"
+
+
+def test_a_lost_store_has_the_age_of_its_last_answer() -> None:
+    """A call fails at once, or after seconds of silence: the ages behind it differ."""
+    with directory_world() as world, caught_lines() as caught:
+        world.endpoints(DOWN)
+        world.endpoints(page(9))
+        world.pass_time(2.4)
+        world.endpoints(DOWN, DOWN)
+    never, lost = caught.of(STORE_LOST)
+    assert "age_ms" not in never
+    assert lost["age_ms"] == 2400
+
+
 load_tests = function_tests(__name__)
--- a/tests/unit/gateway/test_gateway_stopping.py
+++ b/tests/unit/gateway/test_gateway_stopping.py
@@ -12,9 +12,11 @@
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.faults import Garbage
 from mimosafork.standins.prepared.words import REQUEST_ID
+from mimosafork.telemetry.catalogue.gateway import GATEWAY_STOPPED
 
 from ...support.functions import function_tests
 from ...support.gateway import BEARER, World, gateway_world
+from ...support.log_lines import caught_lines
 from ...support.prepared import DESKS, call
 from .test_gateway_callers import EVENTS, accepted, set_buffers, whole_stream
 
@@ -80,6 +82,26 @@
     return True
 
 
+def test_the_line_of_a_stop_says_how_long_it_took() -> None:
+    """An instance is killed by its platform in the middle of a planned stop.
+
+    How near its stops come to the time allowed has to be seen before that happens.
+    """
+    with gateway_world() as world, world.running.channel() as channel:
+        desk = world.add_desk()
+        desk.hold()
+        channel.send("POST", "/unsafe/1", {REQUEST_ID: "c1", **BEARER})
+        world.platform.log.wait_until(lambda log: len(log.runs) == 1)
+        with caught_lines() as caught, stopping(world) as future:
+            case.assertFalse(finished(future))
+            desk.let_go()
+            channel.read_answer()
+            future.result()
+        fields = caught.one(GATEWAY_STOPPED)
+        case.assertEqual(0, fields["cut"])
+        case.assertGreaterEqual(fields["after_ms"], A_WHILE_S * 1000)
+
+
 def test_a_slow_caller_gets_the_rest_of_its_answer() -> None:
     """A stream that was written whole ends early at its reader.
 
