Tell an endpoint's 504 at the end of a call's time by a word of its own

Cause: an endpoint that works until the time it was handed is over answers 504, and that stood as a warning "engine-failed" among the endpoints' real failures, in the log and in the attempts' metric. Ruled out: no line at all, as the attempt is a part of the call's story; the same event at another level, as an event has one. Change: MF2021 at INFO with the word out-of-time, also on the metrics page, where no more than 100 ms of the call's time are left. A 504 with more left, and any other status, stays MF2020. Conclusion: a warning of an engine that failed is one again.

--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -95,7 +95,7 @@
         parts.append(f"most of it waiting for a place ({end.text('waited_ms')} ms)")
     if end.number("pause_ms") > LONG_SHARE * total:
         parts.append(f"with a pause of {end.text('pause_ms')} ms")
-    failed = [line for line in own if line.event == events.ATTEMPT_FAILED]
+    failed = [line for line in own if line.event in events.ATTEMPT_FAILURES]
     if failed:
         parts.append(f"after {len(failed)} failed attempts ({attempts_text(failed)})")
     return ", ".join(parts)
@@ -103,7 +103,7 @@
 
 def not_served(end: LogLine, own: Sequence[LogLine]) -> str:
     """Tell why a call got no whole answer."""
-    failed = [line for line in own if line.event == events.ATTEMPT_FAILED]
+    failed = [line for line in own if line.event in events.ATTEMPT_FAILURES]
     why = end.text("why")
     if why == "overloaded":
         return no_place(end, failed)
@@ -241,6 +241,8 @@
         return f"{endpoint} refused it ({status}{f', for {at}' if at else ''})"
     if kind == "engine-failed":
         return f"{endpoint} answered {status}"
+    if kind == "out-of-time":
+        return f"{endpoint} answered {status} as the call's time was over"
     meaning = {
         "unreached": "could not be connected to",
         "broken": "broke the connection",
--- a/src/mimosafork/explain/events.py
+++ b/src/mimosafork/explain/events.py
@@ -5,7 +5,9 @@
 SERVED = gateway.CALL_ENDED.code
 NOT_SERVED = gateway.CALL_NOT_SERVED.code
 REFUSED = gateway.CALL_REFUSED.code
-ATTEMPT_FAILED = gateway.ATTEMPT_FAILED.code
+ATTEMPT_FAILURES = frozenset(
+    {gateway.ATTEMPT_FAILED.code, gateway.ATTEMPT_OUT_OF_TIME.code}
+)
 STARTING = gateway.GATEWAY_STARTING.code
 FREEZE = gateway.FREEZE_NOTICED.code
 LEFT_ALONE = gateway.ENDPOINT_LEFT_ALONE.code
@@ -19,9 +21,12 @@
 UNREADABLE = directory.ENTRY_UNREADABLE.code
 PULLED = gossip.GOSSIP_PULLED.code
 
-CALL_EVENTS = frozenset(
-    {SERVED, NOT_SERVED, REFUSED, ATTEMPT_FAILED, gateway.MALFORMED_REQUEST.code}
-)
+CALL_EVENTS = ATTEMPT_FAILURES | {
+    SERVED,
+    NOT_SERVED,
+    REFUSED,
+    gateway.MALFORMED_REQUEST.code,
+}
 """Lines of calls; all others tell of beliefs, starts and stops."""
 
 GAPS = frozenset(
--- a/src/mimosafork/explain/stories.py
+++ b/src/mimosafork/explain/stories.py
@@ -98,7 +98,7 @@
         failed = [
             line
             for line in shown
-            if line.event == events.ATTEMPT_FAILED
+            if line.event in events.ATTEMPT_FAILURES
             and line.text("endpoint") == self.endpoint
         ]
         kinds = Counter(line.text("kind") for line in failed)
--- a/src/mimosafork/gateway/call_lines.py
+++ b/src/mimosafork/gateway/call_lines.py
@@ -15,6 +15,7 @@
 from ..routing.table import RoutingTable
 from ..telemetry.catalogue.gateway import (
     ATTEMPT_FAILED,
+    ATTEMPT_OUT_OF_TIME,
     CALL_ENDED,
     CALL_NOT_SERVED,
     CALL_REFUSED,
@@ -23,6 +24,7 @@
 from .attempt_notes import AttemptNotes, Names
 from .call import Call
 from .dialect import CallMarks
+from .failure_words import OUT_OF_TIME, failure_word
 from .intake import Refusal
 from .meters import CallMeter
 from .outlook import LineFields, Look, Unknown, milliseconds
@@ -123,12 +125,14 @@
         then : iterable of Effect
             What the kernel decided on it.
         """
-        if self.meter is not None:
-            self.meter.attempt_failed(call, failure)
         now = self.clock.monotonic()
+        left = call.request.deadline - now
+        word = failure_word(failure, left)
+        if self.meter is not None:
+            self.meter.attempt_failed(call, word)
         log_event(
             logger,
-            ATTEMPT_FAILED,
+            ATTEMPT_OUT_OF_TIME if word == OUT_OF_TIME else ATTEMPT_FAILED,
             call=call.marks.call_id,
             **self._whose(call),
             endpoint=failure.endpoint,
@@ -137,7 +141,7 @@
             helpers=helpers_of(call),
             helper_zones=helper_zones_of(call),
             attempt=failure.attempt,
-            kind=failure.kind.value,
+            kind=word,
             exposure=failure.exposure.value,
             repeatability=call.request.repeatability.value,
             content=call.request.body_digest,
@@ -151,7 +155,7 @@
             since_event_ms=since_event(call, now),
             expected_ms=since_arrival(call, call.first_token_at),
             first_ms=since_arrival(call, call.first_sent_at),
-            left_ms=milliseconds(call.request.deadline - now),
+            left_ms=milliseconds(left),
             rule=BudgetedRetry.name,
             then=decided(then),
             **self.look.inputs(ServiceId(call.request.target)).fields(),
--- a/src/mimosafork/gateway/meters.py
+++ b/src/mimosafork/gateway/meters.py
@@ -4,7 +4,6 @@
 from datetime import timedelta
 from typing import Protocol
 
-from ..kernel.messages.attempts import AttemptFailed
 from ..kernel.messages.outcomes import Conclude
 from ..telemetry.catalogue.gateway import (
     CALL_ATTEMPTS,
@@ -53,10 +52,10 @@
         """Count a call that no route or key fits."""
         self.recorder.add(CALLS_REFUSED, reason=reason)
 
-    def attempt_failed(self, call: Call, failure: AttemptFailed) -> None:
-        """Count an attempt without a whole answer."""
-        service, result = str(call.request.target), failure.kind.value
-        self.recorder.add(CALL_ATTEMPTS, service=service, result=result)
+    def attempt_failed(self, call: Call, word: str) -> None:
+        """Count an attempt without a whole answer, by how it failed."""
+        service = str(call.request.target)
+        self.recorder.add(CALL_ATTEMPTS, service=service, result=word)
 
     def ended(self, call: Call, conclusion: Conclude) -> None:
         """Count a call's end, and time its parts."""
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -109,6 +109,17 @@
     "If an endpoint's attempts fail often, see whether it was ejected.",
     Importance.CALL,
 )
+ATTEMPT_OUT_OF_TIME = Event(
+    2021,
+    "attempt-out-of-time",
+    Level.INFO,
+    "call {call} at endpoint {endpoint}: answered {status} as the call's time was"
+    " over, after {after_ms} ms and {events} events; {then}",
+    "The endpoint worked for as long as the call allowed. That is no fault of its own,"
+    " unless it took far longer than expected.",
+    "None. If many come, see what took their time: `waited_ms`, or the endpoint.",
+    Importance.CALL,
+)
 ENDPOINT_LEFT_ALONE = Event(
     2030,
     "endpoint-left-alone",
--- a/tests/unit/gateway/test_call_lines.py
+++ b/tests/unit/gateway/test_call_lines.py
@@ -1,7 +1,9 @@
 """The lines of a call carry its id, who decided, by what, and how old that was."""
 
+from dataclasses import replace
 from datetime import timedelta
 from http import HTTPStatus
+from typing import Any
 
 from mimosafork.clock import ManualClock
 from mimosafork.gateway.attempt_notes import Spread
@@ -38,6 +40,7 @@
 from mimosafork.routing.table import CallKind, Route, RouteName, Split
 from mimosafork.telemetry.catalogue.gateway import (
     ATTEMPT_FAILED,
+    ATTEMPT_OUT_OF_TIME,
     CALL_ENDED,
     CALL_NOT_SERVED,
     CALL_REFUSED,
@@ -272,6 +275,37 @@
     assert "expected_ms" not in end
 
 
+def told_failure(status: int, after: timedelta) -> dict[str, Any]:
+    """Return the line of an endpoint's own failure, so long after the arrival."""
+    clock = ManualClock()
+    call, lines = call_at(clock), lines_at(clock)
+    own = replace(failed_at("e1"), kind=FailureKind.ENGINE_FAILED, status=status)
+    with caught_lines() as caught:
+        clock.advance(after)
+        lines.attempt_failed(call, own, False, [])
+    (line,) = caught.lines
+    return line
+
+
+def test_endpoints_504_at_the_end_of_a_calls_time_is_no_warning() -> None:
+    """A day's log is full of warnings of engines that failed.
+
+    Each is a call whose time was over; the engine that did fail is one among them.
+    """
+    for after in (1901 * MS, 2000 * MS, 2040 * MS):
+        line = told_failure(504, after)
+        assert (line["event"], line["level"]) == (ATTEMPT_OUT_OF_TIME.code, "INFO")
+        assert line["fields"]["kind"] == "out-of-time"
+
+
+def test_endpoints_own_failures_stay_warnings() -> None:
+    """A 504 with time left is the endpoint's own limit, and a 500 is none at all."""
+    for status, after in ((504, 1899 * MS), (504, 3 * MS), (500, 1990 * MS)):
+        line = told_failure(status, after)
+        assert (line["event"], line["level"]) == (ATTEMPT_FAILED.code, "WARNING")
+        assert line["fields"]["kind"] == "engine-failed"
+
+
 def test_refusal_by_routing_tells_the_version_and_its_age() -> None:
     refusal = Refusal(HTTPStatus.NOT_FOUND, "no-route")
     with caught_lines() as caught:
