Name the change that refused a caller and the link that broke, in explain

Two logs were recorded with stand-ins of the platform: a withdrawn key with a harmless version after it, and a zone behind resets. Conclusion: both cases could not be told from one instance's log before.

--- a/src/mimosafork/commands/explain.py
+++ b/src/mimosafork/commands/explain.py
@@ -11,6 +11,7 @@
 
 from ..cli.exits import CommandError, ExitCode
 from ..explain.lines import LogLine, LogReader, LogSource, Tally
+from ..explain.links import ZoneStory
 from ..explain.stories import CallStory, EndpointStory, Story, VersionStory
 from ..telemetry.events import all_events
 
@@ -41,6 +42,10 @@
         int | None,
         typer.Option(help="explain this version of the configuration instead"),
     ] = None,
+    zone: Annotated[
+        str | None,
+        typer.Option(help="explain the ways of this availability zone instead"),
+    ] = None,
 ) -> None:
     """Print the life of a call from logs of instances, and its cause in the last line.
 
@@ -51,7 +56,7 @@
     Example: mimosafork explain 36851835ae21e671 front-1.log front-2.log
     """
     asked = list(words or [])
-    story = chosen_story(asked, endpoint, config)
+    story = chosen_story(asked, endpoint, config, zone)
     with opened(asked) as sources, shown_progress(sources) as progress:
         reader = LogReader(story.wanted, progress)
         told = story.tell(reader.read(sources))
@@ -62,8 +67,8 @@
 
 
 def chosen_story(
-    asked: list[str], endpoint: str | None, config: int | None
-) -> CallStory | EndpointStory | VersionStory:
+    asked: list[str], endpoint: str | None, config: int | None, zone: str | None
+) -> CallStory | EndpointStory | VersionStory | ZoneStory:
     """Return what is to be explained; a call's id is taken off the words.
 
     Raises
@@ -71,12 +76,16 @@
     CommandError
         If there is nothing to explain, or more than one thing.
     """
-    if endpoint is not None and config is not None:
-        raise CommandError(ExitCode.USAGE, "either --endpoint or --config, not both")
+    if sum(each is not None for each in (endpoint, config, zone)) > 1:
+        raise CommandError(
+            ExitCode.USAGE, "one of --endpoint, --config and --zone, not more"
+        )
     if endpoint is not None:
         return EndpointStory(endpoint)
     if config is not None:
         return VersionStory(config)
+    if zone is not None:
+        return ZoneStory(zone)
     if not asked:
         raise CommandError(ExitCode.USAGE, "the id of a call is missing")
     return CallStory(asked.pop(0))
--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -1,6 +1,7 @@
 """The cause of a call's end, in one line."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 
 from . import events
@@ -30,6 +31,48 @@
 """What a shortage of placement means."""
 
 
+ENDINGS = {
+    "reset": "a reset",
+    "closed": "closed in order",
+    "timed-out": "nothing came back in time",
+    "no-way": "no way to its address",
+    "refused": "its machine opens no connection",
+}
+"""How a connection ended. The other endings are this instance's own, or told by the
+kind of the failure."""
+
+
+@dataclass(frozen=True, slots=True)
+class RefusingChange:
+    """What in the changes of a configuration may have refused a call.
+
+    Parameters
+    ----------
+    part : str
+        Of the configuration.
+    signs : tuple of str
+        Of entries that are gone, or are other ones.
+    """
+
+    part: str
+    signs: tuple[str, ...]
+
+    def takes_away(self, changes: str) -> bool:
+        """Return whether the changes of one part may have refused a call."""
+        part, *counts = changes.split(" ")
+        return part == self.part and any(each.startswith(self.signs) for each in counts)
+
+
+REFUSING = {
+    "unknown-key": RefusingChange("keys", ("-",)),
+    "no-route": RefusingChange("routes", ("-", "~")),
+}
+"""By the reason of a refusal."""
+
+SLOWER = 1.5
+"""A first event is named as late if it took this many times what was expected."""
+
+
 def cause_of(lines: Sequence[LogLine]) -> str:
     """Return why a call ended as it did.
 
@@ -48,7 +91,7 @@
     """Return what the last line of a call comes to."""
     end = own[-1]
     if end.event == events.REFUSED:
-        return refused(end)
+        return refused(end, lines)
     if end.event == events.SERVED:
         return served(end, own)
     if end.event == events.NOT_SERVED:
@@ -65,13 +108,21 @@
             continue
         if line.event == events.STARTING and before >= 0:
             found.append(f"its instance had started {before} ms before")
+        if line.event == events.GONE and line.text("before"):
+            found.append(gone_text(line, before))
         if line.event == events.FREEZE:
             late = line.text("late_ms")
             found.append(f"its instance had stood still for {late} ms just before")
     return found
 
 
-def refused(end: LogLine) -> str:
+def gone_text(line: LogLine, before: int) -> str:
+    """Tell of an endpoint of a call that left the list."""
+    when = f"{before} ms before" if before >= 0 else f"{-before} ms after"
+    return f"{line.text('endpoint')} was gone {when}, having been {line.text('before')}"
+
+
+def refused(end: LogLine, lines: Sequence[LogLine]) -> str:
     """Tell of a call that no route or key fits."""
     meaning = {
         "no-route": "has no route for its host and path",
@@ -83,10 +134,53 @@
     told = f", which the store confirmed {age} ms before" if age is not None else ""
     return (
         f"refused with {end.text('status')} by {end.text('rule') or 'routing'}: "
-        f"configuration {version} {meaning}{told}"
+        f"configuration {version} {meaning}{told}{refusing_text(end, lines)}"
     )
 
 
+def refusing_text(end: LogLine, lines: Sequence[LogLine]) -> str:
+    """Tell which configuration last took away what a refused call had needed."""
+    change = refusing_change(end, lines)
+    if change is None:
+        return ""
+    before = (end.instant - change.instant) // timedelta(milliseconds=1)
+    return (
+        f"; configuration {change.text('version')}, taken {before} ms before, "
+        f"changed {change.text('changes')}"
+    )
+
+
+def refusing_change(end: LogLine, lines: Sequence[LogLine]) -> LogLine | None:
+    """Return the line of the configuration that last took away keys or routes.
+
+    The keys or routes of an earlier one were still there when that one came, so the
+    latest that took any away is the one to look at first.
+
+    Parameters
+    ----------
+    end : LogLine
+        The refusal; any other line has no such change.
+    """
+    signs = REFUSING.get(end.text("reason"))
+    if end.event != events.REFUSED or signs is None:
+        return None
+    for line in reversed(lines):
+        if line.event != events.TABLE_TAKEN or line.instance != end.instance:
+            continue
+        parts = line.text("changes").split(", ")
+        if line.time <= end.time and any(signs.takes_away(part) for part in parts):
+            return line
+    return None
+
+
+def expected(end: LogLine) -> str:
+    """Tell of a first event that came much later than placement expected."""
+    expected_ms, first_ms = end.number("expected_ms"), end.number("first_ms")
+    if not expected_ms or first_ms <= SLOWER * expected_ms:
+        return ""
+    return f"its first event after {first_ms} ms, expected after {expected_ms} ms"
+
+
 def served(end: LogLine, own: Sequence[LogLine]) -> str:
     """Tell what took the time of a call that was served."""
     total = max(1, end.number("total_ms"))
@@ -95,6 +189,8 @@
         parts.append(f"most of it waiting for a place ({end.text('waited_ms')} ms)")
     if end.number("pause_ms") > LONG_SHARE * total:
         parts.append(f"with a pause of {end.text('pause_ms')} ms")
+    if expected(end):
+        parts.append(expected(end))
     failed = [line for line in own if line.event in events.ATTEMPT_FAILURES]
     if failed:
         parts.append(f"after {len(failed)} failed attempts ({attempts_text(failed)})")
@@ -197,9 +293,11 @@
     patience = ""
     if allowed and end.number("total_ms") >= allowed:
         patience = f", as its {allowed} ms were over"
+    quiet = end.fields.get("since_event_ms")
+    silence = f", the last of them {quiet} ms before" if quiet is not None else ""
     return (
         f"the caller closed its connection after {end.text('total_ms')} ms{patience}, "
-        f"having got {got}"
+        f"having got {got}{silence}"
     )
 
 
@@ -209,7 +307,9 @@
     if not where:
         return f"it waited for a place; {inputs_text(end)}"
     waited = end.number("waited_ms")
-    return f"endpoint {where[-1]} had not answered, {waited} ms were spent waiting"
+    foreseen = end.fields.get("expected_ms")
+    due = f", its first event was expected after {foreseen} ms" if foreseen else ""
+    return f"endpoint {where[-1]} had not answered, {waited} ms were spent waiting{due}"
 
 
 def unended(lines: Sequence[LogLine]) -> str:
@@ -251,7 +351,23 @@
         "deadline": "was reached too late",
     }.get(kind, kind)
     after = line.number("events")
-    return f"{endpoint} {meaning}" + (f" after {after} events" if after else "")
+    seen = f" after {after} events" if after else ""
+    return f"{endpoint} {meaning}{seen}{way_text(line)}"
+
+
+def way_text(line: LogLine) -> str:
+    """Return how an attempt's connection ended, and between which zones it led."""
+    parts = [ENDINGS.get(line.text("ending"), ""), zones_text(line)]
+    told = ", ".join(part for part in parts if part)
+    return f" ({told})" if told else ""
+
+
+def zones_text(line: LogLine) -> str:
+    """Return the zones of both ends; empty where a line does not have them."""
+    own, other = line.text("own_zone"), line.text("zone")
+    if not (own and other):
+        return ""
+    return f"within {own}" if own == other else f"from {own} to {other}"
 
 
 def inputs_text(line: LogLine) -> str:
--- a/src/mimosafork/explain/stories.py
+++ b/src/mimosafork/explain/stories.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from . import events
-from .causes import cause_of
+from .causes import cause_of, refusing_change
 from .lines import LogLine, shifted
 
 BEFORE = timedelta(seconds=10)
@@ -55,10 +55,12 @@
         begin, end = lifetime(own)
         used = {name for line in own for name in endpoints_of(line)}
         where = {line.instance for line in own}
+        refusing = refusing_change(own[-1], lines)
         shown = [
             line
             for line in lines
             if line.fields.get("call") == self.call
+            or line is refusing
             or (
                 line.instance in where
                 and begin <= line.time <= end
--- a/tests/unit/explain/test_explain.py
+++ b/tests/unit/explain/test_explain.py
@@ -1,13 +1,17 @@
 """`mimosafork explain` names the cause of recorded failures.
 
 The logs are of played days, shortened: lines of other calls are left out, and in each
-one line is cut off in the middle, as it happens where a process is killed.
+one line is cut off in the middle, as it happens where a process is killed. Those of a
+withdrawn key and of a zone behind resets are whole, of one instance before stand-ins of
+the platform.
 """
 
 from collections.abc import Iterator
 from pathlib import Path
 
-from mimosafork.explain.lines import LogReader, LogSource
+from mimosafork.explain.causes import cause_of
+from mimosafork.explain.lines import LogLine, LogReader, LogSource
+from mimosafork.explain.links import ZoneStory
 from mimosafork.explain.stories import CallStory, EndpointStory, Story, VersionStory
 from tests.support.commands import run_command
 from tests.support.functions import function_tests
@@ -18,11 +22,15 @@
 UNSAFE = "unsafe-call-502.log"
 CROWDED = "stream-without-place.log"
 FROZEN = "refused-after-freeze.log"
+WITHDRAWN = "key-withdrawn.log"
+BEHIND_RESETS = "zone-behind-resets.log"
 FROZEN_CALL = "ec61d7f6d2549037"
 MILLION = 1_000_000
 
 
-def told(story: CallStory | EndpointStory | VersionStory, *names: str) -> Story:
+def told(
+    story: CallStory | EndpointStory | VersionStory | ZoneStory, *names: str
+) -> Story:
     reader = LogReader(story.wanted)
     lines = [(RECORDED / name).read_bytes().splitlines(True) for name in names]
     sources = [LogSource(*pair) for pair in zip(names, lines, strict=True)]
@@ -105,6 +113,98 @@
     assert cause.endswith("its instance had stood still for 3500 ms just before")
 
 
+def test_configuration_that_withdrew_a_callers_key_is_named() -> None:
+    """A caller is told 401 from one minute to the next.
+
+    Configuration 4 had taken its key away; by the time it called, configuration 7 was
+    in force, which changed one route only, and by which it was refused.
+    """
+    story = told(CallStory("c41d9be2037fa658"), WITHDRAWN)
+    assert story.cause.startswith(
+        "refused with 401 by routing: configuration 7 knows no account with its API "
+        "key, which the store confirmed 313 ms before; configuration 4, taken 925 ms "
+        "before, changed keys +1 -2"
+    )
+
+
+def test_change_that_refused_a_caller_is_shown_however_old_it_is() -> None:
+    """The key went a day before its caller came again.
+
+    The line of that configuration is among those of the call though all others from
+    that time are left out.
+    """
+    reader = LogReader(CallStory("c41d9be2037fa658").wanted)
+    lines = (RECORDED / WITHDRAWN).read_bytes().splitlines(True)
+    day_before = [line.replace(b"2026-12-02T", b"2026-12-01T") for line in lines[:-1]]
+    read = reader.read([LogSource("day", [*day_before, lines[-1]])])
+    story = CallStory("c41d9be2037fa658").tell(read)
+    assert [line.event for line in story.lines] == ["MF2101", "MF2012"]
+    assert "configuration 4, taken 86400925 ms before" in story.cause
+
+
+def test_keys_that_another_instance_lost_refuse_nothing_here() -> None:
+    """Of two instances one lags behind; each refuses by what it has itself taken."""
+    lines = (RECORDED / WITHDRAWN).read_bytes().splitlines(True)
+    other = [line.replace(b"entry-1 {", b"entry-2 {") for line in lines[:-1]]
+    reader = LogReader(CallStory("c41d9be2037fa658").wanted)
+    read = reader.read([LogSource("day", [*other, lines[-1]])])
+    assert "changed keys" not in CallStory("c41d9be2037fa658").tell(read).cause
+
+
+def test_link_that_broke_under_a_call_is_named_with_both_zones() -> None:
+    """All connections into zone-b are reset, and its endpoints stay listed.
+
+    It looked like a reset of all connections, or like two endpoints that crash.
+    """
+    cause = told(CallStory("703bf8a2960c5ed1"), BEHIND_RESETS).cause
+    assert cause.startswith(
+        "told 502: i-75a411f5 broke the connection (a reset, from zone-a to zone-b); "
+        "i-61718ff8 broke the connection (a reset, from zone-a to zone-b); "
+        "budgeted-retry tried no more as all attempts are used"
+    )
+
+
+def test_zone_is_told_with_the_ways_that_failed() -> None:
+    story = told(ZoneStory("zone-b"), BEHIND_RESETS)
+    assert story.cause == (
+        "8 attempts were not heard from 2026-12-02T22:39:46.044+00:00 to "
+        "2026-12-02T22:39:46.083+00:00, 8 of them across its border: 8 from zone-a to "
+        "zone-b (8 reset)"
+    )
+    assert [line.event for line in story.lines].count("MF2102") == 2
+    assert told(ZoneStory("zone-c"), BEHIND_RESETS).lines == ()
+
+
+def told_end(**fields: object) -> str:
+    """Return the cause of a call that is told by one line of its end."""
+    event = fields.pop("event")
+    line = LogLine("i", "2026-12-02T22:00:00.000+00:00", str(event), "", fields)
+    return cause_of([line])
+
+
+def test_caller_that_left_is_told_with_the_silence_before() -> None:
+    """A caller leaves after two seconds without an event, or out of its own will."""
+    cause = told_end(
+        event="MF2011",
+        why="caller-gone",
+        total_ms=4100,
+        first_ms=300,
+        events=12,
+        since_event_ms=2010,
+    )
+    assert cause == (
+        "the caller closed its connection after 4100 ms, having got 12 events, the "
+        "last of them 2010 ms before"
+    )
+
+
+def test_first_event_that_came_later_than_expected_is_named() -> None:
+    fields = {"event": "MF2010", "status": 200, "total_ms": 9000, "first_ms": 4000}
+    late = told_end(**fields, expected_ms=900)
+    assert "its first event after 4000 ms, expected after 900 ms" in late
+    assert "expected" not in told_end(**fields, expected_ms=3500)
+
+
 def test_logs_of_several_days_and_instances_are_read_at_once() -> None:
     story = told(CallStory("414d75934c02a75b"), REFUSED, BROKEN, UNSAFE)
     assert {line.instance for line in story.lines} == {"front-sala-pichincha-2"}
@@ -180,6 +280,8 @@
     assert run_command("explain", "0000", path).code == 1
     assert run_command("explain").code == 2
     assert run_command("explain", "--endpoint", "e", "--config", "1", path).code == 2
+    assert run_command("explain", "--zone", "zone-z", path).code == 1
+    assert run_command("explain", "--zone", "z", "--endpoint", "e", path).code == 2
     missing = run_command("explain", "0000", "/nowhere/a.log")
     assert missing.code == 3
     assert "/nowhere/a.log" in missing.err
