Tell placement the same view while nothing has changed

Ruled out: one list of views for a service, as what is usable and suspect changes with time alone; so each belief asks its clocks and tells its former view if the entry of the list and both answers are the same. EndpointBelief keeps its last view. A test lists an endpoint as cold and with other slots, and back: the view must follow.

--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -39,6 +39,14 @@
 """Above this rate of failures an endpoint is taken last."""
 
 
+@dataclass(frozen=True, slots=True)
+class LastView:
+    """What placement was told of an endpoint, and the entry that it came from."""
+
+    listed: ListedEndpoint
+    view: EngineView
+
+
 @dataclass(slots=True)
 class EndpointBelief:
     """What is known of one endpoint.
@@ -55,6 +63,8 @@
         Since when it has been left alone or taken last.
     zones : ZoneDoubts
         What is known of all zones.
+    last_view : LastView or None
+        What placement was told last: each placement asks for all endpoints.
     """
 
     listed: ListedEndpoint
@@ -65,6 +75,7 @@
     failure_rate: float = 0.0
     doubted_at: timedelta | None = None
     zones: ZoneDoubts = field(default_factory=ZoneDoubts)
+    last_view: LastView | None = None
 
     def note_unreached(self, now: timedelta) -> None:
         """Leave it alone, longer each time up to a bound."""
@@ -91,16 +102,32 @@
         return now < self.suspect_until or self.failure_rate > BAD_RATE
 
     def view(self, now: timedelta) -> EngineView:
-        """Return what placement goes by."""
-        return EngineView(
-            endpoint=self.listed.endpoint,
-            address=self.listed.address,
-            zone=self.listed.zone,
-            slots=self.listed.slots,
-            usable=self.usable(now),
-            suspect=self.suspect(now),
-            cold=self.listed.cold_remaining > timedelta(0),
-        )
+        """Return what placement goes by; the former one if nothing has changed."""
+        last = self.last_view
+        usable, suspect = self.usable(now), self.suspect(now)
+        if (
+            last is not None
+            and last.listed is self.listed
+            and last.view.usable is usable
+            and last.view.suspect is suspect
+        ):
+            return last.view
+        view = view_of(self.listed, usable, suspect)
+        self.last_view = LastView(self.listed, view)
+        return view
+
+
+def view_of(listed: ListedEndpoint, usable: bool, suspect: bool) -> EngineView:
+    """Return what placement goes by."""
+    return EngineView(
+        endpoint=listed.endpoint,
+        address=listed.address,
+        zone=listed.zone,
+        slots=listed.slots,
+        usable=usable,
+        suspect=suspect,
+        cold=listed.cold_remaining > timedelta(0),
+    )
 
 
 @register("fleet-view")
--- a/tests/unit/gateway/test_fleet_view.py
+++ b/tests/unit/gateway/test_fleet_view.py
@@ -1,5 +1,6 @@
 """Tests of what an instance believes of each endpoint."""
 
+from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
@@ -12,7 +13,7 @@
 from mimosafork.ids import EndpointId
 from mimosafork.kernel.messages.attempts import Exposure, FailureKind
 from mimosafork.kernel.messages.base import Tick
-from mimosafork.kernel.messages.routing import EndpointLeaving
+from mimosafork.kernel.messages.routing import EndpointLeaving, EndpointUsable
 
 from ...support.functions import function_tests
 from ...support.gateway_kernels import (
@@ -57,6 +58,24 @@
     case.assertEqual(set(), suspects(bench))
 
 
+def test_placement_hears_what_the_list_says_anew() -> None:
+    """An engine is taken for a cold one for good, or for one with more slots.
+
+    Views are kept between placements; one must not outlive the entry it came from.
+    """
+    bench = gateway_bench(endpoints=1)
+    belief = bench.kernel.plugin(FleetView).of_service(DESK)[0]
+    now = bench.clock.monotonic()
+    kept = belief.view(now)
+    case.assertIs(kept, belief.view(now + MOMENT))
+    cold = replace(belief.listed, slots=3, cold_remaining=MOMENT)
+    for listed in (cold, belief.listed):
+        bench.tell(EndpointUsable(listed))
+        seen = belief.view(now)
+        is_cold = listed.cold_remaining > timedelta(0)
+        case.assertEqual((listed.slots, is_cold), (seen.slots, seen.cold))
+
+
 def test_an_unreached_endpoint_is_left_alone_longer_each_time() -> None:
     bench = gateway_bench(endpoints=1)
     absence = UNREACHED_FOR
