Weigh a pause once for all requests that bear it

Ruled out: a table of losses by the length of a pass, as it would be built anew with each change of work; a fleet's calls have few different pauses, so that requests which bear the same are summed up with the load. LoadSum keeps them by pause, the shortest first; weighing stops at the first that is safe. A time that surely is on time has no lateness to calculate. Hosts are looked for before anything else, and sizes of gangs whose engines have too little memory are left out.

--- a/src/mimosafork/placement/forecast.py
+++ b/src/mimosafork/placement/forecast.py
@@ -125,11 +125,12 @@
 def risk(value_ms: float, limit_ms: float, slack_ms: float) -> float:
     """Return the chance, 0 to 1, that a limit is broken.
 
-    It grows evenly from `slack_ms` below the limit to the limit itself.
+    It grows evenly from `slack_ms`, at least 0, below the limit to the limit itself.
     """
-    if slack_ms <= 0.0:
-        return 1.0 if value_ms > limit_ms else 0.0
-    return min(1.0, max(0.0, (value_ms - limit_ms + slack_ms) / slack_ms))
+    over_ms = value_ms - limit_ms + slack_ms
+    if over_ms <= 0.0:
+        return 0.0
+    return 1.0 if over_ms >= slack_ms else over_ms / slack_ms
 
 
 def harm(state: EngineState, read_ms: float) -> float:
@@ -138,26 +139,32 @@
     after = before + read_ms * state.pace
     if after <= state.safe_ms:
         return 0.0
-    found = state.found
-    paces = found.standing.paces
-    if before <= state.safe_ms and after >= found.loosest_ms:
-        # All of them are safe now and none would be.
-        return LATE_LOSS * (len(paces) + found.paced_tokens / TOKENS_OF_WORTH)
     lost = 0.0
-    for pace in paces:
-        chance = risk(after, pace.pause_ms, PAUSE_SLACK_MS)
-        chance -= risk(before, pace.pause_ms, PAUSE_SLACK_MS)
-        lost += chance * worth_of(pace.prompt_tokens)
+    for pause_ms, requests, prompt_tokens in state.found.alike:
+        chance = risk(after, pause_ms, PAUSE_SLACK_MS)
+        if not chance:
+            break
+        if before > state.safe_ms:
+            chance -= risk(before, pause_ms, PAUSE_SLACK_MS)
+        lost += chance * (requests + prompt_tokens / TOKENS_OF_WORTH)
     return lost * LATE_LOSS
 
 
-def lateness(done_ms: float, objective_ms: float, worth: float) -> float:
+def slack_of(objective_ms: float) -> float:
+    """Return how far below an objective a prediction must stay to be sure of it."""
+    return FIRST_EVENT_SLACK * max(0.0, objective_ms)
+
+
+def lateness(
+    done_ms: float, objective_ms: float, slack_ms: float, worth: float
+) -> float:
     """Return what a request itself is expected to lose by its first event.
 
     Parameters
     ----------
+    slack_ms : float
+        That of its objective.
     worth : float
         Of the request, if it is on time.
     """
-    slack = FIRST_EVENT_SLACK * max(0.0, objective_ms)
-    return risk(done_ms, objective_ms, slack) * LATE_LOSS * worth
+    return risk(done_ms, objective_ms, slack_ms) * LATE_LOSS * worth
--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -13,7 +13,7 @@
 
 from ..routing.engine import EngineFigures
 from .choice import PlacementAsk
-from .forecast import EngineState, harm, lateness, worth_of
+from .forecast import EngineState, harm, lateness, slack_of, worth_of
 from .memory import free_tokens, most_promised, needs_tickets, total_tokens
 
 GANG_SIZES = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
@@ -85,6 +85,8 @@
     figures : EngineFigures
     noise : sequence of float
         One cost for each engine.
+    hosts : sequence of int
+        Engines with a slot and memory for it, at least one.
 
     Attributes
     ----------
@@ -92,8 +94,8 @@
         Costs of each engine whatever it reads.
     openings : list of float
         What each costs besides as a host.
-    hosts, helpers : list of int
-        Engines with a slot and memory for it, and those that may read for others.
+    helpers : list of int
+        Those that may read for others.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         states: Sequence[EngineState],
         figures: EngineFigures,
         noise: Sequence[float],
+        hosts: Sequence[int],
     ) -> None:
         self.ask = ask
         self.states = states
@@ -109,7 +112,9 @@
         self.split = needs_tickets(ask, figures)
         self.worth = worth_of(ask.prompt_tokens)
         self.objective_ms = ask.objective.total_seconds() * 1e3
-        self.hosts = self._hosts()
+        self.slack_ms = slack_of(self.objective_ms)
+        self.sure_ms = self.objective_ms - self.slack_ms
+        self.hosts = hosts
         self.helpers = [i for i, state in enumerate(states) if state.can_help]
         small = figures.read_ms(ask.prompt_tokens, ask.prompt_tokens) < SMALL_PROMPT_MS
         self.fixed = [
@@ -120,20 +125,13 @@
         ]
         self.openings = opening_costs(ask, states)
 
-    def _hosts(self) -> list[int]:
-        room = most_promised(self.figures)
-        if not self.split:
-            room -= total_tokens(self.ask)
-        return [
-            index
-            for index, state in enumerate(self.states)
-            if state.has_slot and state.found.standing.promised_tokens <= room
-        ]
-
     def own_loss(self, done_ms: float) -> float:
         """Return what the request loses by a time until its first token."""
         delay = DELAY_COST_PER_MS * done_ms * self.worth
-        return lateness(done_ms, self.objective_ms, self.worth) + delay
+        if done_ms <= self.sure_ms:
+            return delay
+        late = lateness(done_ms, self.objective_ms, self.slack_ms, self.worth)
+        return late + delay
 
     def read_ms(self, size: int) -> float:
         """Return how long one of `size` even parts is read."""
@@ -155,10 +153,7 @@
         return Weights(done_ms, costs, ranks)
 
     def plan(self, size: int) -> Plan | None:
-        """Return the cheapest plan with some number of engines, or None.
-
-        There must be a host.
-        """
+        """Return the cheapest plan with some number of engines, or None."""
         if len(self.helpers) < size - 1:
             return None
         weights = self.weights(self.read_ms(size))
@@ -181,17 +176,23 @@
         rooms = (free_tokens(self.states[index], self.figures) for index in gang)
         return sum(max(0, room) for room in rooms) >= total_tokens(self.ask)
 
-    def cheapest(self) -> Plan | None:
-        """Return the plan that costs least, or None if no engine has room."""
-        if not self.hosts:
-            return None
+    def sizes(self) -> list[int]:
+        """Return the numbers of engines that may have room together."""
         most = MOST_WITH_MEMORY if self.split else GANG_SIZES[-1]
         sizes = sorted({min(size, len(self.states), most) for size in GANG_SIZES})
+        if not self.split:
+            return sizes
+        rooms = [max(0, free_tokens(each, self.figures)) for each in self.states]
+        rooms.sort(reverse=True)
+        return [each for each in sizes if sum(rooms[:each]) >= total_tokens(self.ask)]
+
+    def cheapest(self) -> Plan | None:
+        """Return the plan that costs least, or None if no gang has room."""
         bounds = Bounds(self)
-        least = {size: bounds.least_cost(size) for size in sizes}
+        least = {size: bounds.least_cost(size) for size in self.sizes()}
         best: Plan | None = None
         # From the most promising size on, as most need not be weighed then.
-        for size in sorted(sizes, key=least.__getitem__):
+        for size in sorted(least, key=least.__getitem__):
             if best is not None and least[size] > best.cost + ROUNDING:
                 break
             plan = self.plan(size)
@@ -209,7 +210,6 @@
     Parameters
     ----------
     search : Search
-        With a host.
     """
 
     def __init__(self, search: Search) -> None:
@@ -234,8 +234,26 @@
     random: Random,
 ) -> Plan | None:
     """Return the plan that costs least, or None if no engine has room."""
+    # Chance is used alike whether there is a host or not.
     noise = [random.random() * NOISE_COST for _ in states]
-    return Search(ask, states, figures, noise).cheapest()
+    hosts = hosts_of(ask, states, figures)
+    if not hosts:
+        return None
+    return Search(ask, states, figures, noise, hosts).cheapest()
+
+
+def hosts_of(
+    ask: PlacementAsk, states: Sequence[EngineState], figures: EngineFigures
+) -> list[int]:
+    """Return the engines that have a slot and memory for a request."""
+    room = most_promised(figures)
+    if not needs_tickets(ask, figures):
+        room -= total_tokens(ask)
+    return [
+        index
+        for index, state in enumerate(states)
+        if state.has_slot and state.found.standing.promised_tokens <= room
+    ]
 
 
 def opening_costs(ask: PlacementAsk, states: Sequence[EngineState]) -> list[float]:
--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -127,6 +127,20 @@
 IDLE = EngineLoad()
 
 
+class AlikePaces(NamedTuple):
+    """Requests on an engine that bear the same longest pause.
+
+    Attributes
+    ----------
+    prompt_tokens : int
+        Of all of them.
+    """
+
+    pause_ms: float
+    requests: int
+    prompt_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadSum:
     """The load of one engine until its work changes.
@@ -137,17 +151,16 @@
         The load without reading.
     read_until_ms : float
         Instant at which all promised reading is done; -inf without any.
-    tightest_ms, loosest_ms : float
-        Shortest and longest of the longest pauses of its requests; inf without any.
-    paced_tokens : int
-        Prompt tokens of its requests that have a longest pause.
+    tightest_ms : float
+        Shortest of the longest pauses of its requests; inf without any.
+    alike : tuple of AlikePaces
+        Its requests by their longest pause, the shortest first.
     """
 
     standing: EngineLoad
     read_until_ms: float = -inf
     tightest_ms: float = inf
-    loosest_ms: float = inf
-    paced_tokens: int = 0
+    alike: tuple[AlikePaces, ...] = ()
 
     def reading_ms(self, now_ms: float) -> float:
         """Return the milliseconds of reading that are promised and not yet done."""
@@ -294,13 +307,19 @@
     standing = EngineLoad(
         running, writers, helping, 0.0, promised, context, tuple(paces)
     )
-    pauses = [pace.pause_ms for pace in paces]
-    return LoadSum(
-        standing,
-        read_until(reads),
-        min(pauses, default=inf),
-        max(pauses, default=inf),
-        sum(pace.prompt_tokens for pace in paces),
+    alike = alike_paces(paces)
+    tightest_ms = alike[0].pause_ms if alike else inf
+    return LoadSum(standing, read_until(reads), tightest_ms, alike)
+
+
+def alike_paces(paces: Iterable[Pace]) -> tuple[AlikePaces, ...]:
+    """Sum up requests that bear the same pause; there are few different ones."""
+    tokens: dict[float, list[int]] = {}
+    for pace in paces:
+        tokens.setdefault(pace.pause_ms, []).append(pace.prompt_tokens)
+    return tuple(
+        AlikePaces(pause_ms, len(found), sum(found))
+        for pause_ms, found in sorted(tokens.items())
     )
 
 
