Cover a silent attempt and an unacknowledged one by their endings

Cause: two of the endings that a cut without resets shows were covered by the mapping of errors alone, and the new metric by unit tests alone. Ruled out: a socket whose packets are dropped, as a test can't have one without rights to the machine's network. Change: a played endpoint that hangs, the system's error handed to a connection, and the held memory on the page of a running process.

--- a/tests/functional/test_gateway_metrics.py
+++ b/tests/functional/test_gateway_metrics.py
@@ -8,6 +8,7 @@
     CALLS,
     CALLS_REFUSED,
     ENDPOINTS_KNOWN,
+    MEMORY_RESERVED,
     ROWS_CALLS,
     TABLE_AGE,
     TABLE_VERSION,
@@ -52,6 +53,7 @@
         for known in (
             CALL_FIRST_PART_TIME,
             ENDPOINTS_KNOWN,
+            MEMORY_RESERVED,
             ROWS_CALLS,
             TABLE_AGE,
             TABLE_VERSION,
--- a/tests/unit/gateway/test_attempt_notes.py
+++ b/tests/unit/gateway/test_attempt_notes.py
@@ -1,20 +1,29 @@
 """The lines of a call say which zones it crossed and how its connection ended."""
 
+import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 from errno import EHOSTUNREACH, ENETDOWN, EPIPE, ETIMEDOUT
-from typing import Any
+from typing import Any, cast
+from unittest.mock import Mock
 
+from mimosafork.clock import ManualClock
 from mimosafork.gateway.attempt_notes import AttemptNotes, Names
 from mimosafork.gateway.policies.placing import WorkPlacer
-from mimosafork.gateway.upstream import ConnectionLoss, loss_of
+from mimosafork.gateway.upstream import (
+    CallSink,
+    ConnectionLoss,
+    EndpointConnection,
+    loss_of,
+)
 from mimosafork.kernel.messages.attempts import FailureKind
-from mimosafork.standins.prepared.endpoint import EndpointSettings
-from mimosafork.standins.prepared.engine import EngineFigures
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
+from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.faults import (
     CutAnswer,
     Fault,
     Garbage,
+    Hang,
     LostAnswer,
     Shed,
 )
@@ -103,6 +112,34 @@
     assert "ending" not in fields
 
 
+def test_silent_attempt_was_ended_here() -> None:
+    """An endpoint takes a call and says nothing; the call goes on elsewhere.
+
+    Its connection was sound as far as anyone knows. Only this instance closed it.
+    """
+    with gateway_world() as world, caught_lines() as caught:
+        for _ in range(2):
+            world.add_desk().play(Hang())
+        world.running.ask("/safe/1", "c1", X_Deadline_Ms="1500")
+        eventually(lambda: bool(caught.of(CALL_ENDED) + caught.of(CALL_NOT_SERVED)))
+        first, *_ = caught.of(ATTEMPT_FAILED)
+    assert (first["kind"], first["ending"]) == ("stalled", "own-end")
+
+
+def test_connection_without_an_acknowledgement_timed_out() -> None:
+    """Packets to an endpoint are dropped; the system gives its connection up.
+
+    The loop hands over the system's error, which is no reset: nothing came back.
+    """
+    told: list[ConnectionLoss] = []
+    connection = EndpointConnection(ManualClock(), lambda lost: None)
+    connection.transport = cast(asyncio.Transport, Mock())
+    sink = CallSink(lambda head: None, lambda data: None, lambda: None, told.append)
+    connection.send(b"GET / HTTP/1.1\r\n\r\n", sink, False)
+    connection.connection_lost(TimeoutError(ETIMEDOUT, "unacknowledged"))
+    assert told == [ConnectionLoss.TIMED_OUT]
+
+
 def test_served_call_tells_a_connection_that_was_opened_for_it() -> None:
     with gateway_world() as world, caught_lines() as caught:
         world.add_desk(OTHER_ZONE)
