Promise "not run" while an attempt's connection is being opened

Cause: the kernel counted each open attempt as one that may have run. A call whose time ended while the connection to its endpoint was still being opened got 504, though nothing had been sent; a caller whose call may run only once then may not send it again. Ruled out: changing the status in the gateway when the call ends (the promise would be made in two places); a deadline for the opening (it has one, and it is another matter). Change: the gateway says when an attempt waits for a connection, and before its first byte that it no longer does; meanwhile its exposure is "never sent". An attempt of which nothing is said still counts as possibly run, and one ended by the first word isn't sent. Tests: the one of a deaf endpoint took 503 or 504; now it takes 503 with Retry-After alone.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -11,7 +11,9 @@
 from ..kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
+    AttemptSent,
     AttemptSilent,
+    ConnectionOpening,
     DispatchFaulted,
     Exposure,
     FailureKind,
@@ -111,6 +113,10 @@
             return
         self.notes.connecting_since = self.tools.clock.monotonic()
         self.opening = self.tools.pool.open(wanted, self._opened, self._unreached)
+        # Should the deadline pass meanwhile, the caller is told that it never ran.
+        self.tools.report(
+            ConnectionOpening(self.dispatch.request_id, self.dispatch.attempt)
+        )
 
     def cancel(self) -> None:
         """Stop; closing the connection has the endpoint stop too."""
@@ -181,6 +187,13 @@
         request = self._request(time_left)
         self.connection = connection
         self.reused = connection.used > 0
+        if not self.reused:
+            # Before the first byte: a promise made after it would be none.
+            self.tools.report(
+                AttemptSent(self.dispatch.request_id, self.dispatch.attempt)
+            )
+            if self.ended:
+                return
         sink = CallSink(self._on_head, self._on_data, self._on_end, self._on_lost)
         connection.send(request, sink, self.without_body)
 
--- a/src/mimosafork/kernel/core.py
+++ b/src/mimosafork/kernel/core.py
@@ -18,6 +18,8 @@
 from .messages.attempts import (
     AttemptFailed,
     AttemptFinished,
+    AttemptSent,
+    ConnectionOpening,
     DispatchFaulted,
     FirstToken,
     RetryDue,
@@ -167,6 +169,10 @@
     def _(self, message: PlacementFailed, context: Context) -> None:
         self.lifecycle.placement_failed(message, context)
 
+    @advance.register
+    def _(self, message: ConnectionOpening | AttemptSent, context: Context) -> None:
+        self.lifecycle.note_sending(message, context)
+
     @advance.register
     def _(self, message: FirstToken, context: Context) -> None:
         self.lifecycle.first_token(message, context)
--- a/src/mimosafork/kernel/lifecycle.py
+++ b/src/mimosafork/kernel/lifecycle.py
@@ -14,6 +14,8 @@
 from .messages.attempts import (
     AttemptFailed,
     AttemptFinished,
+    AttemptSent,
+    ConnectionOpening,
     FailureKind,
     FirstToken,
     RetryDue,
@@ -248,6 +250,14 @@
             endpoint = record.current.endpoint
             context.state.fleet.forget_own(endpoint, record.request_id)
 
+    def note_sending(
+        self, message: ConnectionOpening | AttemptSent, context: Context
+    ) -> None:
+        """Note whether anything of an attempt may have been sent."""
+        record = self._running(message.request_id, message.attempt, context)
+        if record is not None and record.current is not None:
+            record.current.unsent = isinstance(message, ConnectionOpening)
+
     def first_token(self, message: FirstToken, context: Context) -> None:
         """Note that an attempt's prefill is over."""
         record = self._running(message.request_id, message.attempt, context)
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -52,6 +52,26 @@
     attempt: AttemptNumber
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionOpening(Message):
+    """An attempt waits for a connection: nothing of it has been sent yet.
+
+    An adapter that says so says `AttemptSent` before the first byte goes out. Of an
+    attempt of which nothing is said, anything may have been sent.
+    """
+
+    request_id: RequestId
+    attempt: AttemptNumber
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptSent(Message):
+    """An attempt that waited for a connection is about to be sent."""
+
+    request_id: RequestId
+    attempt: AttemptNumber
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptFinished(Message):
     """An attempt has delivered its whole answer to the caller."""
--- a/src/mimosafork/kernel/records.py
+++ b/src/mimosafork/kernel/records.py
@@ -35,7 +35,13 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One try of a request on an endpoint."""
+    """One try of a request on an endpoint.
+
+    Attributes
+    ----------
+    unsent : bool
+        It is known that nothing of it has been sent yet.
+    """
 
     number: AttemptNumber
     stream_id: StreamId
@@ -45,12 +51,13 @@
     started_at: timedelta
     first_token_at: timedelta | None = None
     failure: AttemptFailed | None = None
+    unsent: bool = False
 
     @property
     def exposure(self) -> Exposure:
         """How far the attempt can have reached; POSSIBLE while it runs."""
         if self.failure is None:
-            return Exposure.POSSIBLE
+            return Exposure.NEVER_SENT if self.unsent else Exposure.POSSIBLE
         return self.failure.exposure
 
 
--- a/tests/unit/gateway/test_gateway_callers.py
+++ b/tests/unit/gateway/test_gateway_callers.py
@@ -13,7 +13,7 @@
 from mimosafork.standins.prepared.faults import Garbage
 from mimosafork.standins.prepared.runs import RunEnd
 from mimosafork.standins.prepared.sending import LAST_CHUNK, chunk_of
-from mimosafork.standins.prepared.words import REQUEST_ID, TABLE_SERVERS
+from mimosafork.standins.prepared.words import REQUEST_ID, RETRY_AFTER, TABLE_SERVERS
 
 from ...support.functions import function_tests
 from ...support.gateway import BEARER, World, gateway_world
@@ -111,7 +111,8 @@
     """Connections that nobody needs any more pile up.
 
     The caller left, or its time was over, before the connection to the endpoint was
-    there; what was being opened must be given up with the call.
+    there; what was being opened must be given up with the call. Nothing was sent, so
+    that a caller whose call may run only once can be told to come back.
     """
     with gateway_world() as world, ExitStack() as stack:
         list_deaf_endpoint(world, stack)
@@ -123,8 +124,8 @@
         world.running.until(lambda: not gateway.calls)
         world.running.until(lambda: not gateway.pool.connecting)
         result = world.running.ask("/unsafe/1", "c2", X_Deadline_Ms="150")
-        # A connection that is being opened counts as a call that may have run.
-        case.assertIn(result.status, {503, 504})
+        case.assertEqual(503, result.status)
+        case.assertIn(RETRY_AFTER.lower(), result.headers)
         world.running.until(lambda: not gateway.pool.connecting)
 
 
--- a/tests/unit/kernel/test_request_life.py
+++ b/tests/unit/kernel/test_request_life.py
@@ -9,6 +9,8 @@
 from mimosafork.kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
+    AttemptSent,
+    ConnectionOpening,
     Exposure,
     FailureKind,
     FirstToken,
@@ -269,6 +271,31 @@
         assert len(bench.dispatches("r")) == 1
 
 
+def test_a_request_whose_connection_is_being_opened_was_not_run() -> None:
+    """A caller may not send its request again though nothing of it went out.
+
+    The deadline passed while the first connection to the endpoint was opened. The
+    attempt was open, so it counted as one that may have run.
+    """
+    once = Repeatability.NON_IDEMPOTENT
+    opening = ConnectionOpening(RequestId("r"), AttemptNumber(1))
+    sent = AttemptSent(RequestId("r"), AttemptNumber(1))
+    for told, outcome in (
+        ([], Outcome.UNKNOWN),
+        ([opening], Outcome.NOT_RUN),
+        ([opening, sent], Outcome.UNKNOWN),
+    ):
+        with plain_kernel() as bench:
+            bench.submit(model_request("r", repeatability=once))
+            for message in told:
+                bench.tell(message)
+            bench.pass_time(timedelta(seconds=61), Tick())
+            conclusion = bench.conclusion("r")
+            assert conclusion is not None
+            assert conclusion.outcome is outcome
+            assert len(bench.emitted(CancelAttempt)) == 1
+
+
 def test_caller_gone_cancels_the_attempt() -> None:
     with plain_kernel() as bench:
         bench.submit(model_request("r"))
