--- a/src/mimosafork/explain/stories.py
+++ b/src/mimosafork/explain/stories.py
@@ -159,7 +159,10 @@
         lasted = (taken[-1].instant - taken[0].instant) // timedelta(milliseconds=1)
         sources = Counter(line.text("source") for line in taken)
         by = ", ".join(f"{count} by {source}" for source, count in sources.items())
-        spread = f"in force on {len(instances)} instances within {lasted} ms ({by})"
+        spread = (
+            f"in force on {len(instances)} instances within {lasted} ms ({by})"
+            + "".join(f"; {each}" for each in changes_of(taken))
+        )
     return (
         f"{spread}; by it {calls[events.SERVED]} calls were served, "
         f"{calls[events.NOT_SERVED]} were not, {calls[events.REFUSED]} were refused "
@@ -167,6 +170,19 @@
     )
 
 
+def changes_of(taken: Sequence[LogLine]) -> list[str]:
+    """Return what a version changed, once for each version that it replaced.
+
+    An instance that passed versions over tells of their changes too.
+    """
+    told = [(line.text("before"), line.text("changes")) for line in taken]
+    return [
+        f"against version {before} it changed {changes}"
+        for before, changes in dict.fromkeys(told)
+        if before and changes
+    ]
+
+
 def is_configuration(line: LogLine) -> bool:
     """Return whether what was pulled is a configuration."""
     return "configuration" in line.text("matter")
--- a/tests/unit/explain/test_explain.py
+++ b/tests/unit/explain/test_explain.py
@@ -225,6 +225,22 @@
     assert "1 were not" in story.cause
 
 
+def test_version_is_told_with_its_changes_against_each_that_it_replaced() -> None:
+    """One instance was cut off and passed a version over: its changes are others."""
+    lines = (RECORDED / WITHDRAWN).read_bytes().splitlines(True)
+    late = next(line for line in lines if b'"before":4' in line)
+    late = late.replace(b"entry-1 {", b"entry-2 {")
+    late = late.replace(b'"before":4', b'"before":1')
+    late = late.replace(b"routes ~1", b"routes ~1, keys +1 -2")
+    reader = LogReader(VersionStory(7).wanted)
+    cause = VersionStory(7).tell(reader.read([LogSource("day", [*lines, late])])).cause
+    assert cause == (
+        "in force on 2 instances within 0 ms (2 by store); against version 4 it "
+        "changed routes ~1; against version 1 it changed routes ~1, keys +1 -2; by it "
+        "1 calls were served, 0 were not, 1 were refused by routing"
+    )
+
+
 def test_what_the_log_does_not_name_has_no_story() -> None:
     assert told(CallStory("0000"), REFUSED) == Story((), "no line names it")
 
