Answer the metrics page and the ready question over one kind of connection

Cause: gateway/metrics_page.py and gateway/ready.py had the same 14 lines of reading, answering and closing, so that a mend of one would have left the other. Ruled out: passing a callable to one class, as the two are named in the server and the tests by what they answer. Change: page_connection.PageConnection reads, writes and closes; the two say only what they answer, as a typed PageAnswer. Headers and their order are as before. Conclusion: a third page would need one method.

--- a/src/mimosafork/gateway/metrics_page.py
+++ b/src/mimosafork/gateway/metrics_page.py
@@ -1,14 +1,10 @@
 """Serves the metrics page."""
 
-import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
-from .errors import BadRequestError
-from .heads import Header, render_head
-from .ready import ANSWER_LIMITS
-from .request_reader import RequestReader
+from .page_connection import PageAnswer, PageConnection
 
 if TYPE_CHECKING:
     from ..telemetry.metrics import Metrics
@@ -28,7 +24,7 @@
     return Metrics()
 
 
-class MetricsConnection(asyncio.Protocol):
+class MetricsConnection(PageConnection):
     """Answers each request for the page, and others with 404.
 
     Parameters
@@ -38,39 +34,11 @@
     """
 
     def __init__(self, page: Callable[[], bytes]) -> None:
+        super().__init__()
         self.page = page
-        self.reader = RequestReader(ANSWER_LIMITS)
-        self.transport: asyncio.Transport | None = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        self.transport = cast(asyncio.Transport, transport)
-
-    def data_received(self, data: bytes) -> None:
-        """Answer the requests that are whole."""
-        self.reader.feed(data)
-        try:
-            while (message := self.reader.next_request()) is not None:
-                self._answer(message.head.path, message.head.keeps_alive)
-        except BadRequestError:
-            self._close()
-
-    def _answer(self, path: str, keep: bool) -> None:
-        found = path == METRICS_PATH
-        status = HTTPStatus.OK if found else HTTPStatus.NOT_FOUND
-        body = self.page() if found else b""
-        headers = [
-            Header(b"Content-Type", CONTENT_TYPE),
-            Header(b"Content-Length", b"%d" % len(body)),
-        ]
-        if not keep:
-            headers.append(Header(b"Connection", b"close"))
-        line = b"HTTP/1.1 %d %s" % (status, status.phrase.encode())
-        if self.transport is not None:
-            self.transport.write(render_head(line, headers) + body)
-        if not keep:
-            self._close()
-
-    def _close(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
+    def answer(self, path: str) -> PageAnswer:
+        """Answer with the page, as it is now."""
+        if path != METRICS_PATH:
+            return PageAnswer(HTTPStatus.NOT_FOUND, content_type=CONTENT_TYPE)
+        return PageAnswer(HTTPStatus.OK, self.page(), CONTENT_TYPE)
