Drop the gateway's setting gossip.last_port, which nothing used

Cause: the setting was checked and then read by nothing; operators had to give it. It was meant as the end of the ports that are free between instances, but datagrams and pulls share one number, `first_port`, and peers find each other by it. Ruled out: binding the next free port up to `last_port`, as peers would look for the instance at `first_port` and never find it; nobody documented such a search. Two tests took it as their example of a bad and of a missing key: they take `first_port` now, with the same message and the same file otherwise.

--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -34,7 +34,6 @@
     """What entry instances tell each other."""
 
     first_port: Port = Field(description="port for datagrams between instances")
-    last_port: Port = Field(description="last port that may be used between instances")
     seeds: NameList = Field(
         default=(), description="addresses of some instances, which may be stale"
     )
--- a/tests/functional/test_manifest_commands.py
+++ b/tests/functional/test_manifest_commands.py
@@ -155,10 +155,10 @@
         case.assertEqual(
             0, run_command("settings", "check", "--gateway", str(path)).code
         )
-        path.write_text(path.read_text().replace("last_port = 7355", ""))
+        path.write_text(path.read_text().replace("first_port = 7340", ""))
         refused = run_command("settings", "check", "--gateway", str(path))
         case.assertEqual(ExitCode.INVALID, refused.code)
-        case.assertIn(f"{path}: [gossip] last_port: is missing", refused.err)
+        case.assertIn(f"{path}: [gossip] first_port: is missing", refused.err)
 
 
 def test_a_key_is_hashed_from_standard_input() -> None:
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -59,7 +59,6 @@
 
 [gossip]
 first_port = 1
-last_port = 1
 
 [logging]
 level = ERROR
@@ -197,7 +196,7 @@
     text = SETTINGS.format(id=instance, host=host, store=platform.store.address)
     checked = parse_gateway_settings(text)
     # A real deployment names the port; 0 has the system pick one.
-    picked = GossipSection.model_construct(first_port=0, last_port=0, seeds=())
+    picked = GossipSection.model_construct(first_port=0, seeds=())
     return checked.model_copy(update={"gossip": picked})
 
 
--- a/tests/support/gateway_processes.py
+++ b/tests/support/gateway_processes.py
@@ -30,7 +30,6 @@
 
 [gossip]
 first_port = {gossip}
-last_port = {gossip}
 seeds = {seeds}
 
 [bounds]
--- a/tests/unit/settings/test_gateway_settings.py
+++ b/tests/unit/settings/test_gateway_settings.py
@@ -34,7 +34,6 @@
     "listen.ready": "10.0.0.1:8001",
     "platform.address": "10.9.0.1:9000",
     "port-range.0": "7340",
-    "port-range.1": "7355",
     "seeds": "10.0.0.1:8009,10.0.0.2:8009",
     "bounds.grace-s": "8",
     "bounds.retry-budget-ratio": "0.2",
@@ -98,7 +97,7 @@
 def test_each_fault_is_told_by_file_section_key_and_reason() -> None:
     text = filled_template()
     text = text.replace("10.0.0.1:8000", "localhost:8000").replace("= 8s", "= 8")
-    text = text.replace("= 7355", "= 73550").replace("region =", "regoin =")
+    text = text.replace("= 7340", "= 73400").replace("region =", "regoin =")
     text = text.replace("level = INFO", "level = LOUD").replace("[store]", "[shop]")
     case.assertEqual(
         [
@@ -107,7 +106,7 @@
             "incarnation, region",
             "f.ini: [listen] front: 'localhost:8000' is no address; write IP:PORT",
             "f.ini: [store]: is missing",
-            "f.ini: [gossip] last_port: '73550': input should be less than or equal "
+            "f.ini: [gossip] first_port: '73400': input should be less than or equal "
             "to 65535",
             "f.ini: [bounds] grace: '8' is no duration; write a number and one of "
             "ms, s, min, h",
