Forget the spending of lives that are over

Cause: SpendingWindow kept the meter of each life of each instance for ever; an instance that restarts in a loop left one at all its peers each time, and each decision on a repeat went through all of them. Ruled out: forgetting whatever lies before the window. A life that is alive but idle, or cut off, would begin anew with its next word, and the repeats in that word would not count. So only lives that others have replaced go at once, as they are never heard again; of absent ones the last 1,000 stay. Conclusion: the state is bounded; the sum is never less than with all meters.

--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -167,12 +167,13 @@
         return ticked
 
     def purge(self, now: timedelta) -> None:
-        """Forget words that are past their time, now and then."""
+        """Forget words and counters that are past their time, now and then."""
         if now < self.purge_due:
             return
         self.purge_due = now + PURGE_EVERY
         for ledger in self.state.ledgers():
             ledger.purge(now)
+        self.spending.forget(self.roster.boots(), self.roster.replaced, now)
 
     def show_pulse(self, now: timedelta) -> None:
         """Show that this instance lives, to those who only hear of it."""
--- a/src/mimosafork/gossip/window.py
+++ b/src/mimosafork/gossip/window.py
@@ -1,11 +1,16 @@
 """How much counters have grown within a sliding window."""
 
 from collections import deque
+from collections.abc import Container
 from datetime import timedelta
 from typing import NamedTuple
 
 from ..ids import ServiceId
 from .kinds.spending import Spent
+from .members import TAG_MASK
+
+ABSENT_KEPT = 1000
+"""Meters of absent lives that may come back; 9 instances need a handful."""
 
 
 class Sample(NamedTuple):
@@ -69,3 +74,33 @@
         """Keep one sample from before the window, and what lies in it."""
         while len(kept) > 1 and now - kept[1].at >= self.span:
             kept.popleft()
+
+    def forget(
+        self, present: Container[int], over: Container[int], now: timedelta
+    ) -> None:
+        """Forget lives that are gone, once they have no growth within the window.
+
+        A life that is over is never heard again, so nothing is lost. One that is only
+        absent may come back with more repeats than before; without its meter they
+        would not count. So of these the last ones stay, and the first to go are those
+        whose counters were the longest unchanged.
+
+        Parameters
+        ----------
+        present : container of int
+            Boot numbers of the lives that are known.
+        over : container of int
+            Tags of those that others have replaced.
+        """
+        absent: list[Meter] = []
+        for meter, kept in list(self.samples.items()):
+            if meter.boot in present or now - kept[-1].at < self.span:
+                continue
+            self.prune(kept, now)
+            if meter.boot & TAG_MASK in over:
+                del self.samples[meter]
+            else:
+                absent.append(meter)
+        absent.sort(key=lambda meter: self.samples[meter][-1].at)
+        for meter in absent[: max(len(absent) - ABSENT_KEPT, 0)]:
+            del self.samples[meter]
--- a/tests/unit/gossip/test_network.py
+++ b/tests/unit/gossip/test_network.py
@@ -366,4 +366,22 @@
     case.assertEqual(2, len(ups))
 
 
+def test_restarts_of_a_peer_leave_no_meters() -> None:
+    # Each restart of an instance left a meter at all its peers for ever.
+    network = Network()
+    first = network.fleet(2)[0]
+    chat = ServiceId("chat")
+    seed = [first.me.address]
+    for life in range(30):
+        lived = network.add(identity(1, 5000 + life, 10 + life), seed)
+        lived.spend(chat, Spent(), network.now)
+        network.run(ms(700))
+        lived.spend(chat, Spent(5, 1), network.now)
+        network.run(ms(500))
+    case.assertEqual(8, first.state.fleet_spent(chat, network.now).repeats)
+    case.assertLess(len(first.spending.samples), 20)
+    network.run(timedelta(seconds=12))
+    case.assertEqual(1, len(first.spending.samples))
+
+
 load_tests = function_tests(__name__)
--- a/tests/unit/gossip/test_rules.py
+++ b/tests/unit/gossip/test_rules.py
@@ -13,7 +13,7 @@
 from mimosafork.gossip.partners import chosen_partners
 from mimosafork.gossip.service import seed_addresses
 from mimosafork.gossip.timing import Timing
-from mimosafork.gossip.window import Meter, SpendingWindow
+from mimosafork.gossip.window import ABSENT_KEPT, Meter, SpendingWindow
 from mimosafork.ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
 
 from ...support.functions import function_tests
@@ -142,6 +142,48 @@
     case.assertLess(len(window.samples[Meter(1, CHAT)]), 60)
 
 
+def test_lives_that_are_over_leave_no_meters_and_the_sum_does_not_step() -> None:
+    # An instance crashes and restarts 10,000 times, twice a second. Each life left its
+    # counters in the window for ever, and each decision on a repeat went through all.
+    # What a life spent within the window must count on: forgotten repeats would be
+    # spent a second time.
+    window = SpendingWindow(timedelta(seconds=10))
+    over: set[int] = set()
+    for life in range(1, 10_001):
+        now = NOW + ms(500 * life)
+        window.note(Meter(life, CHAT), now, Spent())
+        window.note(Meter(life, CHAT), now + ms(100), Spent(10, 2))
+        over.add(life - 1)
+        before = window.grown(CHAT, now + ms(400))
+        window.forget({life}, over, now + ms(400))
+        case.assertEqual(before, window.grown(CHAT, now + ms(400)))
+        case.assertEqual(2 * min(life, 20), before.repeats)
+    case.assertLess(len(window.samples), 30)
+
+
+def test_an_absent_life_counts_on_when_it_comes_back() -> None:
+    # An instance is cut off for minutes, goes on repeating and comes back. If its meter
+    # were forgotten, its first word would be where its growth begins, and the repeats
+    # of its last seconds would not count.
+    window = SpendingWindow(timedelta(seconds=10))
+    window.note(Meter(1, CHAT), NOW, Spent(100, 10))
+    back = NOW + timedelta(minutes=5)
+    window.forget(set(), set(), back)
+    window.note(Meter(1, CHAT), back, Spent(110, 14))
+    case.assertEqual(Spent(10, 4), window.grown(CHAT, back))
+
+
+def test_the_longest_unchanged_of_many_absent_lives_are_forgotten() -> None:
+    window = SpendingWindow(timedelta(seconds=10))
+    for life in range(ABSENT_KEPT + 500):
+        window.note(Meter(life, CHAT), NOW + ms(life), Spent(1, 1))
+    later = NOW + timedelta(minutes=1)
+    window.note(Meter(7, CHAT), later, Spent(2, 2))
+    window.forget({0}, set(), later)
+    kept = {meter.boot for meter in window.samples}
+    case.assertEqual({0, 7, *range(500, ABSENT_KEPT + 500)}, kept)
+
+
 def test_partners_are_all_of_a_small_fleet_and_few_of_a_large_one() -> None:
     members = {
         InstanceId(f"front-{each}"): AvailabilityZoneId(f"zone-{each % 6}")
