Send no gang to an engine that left while memory was reserved

Ruled out: the placement itself, which leaves such engines out at once, and retries, which are placed anew; only what a placer has in hand is sent later than it is chosen. Change: before each further order, and before the request, all engines of the gang must still get new work; otherwise its memory is released and it is placed anew at once, as no memory is short. Found by a model of the gateway's decisions, with slow orders and an engine that drains between two of them.

--- a/src/mimosafork/gateway/policies/reserving.py
+++ b/src/mimosafork/gateway/policies/reserving.py
@@ -162,6 +162,11 @@
         if context.now - gang.begun_at > RESERVE_WITHIN:
             self._fail(gang, context)
             return
+        # An engine may say that it leaves while memory is reserved, here or at
+        # others. Sent all the same, the request would reach it after its time.
+        if not all(self._takes_work(name, context.now) for name in gang.engines()):
+            self._fail(gang, context, pause=False)
+            return
         missing = gang.next_missing()
         if missing is not None:
             self._ask(gang, missing, context)
@@ -171,6 +176,13 @@
         place = place_on(gang.place, record.request, gang.helpers())
         context.post(Placed(gang.request_id, place))
 
+    def _takes_work(self, endpoint: EndpointId, now: timedelta) -> bool:
+        """Return whether an engine still gets new work."""
+        if self.fleet is None:
+            return True
+        known = self.fleet.endpoints.get(endpoint)
+        return known is not None and known.usable(now)
+
     def _ask(self, gang: Gang, ticket: Ticket, context: Context) -> None:
         """Reserve, or renew what is reserved: that is the same order."""
         ticket.ask(context.now)
--- a/src/mimosafork/gateway/policies/tickets.py
+++ b/src/mimosafork/gateway/policies/tickets.py
@@ -116,6 +116,10 @@
         found = (each for each in self.tickets if each.reservation == reservation)
         return next(found, None)
 
+    def engines(self) -> set[EndpointId]:
+        """Return the host and all that help it."""
+        return {self.place.host, *(each.endpoint for each in self.place.helpers)}
+
     def helpers(self) -> tuple[Helper, ...]:
         """Return the helpers as the host is told of them.
 
--- a/tests/unit/gateway/test_reserving.py
+++ b/tests/unit/gateway/test_reserving.py
@@ -30,6 +30,7 @@
 from mimosafork.kernel.messages.outcomes import Outcome
 from mimosafork.kernel.messages.placement import FreePart, PartFailure, ReserveMemory
 from mimosafork.kernel.messages.requests import CallerGone, Submit
+from mimosafork.kernel.messages.routing import EndpointLeaving
 
 from ...support.functions import function_tests
 from ...support.reserving_engines import (
@@ -279,6 +280,28 @@
     case.assertEqual(set(bench.held()), set(tickets_of(dispatch)))
 
 
+def test_an_engine_that_leaves_while_memory_is_reserved_gets_nothing() -> None:
+    """An engine says that it leaves between the first order and the request.
+
+    It was chosen before, as host or to help, and has reserved its part. Slow orders
+    add up to a second, so the request would come when the engine is about to exit.
+    """
+    for which in range(3):
+        bench = reserving_bench()
+        bench.held_back = []
+        begun(bench)
+        gang = bench.kernel.plugin(MemoryKeeper).gangs[RequestId("r")]
+        engines = [gang.place.host, *(h.endpoint for h in gang.place.helpers)]
+        leaving = engines[which]
+        bench.serve(EndpointLeaving(leaving, final=True))
+        bench.answer_held_back()
+        bench.run(ms(400))
+        dispatch = bench.last_dispatch("r")
+        sent_to = {dispatch.endpoint, *(h.endpoint for h in dispatch.helpers)}
+        case.assertNotIn(leaving, sent_to)
+        case.assertEqual(set(bench.held()), set(tickets_of(dispatch)))
+
+
 def test_what_has_run_out_is_not_reserved_anew() -> None:
     """The process stands still amid an answer, until all memory has run out.
 
