Place nothing whose content is known to crash endpoints

Cause: the quarantine looked at a call once, when it came. Calls of a poisoned content that waited for a usable endpoint, or for their next attempt, were sent when there was one, each bringing down one more, long after the third crash was known. Ruled out: the review itself, which refuses what comes later, and peers' words, which are taken at once; a rule on attempts alone is too weak, as each waiting call has its own. Measured: both new tests fail without the change (four of four waiting calls sent, the repeat sent) and pass with it; 233 unit tests with gateway in their names pass.

--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -30,6 +30,7 @@
 from ...routing.engine import EngineFigures
 from .fleet_view import FleetView
 from .place_words import place_on, readers
+from .quarantining import CrashQuarantine
 from .reserving import MemoryKeeper
 
 DEFAULT_ANSWER = 600
@@ -55,18 +56,25 @@
     def __init__(self) -> None:
         self.fleet: FleetView | None = None
         self.memory = MemoryKeeper()
+        self.quarantine = CrashQuarantine()
         self.book = LoadBook()
         self.waiting_since: dict[RequestId, timedelta] = {}
         self.first_token_at: dict[RequestId, timedelta] = {}
 
     def join(self, find: PluginFinder) -> None:
-        """Keep the view of the endpoints, and the keeper of reservations."""
+        """Keep the view of the endpoints, reservations and the quarantine."""
         self.fleet = find(FleetView)
         self.memory = find(MemoryKeeper) or self.memory
+        self.quarantine = find(CrashQuarantine) or self.quarantine
 
     def place(self, record: RequestRecord, context: Context) -> Placement:
         """Return where the call goes now."""
         assert self.fleet is not None
+        # What came before its content was known to crash endpoints, and waits or is
+        # to be sent again, would bring down one more each.
+        objection = self.quarantine.objection(record.request.body_digest, context.now)
+        if objection is not None:
+            return Refuse(objection)
         service = ServiceId(record.request.target)
         engines = [b.view(context.now) for b in self.fleet.of_service(service)]
         if self.memory.pauses(record.request_id, context.now):
--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -51,15 +51,18 @@
 
     def review(self, record: RequestRecord, context: Context) -> Verdict:
         """Refuse what has crashed endpoints before."""
-        suspicion = self.suspicions.get(record.request.body_digest)
-        if suspicion is None:
-            return Proceed()
-        if context.now - suspicion.seen_at > KEPT_FOR:
-            return Proceed()
+        problem = self.objection(record.request.body_digest, context.now)
+        return Proceed() if problem is None else Refuse(problem)
+
+    def objection(self, digest: Digest, now: timedelta) -> Problem | None:
+        """Return why a content is sent nowhere; None if it may be."""
+        suspicion = self.suspicions.get(digest)
+        if suspicion is None or now - suspicion.seen_at > KEPT_FOR:
+            return None
         if len(suspicion.endpoints) <= CRASHES:
-            return Proceed()
+            return None
         detail = f"broke off at {len(suspicion.endpoints)} endpoints"
-        return Refuse(Problem(ProblemCode.QUARANTINED, detail, COME_BACK))
+        return Problem(ProblemCode.QUARANTINED, detail, COME_BACK)
 
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
--- a/tests/unit/gateway/test_quarantining.py
+++ b/tests/unit/gateway/test_quarantining.py
@@ -112,4 +112,41 @@
     case.assertLessEqual(len(bench.kernel.plugin(CrashQuarantine).suspicions), 2)
 
 
+def test_what_waits_when_its_content_is_found_out_is_sent_nowhere() -> None:
+    """Many callers send one prompt that crashes endpoints.
+
+    The first ones take all endpoints down; the others wait for one that is usable, or
+    to be sent again, and each would crash one more as soon as there is one.
+    """
+    bench = gateway_bench(endpoints=0)
+    for number in range(4):
+        bench.submit(request_of(bench, f"bad-{number}"))
+    bench.submit(request_of(bench, "other-0"))
+    known = frozenset({EndpointId("e1"), EndpointId("e2"), EndpointId("e3")})
+    bench.tell(CrashTold(digest_of("bad"), known, cleared=False))
+    bench.list_endpoint("desk-0")
+    bench.pass_time(SOON, Tick())
+    for number in range(4):
+        problem = bench.concluded(f"bad-{number}").problem
+        assert problem is not None
+        case.assertIs(ProblemCode.QUARANTINED, problem.code)
+        case.assertEqual([], bench.dispatches(f"bad-{number}"))
+    case.assertEqual(1, len(bench.dispatches("other-0")))
+
+
+def test_a_call_is_not_sent_again_once_its_content_is_found_out() -> None:
+    """A prompt breaks its connection, and peers tell of two more endpoints.
+
+    Its call may run again by its kind, but would bring down a fourth endpoint.
+    """
+    bench = gateway_bench(endpoints=6)
+    first = bench.begin(request_of(bench, "bad-0"))
+    known = frozenset({EndpointId("e1"), EndpointId("e2")})
+    bench.tell(CrashTold(digest_of("bad"), known, cleared=False))
+    bench.fail(first)
+    case.assertIsNone(bench.retried(first))
+    end = bench.concluded("bad-0")
+    case.assertIs(Outcome.FAILED, end.outcome)
+
+
 load_tests = function_tests(__name__)
