Notice the leaving of a caller that has sent much ahead

Cause: once a caller had sent more than a head behind its running call, its connection was no longer read. The end of the connection stands behind these bytes, so that a caller that left wasn't noticed and its endpoint worked on until the deadline. Ruled out: asking the socket whether its peer has closed (the end stays at the caller while the buffers between are full); a larger buffer (only moves the bound). Change: all is read, nothing beyond a head is kept, and the connection ends with the present answer, as it does for bytes behind a chunked body. Small requests ahead are served as before.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -138,7 +138,17 @@
         if self.exchange is None:
             self._read()
         elif len(self.reader.buffer) > self.front.limits.header_bytes:
-            cast(asyncio.Transport, self.transport).pause_reading()
+            self._drop_ahead()
+
+    def _drop_ahead(self) -> None:
+        """Read no request behind the present one; the connection ends with it.
+
+        Guard: a caller may send much ahead of its answer. While reading was paused
+        for it, its leaving wasn't noticed, as the end of its bytes stood behind them,
+        and its endpoint worked on for nobody. So all is read, and nothing kept.
+        """
+        self.reader.closing = True
+        self.reader.buffer.clear()
 
     def _begin_request(self) -> None:
         self.first_byte_at = self.clock.monotonic()
@@ -282,8 +292,6 @@
         if self.reader.closing:
             self._linger()
             return
-        if self.transport is not None:
-            self.transport.resume_reading()
         self._await_request()
         if self.reader.buffer:
             self._begin_request()
--- a/tests/unit/gateway/test_gateway_callers.py
+++ b/tests/unit/gateway/test_gateway_callers.py
@@ -25,6 +25,9 @@
 SOON = timedelta(milliseconds=500)
 EVENTS = 5000
 """Events that don't fit into narrow buffers between an endpoint and its caller."""
+AHEAD = 256 * 1024
+"""More than a head; a socket's buffers hold it."""
+FAR_AHEAD = 16 << 20
 NARROW = 4096
 WIDE = 1 << 20
 HIGH_WATER = 256 * 1024
@@ -62,6 +65,42 @@
             case.assertTrue(world.platform.log.of("c1")[0].cancelled)
 
 
+def test_a_caller_that_sends_much_ahead_has_its_run_stopped() -> None:
+    """An endpoint works on for a caller that is gone.
+
+    The caller sent more than a head behind its request, so nothing more was read from
+    it until its answer; the end of its connection was read only then.
+    """
+    for size in (AHEAD, FAR_AHEAD):
+        with gateway_world() as world:
+            desk = world.add_desk()
+            desk.hold()
+            channel = world.running.channel()
+            send(channel, "/unsafe/1", "c1")
+            world.platform.log.wait_until(lambda log: len(log.runs) == 1)
+            channel.send_bytes(b"x" * size)
+            channel.hang_up()
+            took = eventually(lambda: not world.platform.log.at_work())  # noqa: B023
+            case.assertLess(took, SOON)
+
+
+def test_a_caller_that_sends_much_ahead_gets_its_one_answer() -> None:
+    with gateway_world() as world, world.running.channel() as channel:
+        desk = world.add_desk()
+        desk.hold()
+        send(channel, "/unsafe/1", "c1")
+        world.platform.log.wait_until(lambda log: len(log.runs) == 1)
+        headers = {REQUEST_ID: "c2", **BEARER}
+        channel.send("POST", "/unsafe/2", headers, b"x" * FAR_AHEAD)
+        buffered = accepted(world).reader.buffer
+        case.assertLess(world.running.see(lambda: len(buffered)), AHEAD)
+        desk.let_go()
+        result = channel.read_answer()
+        case.assertEqual((200, True), (result.status, result.complete))
+        case.assertTrue(channel.ended())
+        case.assertEqual([], world.platform.log.of("c2"))
+
+
 def test_a_caller_that_leaves_in_mid_stream() -> None:
     with gateway_world() as world:
         engine = world.add_engine(EngineFigures(events=5))
