Remove functions and constants that nothing uses

Ruled out: names that a library calls or a registry keeps (handlers of sockets, logs and the parser, plug-ins, kinds); the platform's names, a list of what there is; and `publish_doubt`, which nothing calls either, but whose kind stands in the datagrams' format: taking it out, or telling ejections by it, is a choice of its own. Conclusion: nothing behaves differently.

--- a/benchmarks/peers/zone.py
+++ b/benchmarks/peers/zone.py
@@ -62,7 +62,6 @@
 FIRST_LIFE = 1_790_000_000_000
 """Incarnations are wall time in milliseconds, so they are long on the wire."""
 MODELS = tuple(ModelId(f"model-{number}") for number in range(6))
-CACHED_MARKS = 2_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mimosafork/audit/trail.py
+++ b/src/mimosafork/audit/trail.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..storage.errors import PlatformError
-from ..storage.table import ABSENT, Condition, Row, Table, Write, all_rows
+from ..storage.table import Row, Table, Write, all_rows
 from .errors import TrailUnavailableError
 
 TABLE = "audit"
@@ -57,11 +57,6 @@
     return Write(TABLE, key_of(entry), msgspec.to_builtins(entry))
 
 
-def audit_condition(entry: AuditEntry) -> Condition:
-    """Return the condition that the entry was not written before."""
-    return Condition(TABLE, key_of(entry), ABSENT)
-
-
 def key_of(entry: AuditEntry) -> str:
     """Return an entry's key: the newest sorts first, as rows are read in order."""
     microseconds = (entry.at - EPOCH) // timedelta(microseconds=1)
--- a/src/mimosafork/explain/events.py
+++ b/src/mimosafork/explain/events.py
@@ -10,10 +10,6 @@
 )
 STARTING = gateway.GATEWAY_STARTING.code
 FREEZE = gateway.FREEZE_NOTICED.code
-LEFT_ALONE = gateway.ENDPOINT_LEFT_ALONE.code
-SUSPECTED = gateway.ENDPOINT_SUSPECTED.code
-BACK = gateway.ENDPOINT_BACK.code
-LISTED = directory.ENDPOINT_LISTED.code
 DRAINING = directory.ENDPOINT_DRAINING.code
 GONE = directory.ENDPOINT_GONE.code
 HELD = directory.ENDPOINT_HELD.code
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -184,15 +184,6 @@
         self.exchange.say(LOAD, number, None, self.clock.monotonic())
         self.arm()
 
-    def publish_load(self, notes: Iterable[WorkNote]) -> None:
-        """Tell all works; those that are not among them have ended."""
-        running = {note.number: note for note in notes}
-        for number in self.exchange.own.of(LOAD.number).keys() - running.keys():
-            self.exchange.say(LOAD, number, None, self.clock.monotonic())
-        for note in running.values():
-            self.exchange.say(LOAD, note.number, note, self.clock.monotonic())
-        self.arm()
-
     def publish_versions(self, versions: Versions) -> None:
         """Tell which configuration and list this instance can hand over."""
         now = self.clock.monotonic()
--- a/src/mimosafork/manifest/changes.py
+++ b/src/mimosafork/manifest/changes.py
@@ -1,6 +1,6 @@
 """Differences between two manifests, as typed changes."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from .canonical import Sections, sort_key
@@ -55,11 +55,6 @@
     return {title: result[title] for title in titles}
 
 
-def sections_touched(changes: Iterable[Change]) -> list[str]:
-    """Return the titles of the sections that differ, in canonical order."""
-    return sorted({change.section for change in changes}, key=sort_key)
-
-
 def _in(title: str, before: Sections, after: Sections) -> Iterator[Change]:
     old, new = before.get(title, {}), after.get(title, {})
     for key in [*old, *(key for key in new if key not in old)]:
--- a/src/mimosafork/standins/engine/messages.py
+++ b/src/mimosafork/standins/engine/messages.py
@@ -57,17 +57,6 @@
     reservation: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class TokensEvent:
-    """Some tokens of an answer."""
-
-    stream_id: str
-    attempt: int
-    offset: int
-    tokens: int
-    text: str
-
-
 @dataclass(frozen=True, slots=True)
 class Usage:
     """What a stream used."""
