Hold a later endpoint back too for a caller that does not keep up

Cause: a caller's connection tells once that it is full. The attempt of that moment was paused; one that followed on another endpoint was not, so that all it wrote was read and kept here. A paused attempt also counted as silent, for which its endpoint was given up. Ruled out: asking the caller's connection in the attempt (a failed try: five tests with callers of their own broke, and an attempt need not know connections of callers). Change: the call says whether its caller is behind, a new attempt asks, and a paused one isn't silent. That one attempt is held back was there and tested already.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -90,6 +90,7 @@
         self.ended = False
         self.first_reported = False
         self.heard_at = tools.clock.monotonic()
+        self.paused = False
         self.reused = False
         self.notes = call.notes
 
@@ -132,8 +133,11 @@
     def silent(self, now: timedelta) -> AttemptSilent | None:
         """Return the word that it has been silent for too long, if it has.
 
-        The same silence is told again after as long a time.
+        The same silence is told again after as long a time. While the caller doesn't
+        keep up nothing is read, and the endpoint isn't the one that is silent.
         """
+        if self.paused:
+            self.heard_at = now
         patience = self.dispatch.patience
         if patience is None or self.ended or self.reading is Reading.PASSING:
             return None
@@ -146,11 +150,13 @@
 
     def pause(self) -> None:
         """Read no more: the caller doesn't keep up."""
+        self.paused = True
         if self.connection is not None and self.connection.transport is not None:
             self.connection.transport.pause_reading()
 
     def resume(self) -> None:
         """Read on."""
+        self.paused = False
         if self.connection is not None and self.connection.transport is not None:
             self.connection.transport.resume_reading()
 
@@ -196,6 +202,9 @@
                 return
         sink = CallSink(self._on_head, self._on_data, self._on_end, self._on_lost)
         connection.send(request, sink, self.without_body)
+        # A caller that an earlier attempt has left behind says so only once.
+        if self.call.behind:
+            self.pause()
 
     def _request(self, time_left: timedelta) -> bytes:
         head, body = self.call.message.head, self.call.message.body
--- a/src/mimosafork/gateway/call.py
+++ b/src/mimosafork/gateway/call.py
@@ -81,6 +81,8 @@
         When it was first given a place.
     inputs : Inputs or None
         By which it was last given one.
+    behind : bool
+        The caller doesn't keep up: nothing more should be read for it.
     notes : AttemptNotes
         Of the latest attempt.
     zones : list of AvailabilityZoneId or None
@@ -113,6 +115,7 @@
     helpers: tuple[Helper, ...] = ()
     placed_at: timedelta | None = None
     inputs: Inputs | None = None
+    behind: bool = False
     notes: AttemptNotes = field(default_factory=AttemptNotes)
     zones: list[AvailabilityZoneId | None] = field(default_factory=list)
     first_token_at: timedelta | None = None
--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -66,7 +66,13 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """Owns a caller's socket."""
+    """Owns a caller's socket.
+
+    Attributes
+    ----------
+    behind : bool
+        The caller doesn't keep up with what it is sent.
+    """
 
     def __init__(
         self,
@@ -85,6 +91,7 @@
         self.lingering = False
         self.continued = False
         self.left = 0
+        self.behind = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for a request."""
@@ -307,10 +314,12 @@
 
     def pause_writing(self) -> None:
         """Have no more read from the endpoint for now."""
+        self.behind = True
         self.front.stalled(self, True)
 
     def resume_writing(self) -> None:
         """Read from the endpoint again."""
+        self.behind = False
         self.front.stalled(self, False)
 
     def eof_received(self) -> bool:
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -196,6 +196,7 @@
             at,
             last_event=marks.last_event,
             version=admission.version,
+            behind=connection.behind,
         )
         self.calls[call.request_id] = call
         self.by_connection[connection] = call.request_id
@@ -234,7 +235,10 @@
     def stalled(self, connection: ClientConnection, stalled: bool) -> None:
         """Stop and go on reading from the endpoint as the caller keeps up."""
         request_id = self.by_connection.get(connection)
-        attempt = self.attempts.get(request_id) if request_id is not None else None
+        if request_id is None:
+            return
+        self.calls[request_id].behind = stalled
+        attempt = self.attempts.get(request_id)
         if attempt is None:
             return
         if stalled:
--- a/tests/unit/gateway/test_gateway_callers.py
+++ b/tests/unit/gateway/test_gateway_callers.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from unittest import TestCase
 
+from mimosafork.gateway.attempt import Reading
 from mimosafork.gateway.client_connection import ClientConnection
 from mimosafork.standins.prepared.desk import expected_body
 from mimosafork.standins.prepared.documents import LimitsEntry, beat_document
@@ -30,6 +31,7 @@
 FAR_AHEAD = 16 << 20
 NARROW = 4096
 WIDE = 1 << 20
+LONG_AFTER = timedelta(hours=1)
 HIGH_WATER = 256 * 1024
 
 
@@ -212,6 +214,30 @@
         case.assertEqual(list(range(1, EVENTS + 1)), numbers)
 
 
+def test_a_second_endpoint_waits_for_a_slow_caller_too() -> None:
+    """The instance runs out of memory, or blames a sound endpoint.
+
+    A caller had fallen behind when its stream broke off. Another endpoint went on with
+    the stream, but the caller's connection tells only once that it is full: all that
+    the second one wrote was read and kept here. Where it was held back, it counted as
+    silent for its caller's slowness.
+    """
+    with gateway_world() as world, world.running.channel() as channel:
+        world.add_engine().play(Garbage(whole_stream(EVENTS)))
+        connection, running = accepted(world), world.running
+        running.see(connection.pause_writing)
+        send(channel, "/resume/1", "c1")
+        running.until(lambda: any_paused(world))
+        (attempt,) = running.gateway.attempts.values()
+        later = running.gateway.clock.monotonic() + LONG_AFTER
+        case.assertIsNone(running.see(lambda: attempt.silent(later)))
+        case.assertIs(attempt.reading, Reading.HEAD)
+        running.see(connection.resume_writing)
+        result = channel.read_answer()
+        case.assertTrue(result.complete)
+        case.assertEqual(EVENTS, len(result.events))
+
+
 def test_a_connection_is_not_kept_while_its_reading_is_paused() -> None:
     """A call hangs until its deadline at an endpoint that has answered it.
 
