Tell a request's match with the table apart from what the kernel is asked

Ruled out: giving the request's parts to a further function, as it would take the same eight values on. Change: `matched` returns a typed Match or a named Refusal; admit goes on from a match; repeatability_of says in words what a conditional inside a call said. Conclusion: statuses, reasons and the order of checks are as they were.

--- a/src/mimosafork/gateway/intake.py
+++ b/src/mimosafork/gateway/intake.py
@@ -31,6 +31,31 @@
     HTTPStatus.SERVICE_UNAVAILABLE, "stopping", timedelta(milliseconds=100)
 )
 """What a caller is told whose request came whole only after the last were taken."""
+NO_CONFIGURATION = Refusal(
+    HTTPStatus.SERVICE_UNAVAILABLE, "no-configuration", NOT_CONFIGURED_COME_BACK
+)
+NO_ROUTE = Refusal(HTTPStatus.NOT_FOUND, "no-route")
+UNKNOWN_KEY = Refusal(HTTPStatus.UNAUTHORIZED, "unknown-key")
+
+
+@dataclass(frozen=True, slots=True)
+class Match:
+    """What the routing table has for a request.
+
+    Attributes
+    ----------
+    account : Account or None
+        None if the route takes callers without a key.
+    """
+
+    table: RoutingTable
+    route: Route
+    account: Account | None = None
+
+    @property
+    def account_name(self) -> AccountId | None:
+        """Name of the account, if there is one."""
+        return None if self.account is None else self.account.name
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,40 +90,40 @@
     random : random.Random
         Chooses among the services of a split route.
     """
-    if table is None:
-        return Refusal(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            "no-configuration",
-            NOT_CONFIGURED_COME_BACK,
-        )
-    route = table.match(message.head.host, message.head.path)
-    if route is None:
-        return Refusal(HTTPStatus.NOT_FOUND, "no-route")
-    account = None
-    if table.has_accounts and not route.public:
-        account = table.account_of(marks.key) if marks.key is not None else None
-        if account is None:
-            return Refusal(HTTPStatus.UNAUTHORIZED, "unknown-key")
-    name = account.name if account is not None else None
+    match = matched(message, marks, table)
+    if isinstance(match, Refusal):
+        return match
+    route = match.route
     service = choose_service(route.splits, random)
-    kind = request_kind(table, service)
+    kind = request_kind(match.table, service)
     request = Request(
         request_id=request_id,
-        account=name or NO_ACCOUNT,
+        account=match.account_name or NO_ACCOUNT,
         kind=kind,
         target=service if kind is RequestKind.SERVICE else ModelId(service),
         prompt_tokens=marks.prompt_tokens,
         max_tokens=marks.most_tokens,
         deadline=arrived_at + time_allowed(route, marks),
-        body_digest=digest_of(message, name),
-        repeatability=(
-            Repeatability.IDEMPOTENT
-            if route.repeatable
-            else Repeatability.NON_IDEMPOTENT
-        ),
-        terms=terms_of(route, account, marks),
+        body_digest=digest_of(message, match.account_name),
+        repeatability=repeatability_of(route),
+        terms=terms_of(route, match.account, marks),
     )
-    return Admission(route, name, request, table.version)
+    return Admission(route, match.account_name, request, match.table.version)
+
+
+def matched(
+    message: RequestMessage, marks: CallMarks, table: RoutingTable | None
+) -> Match | Refusal:
+    """Return the route and account of a request, or why it has none."""
+    if table is None:
+        return NO_CONFIGURATION
+    route = table.match(message.head.host, message.head.path)
+    if route is None:
+        return NO_ROUTE
+    if not table.has_accounts or route.public:
+        return Match(table, route)
+    account = table.account_of(marks.key) if marks.key is not None else None
+    return UNKNOWN_KEY if account is None else Match(table, route, account)
 
 
 def choose_service(splits: tuple[Split, ...], random: Random) -> ServiceId:
@@ -117,6 +142,13 @@
     return RequestKind.SERVICE
 
 
+def repeatability_of(route: Route) -> Repeatability:
+    """Return whether a route's calls may run more than once."""
+    if route.repeatable:
+        return Repeatability.IDEMPOTENT
+    return Repeatability.NON_IDEMPOTENT
+
+
 def time_allowed(route: Route, marks: CallMarks) -> timedelta:
     """Return how long a call may take: as its caller waits and its route allows."""
     if marks.time_left is None:
