--- a/benchmarks/passes/__main__.py
+++ b/benchmarks/passes/__main__.py
@@ -1,12 +1,17 @@
 """Compare placement policies: ``python -m benchmarks.passes``.
 
-Same calls, same seeds, each policy in turn, in two processes.
+Same calls, same seeds, each policy in turn, in two processes. Prints tables. The
+command ``held`` holds the model against played days.
 """
 
 import argparse
+import sys
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ProcessPoolExecutor
 
+from . import held
 from .deployments import DEPLOYMENTS
+from .faults import TROUBLES
 from .play import DURATION_S, Run, play
 from .policies import POLICIES
 from .report import table
@@ -14,9 +19,20 @@
 SEED = 20_260_101
 SEEDS = 3
 PROCESSES = 2
+COMMANDS: Mapping[str, Callable[[Sequence[str]], None]] = {
+    "held": held.main,
+}
 
 
-def main() -> None:
+def main(argv: Sequence[str]) -> None:
+    """Run a command, or the comparison where none is named."""
+    if argv and argv[0] in COMMANDS:
+        COMMANDS[argv[0]](argv[1:])
+    else:
+        compare(argv)
+
+
+def compare(argv: Sequence[str]) -> None:
     """Play all runs and print a table for each deployment."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=SEEDS, help="runs of each cell")
@@ -26,15 +42,17 @@
     parser.add_argument(
         "--deployment", action="append", choices=[each.name for each in DEPLOYMENTS]
     )
-    options = parser.parse_args()
+    parser.add_argument("--faults", action="store_true", help="with troubled engines")
+    options = parser.parse_args(argv)
     chosen = [
         each
         for each in DEPLOYMENTS
         if not options.deployment or each.name in options.deployment
     ]
+    faults = TROUBLES if options.faults else ()
     seeds = range(options.seed, options.seed + options.seeds)
     runs = [
-        Run(deployment, policy, seed, options.duration)
+        Run(deployment, policy, seed, options.duration, faults=faults)
         for deployment in chosen
         for policy in (options.policy or POLICIES)
         for seed in seeds
@@ -58,4 +76,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    main(sys.argv[1:])
--- a/benchmarks/passes/deployments.py
+++ b/benchmarks/passes/deployments.py
@@ -70,6 +70,8 @@
     ----------
     entries : int
         Entry instances; calls come to them unevenly.
+    hop_s : float
+        One way between an entry instance and an engine, over all pairs of zones.
     flood_s, gap_s : float
         Length of a flood, and the usual traffic between two.
     """
@@ -80,9 +82,17 @@
     classes: tuple[CallClass, ...]
     zones: int = 3
     figures: EngineFigures = FIGURES
+    hop_s: float = 0.001
     flood_s: float = 9.5
     gap_s: float = 0.7
 
+    def loaded(self, factor: float) -> "Deployment":
+        """Return the same with so many times as many calls."""
+        classes = tuple(
+            replace(kind, per_s=kind.per_s * factor) for kind in self.classes
+        )
+        return replace(self, classes=classes)
+
 
 SHORT = CallClass(
     name="short",
@@ -146,5 +156,6 @@
         replace(MIDDLE, per_s=0.895),
         replace(LONG, per_s=0.415, objective_ms=3_000.0),
     ),
+    hop_s=0.0004,
 )
 DEPLOYMENTS = (VOCES, DALA)
--- a/benchmarks/passes/engine.py
+++ b/benchmarks/passes/engine.py
@@ -1,8 +1,9 @@
 """A model engine: passes with chunked reading beside writing, by the published steps.
 
 A pass with writers runs `stride` steps and gives each writer one event; one without
-is a single step. Each step may read `chunk` prompt tokens. Parts that are read for
-other hosts go ahead of the engine's own reads.
+is a single step. The first event comes with the end of the pass that ends the reading.
+Each step may read `chunk` prompt tokens. Parts of a prompt that several engines read
+go ahead of all other reads, at its host and at its helpers, the latest first.
 """
 
 from dataclasses import dataclass, field
@@ -14,6 +15,8 @@
 
 QUEUE = 16
 """Requests that may wait at an engine; more are turned away."""
+STALL_S = 1.5
+"""A request that depends on an engine that is gone is given up after so long."""
 
 
 class Sink(Protocol):
@@ -28,6 +31,9 @@
     def end(self) -> None:
         """Hear that the answer is complete."""
 
+    def lost(self) -> None:
+        """Hear that an engine has crashed on which the job depends."""
+
 
 @dataclass(slots=True, eq=False)
 class Ticket:
@@ -92,10 +98,12 @@
     ----------
     running : list of Job
         Oldest first; each takes a slot.
-    reads, foreign_reads : list of Read
-        For its own jobs, and for those of other hosts.
+    reads, shared_reads : list of Read
+        Of prompts that it reads alone, and parts of those that several engines read.
     reserved : int
         Tokens of memory under tickets.
+    down : bool
+        It has crashed and takes nothing.
     pace : float
         How many times longer than stated all takes.
     busy_ms, read_ms : float
@@ -108,9 +116,10 @@
     running: list[Job] = field(default_factory=list)
     queue: list[Job] = field(default_factory=list)
     reads: list[Read] = field(default_factory=list)
-    foreign_reads: list[Read] = field(default_factory=list)
+    shared_reads: list[Read] = field(default_factory=list)
     reserved: int = 0
     in_pass: bool = False
+    down: bool = False
     busy_ms: float = 0.0
     read_ms: float = 0.0
     preempted: int = 0
@@ -120,24 +129,33 @@
         """Tokens of memory in use."""
         return self.reserved + sum(job.host_tokens for job in self.running)
 
+    @property
+    def helping(self) -> int:
+        """Jobs of other hosts that it helps to read."""
+        return len({id(r.job) for r in self.shared_reads if r.host is not self})
+
     def submit(self, job: Job) -> bool:
-        """Take a job in; False if the queue is full."""
+        """Take a job in; False if the queue or a helper is full, or one is down."""
+        if self.down or any(each.down for each in job.helpers):
+            return False
         if len(self.queue) >= QUEUE:
             return False
+        if any(each.helping >= each.figures.slots for each in job.helpers):
+            return False
         self.queue.append(job)
         self.wake()
         return True
 
     def reserve(self, tokens: int) -> Ticket | None:
         """Set memory aside, or return None if it isn't free."""
-        if self.used + tokens > self.figures.memory_tokens:
+        if self.down or self.used + tokens > self.figures.memory_tokens:
             return None
         self.reserved += tokens
         return Ticket(self, tokens)
 
     def release(self, ticket: Ticket) -> None:
-        """Give a ticket's memory back."""
-        self.reserved -= ticket.tokens
+        """Give a ticket's memory back, unless a crash has lost it."""
+        self.reserved = max(0, self.reserved - ticket.tokens)
         self.wake()
 
     def cancel(self, job: Job) -> None:
@@ -149,10 +167,39 @@
             self.running.remove(job)
         for engine in (self, *job.helpers):
             engine.reads = [read for read in engine.reads if read.job is not job]
-            engine.foreign_reads = [
-                read for read in engine.foreign_reads if read.job is not job
+            engine.shared_reads = [
+                read for read in engine.shared_reads if read.job is not job
             ]
 
+    def crash(self) -> None:
+        """Lose all work; what other hosts wait for from here is lost later."""
+        self.down = True
+        for job in (*self.running, *self.queue):
+            self.cancel(job)
+            job.sink.lost()
+        for read in [each for each in self.shared_reads if each.host is not self]:
+            self.loop.after(STALL_S, read.host.lose, read.job)
+        self.reads.clear()
+        self.shared_reads.clear()
+        self.reserved = 0
+
+    def lose(self, job: Job) -> None:
+        """Give a job up that waits for an engine that is gone."""
+        if job.cancelled or job.unread == 0:
+            return
+        self.cancel(job)
+        job.sink.lost()
+        self.wake()
+
+    def recover(self) -> None:
+        """Take work again."""
+        self.down = False
+        self.wake()
+
+    def turn(self, pace: float) -> None:
+        """Work at another pace from the next pass on."""
+        self.pace = pace
+
     def wake(self) -> None:
         """Begin a pass unless one runs."""
         if not self.in_pass:
@@ -174,19 +221,30 @@
         per_token = self.figures.read_ms(tokens, tokens) / tokens
         part = tokens / (1 + len(job.helpers))
         job.unread = 1 + len(job.helpers)
-        self.reads.append(Read(job, self, part, per_token))
+        own = Read(job, self, part, per_token)
+        if job.helpers:
+            self.shared_reads.insert(0, own)
+        else:
+            self.reads.append(own)
         for helper in job.helpers:
-            helper.foreign_reads.append(Read(job, self, part, per_token))
+            helper.shared_reads.insert(0, Read(job, self, part, per_token))
             helper.wake()
+            if helper.down:
+                self.loop.after(STALL_S, self.lose, job)
 
     def begin(self) -> None:
         """Begin a pass if there is work."""
+        if self.down:
+            return
+        # Set before jobs are admitted: a helper that is woken by one may admit a job
+        # that wakes this engine again, and two passes at once would write twice.
+        self.in_pass = True
         self.admit()
         writers = [job for job in self.running if job.writing]
-        reads = [*self.foreign_reads, *self.reads]
+        reads = [*self.shared_reads, *self.reads]
         if not writers and not reads:
+            self.in_pass = False
             return
-        self.in_pass = True
         steps = self.figures.stride if writers else 1
         read_ms = self.read(reads, steps * self.figures.chunk)
         step = self.figures.step_ms
@@ -217,8 +275,8 @@
         for job in writers:
             if job.writing and not job.cancelled:
                 self.write(job)
-        done = [r for r in (*self.foreign_reads, *self.reads) if r.left <= 0]
-        self.foreign_reads = [r for r in self.foreign_reads if r.left > 0]
+        done = [r for r in (*self.shared_reads, *self.reads) if r.left <= 0]
+        self.shared_reads = [r for r in self.shared_reads if r.left > 0]
         self.reads = [r for r in self.reads if r.left > 0]
         for read in done:
             read.host.part_done(read.job)
@@ -241,6 +299,7 @@
         if job.unread == 0 and not job.cancelled and job in self.running:
             job.writing = True
             job.sink.first_token()
+            self.write(job)
             self.wake()
 
     def make_room(self) -> None:
--- a/benchmarks/passes/entry.py
+++ b/benchmarks/passes/entry.py
@@ -18,23 +18,30 @@
 
 from ..virtual_time import EventLoop
 from .engine import Job, PassEngine, Ticket
+from .faults import FaultKind, Suspects, Troubles
 from .outcome import Outcome
 from .traffic import Call
 
 CALLER_S = 0.003
 """One way between a caller and an entry instance."""
-ENGINE_S = 0.0014
-"""One way between an entry instance and an engine."""
 ORDER_S = 0.006
 """Time of a reservation's order, sent to all engines at once."""
 ASK_AGAIN_S = 0.02
 """A call without a place is placed anew so often."""
-GOSSIP_S = 0.1
-"""Between two snapshots that an instance sends to its peers."""
-GOSSIP_DELAY_S = 0.05
-"""Age of a snapshot when it is heard."""
+NEWS_S = 0.004
+"""Work that begins, writes or ends is told to the peers so soon."""
+NEWS_WORK_S = 0.001
+"""It is heard so long after its way, which is that to an engine."""
 MOST_TRIES = 2
 """Attempts of a caller."""
+MOST_SENDS = 2
+"""Engines that one attempt is sent to, the second after silence."""
+SILENT_SHARE = 0.45
+"""Another engine is tried after this share of the caller's patience."""
+HOPELESS_SHARE = 0.25
+"""A call that has waited for this share of its time is refused."""
+COME_BACK_S = 0.6
+"""When its caller is told to come back then."""
 WAIT_SHARE = 1 / 3
 """A caller comes back after at most this share of the time that it has left."""
 
@@ -62,6 +69,8 @@
     ----------
     outcomes : list of Outcome
         One for each call, by its number.
+    hop_s : float
+        One way between an entry instance and an engine.
     """
 
     loop: EventLoop
@@ -70,8 +79,28 @@
     engines: dict[EndpointId, PassEngine]
     outcomes: list[Outcome]
     random: Random
+    hop_s: float
+    troubles: Troubles = field(default_factory=Troubles)
     entries: list["Entry"] = field(default_factory=list)
 
+    def engines_known(self) -> tuple[EngineView, ...]:
+        """Return the engines as the list and their reports have them now."""
+        if not self.troubles.faults:
+            return self.views
+        now_s = self.loop.now_s
+        return tuple(
+            self.troubles.known(number, view, now_s)
+            for number, view in enumerate(self.views)
+        )
+
+    def fails(self, endpoint: EndpointId) -> bool:
+        """Return whether an engine fails a call that comes now."""
+        if not self.troubles.faults:
+            return False
+        number = next(n for n, v in enumerate(self.views) if v.endpoint == endpoint)
+        fault = self.troubles.at(number, FaultKind.GREY, self.loop.now_s)
+        return fault is not None and self.random.random() < fault.strength
+
 
 @dataclass(slots=True, eq=False)
 class Entry:
@@ -83,15 +112,31 @@
     policy: Policy
     random: Random
     book: LoadBook = field(default_factory=LoadBook)
-
-    def gossip(self) -> None:
-        """Send the own running work to all peers, and again after a while."""
+    suspects: Suspects = field(default_factory=Suspects)
+    news: bool = False
+
+    def views(self) -> tuple[EngineView, ...]:
+        """Return the engines as this instance knows them."""
+        now_s = self.world.loop.now_s
+        known = self.world.engines_known()
+        if not self.suspects.until_s:
+            return known
+        return tuple(self.suspects.marked(view, now_s) for view in known)
+
+    def changed(self) -> None:
+        """Tell the peers soon that the own running work is another."""
+        if not self.news:
+            self.news = True
+            self.world.loop.after(NEWS_S, self.tell)
+
+    def tell(self) -> None:
+        """Send the own running work to all peers."""
+        self.news = False
         works = tuple(self.book.own.values())
-        loop = self.world.loop
+        delay_s = self.world.hop_s + NEWS_WORK_S
         for peer in self.world.entries:
             if peer is not self:
-                loop.after(GOSSIP_DELAY_S, peer.hear, self.name, works)
-        loop.after(GOSSIP_S, self.gossip)
+                self.world.loop.after(delay_s, peer.hear, self.name, works)
 
     def hear(self, name: InstanceId, works: tuple[Work, ...]) -> None:
         """Take in a peer's snapshot."""
@@ -115,9 +160,12 @@
     tries: int
     job: Job | None = None
     host: PassEngine | None = None
+    host_id: EndpointId = EndpointId("")
     tickets: tuple[Ticket, ...] = ()
     events: int = 0
+    sends: int = 0
     over: bool = False
+    waiting_since_s: float | None = None
     avoid: frozenset[EndpointId] = frozenset()
 
     @property
@@ -154,16 +202,35 @@
         ask = self.ask()
         now = world.loop.monotonic()
         choice = self.entry.policy.choose(
-            ask, world.views, self.entry.book, world.figures, now, self.entry.random
+            ask,
+            self.entry.views(),
+            self.entry.book,
+            world.figures,
+            now,
+            self.entry.random,
         )
         if isinstance(choice, Place):
+            self.waiting_since_s = None
             self.entry.book.note(choice.work(ask, now))
-            delay_s = ENGINE_S + (ORDER_S if choice.reservations else 0.0)
+            self.entry.changed()
+            self.outcome.placed(choice, world.loop.now_s)
+            delay_s = world.hop_s + (ORDER_S if choice.reservations else 0.0)
             world.loop.after(delay_s, self.send, choice)
         elif isinstance(choice, NoRoom):
             self.refuse(choice.come_back.total_seconds())
         else:
-            world.loop.after(ASK_AGAIN_S, self.place)
+            self.wait()
+
+    def wait(self) -> None:
+        """Ask again after a while, or refuse what has waited for too long."""
+        now_s = self.entry.world.loop.now_s
+        if self.waiting_since_s is None:
+            self.waiting_since_s = now_s
+        limit_s = self.call.kind.limit_ms / 1e3
+        if now_s - self.waiting_since_s > limit_s * HOPELESS_SHARE:
+            self.refuse(COME_BACK_S)
+        else:
+            self.entry.world.loop.after(ASK_AGAIN_S, self.place)
 
     def send(self, place: Place) -> None:
         """Hand the call to its host."""
@@ -171,6 +238,7 @@
             return
         engines = self.entry.world.engines
         self.host = engines[place.host]
+        self.host_id = place.host
         taken: list[Ticket] = []
         for each in place.reservations:
             ticket = engines[each.endpoint].reserve(each.tokens)
@@ -184,7 +252,12 @@
             self,
             helpers,
             self.tickets,
+            written=self.events * self.entry.world.figures.stride,
         )
+        if self.entry.world.fails(place.host):
+            self.sends += 1
+            self.lost()
+            return
         short = len(taken) < len(place.reservations)
         if short or not self.host.submit(self.job):
             self.outcome.turned_away += 1
@@ -192,10 +265,46 @@
             self.leave()
             self.job = None
             self.entry.world.loop.after(ASK_AGAIN_S, self.place)
+            return
+        self.sends += 1
+        self.watch()
+
+    def watch(self) -> None:
+        """Look later whether the host has been silent."""
+        silent_s = self.call.kind.abandon_ms / 1e3 * SILENT_SHARE
+        self.entry.world.loop.after(silent_s, self.move, self.events, self.sends)
+
+    def move(self, events: int, sends: int) -> None:
+        """Try another engine if nothing came from this one since then."""
+        silent = events == self.events and sends == self.sends
+        if self.over or not silent or sends >= MOST_SENDS or self.job is None:
+            return
+        assert self.host is not None
+        self.host.cancel(self.job)
+        self.leave()
+        self.job = None
+        self.outcome.moved += 1
+        self.avoid = frozenset({self.host_id})
+        self.place()
+
+    def lost(self) -> None:
+        """Try another engine once, as the present one failed or is gone."""
+        if self.over:
+            return
+        self.entry.suspects.note(self.host_id, self.entry.world.loop.now_s)
+        self.leave()
+        self.job = None
+        if self.sends >= MOST_SENDS:
+            self.over = True
+            self.come_again(0.0)
+            return
+        self.avoid = frozenset({self.host_id})
+        self.place()
 
     def leave(self) -> None:
         """Give back what the attempt holds."""
         self.entry.book.drop(self.request)
+        self.entry.changed()
         for ticket in self.tickets:
             ticket.engine.release(ticket)
         self.tickets = ()
@@ -203,24 +312,27 @@
     def first_token(self) -> None:
         """Learn that the prompt has been read."""
         loop = self.entry.world.loop
-        loop.after(ENGINE_S, self.learn)
+        loop.after(self.entry.world.hop_s, self.learn)
 
     def learn(self) -> None:
         """Enter the first token into the book."""
         self.entry.book.first_token(self.request, self.entry.world.loop.monotonic())
+        self.entry.changed()
 
     def event(self) -> None:
         """Pass an event on to the caller."""
         loop = self.entry.world.loop
         self.events += 1
-        self.outcome.hear(loop.now_s + ENGINE_S + CALLER_S, self.tries)
+        self.outcome.hear(loop.now_s + self.entry.world.hop_s + CALLER_S, self.tries)
         loop.after(self.call.kind.abandon_ms / 1e3, self.check, self.events)
+        if self.sends < MOST_SENDS:
+            self.watch()
 
     def end(self) -> None:
         """Learn that the answer is complete."""
         self.over = True
         self.outcome.complete = True
-        self.entry.world.loop.after(ENGINE_S, self.leave)
+        self.entry.world.loop.after(self.entry.world.hop_s, self.leave)
 
     def check(self, events: int) -> None:
         """Give up if nothing came since some event."""
--- a/benchmarks/passes/outcome.py
+++ b/benchmarks/passes/outcome.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from mimosafork.placement.choice import Place
+
 from .traffic import Call
 
 BANDS = (
@@ -27,7 +29,11 @@
         First event since the caller's first attempt.
     longest_pause_ms : float
         Between two events.
-    refused, abandoned, turned_away : int
+    forecast_ms : float or None
+        What its last placement foretold for that.
+    engines : int
+        Host and helpers of its last placement.
+    refused, abandoned, turned_away, moved : int
         Times that this happened to it.
     """
 
@@ -39,6 +45,16 @@
     refused: int = 0
     abandoned: int = 0
     turned_away: int = 0
+    moved: int = 0
+    forecast_ms: float | None = None
+    engines: int = 0
+
+    def placed(self, place: Place, at_s: float) -> None:
+        """Note what a placement foretells."""
+        self.forecast_ms = (at_s - self.call.at_s) * 1e3 + (
+            place.predicted_first_token.total_seconds() * 1e3
+        )
+        self.engines = 1 + len(place.helpers)
 
     def hear(self, at_s: float, tries: int) -> None:
         """Note an event."""
--- a/benchmarks/passes/play.py
+++ b/benchmarks/passes/play.py
@@ -9,27 +9,49 @@
 from mimosafork.placement.choice import EngineView
 
 from ..virtual_time import EventLoop
+from .as_played import AsPlayed, SeenPlace
 from .deployments import Deployment
 from .engine import PassEngine
-from .entry import CALLER_S, GOSSIP_S, Entry, World
+from .entry import CALLER_S, Entry, Policy, World
+from .faults import Fault, FaultKind, Troubles
 from .outcome import Outcome
 from .policies import POLICIES
-from .traffic import generate
+from .traffic import Call, generate
 
 DURATION_S = 41.0
 """Long and short floods, twice each."""
+USUAL_LOAD = 1.0
+"""Factor of the rates that a deployment states."""
 DRAIN_S = 16.0
 """After the last call."""
 
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """One cell of the tables."""
+    """One cell of the tables.
+
+    Attributes
+    ----------
+    calls : tuple of Call
+        What comes; empty for calls that are drawn from the seed.
+    places : tuple of SeenPlace
+        Where they go in place of the policy's choice, if given.
+    load : float
+        Factor of the deployment's rates of calls.
+    """
 
     deployment: Deployment
     policy: str
     seed: int
     duration_s: float = DURATION_S
+    calls: tuple[Call, ...] = ()
+    places: tuple[SeenPlace, ...] = ()
+    faults: tuple[Fault, ...] = ()
+    load: float = USUAL_LOAD
+
+    def policy_of_entry(self) -> Policy:
+        """Return the policy of one entry instance."""
+        return AsPlayed(self.places) if self.places else POLICIES[self.policy]()
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,14 +80,27 @@
     bounds = list(accumulate(shares))
     for outcome in world.outcomes:
         entry = random.choices(world.entries, cum_weights=bounds)[0]
+        if outcome.call.entry is not None:
+            entry = world.entries[outcome.call.entry]
         world.loop.at(outcome.call.at_s + CALLER_S, entry.take, outcome.call)
-    for entry in world.entries:
-        world.loop.after(random.random() * GOSSIP_S, entry.gossip)
     world.loop.run(run.duration_s + DRAIN_S)
     preempted = sum(engine.preempted for engine in world.engines.values())
     return Played(tuple(world.outcomes), preempted, perf_counter() - began)
 
 
+def befall(world: World) -> None:
+    """Let the faults of a run happen to its engines."""
+    for fault in world.troubles.faults:
+        engine = world.engines[world.views[fault.engine].endpoint]
+        end_s = fault.at_s + fault.for_s
+        if fault.kind is FaultKind.CRASH:
+            world.loop.at(fault.at_s, engine.crash)
+            world.loop.at(end_s, engine.recover)
+        elif fault.kind is FaultKind.SLOW:
+            world.loop.at(fault.at_s, engine.turn, fault.strength)
+            world.loop.at(end_s, engine.turn, 1.0)
+
+
 def world_of(run: Run) -> World:
     """Return the engines and entry instances of a run."""
     deployment = run.deployment
@@ -81,12 +116,22 @@
         for number in range(deployment.engines)
     )
     engines = {view.endpoint: PassEngine(loop, deployment.figures) for view in views}
-    calls = generate(deployment, run.duration_s, run.seed)
+    calls = run.calls or generate(deployment.loaded(run.load), run.duration_s, run.seed)
     outcomes = [Outcome(call) for call in calls]
-    world = World(loop, deployment.figures, views, engines, outcomes, random)
+    world = World(
+        loop,
+        deployment.figures,
+        views,
+        engines,
+        outcomes,
+        random,
+        deployment.hop_s,
+        Troubles(run.faults),
+    )
+    befall(world)
     for number in range(deployment.entries):
         zone = AvailabilityZoneId(f"z{number % deployment.zones}")
         name = InstanceId(f"entry-{number}")
-        policy = POLICIES[run.policy]()
+        policy = run.policy_of_entry()
         world.entries.append(Entry(name, zone, world, policy, Random(number)))
     return world
--- a/benchmarks/passes/policies.py
+++ b/benchmarks/passes/policies.py
@@ -1,9 +1,10 @@
 """The policies that are compared."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
+from mimosafork.ids import RequestId
 from mimosafork.placement.choice import (
     Choice,
     EngineView,
@@ -16,7 +17,16 @@
 from mimosafork.placement.work import LoadBook, Part
 from mimosafork.routing.engine import EngineFigures
 
-from .entry import Policy
+from .entry import ASK_AGAIN_S, Policy
+
+LEFT_AFTER = timedelta(seconds=3 * ASK_AGAIN_S)
+"""A waiting call asks three times as often as that while its caller is there."""
+
+
+def sound(views: tuple[EngineView, ...]) -> tuple[EngineView, ...]:
+    """Return the usable engines that have not just failed; all, if there are none."""
+    usable = tuple(view for view in views if view.usable and not view.suspect)
+    return usable or views
 
 
 def alone(view: EngineView, ask: PlacementAsk, figures: EngineFigures) -> Place:
@@ -43,7 +53,8 @@
     ) -> Choice:
         """Return the next engine."""
         self.turn += 1
-        return alone(views[self.turn % len(views)], ask, figures)
+        able = sound(views)
+        return alone(able[self.turn % len(able)], ask, figures)
 
 
 class LeastRequests:
@@ -60,7 +71,8 @@
     ) -> Choice:
         """Return the engine with the fewest, by chance on ties."""
         best = min(
-            views, key=lambda v: (book.load(v.endpoint, now).running, random.random())
+            sound(views),
+            key=lambda v: (book.load(v.endpoint, now).running, random.random()),
         )
         return alone(best, ask, figures)
 
@@ -84,7 +96,7 @@
         """Return the engine with the least promised reading, then the fewest."""
         needed = ask.prompt_tokens + ask.answer_tokens
         ranked = []
-        for view in views:
+        for view in sound(views):
             load = book.load(view.endpoint, now)
             free = figures.memory_tokens - load.promised_tokens
             if load.running < view.slots and free >= needed:
@@ -95,6 +107,45 @@
         return alone(min(ranked, key=lambda each: each[0])[1], ask, figures)
 
 
+@dataclass(slots=True)
+class FirstCome:
+    """Serves calls in the order that they came, each where the fewest requests run.
+
+    Attributes
+    ----------
+    queue : dict of RequestId to timedelta
+        Those that wait, oldest first, with when they last asked; one that has not
+        asked for a while has left.
+    """
+
+    queue: dict[RequestId, timedelta] = field(default_factory=dict)
+
+    def choose(
+        self,
+        ask: PlacementAsk,
+        views: tuple[EngineView, ...],
+        book: LoadBook,
+        figures: EngineFigures,
+        now: timedelta,
+        random: Random,
+    ) -> Choice:
+        """Return the least busy engine with room, if it is the call's turn."""
+        self.queue[ask.request] = now
+        self.queue = {r: at for r, at in self.queue.items() if now - at < LEFT_AFTER}
+        needed = ask.prompt_tokens + ask.answer_tokens
+        loads = [(book.load(view.endpoint, now), view) for view in sound(views)]
+        fitting = [
+            (load.running, random.random(), view)
+            for load, view in loads
+            if load.running < view.slots
+            and figures.memory_tokens - load.promised_tokens >= needed
+        ]
+        if next(iter(self.queue)) != ask.request or not fitting:
+            return WaitForRoom(Shortage.SLOTS)
+        del self.queue[ask.request]
+        return alone(min(fitting, key=lambda each: each[:2])[2], ask, figures)
+
+
 class Own:
     """The product's placement."""
 
@@ -114,6 +165,7 @@
 POLICIES: dict[str, type[Policy]] = {
     "round-robin": RoundRobin,
     "least-requests": LeastRequests,
+    "first-come": FirstCome,
     "no-helpers": LeastPrediction,
     "mimosafork": Own,
 }
--- a/benchmarks/passes/traffic.py
+++ b/benchmarks/passes/traffic.py
@@ -1,7 +1,7 @@
 """Calls of a run, drawn from a seed."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import exp
 from random import Random
 
@@ -27,6 +27,8 @@
         Answer length that the caller expects.
     weight : float
         Its worth against the mean of its class.
+    entry : int or None
+        Number of the entry instance that it comes to; None for chance.
     """
 
     number: int
@@ -36,6 +38,7 @@
     answer_tokens: int
     hint_tokens: int
     weight: float
+    entry: int | None = None
 
 
 def flood_factor(kind: CallClass, at_s: float, deployment: Deployment) -> float:
@@ -84,15 +87,4 @@
             weight = weight_of(kind, prompt, answer)
             calls.append(Call(0, kind, at_s, prompt, answer, hint, weight))
     calls.sort(key=lambda call: call.at_s)
-    return [
-        Call(
-            number,
-            each.kind,
-            each.at_s,
-            each.prompt_tokens,
-            each.answer_tokens,
-            each.hint_tokens,
-            each.weight,
-        )
-        for number, each in enumerate(calls)
-    ]
+    return [replace(each, number=number) for number, each in enumerate(calls)]
--- /dev/null
+++ b/tests/unit/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the models and tools that measure policies."""
