Hold repeats that had to wait against the budget again

Cause: a repeat is counted when it is decided, and sent when there is room for it. When a service is cut off, repeats wait for seconds; sent when the cut is over, they fell into one window with all that this later window had room for, up to twice what is allowed. The same, smaller, for those decided just before a window and sent within it. Ruled out: counting at the sending alone: peers would learn of it too late, and all that wait would be decided on the same room; counting again without asking, as the requests of the former window may be gone. Change: a repeat that is sent over 200 ms after it was counted asks the budget again and is counted again, also once the memory for a gang is there; what this instance has counted twice is left out of that question. Repeats count 600 ms longer than requests, for the connection that may have to be opened first.

--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -32,6 +32,7 @@
 from .place_words import place_on, readers
 from .quarantining import CrashQuarantine
 from .reserving import MemoryKeeper
+from .retrying import BUDGET_USED, BudgetedRetry
 
 DEFAULT_ANSWER = 600
 """Tokens that an answer is expected to have where nobody says."""
@@ -57,15 +58,17 @@
         self.fleet: FleetView | None = None
         self.memory = MemoryKeeper()
         self.quarantine = CrashQuarantine()
+        self.retry = BudgetedRetry()
         self.book = LoadBook()
         self.waiting_since: dict[RequestId, timedelta] = {}
         self.first_token_at: dict[RequestId, timedelta] = {}
 
     def join(self, find: PluginFinder) -> None:
-        """Keep the view of the endpoints, reservations and the quarantine."""
+        """Keep the plug-ins that are asked."""
         self.fleet = find(FleetView)
         self.memory = find(MemoryKeeper) or self.memory
         self.quarantine = find(CrashQuarantine) or self.quarantine
+        self.retry = find(BudgetedRetry) or self.retry
 
     def place(self, record: RequestRecord, context: Context) -> Placement:
         """Return where the call goes now."""
@@ -90,6 +93,8 @@
             context.random,
         )
         if isinstance(choice, Place):
+            if not self.retry.still_paid(record.request, context):
+                return Refuse(overloaded(BUDGET_USED, COME_BACK))
             work = choice.work(ask, context.now)
             self.book.note(work)
             self.waiting_since.pop(record.request_id, None)
--- a/src/mimosafork/gateway/policies/reserving.py
+++ b/src/mimosafork/gateway/policies/reserving.py
@@ -42,6 +42,7 @@
 from ...placement.choice import Place
 from .fleet_view import FleetView
 from .place_words import place_on
+from .retrying import BUDGET_USED, BudgetedRetry
 from .tickets import Gang, HeldState, Step, Ticket, tickets_of
 
 HOLD = timedelta(milliseconds=3750)
@@ -88,6 +89,7 @@
 
     def __init__(self) -> None:
         self.fleet: FleetView | None = None
+        self.retry: BudgetedRetry | None = None
         self.longest_hold = HOLD
         self.gangs: dict[RequestId, Gang] = {}
         self.not_before: dict[RequestId, timedelta] = {}
@@ -97,8 +99,9 @@
         self.numbers = count(1)
 
     def join(self, find: PluginFinder) -> None:
-        """Keep the view of the endpoints, to tell it of those that can't be reached."""
+        """Keep the plug-ins that are asked, and told of what can't be reached."""
         self.fleet = find(FleetView)
+        self.retry = find(BudgetedRetry)
 
     def new_id(self) -> ReservationId:
         """Return an id that no reservation of any instance has had.
@@ -171,6 +174,13 @@
         if missing is not None:
             self._ask(gang, missing, context)
             return
+        if self.retry is not None and not self.retry.still_paid(
+            record.request, context
+        ):
+            self._dissolve(gang.request_id, context)
+            refuse = Refuse(Problem(ProblemCode.OVERLOADED, BUDGET_USED, COME_BACK))
+            context.post(PlacementFailed(gang.request_id, refuse))
+            return
         gang.step = Step.RUNNING
         self.failures.pop(gang.request_id, None)
         place = place_on(gang.place, record.request, gang.helpers())
@@ -183,6 +193,10 @@
         known = self.fleet.endpoints.get(endpoint)
         return known is not None and known.usable(now)
 
+    def _is_paid(self, record: RequestRecord, context: Context) -> bool:
+        """Return whether the budget of repeats still has room: orders take time."""
+        return self.retry is None or self.retry.still_paid(record.request, context)
+
     def _ask(self, gang: Gang, ticket: Ticket, context: Context) -> None:
         """Reserve, or renew what is reserved: that is the same order."""
         ticket.ask(context.now)
--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -1,23 +1,25 @@
 """Whether a failed attempt is followed by another."""
 
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from ...ids import ServiceId
+from ...ids import RequestId, ServiceId
 from ...kernel.context import Context
 from ...kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from ...kernel.messages.base import Message
 from ...kernel.messages.problems import Problem, ProblemCode
-from ...kernel.messages.requests import Repeatability, Submit
+from ...kernel.messages.requests import Repeatability, Request, Submit
 from ...kernel.messages.sharing import FleetSpending, SpendingGrown
-from ...kernel.plugins import GiveUp, RetryDecision, RetryLater, RetryPolicy
+from ...kernel.plugins import Concluded, GiveUp, RetryDecision, RetryLater, RetryPolicy
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
 
 RATIO = 0.2
 SLACK = 100.0
+WINDOW = timedelta(seconds=10)
 SPENT_SHARE = 0.7
 """Share of the slack that is spent at most: instances that all see the last repeats
 of a window free at the same moment would together send more than there are."""
@@ -26,18 +28,30 @@
 MOST_SENDS = 6
 """Arrivals of one call that no endpoint ran are bounded too."""
 
+PAID_FOR = timedelta(milliseconds=200)
+"""A repeat that is sent later than this after it was counted is counted again: it
+falls into another window than the one that had room for it."""
+
 AT_ONCE = timedelta(milliseconds=1)
 AFTER_REFUSAL = timedelta(milliseconds=20)
 COME_BACK = timedelta(milliseconds=500)
 FIRST_SERVER_ERROR = 500
+BUDGET_USED = "the budget of repeats is used"
 
 
 @dataclass(slots=True)
 class Counters:
-    """Requests and repeats of one service in this life."""
+    """Requests and repeats of one service in this life.
+
+    Attributes
+    ----------
+    again : deque of timedelta
+        When repeats were counted that had been counted before, in the last window.
+    """
 
     requests: int = 0
     repeats: int = 0
+    again: deque[timedelta] = field(default_factory=deque)
 
 
 FleetView = Callable[[ServiceId], FleetSpending]
@@ -57,6 +71,8 @@
     ratio, slack : float
         A window's repeats of all instances together are at most the ratio of its
         requests and the slack.
+    window : timedelta
+        Length of a window.
     spent : callable
         Returns what all instances, this one included, have spent in the window.
     """
@@ -64,8 +80,10 @@
     def __init__(self) -> None:
         self.ratio = RATIO
         self.slack = SLACK
+        self.window = WINDOW
         self.counters: dict[ServiceId, Counters] = {}
         self.spent: FleetView = nothing_known
+        self.paid_at: dict[RequestId, timedelta] = {}
 
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
@@ -77,6 +95,10 @@
         self.counters.setdefault(service, Counters()).requests += 1
         self._tell(service, context)
 
+    @handle.register
+    def _(self, message: Concluded, context: Context) -> None:
+        self.paid_at.pop(message.record.request_id, None)
+
     def _tell(self, service: ServiceId, context: Context) -> None:
         counters = self.counters[service]
         context.emit(SpendingGrown(service, counters.requests, counters.repeats))
@@ -89,12 +111,43 @@
         if why_not is not None:
             return GiveUp(problem_of(failure, why_not))
         if failure.exposure is not Exposure.NEVER_SENT:
-            service = ServiceId(record.request.target)
-            self.counters.setdefault(service, Counters()).repeats += 1
-            self._tell(service, context)
+            self._pay(record.request, context)
         refused = failure.exposure is Exposure.REFUSED
         return RetryLater(AFTER_REFUSAL if refused else AT_ONCE)
 
+    def _pay(self, request: Request, context: Context) -> None:
+        service = ServiceId(request.target)
+        self.counters.setdefault(service, Counters()).repeats += 1
+        self.paid_at[request.request_id] = context.now
+        self._tell(service, context)
+
+    def still_paid(self, request: Request, context: Context) -> bool:
+        """Return whether a call that is about to be sent is within the budget.
+
+        A repeat may have waited for room, or for an endpoint that can be reached.
+        Those that all waited would arrive together with what a later window has room
+        for; so the budget is asked again.
+        """
+        paid_at = self.paid_at.get(request.request_id)
+        if paid_at is None or context.now - paid_at <= PAID_FOR:
+            return True
+        service = ServiceId(request.target)
+        is_counted = context.now - paid_at < self.window
+        room = self.room(service) + self._counted_twice(service, context.now)
+        if room < (0 if is_counted else 1):
+            return False
+        if is_counted:
+            self.counters[service].again.append(context.now)
+        self._pay(request, context)
+        return True
+
+    def _counted_twice(self, service: ServiceId, now: timedelta) -> int:
+        """Return how many repeats of this instance the window holds twice."""
+        again = self.counters[service].again
+        while again and now - again[0] >= self.window:
+            again.popleft()
+        return len(again)
+
     def objection(
         self, record: RequestRecord, failure: AttemptFailed, now: timedelta
     ) -> str | None:
@@ -114,7 +167,7 @@
         if sent >= MOST_SENDS or len(record.attempts) >= 2 * MOST_SENDS:
             return "it was refused too often"
         if not self.affords(ServiceId(record.request.target), failure):
-            return "the budget of repeats is used"
+            return BUDGET_USED
         return None
 
     def affords(self, service: ServiceId, failure: AttemptFailed) -> bool:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -194,6 +194,7 @@
         retry = self.kernel.plugin(BudgetedRetry)
         retry.ratio = bounds.retry_ratio
         retry.slack = bounds.retry_slack
+        retry.window = bounds.retry_window
         retry.spent = self.sharing.spending
         self.kernel.plugin(MemoryKeeper).longest_hold = bounds.longest_hold
 
--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -31,7 +31,7 @@
 from .state import FleetState
 from .taking import Intake
 from .timing import Timing
-from .window import Meter, SpendingWindow
+from .window import REPEATS_LAG, Meter, SpendingWindow
 from .wire import Flag, decode, fleet_tag
 
 PURGE_EVERY = timedelta(seconds=1)
@@ -78,7 +78,7 @@
         self.roster = Roster(me, self.timing)
         self.circle = Circle(me, self.own, self.roster, self.timing)
         self.outbox = Outbox(me, self.fleet, self.timing, self.circle.source_of)
-        self.spending = SpendingWindow(window)
+        self.spending = SpendingWindow(window, REPEATS_LAG)
         self.state = FleetState(self.own, self.roster, self.spending)
         self.counters = Counters()
         self.caller = Caller(self.circle, self.outbox, seeds, random)
--- a/src/mimosafork/gossip/window.py
+++ b/src/mimosafork/gossip/window.py
@@ -12,6 +12,10 @@
 ABSENT_KEPT = 1000
 """Meters of absent lives that may come back; 9 instances need a handful."""
 
+REPEATS_LAG = timedelta(milliseconds=600)
+"""A repeat is counted before it is sent, and reaches its endpoint up to so much later:
+a connection may have to be opened for it."""
+
 
 class Sample(NamedTuple):
     """A counter's value at an instant."""
@@ -37,11 +41,21 @@
     ----------
     span : timedelta
         Length of the window.
+    lag : timedelta, optional
+        Repeats count for so much longer. One that was counted just before the
+        window may arrive within it, and would not be counted in any that it is in.
+
+    Attributes
+    ----------
+    samples, repeats : dict
+        The counters of each life; `repeats` has only those whose repeats had grown.
     """
 
-    def __init__(self, span: timedelta) -> None:
+    def __init__(self, span: timedelta, lag: timedelta = timedelta(0)) -> None:
         self.span = span
+        self.lag = lag
         self.samples: dict[Meter, deque[Sample]] = {}
+        self.repeats: dict[Meter, deque[Sample]] = {}
 
     def note(self, meter: Meter, at: timedelta, spent: Spent) -> None:
         """Note newer counters as of an instant.
@@ -54,7 +68,11 @@
         if kept:
             at = max(at, kept[-1].at)
         kept.append(Sample(at, spent))
-        self.prune(kept, at)
+        self.prune(kept, at, self.span)
+        repeats = self.repeats.setdefault(meter, deque())
+        if not repeats or repeats[-1].spent.repeats != spent.repeats:
+            repeats.append(Sample(at, spent))
+        self.prune(repeats, at, self.span + self.lag)
 
     def grown(self, service: ServiceId, now: timedelta) -> Spent:
         """Return the sum, over all instances, of the growth within the window.
@@ -64,15 +82,18 @@
         """
         requests = repeats = 0
         for meter, kept in self.samples.items():
-            self.prune(kept, now)
-            if meter.service == service and kept:
-                requests += kept[-1].spent.requests - kept[0].spent.requests
-                repeats += kept[-1].spent.repeats - kept[0].spent.repeats
+            if meter.service != service:
+                continue
+            self.prune(kept, now, self.span)
+            requests += kept[-1].spent.requests - kept[0].spent.requests
+            longer = self.repeats[meter]
+            self.prune(longer, now, self.span + self.lag)
+            repeats += longer[-1].spent.repeats - longer[0].spent.repeats
         return Spent(requests, repeats)
 
-    def prune(self, kept: deque[Sample], now: timedelta) -> None:
-        """Keep one sample from before the window, and what lies in it."""
-        while len(kept) > 1 and now - kept[1].at >= self.span:
+    def prune(self, kept: deque[Sample], now: timedelta, span: timedelta) -> None:
+        """Keep one sample from before a span, and what lies in it."""
+        while len(kept) > 1 and now - kept[1].at >= span:
             kept.popleft()
 
     def forget(
@@ -94,13 +115,20 @@
         """
         absent: list[Meter] = []
         for meter, kept in list(self.samples.items()):
-            if meter.boot in present or now - kept[-1].at < self.span:
+            still_counts = now - kept[-1].at < self.span + self.lag
+            if meter.boot in present or still_counts:
                 continue
-            self.prune(kept, now)
+            self.prune(kept, now, self.span)
+            self.prune(self.repeats[meter], now, self.span + self.lag)
             if meter.boot & TAG_MASK in over:
-                del self.samples[meter]
+                self.drop(meter)
             else:
                 absent.append(meter)
         absent.sort(key=lambda meter: self.samples[meter][-1].at)
         for meter in absent[: max(len(absent) - ABSENT_KEPT, 0)]:
-            del self.samples[meter]
+            self.drop(meter)
+
+    def drop(self, meter: Meter) -> None:
+        """Forget the counters of a life."""
+        del self.samples[meter]
+        del self.repeats[meter]
--- a/tests/unit/gossip/test_rules.py
+++ b/tests/unit/gossip/test_rules.py
@@ -113,6 +113,21 @@
     case.assertEqual({}, link.flights)
 
 
+def test_repeats_count_for_longer_than_requests() -> None:
+    """A repeat is counted just before a window and arrives within it.
+
+    It would count in no window that it is in, and each window could have one more.
+    """
+    window = SpendingWindow(timedelta(seconds=10), timedelta(seconds=2))
+    window.note(Meter(1, CHAT), NOW, Spent(0, 0))
+    window.note(Meter(1, CHAT), NOW + ms(1000), Spent(10, 4))
+    window.note(Meter(1, CHAT), NOW + ms(2000), Spent(20, 4))
+    case.assertEqual(Spent(20, 4), window.grown(CHAT, NOW + ms(10900)))
+    case.assertEqual(Spent(10, 4), window.grown(CHAT, NOW + ms(11000)))
+    case.assertEqual(Spent(0, 4), window.grown(CHAT, NOW + ms(12900)))
+    case.assertEqual(Spent(0, 0), window.grown(CHAT, NOW + ms(13000)))
+
+
 def test_growth_is_counted_within_the_window_and_over_lives() -> None:
     window = SpendingWindow(timedelta(seconds=10))
     window.note(Meter(1, CHAT), NOW, Spent(100, 10))
