Keep the call of an endpoint that is slow to read a long body

Cause: TCP_USER_TIMEOUT also counts the time for which a peer's buffers are full, though its machine answers every probe. A sound endpoint that read a long body late lost its call after 2 s, and one that may run only once ended as 502. Ruled out: a longer bound (moves the fault, and finds dead endpoints later); none for all (an endpoint without power would be found at the deadline only, as keepalive waits while bytes are unacknowledged). Change: while a request of 64 KiB or more is on its way, the system's bound is lifted and the socket is looked at each 0.5 s: bytes in flight, or two probes, without a word for 2 s are a peer that is gone. After the call's end the rest has 10 s. Short requests keep the system's bound. A machine that falls silent in mid-body was not played, only its tcp_info.

--- a/src/mimosafork/gateway/upstream.py
+++ b/src/mimosafork/gateway/upstream.py
@@ -17,6 +17,7 @@
 from .answer_reader import AnswerHead, AnswerReader, AnswerSink
 from .errors import BadAnswerError
 from .heads import first_value
+from .long_sends import LongSend
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -86,6 +87,7 @@
         self.request_size = 0
         self.feeding = False
         self.after_feeding: Callable[[], None] | None = None
+        self.long_send: LongSend | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket so that a peer that has vanished is found."""
@@ -102,6 +104,33 @@
             AnswerSink(self._on_head, sink.data, self._on_end), without_body
         )
         self.transport.write(request)
+        if self.request_size >= LONG_REQUEST:
+            self._watch_long_send(self.transport.get_extra_info("socket"))
+
+    def _watch_long_send(self, sock: socket.socket | None) -> None:
+        if sock is None:
+            return
+        if self.long_send is not None:
+            self.long_send.stop()
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+        patience = timedelta(milliseconds=UNACKNOWLEDGED_MS)
+        self.long_send = LongSend(self, sock, patience, self._long_send_done)
+        self.long_send.look_later()
+
+    def _long_send_done(self) -> None:
+        self.long_send = None
+        if self.transport is not None:
+            watch_peer(self.transport.get_extra_info("socket"))
+
+    @property
+    def awaited(self) -> bool:
+        """Whether a call awaits its answer on it."""
+        return self.sink is not None
+
+    def vanish(self) -> None:
+        """Give the connection up: its peer is gone without a word."""
+        self.long_send = None
+        self._lose(ConnectionLoss.RESET)
 
     def expect_again(self) -> None:
         """Await a further answer: the last one belonged to another call."""
@@ -174,6 +203,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell whoever waits that the connection is gone."""
         self.transport = None
+        if self.long_send is not None:
+            self.long_send.stop()
         self._lose(ConnectionLoss.CLOSED if exc is None else loss_of(exc))
 
     def _on_head(self, head: AnswerHead) -> None:
--- a/tests/unit/tooling/test_gateway_page.py
+++ b/tests/unit/tooling/test_gateway_page.py
@@ -6,7 +6,7 @@
 
 from mimosafork.directory.endpoint_book import ROW_EXPIRY
 from mimosafork.directory.settings import DirectorySettings
-from mimosafork.gateway import answer_reader, attempt, pool, server, stopping
+from mimosafork.gateway import answer_reader, attempt, pool, server, stopping, upstream
 from mimosafork.gateway.policies import (
     fleet_view,
     quarantining,
@@ -38,6 +38,7 @@
         f"had no end ({answer_reader.MOST_OUTSIDE // 1024} KiB, "
         f"{attempt.MOST_HELD // 1024} KiB, {attempt.MOST_HELD // 1024} KiB)",
         f"whole answer of more than {attempt.MOST_HELD // 1024} KiB is passed on",
+        f"acknowledges nothing for {upstream.UNACKNOWLEDGED_MS / 1000:g} s is taken",
         f"plus {WORDS[retrying.SPENT_SHARE]} tenths of `retry_slack`",
         f"endpoints refused are at most {WORDS[retrying.MOST_SENDS]}",
         f"after {silence.STREAM_SHARE} of the longest of "
