Give taking a place its own step in the gateway's placer

Cause: WorkPlacer.place chose a place and, in the middle of four ways to end, did the six things that follow from one of them: book, waiting, forecast, peers, memory. Ruled out: moving the checks before the choice too, as their order against each other is what the comment there is about. Change: `_take` enters the work at its place; place only decides which way it ends. Conclusion: effects and their order are as they were.

--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -84,29 +84,28 @@
             return Wait(Shortage.MEMORY.value)
         figures = self.figures_of(service)
         ask = self._ask(record, figures, context)
-        choice = choose(
-            ask,
-            engines,
-            self.book,
-            figures,
-            context.now,
-            context.random,
-        )
+        choice = choose(ask, engines, self.book, figures, context.now, context.random)
         if isinstance(choice, Place):
             if not self.retry.still_paid(record.request, context):
                 return Refuse(overloaded(BUDGET_USED, COME_BACK))
-            work = choice.work(ask, context.now)
-            self.book.note(work)
-            self.waiting_since.pop(record.request_id, None)
-            self._note_forecast(choice, record.request_id, context.now)
-            context.emit(WorkBegun(work))
-            if choice.reservations:
-                return self.memory.begin(choice, record, context)
-            return place_on(choice, record.request, readers(choice))
+            return self._take(choice, ask, record, context)
         if isinstance(choice, NoRoom):
             return Refuse(overloaded(choice.reason.value, choice.come_back))
         return self._wait(record, choice, context.now)
 
+    def _take(
+        self, place: Place, ask: PlacementAsk, record: RequestRecord, context: Context
+    ) -> Placement:
+        """Enter a call's work at its place, and tell peers of it."""
+        work = place.work(ask, context.now)
+        self.book.note(work)
+        self.waiting_since.pop(record.request_id, None)
+        self._note_forecast(place, record.request_id, context.now)
+        context.emit(WorkBegun(work))
+        if place.reservations:
+            return self.memory.begin(place, record, context)
+        return place_on(place, record.request, readers(place))
+
     def _note_forecast(
         self, place: Place, request_id: RequestId, now: timedelta
     ) -> None:
