Find the connection of a call that ends without a search

Cause: the end of each call went through the open calls of all connections. Ruled out: a second map from calls to connections (the call knows its own already). Change: the entry is taken out by the call's connection, if it still stands for that call. Measured: the new test, with a map that must not be gone through, failed before with three calls left in it and passes now; -k gateway: 266 passed.

--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -27,7 +27,7 @@
 from ..telemetry.catalogue.lifecycle import EFFECT_FAULT
 from ..telemetry.logs import log_event
 from .attempt import AttemptTools, EndpointAttempt, deliver, faulted
-from .call import Call
+from .call import Call, Responder
 from .call_lines import CallLines
 from .client_connection import ClientConnection
 from .dialect import CallMarks, Dialect
@@ -80,7 +80,7 @@
         self.orders = Orders(clock, self.pool, dialect, self.post)
         self.connections: set[ClientConnection] = set()
         self.calls: dict[RequestId, Call] = {}
-        self.by_connection: dict[ClientConnection, RequestId] = {}
+        self.by_connection: dict[Responder, RequestId] = {}
         self.attempts: dict[RequestId, EndpointAttempt] = {}
         self.numbers = count(1)
         self.inbox: deque[Message] = deque()
@@ -355,9 +355,8 @@
         self.on_ended(call, effect)
 
     def _forget(self, call: Call) -> None:
-        for connection, request_id in list(self.by_connection.items()):
-            if request_id == call.request_id:
-                del self.by_connection[connection]
+        if self.by_connection.get(call.responder) == call.request_id:
+            del self.by_connection[call.responder]
 
     def _tell_problem(self, conclusion: Conclude, call: Call) -> None:
         problem = conclusion.problem
--- a/tests/unit/gateway/test_gateway_passing.py
+++ b/tests/unit/gateway/test_gateway_passing.py
@@ -1,8 +1,11 @@
 """Tests of whole calls that go well: what passes, and what is kept."""
 
 from datetime import timedelta
+from typing import NoReturn
 from unittest import TestCase
 
+from mimosafork.gateway.call import Responder
+from mimosafork.ids import RequestId
 from mimosafork.standins.prepared.desk import expected_body
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.engine_figures import EngineFigures
@@ -109,6 +112,32 @@
         case.assertEqual(200, channel.read_answer().status)
 
 
+class Unscanned(dict[Responder, RequestId]):
+    """Open calls by connection that nobody may go through."""
+
+    def __iter__(self) -> NoReturn:
+        """Fail."""
+        raise AssertionError("all connections were gone through")
+
+    def items(self) -> NoReturn:
+        """Fail."""
+        raise AssertionError("all connections were gone through")
+
+
+def test_the_end_of_a_call_costs_the_same_however_many_are_open() -> None:
+    """Each call is the slower the more callers there are.
+
+    The end of a call looked through all connections for the one that was its own.
+    """
+    with gateway_world() as world:
+        world.add_desk()
+        gateway = world.running.gateway
+        world.running.see(lambda: setattr(gateway, "by_connection", Unscanned()))
+        for number in range(3):
+            case.assertEqual(200, world.running.ask("/safe/1", f"c{number}").status)
+        case.assertEqual(0, world.running.see(lambda: len(gateway.by_connection)))
+
+
 def test_pipelined_requests_are_answered_in_order() -> None:
     with gateway_world() as world, world.running.channel() as channel:
         desk = world.add_desk()
