Keep the port for short calls in one place

Ruled out: taking the client itself as the type, as the tests' fakes fill the port. Change: network/ports.py has `Http`; both import it. Conclusion: one port to read and to change.

--- a/src/mimosafork/orders/sender.py
+++ b/src/mimosafork/orders/sender.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any, Protocol
 
 import msgspec
 
@@ -23,6 +22,7 @@
 from ..leases.view import LeaseView
 from ..network.errors import NetworkError, NeverSentError
 from ..network.http import Answer
+from ..network.ports import Http
 
 LEASE_MARGIN = timedelta(seconds=1)
 """Left of the lease when an order's call has ended at the latest."""
@@ -35,27 +35,6 @@
 STALE_FENCING = "stale-fencing"
 
 
-class Http(Protocol):
-    """Port for short calls; `mimosafork.network.http.HttpClient` fills it."""
-
-    def call(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        body: Any = None,
-        headers: dict[str, str] | None = None,
-        timeout: timedelta | None = None,
-    ) -> Answer:
-        """Make one call, never repeated.
-
-        Raises
-        ------
-        NetworkError
-        """
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class _OrderBody:
     order_id: str
--- a/src/mimosafork/recovery/task.py
+++ b/src/mimosafork/recovery/task.py
@@ -4,7 +4,6 @@
 from datetime import timedelta
 from http import HTTPStatus
 from logging import getLogger
-from typing import Any, Protocol
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -19,7 +18,7 @@
     ListHoldings,
 )
 from ..network.errors import NetworkError
-from ..network.http import Answer
+from ..network.ports import Http
 from ..runtime.task import Task
 from ..telemetry.catalogue.orders import HOLDING_FREED
 from ..telemetry.logs import log_event
@@ -31,27 +30,6 @@
 FREED = HTTPStatus.NO_CONTENT
 
 
-class Http(Protocol):
-    """Port for short calls; `mimosafork.network.http.HttpClient` fills it."""
-
-    def call(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        body: Any = None,
-        headers: dict[str, str] | None = None,
-        timeout: timedelta | None = None,
-    ) -> Answer:
-        """Make one call, never repeated.
-
-        Raises
-        ------
-        NetworkError
-        """
-        ...
-
-
 class _OwnerBody(msgspec.Struct, frozen=True):
     instance: str
     incarnation: int
