Keep the ends of works until a peer that is not heard is forgotten

Cause: where datagrams pass one way only, the deaf instance takes its peer for gone and tells it nothing, while that peer hears its calls and keeps its works. Ends were forgotten after 30 s, the peer after 60 s: after a cut between the two, a work that had ended in it counted for good at the peer. Ruled out: forgetting all works of one that says it sends all, as datagrams overtake each other and a newer work could be forgotten; a mark of the last sequence in the datagram, as it changes the format. Change: ends stay 75 s. As that is two and a half times as many entries, a ledger keeps those that stand by kind, and looking for a peer's works goes through these only. Conclusion: a work that ended in such a cut is forgotten. Left: an instance that is found again by the store's rows while it is still not heard, in a cut longer than 75 s.

--- a/src/mimosafork/gossip/ledger.py
+++ b/src/mimosafork/gossip/ledger.py
@@ -6,8 +6,10 @@
 
 from .kinds.base import Key, kind_of
 
-TOMBSTONE_LIFETIME = timedelta(seconds=30)
-"""Longer than any silence after which a receiver asks for everything anew."""
+TOMBSTONE_LIFETIME = timedelta(seconds=75)
+"""Longer than a silent peer stays known. Where datagrams pass one way only, the origin
+tells nothing to a peer that it does not hear, and that peer, which hears it, keeps its
+words. An end that was forgotten before the peer was could never be told."""
 
 
 class Slot(NamedTuple):
@@ -37,10 +39,19 @@
 
 
 class Ledger:
-    """Newest entries of one origin."""
+    """Newest entries of one origin.
+
+    Attributes
+    ----------
+    entries : dict of Slot to Entry
+        All, those that were taken back too.
+    standing : dict of int to dict of Key to Entry
+        By kind those that weren't: mostly few, where many have ended a short time ago.
+    """
 
     def __init__(self) -> None:
         self.entries: dict[Slot, Entry] = {}
+        self.standing: dict[int, dict[Key, Entry]] = {}
         self.sequence = 0
 
     def put(self, slot: Slot, value: object | None, now: timedelta) -> bool:
@@ -48,21 +59,34 @@
         old = self.entries.get(slot)
         if (old.value if old else None) == value:
             return False
-        self.sequence += 1
-        self.entries[slot] = Entry(self.sequence, now, value)
+        self.touch(slot, value, now)
         return True
 
-    def touch(self, slot: Slot, value: object, now: timedelta) -> None:
-        """Say an own word once more, as of now."""
+    def touch(self, slot: Slot, value: object | None, now: timedelta) -> None:
+        """Say an own word, also once more, as of now."""
         self.sequence += 1
-        self.entries[slot] = Entry(self.sequence, now, value)
+        self.keep(slot, Entry(self.sequence, now, value))
+
+    def keep(self, slot: Slot, entry: Entry) -> None:
+        """Put an entry in its place."""
+        self.entries[slot] = entry
+        standing = self.standing.setdefault(slot.kind, {})
+        if entry.value is None:
+            standing.pop(slot.key, None)
+        else:
+            standing[slot.key] = entry
+
+    def drop(self, slot: Slot) -> None:
+        """Forget an entry."""
+        del self.entries[slot]
+        self.standing[slot.kind].pop(slot.key, None)
 
     def accept(self, slot: Slot, entry: Entry) -> bool:
         """Take a peer's word unless it is as old as what is known."""
         old = self.entries.get(slot)
         if old is not None and entry.sequence <= old.sequence:
             return False
-        self.entries[slot] = entry
+        self.keep(slot, entry)
         self.sequence = max(self.sequence, entry.sequence)
         return True
 
@@ -73,19 +97,13 @@
 
     def of(self, kind: int) -> dict[Key, Entry]:
         """Return the entries of a kind that weren't taken back."""
-        return {
-            slot.key: entry
-            for slot, entry in self.entries.items()
-            if slot.kind == kind and entry.value is not None
-        }
+        return dict(self.standing.get(kind, {}))
 
     def forget_silent(self) -> None:
         """Forget what counts only while its origin is heard."""
-        self.entries = {
-            slot: entry
-            for slot, entry in self.entries.items()
-            if kind_of(slot.kind).outlives_silence
-        }
+        for slot in list(self.entries):
+            if not kind_of(slot.kind).outlives_silence:
+                self.drop(slot)
 
     def purge(self, now: timedelta) -> None:
         """Forget words that are past their time."""
@@ -94,4 +112,4 @@
             if entry.value is None:
                 lifetime = TOMBSTONE_LIFETIME
             if lifetime is not None and now - entry.born > lifetime:
-                del self.entries[slot]
+                self.drop(slot)
--- a/tests/unit/gossip/test_network.py
+++ b/tests/unit/gossip/test_network.py
@@ -1,5 +1,6 @@
 """Tests of many exchanges on a network that loses, doubles, reorders and parts."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
@@ -274,6 +275,34 @@
     case.assertEqual(Spent(), nodes[0].state.fleet_spent(service, network.now))
 
 
+def one_way(source: Exchange, target: Exchange) -> Callable[[Address, Address], bool]:
+    """Return a cut in which only datagrams from one to another are lost."""
+    lost = (source.me.address, target.me.address)
+    return lambda its_source, its_target: (its_source, its_target) == lost
+
+
+def test_a_work_that_ends_while_datagrams_pass_one_way_only_is_forgotten() -> None:
+    # One instance hears another that does not hear it. The deaf one takes it for gone
+    # and tells it nothing, a work's end neither; the other goes on to count the work.
+    # When the deaf one had forgotten the end before it heard again, the work counted
+    # for good, and its endpoint seemed to bear more than it did.
+    for cut_s in (10, 40, 55, 70, 90):
+        network = Network()
+        deaf, hearing, _ = network.fleet(3)
+        network.run(ms(2000))
+        deaf.say(LOAD, 1, note(1), network.now)
+        network.run(ms(500))
+        case.assertEqual([1], numbers(hearing, deaf, network.now))
+        network.cut = one_way(hearing, deaf)
+        network.run(timedelta(seconds=5))
+        deaf.say(LOAD, 1, None, network.now)
+        network.run(timedelta(seconds=cut_s))
+        network.heal()
+        network.run(timedelta(seconds=10))
+        case.assertIn(hearing.me.instance, names(deaf))
+        case.assertEqual([], numbers(hearing, deaf, network.now))
+
+
 def test_forty_instances_relay_to_a_bounded_number_of_partners() -> None:
     network = Network(loss=0.02)
     nodes = network.fleet(40)
