Receive the gateway's signals in a thread, and end by none of them

Cause: the gateway used the loop's own signal handlers. They end with the loop, so that a signal a moment later killed the process (exit status -1); and each SIGHUP read the settings anew, so that under a flood of signals the process didn't stop. Ruled out: as it was (both shown by tests); ignoring signals once a stop has begun (a change of settings during a stop, and the moment before, stay open). Change: the thread that the other programs use receives them from the start of serving on, and from its end on they are ignored. Changes of settings that are announced before the last one is read count as one.

--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import signal
+import threading
 from collections.abc import Callable
 from datetime import timedelta
 from random import Random
@@ -27,6 +28,7 @@
 from ..kernel.messages.routing import EndpointLeaving, EndpointUsable, TableInForce
 from ..kernel.registry import create
 from ..routing.engine import EngineFigures
+from ..runtime.signals import SignalThread
 from ..settings.errors import SettingsError
 from ..settings.gateway import BoundsSection, GatewaySettings
 from ..settings.types import split_address
@@ -116,6 +118,7 @@
         self.listeners: list[asyncio.Server] = []
         self.metrics_task: asyncio.Task[None] | None = None
         self.stop_asked = asyncio.Event()
+        self.reload_due = threading.Event()
         self.was_ready = False
 
     @property
@@ -124,16 +127,34 @@
         return self.directory.ready_to_serve and not self.gateway.draining
 
     async def run(self) -> int:
-        """Serve until a stop is asked for; return the number of calls cut."""
+        """Serve until a stop is asked for; return the number of calls cut.
+
+        In the main thread, once in a process: afterwards signals are ignored.
+
+        Guard: the loop's own handlers are not enough. Their numbers go through a
+        socket that holds a few hundred while the loop is busy, so that a stop could be
+        lost behind others; and they end with the loop, so that a signal a moment
+        later killed the process. Signals of changed settings that come faster than
+        settings are read count as one, or a stop would wait behind them all.
+        """
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop_asked.set)
-        # Without a handler the signal that announces changed settings would end the
-        # process, and with it every call on its connections.
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
-        await self.start()
-        await self.stop_asked.wait()
-        return await self.stop()
+
+        def receive(number: signal.Signals) -> None:
+            if number is not signal.SIGHUP:
+                loop.call_soon_threadsafe(self.stop_asked.set)
+            elif not self.reload_due.is_set():
+                self.reload_due.set()
+                loop.call_soon_threadsafe(self._reload_due)
+
+        with SignalThread(receive):
+            await self.start()
+            await self.stop_asked.wait()
+            return await self.stop()
+
+    def _reload_due(self) -> None:
+        # First, so that a change that is announced meanwhile is read too.
+        self.reload_due.clear()
+        self.reload()
 
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -5,6 +5,7 @@
 from contextlib import ExitStack
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from threading import Thread
 from unittest import TestCase
 
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
@@ -15,8 +16,16 @@
 from ..support.functions import function_tests
 from ..support.gateway import BEARER
 from ..support.gateway_processes import gateway_process
-from ..support.prepared import API_KEY, DESKS, ENGINES, Channel, deployment
+from ..support.prepared import (
+    API_KEY,
+    DESKS,
+    ENGINES,
+    USUAL_CONFIG,
+    Channel,
+    deployment,
+)
 from ..support.processes import Process
+from ..support.signals import send_overlapping, send_series
 from ..support.waiting import eventually
 
 case = TestCase()
@@ -128,4 +137,30 @@
         case.assertNotIn("Traceback", said)
 
 
+def test_a_stop_ends_under_a_burst_of_signals() -> None:
+    """A planned stop ends as a killed process, or doesn't end.
+
+    A group, an operator and a closed terminal signal at the same time, again and again
+    until the end. A signal that came after the loop had closed killed the process;
+    one that came while the loop was busy could be lost behind hundreds of others.
+    """
+    with deployment(USUAL_CONFIG) as platform, gateway_process(platform) as started:
+        started.until_ready()
+        send_overlapping(started.process)
+        case.assertEqual(0, started.process.wait())
+
+
+def test_a_stop_is_not_lost_behind_changed_settings() -> None:
+    """An instance that is told of changed settings without end never stops."""
+    with deployment(USUAL_CONFIG) as platform, gateway_process(platform) as started:
+        started.until_ready()
+        pid = started.process.pid
+        changing = Thread(target=send_series, args=(pid, signal.SIGHUP, True))
+        changing.start()
+        send_series(pid, signal.SIGHUP, until_ended=False)
+        started.process.signal(signal.SIGTERM)
+        changing.join()
+        case.assertEqual(0, started.process.wait())
+
+
 load_tests = function_tests(__name__)
