Play policies on the model by many seeds with plots, and vary one knob

Change: `make bench` plays five policies on both deployments by eight seeds, with sound and with troubled engines, and writes a table and a plot; equal seeds give equal bytes.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,8 @@
 PIP := $(BIN)/python -m pip install --quiet --disable-pip-version-check
 
 JOBS ?= 2
+# Runs of each policy on the model of engines that work in passes.
+SEEDS ?= 8
 # Time stamp of all files in the single file, so that equal sources give equal bytes.
 BUILD_TIME := 1735689600
 
@@ -87,6 +89,8 @@
 
 bench: $(DEVELOP)
 	$(RUN) -m benchmarks.policy
+	$(RUN) -m benchmarks.passes --seeds $(SEEDS)
+	$(RUN) -m benchmarks.passes --seeds $(SEEDS) --faults --out build/faults
 
 bench-path: $(DEVELOP)
 	$(RUN) -m benchmarks.path
--- a/benchmarks/passes/__main__.py
+++ b/benchmarks/passes/__main__.py
@@ -1,25 +1,31 @@
 """Compare placement policies: ``python -m benchmarks.passes``.
 
-Same calls, same seeds, each policy in turn, in two processes. Prints tables. The
-command ``held`` holds the model against played days.
+Same calls, same seeds, each policy in turn, in two processes. Prints tables, and writes
+the figures of all runs and a plot into ``build/``. The commands ``held`` and
+``experiment`` hold the model against played days and vary one knob.
 """
 
 import argparse
 import sys
 from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
 
-from . import held
+from . import experiment, held
+from .charts import plot_policies
 from .deployments import DEPLOYMENTS
 from .faults import TROUBLES
 from .play import DURATION_S, Run, play
 from .policies import POLICIES
 from .report import table
+from .series import row_of, write_csv
 
 SEED = 20_260_101
 SEEDS = 3
+BUILD = Path("build")
 PROCESSES = 2
 COMMANDS: Mapping[str, Callable[[Sequence[str]], None]] = {
+    "experiment": experiment.main,
     "held": held.main,
 }
 
@@ -43,6 +49,7 @@
         "--deployment", action="append", choices=[each.name for each in DEPLOYMENTS]
     )
     parser.add_argument("--faults", action="store_true", help="with troubled engines")
+    parser.add_argument("--out", type=Path, default=BUILD, help="folder for the files")
     options = parser.parse_args(argv)
     chosen = [
         each
@@ -74,6 +81,11 @@
             )
         )
 
+    rows = [row_of(r.deployment.name, r.policy, r.seed, p) for r, p in results]
+    write_csv(rows, options.out / "passes.csv")
+    plot_policies(rows, options.out / "passes.png")
+    print(f"\nsee {options.out}/passes.csv and .png")
+
 
 if __name__ == "__main__":
     main(sys.argv[1:])
