Let silence that promised reading explains end no attempt

Silent letters were moved to engines as full as theirs. Ruled out: longer patience (a dark engine is then noticed late). Change: an attempt goes on while the reading in the book, and a third more, explains its silence and its zone was heard meanwhile; moves go only to an endpoint with a free slot and little to read; a silence is told again after a quarter of the patience.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -39,6 +39,9 @@
 """A call that may run only once takes a kept connection only if it was used just
 now: one that its endpoint closes under the request leaves its fate unknown."""
 
+TOLD_AGAIN = 0.25
+"""Share of an attempt's patience after which a silence is told again."""
+
 SUCCESS = range(200, 300)
 
 MOST_HELD = 256 * 1024
@@ -91,6 +94,7 @@
         self.first_reported = False
         self.heard_at = tools.clock.monotonic()
         self.paused = False
+        self.silence_due = self.heard_at
         self.reused = False
         self.notes = call.notes
 
@@ -133,8 +137,9 @@
     def silent(self, now: timedelta) -> AttemptSilent | None:
         """Return the word that it has been silent for too long, if it has.
 
-        The same silence is told again after as long a time. While the caller doesn't
-        keep up nothing is read, and the endpoint isn't the one that is silent.
+        The same silence is told again, and more often: what explained it may be over
+        long before it has doubled. While the caller doesn't keep up nothing is read,
+        and the endpoint isn't the one that is silent.
         """
         if self.paused:
             self.heard_at = now
@@ -143,9 +148,9 @@
             return None
         allowed = patience.further if self.first_reported else patience.first
         silence = now - self.heard_at
-        if silence < allowed:
+        if silence < allowed or now < self.silence_due:
             return None
-        self.heard_at = now
+        self.silence_due = now + allowed * TOLD_AGAIN
         return AttemptSilent(self.dispatch.request_id, self.dispatch.attempt, silence)
 
     def pause(self) -> None:
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from ...ids import EndpointId, ServiceId
+from ...ids import AvailabilityZoneId, EndpointId, ServiceId
 from ...kernel.context import Context
 from ...kernel.messages.attempts import (
     AttemptFailed,
@@ -140,6 +140,16 @@
         self.by_service: dict[ServiceId, dict[EndpointId, EndpointBelief]] = {}
         self.left: set[EndpointId] = set()
         self.zones = ZoneDoubts()
+        self.heard: dict[AvailabilityZoneId, timedelta] = {}
+        """When an endpoint of each zone began an answer last, or refused a call."""
+
+    def zone_heard(self, endpoint: EndpointId, since: timedelta) -> bool:
+        """Return whether any endpoint of an endpoint's zone was heard since then."""
+        known = self.endpoints.get(endpoint)
+        if known is None:
+            return False
+        heard = self.heard.get(known.listed.zone)
+        return heard is not None and heard >= since
 
     def of_service(self, service: ServiceId) -> list[EndpointBelief]:
         """Return the endpoints of a service that aren't leaving."""
@@ -186,6 +196,7 @@
             if known is not None:
                 known.note_outcome(False, context.now)
                 self.zones.note_answer(known.listed.zone, context.now)
+                self.heard[known.listed.zone] = context.now
                 tell_return(known, context.now)
 
     @handle.register
@@ -198,6 +209,8 @@
         known = self.endpoints.get(message.endpoint) if message.endpoint else None
         if known is None:
             return
+        if message.status is not None:
+            self.heard[known.listed.zone] = context.now
         before = Standing.of(known, context.now)
         away = known.listed.zone != context.state.identity.availability_zone
         if message.kind in UNHEARD and away:
--- a/src/mimosafork/gateway/policies/place_words.py
+++ b/src/mimosafork/gateway/policies/place_words.py
@@ -5,7 +5,7 @@
 from ...kernel.messages.requests import Request
 from ...kernel.plugins import PlaceOn
 from ...placement.choice import Place
-from .silence import patience_of
+from .patience import patience_of
 
 FIRST_LIFE = Incarnation(1)
 """An endpoint's id is new with each start, so that it needs no further number."""
--- a/src/mimosafork/gateway/policies/silence.py
+++ b/src/mimosafork/gateway/policies/silence.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from ...ids import ServiceId
+from ...ids import EndpointId, ServiceId
 from ...kernel.context import Context
 from ...kernel.messages.attempts import (
     AttemptFailed,
@@ -13,28 +13,22 @@
     FailureKind,
 )
 from ...kernel.messages.base import Message
-from ...kernel.messages.dispatch import Patience
-from ...kernel.messages.requests import Repeatability, Request
+from ...kernel.messages.requests import Repeatability
 from ...kernel.plugins import Plugin, PluginFinder
 from ...kernel.records import RequestRecord, RequestState
 from ...kernel.registry import register
-from .fleet_view import FleetView
+from ...placement.reading import explained_for
+from ...placement.work import LoadBook, Work, engines_of
+from .fleet_view import EndpointBelief, FleetView
+from .patience import longest_silence
+from .placing import WorkPlacer
 from .retrying import BudgetedRetry
 
-SHORTEST_GIVE_UP = timedelta(seconds=2)
-GIVE_UP_OBJECTIVES = 4
-GIVE_UP_PAUSES = 8
-"""A stream's caller leaves after the longest of the time above, so many objectives
-and so many of the longest pauses without an event."""
+LEAST_LEFT = timedelta(milliseconds=300)
+"""Time that another endpoint needs to begin an answer, at the least."""
 
-STREAM_SHARE = 0.45
-"""Share of that time after which another endpoint is tried: it leaves as long for
-the second answer to begin."""
-
-CALL_OBJECTIVES = 2
-"""A plain call is tried elsewhere after so many objectives."""
-
-SHORTEST_CALL = timedelta(milliseconds=200)
+MOST_READING_MS = 250.0
+"""Reading that another endpoint may have before it, to be worth a move."""
 
 
 @register("silence-watch")
@@ -44,17 +38,30 @@
     An endpoint that has gone dark, hangs, or is busy with a prompt so long that its
     streams stand still, sends nothing: the caller would wait until it leaves, and
     its request be lost. What may run again goes elsewhere, if there is an endpoint
-    and the retry policy has no objection; otherwise the attempt simply goes on.
+    with room and the retry policy has no objection; otherwise the attempt goes on.
+
+    It goes on too where the reading that instances have promised the engine explains
+    its silence, and ends before the caller leaves, if the zone of the engine was heard
+    meanwhile: behind a cut all are silent, whatever they read. A long prompt that is
+    begun anew elsewhere takes seconds from all engines that read it a second time;
+    their streams fall silent by it, are moved in their turn, and feed the overload.
     """
 
     def __init__(self) -> None:
         self.fleet: FleetView | None = None
         self.retry: BudgetedRetry | None = None
+        self.placer: WorkPlacer | None = None
 
     def join(self, find: PluginFinder) -> None:
         """Keep the plug-ins that are asked."""
         self.fleet = find(FleetView)
         self.retry = find(BudgetedRetry)
+        self.placer = find(WorkPlacer)
+
+    @property
+    def book(self) -> LoadBook:
+        """The running work of all instances."""
+        return self.placer.book if self.placer is not None else LoadBook()
 
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
@@ -67,10 +74,28 @@
             return
         if record.current is None or record.current.number != message.attempt:
             return
+        if self._reads_on(record, message, context):
+            return
         failure = failure_of(record, message)
         if self._better_elsewhere(record, failure, context):
             context.emit(EndSilentAttempt(failure))
 
+    def _reads_on(
+        self, record: RequestRecord, message: AttemptSilent, context: Context
+    ) -> bool:
+        """Return whether promised reading explains the silence, and ends in time."""
+        work = self.book.own.get(record.request_id)
+        if work is None or self.fleet is None:
+            return False
+        if not self.fleet.zone_heard(work.host, context.now - message.silence / 2):
+            return False
+        explained = max(
+            explained_for(engine, self.book.works_on(engine), context.now)
+            for engine in awaited(work)
+        )
+        left = stays_for(record, message, context.now)
+        return timedelta(0) < explained < left - LEAST_LEFT
+
     def _better_elsewhere(
         self, record: RequestRecord, failure: AttemptFailed, context: Context
     ) -> bool:
@@ -83,12 +108,38 @@
         service = ServiceId(record.request.target)
         tried = {attempt.endpoint for attempt in record.attempts}
         return any(
-            belief.usable(context.now)
-            and not belief.suspect(context.now)
-            and belief.listed.endpoint not in tried
+            belief.listed.endpoint not in tried and self._takes(belief, context.now)
             for belief in self.fleet.of_service(service)
         )
 
+    def _takes(self, belief: EndpointBelief, now: timedelta) -> bool:
+        """Return whether an endpoint would begin with a further call at once.
+
+        Where all are full the call would only wait, and lose what it has.
+        """
+        if not belief.usable(now) or belief.suspect(now):
+            return False
+        load = self.book.load(belief.listed.endpoint, now)
+        if load.running >= belief.listed.slots:
+            return False
+        return load.reading_ms <= MOST_READING_MS
+
+
+def awaited(work: Work) -> set[EndpointId]:
+    """Return the engines whose reading a call's next event waits for."""
+    return engines_of(work) if work.first_token_at is None else {work.host}
+
+
+def stays_for(
+    record: RequestRecord, message: AttemptSilent, now: timedelta
+) -> timedelta:
+    """Return how long a call's caller will stay without a further event."""
+    until_deadline = record.request.deadline - now
+    terms = record.request.terms
+    if terms is None or not terms.streams:
+        return until_deadline
+    return min(until_deadline, longest_silence(terms) - message.silence)
+
 
 def failure_of(record: RequestRecord, message: AttemptSilent) -> AttemptFailed:
     """Return a silent attempt as a failed one."""
@@ -101,20 +152,3 @@
         endpoint=record.current.endpoint,
         digest=record.request.body_digest,
     )
-
-
-def patience_of(request: Request) -> Patience | None:
-    """Return how long an attempt of a request may be silent."""
-    terms = request.terms
-    if terms is None or request.repeatability is Repeatability.NON_IDEMPOTENT:
-        return None
-    if terms.streams:
-        pause = terms.longest_pause or timedelta(0)
-        gives_up = max(
-            SHORTEST_GIVE_UP,
-            terms.objective * GIVE_UP_OBJECTIVES,
-            pause * GIVE_UP_PAUSES,
-        )
-        return Patience(gives_up * STREAM_SHARE, gives_up * STREAM_SHARE)
-    objective = max(SHORTEST_CALL, terms.objective * CALL_OBJECTIVES)
-    return Patience(objective, objective)
--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -256,6 +256,10 @@
             if not works:
                 del self.by_engine[endpoint]
 
+    def works_on(self, endpoint: EndpointId) -> Iterable[Work]:
+        """Return all works that lie on an engine, whoever runs them."""
+        return self.by_engine.get(endpoint, {}).values()
+
     def load(self, endpoint: EndpointId, now: timedelta) -> EngineLoad:
         """Return the load of one engine; an unknown one is idle."""
         found = self.sum_of(endpoint)
--- a/tests/unit/gateway/test_silence.py
+++ b/tests/unit/gateway/test_silence.py
@@ -3,17 +3,30 @@
 from datetime import timedelta
 from unittest import TestCase
 
-from mimosafork.gateway.policies.silence import patience_of
-from mimosafork.kernel.messages.attempts import AttemptSilent, EndSilentAttempt
+from mimosafork.gateway.policies.patience import patience_of
+from mimosafork.ids import EndpointId, InstanceId, RequestId
+from mimosafork.kernel.messages.attempts import (
+    AttemptSilent,
+    EndSilentAttempt,
+    FirstToken,
+)
+from mimosafork.kernel.messages.base import Tick
 from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.requests import CallTerms
+from mimosafork.kernel.messages.routing import PeerWorkTold
+from mimosafork.placement.reading import OVERRUN
+from mimosafork.placement.work import Part, Work
 
 from ...support.functions import function_tests
 from ...support.gateway_kernels import GatewayBench, gateway_bench, request_of
 
 case = TestCase()
 
+MILLISECOND = timedelta(milliseconds=1)
 SILENCE = timedelta(seconds=1)
+READING = timedelta(seconds=2)
+SLOTS = 8
+PEER = InstanceId("entry-2")
 
 
 def ended(bench: GatewayBench) -> list[EndSilentAttempt]:
@@ -65,6 +78,72 @@
     case.assertEqual([], ended(bench))
 
 
+def read_for_a_peer(bench: GatewayBench, endpoint: EndpointId) -> None:
+    """Let a peer tell that an endpoint has begun to read for a call of its own."""
+    part = Part(endpoint, 100_000, READING / MILLISECOND)
+    work = Work(
+        RequestId(f"{PEER}/1"), endpoint, (part,), started_at=bench.clock.monotonic()
+    )
+    bench.tell(PeerWorkTold(PEER, (work,)))
+
+
+def hear_the_zone(bench: GatewayBench, name: str) -> None:
+    """Let an endpoint of the only zone begin an answer."""
+    other = bench.begin(request_of(bench, name))
+    bench.tell(FirstToken(other.request_id, other.attempt))
+
+
+def test_a_silent_call_goes_on_while_its_endpoint_reads() -> None:
+    """A dossier's answer comes eight seconds late, and the desk's letters with it.
+
+    Its engines were reading it as foretold when its silence ended the attempt; it was
+    read again from its first word elsewhere, which silenced the streams there.
+    """
+    bench = gateway_bench()
+    first = bench.begin(request_of(bench, "a"))
+    read_for_a_peer(bench, first.endpoint)
+    hear_the_zone(bench, "b")
+    fall_silent(bench, first)
+    case.assertEqual([], ended(bench))
+    bench.pass_time(READING * (1 + OVERRUN), Tick())
+    hear_the_zone(bench, "c")
+    fall_silent(bench, first)
+    case.assertEqual(1, len(ended(bench)))
+
+
+def test_a_zone_that_is_not_heard_is_not_waited_for() -> None:
+    """Behind a cut, calls waited for engines that seemed to read, and were lost."""
+    bench = gateway_bench()
+    first = bench.begin(request_of(bench, "a"))
+    read_for_a_peer(bench, first.endpoint)
+    fall_silent(bench, first)
+    case.assertEqual(1, len(ended(bench)))
+
+
+def test_a_silent_call_goes_on_where_the_others_are_full() -> None:
+    """Letters go silent in a flood and are moved from one full engine to another.
+
+    Each lost what had been read of it, was read again where others waited too, and
+    the flood lasted eight seconds longer.
+    """
+    bench = gateway_bench(endpoints=2)
+    first = bench.begin(request_of(bench, "a"))
+    for name in (f"b{n}" for n in range(2 * SLOTS - 1)):
+        bench.begin(request_of(bench, name))
+    fall_silent(bench, first)
+    case.assertEqual([], ended(bench))
+
+
+def test_a_silent_call_goes_on_where_the_others_read_for_long() -> None:
+    bench = gateway_bench(endpoints=2)
+    first = bench.begin(request_of(bench, "a"))
+    other = bench.begin(request_of(bench, "b"))
+    case.assertNotEqual(first.endpoint, other.endpoint)
+    read_for_a_peer(bench, other.endpoint)
+    fall_silent(bench, first)
+    case.assertEqual([], ended(bench))
+
+
 def test_silence_of_an_earlier_attempt_is_no_news() -> None:
     bench = gateway_bench()
     first = bench.begin(request_of(bench, "a"))
--- a/tests/unit/tooling/test_gateway_page.py
+++ b/tests/unit/tooling/test_gateway_page.py
@@ -9,10 +9,10 @@
 from mimosafork.gateway import answer_reader, attempt, pool, server, stopping, upstream
 from mimosafork.gateway.policies import (
     fleet_view,
+    patience,
     quarantining,
     reserving,
     retrying,
-    silence,
     zone_doubt,
 )
 from mimosafork.gossip.timing import Timing
@@ -41,11 +41,11 @@
         f"acknowledges nothing for {upstream.UNACKNOWLEDGED_MS / 1000:g} s is taken",
         f"plus {WORDS[retrying.SPENT_SHARE]} tenths of `retry_slack`",
         f"endpoints refused are at most {WORDS[retrying.MOST_SENDS]}",
-        f"after {silence.STREAM_SHARE} of the longest of "
-        f"{s(silence.SHORTEST_GIVE_UP)}, {silence.GIVE_UP_OBJECTIVES} objectives and "
-        f"{silence.GIVE_UP_PAUSES} longest pauses",
-        f"plain calls after {silence.CALL_OBJECTIVES} objectives, at least "
-        f"{silence.SHORTEST_CALL // timedelta(milliseconds=1)} ms",
+        f"after {patience.STREAM_SHARE} of the longest of "
+        f"{s(patience.SHORTEST_GIVE_UP)}, {patience.GIVE_UP_OBJECTIVES} objectives and "
+        f"{patience.GIVE_UP_PAUSES} longest pauses",
+        f"plain calls after {patience.CALL_OBJECTIVES} objectives, at least "
+        f"{patience.SHORTEST_CALL // timedelta(milliseconds=1)} ms",
         f"tries again after {s(follow.endpoints.first_retry)}, doubled up to "
         f"{s(follow.endpoints.last_retry)}",
         f"found within {s(StoreTimeouts().feed_slack)} after the long poll's wait "
