Let long prompts take turns on the engines that read them

Cause: engines read the parts of other hosts' prompts newest first. Ruled out: memory, lost news, slow engines.

--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -129,8 +129,11 @@
         """Let a call wait, unless it has waited for long.
 
         Only waiting counts: a stream that breaks late in its life, when all places
-        are taken, would else be given up at once with most of its time left.
+        are taken, would else be given up at once with most of its time left. One that
+        lets others go first is not given up for that: it can go at any moment.
         """
+        if choice.reason is Shortage.TURN:
+            return Wait(choice.reason.value)
         since = self.waiting_since.setdefault(record.request_id, now)
         allowed = record.request.deadline - record.submitted_at
         if now - since > allowed * HOPELESS_SHARE:
--- a/src/mimosafork/placement/choice.py
+++ b/src/mimosafork/placement/choice.py
@@ -131,6 +131,7 @@
     MEMORY = "the memory is promised to others"
     SIZE = "the prompt is larger than all memory"
     TIME = "the time that is left is too short"
+    TURN = "older prompts are being read"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mimosafork/placement/policy.py
+++ b/src/mimosafork/placement/policy.py
@@ -23,6 +23,7 @@
 from .memory import needs_tickets, shares, total_tokens
 from .plain import choose_plain, preferred
 from .plan import Plan, best_plan
+from .turn import waits_its_turn
 from .work import LoadBook, Part
 
 __all__ = ["choose", "choose_plain"]
@@ -64,6 +65,8 @@
     come_back = too_late(ask, states, plan.done_ms, plan.host, figures)
     if come_back is not None:
         return NoRoom(come_back, Shortage.TIME)
+    if waits_its_turn(ask, plan):
+        return WaitForRoom(Shortage.TURN)
     return place_of(ask, plan, figures)
 
 
