Read no huge prompt again in vain

Cause: a prompt of 799,000 tokens broke off behind a zone cut and was read again with 6.9 s left on nine engines, since nothing is refused while half of the slots are free. Ruled out: refusing first attempts alike (idle engines may be faster than foretold). Change: a repeat whose reading takes 2 s or more of all engines together is given up at once when its forecast lies behind its deadline.

--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -6,7 +6,7 @@
 
 from ...ids import RequestId, ServiceId
 from ...kernel.context import Context
-from ...kernel.messages.attempts import AttemptFailed, FirstToken
+from ...kernel.messages.attempts import AttemptFailed, Exposure, FirstToken
 from ...kernel.messages.base import Message
 from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.requests import Request
@@ -208,6 +208,7 @@
         priority=5 if terms is None else terms.priority,
         avoid=frozenset(record.avoid),
         zone=context.state.identity.availability_zone,
+        repeated=any(a.exposure is Exposure.POSSIBLE for a in record.attempts),
     )
 
 
--- a/src/mimosafork/placement/admission.py
+++ b/src/mimosafork/placement/admission.py
@@ -12,6 +12,9 @@
 TAKEN_SHARE = 0.5
 """Nothing is refused while less than this share of all slots is taken."""
 
+HEAVY_READ_MS = 2_000.0
+"""Reading, on all engines together, that harms others too much to be tried in vain."""
+
 
 def finish_ms(
     ask: PlacementAsk, first_token_ms: float, step_ms: float, figures: EngineFigures
@@ -30,6 +33,10 @@
 ) -> timedelta | None:
     """Return when a request that can't be done in time should come back.
 
+    Where places are free it is tried all the same, as the forecast may be wrong. Not
+    so a repeat whose reading takes seconds of all engines: a huge prompt that broke off
+    late and was read again in vain silenced all other streams until their callers left.
+
     Returns
     -------
     timedelta or None
@@ -41,6 +48,12 @@
         return None
     slots = sum(state.view.slots for state in states)
     taken = sum(state.load.running for state in states)
-    if taken < TAKEN_SHARE * slots:
+    if taken < TAKEN_SHARE * slots and not is_heavy_repeat(ask, figures):
         return None
     return timedelta(milliseconds=max(done_ms - left_ms, host.reading_ms))
+
+
+def is_heavy_repeat(ask: PlacementAsk, figures: EngineFigures) -> bool:
+    """Return whether a prompt that was read before would be dear to read again."""
+    prompt = ask.prompt_tokens
+    return ask.repeated and figures.read_ms(prompt, prompt) >= HEAVY_READ_MS
--- a/src/mimosafork/placement/choice.py
+++ b/src/mimosafork/placement/choice.py
@@ -30,6 +30,8 @@
         Not to be taken while there are others, such as those tried before.
     zone : AvailabilityZoneId or None
         Where this instance runs; its zone goes first on ties.
+    repeated : bool
+        Whether endpoints may have run it before.
     """
 
     request: RequestId
@@ -42,6 +44,7 @@
     priority: int = 5
     avoid: frozenset[EndpointId] = frozenset()
     zone: AvailabilityZoneId | None = None
+    repeated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/unit/placement/test_policy.py
+++ b/tests/unit/placement/test_policy.py
@@ -1,6 +1,7 @@
 """Tests of the choice of host and helpers."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 from unittest import TestCase
@@ -290,6 +291,22 @@
     case.assertEqual(placed(short(avoid=avoid), views(1)).host, EndpointId("e0"))
 
 
+def test_a_huge_prompt_is_not_read_again_in_vain() -> None:
+    """A whole desk's letters stand still for two seconds and are lost.
+
+    A dossier of 800,000 tokens broke off late and was read again on nine engines, with
+    less time left than the reading takes; its answer could not come any more.
+    """
+    again = ask(800_000, 4_000, 1_000, time_left=ms(4_000), repeated=True)
+    choice = chosen(again, views(9))
+    assert isinstance(choice, NoRoom)
+    case.assertIs(choice.reason, Shortage.TIME)
+    in_time = replace(again, time_left=ms(15_000))
+    case.assertIsInstance(chosen(in_time, views(9)), Place)
+    first = replace(again, repeated=False)
+    case.assertIsInstance(chosen(first, views(9)), Place)
+
+
 def test_slow_engines_get_no_part_that_would_be_late() -> None:
     engines = [*views(8, pace=6.0)[:4], *views(8)[4:]]
     place = placed(long(), engines)
