--- a/benchmarks/gossip_bytes.py
+++ b/benchmarks/gossip_bytes.py
@@ -29,6 +29,8 @@
 FIRST_EVENT = timedelta(milliseconds=300)
 ANSWER = timedelta(seconds=2)
 NUMBERS = 50_000
+GROWN = ((68, 43), (77, 52))
+"""Instances of grown fleets, and works a second of all of them together."""
 UDP_AND_IP = 28
 
 
@@ -156,6 +158,8 @@
         print_rates(8, rate)
     for size in (40, 80):
         print_rates(size, 0)
+    for size, of_all in GROWN:
+        print_rates(size, round(of_all / size, 2))
 
 
 if __name__ == "__main__":
