--- /dev/null
+++ b/tests/support/gateway_tables.py
@@ -0,0 +1,141 @@
+"""Routes, accounts and rows of a small deployment for the gateway's machines."""
+
+from datetime import timedelta
+
+from mimosafork.directory.errors import UnreadableError
+from mimosafork.directory.rows import Row, RowPage
+from mimosafork.gateway.dialect import CallMarks
+from mimosafork.gateway.heads import parse_request_head
+from mimosafork.gateway.request_reader import RequestMessage
+from mimosafork.ids import AccountId, AvailabilityZoneId, EndpointId, Revision
+from mimosafork.routing.listing import ListedEndpoint, ListedState
+from mimosafork.routing.table import (
+    Account,
+    ApiKey,
+    CallKind,
+    ClientLimits,
+    Route,
+    RouteName,
+    RoutingTable,
+    Service,
+    Split,
+)
+
+from .gateway_kernels import DESK
+from .reserving_engines import FIGURES, HUGE, POOL
+
+HOST = "front.example"
+SMALL = 20_000
+KEYS = ("key-a", "key-b")
+
+ROUTES = {
+    "safe": (CallKind.IDEMPOTENT, DESK, timedelta(seconds=6)),
+    "once": (CallKind.NON_IDEMPOTENT, DESK, timedelta(seconds=6)),
+    "stream": (CallKind.STREAM, POOL, timedelta(seconds=12)),
+    "sealed": (CallKind.STREAM, POOL, timedelta(seconds=12)),
+    "huge": (CallKind.STREAM, POOL, timedelta(seconds=15)),
+}
+"""Kind, service and longest time of each route; all streams but `sealed` resume."""
+
+
+class TableHistory:
+    """All configurations that the operator ever sent, by their number."""
+
+    def __init__(self) -> None:
+        self.tables: dict[int, RoutingTable] = {}
+
+    def add(
+        self, version: int, routes: set[str], keys: set[str], most_attempts: int
+    ) -> Row:
+        """Write a configuration; return its row."""
+        self.tables[version] = RoutingTable(
+            Revision(version),
+            tuple(route_of(name, most_attempts) for name in sorted(routes)),
+            {
+                DESK: Service(DESK, "/healthz", 200),
+                POOL: Service(POOL, "/healthz", 200, FIGURES),
+            },
+            ClientLimits(),
+            tuple(
+                Account(AccountId(f"account-{key}"), (ApiKey(key),))
+                for key in sorted(keys)
+            ),
+        )
+        return Row("configuration", "", "it", str(version).encode(), version)
+
+    def decode(self, row: Row) -> RoutingTable:
+        """Return the configuration that a row names."""
+        return self.tables[int(row.value)]
+
+    async def whole(self) -> RowPage:
+        """Not called: rows are offered."""
+        raise NotImplementedError
+
+    async def changes(self, after: int, wait: timedelta) -> RowPage:
+        """Not called: rows are offered."""
+        raise NotImplementedError
+
+
+class EndpointRows:
+    """A row's value names state, service, address, zone and slots."""
+
+    def decode(self, row: Row) -> ListedEndpoint:
+        """Return what a row says."""
+        try:
+            state, service, address, zone, slots = row.value.decode().split()
+            word = ListedState(state)
+        except ValueError as error:
+            raise UnreadableError(str(error)) from error
+        place = DESK if service == DESK else POOL
+        return ListedEndpoint(
+            EndpointId(row.key),
+            place,
+            address,
+            AvailabilityZoneId(zone),
+            int(slots),
+            word,
+            sequence=row.version,
+        )
+
+    async def whole(self) -> RowPage:
+        """Not called: rows are offered."""
+        raise NotImplementedError
+
+    async def changes(self, after: int, wait: timedelta) -> RowPage:
+        """Not called: rows are offered."""
+        raise NotImplementedError
+
+
+def route_of(name: str, most_attempts: int) -> Route:
+    """Return a route of the deployment."""
+    kind, service, timeout = ROUTES[name]
+    streams = kind is CallKind.STREAM
+    return Route(
+        RouteName(name),
+        HOST,
+        f"/{name}/",
+        kind,
+        timeout,
+        timedelta(seconds=3 if streams else 0.3),
+        (Split(service, 1.0),),
+        max_attempts=most_attempts,
+        resumable=streams and name != "sealed",
+        sized=streams,
+        longest_pause=timedelta(milliseconds=250) if streams else None,
+    )
+
+
+def message_of(route: str, body: str) -> RequestMessage:
+    """Return a caller's request on a route."""
+    content = body.encode()
+    lines = (
+        f"POST /{route}/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {len(content)}"
+    )
+    return RequestMessage(parse_request_head(lines.encode()), content)
+
+
+def marks_of(route: str, call_id: str, key: str) -> CallMarks:
+    """Return what a caller says about its call."""
+    prompt = {"huge": HUGE, "stream": SMALL, "sealed": SMALL}.get(route, 0)
+    most = 1_000 if prompt else 0
+    return CallMarks(call_id, key=ApiKey(key), prompt_tokens=prompt, most_tokens=most)
--- a/tests/unit/gateway/test_fleet_view.py
+++ b/tests/unit/gateway/test_fleet_view.py
@@ -139,4 +139,19 @@
     case.assertEqual({"desk-0", "desk-1"}, usable(bench))
 
 
+def test_an_endpoint_that_is_never_reached_again_stays_left_alone() -> None:
+    """An endpoint dies under a burst, and a hundred connections to it fail at once.
+
+    Each doubles the time for which it is left alone. Without a bound of its own the
+    doubling leaves the range of times, and the call's failure is not handled.
+    """
+    bench = gateway_bench(endpoints=1)
+    calls = [bench.begin(request_of(bench, f"a-{number}")) for number in range(100)]
+    for first in calls:
+        bench.fail(first, FailureKind.UNREACHED, Exposure.NEVER_SENT)
+    belief = bench.kernel.plugin(FleetView).endpoints[calls[0].endpoint]
+    left = belief.unusable_until - bench.clock.monotonic()
+    case.assertEqual(LONGEST_ABSENCE, left)
+
+
 load_tests = function_tests(__name__)
