Hold the directory's belief against the store in any order of troubles

Cause: what is used of endpoints and configuration rests on words of a store that is down, forgets, loses and delays answers, and of peers that are late; each is tested by itself, and their orders were not. Change: a state machine over the directory with a model store: endpoints report, drain, exit, lapse and return, addresses are used again, the instance freezes and starts anew. A second machine has peers that know what the store lists. make soak runs these and the gateway's machines longer, and tells each by its name. The soak's import of the claims' machines goes by a list of them; what it runs is the same.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,7 +3,8 @@
 import argparse
 import os
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import Any
 
 from .functional.test_history import CALLERS, run_storm
 
@@ -49,14 +50,26 @@
         return True
     os.environ["MIMOSAFORK_EXAMPLES"] = str(examples)
     from .unit.claims import test_claim_machine
+    from .unit.directory import test_directory_machine
+    from .unit.gateway import test_gateway_machine
 
+    found = False
+    for module in (test_claim_machine, test_gateway_machine, test_directory_machine):
+        for machine in module.MACHINES:
+            found |= not explored(module.explore, machine)
+    return not found
+
+
+def explored(explore: Callable[[Any], None], machine: type) -> bool:
+    """Run a state machine and print what it found; return whether it was nothing."""
     try:
-        test_claim_machine.explore(test_claim_machine.ClaimMachine)
-        test_claim_machine.explore(test_claim_machine.CarelessMachine)
-    except AssertionError as error:
-        print(f"state machine: {error}")
+        explore(machine)
+    except (AssertionError, ExceptionGroup) as error:
+        notes = "\n".join(getattr(error, "__notes__", ()))
+        print(f"{machine.__name__}: {error!r}\n{notes}")
         return False
-    print(f"state machines: {examples} examples each")
+    print(f"{machine.__name__}: nothing found")
+    sys.stdout.flush()
     return True
 
 
--- /dev/null
+++ b/tests/support/model_store.py
@@ -0,0 +1,211 @@
+"""A store of configurations and endpoints' rows that fails, lapses and forgets."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from mimosafork.directory.errors import HistoryGoneError, StoreUnavailableError
+from mimosafork.directory.rows import Row, RowPage
+
+EXPIRY = timedelta(seconds=3)
+"""A row lapses after so much silence of its endpoint."""
+
+REPORT = timedelta(seconds=1)
+"""An endpoint reports so often."""
+
+STABLE = timedelta(seconds=3)
+"""Rules with a time bound hold once nothing has been wrong for so long."""
+
+LATEST_RETURN = timedelta(seconds=1.75)
+"""A row that lapsed in an outage is back so long after it at the latest."""
+
+
+class Condition(Enum):
+    """How the store answers one instance."""
+
+    CALM = "calm"
+    DOWN = "down"
+    TURNED_AWAY = "turned-away"
+    """It refuses this instance and serves all others."""
+
+
+@dataclass
+class ReportingEndpoint:
+    """One life of an endpoint, as it reports itself.
+
+    Attributes
+    ----------
+    heard_at : timedelta
+        When the store last took a report of it.
+    connected : bool
+        Whether its reports reach the store.
+    """
+
+    name: str
+    service: str
+    address: str
+    heard_at: timedelta
+    draining: bool = False
+    alive: bool = True
+    connected: bool = True
+
+    @property
+    def value(self) -> bytes:
+        """What its row says."""
+        state = "draining" if self.draining else "ready"
+        return f"{state} {self.service} {self.address} zone-a 8".encode()
+
+
+@dataclass
+class StoredTable:
+    """Rows of one table and how they came about.
+
+    Attributes
+    ----------
+    changed_at : dict
+        When a key's row was last written, removed or changed its state.
+    kept_from : int
+        Changes up to this version are no longer told.
+    """
+
+    name: str
+    rows: dict[str, Row] = field(default_factory=dict)
+    log: list[Row] = field(default_factory=list)
+    changed_at: dict[str, timedelta] = field(default_factory=dict)
+    kept_from: int = 0
+
+
+class ModelStore:
+    """Tables under one counter of versions."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.endpoints = StoredTable("endpoints")
+        self.configuration = StoredTable("configuration")
+        self.lives: dict[str, ReportingEndpoint] = {}
+        self.condition = Condition.CALM
+        self.returned_at = timedelta(0)
+        self.calm_since = timedelta(0)
+        self.gone_at: dict[str, timedelta] = {}
+        self.late_reads = 0
+
+    # What is written
+
+    def write(
+        self, table: StoredTable, key: str, value: bytes | None, now: timedelta
+    ) -> Row:
+        """Write a row, or remove it if there is no value."""
+        self.version += 1
+        removed = value is None
+        row = Row(table.name, "", key, value or b"", self.version, removed)
+        former = table.rows.pop(key, None)
+        if not removed:
+            table.rows[key] = row
+        elif self.is_stable(now) and not self.lives[key].alive:
+            self.gone_at.setdefault(key, now)
+        table.log.append(row)
+        if former is None or removed or former.value != value:
+            table.changed_at[key] = now
+        return row
+
+    def report(self, life: ReportingEndpoint, now: timedelta) -> None:
+        """Take an endpoint's report; one that changes nothing wakes no feed."""
+        life.heard_at = now
+        row = self.endpoints.rows.get(life.name)
+        if row is None or row.value != life.value:
+            self.write(self.endpoints, life.name, life.value, now)
+
+    def become(self, condition: Condition, now: timedelta) -> None:
+        """Change how the store answers."""
+        if self.condition is Condition.DOWN and condition is not Condition.DOWN:
+            self.returned_at = now
+        if Condition.CALM in {condition, self.condition}:
+            self.calm_since = now
+        self.condition = condition
+
+    def is_stable(self, now: timedelta) -> bool:
+        """Whether nothing has been wrong for long enough."""
+        return self.condition is Condition.CALM and now - self.calm_since >= STABLE
+
+    def disturb(self, now: timedelta) -> None:
+        """Note that something went wrong now, after which it is not yet stable."""
+        self.calm_since = now
+
+    def pass_time(self, now: timedelta) -> None:
+        """Let endpoints report, and rows lapse whose endpoints are silent."""
+        if self.condition is Condition.DOWN:
+            return
+        for name in list(self.endpoints.rows):
+            if now - self.lives[name].heard_at >= EXPIRY:
+                self.write(self.endpoints, name, None, now)
+        for number, life in enumerate(list(self.lives.values())):
+            if life.alive and life.connected and self._reports(life, number, now):
+                self.report(life, now)
+
+    def _reports(self, life: ReportingEndpoint, number: int, now: timedelta) -> bool:
+        """Whether a report comes now; after an outage some come late."""
+        lapsed = life.name not in self.endpoints.rows
+        late = LATEST_RETURN * (number % 4) / 3 if lapsed else timedelta(0)
+        return now - life.heard_at >= REPORT and now >= self.returned_at + late
+
+    def late_read(self) -> None:
+        """Note that an answer of an older state was given."""
+        self.late_reads += 1
+
+    def forget_history(self) -> None:
+        """Drop the history of both tables."""
+        self.endpoints.kept_from = self.configuration.kept_from = self.version
+
+    # What is read
+
+    def whole(self, table: StoredTable) -> RowPage:
+        """Return all rows."""
+        rows = sorted(table.rows.values(), key=lambda row: row.key)
+        return RowPage(tuple(rows), self.version)
+
+    def changes(self, table: StoredTable, after: int) -> RowPage:
+        """Return what changed after a version; raises `HistoryGoneError`."""
+        if after < table.kept_from:
+            raise HistoryGoneError("forgotten")
+        rows = tuple(row for row in table.log if row.version > after)
+        return RowPage(rows, self.version)
+
+
+class StoreSource:
+    """One table as an instance reads it.
+
+    Attributes
+    ----------
+    lost : int
+        Next answers that are lost.
+    late : RowPage or None
+        Answer of an older state, to come next.
+    """
+
+    def __init__(self, store: ModelStore, table: StoredTable) -> None:
+        self.store = store
+        self.table = table
+        self.lost = 0
+        self.late: RowPage | None = None
+
+    async def whole(self) -> RowPage:
+        """Answer a whole read."""
+        self.refuse_if_down()
+        late, self.late = self.late, None
+        if late is None:
+            return self.store.whole(self.table)
+        self.store.late_read()
+        return late
+
+    async def changes(self, after: int, wait: timedelta) -> RowPage:
+        """Answer a long poll at once."""
+        self.refuse_if_down()
+        return self.store.changes(self.table, after)
+
+    def refuse_if_down(self) -> None:
+        """Raise what a caller meets whose call gets no answer."""
+        if self.store.condition is not Condition.CALM:
+            raise StoreUnavailableError(self.store.condition.value)
+        if self.lost:
+            self.lost -= 1
+            raise StoreUnavailableError("lost")
--- a/tests/unit/claims/test_claim_machine.py
+++ b/tests/unit/claims/test_claim_machine.py
@@ -244,6 +244,9 @@
     retry = CarelessRetry
 
 
+MACHINES = (ClaimMachine, CarelessMachine)
+
+
 def explore(machine: type[ClaimMachine]) -> None:
     """Run a machine with a fixed seed, so that CI says the same each time."""
     logging.disable(logging.WARNING)
--- /dev/null
+++ b/tests/unit/directory/test_directory_machine.py
@@ -0,0 +1,390 @@
+"""What is believed of endpoints and configuration under any trouble of the store."""
+
+import asyncio
+import logging
+import os
+from datetime import timedelta
+from random import Random
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from mimosafork.clock import ManualClock
+from mimosafork.directory.directory import Directory
+from mimosafork.directory.follower import Follower
+from mimosafork.directory.messages import DirectoryChange, EndpointState, TableChanged
+from mimosafork.directory.rows import Row
+from mimosafork.ids import EndpointId
+from mimosafork.routing.listing import ListedEndpoint
+from mimosafork.routing.table import RoutingTable
+
+from ...support.functions import function_tests
+from ...support.gateway_tables import KEYS, ROUTES, EndpointRows, TableHistory
+from ...support.model_store import (
+    STABLE,
+    Condition,
+    ModelStore,
+    ReportingEndpoint,
+    StoreSource,
+)
+
+EXAMPLES = int(os.environ.get("MIMOSAFORK_EXAMPLES", "60"))
+SHRINK = "MIMOSAFORK_SHRINK" in os.environ
+STEPS = 40
+
+STEP = timedelta(milliseconds=250)
+DRAIN_WITHIN = timedelta(seconds=2)
+APPLIED_WITHIN = timedelta(seconds=2)
+USED_WITHIN = timedelta(seconds=8)
+"""An endpoint whose row is back is used again after so much calm."""
+
+ADDRESSES = st.sampled_from([f"10.0.0.{number}:80" for number in range(1, 5)])
+SERVICES = st.sampled_from(["desks", "pool"])
+WHICH = st.integers(0, 30)
+BOTH = st.booleans()
+SPANS = st.sampled_from([0.25, 0.5, 1.0, 2.0, 4.0, 9.0])
+
+
+class ConfigurationRows(StoreSource):
+    """The configuration's row."""
+
+    def __init__(self, store: ModelStore, tables: TableHistory) -> None:
+        super().__init__(store, store.configuration)
+        self.tables = tables
+
+    def decode(self, row: Row) -> RoutingTable:
+        """Return the configuration that a row names."""
+        return self.tables.decode(row)
+
+
+class ListedRows(StoreSource):
+    """The endpoints' rows."""
+
+    def __init__(self, store: ModelStore) -> None:
+        super().__init__(store, store.endpoints)
+        self.rows = EndpointRows()
+
+    def decode(self, row: Row) -> ListedEndpoint:
+        """Return what a row says."""
+        return self.rows.decode(row)
+
+
+class DirectoryMachine(RuleBasedStateMachine):
+    """Store, endpoints, peers and operator do what they like, in any order.
+
+    Attributes
+    ----------
+    late_peers : bool
+        Whether peers may tell rows of endpoints that the store no longer lists.
+    """
+
+    late_peers = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock(timedelta(hours=1))
+        self.store = ModelStore()
+        self.tables = TableHistory()
+        self.born = 0
+        self.boot()
+
+    @property
+    def now(self) -> timedelta:
+        """The instant of all."""
+        return self.clock.monotonic()
+
+    def boot(self) -> None:
+        """Start the instance's processes, knowing nothing."""
+        self.configurations = ConfigurationRows(self.store, self.tables)
+        self.listing = ListedRows(self.store)
+        self.directory = Directory(
+            self.configurations, self.listing, self.clock, Random(1)
+        )
+        self.directory.listen(self.heard)
+        self.in_force = 0
+        self.draining: set[EndpointId] = set()
+        self.usable: dict[EndpointId, ListedEndpoint] = {}
+        self.store.disturb(self.now)
+
+    def heard(self, change: DirectoryChange) -> None:
+        """Keep what listeners go by."""
+        if isinstance(change, TableChanged):
+            assert change.table.version > self.in_force, "CONFIG: went back"
+            self.in_force = change.table.version
+            return
+        if change.entry.state is EndpointState.DRAINING:
+            self.draining.add(change.endpoint)
+        if change.entry.takes_new_work:
+            assert change.endpoint not in self.draining, "DRAIN: taken back"
+            self.usable[change.endpoint] = change.entry.listed
+        else:
+            self.usable.pop(change.endpoint, None)
+
+    @initialize()
+    def deploy(self) -> None:
+        """Begin with a configuration and two endpoints."""
+        self.operator_writes(set())
+        self.begins("10.0.0.1:80", "desks")
+        self.begins("10.0.0.2:80", "pool")
+
+    # Endpoints
+
+    def life(self, which: int) -> ReportingEndpoint:
+        """Return one of all lives so far."""
+        lives = list(self.store.lives.values())
+        return lives[which % len(lives)]
+
+    @rule(address=ADDRESSES, service=SERVICES)
+    def begins(self, address: str, service: str) -> None:
+        """Start an endpoint at an address that is free, under a new id."""
+        if any(e.alive and e.address == address for e in self.store.lives.values()):
+            return
+        self.born += 1
+        name = f"i-{self.born}"
+        life = ReportingEndpoint(name, service, address, self.now - STABLE)
+        self.store.lives[name] = life
+
+    @rule(which=WHICH)
+    def drains(self, which: int) -> None:
+        """Let an endpoint say that it leaves, as soon as its report is taken."""
+        life = self.life(which)
+        life.draining = life.alive
+        life.heard_at = self.now - STABLE / 2
+
+    @rule(which=WHICH, silent=BOTH)
+    def ends(self, which: int, silent: bool) -> None:
+        """Let an endpoint exit, its row removed or left to lapse."""
+        life = self.life(which)
+        life.alive = False
+        removable = life.name in self.store.endpoints.rows
+        if not silent and removable and self.store.condition is not Condition.DOWN:
+            self.store.write(self.store.endpoints, life.name, None, self.now)
+
+    @rule(which=WHICH)
+    def last_report_lands(self, which: int) -> None:
+        """Let a report cross the removal of its endpoint, or its word of leaving."""
+        leaving = [e for e in self.store.lives.values() if e.draining or not e.alive]
+        if self.store.condition is Condition.DOWN or not leaving:
+            return
+        life = leaving[which % len(leaving)]
+        if not life.alive:
+            self.store.report(life, self.now)
+            return
+        former = life.value.replace(b"draining", b"ready")
+        self.store.write(self.store.endpoints, life.name, former, self.now)
+
+    @rule(which=WHICH, connected=BOTH)
+    def endpoint_is_cut_off(self, which: int, connected: bool) -> None:
+        """Cut an endpoint off from the store, or mend that."""
+        self.life(which).connected = connected
+
+    # The store
+
+    @rule(condition=st.sampled_from(list(Condition)))
+    def store_changes(self, condition: Condition) -> None:
+        """Let the store go down, turn this instance away, or answer again."""
+        self.store.become(condition, self.now)
+
+    @rule(
+        forgets=BOTH,
+        endpoints=st.integers(0, 3),
+        configurations=st.integers(0, 3),
+    )
+    def store_fails(self, forgets: bool, endpoints: int, configurations: int) -> None:
+        """Let the store forget its history, and lose answers."""
+        if forgets:
+            self.store.forget_history()
+        self.listing.lost = endpoints
+        self.configurations.lost = configurations
+        self.store.disturb(self.now)
+
+    @rule()
+    def reads_are_late(self) -> None:
+        """Let the next whole reads be answered by the state of now."""
+        for source in (self.listing, self.configurations):
+            source.late = self.store.whole(source.table)
+        self.store.disturb(self.now)
+
+    # Peers and the operator
+
+    @rule(which=WHICH, configuration=BOTH)
+    def peer_tells_an_old_row(self, which: int, configuration: bool) -> None:
+        """Let a peer tell a row that was there once, or its removal."""
+        if configuration:
+            log = self.store.configuration.log
+            self.directory.offer_configuration(log[which % len(log)])
+        elif self.store.endpoints.log:
+            log = self.store.endpoints.log
+            row = log[which % len(log)]
+            listed = row.key in self.store.endpoints.rows
+            if row.removed:
+                self.directory.offer_gone(EndpointId(row.key), row.version)
+            elif listed or self.late_peers:
+                self.directory.offer_endpoint(row)
+
+    @rule(which=WHICH)
+    def peer_says_that_it_drains(self, which: int) -> None:
+        """Let a peer tell that an endpoint leaves."""
+        life = self.life(which)
+        if life.draining:
+            self.directory.offer_draining(EndpointId(life.name))
+
+    @rule(dropped=st.sets(st.sampled_from(sorted(ROUTES)), max_size=2))
+    def operator_writes(self, dropped: set[str]) -> None:
+        """Let the operator write a configuration."""
+        if self.store.condition is Condition.DOWN:
+            return
+        version = self.store.version + 1
+        row = self.tables.add(version, set(ROUTES) - dropped, set(KEYS), 3)
+        self.store.write(self.store.configuration, row.key, row.value, self.now)
+
+    # Time
+
+    @rule(seconds=SPANS)
+    def time_passes(self, seconds: float) -> None:
+        """Let time pass, followers step and endpoints report."""
+        end = self.now + timedelta(seconds=seconds)
+        while self.now < end:
+            self.clock.advance(STEP)
+            self.store.pass_time(self.now)
+            self.step(self.directory.endpoint_follower)
+            self.step(self.directory.configuration_follower)
+            self.what_is_used_is_there()
+            self.the_newest_configuration_is_in_force()
+
+    def step(self, follower: Follower) -> None:
+        """Make one call of a follower; an answer of an older state is no calm one."""
+        before = self.store.late_reads
+        asyncio.run(follower.step())
+        if self.store.late_reads > before:
+            self.store.disturb(self.now)
+
+    @rule(seconds=SPANS)
+    def freezes(self, seconds: float) -> None:
+        """Let the process stand still while the store and endpoints go on."""
+        end = self.now + timedelta(seconds=seconds)
+        while self.now < end:
+            self.clock.advance(STEP)
+            self.store.pass_time(self.now)
+        self.store.disturb(self.now)
+
+    @rule()
+    def restarts(self) -> None:
+        """Let the instance begin anew."""
+        self.boot()
+
+    # What must always hold
+
+    @property
+    def in_touch(self) -> bool:
+        """Whether nothing has been wrong for long enough."""
+        return self.store.is_stable(self.now)
+
+    def what_is_used_is_there(self) -> None:
+        """Check what is used against the store's rows, once all is calm."""
+        if not self.in_touch:
+            return
+        for name in self.usable:
+            gone_at = self.store.gone_at.get(name)
+            is_gone = gone_at is not None and self.now - gone_at >= DRAIN_WITHIN
+            assert not is_gone, ("DRAIN: gone", name)
+            row = self.store.endpoints.rows.get(name)
+            if row is not None and row.value.startswith(b"ready"):
+                continue
+            since = self.store.endpoints.changed_at[name]
+            assert self.now - since < DRAIN_WITHIN, ("DRAIN", name, row)
+
+    def the_newest_configuration_is_in_force(self) -> None:
+        """Check that no older configuration is used, once all is calm."""
+        (key,) = self.store.configuration.rows
+        newest = self.store.configuration.rows[key]
+        since = self.store.configuration.changed_at[key]
+        if self.in_touch and self.now - since >= APPLIED_WITHIN:
+            assert self.in_force == newest.version, "CONFIG: late"
+
+    @invariant()
+    def listeners_know_what_is_believed(self) -> None:
+        """Check that what was told is what the directory holds."""
+        believed = {
+            name: entry.listed
+            for name, entry in self.directory.endpoints.items()
+            if entry.takes_new_work
+        }
+        assert set(believed) == set(self.usable)
+        for name, listed in believed.items():
+            told, life = self.usable[name], self.store.lives[name]
+            assert (told.service, told.address) == (listed.service, listed.address)
+            assert listed.service == life.service, ("ROUTE", name)
+            assert listed.address == life.address, ("ROUTE", name)
+
+    @invariant()
+    def nothing_draining_is_used(self) -> None:
+        """Check that an endpoint whose leaving was told is never used again."""
+        assert not self.draining & set(self.usable), "DRAIN"
+
+    def teardown(self) -> None:
+        """Let all be calm: what is there must be used, and nothing else."""
+        self.store.become(Condition.CALM, self.now)
+        self.listing.lost = self.configurations.lost = 0
+        for life in self.store.lives.values():
+            life.connected = True
+        self.time_passes(USED_WITHIN.total_seconds())
+        there = {
+            name
+            for name, row in self.store.endpoints.rows.items()
+            if row.value.startswith(b"ready")
+        }
+        assert there == set(self.usable), "what is there is used"
+
+
+class PunctualPeersMachine(DirectoryMachine):
+    """The same with peers that know what the store lists."""
+
+    late_peers = False
+
+
+MACHINES = (DirectoryMachine, PunctualPeersMachine)
+
+
+def explore(machine: type[RuleBasedStateMachine]) -> None:
+    """Run a machine with a fixed seed, so that CI says the same each time."""
+    logging.disable(logging.CRITICAL)
+    try:
+        run_state_machine_as_test(
+            machine,
+            settings=settings(
+                max_examples=EXAMPLES,
+                stateful_step_count=STEPS,
+                deadline=None,
+                derandomize=True,
+                database=None,
+                phases=[Phase.generate, Phase.shrink] if SHRINK else [Phase.generate],
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+def test_what_is_used_is_there_whatever_the_store_does() -> None:
+    """The store is down, loses answers, forgets and tells what was true before.
+
+    Endpoints drain, exit, lapse and return, their addresses are used again, peers tell
+    old words, and the instance freezes and starts anew.
+    """
+    explore(DirectoryMachine)
+
+
+def test_what_is_used_is_there_with_peers_that_are_not_late() -> None:
+    """All of that but late words about endpoints that are gone."""
+    explore(PunctualPeersMachine)
+
+
+load_tests = function_tests(__name__)
--- a/tests/unit/directory/test_endpoints.py
+++ b/tests/unit/directory/test_endpoints.py
@@ -73,6 +73,20 @@
         case.assertIsNone(world.state("a"))
 
 
+def test_a_late_peer_does_not_bring_back_what_the_store_no_longer_lists() -> None:
+    """An instance starts after an endpoint has left, and reads the list without it.
+
+    A peer that is behind hands over the row as it was. Taken, it stays for good: the
+    store tells of no removal after the read, and its address is another's by then.
+    """
+    with directory_world() as world:
+        world.endpoints(page(20, listed("b", 15)))
+        world.directory.offer_endpoint(listed("a", 10))
+        case.assertIsNone(world.state("a"))
+        world.directory.offer_endpoint(listed("c", 21))
+        case.assertEqual(READY, world.state("c"))
+
+
 def test_an_endpoint_that_was_cut_off_from_the_store_is_used_again() -> None:
     """A zone is cut off from the store, its endpoints' rows expire, the cut heals.
 
@@ -89,6 +103,22 @@
         case.assertEqual("a ready", world.words()[-1])
 
 
+def test_an_endpoint_that_is_back_and_then_leaves_is_not_used_again() -> None:
+    """An endpoint was cut off from the store, reports again, and then drains.
+
+    Its row lasts, so after some seconds it seems to be back for good; taken by the
+    word before its last one, it gets new work until it exits.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), page(12, removed("a", 12)))
+        world.endpoints(page(20, listed("a", 20)))
+        world.pass_time(1)
+        world.endpoints(page(22, listed("a", 22, "draining")))
+        world.pass_time(4)
+        world.endpoints(page(25))
+        case.assertNotEqual(READY, world.state("a"))
+
+
 def test_one_late_report_does_not_bring_an_endpoint_back() -> None:
     """An endpoint leaves without a word; its last report crosses its removal.
 
