Bound the doubling of the time for which an endpoint is left alone

Cause: each connection that fails doubles it; after 47 in a row the product left the range of times, the failure raised and its call was not handled. Ruled out: fewer connections (a burst opens many at once before the first one fails). Change: at most eight doublings, far above the four seconds that count.

--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -26,6 +26,7 @@
 """An endpoint that couldn't be connected to is left alone for so long at first."""
 
 LONGEST_ABSENCE = timedelta(seconds=4)
+MOST_DOUBLINGS = 8
 SUSPECT_FOR = timedelta(seconds=2)
 """One whose answers failed is taken last for so long."""
 
@@ -78,8 +79,13 @@
     last_view: LastView | None = None
 
     def note_unreached(self, now: timedelta) -> None:
-        """Leave it alone, longer each time up to a bound."""
-        absence = min(LONGEST_ABSENCE, UNREACHED_FOR * 2**self.misses)
+        """Leave it alone, longer each time up to a bound.
+
+        Guard: a hundred connections may fail at once; doubled without a bound the time
+        leaves the range of times, and the failure of the call would not be handled.
+        """
+        doublings = min(self.misses, MOST_DOUBLINGS)
+        absence = min(LONGEST_ABSENCE, UNREACHED_FOR * 2**doublings)
         self.misses += 1
         self.unusable_until = now + absence
 
