Use no endpoint that the store no longer lists, whoever tells late of it

Cause: two orders of words that the directory's machine met. A peer that was behind handed over the row of an endpoint that had left before this instance read the list; no removal follows such a read, so it stayed for good. And an endpoint that was back after a cut and drained within four seconds was taken by its ready word, kept from before. Ruled out: asking the store again for each word of a peer (a call each). Change: a peer's row of an unknown endpoint counts only above the version up to which the store itself has told all changes; a draining word ends a reappearance, and what is heard late of it is older than that word.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -280,10 +280,12 @@
         """Take all rows and what is missing among them."""
         book = self.directory.book
         self.take(page.rows + book.missing_from(page.rows, page.version))
+        book.note_told(page.version)
 
     def take_changes(self, page: RowPage) -> None:
         """Take changed rows."""
         self.take(page.rows)
+        self.directory.book.note_told(page.version)
 
     def take(self, rows: tuple[Row, ...]) -> None:
         """Take rows, then settle what was in doubt."""
--- a/src/mimosafork/directory/endpoint_book.py
+++ b/src/mimosafork/directory/endpoint_book.py
@@ -80,6 +80,8 @@
         self.entries: dict[EndpointId, DirectoryEntry] = {}
         self.gone: dict[EndpointId, GoneWord] = {}
         self.reappeared: dict[EndpointId, Reappearance] = {}
+        self.told_up_to = 0
+        """Version up to which the store itself has told all changes."""
 
     def take(self, row: Row, teller: Teller) -> EndpointChanged | None:
         """Take one word.
@@ -97,6 +99,8 @@
         if row.removed:
             return self.remove(row, teller)
         endpoint = EndpointId(row.key)
+        if teller is Teller.PEER and self.left_before(endpoint, row):
+            return None
         word = self.gone.get(endpoint)
         # Guard: a row read late, or a last report that crossed the removal, comes
         # after the endpoint is gone. Taken, calls would go to an address that is
@@ -112,15 +116,31 @@
             return self.drain(row, listed, teller)
         return self.ready(row, listed, teller)
 
+    def left_before(self, endpoint: EndpointId, row: Row) -> bool:
+        """Return whether a row is of an endpoint that the store no longer lists.
+
+        Guard: a peer that is behind hands over the row of an endpoint that left before
+        this instance read the list. Taken, it would stay for good, as the store tells
+        of no removal after the read, and its address may be another's by then.
+        """
+        return endpoint not in self.entries and row.version <= self.told_up_to
+
+    def note_told(self, version: int) -> None:
+        """Note up to which version the store has told all changes."""
+        self.told_up_to = max(self.told_up_to, version)
+
     def note_again(self, row: Row, listed: ListedEndpoint) -> None:
         """Note that a gone endpoint's row is there again.
 
         An endpoint that was cut off from the store, and not from its callers, is
         removed after some silence, and reports again when the cut is over; were it
         left out for good, each cut would cost its zone's endpoints. One late report
-        of an endpoint that has really left is the last: its row expires again.
+        of an endpoint that has really left is the last: its row expires again. One
+        that is back and drains has left for good, whatever is heard late of it.
         """
         if listed.state is not ListedState.READY:
+            self.reappeared.pop(listed.endpoint, None)
+            self.remember(row, sure=True)
             return
         if listed.endpoint not in self.reappeared:
             now = self.clock.monotonic()
