--- a/tests/support/gateway_processes.py
+++ b/tests/support/gateway_processes.py
@@ -34,6 +34,7 @@
 
 [bounds]
 grace = 8s
+{bounds}
 
 [logging]
 level = INFO
@@ -58,7 +59,7 @@
 class GatewayProcess:
     """One instance in a process of its own."""
 
-    def __init__(self, folder: Path, name: str, store: str) -> None:
+    def __init__(self, folder: Path, name: str, store: str, bounds: str = "") -> None:
         host = own_host()
         self.front = f"{host}:{free_port(host)}"
         self.ready = f"{host}:{free_port(host)}"
@@ -73,6 +74,7 @@
                 store=store,
                 gossip=free_port(host),
                 seeds="",
+                bounds=bounds,
             )
         )
         self.process = Process(["gateway", "--settings", str(self.path)])
@@ -98,9 +100,20 @@
 
 
 @contextmanager
-def gateway_process(platform: Deployment) -> Iterator[GatewayProcess]:
-    """Run an instance before a prepared platform; it ends with the test."""
+def gateway_process(
+    platform: Deployment, name: str = "entry-1", store: str = "", bounds: str = ""
+) -> Iterator[GatewayProcess]:
+    """Run an instance before a prepared platform; it ends with the test.
+
+    Parameters
+    ----------
+    store : str
+        Where it reaches the store, if not at its own address.
+    bounds : str
+        Further lines of that section of the settings.
+    """
     with TemporaryDirectory() as folder, ExitStack() as stack:
-        started = GatewayProcess(Path(folder), "entry-1", platform.store.address)
+        address = store or platform.store.address
+        started = GatewayProcess(Path(folder), name, address, bounds)
         stack.callback(started.process.kill)
         yield started
