Judge what vanished around an outage as soon as the doubt is over

Ruled out: gossip (the peer's word came within 6 ms, and is held on purpose: behind a zone's cut the list loses endpoints that serve). Change: while something is held, no call waits past the end of the doubt, and one that comes after it asks without a wait. Retries of the list pause 525 to 700 ms in place of 500 to 1,000, so that the return is seen and judged within three seconds.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -259,6 +259,10 @@
         for row in page.rows:
             self.directory.take_configuration(row, Teller.STORE)
 
+    def judgement_in(self) -> timedelta | None:
+        """Nothing is ever missing: a configuration stays until a newer one."""
+        return None
+
 
 class EndpointTaker:
     """Hands the endpoints' rows to the directory.
@@ -287,6 +291,12 @@
         self.take(page.rows)
         self.directory.book.note_told(page.version)
 
+    def judgement_in(self) -> timedelta | None:
+        """Time until endpoints that vanished around an outage are to be judged."""
+        if not self.directory.book.holds_missing:
+            return None
+        return self.directory.health.doubt_left
+
     def take(self, rows: tuple[Row, ...]) -> None:
         """Take rows, then settle what was in doubt."""
         for row in rows:
--- a/src/mimosafork/directory/endpoint_book.py
+++ b/src/mimosafork/directory/endpoint_book.py
@@ -83,6 +83,11 @@
         self.told_up_to = 0
         """Version up to which the store itself has told all changes."""
 
+    @property
+    def holds_missing(self) -> bool:
+        """Whether an endpoint is in use whose row has vanished."""
+        return any(each.missing_version is not None for each in self.entries.values())
+
     def take(self, row: Row, teller: Teller) -> EndpointChanged | None:
         """Take one word.
 
--- a/src/mimosafork/directory/follower.py
+++ b/src/mimosafork/directory/follower.py
@@ -27,7 +27,7 @@
 
 Sleep = Callable[[timedelta], Awaitable[None]]
 MILLISECOND = timedelta(milliseconds=1)
-LEAST_JITTER = 0.5
+LEAST_JITTER = 0.75
 """Smallest part of a retry's pause that is made."""
 
 
@@ -46,6 +46,10 @@
         """Take changed rows."""
         ...
 
+    def judgement_in(self) -> timedelta | None:
+        """Time until an answer is due to judge what is missing; None if nothing is."""
+        ...
+
 
 class Follower:
     """Reads a table whole and follows its changes, through outages of the store.
@@ -192,11 +196,21 @@
 
     async def follow(self, position: int) -> timedelta:
         """Wait for changes and take them."""
-        page = await self.source.changes(position, self.settings.wait)
+        page = await self.source.changes(position, self.longest_wait())
         self.note_answer()
         self.taker.take_changes(page)
         return self.taken(max(position, page.version))
 
+    def longest_wait(self) -> timedelta:
+        """Return how long the next call may wait for changes.
+
+        Guard: what is missing after an outage is judged when an answer is taken. A
+        call that waits on past the end of the doubt puts the judgement off by its
+        whole wait, and endpoints that left get calls seconds after they said so.
+        """
+        due = self.taker.judgement_in()
+        return self.settings.wait if due is None else min(self.settings.wait, due)
+
     def taken(self, version: int) -> timedelta:
         """Go on from a version; return the pause until the next call."""
         self.position = version
--- a/src/mimosafork/directory/health.py
+++ b/src/mimosafork/directory/health.py
@@ -58,6 +58,17 @@
             return False
         return self.lasts_until(self.returned_at)
 
+    @property
+    def doubt_left(self) -> timedelta:
+        """Time until a doubt about missing entries ends; zero without one.
+
+        While the store is lost it is zero, too: the answer that brings it back is
+        wanted at once.
+        """
+        if self.lost_at is not None or self.returned_at is None or not self.in_doubt:
+            return timedelta(0)
+        return self.returned_at + self.grace - self.clock.monotonic()
+
     def lasts_until(self, end: timedelta) -> bool:
         """Whether the outage, up to an instant, was long enough to expire rows."""
         if self.outage_from is None:
--- a/src/mimosafork/directory/settings.py
+++ b/src/mimosafork/directory/settings.py
@@ -22,7 +22,7 @@
         connection is found.
     first_retry, last_retry : timedelta
         Pause after a first failure, and the longest that it grows to by doubling;
-        a random part of at most a half is taken off.
+        a random part of at most a quarter is taken off.
     """
 
     pause: timedelta
@@ -42,6 +42,9 @@
         days), so each wait that ends empty is a call that costs; the endpoints' wait
         is the shorter one, as a silent connection must be found within two seconds
         and a half for leaving endpoints to be known in time.
+        Its retries go on more often than the configuration's: the time until the
+        return is noticed and the grace after it must both fit into the three seconds
+        after which an instance that the store had left counts as well informed.
     return_grace : timedelta
         What vanished while the store was unavailable, or this soon after its
         return, may be back until then.
@@ -58,7 +61,9 @@
         default_factory=lambda: FollowSettings(pause=ms(100), wait=ms(2500))
     )
     endpoints: FollowSettings = field(
-        default_factory=lambda: FollowSettings(pause=ms(250), wait=ms(1600))
+        default_factory=lambda: FollowSettings(
+            pause=ms(250), wait=ms(1600), last_retry=ms(700)
+        )
     )
     return_grace: timedelta = ms(2000)
     least_outage: timedelta = ms(2000)
--- a/tests/support/directories.py
+++ b/tests/support/directories.py
@@ -33,10 +33,13 @@
     ----------
     asked : list of int or None
         Version after which changes were asked for; None for a whole read.
+    waits : list of timedelta
+        How long each long poll was to wait.
     """
 
     replies: list[Reply] = field(default_factory=list)
     asked: list[int | None] = field(default_factory=list)
+    waits: list[timedelta] = field(default_factory=list)
 
     async def whole(self) -> RowPage:
         """Answer a whole read."""
@@ -46,6 +49,7 @@
     async def changes(self, after: int, wait: timedelta) -> RowPage:
         """Answer a long poll."""
         self.asked.append(after)
+        self.waits.append(wait)
         return self.next_reply()
 
     def next_reply(self) -> RowPage:
--- a/tests/unit/directory/test_endpoints.py
+++ b/tests/unit/directory/test_endpoints.py
@@ -1,5 +1,6 @@
 """Tests of the endpoints' rows: leaving, outages, stale reads and peers."""
 
+from datetime import timedelta
 from unittest import TestCase
 
 from mimosafork.directory.errors import HistoryGoneError, StoreUnavailableError
@@ -206,6 +207,44 @@
         case.assertIsNone(world.state("a"))
 
 
+def test_no_call_waits_past_the_judgement_of_what_is_missing() -> None:
+    """An endpoint leaves without a word just as the store comes back to an instance.
+
+    Its removal is held for two seconds. A long poll begun shortly before they were
+    over waited on for its own 1.6 s: the instance still sent calls 2.8 s after the
+    store had taken the word, to an endpoint that was about to exit.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4), listed("b", 5)))
+        world.outage()
+        world.endpoints(page(12, removed("a", 12)))
+        world.pass_time(1.5)
+        world.endpoints(page(13))
+        case.assertEqual(timedelta(seconds=0.5), world.listing.waits[-1])
+        # The pause between two calls may end after the doubt: the next asks at once.
+        world.pass_time(0.7)
+        world.endpoints(page(14))
+        case.assertEqual(timedelta(0), world.listing.waits[-1])
+        case.assertIsNone(world.state("a"))
+        world.endpoints(page(15))
+        case.assertEqual(timedelta(seconds=1.6), world.listing.waits[-1])
+
+
+def test_the_return_of_the_store_and_the_doubt_after_it_fit_into_three_seconds() -> (
+    None
+):
+    """A store that turns an instance away comes back between two of its retries.
+
+    Three seconds later the instance counts as well informed. A pause of a second
+    before the retry that finds it, and the two seconds after that, left no room.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)))
+        longest = max(world.endpoints(DOWN) for _ in range(20))
+        grace = world.directory.health.grace
+        case.assertLess(longest + grace, timedelta(seconds=2.8))
+
+
 def test_an_endpoint_judged_by_a_whole_read_may_come_back_too() -> None:
     """The feed is cut after an outage, and the whole read comes late.
 
