Take no more than an instance's part of the fleet's repeats until it is heard

Each of 64 instances spends by the same sum, and hears of the others' repeats 200 ms later. Change: until a repeat is heard (300 ms) an instance takes at most its part of the room, and at least one repeat; the 30% of the slack that is never spent pays these. A test of three instances with a budget of three repeats waits for each to be heard; what it asserts is as before.

--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -24,6 +24,10 @@
 """Share of the slack that is spent at most: instances that all see the last repeats
 of a window free at the same moment would together send more than there are."""
 
+UNHEARD_FOR = timedelta(milliseconds=300)
+"""Repeats are told to peers together, every 200 ms: until they hear of one, it counts
+for its own instance alone."""
+
 SHORTEST_TIME = timedelta(milliseconds=60)
 MOST_SENDS = 6
 """Arrivals of one call that no endpoint ran are bounded too."""
@@ -47,11 +51,25 @@
     ----------
     again : deque of timedelta
         When repeats were counted that had been counted before, in the last window.
+    unheard : deque of timedelta
+        When the latest repeats were counted, of which peers may not have heard yet.
     """
 
     requests: int = 0
     repeats: int = 0
     again: deque[timedelta] = field(default_factory=deque)
+    unheard: deque[timedelta] = field(default_factory=deque)
+
+    def count_repeat(self, now: timedelta) -> None:
+        """Count a repeat."""
+        self.repeats += 1
+        self.unheard.append(now)
+
+    def unheard_repeats(self, now: timedelta) -> int:
+        """Return how many repeats peers may not have heard of."""
+        while self.unheard and now - self.unheard[0] >= UNHEARD_FOR:
+            self.unheard.popleft()
+        return len(self.unheard)
 
 
 FleetView = Callable[[ServiceId], FleetSpending]
@@ -117,7 +135,7 @@
 
     def _pay(self, request: Request, context: Context) -> None:
         service = ServiceId(request.target)
-        self.counters.setdefault(service, Counters()).repeats += 1
+        self.counters.setdefault(service, Counters()).count_repeat(context.now)
         self.paid_at[request.request_id] = context.now
         self._tell(service, context)
 
@@ -166,11 +184,13 @@
         sent = sum(a.exposure is not Exposure.NEVER_SENT for a in record.attempts)
         if sent >= MOST_SENDS or len(record.attempts) >= 2 * MOST_SENDS:
             return "it was refused too often"
-        if not self.affords(ServiceId(record.request.target), failure):
+        if not self.affords(ServiceId(record.request.target), failure, now):
             return BUDGET_USED
         return None
 
-    def affords(self, service: ServiceId, failure: AttemptFailed) -> bool:
+    def affords(
+        self, service: ServiceId, failure: AttemptFailed, now: timedelta
+    ) -> bool:
         """Return whether the budget has room for one more repeat.
 
         An instance that is cut off sees only a part of the fleet's spending; it takes
@@ -178,7 +198,24 @@
         """
         if failure.exposure is Exposure.NEVER_SENT:
             return True
-        return self.room(service) >= 1
+        room = self.room(service)
+        return room >= 1 and self._is_own_part(service, room, now)
+
+    def _is_own_part(self, service: ServiceId, room: float, now: timedelta) -> bool:
+        """Return whether a repeat stays within this instance's part of the room.
+
+        Guard: all instances see the same room until they hear of each other's
+        repeats. Were each to take all of it, 64 instances that fail at the same moment
+        would send several times what there is. Each takes its part until it is heard,
+        and at least one repeat; the part of the slack that is never spent pays these.
+        """
+        own = self.counters.get(service)
+        if own is None:
+            return True
+        unheard = own.unheard_repeats(now)
+        # They are taken off this instance's room already, and not off that of others.
+        part = (room + unheard) / max(1, self.spent(service).instances)
+        return unheard < max(1.0, part)
 
     def room(self, service: ServiceId) -> float:
         """Return for how many repeats the budget has room, as far as is known."""
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -274,6 +274,7 @@
             self.gossip.fleet_requests(service),
             self.gossip.fleet_repeats(service),
             share,
+            alive,
         )
 
 
--- a/src/mimosafork/kernel/messages/sharing.py
+++ b/src/mimosafork/kernel/messages/sharing.py
@@ -62,8 +62,11 @@
     ----------
     share : float
         Part of the fleet, 0 to 1, whose counters are in these sums.
+    instances : int
+        How many have their counters in these sums, this one included.
     """
 
     requests: int
     repeats: int
     share: float = 1.0
+    instances: int = 1
--- a/tests/unit/gateway/test_gateway_peers.py
+++ b/tests/unit/gateway/test_gateway_peers.py
@@ -148,6 +148,8 @@
         second.until(lambda: meters_of(second) == 3)
         for number in range(4):
             first.ask("/safe/1", f"a{number}", b"a%d" % number)
+            # Until peers have heard, an instance takes no more than its part.
+            first.until(lambda: unheard_repeats(first) == 0)
         repeats = len(running.platform.log.runs) - 4
         case.assertEqual(3, repeats)
         service = ServiceId(DESKS)
@@ -157,6 +159,13 @@
         case.assertEqual(1, len(running.platform.log.of("b1")))
 
 
+def unheard_repeats(running: RunningGateway) -> int:
+    retry = running.server.kernel.plugin(BudgetedRetry)
+    return retry.counters[ServiceId(DESKS)].unheard_repeats(
+        running.server.clock.monotonic()
+    )
+
+
 def meters_of(running: RunningGateway) -> int:
     """Return how many instances' counters for the service are known."""
     gossip = running.server.sharing.gossip
--- a/tests/unit/gateway/test_retrying.py
+++ b/tests/unit/gateway/test_retrying.py
@@ -3,9 +3,15 @@
 from datetime import timedelta
 from unittest import TestCase
 
-from mimosafork.gateway.policies.retrying import MOST_SENDS, BudgetedRetry
-from mimosafork.ids import ServiceId
-from mimosafork.kernel.messages.attempts import Exposure, FailureKind
+from mimosafork.gateway.policies.retrying import (
+    MOST_SENDS,
+    RATIO,
+    SPENT_SHARE,
+    BudgetedRetry,
+    Counters,
+)
+from mimosafork.ids import AttemptNumber, RequestId, ServiceId
+from mimosafork.kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from mimosafork.kernel.messages.base import Tick
 from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.outcomes import Outcome
@@ -23,6 +29,9 @@
 
 case = TestCase()
 
+TELLING = timedelta(milliseconds=200)
+"""Instances tell their repeats to each other this often."""
+
 LOST = (
     FailureKind.BROKEN,
     FailureKind.INVALID,
@@ -139,6 +148,47 @@
         case.assertEqual(allowed, bench.retried(first) is not None, name)
 
 
+def test_many_instances_that_fail_at_once_keep_the_budget_together() -> None:
+    """Engines turn away every call of a flood, at all 64 instances.
+
+    Each instance saw the same room and took all of it before it heard of the others'
+    repeats: 375 arrivals beyond the first in ten seconds, where 354 were allowed.
+    """
+    instances, slack, calls_s = 64, 204, 75
+    service = ServiceId("engines")
+    failure = AttemptFailed(
+        RequestId("a"),
+        AttemptNumber(1),
+        FailureKind.REFUSED,
+        Exposure.REFUSED,
+        status=503,
+    )
+    fleet = [BudgetedRetry() for _ in range(instances)]
+    requests = calls_s * 10
+    heard = 0
+    for policy in fleet:
+        policy.slack = slack
+        policy.counters[service] = Counters()
+    now = timedelta(0)
+    told = [0] * instances
+    for _ in range(250):
+        if now % TELLING == timedelta(0):
+            told = [each.counters[service].repeats for each in fleet]
+            heard = sum(told)
+        for policy, mine in zip(fleet, told, strict=True):
+            own = policy.counters[service]
+            seen = heard - mine + own.repeats
+            policy.spent = lambda _, seen=seen: FleetSpending(  # type: ignore[misc]
+                requests, seen, 1.0, instances
+            )
+            if policy.affords(service, failure, now):
+                own.count_repeat(now)
+        now += timedelta(milliseconds=10)
+    sent = sum(each.counters[service].repeats for each in fleet)
+    case.assertLessEqual(sent, RATIO * requests + slack)
+    case.assertGreater(sent, 0.8 * (RATIO * requests + slack * SPENT_SHARE))
+
+
 def test_what_reached_no_endpoint_costs_no_budget() -> None:
     bench = gateway_bench()
     bench.kernel.plugin(BudgetedRetry).slack = 0.0
