Tell lives of an endpoint under one id apart by when they began

Cause: the platform's endpoints may start again under their id; `born` says when a life began. An id that had said it leaves was never used again, and what was learned of the former life held for the next. Change: a row with a later birth begins a new life: leaving, removal and doubts of the former end with it, and its late words, rows of an earlier birth and peers' words of an older version act on it no more. Without a birth, or where the clock went back, all is as before: the known life stays. Measured: six new tests, each failing before.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import sys
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
@@ -45,6 +46,9 @@
 LONGEST_WAIT = timedelta(seconds=10)
 """Half of the time for which the store keeps its history."""
 
+LATEST = sys.maxsize
+"""Version of a word that is not older than anything known."""
+
 HELD = "held"
 """Of an endpoint that stays in use though its row vanished."""
 
@@ -205,9 +209,9 @@
             row = replace(known.row, value=b"", version=version, removed=True)
             self.take_endpoint(row, Teller.PEER)
 
-    def offer_draining(self, endpoint: EndpointId) -> None:
-        """Take a peer's word that an endpoint leaves."""
-        changed = self.book.drain_known(endpoint, Teller.PEER)
+    def offer_draining(self, endpoint: EndpointId, version: int = LATEST) -> None:
+        """Take a peer's word, of some version, that an endpoint leaves."""
+        changed = self.book.drain_known(endpoint, Teller.PEER, version)
         if changed is not None:
             self.tell_endpoint(changed)
 
--- a/src/mimosafork/directory/endpoint_book.py
+++ b/src/mimosafork/directory/endpoint_book.py
@@ -32,11 +32,14 @@
         word of the endpoint itself may bring it back.
     since : timedelta
         Monotonic instant at which it was learned.
+    born_ms : int or None
+        When the life began that is gone, as far as it said so.
     """
 
     row: Row
     sure: bool
     since: timedelta
+    born_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +117,13 @@
         if word is not None and row.version <= word.row.version:
             return None
         listed = self.source.decode(row)
+        # Guard: a late row of a former life says that it leaves, or is ready at an
+        # address that is another's by now. It must not act on the present life.
+        born_ms = self.latest_birth(endpoint)
+        if listed.precedes(born_ms):
+            return None
+        if listed.follows(born_ms):
+            return self.begin_life(row, listed, teller)
         if word is not None and word.sure:
             self.note_again(row, listed)
             return None
@@ -121,6 +131,30 @@
             return self.drain(row, listed, teller)
         return self.ready(row, listed, teller)
 
+    def latest_birth(self, endpoint: EndpointId) -> int | None:
+        """Return when the latest life began that was heard of under an id."""
+        known, word = self.entries.get(endpoint), self.gone.get(endpoint)
+        if known is not None:
+            return known.listed.born_ms
+        return None if word is None else word.born_ms
+
+    def begin_life(
+        self, row: Row, listed: ListedEndpoint, teller: Teller
+    ) -> EndpointChanged:
+        """Take a later life under an id: what the former one said ends with it.
+
+        Without this an endpoint that drained, and started again under its id, would
+        never be used, as an id that leaves takes no work again.
+        """
+        former = self.entries.get(listed.endpoint)
+        self.gone.pop(listed.endpoint, None)
+        self.reappeared.pop(listed.endpoint, None)
+        drains = listed.state is ListedState.DRAINING
+        state = EndpointState.DRAINING if drains else EndpointState.READY
+        entry = DirectoryEntry(listed, row, state, began_version=row.version)
+        self.entries[listed.endpoint] = entry
+        return EndpointChanged(entry, teller, former)
+
     def left_before(self, endpoint: EndpointId, row: Row) -> bool:
         """Return whether a row is of an endpoint that the store no longer lists.
 
@@ -167,12 +201,15 @@
         return revived
 
     def drain_known(
-        self, endpoint: EndpointId, teller: Teller
+        self, endpoint: EndpointId, teller: Teller, version: int
     ) -> EndpointChanged | None:
-        """Take a word without a row that an endpoint leaves."""
+        """Take a word without a row, of some version, that an endpoint leaves."""
         known = self.entries.get(endpoint)
         if known is None or known.state is EndpointState.DRAINING:
             return None
+        # Guard: a late word about the former life would drain the present one.
+        if version < known.began_version:
+            return None
         entry = replace(known, state=EndpointState.DRAINING)
         self.entries[endpoint] = entry
         return EndpointChanged(entry, teller)
@@ -182,7 +219,8 @@
     ) -> EndpointChanged | None:
         """Take the word that an endpoint takes work."""
         known = self.entries.get(listed.endpoint)
-        entry = DirectoryEntry(listed, row, EndpointState.READY)
+        began = 0 if known is None else known.began_version
+        entry = DirectoryEntry(listed, row, EndpointState.READY, began_version=began)
         if known is None:
             self.gone.pop(listed.endpoint, None)
             self.entries[listed.endpoint] = entry
@@ -204,7 +242,8 @@
     ) -> EndpointChanged | None:
         """Take the word that an endpoint leaves, whatever its version."""
         known = self.entries.get(listed.endpoint)
-        entry = DirectoryEntry(listed, row, EndpointState.DRAINING)
+        began = 0 if known is None else known.began_version
+        entry = DirectoryEntry(listed, row, EndpointState.DRAINING, began_version=began)
         if known is None or known.state is EndpointState.READY:
             self.gone.pop(listed.endpoint, None)
             self.entries[listed.endpoint] = entry
@@ -246,18 +285,19 @@
     ) -> EndpointChanged:
         """Treat an endpoint as gone."""
         del self.entries[known.listed.endpoint]
-        self.remember(row, sure=sure)
+        self.remember(row, sure=sure, born_ms=known.listed.born_ms)
         gone = replace(known, state=EndpointState.GONE, missing_version=None)
         return EndpointChanged(gone, teller, known)
 
-    def remember(self, row: Row, *, sure: bool) -> None:
+    def remember(self, row: Row, *, sure: bool, born_ms: int | None = None) -> None:
         """Remember that an endpoint is gone; a sure word stays sure."""
         endpoint = EndpointId(row.key)
         word = self.gone.get(endpoint)
         if word is not None:
             sure = sure or word.sure
             row = max(row, word.row, key=lambda each: each.version)
-        self.gone[endpoint] = GoneWord(row, sure, self.clock.monotonic())
+            born_ms = word.born_ms if born_ms is None else born_ms
+        self.gone[endpoint] = GoneWord(row, sure, self.clock.monotonic(), born_ms)
 
     def contradicted_by(self, rows: Iterable[Row]) -> bool:
         """Whether one of the rows is older than what is known of its endpoint."""
--- a/src/mimosafork/directory/messages.py
+++ b/src/mimosafork/directory/messages.py
@@ -40,12 +40,16 @@
     missing_version : int or None
         Its row vanished at this version, around an outage of the store; it stays in
         use until that is settled.
+    began_version : int
+        Of the row with which this life replaced a former one under the same id; 0 where
+        none did. Older words without a birth are about a former life.
     """
 
     listed: ListedEndpoint
     row: Row
     state: EndpointState
     missing_version: int | None = None
+    began_version: int = 0
 
     @property
     def takes_new_work(self) -> bool:
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -144,7 +144,8 @@
         self.table: RoutingTable | None = None
         self.endpoints: dict[EndpointId, EndpointBelief] = {}
         self.by_service: dict[ServiceId, dict[EndpointId, EndpointBelief]] = {}
-        self.left: set[EndpointId] = set()
+        self.left: dict[EndpointId, int | None] = {}
+        """Endpoints that drain or are gone, and when their life began."""
         self.zones = ZoneDoubts()
         self.heard: dict[AvailabilityZoneId, timedelta] = {}
         """When an endpoint of each zone began an answer last, or refused a call."""
@@ -174,10 +175,14 @@
         listed = message.listed
         # A peer may have heard that it drains before this instance's own list says
         # so; that word is never taken back, as a life that drains ends.
+        # One that has started again under its id is another life: neither that word
+        # nor what was learned of the former one holds for it.
         if listed.endpoint in self.left:
-            return
+            if not listed.follows(self.left[listed.endpoint]):
+                return
+            del self.left[listed.endpoint]
         known = self.endpoints.get(listed.endpoint)
-        if known is None:
+        if known is None or listed.follows(known.listed.born_ms):
             known = EndpointBelief(listed, zones=self.zones)
             self.endpoints[listed.endpoint] = known
         known.listed = listed
@@ -186,9 +191,12 @@
 
     @handle.register
     def _(self, message: EndpointLeaving, context: Context) -> None:
-        if message.final:
-            self.left.add(message.endpoint)
         known = self.endpoints.pop(message.endpoint, None)
+        if message.final:
+            before = self.left.get(message.endpoint)
+            self.left[message.endpoint] = (
+                before if known is None else known.listed.born_ms
+            )
         if known is not None:
             known.leaving = True
             self.by_service[known.listed.service].pop(message.endpoint, None)
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -229,7 +229,7 @@
     def endpoint_word(self, endpoint: EndpointId, said: EndpointWord) -> None:
         """Take a peer's word that an endpoint takes no new work."""
         if said.word is Word.LEAVING:
-            self.directory.offer_draining(endpoint)
+            self.directory.offer_draining(endpoint, said.version)
         else:
             self.directory.offer_gone(endpoint, said.version)
 
--- a/src/mimosafork/platform/documents.py
+++ b/src/mimosafork/platform/documents.py
@@ -113,6 +113,7 @@
     software: str = msgspec.field(name=names.VERSION, default="")
     cold_remaining_ms: float = msgspec.field(name=names.COLD_REMAINING_MS, default=0.0)
     sequence: int = msgspec.field(name=names.SEQUENCE, default=0)
+    born: int | None = msgspec.field(name=names.BORN, default=None)
 
 
 class RowDocument(msgspec.Struct, kw_only=True):
--- a/src/mimosafork/platform/listing.py
+++ b/src/mimosafork/platform/listing.py
@@ -40,4 +40,5 @@
         software=document.software,
         cold_remaining=timedelta(milliseconds=document.cold_remaining_ms),
         sequence=document.sequence,
+        born_ms=document.born,
     )
--- a/src/mimosafork/routing/listing.py
+++ b/src/mimosafork/routing/listing.py
@@ -21,7 +21,7 @@
     Attributes
     ----------
     endpoint : EndpointId
-        New with each start, so that it names the incarnation too.
+        New with most starts. One that starts again under its id tells by `born_ms`.
     address : str
         ``IP:PORT``; used again by others after the endpoint is gone.
     slots : int
@@ -32,6 +32,9 @@
         How much longer it stays slow after its start.
     sequence : int
         Grows with each report of this life.
+    born_ms : int or None
+        When this life began, in Unix milliseconds of the endpoint's clock; None where
+        it doesn't say. Of two lives under one id the later one counts.
     """
 
     endpoint: EndpointId
@@ -43,3 +46,16 @@
     software: str = ""
     cold_remaining: timedelta = timedelta(0)
     sequence: int = 0
+    born_ms: int | None = None
+
+    def follows(self, born_ms: int | None) -> bool:
+        """Whether this is surely a later life than one that began then."""
+        if self.born_ms is None or born_ms is None:
+            return False
+        return self.born_ms > born_ms
+
+    def precedes(self, born_ms: int | None) -> bool:
+        """Whether this is surely an earlier life than one that began then."""
+        if self.born_ms is None or born_ms is None:
+            return False
+        return self.born_ms < born_ms
--- a/tests/support/directories.py
+++ b/tests/support/directories.py
@@ -73,11 +73,12 @@
 
 
 class ScriptedEndpoints(ScriptedSource):
-    """A row's value is its state, and the address after a blank."""
+    """A row's value is its state, the address and the birth, with blanks between."""
 
     def decode(self, row: Row) -> ListedEndpoint:
         """Return a listing of that state; the row's version counts the reports."""
-        word, _, address = row.value.decode().partition(" ")
+        word, *rest = row.value.decode().split(" ")
+        address, born = [*rest, "", ""][:2]
         try:
             state = ListedState(word)
         except ValueError as error:
@@ -90,6 +91,7 @@
             slots=8,
             state=state,
             sequence=row.version,
+            born_ms=int(born) if born else None,
         )
 
 
--- a/tests/unit/directory/test_endpoints.py
+++ b/tests/unit/directory/test_endpoints.py
@@ -435,4 +435,78 @@
         case.assertEqual({}, world.directory.book.gone)
 
 
+def born(ms: int, state: str = "ready", address: str = "10.0.0.1:80") -> str:
+    return f"{state} {address} {ms}"
+
+
+def test_an_endpoint_that_drained_and_started_again_under_its_id_is_used() -> None:
+    """An endpoint drains and comes back under its id, before its row is removed.
+
+    As an id that leaves takes no work again, it would stay out for good. A row of its
+    former life that is heard late must not take it out either.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4, born(1000))))
+        world.endpoints(page(11, listed("a", 11, born(1000, "draining"))))
+        world.endpoints(page(13, listed("a", 13, born(2000))))
+        case.assertEqual(READY, world.state("a"))
+        world.directory.offer_endpoint(listed("a", 14, born(1000, "draining")))
+        case.assertEqual(READY, world.state("a"))
+        world.directory.offer_draining(EndpointId("a"), 11)
+        case.assertEqual(READY, world.state("a"))
+        world.directory.offer_draining(EndpointId("a"), 13)
+        case.assertEqual(DRAINING, world.state("a"))
+
+
+def test_an_endpoint_that_crashed_and_started_again_is_used_at_once() -> None:
+    """A crash removes an endpoint's row, and another life under its id comes.
+
+    A row that is merely there again counts only once it has lasted, as it may be a late
+    report. One with a later birth is no report of the life that is gone.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4, born(1000))), page(11, removed("a", 11)))
+        case.assertIsNone(world.state("a"))
+        world.endpoints(page(13, listed("a", 13, born(1000))))
+        case.assertIsNone(world.state("a"))
+        world.endpoints(page(15, listed("a", 15, born(2000, address="10.0.0.7:80"))))
+        case.assertEqual(READY, world.state("a"))
+        known = world.directory.endpoints[EndpointId("a")]
+        case.assertEqual("10.0.0.7:80", known.listed.address)
+
+
+def test_an_earlier_birth_never_replaces_a_later_one() -> None:
+    """A row of the former life is written last, or an endpoint's clock went back.
+
+    Nobody can tell which; the address of the earlier birth may be another's by now.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4, born(2000))))
+        world.endpoints(page(12, listed("a", 12, born(1000, address="10.0.0.9:80"))))
+        known = world.directory.endpoints[EndpointId("a")]
+        case.assertEqual("10.0.0.1:80", known.listed.address)
+
+
+def test_a_missing_birth_changes_nothing() -> None:
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4, born(2000))))
+        world.endpoints(page(12, listed("a", 12, "draining")))
+        world.endpoints(page(14, listed("a", 14)))
+        case.assertEqual(DRAINING, world.state("a"))
+
+
+def test_both_lives_in_one_page_leave_the_later_one() -> None:
+    with directory_world() as world:
+        world.endpoints(
+            page(9, listed("a", 4, born(1000))),
+            page(
+                16,
+                listed("a", 11, born(1000, "draining")),
+                removed("a", 12),
+                listed("a", 13, born(2000)),
+            ),
+        )
+        case.assertEqual(READY, world.state("a"))
+
+
 load_tests = function_tests(__name__)
--- a/tests/unit/gateway/test_fleet_view.py
+++ b/tests/unit/gateway/test_fleet_view.py
@@ -22,6 +22,7 @@
     gateway_bench,
     request_of,
 )
+from ...support.gateway_kernels import listed as desk_listed
 
 case = TestCase()
 
@@ -154,4 +155,25 @@
     case.assertEqual(LONGEST_ABSENCE, left)
 
 
+def test_what_was_learned_of_a_life_ends_with_it() -> None:
+    """An engine fails calls, drains, and starts again under its id.
+
+    The instance went on leaving it alone for what its former life had done.
+    """
+    bench = gateway_bench(endpoints=0)
+    first = replace(desk_listed("desk-0"), born_ms=1000)
+    bench.tell(EndpointUsable(first))
+    miss(bench, "a")
+    case.assertEqual(set(), usable(bench))
+    second = replace(first, born_ms=2000)
+    bench.tell(EndpointUsable(second))
+    case.assertEqual({"desk-0"}, usable(bench))
+    bench.tell(EndpointLeaving(second.endpoint, final=True))
+    bench.tell(EndpointUsable(first))
+    bench.tell(EndpointUsable(second))
+    case.assertEqual(set(), usable(bench))
+    bench.tell(EndpointUsable(replace(first, born_ms=3000)))
+    case.assertEqual({"desk-0"}, usable(bench))
+
+
 load_tests = function_tests(__name__)
