Send heartbeats half as often among many partners

Change: beyond 24 partners one each second in place of two; three lie within the silence after which a peer is suspected.

--- a/src/mimosafork/gossip/sending.py
+++ b/src/mimosafork/gossip/sending.py
@@ -67,7 +67,7 @@
             link.due = now + self.timing.heartbeat / RETRIES
         # Heartbeats to all partners go together, so that an idle instance wakes up
         # for one of them only.
-        idle = self.timing.heartbeat * TOGETHER
+        idle = self.heartbeat() * TOGETHER
         return self.circle.is_partner(name, now) and now - link.sent >= idle
 
     def flags(self, name: InstanceId, link: Link) -> Flag:
@@ -85,16 +85,21 @@
 
     def next_due(self, now: timedelta) -> timedelta:
         """Return when a link is to be served next: at its news or its heartbeat."""
-        due = now + self.timing.heartbeat
+        heartbeat = self.heartbeat()
+        due = now + heartbeat
         for name, link in self.circle.awake.items():
             if link.sent is None:
                 return now
             if link.due is not None:
                 due = min(due, link.due)
             if name in self.circle.partners:
-                due = min(due, link.sent + self.timing.heartbeat)
+                due = min(due, link.sent + heartbeat)
         return max(due, now)
 
+    def heartbeat(self) -> timedelta:
+        """Return how often an idle partner is sent a datagram."""
+        return self.timing.heartbeat_among(len(self.circle.partners))
+
 
 def last_sent(pair: tuple[InstanceId, Link]) -> timedelta:
     """Return when a link was served, so that short bytes go round."""
--- a/src/mimosafork/gossip/timing.py
+++ b/src/mimosafork/gossip/timing.py
@@ -12,6 +12,10 @@
     ----------
     heartbeat : timedelta
         An idle partner is sent a datagram this often.
+    crowd : int
+        Beyond so many partners each is sent heartbeats half as often: to 63 of them,
+        and from them, they were 252 datagrams a second, 0.8% of a core at rest. Three
+        still lie within the time after which a peer is suspected.
     suspect_after, relayed_suspect_after : timedelta
         Silence after which a peer's load is forgotten; the second holds where news
         comes through others.
@@ -46,6 +50,7 @@
     """
 
     heartbeat: timedelta = timedelta(milliseconds=500)
+    crowd: int = 24
     suspect_after: timedelta = timedelta(seconds=3)
     relayed_suspect_after: timedelta = timedelta(seconds=8)
     drop_after: timedelta = timedelta(seconds=60)
@@ -60,6 +65,10 @@
     datagram_bytes: int = 1200
     budget_bytes_s: int = 27_000
 
+    def heartbeat_among(self, partners: int) -> timedelta:
+        """Return how often an idle partner is sent a datagram."""
+        return self.heartbeat * 2 if partners > self.crowd else self.heartbeat
+
     def probe_gap(self, calm: bool) -> timedelta:
         """Return how long to wait before calling into silence again."""
         return self.probe_every if calm else self.heartbeat
