--- a/benchmarks/passes/__main__.py
+++ b/benchmarks/passes/__main__.py
@@ -1,8 +1,9 @@
 """Compare placement policies: ``python -m benchmarks.passes``.
 
 Same calls, same seeds, each policy in turn, in two processes. Prints tables, and writes
-the figures of all runs and a plot into ``build/``. The commands ``held`` and
-``experiment`` hold the model against played days and vary one knob.
+the figures of all runs and a plot into ``build/``. The commands ``held``,
+``experiment`` and ``ablation`` hold the model against played days, vary one knob, and
+leave out one mechanism at a time.
 """
 
 import argparse
@@ -11,7 +12,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
-from . import experiment, held
+from . import ablation, experiment, held
 from .charts import plot_policies
 from .deployments import DEPLOYMENTS
 from .faults import TROUBLES
@@ -25,6 +26,7 @@
 BUILD = Path("build")
 PROCESSES = 2
 COMMANDS: Mapping[str, Callable[[Sequence[str]], None]] = {
+    "ablation": ablation.main,
     "experiment": experiment.main,
     "held": held.main,
 }
