Let a few of many instances follow the endpoints, and tell the others that nothing is new

Ruled out: longer waits (an outage would not be noticed); rows handed on by peers (they would have to be trusted); see docs/design/0031. Change: eight by rendezvous hashing follow the feed, the others go by their words for 1.7 s; an answer after a silence counts as an outage; rows of peers each 60 s, the configuration at most five times a second, lists offered after 2.2 s. A state machine with readers that freeze, die and lose the store, 800 examples, finds nothing; each guard taken out fails a test.

--- a/src/mimosafork/commands/gateway.py
+++ b/src/mimosafork/commands/gateway.py
@@ -60,6 +60,7 @@
     """
     from ..directory.directory import Directory
     from ..gateway.server import GatewayServer
+    from ..gossip.boot_clock import BootClock
     from ..gossip.peer_rows import SharedPeerRows
     from ..platform.calls import PreparedDialect
     from ..platform.sources import ConfigurationRows, EndpointRows
@@ -68,7 +69,13 @@
     clock = SystemClock()
     random = Random(f"{settings.instance.id}-{time.time_ns()}")
     store = PreparedStore(settings.store.address)
-    directory = Directory(ConfigurationRows(store), EndpointRows(store), clock, random)
+    directory = Directory(
+        ConfigurationRows(store),
+        EndpointRows(store),
+        clock,
+        random,
+        boot_clock=BootClock(),
+    )
     server = GatewayServer(
         settings,
         lambda: load_gateway_settings(path),
--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -34,6 +34,7 @@
     TableChanged,
     Teller,
 )
+from .peer_feed import PeerFeed
 from .rows import Row, RowPage
 from .settings import DirectorySettings
 from .sources import ConfigurationSource, EndpointSource
@@ -96,6 +97,9 @@
         Times.
     pause : Sleep, optional
         Waits for a time.
+    boot_clock : Clock, optional
+        Its monotonic scale counts the time of a suspension, by which peers' words grow
+        old; `clock` if it is not given.
     """
 
     def __init__(
@@ -106,6 +110,7 @@
         random: Random,
         settings: DirectorySettings | None = None,
         pause: Sleep = sleep,
+        boot_clock: Clock | None = None,
     ) -> None:
         chosen = settings or DirectorySettings()
         self.pause = pause
@@ -116,6 +121,7 @@
         self.book = EndpointBook(endpoints, self.health, clock, chosen.gone_kept)
         self.peers: Callable[[], int] = nobody
         """Returns how many instances would tell of a newer configuration."""
+        self.peer_feed = PeerFeed(boot_clock or clock)
         self.listeners: list[Listener] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.configuration_follower = Follower(
@@ -137,6 +143,7 @@
             random,
             self.health,
             self.horizon,
+            self.peer_feed,
         )
 
     @property
@@ -298,6 +305,14 @@
         """Return a longer wait the more peers there are that would tell."""
         return wait_among(usual, self.directory.peers())
 
+    def take_nothing_new(self, version: int) -> None:
+        """Do nothing: no peer's word stands for an answer about the configuration."""
+
+    @property
+    def in_doubt(self) -> bool:
+        """Nothing of the configuration is ever in doubt."""
+        return False
+
 
 class EndpointTaker:
     """Hands the endpoints' rows to the directory.
@@ -337,6 +352,17 @@
             return usual
         return min(usual, self.directory.health.doubt_left)
 
+    def take_nothing_new(self, version: int) -> None:
+        """Note up to where all is known, and drop words that are long over."""
+        self.directory.book.note_told(version)
+        self.directory.settle()
+
+    @property
+    def in_doubt(self) -> bool:
+        """Whether something vanished or came back that time has yet to judge."""
+        book = self.directory.book
+        return book.holds_missing or bool(book.reappeared) or book.health.in_doubt
+
     def take(self, rows: tuple[Row, ...]) -> None:
         """Take rows, then settle what was in doubt."""
         for row in rows:
--- a/src/mimosafork/directory/follower.py
+++ b/src/mimosafork/directory/follower.py
@@ -18,7 +18,9 @@
 )
 from ..telemetry.logs import log_event
 from .errors import HistoryGoneError, RowsError
+from .feed_word import FeedWord
 from .health import Horizon, StoreHealth
+from .peer_feed import FRESH, HeardWord, PeerFeed
 from .rows import RowPage
 from .settings import FollowSettings
 from .sources import RowSource
@@ -28,7 +30,10 @@
 Sleep = Callable[[timedelta], Awaitable[None]]
 MILLISECOND = timedelta(milliseconds=1)
 LEAST_JITTER = 0.75
-"""Smallest part of a retry's pause that is made."""
+"""Smallest part of a pause that is made."""
+COVERED_PAUSE = timedelta(milliseconds=600)
+"""Until one who follows by peers' words looks at them again. Several changes that come
+within it cost one call; an endpoint's leaving is told by peers at once all the same."""
 
 
 class Taker(Protocol):
@@ -50,6 +55,15 @@
         """Return how long the next call may wait for changes."""
         ...
 
+    def take_nothing_new(self, version: int) -> None:
+        """Take the word that nothing has changed up to a version."""
+        ...
+
+    @property
+    def in_doubt(self) -> bool:
+        """Whether the store's own answers are awaited to judge what is known."""
+        ...
+
 
 class Follower:
     """Reads a table whole and follows its changes, through outages of the store.
@@ -72,13 +86,18 @@
         Of this table alone: one feed that falls silent casts no doubt on another.
     horizon : Horizon
         Shared by all who hear of versions.
+    peer_feed : PeerFeed or None
+        What peers tell of this table's feed, where they do.
 
     Attributes
     ----------
     position : int or None
         Changes are followed from here; None if the table is to be read whole.
+    changed_at : int
+        Version of the newest change that was told, or of the whole read.
     answered_at : timedelta or None
-        Monotonic instant of the last answer that was taken.
+        Monotonic instant of the last answer that was taken, or as of which a peer's
+        word stood for one.
     """
 
     def __init__(
@@ -91,6 +110,7 @@
         random: Random,
         health: StoreHealth,
         horizon: Horizon,
+        peer_feed: PeerFeed | None = None,
     ) -> None:
         self.name = name
         self.source = source
@@ -100,7 +120,9 @@
         self.random = random
         self.health = health
         self.horizon = horizon
+        self.peer_feed = peer_feed
         self.position: int | None = None
+        self.changed_at = 0
         self.answered_at: timedelta | None = None
         self.troubles = 0
 
@@ -191,16 +213,61 @@
             version=page.version,
             count=len(page.rows),
         )
+        self.changed_at = page.version
         self.taker.take_whole(page)
         return self.taken(page.version)
 
     async def follow(self, position: int) -> timedelta:
-        """Wait for changes and take them."""
-        wait = self.taker.longest_wait(self.settings.wait)
+        """Wait for changes and take them, unless peers say that there are none."""
+        if self.peer_feed is None:
+            await self.ask(position, self.taker.longest_wait(self.settings.wait))
+            return self.settings.pause
+        heard = self.covering(position, self.peer_feed)
+        if heard is not None:
+            left = heard.left(self.peer_feed.clock.monotonic())
+            self.take_peers_word(position, heard.word, FRESH - left)
+            usual = COVERED_PAUSE * self.random.uniform(LEAST_JITTER, 1.0)
+            return min(usual, left + MILLISECOND)
+        asked_at = self.peer_feed.clock.monotonic()
+        usual = self.taker.longest_wait(self.settings.wait)
+        wait = self.peer_feed.wait_for_others(usual, self.random)
+        followed = await self.ask(position, wait)
+        if not self.taker.in_doubt:
+            self.peer_feed.tell(FeedWord(self.changed_at, followed), asked_at, wait)
+        return self.settings.pause
+
+    async def ask(self, position: int, wait: timedelta) -> int:
+        """Ask the store for changes and take them; return the new position."""
         page = await self.source.changes(position, wait)
         self.note_answer()
+        self.changed_at = max([self.changed_at, *(row.version for row in page.rows)])
         self.taker.take_changes(page)
-        return self.taken(max(position, page.version))
+        followed = max(position, page.version)
+        self.taken(followed)
+        return followed
+
+    def covering(self, position: int, peer_feed: PeerFeed) -> HeardWord | None:
+        """Return a peer's fresh word by which nothing has changed, if there is one.
+
+        Guard: while something is in doubt the own answers judge it. An instance that
+        has lost the store, or holds what vanished around an outage, asks on.
+        """
+        if self.health.lost_at is not None or self.taker.in_doubt:
+            return None
+        return peer_feed.newest_covering(position)
+
+    def take_peers_word(self, position: int, word: FeedWord, age: timedelta) -> None:
+        """Take a peer's word that nothing has changed for an empty answer.
+
+        Guard: the position goes on with the word. One that stood still would fall out
+        of the history that the store keeps, and the table be read whole.
+        """
+        told_at = self.clock.monotonic() - age
+        self.health.answered_by_peer(told_at)
+        self.taker.take_nothing_new(word.followed)
+        self.position = max(position, word.followed)
+        self.horizon.see(self.position)
+        self.answered_at = told_at
 
     def taken(self, version: int) -> timedelta:
         """Go on from a version; return the pause until the next call."""
--- a/src/mimosafork/directory/health.py
+++ b/src/mimosafork/directory/health.py
@@ -4,6 +4,10 @@
 
 from ..clock import Clock
 
+LONGEST_GAP = timedelta(milliseconds=2700)
+"""Longest time between two answers while the store is well: the wait of a call, the
+time in which its connection is found silent, and the pause before it."""
+
 
 class StoreHealth:
     """The store's outages for one table, as this instance sees them.
@@ -30,6 +34,8 @@
         last; None before the first answer and without an outage.
     returned_at : timedelta or None
         Instant of the first answer after the last outage.
+    told_by_peer : bool
+        The last answer was a peer's.
     """
 
     def __init__(self, clock: Clock, grace: timedelta, least_outage: timedelta) -> None:
@@ -37,6 +43,7 @@
         self.grace = grace
         self.least_outage = least_outage
         self.answered_at: timedelta | None = None
+        self.told_by_peer = False
         self.lost_at: timedelta | None = None
         self.outage_from: timedelta | None = None
         self.returned_at: timedelta | None = None
@@ -92,9 +99,23 @@
         assert self.returned_at is not None
         return self.clock.monotonic() < self.returned_at + self.grace
 
+    def answered_by_peer(self, told_at: timedelta) -> None:
+        """Note that a peer had an answer, while the store is not lost here."""
+        self.answered_at = max(told_at, self.answered_at or told_at)
+        self.told_by_peer = True
+
     def answered(self) -> timedelta | None:
-        """Note an answer; return how long the store was lost if it is regained."""
+        """Note an answer; return how long the store was lost if it is regained.
+
+        Guard: one who follows by peers' words asks the store only when they grow old.
+        That call may wait out an outage and be answered at its end, with removals of
+        rows that expired in it. Taken for sure, those endpoints would be lost, so a
+        silence that no usual answer takes counts as an outage.
+        """
         now = self.clock.monotonic()
+        if self.told_by_peer and now - (self.answered_at or now) > LONGEST_GAP:
+            self.failed()
+        self.told_by_peer = False
         self.answered_at = now
         if self.lost_at is None:
             return None
--- a/src/mimosafork/directory/settings.py
+++ b/src/mimosafork/directory/settings.py
@@ -45,6 +45,9 @@
         Its retries go on more often than the configuration's: the time until the
         return is noticed and the grace after it must both fit into the three seconds
         after which an instance that the store had left counts as well informed.
+        The pause after an answer gathers what comes in a storm of configurations, one
+        every 130 ms: five calls a second, not eight. It is shorter than the time after
+        which peers are offered a newer one, so that they need not fetch it.
     return_grace : timedelta
         What vanished while the store was unavailable, or this soon after its
         return, may be back until then.
@@ -58,7 +61,7 @@
     """
 
     configuration: FollowSettings = field(
-        default_factory=lambda: FollowSettings(pause=ms(100), wait=ms(2500))
+        default_factory=lambda: FollowSettings(pause=ms(200), wait=ms(2500))
     )
     endpoints: FollowSettings = field(
         default_factory=lambda: FollowSettings(
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -171,6 +171,7 @@
         self.directory.listen(self._directory_changed)
         self.directory.listen(self.sharing.directory_changed)
         self.directory.peers = self.sharing.peers_heard
+        self.directory.peer_feed.publish = self.sharing.feed_told
         self.sharing.gossip = self._new_gossip()
         await self.sharing.gossip.start()
         self.directory.start()
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -9,6 +10,7 @@
 
 from ..clock import Clock
 from ..directory.directory import Directory
+from ..directory.feed_word import FeedWord
 from ..directory.messages import DirectoryChange, EndpointState, TableChanged
 from ..directory.rows import Row
 from ..gossip.callbacks import Callbacks
@@ -41,6 +43,11 @@
 """A change is offered to peers this much later: those whose own store answers have it
 by then, and need not fetch it."""
 
+OFFER_LISTING_AFTER = timedelta(milliseconds=2200)
+"""The same for a list of endpoints, which is for instances that the store does not
+answer: those that follow it by peers' words ask it within two seconds, and the whole
+list would be fetched by all of them for each endpoint that comes."""
+
 LASTS_AFTER = timedelta(milliseconds=100)
 """A plain endpoint's call is told to peers once it has lasted so long. Most have ended
 by the time that peers hear of them: told at once, they were over half of all words of
@@ -86,6 +93,8 @@
         self.known_peers: set[InstanceId] = set()
         self.metered: set[ServiceId] = set()
         self.offer_timer: asyncio.TimerHandle | None = None
+        self.listing_timer: asyncio.TimerHandle | None = None
+        self.offered = Versions()
         self.untold: dict[RequestId, asyncio.TimerHandle] = {}
         """Plain endpoints' calls that peers are told of if they last."""
         self.callbacks = Callbacks(
@@ -93,6 +102,7 @@
             on_listing_offered=self.listing_offered,
             on_peers_changed=self.peers_changed,
             on_load_changed=self.load_changed,
+            on_feed_told=directory.peer_feed.hear,
             on_endpoint_word=self.endpoint_word,
             on_suspicion=self.suspicion_told,
         )
@@ -156,14 +166,11 @@
         """Offer what is new to peers."""
         if self.gossip is None:
             return
-        if self.offer_timer is None:
-            loop = asyncio.get_running_loop()
-            self.offer_timer = loop.call_later(
-                OFFER_AFTER.total_seconds(), self.offer_versions
-            )
         if isinstance(change, TableChanged):
+            self.offer_configuration_soon()
             self.begin_meters(change.table.services)
             return
+        self.offer_listing_soon()
         if change.entry.takes_new_work:
             return
         if change.entry.state is EndpointState.DRAINING:
@@ -189,18 +196,42 @@
                 self.metered.add(service)
                 self.gossip.publish_spending(service, Spent())
 
-    def offer_versions(self) -> None:
-        """Tell peers which versions this instance can hand over."""
+    def offer_configuration_soon(self) -> None:
+        """Have peers told in a while that there is a newer configuration here."""
+        if self.offer_timer is None:
+            loop = asyncio.get_running_loop()
+            after = OFFER_AFTER.total_seconds()
+            self.offer_timer = loop.call_later(after, self.offer_configuration)
+
+    def offer_listing_soon(self) -> None:
+        """Have peers told in a while that there is a newer list here."""
+        if self.listing_timer is None:
+            loop = asyncio.get_running_loop()
+            after = OFFER_LISTING_AFTER.total_seconds()
+            self.listing_timer = loop.call_later(after, self.offer_listing)
+
+    def offer_configuration(self) -> None:
+        """Tell peers which configuration this instance can hand over."""
         self.offer_timer = None
+        held = self.holding(Matter.CONFIGURATION)
+        self.offer(replace(self.offered, configuration=held.version if held else 0))
+
+    def offer_listing(self) -> None:
+        """Tell peers which list of endpoints this instance can hand over."""
+        self.listing_timer = None
+        held = self.holding(Matter.LISTING)
+        self.offer(replace(self.offered, listing=held.version if held else 0))
+
+    def offer(self, versions: Versions) -> None:
+        """Tell peers which versions this instance can hand over."""
+        self.offered = versions
         if self.gossip is not None:
-            configuration = self.holding(Matter.CONFIGURATION)
-            listing = self.holding(Matter.LISTING)
-            self.gossip.publish_versions(
-                Versions(
-                    configuration.version if configuration else 0,
-                    listing=listing.version if listing else 0,
-                )
-            )
+            self.gossip.publish_versions(versions)
+
+    def feed_told(self, word: FeedWord) -> None:
+        """Tell peers that the store told nothing new of the endpoints."""
+        if self.gossip is not None:
+            self.gossip.publish_feed_word(word)
 
     def holding(self, matter: Matter) -> Held | None:
         """Return what this instance can hand over."""
@@ -246,6 +277,7 @@
         for instance in self.known_peers - alive:
             self.post(PeerSilent(instance))
         self.known_peers = alive
+        self.directory.peer_feed.choose(self.gossip.instance, alive)
 
     def load_changed(self, instance: InstanceId) -> None:
         """Take a peer's running work."""
--- a/src/mimosafork/gossip/callbacks.py
+++ b/src/mimosafork/gossip/callbacks.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
+from ..directory.feed_word import FeedWord
 from ..ids import EndpointId, InstanceId
 from ..telemetry.catalogue.gossip import (
     GOSSIP_DATAGRAM_REFUSED,
@@ -19,6 +20,7 @@
     DatagramRefused,
     DoubtChanged,
     EndpointSaid,
+    FeedTold,
     LoadChanged,
     PeerDown,
     PeerRestarted,
@@ -54,6 +56,8 @@
         A peer came, fell silent or began a new life.
     on_load_changed : callable
         A peer's works have changed.
+    on_feed_told : callable
+        A peer's word that the endpoints have not changed, and its age.
     on_endpoint_word, on_suspicion, on_doubt : callable
         A peer's word; the suspicion is what all know together, a doubt that was
         taken back is None.
@@ -63,6 +67,7 @@
     on_listing_offered: Callable[[bytes, int], None] = ignore
     on_peers_changed: Callable[[], None] = ignore
     on_load_changed: Callable[[InstanceId], None] = ignore
+    on_feed_told: Callable[[InstanceId, FeedWord, timedelta], None] = ignore
     on_endpoint_word: Callable[[EndpointId, EndpointWord], None] = ignore
     on_suspicion: Callable[[bytes, Suspicion], None] = ignore
     on_doubt: Callable[[InstanceId, EndpointId, Doubt | None], None] = ignore
@@ -125,6 +130,10 @@
     def _(self, effect: EndpointSaid, now: timedelta) -> None:
         self.callbacks.on_endpoint_word(effect.endpoint, effect.said)
 
+    @tell.register
+    def _(self, effect: FeedTold, now: timedelta) -> None:
+        self.callbacks.on_feed_told(effect.instance, effect.word, now - effect.born)
+
     @tell.register
     def _(self, effect: SuspicionChanged, now: timedelta) -> None:
         self.callbacks.on_suspicion(effect.digest, effect.known)
--- a/src/mimosafork/gossip/effects.py
+++ b/src/mimosafork/gossip/effects.py
@@ -1,7 +1,9 @@
 """What the exchange has found out and others should know."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 
+from ..directory.feed_word import FeedWord
 from ..ids import EndpointId, InstanceId
 from .kinds.configuration import Versions
 from .kinds.doubt import Doubt
@@ -55,6 +57,21 @@
     said: EndpointWord
 
 
+@dataclass(frozen=True, slots=True)
+class FeedTold:
+    """A peer was told by the store that nothing changed.
+
+    Parameters
+    ----------
+    born : timedelta
+        Instant of its word on this instance's clock.
+    """
+
+    instance: InstanceId
+    word: FeedWord
+    born: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class SuspicionChanged:
     """A peer knows more of a request's digest; this is what all know together."""
@@ -86,6 +103,7 @@
     | DatagramRefused
     | VersionsOffered
     | EndpointSaid
+    | FeedTold
     | SuspicionChanged
     | DoubtChanged
     | LoadChanged
--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -118,6 +118,12 @@
         if self.own.put(slot, value, now):
             self.circle.spread(News(self.me.instance, slot), now + kind.coalesce)
 
+    def confirm(self, kind: Kind, key: Key, value: object, now: timedelta) -> None:
+        """Publish a word that holds as of now, also if it was said before."""
+        slot = Slot(kind.number, key)
+        self.own.touch(slot, value, now)
+        self.circle.spread(News(self.me.instance, slot), now + kind.coalesce)
+
     # What comes in
 
     def learn(
@@ -180,10 +186,7 @@
         if not self.circle.relaying or now < self.pulse_due:
             return
         self.pulse_due = now + self.timing.pulse_every
-        slot = Slot(pulse.PULSE.number, pulse.KEY)
-        self.own.touch(slot, True, now)
-        due = now + pulse.PULSE.coalesce
-        self.circle.spread(News(self.me.instance, slot), due)
+        self.confirm(pulse.PULSE, pulse.KEY, True, now)
 
     def next_due(self, now: timedelta) -> timedelta:
         """Return when the next tick should be."""
--- a/src/mimosafork/gossip/finding.py
+++ b/src/mimosafork/gossip/finding.py
@@ -14,7 +14,11 @@
 
 logger = logging.getLogger(__name__)
 
-READ_EVERY = timedelta(seconds=15)
+READ_EVERY = timedelta(seconds=60)
+"""While peers are heard, which tell of all others: the rows then only join parts of a
+fleet that have forgotten each other, after a minute of silence. Of two instances that
+start together the later to write its row reads the other's. Each of n instances reads n
+rows, and each call of the store has a price."""
 ALONE_EVERY = timedelta(seconds=3)
 """While no peer is heard; each call of the store has a price."""
 FIRST_RETRY = timedelta(milliseconds=500)
--- a/src/mimosafork/gossip/kinds/__init__.py
+++ b/src/mimosafork/gossip/kinds/__init__.py
@@ -1,11 +1,12 @@
 """The kinds of state, one a module; each registers itself."""
 
-from . import configuration, doubt, endpoints, load, pulse, spending, suspicion
+from . import configuration, doubt, endpoints, feed, load, pulse, spending, suspicion
 
 __all__ = [
     "configuration",
     "doubt",
     "endpoints",
+    "feed",
     "load",
     "pulse",
     "spending",
--- a/src/mimosafork/gossip/reports.py
+++ b/src/mimosafork/gossip/reports.py
@@ -2,11 +2,13 @@
 
 from typing import cast
 
+from ..directory.feed_word import FeedWord
 from ..ids import EndpointId, InstanceId, ServiceId
 from .effects import (
     DoubtChanged,
     Effect,
     EndpointSaid,
+    FeedTold,
     LoadChanged,
     SuspicionChanged,
     VersionsOffered,
@@ -15,6 +17,7 @@
 from .kinds.configuration import CONFIGURATION, Versions
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord
+from .kinds.feed import FEED
 from .kinds.load import LOAD
 from .kinds.spending import SPENDING, Spent
 from .kinds.suspicion import SUSPICION
@@ -52,6 +55,8 @@
         if slot.kind == ENDPOINTS.number:
             said = cast(EndpointWord, entry.value)
             return [EndpointSaid(endpoint_of(slot.key), said)]
+        if slot.kind == FEED.number:
+            return [FeedTold(name, cast(FeedWord, entry.value), entry.born)]
         if slot.kind == SUSPICION.number and isinstance(slot.key, bytes):
             return [SuspicionChanged(slot.key, self.state.suspicion(slot.key))]
         return []
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from ..clock import Clock
+from ..directory.feed_word import FeedWord
 from ..ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
 from ..telemetry.catalogue.gossip import GOSSIP_FAULT
 from ..telemetry.logs import log_event
@@ -20,6 +21,8 @@
 from .kinds.configuration import KEY as VERSIONS_KEY
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord
+from .kinds.feed import FEED
+from .kinds.feed import KEY as FEED_KEY
 from .kinds.load import LOAD, WorkNote
 from .kinds.spending import Spent
 from .kinds.suspicion import SUSPICION, Suspicion, union
@@ -150,6 +153,11 @@
 
     # What others know
 
+    @property
+    def instance(self) -> InstanceId:
+        """Name of this instance."""
+        return self.exchange.me.instance
+
     @property
     def state(self) -> FleetState:
         """What the fleet knows together."""
@@ -200,6 +208,11 @@
         self.exchange.say(ENDPOINTS, endpoint, said, self.clock.monotonic())
         self.arm()
 
+    def publish_feed_word(self, word: FeedWord) -> None:
+        """Tell that the store told nothing new of the endpoints."""
+        self.exchange.confirm(FEED, FEED_KEY, word, self.clock.monotonic())
+        self.arm()
+
     def publish_suspicion(self, digest: bytes, seen: Suspicion) -> None:
         """Tell what was seen of a request's digest, besides what was told before."""
         told = self.exchange.own.value(SUSPICION.number, digest)
--- /dev/null
+++ b/tests/unit/directory/test_reader_machine.py
@@ -0,0 +1,190 @@
+"""What is believed by one who follows the endpoints by peers' words, in any trouble."""
+
+from collections.abc import Coroutine, Generator
+from datetime import timedelta
+from functools import partial
+from random import Random
+from typing import Any
+
+from hypothesis import strategies as st
+from hypothesis.stateful import rule
+
+from mimosafork.directory.directory import Directory
+from mimosafork.directory.errors import StoreUnavailableError
+from mimosafork.directory.feed_word import FeedWord
+from mimosafork.directory.follower import Follower
+from mimosafork.directory.messages import DirectoryChange, EndpointState, TableChanged
+from mimosafork.directory.rows import RowPage
+from mimosafork.ids import EndpointId, InstanceId
+
+from ...support.functions import function_tests
+from ...support.model_store import Condition
+from .test_directory_machine import (
+    ConfigurationRows,
+    DirectoryMachine,
+    ListedRows,
+    explore,
+)
+
+READERS = 3
+WHICH = st.integers(0, READERS - 1)
+
+
+class Parked:
+    """Stands still once, until it is sent on."""
+
+    def __await__(self) -> Generator[None, None, None]:
+        """Yield once."""
+        yield
+
+
+class ReaderRows(ListedRows):
+    """The endpoints' rows, as a reader asks for them whose process may stand still.
+
+    Attributes
+    ----------
+    cut : bool
+        Its calls get no answer.
+    frozen : bool
+        Its process stands still from when the answer has come.
+    """
+
+    cut = False
+    frozen = False
+
+    def refuse_if_down(self) -> None:
+        """Raise what a caller meets whose call gets no answer."""
+        if self.cut or self.store.condition is Condition.DOWN:
+            raise StoreUnavailableError("down")
+
+    async def changes(self, after: int, wait: timedelta) -> RowPage:
+        """Answer at once, and take the answer when the process runs again."""
+        page = await super().changes(after, wait)
+        while self.frozen:
+            await Parked()
+        return page
+
+
+class Reader:
+    """A peer that follows the feed and tells of it.
+
+    Attributes
+    ----------
+    dead : bool
+        It neither runs nor tells.
+    """
+
+    def __init__(self, machine: "ReaderMachine", number: int) -> None:
+        self.name = InstanceId(f"reader-{number}")
+        self.machine = machine
+        self.rows = ReaderRows(machine.store)
+        self.step: Coroutine[Any, Any, timedelta] | None = None
+        self.dead = False
+        self.directory = Directory(
+            ConfigurationRows(machine.store, machine.tables),
+            self.rows,
+            machine.clock,
+            Random(number),
+        )
+        feed = self.directory.peer_feed
+        feed.has_followers = True
+        feed.publish = partial(machine.feed_told, self)
+        self.directory.listen(partial(machine.endpoint_told, self))
+
+    def run(self) -> None:
+        """Go on as far as the process may."""
+        if self.dead:
+            return
+        if self.step is None:
+            self.step = self.directory.endpoint_follower.step()
+        try:
+            self.step.send(None)
+        except StopIteration:
+            self.step = None
+
+    def die(self) -> None:
+        """End the process."""
+        if self.step is not None:
+            self.step.close()
+            self.step = None
+        self.dead = True
+
+
+class ReaderMachine(DirectoryMachine):
+    """The same troubles for one whose peers read the feed, and have troubles too."""
+
+    late_peers = False
+
+    def boot(self) -> None:
+        """Start the instance anew, and its peers with it."""
+        super().boot()
+        self.words_lost = False
+        self.directory.peer_feed.reads_itself = False
+        self.readers = [Reader(self, number) for number in range(READERS)]
+
+    def feed_told(self, reader: Reader, word: FeedWord) -> None:
+        """Hand over a reader's word that nothing has changed."""
+        if not self.words_lost:
+            self.directory.peer_feed.hear(reader.name, word, timedelta(0))
+
+    def endpoint_told(self, reader: Reader, change: DirectoryChange) -> None:
+        """Hand over a reader's word that an endpoint takes no new work."""
+        if self.words_lost or isinstance(change, TableChanged):
+            return
+        endpoint = EndpointId(change.endpoint)
+        if change.entry.state is EndpointState.DRAINING:
+            self.directory.offer_draining(endpoint, change.entry.row.version)
+        gone = reader.directory.book.gone.get(endpoint)
+        if gone is not None and gone.sure:
+            self.directory.offer_gone(endpoint, gone.row.version)
+
+    def step(self, follower: Follower) -> None:
+        """Let the readers run before this instance does."""
+        if follower is self.directory.endpoint_follower:
+            for reader in self.readers:
+                reader.run()
+        super().step(follower)
+
+    @rule(which=WHICH, frozen=st.booleans())
+    def reader_freezes(self, which: int, frozen: bool) -> None:
+        """Let a reader stand still with an answer in hand, or wake."""
+        self.readers[which].rows.frozen = frozen
+
+    @rule(which=WHICH, cut=st.booleans())
+    def reader_is_cut_off(self, which: int, cut: bool) -> None:
+        """Cut a reader off from the store, or mend that."""
+        self.readers[which].rows.cut = cut
+
+    @rule(which=WHICH)
+    def reader_dies(self, which: int) -> None:
+        """End a reader, or start it anew."""
+        reader = self.readers[which]
+        if reader.dead:
+            self.readers[which] = Reader(self, which)
+        else:
+            reader.die()
+
+    @rule(lost=st.booleans())
+    def words_are_lost(self, lost: bool) -> None:
+        """Lose all words between the readers and this instance, or none."""
+        self.words_lost = lost
+
+    def teardown(self) -> None:
+        """Let the readers be sound as well at the end."""
+        for reader in self.readers:
+            reader.rows.frozen = reader.rows.cut = False
+        super().teardown()
+        for reader in self.readers:
+            reader.die()
+
+
+def test_what_is_used_is_there_for_one_who_goes_by_peers_words() -> None:
+    """Readers freeze with an answer in hand, die, lose the store, and are not heard.
+
+    One who takes their word that nothing has changed uses no endpoint that has left,
+    and loses none, whatever the store does meanwhile.
+    """
+    explore(ReaderMachine)
+
+
+load_tests = function_tests(__name__)
