Tell works beyond 100 instances to those who use the same engines, ten for each instance

Change: the subsets of docs/design/0028, in one order over all zones; words with an audience, confirmed though no heartbeat goes back; ends go to whoever was told. Up to 100 instances nothing changes.

--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -1,5 +1,6 @@
 """Places calls by the work that this instance and its peers have running."""
 
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from datetime import timedelta
 from functools import singledispatchmethod
@@ -23,7 +24,14 @@
 )
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
-from ...placement.choice import NoRoom, Place, PlacementAsk, Shortage, WaitForRoom
+from ...placement.choice import (
+    EngineView,
+    NoRoom,
+    Place,
+    PlacementAsk,
+    Shortage,
+    WaitForRoom,
+)
 from ...placement.memory import needs_tickets
 from ...placement.policy import choose
 from ...placement.work import LoadBook, Work
@@ -47,12 +55,19 @@
 """Peers are told when a prompt has been read whose part takes an engine so long."""
 
 
+def all_of(views: Sequence[EngineView]) -> Sequence[EngineView]:
+    """Return all engines."""
+    return views
+
+
 @register("work-placer")
 class WorkPlacer(Placer):
     """Asks the placement policy, with the book of running work.
 
     Attributes
     ----------
+    narrowed : callable
+        Returns those of a service's engines that this instance uses.
     first_token_at : dict of RequestId to timedelta
         Monotonic instant at which a call's latest place was to bring its first token.
     """
@@ -63,6 +78,7 @@
         self.quarantine = CrashQuarantine()
         self.retry = BudgetedRetry()
         self.book = LoadBook()
+        self.narrowed: Callable[[Sequence[EngineView]], Sequence[EngineView]] = all_of
         self.waiting_since: dict[RequestId, timedelta] = {}
         self.first_token_at: dict[RequestId, timedelta] = {}
 
@@ -82,10 +98,11 @@
         if objection is not None:
             return Refuse(objection)
         service = ServiceId(record.request.target)
-        engines = [b.view(context.now) for b in self.fleet.of_service(service)]
+        views = [b.view(context.now) for b in self.fleet.of_service(service)]
         if self.memory.pauses(record.request_id, context.now):
             return Wait(Shortage.MEMORY.value)
         figures = self.figures_of(service)
+        engines = views if figures is None else self.narrowed(views)
         ask = self._ask(record, figures, context)
         choice = choose(ask, engines, self.book, figures, context.now, context.random)
         if isinstance(choice, Place):
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -47,9 +47,11 @@
 from .gauges import Gauges, StoreCounts
 from .meters import CallMeter
 from .metrics_page import MetricsConnection, new_metrics
+from .neighbours import Neighbours
 from .outlook import Outlook, milliseconds
 from .policies import PLUGINS
 from .policies.fleet_view import FleetView
+from .policies.placing import WorkPlacer
 from .policies.reserving import MemoryKeeper
 from .policies.retrying import BudgetedRetry
 from .ready import ReadyConnection
@@ -112,7 +114,11 @@
         self.gateway = Gateway(
             self.kernel, dialect, clock, random, lambda: self.directory.table
         )
-        self.sharing = Sharing(directory, self.gateway.post, self.figures_of, clock)
+        neighbours = Neighbours(settings.instance.id, self.kernel.plugin(FleetView))
+        self.sharing = Sharing(
+            directory, self.gateway.post, self.figures_of, clock, neighbours
+        )
+        self.kernel.plugin(WorkPlacer).narrowed = neighbours.narrowed
         self.gateway.on_effect = self.sharing.tell
         self.outlook = Outlook(self.kernel, directory, self.sharing, clock.monotonic)
         self.gateway.lines.look = self.outlook
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -38,6 +38,7 @@
 from ..placement.work import Held as HeldTokens
 from ..placement.work import Part, Work
 from ..routing.engine import EngineFigures
+from .neighbours import Neighbours
 
 OFFER_AFTER = timedelta(milliseconds=300)
 """A change is offered to peers this much later: those whose own store answers have it
@@ -76,6 +77,8 @@
         Returns the figures of an endpoint's engine, if it is one.
     clock : Clock
         The kernel's.
+    neighbours : Neighbours
+        Told who is heard; knows who is to hear of a work.
     """
 
     def __init__(
@@ -84,8 +87,10 @@
         post: Callable[[Message], None],
         figures_of: FiguresOf,
         clock: Clock,
+        neighbours: Neighbours,
     ) -> None:
         self.directory = directory
+        self.neighbours = neighbours
         self.post = post
         self.figures_of = figures_of
         self.clock = clock
@@ -132,7 +137,9 @@
         """Tell peers of a work."""
         self.untold.pop(work.request, None)
         if self.gossip is not None:
-            self.gossip.publish_work(note_of(work, self.clock.monotonic()))
+            audience = self.neighbours.audience(part.endpoint for part in work.parts)
+            note = note_of(work, self.clock.monotonic())
+            self.gossip.publish_work(note, audience)
 
     def _tell_if_it_lasts(self, work: Work) -> None:
         """Tell peers of a plain endpoint's call that doesn't end soon."""
@@ -278,6 +285,7 @@
             self.post(PeerSilent(instance))
         self.known_peers = alive
         self.directory.peer_feed.choose(self.gossip.instance, alive)
+        self.neighbours.heard(alive, self.gossip.is_large)
 
     def load_changed(self, instance: InstanceId) -> None:
         """Take a peer's running work."""
--- a/src/mimosafork/gossip/circle.py
+++ b/src/mimosafork/gossip/circle.py
@@ -1,9 +1,11 @@
 """Whom an instance tells what: its links, its partners and the news due to them."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from ..ids import InstanceId
 from .effects import Effect, PeerDown
+from .kinds.base import kind_of
 from .ledger import Ledger
 from .links import Link, News
 from .members import Identity, Member
@@ -153,18 +155,28 @@
             if told and self.roster.members[name].alive:
                 link.add(news, due)
 
+    def tell(self, news: News, due: timedelta, audience: Iterable[InstanceId]) -> None:
+        """Make news due to some peers, partners or not."""
+        for name in audience:
+            member = self.roster.members.get(name)
+            if member is not None and member.alive:
+                self.wake(name)
+                self.links[name].add(news, due)
+
     def send_all(self, link: Link, now: timedelta) -> None:
-        """Make everything due to a peer."""
+        """Make everything due to a peer, but for what is told to some alone."""
         link.sends_all = True
         link.all_since = now
         for slot in self.own.entries:
-            link.add(News(self.me.instance, slot), now + HURRY)
+            if not self.relaying or kind_of(slot.kind).relayed:
+                link.add(News(self.me.instance, slot), now + HURRY)
         link.hurry(now + HURRY)
         if not self.relaying:
             return
         for member in self.roster.alive():
             for slot in member.ledger.entries:
-                link.add(News(member.identity.instance, slot), now + HURRY)
+                if kind_of(slot.kind).relayed:
+                    link.add(News(member.identity.instance, slot), now + HURRY)
 
     def source_of(self, origin: InstanceId) -> Source | None:
         """Find an origin's entries."""
--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -85,6 +85,8 @@
         intake = Intake(self.circle, Reports(self.state))
         self.receiver = Receiver(self.circle, self.caller, intake, self.counters)
         self.sender = Sender(self.circle, self.outbox, self.caller)
+        self.audiences: dict[Slot, frozenset[InstanceId] | None] = {}
+        """Who was told of each standing word that is for some; None for all."""
         self.ticked: timedelta | None = None
         self.purge_due = self.pulse_due = timedelta.min
 
@@ -118,6 +120,40 @@
         if self.own.put(slot, value, now):
             self.circle.spread(News(self.me.instance, slot), now + kind.coalesce)
 
+    def tell(
+        self,
+        kind: Kind,
+        key: Key,
+        value: object | None,
+        audience: frozenset[InstanceId] | None,
+        now: timedelta,
+    ) -> None:
+        """Publish a word to some peers, and to all who were told of it before.
+
+        Guard: a peer that was told of a work and not of its end would keep it for as
+        long as it hears this instance.
+
+        Parameters
+        ----------
+        audience : frozenset of InstanceId or None
+            None for all.
+        """
+        slot = Slot(kind.number, key)
+        if not self.own.put(slot, value, now):
+            return
+        told = self.audiences.pop(slot, frozenset())
+        if audience is not None and told is not None and self.circle.relaying:
+            told |= audience
+        else:
+            told = None
+        if value is not None:
+            self.audiences[slot] = told
+        news, due = News(self.me.instance, slot), now + kind.coalesce
+        if not self.circle.relaying:
+            self.circle.spread(news, due)
+        else:
+            self.circle.tell(news, due, self.roster.members if told is None else told)
+
     def confirm(self, kind: Kind, key: Key, value: object, now: timedelta) -> None:
         """Publish a word that holds as of now, also if it was said before."""
         slot = Slot(kind.number, key)
--- a/src/mimosafork/gossip/kinds/base.py
+++ b/src/mimosafork/gossip/kinds/base.py
@@ -48,6 +48,9 @@
         A word is forgotten so long after it was said.
     outlives_silence : bool
         It is kept while its origin is silent.
+    relayed : bool
+        In a large fleet it is passed on to all; else it is told to those whom its
+        origin names, by itself.
     """
 
     number: int
@@ -56,6 +59,7 @@
     relay_after: timedelta = timedelta(milliseconds=25)
     lifetime: timedelta | None = None
     outlives_silence: bool = False
+    relayed: bool = True
 
 
 KINDS: dict[int, Kind] = {}
--- a/src/mimosafork/gossip/kinds/load.py
+++ b/src/mimosafork/gossip/kinds/load.py
@@ -138,4 +138,4 @@
 """Instances that place calls before they hear of one another's choose the same engines,
 so that a work is told almost at once."""
 
-LOAD = register(Kind(5, LoadCodec(), coalesce=SOON))
+LOAD = register(Kind(5, LoadCodec(), coalesce=SOON, relayed=False))
--- a/src/mimosafork/gossip/receiving.py
+++ b/src/mimosafork/gossip/receiving.py
@@ -14,6 +14,10 @@
 from .wire import Datagram, Flag
 from .wire import from_wire as identity_of
 
+CONFIRM_AFTER = timedelta(milliseconds=700)
+"""Well before an unconfirmed datagram counts as lost; mostly a word goes back sooner
+and confirms it."""
+
 
 class Receiver:
     """Takes in datagrams of this fleet."""
@@ -52,8 +56,19 @@
         self.circle.wake(member.identity.instance)
         effects += self.circle.revive(member, now)
         self.take_head(datagram, member, now)
+        if told:
+            self.confirm_in_time(member, now)
         return effects + self.intake.take(told, member, now)
 
+    def confirm_in_time(self, member: Member, now: timedelta) -> None:
+        """Have a datagram confirmed that came from no partner.
+
+        No heartbeat goes to one that is told of some works only; it would take its
+        words for lost, and send them again and again.
+        """
+        if not self.circle.is_partner(member.identity.instance, now):
+            self.circle.link_of(member).hurry(now + CONFIRM_AFTER)
+
     def is_new(self, datagram: Datagram, member: Member) -> bool:
         """Note a datagram's number; return whether it came for the first time."""
         receipts = self.circle.link_of(member).receipts
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -158,6 +158,11 @@
         """Name of this instance."""
         return self.exchange.me.instance
 
+    @property
+    def is_large(self) -> bool:
+        """Whether the fleet is too large for everyone to tell everyone."""
+        return self.exchange.circle.relaying
+
     @property
     def state(self) -> FleetState:
         """What the fleet knows together."""
@@ -186,14 +191,24 @@
 
     # What this instance knows
 
-    def publish_work(self, note: WorkNote) -> None:
-        """Tell of a work that began or has changed."""
-        self.exchange.say(LOAD, note.number, note, self.clock.monotonic())
+    def publish_work(
+        self, note: WorkNote, audience: frozenset[InstanceId] | None = None
+    ) -> None:
+        """Tell of a work that began or has changed.
+
+        Parameters
+        ----------
+        audience : frozenset of InstanceId or None
+            Who needs to know where not everyone tells everyone; None for all.
+        """
+        now = self.clock.monotonic()
+        self.exchange.tell(LOAD, note.number, note, audience, now)
         self.arm()
 
     def publish_work_end(self, number: int) -> None:
         """Tell that a work has ended."""
-        self.exchange.say(LOAD, number, None, self.clock.monotonic())
+        now = self.clock.monotonic()
+        self.exchange.tell(LOAD, number, None, frozenset(), now)
         self.arm()
 
     def publish_versions(self, versions: Versions) -> None:
--- a/src/mimosafork/gossip/taking.py
+++ b/src/mimosafork/gossip/taking.py
@@ -46,7 +46,7 @@
         if not accepted:
             return []
         effects = self.reports.accepted(origin, slot, entry)
-        if self.circle.relaying:
+        if self.circle.relaying and kind_of(slot.kind).relayed:
             due = now + kind_of(slot.kind).relay_after
             self.circle.spread(news, due, sender.identity.instance)
         return effects
--- a/src/mimosafork/placement/policy.py
+++ b/src/mimosafork/placement/policy.py
@@ -2,11 +2,8 @@
 
 from collections.abc import Sequence
 from datetime import timedelta
-from functools import lru_cache
 from random import Random
-from zlib import crc32
 
-from ..ids import EndpointId
 from ..routing.engine import EngineFigures
 from .admission import finish_ms, too_late
 from .choice import (
@@ -24,6 +21,7 @@
 from .plain import choose_plain, preferred
 from .plan import Plan, best_plan
 from .race import race_costs
+from .subset import engine_rank
 from .turn import waits_its_turn
 from .work import LoadBook, Part
 
@@ -31,8 +29,6 @@
 
 SUSPECT_COST = 50.0
 """Cost of an engine that failed lately."""
-KNOWN_RANKS = 4_096
-"""Engines whose place in the order is kept; more than one instance ever sees."""
 
 
 def choose(
@@ -79,7 +75,7 @@
     now: timedelta,
 ) -> list[EngineState]:
     """Return the engines in the order that all instances share."""
-    ordered = sorted(usable, key=lambda view: shared_rank(view.endpoint))
+    ordered = sorted(usable, key=lambda view: engine_rank(view.endpoint))
     now_ms = now.total_seconds() * 1e3
     count = len(ordered)
     return [
@@ -95,12 +91,6 @@
     ]
 
 
-@lru_cache(KNOWN_RANKS)
-def shared_rank(endpoint: EndpointId) -> int:
-    """Return what an engine's place in the order of all instances goes by."""
-    return crc32(endpoint.encode())
-
-
 def without_plan(
     ask: PlacementAsk, states: list[EngineState], figures: EngineFigures
 ) -> Choice:
--- /dev/null
+++ b/src/mimosafork/placement/subset.py
@@ -0,0 +1,78 @@
+"""Which engines an instance of a large fleet uses, and which instances share them.
+
+Instances and engines stand in orders that all work out alike from their names. Of n
+instances the r-th takes the engines that follow place r / n of the engines' order, so
+that each engine is used by as many instances as any other, and two that share an engine
+are neighbours. Nobody has to agree; a change shifts each subset by a place or two.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from functools import lru_cache
+from zlib import crc32
+
+from ..ids import EndpointId, InstanceId
+from .choice import EngineView
+
+SUBSET = 10
+"""Engines that an instance uses: enough to read a prompt of 260,000 tokens in time.
+195 instances before 112 engines share them with some 35 others each, and an instance
+tells of its works 35 times, not 194."""
+LEAST_ENGINES = 2 * SUBSET
+"""Among fewer, subsets would hardly be smaller than the whole."""
+
+
+KNOWN_RANKS = 4_096
+"""Engines whose place in the order is kept; more than one instance ever sees."""
+
+
+@lru_cache(KNOWN_RANKS)
+def engine_rank(endpoint: EndpointId) -> tuple[int, EndpointId]:
+    """Return what an engine's place in the order goes by."""
+    return crc32(endpoint.encode()), endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceOrder:
+    """The living instances of a fleet, in their order.
+
+    Attributes
+    ----------
+    places : dict of InstanceId to int
+        Each instance's place.
+    """
+
+    places: dict[InstanceId, int]
+
+    @classmethod
+    def of(cls, instances: Iterable[InstanceId]) -> "InstanceOrder":
+        """Put instances in order."""
+        ordered = sorted(set(instances), key=lambda each: (crc32(each.encode()), each))
+        return cls({each: place for place, each in enumerate(ordered)})
+
+    def first_engine(self, instance: InstanceId, engines: int) -> int:
+        """Return the place of an instance's first engine among so many."""
+        return self.places[instance] * engines // len(self.places)
+
+    def users(self, place: int, engines: int) -> list[InstanceId]:
+        """Return the instances whose subset has the engine at a place."""
+        return [
+            each
+            for each in self.places
+            if (place - self.first_engine(each, engines)) % engines < SUBSET
+        ]
+
+
+def own_engines(
+    order: InstanceOrder, own: InstanceId, views: Sequence[EngineView]
+) -> list[EngineView]:
+    """Return the engines that an instance uses: the first sound ones from its place on.
+
+    Where several of its own are down or suspected, behind a cut for example, the next
+    ones stand in; all are returned where too few are sound.
+    """
+    ranked = sorted(views, key=lambda view: engine_rank(view.endpoint))
+    first = order.first_engine(own, len(ranked))
+    turned = ranked[first:] + ranked[:first]
+    sound = [view for view in turned if view.usable and not view.suspect]
+    return sound[:SUBSET] if len(sound) >= SUBSET else list(views)
--- /dev/null
+++ b/tests/unit/gateway/test_neighbours.py
@@ -0,0 +1,88 @@
+"""Tests of which engines an instance of a large fleet uses, and whom it tells."""
+
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.gateway.neighbours import Neighbours
+from mimosafork.gateway.policies.fleet_view import EndpointBelief, FleetView
+from mimosafork.ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
+from mimosafork.placement.subset import LEAST_ENGINES, SUBSET
+from mimosafork.routing.listing import ListedEndpoint, ListedState
+
+from ...support.functions import function_tests
+
+case = TestCase()
+
+OWN = InstanceId("front-0")
+PEERS = [InstanceId(f"front-{number}") for number in range(1, 195)]
+POOL = ServiceId("pool")
+NOW = timedelta(0)
+
+
+def fleet_of(engines: int) -> FleetView:
+    """Return a view of one service's engines."""
+    fleet = FleetView()
+    for number in range(engines):
+        listed = ListedEndpoint(
+            endpoint=EndpointId(f"i-{number}"),
+            service=POOL,
+            address=f"10.0.0.{number}:80",
+            zone=AvailabilityZoneId("z"),
+            slots=5,
+            state=ListedState.READY,
+            sequence=1,
+        )
+        belief = EndpointBelief(listed)
+        fleet.endpoints[listed.endpoint] = belief
+        fleet.by_service.setdefault(POOL, {})[listed.endpoint] = belief
+    return fleet
+
+
+def used(neighbours: Neighbours) -> set[EndpointId]:
+    """Return the engines that an instance uses."""
+    views = [each.view(NOW) for each in neighbours.fleet.of_service(POOL)]
+    return {view.endpoint for view in neighbours.narrowed(views)}
+
+
+def test_all_engines_are_used_where_everyone_tells_everyone() -> None:
+    neighbours = Neighbours(OWN, fleet_of(112))
+    case.assertEqual(112, len(used(neighbours)))
+    neighbours.heard(PEERS[:40], large=False)
+    case.assertEqual(112, len(used(neighbours)))
+    case.assertIsNone(neighbours.audience([EndpointId("i-3")]))
+
+
+def test_a_work_is_told_to_all_who_may_choose_its_engines() -> None:
+    """Two instances that don't know of each other's works fill an engine twice.
+
+    Whoever uses an engine hears of each work on it, also of one that only helps.
+    """
+    fleet = fleet_of(112)
+    neighbours = Neighbours(OWN, fleet)
+    neighbours.heard(PEERS, large=True)
+    mine = sorted(used(neighbours))
+    case.assertEqual(SUBSET, len(mine))
+    sharing = set()
+    for peer in PEERS:
+        other = Neighbours(peer, fleet)
+        other.heard([each for each in [OWN, *PEERS] if each != peer], large=True)
+        if used(other) & {mine[0], mine[7]}:
+            sharing.add(peer)
+    case.assertEqual(sharing, neighbours.audience([mine[0], mine[7]]))
+    case.assertLess(len(sharing), 60)
+
+
+def test_few_engines_are_used_by_all_and_all_are_told() -> None:
+    neighbours = Neighbours(OWN, fleet_of(LEAST_ENGINES - 1))
+    neighbours.heard(PEERS, large=True)
+    case.assertEqual(LEAST_ENGINES - 1, len(used(neighbours)))
+    case.assertEqual(frozenset(PEERS), neighbours.audience([EndpointId("i-3")]))
+
+
+def test_calls_of_plain_endpoints_are_told_to_nobody_in_a_large_fleet() -> None:
+    neighbours = Neighbours(OWN, fleet_of(112))
+    neighbours.heard(PEERS, large=True)
+    case.assertEqual(frozenset(), neighbours.audience([]))
+
+
+load_tests = function_tests(__name__)
