Tell in lines and metrics what each instance has repeated, and by how many it shares

Each line of an attempt told what the budget had left as that instance saw it; nothing told what it had sent itself and by how many it divided the rest, so that a budget spent twice, words that came late and repeats that nobody counted looked the same. Change: `repeats_sent` and `sharers` in the lines, `mimosafork_repeats_sent_total` and `mimosafork_repeats_sharers` on the metrics page. Added up over all instances the first is what the fleet sent; beside `repeats_left` it tells how much was unheard. No decision changes.

--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -2,7 +2,7 @@
 
 import logging
 import resource
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Protocol
 
@@ -19,6 +19,8 @@
     MEMORY_RESERVED,
     PEERS_HEARD,
     REPEATS_LEFT,
+    REPEATS_SENT,
+    REPEATS_SHARERS,
     ROWS_CALLS,
     TABLE_AGE,
     TABLE_VERSION,
@@ -79,7 +81,11 @@
         page.observe(TABLE_AGE, self.table_ages)
         page.observe(TABLE_VERSION, self.version)
         page.observe(ENDPOINTS_KNOWN, self.endpoints)
-        page.observe(REPEATS_LEFT, self.repeats)
+        page.observe(REPEATS_LEFT, lambda: self.by_service(self.outlook.retry.room))
+        page.observe(REPEATS_SENT, lambda: self.by_service(self.outlook.retry.sent))
+        page.observe(
+            REPEATS_SHARERS, lambda: self.by_service(self.outlook.retry.sharers)
+        )
         page.observe(PEERS_HEARD, self.peers)
         page.observe(GOSSIP_SENT, self.gossip_bytes)
         page.observe(GOSSIP_DATAGRAMS, self.datagrams)
@@ -146,11 +152,10 @@
                 found.append(Reading(count, labels))
         return found
 
-    def repeats(self) -> Iterable[Reading]:
-        """Return what the budget of repeats has left."""
-        room = self.outlook.retry.room
+    def by_service(self, value: Callable[[ServiceId], float]) -> Iterable[Reading]:
+        """Return a value of each service."""
         return [
-            Reading(room(service), (("service", str(service)),))
+            Reading(value(service), (("service", str(service)),))
             for service in self.services()
         ]
 
--- a/src/mimosafork/gateway/outlook.py
+++ b/src/mimosafork/gateway/outlook.py
@@ -35,6 +35,12 @@
         Instances that are heard.
     repeats_left : int
         What the budget of repeats has room for, by all that is known.
+    repeats_sent : int
+        Repeats that this instance has counted in its life. Those of all instances
+        together, held against what each saw, tell a budget that was spent twice from
+        repeats that were not counted.
+    sharers : int
+        Instances among which the budget is shared, as this one counts them.
     table_age, listing_age : timedelta or None
         Since the store last told configuration and endpoints.
     """
@@ -46,6 +52,8 @@
     waiting: int = 0
     peers: int = 0
     repeats_left: int = 0
+    repeats_sent: int = 0
+    sharers: int = 0
     table_age: timedelta | None = None
     listing_age: timedelta | None = None
 
@@ -59,6 +67,8 @@
             "waiting": self.waiting,
             "peers": self.peers,
             "repeats_left": self.repeats_left,
+            "repeats_sent": self.repeats_sent,
+            "sharers": self.sharers,
             "table_age_ms": milliseconds(self.table_age),
             "listing_age_ms": milliseconds(self.listing_age),
         }
@@ -143,6 +153,8 @@
             waiting=len(self.kernel.state.waiting),
             peers=len(self.sharing.known_peers),
             repeats_left=int(self.retry.room(service)),
+            repeats_sent=self.retry.sent(service),
+            sharers=self.retry.sharers(service),
             table_age=self.directory.table_age,
             listing_age=self.directory.listing_age,
         )
--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -223,6 +223,15 @@
         slack = self.slack * SPENT_SHARE * fleet.share
         return self.ratio * fleet.requests + slack - fleet.repeats
 
+    def sent(self, service: ServiceId) -> int:
+        """Return how many repeats this instance has counted in its life."""
+        own = self.counters.get(service)
+        return 0 if own is None else own.repeats
+
+    def sharers(self, service: ServiceId) -> int:
+        """Return among how many instances the budget's room is divided."""
+        return self.spent(service).instances
+
 
 def problem_of(failure: AttemptFailed, detail: str) -> Problem:
     """Return what the caller is told of."""
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -294,6 +294,20 @@
     "Repeats for which the budget of all instances has room, as far as is known.",
     ("service",),
 )
+REPEATS_SENT = Instrument(
+    "mimosafork.repeats.sent",
+    Kind.OBSERVABLE_COUNTER,
+    "{repeat}",
+    "Repeats that this instance has counted against the budget.",
+    ("service",),
+)
+REPEATS_SHARERS = Instrument(
+    "mimosafork.repeats.sharers",
+    Kind.OBSERVABLE_GAUGE,
+    "{instance}",
+    "Instances among which the budget of repeats is shared, as this one counts them.",
+    ("service",),
+)
 PEERS_HEARD = Instrument(
     "mimosafork.peers.heard",
     Kind.OBSERVABLE_GAUGE,
--- a/tests/unit/gateway/test_call_lines.py
+++ b/tests/unit/gateway/test_call_lines.py
@@ -88,6 +88,8 @@
             peers_running=20,
             peers=6,
             repeats_left=55,
+            repeats_sent=9,
+            sharers=7,
             table_age=40 * MS,
             listing_age=90 * MS,
         )
@@ -244,6 +246,7 @@
     assert (first["then"], second["then"]) == ("tried again", "given up")
     assert (first["kind"], first["exposure"]) == ("broken", "possible")
     assert (first["repeats_left"], first["left_ms"]) == (55, 2000)
+    assert (first["repeats_sent"], first["sharers"]) == (9, 7)
     assert first["reused"] is True
 
 
