Give each instance its part of the budget of repeats by right

What callers saw: engines that were full turned calls away, and the fleet sent them again more often than it may: 399 repeats in ten seconds at 68 instances where 373 are allowed, 290 at 64 after a kill of all where 289.6 are. Cause: every instance spent from one sum over the fleet, held back by a margin for late news. The sum is wrong where words are late, where new lives know nothing of what the former ones sent, and where those that began behind a cut count too few; how wrong has no largest value, so no margin holds. Change: an instance may repeat the ratio of its own requests and slack / instances, counted as of the moment when a repeat is sent (allowance.py). Instances are counted whether heard or not (census.py); a life that follows another waits a window for its part, and one that has not read who there is has none.

--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -81,11 +81,9 @@
         page.observe(TABLE_AGE, self.table_ages)
         page.observe(TABLE_VERSION, self.version)
         page.observe(ENDPOINTS_KNOWN, self.endpoints)
-        page.observe(REPEATS_LEFT, lambda: self.by_service(self.outlook.retry.room))
+        page.observe(REPEATS_LEFT, lambda: self.by_service(self.repeats_left))
         page.observe(REPEATS_SENT, lambda: self.by_service(self.outlook.retry.sent))
-        page.observe(
-            REPEATS_SHARERS, lambda: self.by_service(self.outlook.retry.sharers)
-        )
+        page.observe(REPEATS_SHARERS, lambda: [Reading(self.outlook.retry.sharers())])
         page.observe(PEERS_HEARD, self.peers)
         page.observe(GOSSIP_SENT, self.gossip_bytes)
         page.observe(GOSSIP_DATAGRAMS, self.datagrams)
@@ -152,6 +150,10 @@
                 found.append(Reading(count, labels))
         return found
 
+    def repeats_left(self, service: ServiceId) -> float:
+        """Return for how many repeats this instance has room."""
+        return self.outlook.retry.room(service, self.gateway.clock.monotonic())
+
     def by_service(self, value: Callable[[ServiceId], float]) -> Iterable[Reading]:
         """Return a value of each service."""
         return [
--- a/src/mimosafork/gateway/outlook.py
+++ b/src/mimosafork/gateway/outlook.py
@@ -34,13 +34,13 @@
     peers : int
         Instances that are heard.
     repeats_left : int
-        What the budget of repeats has room for, by all that is known.
+        What this instance may still repeat by its part of the budget.
     repeats_sent : int
-        Repeats that this instance has counted in its life. Those of all instances
-        together, held against what each saw, tell a budget that was spent twice from
-        repeats that were not counted.
+        Repeats that this instance has counted in its life; those of all instances
+        together are what the fleet sent.
     sharers : int
-        Instances among which the budget is shared, as this one counts them.
+        Instances among which the slack is shared, as this one counts them; 0 while
+        it has no part in it.
     table_age, listing_age : timedelta or None
         Since the store last told configuration and endpoints.
     """
@@ -152,9 +152,9 @@
             peers_running=sum(len(works) for works in self.book.peers.values()),
             waiting=len(self.kernel.state.waiting),
             peers=len(self.sharing.known_peers),
-            repeats_left=int(self.retry.room(service)),
+            repeats_left=int(self.retry.room(service, now)),
             repeats_sent=self.retry.sent(service),
-            sharers=self.retry.sharers(service),
+            sharers=self.retry.sharers(),
             table_age=self.directory.table_age,
             listing_age=self.directory.listing_age,
         )
--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -1,39 +1,30 @@
 """Whether a failed attempt is followed by another."""
 
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from ...ids import RequestId, ServiceId
+from ...ids import ServiceId
 from ...kernel.context import Context
 from ...kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from ...kernel.messages.base import Message
 from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.requests import Repeatability, Request, Submit
-from ...kernel.messages.sharing import FleetSpending, SpendingGrown
 from ...kernel.plugins import Concluded, GiveUp, RetryDecision, RetryLater, RetryPolicy
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
+from .allowance import Allowance, SlackShare
 
 RATIO = 0.2
 SLACK = 100.0
 WINDOW = timedelta(seconds=10)
-SPENT_SHARE = 0.7
-"""Share of the slack that is spent at most: instances that all see the last repeats
-of a window free at the same moment would together send more than there are."""
-
-UNHEARD_FOR = timedelta(milliseconds=300)
-"""Repeats are told to peers together, every 200 ms: until they hear of one, it counts
-for its own instance alone."""
 
 SHORTEST_TIME = timedelta(milliseconds=60)
 MOST_SENDS = 6
 """Arrivals of one call that no endpoint ran are bounded too."""
 
 PAID_FOR = timedelta(milliseconds=200)
-"""A repeat that is sent later than this after it was counted is counted again: it
+"""A repeat that is not sent within this after it was counted is counted anew: it
 falls into another window than the one that had room for it."""
 
 AT_ONCE = timedelta(milliseconds=1)
@@ -43,46 +34,18 @@
 BUDGET_USED = "the budget of repeats is used"
 
 
-@dataclass(slots=True)
-class Counters:
-    """Requests and repeats of one service in this life.
-
-    Attributes
-    ----------
-    again : deque of timedelta
-        When repeats were counted that had been counted before, in the last window.
-    unheard : deque of timedelta
-        When the latest repeats were counted, of which peers may not have heard yet.
-    """
-
-    requests: int = 0
-    repeats: int = 0
-    again: deque[timedelta] = field(default_factory=deque)
-    unheard: deque[timedelta] = field(default_factory=deque)
-
-    def count_repeat(self, now: timedelta) -> None:
-        """Count a repeat."""
-        self.repeats += 1
-        self.unheard.append(now)
-
-    def unheard_repeats(self, now: timedelta) -> int:
-        """Return how many repeats peers may not have heard of."""
-        while self.unheard and now - self.unheard[0] >= UNHEARD_FOR:
-            self.unheard.popleft()
-        return len(self.unheard)
-
-
-FleetView = Callable[[ServiceId], FleetSpending]
-
-
-def nothing_known(service: ServiceId) -> FleetSpending:
-    """Return what is known of the fleet's spending before anybody says."""
-    return FleetSpending(0, 0)
-
-
 @register("budgeted-retry")
 class BudgetedRetry(RetryPolicy):
-    """Sends again what may run again, within attempts, time and a shared budget.
+    """Sends again what may run again, within attempts, time and a budget.
+
+    All instances together may repeat a ratio of their requests and a slack in each
+    window. Each one may repeat the ratio of its own requests and its part of the slack.
+
+    Guard: an instance that spent from a sum over the fleet was right only while words
+    came in time, nobody forgot and everybody counted the same others. Full engines
+    turned calls away, and 68 busy instances sent 399 repeats where 373 were allowed;
+    after a kill of all, the new lives spent the slack a second time. Parts that are
+    fixed by right add up to the whole however late or lost any word is.
 
     Attributes
     ----------
@@ -91,17 +54,24 @@
         requests and the slack.
     window : timedelta
         Length of a window.
-    spent : callable
-        Returns what all instances, this one included, have spent in the window.
+    share : callable
+        Returns this instance's part of the slack.
     """
 
     def __init__(self) -> None:
         self.ratio = RATIO
         self.slack = SLACK
         self.window = WINDOW
-        self.counters: dict[ServiceId, Counters] = {}
-        self.spent: FleetView = nothing_known
-        self.paid_at: dict[RequestId, timedelta] = {}
+        self.allowances: dict[ServiceId, Allowance] = {}
+        self.share: Callable[[], SlackShare] = SlackShare
+
+    def allowance(self, service: ServiceId) -> Allowance:
+        """Return what was sent of a service's calls."""
+        known = self.allowances.get(service)
+        if known is None:
+            known = self.allowances[service] = Allowance(self.window)
+        known.window = self.window
+        return known
 
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
@@ -110,16 +80,12 @@
     @handle.register
     def _(self, message: Submit, context: Context) -> None:
         service = ServiceId(message.request.target)
-        self.counters.setdefault(service, Counters()).requests += 1
-        self._tell(service, context)
+        self.allowance(service).count_request(context.now)
 
     @handle.register
     def _(self, message: Concluded, context: Context) -> None:
-        self.paid_at.pop(message.record.request_id, None)
-
-    def _tell(self, service: ServiceId, context: Context) -> None:
-        counters = self.counters[service]
-        context.emit(SpendingGrown(service, counters.requests, counters.repeats))
+        service = ServiceId(message.record.request.target)
+        self.allowance(service).close(message.record.request_id)
 
     def decide(
         self, record: RequestRecord, failure: AttemptFailed, context: Context
@@ -128,44 +94,38 @@
         why_not = self.objection(record, failure, context.now)
         if why_not is not None:
             return GiveUp(problem_of(failure, why_not))
-        if failure.exposure is not Exposure.NEVER_SENT:
-            self._pay(record.request, context)
+        self._promise(record, failure)
         refused = failure.exposure is Exposure.REFUSED
         return RetryLater(AFTER_REFUSAL if refused else AT_ONCE)
 
-    def _pay(self, request: Request, context: Context) -> None:
-        service = ServiceId(request.target)
-        self.counters.setdefault(service, Counters()).count_repeat(context.now)
-        self.paid_at[request.request_id] = context.now
-        self._tell(service, context)
+    def _promise(self, record: RequestRecord, failure: AttemptFailed) -> None:
+        """Keep a place for a repeat; what reached no endpoint is none yet."""
+        allowance = self.allowance(ServiceId(record.request.target))
+        if failure.exposure is not Exposure.NEVER_SENT:
+            allowance.promise(record.request_id)
+        elif allowance.repeated(record.request_id):
+            allowance.take_back(record.request_id)
+            allowance.promise(record.request_id)
 
     def still_paid(self, request: Request, context: Context) -> bool:
         """Return whether a call that is about to be sent is within the budget.
 
-        A repeat may have waited for room, or for an endpoint that can be reached.
-        Those that all waited would arrive together with what a later window has room
-        for; so the budget is asked again.
+        A repeat may have waited for room, or for an endpoint that can be reached, and
+        what earned it may have left the window. It is counted as of now.
         """
-        paid_at = self.paid_at.get(request.request_id)
-        if paid_at is None or context.now - paid_at <= PAID_FOR:
-            return True
         service = ServiceId(request.target)
-        is_counted = context.now - paid_at < self.window
-        room = self.room(service) + self._counted_twice(service, context.now)
-        if room < (0 if is_counted else 1):
+        allowance = self.allowance(service)
+        if not allowance.repeated(request.request_id):
+            return True
+        sent_at = allowance.sent.get(request.request_id)
+        if sent_at is not None and context.now - sent_at <= PAID_FOR:
+            return True
+        allowance.take_back(request.request_id)
+        if self.limit(service, context.now) - allowance.repeats_since(context.now) < 1:
             return False
-        if is_counted:
-            self.counters[service].again.append(context.now)
-        self._pay(request, context)
+        allowance.count_repeat(request.request_id, context.now)
         return True
 
-    def _counted_twice(self, service: ServiceId, now: timedelta) -> int:
-        """Return how many repeats of this instance the window holds twice."""
-        again = self.counters[service].again
-        while again and now - again[0] >= self.window:
-            again.popleft()
-        return len(again)
-
     def objection(
         self, record: RequestRecord, failure: AttemptFailed, now: timedelta
     ) -> str | None:
@@ -191,46 +151,28 @@
     def affords(
         self, service: ServiceId, failure: AttemptFailed, now: timedelta
     ) -> bool:
-        """Return whether the budget has room for one more repeat.
-
-        An instance that is cut off sees only a part of the fleet's spending; it takes
-        only that part of the allowance, so that the parts together keep the whole.
-        """
-        if failure.exposure is Exposure.NEVER_SENT:
-            return True
-        room = self.room(service)
-        return room >= 1 and self._is_own_part(service, room, now)
+        """Return whether the budget has room for one more repeat."""
+        return failure.exposure is Exposure.NEVER_SENT or self.room(service, now) >= 1
 
-    def _is_own_part(self, service: ServiceId, room: float, now: timedelta) -> bool:
-        """Return whether a repeat stays within this instance's part of the room.
-
-        Guard: all instances see the same room until they hear of each other's
-        repeats. Were each to take all of it, 64 instances that fail at the same moment
-        would send several times what there is. Each takes its part until it is heard,
-        and at least one repeat; the part of the slack that is never spent pays these.
-        """
-        own = self.counters.get(service)
-        if own is None:
-            return True
-        unheard = own.unheard_repeats(now)
-        # They are taken off this instance's room already, and not off that of others.
-        part = (room + unheard) / max(1, self.spent(service).instances)
-        return unheard < max(1.0, part)
+    def limit(self, service: ServiceId, now: timedelta) -> float:
+        """Return how many repeats this instance may send in the window."""
+        requests = self.allowance(service).requests_since(now)
+        return self.ratio * requests + self.slack * self.share().part
 
-    def room(self, service: ServiceId) -> float:
-        """Return for how many repeats the budget has room, as far as is known."""
-        fleet = self.spent(service)
-        slack = self.slack * SPENT_SHARE * fleet.share
-        return self.ratio * fleet.requests + slack - fleet.repeats
+    def room(self, service: ServiceId, now: timedelta) -> float:
+        """Return for how many further repeats the budget has room."""
+        allowance = self.allowance(service)
+        taken = allowance.repeats_since(now) + len(allowance.promised)
+        return self.limit(service, now) - taken
 
     def sent(self, service: ServiceId) -> int:
         """Return how many repeats this instance has counted in its life."""
-        own = self.counters.get(service)
-        return 0 if own is None else own.repeats
+        return self.allowance(service).total
 
-    def sharers(self, service: ServiceId) -> int:
-        """Return among how many instances the budget's room is divided."""
-        return self.spent(service).instances
+    def sharers(self) -> int:
+        """Return among how many instances the slack is shared; 0 without a part."""
+        share = self.share()
+        return share.instances if share.settled else 0
 
 
 def problem_of(failure: AttemptFailed, detail: str) -> Problem:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -50,6 +50,7 @@
 from .neighbours import Neighbours
 from .outlook import Outlook, milliseconds
 from .policies import PLUGINS
+from .policies.allowance import ARRIVES_WITHIN
 from .policies.fleet_view import FleetView
 from .policies.placing import WorkPlacer
 from .policies.reserving import MemoryKeeper
@@ -228,7 +229,8 @@
         retry.ratio = bounds.retry_ratio
         retry.slack = bounds.retry_slack
         retry.window = bounds.retry_window
-        retry.spent = self.sharing.spending
+        retry.share = self.sharing.slack_share
+        self.sharing.settles_after = bounds.retry_window + ARRIVES_WITHIN
         self.kernel.plugin(MemoryKeeper).longest_hold = bounds.longest_hold
 
     def _new_gossip(self) -> Gossip:
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -30,7 +30,6 @@
     CrashCleared,
     CrashSuspected,
     CrashTold,
-    FleetSpending,
     SpendingGrown,
     WorkBegun,
     WorkEnded,
@@ -39,6 +38,8 @@
 from ..placement.work import Part, Work
 from ..routing.engine import EngineFigures
 from .neighbours import Neighbours
+from .policies.allowance import ARRIVES_WITHIN, SlackShare
+from .policies.retrying import WINDOW
 
 OFFER_AFTER = timedelta(milliseconds=300)
 """A change is offered to peers this much later: those whose own store answers have it
@@ -79,6 +80,11 @@
         The kernel's.
     neighbours : Neighbours
         Told who is heard; knows who is to hear of a work.
+
+    Attributes
+    ----------
+    settles_after : timedelta
+        No repeat of a former life counts any more when this one has lasted so long.
     """
 
     def __init__(
@@ -94,6 +100,8 @@
         self.post = post
         self.figures_of = figures_of
         self.clock = clock
+        self.began_at = clock.monotonic()
+        self.settles_after = WINDOW + ARRIVES_WITHIN
         self.gossip: Gossip | None = None
         self.known_peers: set[InstanceId] = set()
         self.metered: set[ServiceId] = set()
@@ -334,19 +342,20 @@
         """Return how many peers are heard."""
         return 0 if self.gossip is None else len(self.gossip.peers)
 
-    def spending(self, service: ServiceId) -> FleetSpending:
-        """Return what all instances have spent on a service in the window."""
+    def slack_share(self) -> SlackShare:
+        """Return this instance's part in what all may repeat beside the ratio.
+
+        Guard: nothing tells a new life what its former one has sent. Where all are
+        killed in a flood, and come back to the callers that ask again, both would
+        spend the slack in one window; so a life has its part when it has lasted for
+        one. In a fleet that is new nobody has spent any.
+        """
         if self.gossip is None:
-            return FleetSpending(0, 0)
-        members = self.gossip.exchange.roster.members
-        alive = len(self.gossip.peers) + 1
-        share = alive / max(alive, len(members) + 1)
-        return FleetSpending(
-            self.gossip.fleet_requests(service),
-            self.gossip.fleet_repeats(service),
-            share,
-            alive,
-        )
+            return SlackShare(settled=False)
+        census = self.gossip.census
+        lasted = self.clock.monotonic() - self.began_at
+        is_over = census.fleet_is_new or lasted >= self.settles_after
+        return SlackShare(census.instances, census.complete and is_over)
 
 
 def note_of(work: Work, now: timedelta) -> WorkNote:
--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -215,6 +215,8 @@
         self.purge_due = now + PURGE_EVERY
         for ledger in self.state.ledgers():
             ledger.purge(now)
+        alive = (member.identity.instance for member in self.roster.alive())
+        self.roster.census.review(alive, now)
         self.spending.forget(self.roster.boots(), self.roster.replaced, now)
 
     def show_pulse(self, now: timedelta) -> None:
--- a/src/mimosafork/gossip/finding.py
+++ b/src/mimosafork/gossip/finding.py
@@ -34,6 +34,9 @@
         Takes an identity that was read.
     alone : callable
         Whether no peer is heard.
+    all_read : callable, optional
+        Called once, when all rows have been read for the first time, with those of
+        others and whether this instance had none of an earlier life.
     """
 
     def __init__(
@@ -43,13 +46,17 @@
         random: Random,
         learn: Callable[[Identity], None],
         alone: Callable[[], bool],
+        all_read: Callable[[list[Identity], bool], None] = lambda found, first: None,
     ) -> None:
         self.me = me
         self.rows = rows
         self.random = random
         self.learn = learn
         self.alone = alone
+        self.all_read = all_read
         self.published = False
+        self.is_first_life = False
+        self.is_read = False
 
     async def run(self) -> None:
         """Look for peers for good."""
@@ -75,7 +82,7 @@
         """Write the own row if it isn't there, read all; return whether it went."""
         try:
             if not self.published:
-                await self.rows.publish(self.me)
+                self.is_first_life = await self.rows.publish(self.me)
                 self.published = True
             found = await self.rows.read()
         except RowsError as error:
@@ -83,4 +90,8 @@
             return False
         for identity in found:
             self.learn(identity)
+        if not self.is_read:
+            self.is_read = True
+            others = [each for each in found if each.instance != self.me.instance]
+            self.all_read(others, self.is_first_life)
         return True
--- a/src/mimosafork/gossip/peer_rows.py
+++ b/src/mimosafork/gossip/peer_rows.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from ..directory.rows import RowPut, Rows
+from ..directory.errors import ConflictError
+from ..directory.rows import ABSENT, RowCondition, RowPut, Rows
 from .members import Identity
 from .wire import WireName, from_wire, to_wire
 
@@ -14,8 +15,8 @@
 class PeerRows(Protocol):
     """Where instances write that they exist."""
 
-    async def publish(self, me: Identity) -> None:
-        """Write the own row over that of an earlier life."""
+    async def publish(self, me: Identity) -> bool:
+        """Write the own row; return whether there was none of an earlier life."""
         ...
 
     async def read(self) -> list[Identity]:
@@ -33,10 +34,20 @@
     def __init__(self, rows: Rows) -> None:
         self.rows = rows
 
-    async def publish(self, me: Identity) -> None:
-        """Write the own row over that of an earlier life."""
-        value = msgspec.msgpack.encode(to_wire(me))
-        await self.rows.write([RowPut(TABLE, "", me.instance, value)])
+    async def publish(self, me: Identity) -> bool:
+        """Write the own row; return whether there was none of an earlier life.
+
+        A write whose answer was lost is taken for an earlier life's when it is made
+        again. What follows is a share that begins a window later, and never too early.
+        """
+        put = RowPut(TABLE, "", me.instance, msgspec.msgpack.encode(to_wire(me)))
+        try:
+            absent = RowCondition(TABLE, "", me.instance, ABSENT)
+            await self.rows.write([put], conditions=[absent])
+        except ConflictError:
+            await self.rows.write([put])
+            return False
+        return True
 
     async def read(self) -> list[Identity]:
         """Read all rows; one that can't be read is passed over."""
--- a/src/mimosafork/gossip/roster.py
+++ b/src/mimosafork/gossip/roster.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from ..ids import InstanceId
+from .census import Census
 from .effects import Effect, PeerDown, PeerRestarted, PeerUp
 from .members import Address, Identity, Member, Peer, replaces
 from .timing import Timing
@@ -21,6 +22,8 @@
 
     Attributes
     ----------
+    census : Census
+        Counts all that were members lately.
     review_due : timedelta
         Before it no silence passes its limit.
     """
@@ -29,6 +32,7 @@
         self.me = me
         self.timing = timing
         self.members: dict[InstanceId, Member] = {}
+        self.census = Census(me.started_ms)
         self.by_tag: dict[int, InstanceId] = {}
         self.replaced: dict[int, None] = {}
         self.review_due = timedelta.max
@@ -60,6 +64,7 @@
     def enter(self, identity: Identity, now: timedelta) -> None:
         """Make a life a member."""
         self.members[identity.instance] = Member(identity, now)
+        self.census.learn(identity, now)
         self.review_due = min(self.review_due, now)
         self.by_tag[identity.tag] = identity.instance
 
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -14,6 +14,7 @@
 from ..telemetry.logs import log_event
 from .boot_clock import BootClock
 from .callbacks import Callbacks, Teller
+from .census import Census
 from .effects import Effect, VersionsOffered
 from .exchange import Exchange
 from .finding import Finder
@@ -38,6 +39,7 @@
 
 BOOT_BITS = 64
 MS_PER_SECOND = 1000
+MILLISECOND = timedelta(milliseconds=1)
 AFTER_FAULT = timedelta(seconds=1)
 SHORTEST_GAP = timedelta(milliseconds=5)
 
@@ -107,6 +109,7 @@
         self.random = random or Random()
         self.sockets = sockets
         self.callbacks = callbacks
+        self.window = options.window
         me = own_identity(options, sockets.address, self.clock, self.random)
         self.exchange = Exchange(
             me,
@@ -122,7 +125,9 @@
         self.puller = Puller(
             self.exchange.roster, holdings, self.pull, self.pulled, self.random
         )
-        self.finder = rows and Finder(me, rows, self.random, self.learn, self.alone)
+        self.finder = rows and Finder(
+            me, rows, self.random, self.learn, self.alone, self.all_read
+        )
         self.tasks: list[asyncio.Task[None]] = []
         self.timer: asyncio.TimerHandle | None = None
 
@@ -168,6 +173,11 @@
         """What the fleet knows together."""
         return self.exchange.state
 
+    @property
+    def census(self) -> Census:
+        """How many instances there are."""
+        return self.exchange.roster.census
+
     @property
     def peers(self) -> tuple[Peer, ...]:
         """The living peers."""
@@ -293,6 +303,23 @@
         self.tell(self.exchange.learn(identity, now), now)
         self.arm()
 
+    def all_read(self, others: list[Identity], is_first_life: bool) -> None:
+        """Note that all who ever wrote their row have been read of.
+
+        Parameters
+        ----------
+        others : list of Identity
+            The latest life of each other instance.
+        is_first_life : bool
+            This instance had none before.
+        """
+        began_ms = self.exchange.me.started_ms
+        ages = (began_ms - each.started_ms for each in others)
+        self.census.complete = True
+        self.census.fleet_is_new = is_first_life and all(
+            age <= self.window / MILLISECOND for age in ages
+        )
+
     def alone(self) -> bool:
         """Whether no peer is heard."""
         return not self.peers
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -291,7 +291,7 @@
     "mimosafork.repeats.left",
     Kind.OBSERVABLE_GAUGE,
     "{repeat}",
-    "Repeats for which the budget of all instances has room, as far as is known.",
+    "Repeats for which this instance's part of the budget has room.",
     ("service",),
 )
 REPEATS_SENT = Instrument(
@@ -305,8 +305,7 @@
     "mimosafork.repeats.sharers",
     Kind.OBSERVABLE_GAUGE,
     "{instance}",
-    "Instances among which the budget of repeats is shared, as this one counts them.",
-    ("service",),
+    "Instances that share the slack of the budget of repeats; 0 without a part in it.",
 )
 PEERS_HEARD = Instrument(
     "mimosafork.peers.heard",
--- /dev/null
+++ b/tests/unit/gossip/test_census.py
@@ -0,0 +1,89 @@
+"""Tests of how many instances are counted, whoever is silent, cut off or gone."""
+
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.gossip.census import KEPT, MOST_SILENT, Census
+from mimosafork.gossip.members import Identity
+
+from ...support.functions import function_tests
+from ...support.gossip_network import Network, identity
+
+case = TestCase()
+
+START = timedelta(seconds=100)
+MINUTE = timedelta(minutes=1)
+HOUR_MS = 3_600_000
+STARTED_MS = 10 * HOUR_MS
+
+
+def row_of(number: int, started_ms: int = STARTED_MS) -> Identity:
+    return identity(number, started_ms=started_ms)
+
+
+def test_those_behind_a_cut_go_on_to_count() -> None:
+    """Zones are cut off from each other for minutes, and each spends what all have.
+
+    The other side is silent, and was forgotten after a minute; what there is was then
+    divided among one's own.
+    """
+    network = Network()
+    nodes = network.fleet(6)
+    network.run(timedelta(seconds=5))
+    zones = {node.me.address: node.me.zone for node in nodes}
+    network.cut = lambda source, target: zones[source] != zones[target]
+    network.run(timedelta(seconds=90))
+    for node in nodes:
+        case.assertEqual(1, len(list(node.roster.alive())))
+        case.assertEqual(6, node.roster.census.instances)
+
+
+def test_who_was_silent_for_long_counts_no_more() -> None:
+    census = Census(STARTED_MS)
+    census.learn(row_of(1), START)
+    census.learn(row_of(2), START)
+    census.review([row_of(2).instance], START + KEPT)
+    case.assertEqual(3, census.instances)
+    census.review([row_of(2).instance], START + KEPT + MINUTE)
+    case.assertEqual(2, census.instances)
+
+
+def test_rows_of_those_that_are_gone_count_once() -> None:
+    """Machines are replaced for months, and each instance's part shrinks.
+
+    Rows are never removed. Those of machines that are gone were read again each minute,
+    and counted anew when they had just been forgotten.
+    """
+    census = Census(STARTED_MS)
+    census.learn(row_of(1, STARTED_MS - 9 * HOUR_MS), START)
+    census.complete = True
+    case.assertEqual(2, census.instances)
+    for minutes in range(1, 180):
+        now = START + minutes * MINUTE
+        census.learn(row_of(1, STARTED_MS - 9 * HOUR_MS), now)
+        census.review([], now)
+    case.assertEqual(1, census.instances)
+
+
+def test_who_comes_later_counts_though_nobody_hears_it() -> None:
+    census = Census(STARTED_MS)
+    census.learn(row_of(1), START)
+    census.complete = True
+    now = START + 2 * KEPT
+    census.review([row_of(1).instance], now)
+    census.learn(row_of(2, STARTED_MS + 2 * HOUR_MS), now)
+    case.assertEqual(3, census.instances)
+
+
+def test_the_silent_are_bounded_and_the_living_are_not() -> None:
+    census = Census(STARTED_MS)
+    living = [row_of(number) for number in range(MOST_SILENT + 500)]
+    for each in living:
+        census.learn(each, START)
+    census.review([each.instance for each in living], START)
+    case.assertEqual(len(living) + 1, census.instances)
+    census.review([], START)
+    case.assertEqual(MOST_SILENT + 1, census.instances)
+
+
+load_tests = function_tests(__name__)
