Tell peers nothing of spending, and pass over words of a kind that is not known

Cause: with parts by right nobody reads the fleet's counters of requests and repeats, which each instance told all others every 200 ms in a flood. While a fleet is brought to another version some instances still tell words that others don't know: a datagram with one was refused as a whole, and both halves would have taken each other for dead.

--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -1,7 +1,7 @@
 """Tells peers what this instance knows, and the kernel what peers know."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
 from functools import singledispatchmethod
@@ -18,19 +18,17 @@
 from ..gossip.kinds.endpoints import EndpointWord, Word
 from ..gossip.kinds.load import Part as NotedPart
 from ..gossip.kinds.load import WorkNote
-from ..gossip.kinds.spending import Spent
 from ..gossip.kinds.suspicion import Suspicion
 from ..gossip.pulls import Held, Matter
 from ..gossip.service import Gossip
 from ..gossip.state import HeardWork
-from ..ids import Digest, EndpointId, InstanceId, RequestId, ServiceId
+from ..ids import Digest, EndpointId, InstanceId, RequestId
 from ..kernel.messages.base import Effect, Message
 from ..kernel.messages.routing import PeerSilent, PeerWorkTold
 from ..kernel.messages.sharing import (
     CrashCleared,
     CrashSuspected,
     CrashTold,
-    SpendingGrown,
     WorkBegun,
     WorkEnded,
 )
@@ -104,7 +102,6 @@
         self.settles_after = WINDOW + ARRIVES_WITHIN
         self.gossip: Gossip | None = None
         self.known_peers: set[InstanceId] = set()
-        self.metered: set[ServiceId] = set()
         self.offer_timer: asyncio.TimerHandle | None = None
         self.listing_timer: asyncio.TimerHandle | None = None
         self.offered = Versions()
@@ -158,13 +155,6 @@
         after = LASTS_AFTER.total_seconds()
         self.untold[work.request] = loop.call_later(after, self._tell_work, work)
 
-    @tell.register
-    def _(self, effect: SpendingGrown) -> None:
-        if self.gossip is not None:
-            self.metered.add(effect.service)
-            spent = Spent(effect.requests, effect.repeats)
-            self.gossip.publish_spending(effect.service, spent)
-
     @tell.register
     def _(self, effect: CrashSuspected) -> None:
         if self.gossip is not None:
@@ -183,7 +173,6 @@
             return
         if isinstance(change, TableChanged):
             self.offer_configuration_soon()
-            self.begin_meters(change.table.services)
             return
         self.offer_listing_soon()
         if change.entry.takes_new_work:
@@ -197,20 +186,6 @@
             said = EndpointWord(Word.GONE, word.row.version)
             self.gossip.publish_endpoint_word(change.endpoint, said)
 
-    def begin_meters(self, services: Iterable[ServiceId]) -> None:
-        """Tell peers where this life's counters begin.
-
-        Peers count the growth from the first word that they hear. When that was told
-        with the first calls, all that was spent until then was missing from the
-        budget: a fleet that had just started repeated several times what it may.
-        """
-        if self.gossip is None:
-            return
-        for service in services:
-            if service not in self.metered:
-                self.metered.add(service)
-                self.gossip.publish_spending(service, Spent())
-
     def offer_configuration_soon(self) -> None:
         """Have peers told in a while that there is a newer configuration here."""
         if self.offer_timer is None:
--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ..ids import InstanceId, ServiceId
+from ..ids import InstanceId
 from .calling import Caller
 from .circle import Circle
 from .counters import Counters
@@ -19,7 +19,6 @@
 from .errors import BadDatagramError
 from .kinds import pulse
 from .kinds.base import Key, Kind
-from .kinds.spending import SPENDING, Spent
 from .ledger import Ledger, Slot
 from .links import Link, News
 from .members import Address, Identity
@@ -31,7 +30,6 @@
 from .state import FleetState
 from .taking import Intake
 from .timing import Timing
-from .window import REPEATS_LAG, Meter, SpendingWindow
 from .wire import Flag, decode, fleet_tag
 
 PURGE_EVERY = timedelta(seconds=1)
@@ -58,8 +56,6 @@
         Picks whom names are told.
     seeds : iterable of Address
         Where instances may listen that aren't known by name.
-    window : timedelta
-        Span over which spending is summed.
     """
 
     def __init__(
@@ -69,7 +65,6 @@
         random: Random,
         seeds: Iterable[Address] = (),
         timing: Timing | None = None,
-        window: timedelta = timedelta(seconds=10),
     ) -> None:
         self.me = me
         self.fleet = fleet_tag(fleet)
@@ -78,8 +73,7 @@
         self.roster = Roster(me, self.timing)
         self.circle = Circle(me, self.own, self.roster, self.timing)
         self.outbox = Outbox(me, self.fleet, self.timing, self.circle.source_of)
-        self.spending = SpendingWindow(window, REPEATS_LAG)
-        self.state = FleetState(self.own, self.roster, self.spending)
+        self.state = FleetState(self.own, self.roster)
         self.counters = Counters()
         self.caller = Caller(self.circle, self.outbox, seeds, random)
         intake = Intake(self.circle, Reports(self.state))
@@ -106,14 +100,6 @@
 
     # Own words
 
-    def spend(self, service: ServiceId, spent: Spent, now: timedelta) -> None:
-        """Publish the counters of this life for a service."""
-        meter = Meter(self.me.boot, service)
-        if meter not in self.spending.samples:
-            self.spending.note(meter, now, Spent())
-        self.spending.note(meter, now, spent)
-        self.say(SPENDING, service, spent, now)
-
     def say(self, kind: Kind, key: Key, value: object | None, now: timedelta) -> None:
         """Publish a word, or take it back with None; what is said is not repeated."""
         slot = Slot(kind.number, key)
@@ -209,7 +195,7 @@
         return ticked
 
     def purge(self, now: timedelta) -> None:
-        """Forget words and counters that are past their time, now and then."""
+        """Forget words and instances that are past their time, now and then."""
         if now < self.purge_due:
             return
         self.purge_due = now + PURGE_EVERY
@@ -217,7 +203,6 @@
             ledger.purge(now)
         alive = (member.identity.instance for member in self.roster.alive())
         self.roster.census.review(alive, now)
-        self.spending.forget(self.roster.boots(), self.roster.replaced, now)
 
     def show_pulse(self, now: timedelta) -> None:
         """Show that this instance lives, to those who only hear of it."""
--- a/src/mimosafork/gossip/kinds/__init__.py
+++ b/src/mimosafork/gossip/kinds/__init__.py
@@ -1,6 +1,6 @@
 """The kinds of state, one a module; each registers itself."""
 
-from . import configuration, doubt, endpoints, feed, load, pulse, spending, suspicion
+from . import configuration, doubt, endpoints, feed, load, pulse, suspicion
 
 __all__ = [
     "configuration",
@@ -9,6 +9,5 @@
     "feed",
     "load",
     "pulse",
-    "spending",
     "suspicion",
 ]
--- a/src/mimosafork/gossip/reading.py
+++ b/src/mimosafork/gossip/reading.py
@@ -5,7 +5,7 @@
 
 from .errors import BadDatagramError
 from .ids import IdReader
-from .kinds.base import kind_of
+from .kinds.base import KINDS, kind_of
 from .ledger import Entry, Slot
 from .wire import KIND_BITS, KIND_MASK, Datagram, WireEntry
 
@@ -30,6 +30,10 @@
 def read_entries(datagram: Datagram, now: timedelta) -> list[Told]:
     """Read all entries before any is taken, so that a bad one spoils nothing.
 
+    Those of a kind that is not known are passed over. Guard: while a fleet is brought
+    to another version, some instances tell words that others don't know. Were their
+    datagrams refused, both would take each other for dead.
+
     Raises
     ------
     BadDatagramError, msgspec.ValidationError
@@ -37,7 +41,11 @@
     """
     ids = IdReader(datagram.ids)
     tags = [datagram.sender, *datagram.origins]
-    return [read_entry(each, tags, ids, now) for each in datagram.entries]
+    return [
+        read_entry(each, tags, ids, now)
+        for each in datagram.entries
+        if each.place & KIND_MASK in KINDS
+    ]
 
 
 def read_entry(wire: WireEntry, tags: list[int], ids: IdReader, now: timedelta) -> Told:
--- a/src/mimosafork/gossip/reports.py
+++ b/src/mimosafork/gossip/reports.py
@@ -3,7 +3,7 @@
 from typing import cast
 
 from ..directory.feed_word import FeedWord
-from ..ids import EndpointId, InstanceId, ServiceId
+from ..ids import EndpointId, InstanceId
 from .effects import (
     DoubtChanged,
     Effect,
@@ -19,12 +19,10 @@
 from .kinds.endpoints import ENDPOINTS, EndpointWord
 from .kinds.feed import FEED
 from .kinds.load import LOAD
-from .kinds.spending import SPENDING, Spent
 from .kinds.suspicion import SUSPICION
 from .ledger import Entry, Slot
 from .members import Member
 from .state import FleetState
-from .window import Meter
 
 
 class Reports:
@@ -48,8 +46,6 @@
             return [DoubtChanged(name, endpoint_of(slot.key), doubt)]
         if entry.value is None:
             return []
-        if slot.kind == SPENDING.number:
-            self.note_spending(origin, slot, entry)
         if slot.kind == CONFIGURATION.number:
             return [VersionsOffered(origin.identity, cast(Versions, entry.value))]
         if slot.kind == ENDPOINTS.number:
@@ -68,11 +64,6 @@
         self.loaded.add(name)
         return [LoadChanged(name)]
 
-    def note_spending(self, origin: Member, slot: Slot, entry: Entry) -> None:
-        """Note a peer's counters in the window."""
-        meter = Meter(origin.identity.boot, ServiceId(str(slot.key)))
-        self.state.spending.note(meter, entry.born, cast(Spent, entry.value))
-
 
 def endpoint_of(key: Key) -> EndpointId:
     """Return the endpoint that a key names."""
--- a/src/mimosafork/gossip/roster.py
+++ b/src/mimosafork/gossip/roster.py
@@ -79,10 +79,6 @@
         name = self.by_tag.get(tag)
         return None if name is None else self.members[name]
 
-    def boots(self) -> set[int]:
-        """Return the boot numbers of the lives that are known, the own one too."""
-        return {self.me.boot, *(each.identity.boot for each in self.members.values())}
-
     def hear(self, member: Member, now: timedelta) -> list[Effect]:
         """Note a sign of life."""
         member.heard = max(member.heard, now)
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -9,7 +9,7 @@
 
 from ..clock import Clock
 from ..directory.feed_word import FeedWord
-from ..ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
+from ..ids import AvailabilityZoneId, EndpointId, InstanceId
 from ..telemetry.catalogue.gossip import GOSSIP_FAULT
 from ..telemetry.logs import log_event
 from .boot_clock import BootClock
@@ -25,7 +25,6 @@
 from .kinds.feed import FEED
 from .kinds.feed import KEY as FEED_KEY
 from .kinds.load import LOAD, WorkNote
-from .kinds.spending import Spent
 from .kinds.suspicion import SUSPICION, Suspicion, union
 from .members import Address, Identity, Peer
 from .peer_rows import PeerRows
@@ -68,7 +67,7 @@
     seeds : tuple of Address
         Hosts where instances may listen, with the gossip's own port number.
     window : timedelta
-        Span over which spending is summed.
+        Within which all lives of a new fleet have begun.
     """
 
     instance: InstanceId
@@ -117,7 +116,6 @@
             self.random,
             options.seeds,
             options.timing,
-            options.window,
         )
         self.teller = Teller(callbacks, self.versions_offered)
         self.port = DatagramPort(self.received)
@@ -191,14 +189,6 @@
         """Return the works of a peer, None if it isn't living."""
         return self.state.load(instance, self.clock.monotonic())
 
-    def fleet_requests(self, service: ServiceId) -> int:
-        """Return how many requests all instances had for a service in the window."""
-        return self.state.fleet_spent(service, self.clock.monotonic()).requests
-
-    def fleet_repeats(self, service: ServiceId) -> int:
-        """Return how many repeats all instances sent to it in the window."""
-        return self.state.fleet_spent(service, self.clock.monotonic()).repeats
-
     # What this instance knows
 
     def publish_work(
@@ -245,11 +235,6 @@
         self.exchange.say(SUSPICION, digest, known, self.clock.monotonic())
         self.arm()
 
-    def publish_spending(self, service: ServiceId, spent: Spent) -> None:
-        """Tell the counters of this life for a service."""
-        self.exchange.spend(service, spent, self.clock.monotonic())
-        self.arm()
-
     def publish_doubt(self, endpoint: EndpointId, doubt: Doubt | None) -> None:
         """Tell that an endpoint was ejected; None takes it back."""
         self.exchange.say(DOUBT, endpoint, doubt, self.clock.monotonic())
--- a/src/mimosafork/gossip/state.py
+++ b/src/mimosafork/gossip/state.py
@@ -5,16 +5,14 @@
 from datetime import timedelta
 from typing import cast
 
-from ..ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
+from ..ids import AvailabilityZoneId, EndpointId, InstanceId
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord, newest
 from .kinds.load import LOAD, WorkNote
-from .kinds.spending import Spent
 from .kinds.suspicion import SUSPICION, Suspicion, union
 from .ledger import Entry, Ledger
 from .members import Member
 from .roster import Roster
-from .window import SpendingWindow
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,14 +64,11 @@
     ----------
     own : Ledger
         This instance's words.
-    spending : SpendingWindow
-        Counters of all.
     """
 
-    def __init__(self, own: Ledger, roster: Roster, spending: SpendingWindow) -> None:
+    def __init__(self, own: Ledger, roster: Roster) -> None:
         self.own = own
         self.roster = roster
-        self.spending = spending
 
     def loads(self, now: timedelta) -> tuple[PeerLoad, ...]:
         """Return the works of the living peers."""
@@ -117,10 +112,6 @@
             for endpoint, entry in sorted_entries(member.ledger, DOUBT.number)
         )
 
-    def fleet_spent(self, service: ServiceId, now: timedelta) -> Spent:
-        """Return what all instances sent to a service within the window."""
-        return self.spending.grown(service, now)
-
 
 def load_of(member: Member, now: timedelta) -> PeerLoad:
     """Return the works of a member."""
--- a/src/mimosafork/kernel/messages/sharing.py
+++ b/src/mimosafork/kernel/messages/sharing.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ...ids import Digest, EndpointId, RequestId, ServiceId
+from ...ids import Digest, EndpointId, RequestId
 from ...placement.work import Work
 from .base import Effect, Message
 
@@ -21,15 +21,6 @@
     request_id: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class SpendingGrown(Effect):
-    """Counters of this life for a service: requests, and repeats of them."""
-
-    service: ServiceId
-    requests: int
-    repeats: int
-
-
 @dataclass(frozen=True, slots=True)
 class CrashSuspected(Effect):
     """An endpoint's connection broke under a request."""
@@ -52,21 +43,3 @@
     digest: Digest
     endpoints: frozenset[EndpointId]
     cleared: bool
-
-
-@dataclass(frozen=True, slots=True)
-class FleetSpending:
-    """What all instances have spent on a service in the window.
-
-    Attributes
-    ----------
-    share : float
-        Part of the fleet, 0 to 1, whose counters are in these sums.
-    instances : int
-        How many have their counters in these sums, this one included.
-    """
-
-    requests: int
-    repeats: int
-    share: float = 1.0
-    instances: int = 1
