Let a repeat be earned only by requests of the same window

What could be seen: a fleet that is at its budget everywhere passes it by a repeat or two, though each instance keeps its part. Cause: a part of a window's sum was counted over another window at each instance. Ruled out: a margin for it; with 64 instances and few requests each the sum of all busiest windows passes any one by more than whole numbers leave unused. Change: a repeat may be sent if in each span that begins with an earlier repeat, and is no longer than a window, repeats are at most the part of the slack and what the requests of that very span earn. A life that follows another earns its repeats from nothing.

--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -13,7 +13,7 @@
 from ...kernel.plugins import Concluded, GiveUp, RetryDecision, RetryLater, RetryPolicy
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
-from .allowance import Allowance, SlackShare
+from .allowance import LEAST_BURST, Allowance, SlackShare, Terms
 
 RATIO = 0.2
 SLACK = 100.0
@@ -121,7 +121,7 @@
         if sent_at is not None and context.now - sent_at <= PAID_FOR:
             return True
         allowance.take_back(request.request_id)
-        if self.limit(service, context.now) - allowance.repeats_since(context.now) < 1:
+        if allowance.room(self.terms(), context.now) < 1:
             return False
         allowance.count_repeat(request.request_id, context.now)
         return True
@@ -154,16 +154,16 @@
         """Return whether the budget has room for one more repeat."""
         return failure.exposure is Exposure.NEVER_SENT or self.room(service, now) >= 1
 
-    def limit(self, service: ServiceId, now: timedelta) -> float:
-        """Return how many repeats this instance may send in the window."""
-        requests = self.allowance(service).requests_since(now)
-        return self.ratio * requests + self.slack * self.share().part
+    def terms(self) -> Terms:
+        """Return what this instance may repeat of a service's calls."""
+        share = self.share()
+        burst = max(LEAST_BURST, self.slack * share.part) if self.slack else 0.0
+        return Terms(self.ratio, burst, share.since)
 
     def room(self, service: ServiceId, now: timedelta) -> float:
         """Return for how many further repeats the budget has room."""
         allowance = self.allowance(service)
-        taken = allowance.repeats_since(now) + len(allowance.promised)
-        return self.limit(service, now) - taken
+        return allowance.room(self.terms(), now) - len(allowance.promised)
 
     def sent(self, service: ServiceId) -> int:
         """Return how many repeats this instance has counted in its life."""
@@ -172,7 +172,7 @@
     def sharers(self) -> int:
         """Return among how many instances the slack is shared; 0 without a part."""
         share = self.share()
-        return share.instances if share.settled else 0
+        return share.instances if share.part else 0
 
 
 def problem_of(failure: AttemptFailed, detail: str) -> Problem:
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -326,11 +326,12 @@
         one. In a fleet that is new nobody has spent any.
         """
         if self.gossip is None:
-            return SlackShare(settled=False)
+            return SlackShare(known=False, since=self.began_at)
         census = self.gossip.census
         lasted = self.clock.monotonic() - self.began_at
         is_over = census.fleet_is_new or lasted >= self.settles_after
-        return SlackShare(census.instances, census.complete and is_over)
+        since = None if is_over else self.began_at
+        return SlackShare(census.instances, census.complete, since)
 
 
 def note_of(work: Work, now: timedelta) -> WorkNote:
