Show why a stand-in's test was refused until its tries ended, and two lost ports

Cause: the tests' caller tries a fixed 1,000 times. A refused try takes about 0.1 ms, so that all are spent in 80 to 120 ms on a quiet machine, and sooner on a warmed up one. An engine's loop that gets the processor a little late is given up for lost. Ruled out: the timers of two crashes (the second one finds no listener and sets none); a loop that has ended (its fault is told to who injects the crash, which the failure did not show). A port taken by another while the engine is down is a fault of its own: a stand-in binds its port anew in a crash, and an endpoint's is free until its next life. Change: three tests that bring these about: a loop held until its caller was refused 3,000 times, a neighbour that takes the port in the instant of its closing, and one that wants the port of a crashed endpoint. Conclusion: to be mended next.

--- a/tests/unit/standins/test_engine_http.py
+++ b/tests/unit/standins/test_engine_http.py
@@ -1,15 +1,20 @@
 """The engine stand-in over HTTP: streams, faults and its journal."""
 
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
+from threading import Event
 
 import urllib3
 
 from mimosafork.clock import SystemClock
-from mimosafork.standins import EngineSettings, expected_answer
+from mimosafork.standins import EngineSettings, EngineStandin, expected_answer
 from mimosafork.standins.faults import Crash
 from tests.support.functions import function_tests
 from tests.support.standins import (
+    MAX_TRIES,
     OWNER,
+    TIMEOUT_S,
     Caller,
     assert_breaks,
     events,
@@ -147,6 +152,41 @@
     assert state["incarnation"] == 3
 
 
+def test_an_engine_that_comes_back_late_is_waited_for() -> None:
+    """An engine crashes beside busy neighbours, and a test says that it is lost.
+
+    Its time is up, but its loop does not get the processor. Its caller is refused
+    within a tenth of a millisecond and spends all its tries, a fixed number, before
+    the loop has had its turn.
+    """
+    with running_engine(QUICK) as (engine, caller), ThreadPoolExecutor(1) as pool:
+        turn = starve_timers(engine)
+        engine.inject(Crash(down_s=0.0))
+        waiting = pool.submit(lambda: retried(lambda: caller.get("/v1/state")))
+        refused = 0
+        while not waiting.done() and refused < 3 * MAX_TRIES:
+            assert_breaks(lambda: caller.get("/v1/state"))
+            refused += 1
+        turn.set()
+        assert waiting.result()["incarnation"] == 2
+
+
+def starve_timers(engine: EngineStandin) -> Event:
+    """Let what the engine's loop sets a time for wait for an event as well."""
+    turn = Event()
+    call_at = engine.loop.call_at
+
+    def call_late(when_s: float, callback: Callable[[], None]) -> None:
+        def late() -> None:
+            assert turn.wait(TIMEOUT_S)
+            callback()
+
+        call_at(when_s, late)
+
+    engine.loop.call_at = call_late  # type: ignore[method-assign]
+    return turn
+
+
 def test_a_marked_prompt_crashes_each_engine_that_runs_it() -> None:
     with running_engine(QUICK) as (_, caller):
         caller.fault(kind="crash-on-prompt", marker="POISON", down_s=0.0)
--- a/tests/unit/standins/test_http_loop.py
+++ b/tests/unit/standins/test_http_loop.py
@@ -3,17 +3,19 @@
 import socket
 import threading
 from collections.abc import Callable
+from contextlib import closing, suppress
 from dataclasses import dataclass, field
 
 from mimosafork.clock import SystemClock
 from mimosafork.standins import ObjectStandin, expected_answer
 from mimosafork.standins.engine.readers import MAX_BACKLOG_BYTES, EventWriter
 from mimosafork.standins.errors import StandinError
+from mimosafork.standins.faults import Crash
 from mimosafork.standins.http import HttpAnswer
 from mimosafork.standins.http.messages import ExchangeListener
 from tests.support.engines import VirtualEngine, settings
 from tests.support.functions import function_tests
-from tests.support.standins import Caller, assert_breaks, running
+from tests.support.standins import Caller, assert_breaks, retried, running
 
 BIG = bytes(range(256)) * 40_000
 
@@ -126,6 +128,43 @@
     raise AssertionError("no error was raised")
 
 
+class Neighbour:
+    """Wants a port, and takes it in the instant in which its socket is closed."""
+
+    def __init__(self, wanted: socket.socket) -> None:
+        self.wanted = wanted
+        self.address = wanted.getsockname()
+        self.own = socket.socket()
+        self.took = False
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self.wanted, name)
+
+    def close(self) -> None:
+        self.wanted.close()
+        with suppress(OSError):
+            self.own.bind(self.address)
+            self.own.listen()
+            self.took = True
+
+
+def test_no_other_takes_the_port_of_one_that_crashes() -> None:
+    """A stand-in crashes and cannot come back at its address.
+
+    It closes its listening socket and binds the port anew. Between the two another
+    test is given the port by the system, and the stand-in's loop fails.
+    """
+    standin = ObjectStandin(SystemClock())
+    with running(standin) as caller:
+        assert standin.loop.listener is not None
+        neighbour = Neighbour(standin.loop.listener)
+        standin.loop.listener = neighbour  # type: ignore[assignment]
+        with closing(neighbour.own):
+            standin.inject(Crash(down_s=0.0))
+            assert not neighbour.took
+            assert retried(lambda: caller.get("/journal")) == {"entries": []}
+
+
 def test_stopping_twice_is_harmless() -> None:
     standin = ObjectStandin(SystemClock())
     standin.start()
--- a/tests/unit/standins/test_prepared_deployment.py
+++ b/tests/unit/standins/test_prepared_deployment.py
@@ -1,5 +1,6 @@
 """Tests of the prepared platform as a whole: its configuration and its list."""
 
+import socket
 from dataclasses import replace
 from datetime import timedelta
 from typing import Any
@@ -9,6 +10,7 @@
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.documents import RouteEntry
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
+from mimosafork.standins.prepared.http import LOOPBACK
 from mimosafork.standins.prepared.row_format import decode_value
 from mimosafork.standins.prepared.store_faults import Refusal, StoreFaults
 from mimosafork.standins.prepared.words import (
@@ -135,6 +137,23 @@
     case.assertEqual(1, after[desk.id]["seq"])
 
 
+def test_no_other_takes_the_port_of_one_that_crashed() -> None:
+    """A crashed endpoint cannot come back at its address.
+
+    While it is down the system gives its port to another test that wants any. The
+    next life finds the port taken, or callers of the endpoint reach a stranger.
+    """
+    with deployment() as running, socket.socket() as neighbour:
+        desk = running.add_desk(EndpointSettings(DESKS))
+        desk.crash()
+        with case.assertRaises(OSError):
+            neighbour.bind((LOOPBACK, desk.listener.port))
+        with case.assertRaises(ConnectionRefusedError):
+            call(desk.address, "GET", "/healthz")
+        desk.start()
+        case.assertEqual(200, call(desk.address, "GET", "/healthz").status)
+
+
 def test_a_crash_may_end_by_itself() -> None:
     with deployment() as running:
         desk = running.add_desk(EndpointSettings(DESKS))
