Show what rows do that another writer wrote over or filled with absurd contents

An endpoint whose row is overwritten keeps its new work by what the row had said before; a row with a value that is not base64 throws away its whole page; a number of years with 300 digits, or a deep nesting, ends the reading of the page by an error of the program, again and again. Cause: what cannot be read changed nothing that was known; fields were checked for their types alone; rows of any part of the tables were taken for the platform's. Ruled out: missing fields, other types, unknown states, NaN and no JSON at all already gave the layer's own error, and the rest of the page held.

--- a/tests/unit/directory/test_directory_machine.py
+++ b/tests/unit/directory/test_directory_machine.py
@@ -49,6 +49,7 @@
 SERVICES = st.sampled_from(["desks", "pool"])
 WHICH = st.integers(0, 30)
 BOTH = st.booleans()
+OVERWRITTEN = st.sampled_from([b"", b"\xff", b"{", b"odd desks 10.0.0.9:80 zone-a 8"])
 SPANS = st.sampled_from([0.25, 0.5, 1.0, 2.0, 4.0, 9.0])
 
 
@@ -180,6 +181,15 @@
         former = life.value.replace(b"draining", b"ready")
         self.store.write(self.store.endpoints, life.name, former, self.now)
 
+    @rule(which=WHICH, value=OVERWRITTEN, lasts=BOTH)
+    def another_writes_over_a_row(self, which: int, value: bytes, lasts: bool) -> None:
+        """Let a row stand that cannot be read, until its endpoint reports or lapses."""
+        names = sorted(self.store.endpoints.rows)
+        if self.store.condition is not Condition.DOWN and names:
+            life = self.store.lives[names[which % len(names)]]
+            life.connected, life.heard_at = not lasts, self.now
+            self.store.write(self.store.endpoints, life.name, value, self.now)
+
     @rule(which=WHICH, connected=BOTH)
     def endpoint_is_cut_off(self, which: int, connected: bool) -> None:
         """Cut an endpoint off from the store, or mend that."""
--- a/tests/unit/directory/test_over_store.py
+++ b/tests/unit/directory/test_over_store.py
@@ -1,6 +1,7 @@
 """Tests of the directory over the store's client and its stand-in on loopback."""
 
 import asyncio
+from base64 import b64encode
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -17,7 +18,9 @@
 from mimosafork.platform.store import PreparedStore, StoreTimeouts
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
+from mimosafork.standins.prepared.rows import Put, RowName, Transaction
 from mimosafork.standins.prepared.store_faults import NO_FAULTS, Refusal, StoreFaults
+from mimosafork.standins.prepared.words import TABLE_SERVERS
 
 from ...support.functions import function_tests
 from ...support.prepared import DESKS, USUAL_CONFIG, deployment
@@ -132,6 +135,32 @@
     with_deployment(work)
 
 
+def test_a_row_that_another_wrote_over_rests_its_endpoint_until_it_reports() -> None:
+    """A tool writes over one endpoint's row what is no document at all.
+
+    The endpoint gets no new work, its neighbour does; its next report brings it back.
+    """
+
+    async def work(running: Deployment) -> None:
+        bad, good = (running.add_desk(EndpointSettings(DESKS)) for _ in range(2))
+        async with following(running) as own:
+
+            def used() -> set[str]:
+                entries = own.directory.endpoints
+                return {str(n) for n, each in entries.items() if each.takes_new_work}
+
+            await own.until(lambda: used() == {bad.id, good.id})
+            name = RowName(TABLE_SERVERS, "", bad.id)
+            for value in (b"", b"\xff\xfe", b"[" * 5000, b'{"slots":-1}'):
+                text = b64encode(value).decode()
+                running.store.write(Transaction(puts=(Put(name, text),)))
+                await own.until(lambda: used() == {good.id})
+                running.beat(bad)
+                await own.until(lambda: used() == {bad.id, good.id})
+
+    with_deployment(work)
+
+
 def test_silent_connections_are_found_and_changes_are_heard() -> None:
     """All open connections to the store fall silent for good, without a reset.
 
