Show that a late word of a peer ends the return of an endpoint that is back

Seen: in a property test of rows written in any order, an endpoint whose row stood in the store got no calls for good. Cause: what is gone and back waits until its row has lasted. Any removal ends the wait, also one that is older than the row; peers hand over their removals with the list. Ruled out: the unreadable rows that the property test is about; the case has none. Change: a test with the case by name, listed. The directory's machine tells old removals only of endpoints in use, so that it never met this. Conclusion: to be mended with the rows that cannot be read.

--- a/tests/unit/directory/test_endpoints.py
+++ b/tests/unit/directory/test_endpoints.py
@@ -134,6 +134,21 @@
         case.assertIsNone(world.state("a"))
 
 
+def test_a_late_word_that_one_is_gone_does_not_end_its_return() -> None:
+    """An endpoint that was cut off from the store is back, and gets no calls for good.
+
+    Its row is there again and has yet to last. A peer that has not heard of it hands
+    over its list, with the removal before; the store tells an unchanged row once only.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), page(12, removed("a", 12)))
+        world.endpoints(page(20, listed("a", 20)))
+        world.directory.offer_endpoint(removed("a", 12))
+        world.pass_time(4)
+        world.endpoints(page(25))
+        case.assertEqual(READY, world.state("a"))
+
+
 def test_one_late_report_does_not_bring_an_endpoint_back() -> None:
     """An endpoint leaves without a word; its last report crosses its removal.
 
