Show an endpoint that drained around an outage and gets new work for a moment

Seen: the directory's machine, given peers that hand over removals as they do in use, and 1,500 examples in place of 60, told an endpoint as ready after it had been told as draining. Cause: what vanishes around an outage is held, and its removal is not taken as sure, so that the next ready row is believed at once; one that drained meanwhile is treated the same. Ruled out: the rows that cannot be read; the machine's example has none. Change: a test with the case by name, listed.

--- a/tests/unit/directory/test_endpoints.py
+++ b/tests/unit/directory/test_endpoints.py
@@ -149,6 +149,24 @@
         case.assertEqual(READY, world.state("a"))
 
 
+def test_one_that_drained_while_its_row_was_missing_is_not_used_again() -> None:
+    """An endpoint drains around an outage, and gets new work for a moment afterwards.
+
+    Its row lapses in the outage, and a peer tells that and that it drains. The store's
+    answers then begin with the removal and with the ready row that followed it.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)))
+        world.outage()
+        world.directory.offer_endpoint(removed("a", 12))
+        world.directory.offer_draining(EndpointId("a"))
+        told = len(world.told)
+        rows = (removed("a", 12), listed("a", 13), listed("a", 14, "draining"))
+        world.endpoints(page(14, *rows))
+        case.assertNotIn("a ready", world.words()[told:])
+        case.assertNotEqual(READY, world.state("a"))
+
+
 def test_one_late_report_does_not_bring_an_endpoint_back() -> None:
     """An endpoint leaves without a word; its last report crosses its removal.
 
