Let an endpoint rest whose row cannot be read, and keep the rows beside it whole

Seen: calls went on to an endpoint whose row another had written over; one absurd number or nesting kept the whole list from being read, one odd value its page, and a bad row had a line for each hand-over, as long as itself. Cause: an unreadable row changed nothing that was known; fields were checked for their types alone; errors of the language came out of reading a document; all parts of a table counted. The directory has a fourth state, unreadable: no new work, what runs goes on, the next readable row brings it back. It holds as versions order the words: an older ready row, a peer's or that of a return, is left out. A line is written as one becomes unreadable, clipped; the configuration keeps the former one in force and has one line too. Two faults of before, found by the property test and the machine: an old removal of a peer no longer ends a return, and what drained while it was missing is gone for sure. Replaced: test_an_unreadable_row_leaves_what_is_known held that the former word stays. Its other half stands, and it now asks that the endpoint rests and comes back.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -50,6 +50,9 @@
 LATEST = sys.maxsize
 """Version of a word that is not older than anything known."""
 
+LONGEST_FIELD = 300
+"""Characters of a field of a line that another's row fills."""
+
 HELD = "held"
 """Of an endpoint that stays in use though its row vanished."""
 
@@ -122,6 +125,8 @@
         self.peers: Callable[[], int] = nobody
         """Returns how many instances would tell of a newer configuration."""
         self.peer_feed = PeerFeed(boot_clock or clock)
+        self.unreadable_table = 0
+        """Version of the newest configuration that could not be read."""
         self.listeners: list[Listener] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.configuration_follower = Follower(
@@ -227,7 +232,10 @@
         try:
             changed = self.tables.take(row, teller)
         except UnreadableError as error:
-            log_unreadable(row, teller, error)
+            # Each peer hands over what the store holds, again and again.
+            if row.version > self.unreadable_table:
+                self.unreadable_table = row.version
+                log_unreadable(row, teller, error)
             return
         if changed is not None:
             self.tell_table(changed)
@@ -237,11 +245,19 @@
         try:
             changed = self.book.take(row, teller)
         except UnreadableError as error:
-            log_unreadable(row, teller, error)
+            self.take_unreadable(row, teller, error)
             return
         if changed is not None:
             self.tell_endpoint(changed)
 
+    def take_unreadable(self, row: Row, teller: Teller, error: UnreadableError) -> None:
+        """Take an endpoint's row that cannot be read; one line tells it."""
+        if self.book.note_unreadable(row):
+            log_unreadable(row, teller, error)
+        resting = self.book.rest(row, teller)
+        if resting is not None:
+            self.tell(resting)
+
     def settle(self) -> None:
         """Tell what is still missing after an outage."""
         for changed in self.book.settle(Teller.STORE):
@@ -404,7 +420,12 @@
         logger,
         ENTRY_UNREADABLE,
         version=row.version,
-        row=row.key,
+        row=clipped(row.key),
         source=teller.value,
-        why=error,
+        why=clipped(str(error)),
     )
+
+
+def clipped(text: str) -> str:
+    """Return as much of a text as a line holds."""
+    return text if len(text) <= LONGEST_FIELD else f"{text[:LONGEST_FIELD]}..."
--- a/src/mimosafork/directory/endpoint_book.py
+++ b/src/mimosafork/directory/endpoint_book.py
@@ -83,6 +83,8 @@
         self.entries: dict[EndpointId, DirectoryEntry] = {}
         self.gone: dict[EndpointId, GoneWord] = {}
         self.reappeared: dict[EndpointId, Reappearance] = {}
+        self.unreadable: dict[EndpointId, Row] = {}
+        """The newest rows that cannot be read, without their values."""
         self.told_up_to = 0
         """Version up to which the store itself has told all changes."""
 
@@ -122,6 +124,7 @@
         born_ms = self.latest_birth(endpoint)
         if listed.precedes(born_ms):
             return None
+        self.note_readable(row)
         if listed.follows(born_ms):
             return self.begin_life(row, listed, teller)
         if word is not None and word.sure:
@@ -129,8 +132,62 @@
             return None
         if listed.state is ListedState.DRAINING:
             return self.drain(row, listed, teller)
+        if endpoint in self.unreadable:
+            return None
         return self.ready(row, listed, teller)
 
+    def note_readable(self, row: Row) -> None:
+        """Forget an unreadable row that a newer one of its endpoint replaces.
+
+        The same row may have come mangled from a peer, and be read from the store.
+        """
+        unreadable = self.unreadable.get(EndpointId(row.key))
+        if unreadable is not None and row.version >= unreadable.version:
+            del self.unreadable[EndpointId(row.key)]
+
+    def note_unreadable(self, row: Row) -> bool:
+        """Take note of a row that cannot be read; return whether that is news.
+
+        Guard: a row that is written over each second, read whole again or handed over
+        by all peers would be told each time.
+        """
+        endpoint = EndpointId(row.key)
+        known, before = self.entries.get(endpoint), self.unreadable.get(endpoint)
+        if known is not None and row.version <= known.row.version:
+            return False
+        if before is None or row.version > before.version:
+            self.unreadable[endpoint] = replace(row, value=b"")
+        return before is None
+
+    def rest(self, row: Row, teller: Teller) -> EndpointChanged | None:
+        """Let an endpoint rest whose row has been replaced by one that can't be read.
+
+        Guard: what was said before says nothing of now: whether it drains, or whose
+        address that is, nobody knows. It must not be used by the former word, nor, if
+        it was gone and is back, by the word with which it came. One that drains goes
+        on to do so.
+
+        Returns
+        -------
+        EndpointChanged or None
+            None if it got no new work before.
+        """
+        endpoint = EndpointId(row.key)
+        back, known = self.reappeared.get(endpoint), self.entries.get(endpoint)
+        if back is not None and row.version > back.row.version:
+            del self.reappeared[endpoint]
+        if known is None or known.state is EndpointState.DRAINING:
+            return None
+        if row.version <= max(known.row.version, known.missing_version or 0):
+            return None
+        entry = replace(
+            known, row=row, state=EndpointState.UNREADABLE, missing_version=None
+        )
+        self.entries[endpoint] = entry
+        if known.state is EndpointState.UNREADABLE:
+            return None
+        return EndpointChanged(entry, teller, known)
+
     def latest_birth(self, endpoint: EndpointId) -> int | None:
         """Return when the latest life began that was heard of under an id."""
         known, word = self.entries.get(endpoint), self.gone.get(endpoint)
@@ -230,6 +287,10 @@
         # takes work again once it has said that it leaves.
         if known.state is EndpointState.DRAINING:
             return None
+        if known.state is EndpointState.UNREADABLE:
+            # An older row than the unreadable one has been left out before.
+            self.entries[listed.endpoint] = entry
+            return EndpointChanged(entry, teller, known)
         if row.version <= max(known.row.version, known.missing_version or 0):
             return None
         self.entries[listed.endpoint] = entry
@@ -244,7 +305,7 @@
         known = self.entries.get(listed.endpoint)
         began = 0 if known is None else known.began_version
         entry = DirectoryEntry(listed, row, EndpointState.DRAINING, began_version=began)
-        if known is None or known.state is EndpointState.READY:
+        if known is None or known.state is not EndpointState.DRAINING:
             self.gone.pop(listed.endpoint, None)
             self.entries[listed.endpoint] = entry
             return EndpointChanged(entry, teller)
@@ -256,7 +317,13 @@
         """Take the word that a row is no longer there."""
         endpoint = EndpointId(row.key)
         known = self.entries.get(endpoint)
-        self.reappeared.pop(endpoint, None)
+        # Guard: a peer hands over a removal that is older than the row that is there
+        # again. The store tells an unchanged row once, so that nothing would ever
+        # bring the endpoint back.
+        back = self.reappeared.get(endpoint)
+        if back is not None and row.version >= back.row.version:
+            del self.reappeared[endpoint]
+        self.note_readable(row)
         if known is None:
             self.remember(row, sure=not self.health.in_doubt)
             return None
@@ -267,7 +334,11 @@
         # was serving stays in use until `settle` sees it still missing.
         if known.takes_new_work and self.health.in_doubt:
             return self.hold(known, row, teller)
-        return self.forget(known, row, teller, sure=known.missing_version is None)
+        sure = known.missing_version is None
+        if known.state is EndpointState.UNREADABLE and self.health.in_doubt:
+            # It got no new work, so there is nothing to hold; it may well be alive.
+            sure = False
+        return self.forget(known, row, teller, sure=sure)
 
     def hold(
         self, known: DirectoryEntry, row: Row, teller: Teller
@@ -283,8 +354,13 @@
     def forget(
         self, known: DirectoryEntry, row: Row, teller: Teller, *, sure: bool
     ) -> EndpointChanged:
-        """Treat an endpoint as gone."""
+        """Treat an endpoint as gone.
+
+        Guard: one that drained while its row was missing is gone for sure. Else the
+        ready row before its draining one, told late, would be believed at once.
+        """
         del self.entries[known.listed.endpoint]
+        sure = sure or known.state is EndpointState.DRAINING
         self.remember(row, sure=sure, born_ms=known.listed.born_ms)
         gone = replace(known, state=EndpointState.GONE, missing_version=None)
         return EndpointChanged(gone, teller, known)
@@ -317,11 +393,12 @@
         it lacks; the endpoint would be used though nobody listens there.
         """
         present = {row.key for row in rows}
-        known = [entry.row for entry in self.entries.values()]
-        known += [each.row for each in self.reappeared.values()]
+        known = dict(self.unreadable)
+        known |= {each.listed.endpoint: each.row for each in self.reappeared.values()}
+        known |= {each.listed.endpoint: each.row for each in self.entries.values()}
         return tuple(
             replace(row, value=b"", version=version, removed=True)
-            for row in known
+            for row in known.values()
             if row.key not in present and row.version <= version
         )
 
--- a/src/mimosafork/directory/errors.py
+++ b/src/mimosafork/directory/errors.py
@@ -32,4 +32,7 @@
 
 
 class UnreadableError(MimosaforkError):
-    """A row's value cannot be read; what was known before stays."""
+    """A row's value cannot be read.
+
+    A configuration before it stays in force; an endpoint's word before it does not.
+    """
--- a/src/mimosafork/directory/messages.py
+++ b/src/mimosafork/directory/messages.py
@@ -23,6 +23,8 @@
     READY = "ready"
     DRAINING = "draining"
     GONE = "gone"
+    UNREADABLE = "unreadable"
+    """Its newest row cannot be read; it rests until the next one that can."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,9 +34,9 @@
     Attributes
     ----------
     listed : ListedEndpoint
-        Its last word about itself.
+        Its last word about itself that could be read.
     row : Row
-        The same in raw form, to hand to peers.
+        Its newest row in raw form, to hand to peers.
     state : EndpointState
         Never goes back from draining.
     missing_version : int or None
@@ -79,7 +81,7 @@
     Attributes
     ----------
     before : DirectoryEntry or None
-        What was believed of one that is gone.
+        What was believed of one that is gone, rests or is back.
     """
 
     entry: DirectoryEntry
--- a/src/mimosafork/platform/configuration.py
+++ b/src/mimosafork/platform/configuration.py
@@ -24,6 +24,7 @@
     ServiceDocument,
     TenantDocument,
     decode,
+    duration,
 )
 from .errors import DocumentError
 
@@ -70,22 +71,24 @@
     """
     kind = KINDS.get(document.kind)
     if kind is None:
-        raise DocumentError(f"route {document.name} has the kind {document.kind}")
+        raise DocumentError(
+            f"route {document.name!a:.80} has the kind {document.kind!a:.80}"
+        )
     pause_ms = document.longest_pause_ms
     return Route(
         name=RouteName(document.name),
         host=document.host.lower(),
         prefix=document.prefix,
         kind=kind,
-        timeout=timedelta(milliseconds=document.timeout_ms),
-        objective=timedelta(milliseconds=document.objective_ms),
+        timeout=duration(document.timeout_ms),
+        objective=duration(document.objective_ms),
         splits=splits_of(document),
         max_attempts=document.max_attempts,
         priority=document.priority,
         public=document.public,
         resumable=document.resumable,
         sized=document.sized,
-        longest_pause=None if pause_ms is None else timedelta(milliseconds=pause_ms),
+        longest_pause=None if pause_ms is None else duration(pause_ms),
     )
 
 
@@ -102,7 +105,7 @@
             Split(ServiceId(each.service), each.weight) for each in document.split
         )
     if document.service is None:
-        raise DocumentError(f"route {document.name} names no service")
+        raise DocumentError(f"route {document.name!a:.80} names no service")
     return (Split(ServiceId(document.service), 1.0),)
 
 
@@ -130,7 +133,7 @@
         pairs_ms_per_m=document.pairs_per_m,
         chunk=document.chunk,
         hop_ms=document.hop_ms,
-        report_lag=timedelta(milliseconds=document.report_lag_ms),
+        report_lag=duration(document.report_lag_ms),
         usual_prompt=round(document.usual.prompt),
         usual_answer=round(document.usual.answer),
     )
@@ -149,7 +152,7 @@
 
 def milliseconds_or(value_ms: float | None, usual: timedelta) -> timedelta:
     """Return a time in milliseconds, or the usual one if none is said."""
-    return usual if value_ms is None else timedelta(milliseconds=value_ms)
+    return usual if value_ms is None else duration(value_ms)
 
 
 def account_of(document: TenantDocument) -> Account:
--- a/src/mimosafork/platform/documents.py
+++ b/src/mimosafork/platform/documents.py
@@ -1,14 +1,33 @@
 """Form of the platform's documents; fields that are not named here are ignored."""
 
-from typing import TypeVar
+from datetime import timedelta
+from typing import Annotated, TypeVar
 
 import msgspec
+from msgspec import Meta
 
 from . import names
 from .errors import DocumentError
 
 Document = TypeVar("Document")
 
+LONGEST_TEXT = 200
+"""Characters of a name, as the platform bounds its own."""
+LONGEST_REASON = 300
+MOST_SLOTS = 1_000_000
+LARGEST_COUNT = 2**63 - 1
+LATEST_BIRTH_MS = 10**13
+"""In Unix milliseconds; some 250 years from now."""
+MILLISECOND = timedelta(milliseconds=1)
+LONGEST_TIME = timedelta(days=30)
+
+Name = Annotated[str, Meta(min_length=1, max_length=LONGEST_TEXT)]
+Text = Annotated[str, Meta(max_length=LONGEST_TEXT)]
+Slots = Annotated[int, Meta(ge=1, le=MOST_SLOTS)]
+Count = Annotated[int, Meta(ge=0, le=LARGEST_COUNT)]
+ColdMs = Annotated[float, Meta(le=LONGEST_TIME / MILLISECOND)]
+BirthMs = Annotated[int, Meta(ge=0, le=LATEST_BIRTH_MS)]
+
 
 class SplitDocument(msgspec.Struct):
     """A service's share of a route."""
@@ -103,17 +122,22 @@
 
 
 class EndpointDocument(msgspec.Struct, kw_only=True):
-    """An endpoint's word about itself."""
+    """An endpoint's word about itself.
 
-    service: str = msgspec.field(name=names.SERVICE)
-    address: str = msgspec.field(name=names.ADDRESS)
-    zone: str = msgspec.field(name=names.ZONE)
-    slots: int = msgspec.field(name=names.SLOTS)
-    state: str = msgspec.field(name=names.STATE)
-    software: str = msgspec.field(name=names.VERSION, default="")
-    cold_remaining_ms: float = msgspec.field(name=names.COLD_REMAINING_MS, default=0.0)
-    sequence: int = msgspec.field(name=names.SEQUENCE, default=0)
-    born: int | None = msgspec.field(name=names.BORN, default=None)
+    Guard: another writer may have written it. A text without end makes lines without
+    end, slots below one an endpoint that looks ever emptier, and a birth in a far year
+    a life that none of its own rows can end.
+    """
+
+    service: Name = msgspec.field(name=names.SERVICE)
+    address: Name = msgspec.field(name=names.ADDRESS)
+    zone: Name = msgspec.field(name=names.ZONE)
+    slots: Slots = msgspec.field(name=names.SLOTS)
+    state: Name = msgspec.field(name=names.STATE)
+    software: Text = msgspec.field(name=names.VERSION, default="")
+    cold_remaining_ms: ColdMs = msgspec.field(name=names.COLD_REMAINING_MS, default=0.0)
+    sequence: Count = msgspec.field(name=names.SEQUENCE, default=0)
+    born: BirthMs | None = msgspec.field(name=names.BORN, default=None)
 
 
 class RowDocument(msgspec.Struct, kw_only=True):
@@ -151,6 +175,18 @@
     """
     try:
         return msgspec.json.decode(value, type=form)
-    # msgspec reports bytes that are no text as the built-in error of decoding.
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise DocumentError(str(error)) from error
+    # msgspec reports bytes that are no text, and those that nest without end, as
+    # built-in errors.
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise DocumentError(str(error)[:LONGEST_REASON]) from error
+
+
+def duration(value_ms: float) -> timedelta:
+    """Return a time that is given in milliseconds, none if it is below none.
+
+    Guard: a number that no time can hold is an error of the language and not of the
+    document, and ended the reading of all rows with its own. What is longer than the
+    longest time means without end to whoever wrote it.
+    """
+    milliseconds = min(max(0.0, value_ms), LONGEST_TIME / MILLISECOND)
+    return timedelta(milliseconds=milliseconds)
--- a/src/mimosafork/platform/sources.py
+++ b/src/mimosafork/platform/sources.py
@@ -58,16 +58,17 @@
         stands for all: what changes until the last one is told again as a change.
         """
         page = await self.rows.read(names.ENDPOINTS_TABLE)
-        rows, version = list(page.rows), page.version
+        rows, version = list(platform_rows(page)), page.version
         while page.truncated and page.rows:
             start = page.rows[-1].key + AFTER_KEY
             page = await self.rows.read(names.ENDPOINTS_TABLE, start=start)
-            rows += page.rows
+            rows += platform_rows(page)
         return RowPage(tuple(rows), version)
 
     async def changes(self, after: int, wait: timedelta) -> RowPage:
         """Wait for changed rows."""
-        return await self.rows.changes(names.ENDPOINTS_TABLE, after, wait)
+        page = await self.rows.changes(names.ENDPOINTS_TABLE, after, wait)
+        return RowPage(platform_rows(page), page.version)
 
     def decode(self, row: Row) -> ListedEndpoint:
         """Read an endpoint's word about itself."""
@@ -76,5 +77,14 @@
 
 def only_configuration(page: RowPage) -> RowPage:
     """Leave out other rows of the table."""
-    rows = tuple(row for row in page.rows if row.key == names.CONFIGURATION_KEY)
-    return RowPage(rows, page.version)
+    rows = [row for row in platform_rows(page) if row.key == names.CONFIGURATION_KEY]
+    return RowPage(tuple(rows), page.version)
+
+
+def platform_rows(page: RowPage) -> tuple[Row, ...]:
+    """Return a page's rows without those of other parts.
+
+    Guard: the feed tells all parts of a table. A row that another keeps in a part of
+    its own, under an endpoint's key, would replace what the endpoint said.
+    """
+    return tuple(row for row in page.rows if not row.part)
--- a/src/mimosafork/platform/store.py
+++ b/src/mimosafork/platform/store.py
@@ -174,7 +174,7 @@
             raise rows_error(answer)
         try:
             return page_of(decode(answer.body, RowsDocument))
-        except (DocumentError, ValueError) as error:
+        except DocumentError as error:
             raise StoreUnavailableError(f"answer not read: {error}") from error
 
     async def counted(
@@ -261,12 +261,24 @@
         table=document.table,
         part=document.part,
         key=document.key,
-        value=b64decode(document.value, validate=True),
+        value=value_of(document),
         version=document.version,
         removed=document.removed,
     )
 
 
+def value_of(document: RowDocument) -> bytes:
+    """Return a row's value; one in another form than the store's is an empty one.
+
+    Guard: an error here would cost the whole page, and no row of it be heard as long
+    as this one stands. What is empty can be read by nobody, and is told as such.
+    """
+    try:
+        return b64decode(document.value, validate=True)
+    except ValueError:
+        return b""
+
+
 def name_fields(row: RowName | RowPut | RowCondition) -> dict[str, str | int]:
     """Return the fields that name a row."""
     return {names.TABLE: row.table, names.PART: row.part, names.KEY: row.key}
--- a/src/mimosafork/telemetry/catalogue/directory.py
+++ b/src/mimosafork/telemetry/catalogue/directory.py
@@ -55,8 +55,10 @@
     "entry-unreadable",
     Level.ERROR,
     "version {version} of row {row}, told by {source}, cannot be read: {why}",
-    "What was known of it before stays in force.",
-    "See that all instances run a version that knows its form.",
+    "A configuration before it stays in force. An endpoint gets no new work until its "
+    "next row that can be read, which is told as `endpoint-listed`; what runs there "
+    "goes on. Further rows of the kind are not told until then.",
+    "See who wrote it, and that all instances run a version that knows its form.",
 )
 STORE_LOST = Event(
     2107,
--- a/tests/unit/directory/test_directory_machine.py
+++ b/tests/unit/directory/test_directory_machine.py
@@ -236,6 +236,7 @@
             listed = row.key in self.store.endpoints.rows
             if row.removed:
                 self.directory.offer_gone(EndpointId(row.key), row.version)
+                self.directory.offer_endpoint(row)
             elif listed or self.late_peers:
                 self.directory.offer_endpoint(row)
 
--- a/tests/unit/directory/test_endpoints.py
+++ b/tests/unit/directory/test_endpoints.py
@@ -446,12 +446,16 @@
         case.assertEqual((), missing)
 
 
-def test_an_unreadable_row_leaves_what_is_known() -> None:
+def test_an_unreadable_row_rests_its_endpoint_and_leaves_the_others() -> None:
+    """What a row said before it was written over says nothing of now."""
     with directory_world() as world:
         world.endpoints(page(9, listed("a", 4)))
         world.endpoints(page(12, listed("a", 11, "odd"), listed("b", 12)))
-        case.assertEqual(READY, world.state("a"))
+        case.assertEqual(EndpointState.UNREADABLE, world.state("a"))
+        case.assertFalse(world.directory.endpoints[EndpointId("a")].takes_new_work)
         case.assertEqual(READY, world.state("b"))
+        world.endpoints(page(13, listed("a", 13)))
+        case.assertEqual(READY, world.state("a"))
 
 
 def test_raw_rows_make_another_instance_know_the_same() -> None:
--- a/tests/unit/directory/test_unreadable_rows.py
+++ b/tests/unit/directory/test_unreadable_rows.py
@@ -89,6 +89,22 @@
         case.assertEqual(set(), used(world))
 
 
+def test_a_row_that_a_peer_mangled_is_taken_as_the_store_tells_it() -> None:
+    """A peer hands over a row of which it lost a part; the store has it whole."""
+    with directory_world() as world, caught_lines() as caught:
+        world.endpoints(page(9, listed("a", 4)))
+        world.directory.offer_endpoint(odd("a", 11))
+        case.assertEqual(set(), used(world))
+        world.endpoints(page(12, listed("a", 11)))
+        case.assertEqual({"a"}, used(world))
+        world.directory.offer_endpoint(odd("a", 11))
+        case.assertEqual({"a"}, used(world))
+        world.endpoints(page(13, odd("a", 13)))
+        case.assertEqual(set(), used(world))
+    lines = caught.of(ENTRY_UNREADABLE)
+    case.assertEqual([11, 13], [line["version"] for line in lines])
+
+
 def test_an_older_row_that_cannot_be_read_changes_nothing() -> None:
     with directory_world() as world:
         world.endpoints(page(9, listed("a", 8)))
