Show that a gateway's process may end without a last line in its log

Seen: a log ends in the midst of served calls; what ended the process stands, if anywhere, on standard error, which is not the log of the gateway. Cause: nothing writes of an exception that leaves the loop, of an exit from a callback or of a thread that fails; lines of a flood may keep out the last ones of a planned stop; a fault in a C library leaves no trace at all. Ruled out: exceptions in callbacks and tasks, which do not end the process: the loop's own handler logs them.

--- a/tests/support/gateway_processes.py
+++ b/tests/support/gateway_processes.py
@@ -57,7 +57,13 @@
 
 
 class GatewayProcess:
-    """One instance in a process of its own."""
+    """One instance in a process of its own.
+
+    Parameters
+    ----------
+    folder : Path
+        Its settings lie there; also searched for modules before all others.
+    """
 
     def __init__(self, folder: Path, name: str, store: str, bounds: str = "") -> None:
         host = own_host()
@@ -77,7 +83,7 @@
                 bounds=bounds,
             )
         )
-        self.process = Process(["gateway", "--settings", str(self.path)])
+        self.process = Process(["gateway", "--settings", str(self.path)], folder)
 
     def ready_status(self) -> int:
         """Return what the balancer is told; 0 without an answer."""
@@ -101,7 +107,11 @@
 
 @contextmanager
 def gateway_process(
-    platform: Deployment, name: str = "entry-1", store: str = "", bounds: str = ""
+    platform: Deployment,
+    name: str = "entry-1",
+    store: str = "",
+    bounds: str = "",
+    customized: str = "",
 ) -> Iterator[GatewayProcess]:
     """Run an instance before a prepared platform; it ends with the test.
 
@@ -111,8 +121,11 @@
         Where it reaches the store, if not at its own address.
     bounds : str
         Further lines of that section of the settings.
+    customized : str
+        Code that the interpreter runs first, to bring a fault about.
     """
     with TemporaryDirectory() as folder, ExitStack() as stack:
+        Path(folder, "sitecustomize.py").write_text(customized)
         address = store or platform.store.address
         started = GatewayProcess(Path(folder), name, address, bounds)
         stack.callback(started.process.kill)
