Write a last line of why a gateway's process ends, and tell of a thread that fails

Seen: a log that ends in the midst of served calls says nothing of what ended the process. Cause: what left the loop was told on standard error alone, and a flood's full queue or spent budget could keep the last lines of a planned stop out as well. Ruled out: the logging itself as the way of the last line, for that; traces of all threads for a fault of the interpreter: a thread that runs on while its frames are read made the reading fail too (seen once in 2 runs of the test), so that the fault's own was not told. Change: telemetry/last_line.py stands around the logging of the gateway's command and writes straight to its descriptor: MF1011 after a planned stop, MF1012 for any exception, also of no memory, by a line that was made before, MF1013 for a thread. The test of the interpreter's fault asked for the word "Current thread" of the form with all threads; it now asks for the frames of the thread at fault down to the command. Left: a kill, and a stop asked for before signals are received (the first tenths of a second), leave no line; a failed thread does not end the process.

--- a/src/mimosafork/commands/gateway.py
+++ b/src/mimosafork/commands/gateway.py
@@ -12,7 +12,8 @@
 
 from ..clock import SystemClock
 from ..settings.gateway import GatewaySettings, load_gateway_settings
-from ..telemetry.logs import LogFormat, Logging, LogLimits, LogOptions
+from ..telemetry.last_line import LastLine
+from ..telemetry.logs import LogFormat, Logging, LogLimits, LogOptions, formatter
 from ..telemetry.writing import DescriptorStream
 
 app = typer.Typer(add_completion=False)
@@ -46,7 +47,11 @@
         checked.logging.burst,
         LOG_STOP_TIMEOUT,
     )
-    with Logging(options, DescriptorStream(sys.stdout.fileno()), limits):
+    output = sys.stdout.fileno()
+    with (
+        LastLine(formatter(options.format), output),
+        Logging(options, DescriptorStream(output), limits),
+    ):
         asyncio.run(serve(checked, settings))
 
 
--- a/src/mimosafork/telemetry/catalogue/lifecycle.py
+++ b/src/mimosafork/telemetry/catalogue/lifecycle.py
@@ -91,6 +91,33 @@
     "made for it was ended, and its caller told.",
     "Report it with the trace that follows.",
 )
+PROCESS_ENDED = Event(
+    1011,
+    "process-ended",
+    Level.INFO,
+    "the process ends as it was asked to",
+    "The last line of a planned stop of a gateway.",
+    "None.",
+)
+PROCESS_FAILED = Event(
+    1012,
+    "process-failed",
+    Level.ERROR,
+    "the process ends by {why}",
+    "The last line of a gateway that ends unasked; its open calls are cut. A log that "
+    "ends without this line and MF1011 is of a process that was killed, or that a "
+    "fault in a C library ended: then standard error has its trace.",
+    "Report it with the trace on standard error.",
+)
+THREAD_FAILED = Event(
+    1013,
+    "thread-failed",
+    Level.ERROR,
+    "thread {thread} ended by {why}",
+    "The process goes on without it. Without the thread of signals it can't be stopped "
+    "as planned, without that of logging it writes no lines.",
+    "Report it with the trace on standard error, and replace the instance.",
+)
 
 STREAMS_IN_PROGRESS = Instrument(
     "mimosafork.streams.in_progress",
--- a/tests/functional/test_gateway_exits.py
+++ b/tests/functional/test_gateway_exits.py
@@ -160,7 +160,7 @@
     case.assertIn("Traceback", errors)
 
 
-def test_a_fault_of_the_interpreter_leaves_its_traces_on_standard_error() -> None:
+def test_a_fault_of_the_interpreter_leaves_its_trace_on_standard_error() -> None:
     """A library in C touches memory that is not its own: the process is just gone."""
     with deployment() as platform, gateway_process(platform) as started:
         started.until_ready()
@@ -170,7 +170,8 @@
             reader.join()
         errors = "\n".join(started.process.errors)
     case.assertIn("Fatal Python error: Segmentation fault", errors)
-    case.assertIn("Current thread", errors)
+    case.assertIn("most recent call first", errors)
+    case.assertIn("commands/gateway.py", errors)
 
 
 load_tests = function_tests(__name__)
