--- a/tests/unit/directory/test_endpoints.py
+++ b/tests/unit/directory/test_endpoints.py
@@ -134,6 +134,39 @@
         case.assertIsNone(world.state("a"))
 
 
+def test_a_late_word_that_one_is_gone_does_not_end_its_return() -> None:
+    """An endpoint that was cut off from the store is back, and gets no calls for good.
+
+    Its row is there again and has yet to last. A peer that has not heard of it hands
+    over its list, with the removal before; the store tells an unchanged row once only.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)), page(12, removed("a", 12)))
+        world.endpoints(page(20, listed("a", 20)))
+        world.directory.offer_endpoint(removed("a", 12))
+        world.pass_time(4)
+        world.endpoints(page(25))
+        case.assertEqual(READY, world.state("a"))
+
+
+def test_one_that_drained_while_its_row_was_missing_is_not_used_again() -> None:
+    """An endpoint drains around an outage, and gets new work for a moment afterwards.
+
+    Its row lapses in the outage, and a peer tells that and that it drains. The store's
+    answers then begin with the removal and with the ready row that followed it.
+    """
+    with directory_world() as world:
+        world.endpoints(page(9, listed("a", 4)))
+        world.outage()
+        world.directory.offer_endpoint(removed("a", 12))
+        world.directory.offer_draining(EndpointId("a"))
+        told = len(world.told)
+        rows = (removed("a", 12), listed("a", 13), listed("a", 14, "draining"))
+        world.endpoints(page(14, *rows))
+        case.assertNotIn("a ready", world.words()[told:])
+        case.assertNotEqual(READY, world.state("a"))
+
+
 def test_one_late_report_does_not_bring_an_endpoint_back() -> None:
     """An endpoint leaves without a word; its last report crosses its removal.
 
@@ -413,12 +446,16 @@
         case.assertEqual((), missing)
 
 
-def test_an_unreadable_row_leaves_what_is_known() -> None:
+def test_an_unreadable_row_rests_its_endpoint_and_leaves_the_others() -> None:
+    """What a row said before it was written over says nothing of now."""
     with directory_world() as world:
         world.endpoints(page(9, listed("a", 4)))
         world.endpoints(page(12, listed("a", 11, "odd"), listed("b", 12)))
-        case.assertEqual(READY, world.state("a"))
+        case.assertEqual(EndpointState.UNREADABLE, world.state("a"))
+        case.assertFalse(world.directory.endpoints[EndpointId("a")].takes_new_work)
         case.assertEqual(READY, world.state("b"))
+        world.endpoints(page(13, listed("a", 13)))
+        case.assertEqual(READY, world.state("a"))
 
 
 def test_raw_rows_make_another_instance_know_the_same() -> None:
