Tell of requests that are left without an answer

Callers reported a whole request that got neither an answer nor a refusal, beside a change of the configuration. No line of the log could tell how that came about: a connection that was closed between two calls, one whose last answer had said so, bytes dropped behind a request, an answer whose caller took no more of it, and a fault in the code while a request was taken all ended without a line of ours.

MF2014 now tells of each caller's connection that this instance ends with something on it that was read, wholly or partly, or still lies in its socket, and got no answer, or with a part of an answer that its caller never took: why, how many bytes, whether a whole request was among them, how long the connection had been silent and how long it had been promised. MF2015 tells of a fault that ended a caller's connection, with its trace. An answer that is broken off keeps its call's line (MF2011, cut), and what lies behind a refused request that of the refusal (MF2013), so that no failure has two lines. A connection has at most one such line, of the importance of failed calls, so that the budget of lines bounds them.

No decision changes: what is closed, dropped or answered is as before. A test that survives a fault of the new kind fails for it, like for the two known ones. The stand-in for a transport in test_stopping now says how much it has yet to write, as real ones do.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -14,6 +14,7 @@
 from .errors import BadRequestError
 from .heads import CONTENT_LENGTH, HEAD, Header, first_value, render_head
 from .request_reader import RequestMessage, RequestReader
+from .unanswered import Ending, Unanswered, bytes_waiting, holds_whole_request
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LINGER = timedelta(milliseconds=500)
@@ -55,6 +56,12 @@
     def refused(self, connection: "ClientConnection", error: BadRequestError) -> None:
         """Note that a caller's bytes were no proper request."""
 
+    def unanswered(self, connection: "ClientConnection", left: Unanswered) -> None:
+        """Note that a connection ends with a request that got no answer."""
+
+    def faulted(self, connection: "ClientConnection", error: BaseException) -> None:
+        """Note a fault in the code while a caller's bytes were taken."""
+
 
 @dataclass(slots=True)
 class Exchange:
@@ -92,6 +99,10 @@
         self.continued = False
         self.left = 0
         self.behind = False
+        self.heard_at = clock.monotonic()
+        self.promised = timedelta(0)
+        self.dropped = 0
+        self.refused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for a request."""
@@ -100,6 +111,7 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.registry.add(self)
+        self.heard_at = self.clock.monotonic()
         self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self._let_go)
 
     @property
@@ -112,11 +124,41 @@
         """Whether bytes of an answer still wait for a caller that is slow."""
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
-    def close(self) -> None:
+    def close(self, ending: Ending) -> None:
         """Close after what has been written."""
         if self.transport is not None:
+            self._note_unanswered(ending)
             self.transport.close()
 
+    def _note_unanswered(self, ending: Ending) -> None:
+        """Tell of a request that was read, or lies in the socket, and is given up.
+
+        An answer that is broken off is told with its call, and what lies behind a
+        refused request with the refusal.
+        """
+        if self.transport is None or self.transport.is_closing() or self.refused:
+            return
+        read = len(self.reader.buffer) + self.dropped
+        waiting = bytes_waiting(self.transport.get_extra_info("socket"))
+        unsent = self.transport.get_write_buffer_size()
+        awaits_answer = self.exchange is not None and not self.exchange.begun
+        begun = awaits_answer or self.reader.awaits_body
+        if not (read or waiting or unsent or begun):
+            return
+        whole = awaits_answer or holds_whole_request(self.reader)
+        self.front.unanswered(
+            self,
+            Unanswered(
+                ending,
+                read,
+                waiting,
+                unsent,
+                whole if whole or not self.dropped else None,
+                self.clock.monotonic() - self.heard_at,
+                self.promised,
+            ),
+        )
+
     def _let_go(self) -> None:
         """Close, once the caller has taken its answer or takes no more of it.
 
@@ -128,17 +170,20 @@
         if self.transport is not None:
             left = self.transport.get_write_buffer_size()
         if left and left == self.left:
+            self._note_unanswered(Ending.NOT_TAKEN)
             self._reset()
         elif left:
             self.left = left
             self._wait(self.front.limits.idle_timeout, self._let_go)
         else:
-            self.close()
+            self.close(Ending.LAST_ANSWER if self.lingering else Ending.IDLE)
 
     def data_received(self, data: bytes) -> None:
         """Read on, unless the connection only waits to be closed."""
         if self.lingering:
+            self.dropped += len(data)
             return
+        self.heard_at = self.clock.monotonic()
         if self.first_byte_at is None and self.exchange is None:
             self._begin_request()
         self.reader.feed(data)
@@ -155,6 +200,7 @@
         and its endpoint worked on for nobody. So all is read, and nothing kept.
         """
         self.reader.closing = True
+        self.dropped += len(self.reader.buffer)
         self.reader.buffer.clear()
 
     def _begin_request(self) -> None:
@@ -203,6 +249,7 @@
         )
 
     def _refuse(self, error: BadRequestError) -> None:
+        self.refused = True
         self.front.refused(self, error)
         phrase = error.status.phrase.encode()
         headers = [Header(b"Content-Length", b"0"), Header(b"Connection", b"close")]
@@ -263,9 +310,12 @@
 
     def break_off(self) -> None:
         """Close the connection so that the answer can't look whole."""
-        exchange, self.exchange = self.exchange, None
         if self.transport is None:
+            self.exchange = None
             return
+        if self.exchange is not None and not self.exchange.begun:
+            self._note_unanswered(Ending.FAULT)
+        exchange, self.exchange = self.exchange, None
         # Without chunks an orderly end is the end of a whole answer: a reader would
         # take half of it for all. Only a reset says that it was broken off.
         if exchange is not None and exchange.begun and not exchange.chunked:
@@ -284,7 +334,8 @@
             self.reader.closing = True
             headers = [*headers, Header(b"Connection", b"close")]
         else:
-            seconds = int(self.front.limits.idle_timeout.total_seconds())
+            self.promised = self.front.limits.idle_timeout
+            seconds = int(self.promised.total_seconds())
             headers = [*headers, Header(b"Keep-Alive", b"timeout=%d" % seconds)]
         return render_head(b"HTTP/1.1 %d %s" % (status, reason), headers)
 
@@ -296,6 +347,7 @@
     def _done(self) -> None:
         self.exchange = None
         self.left = 0
+        self.heard_at = self.clock.monotonic()
         if self.reader.closing:
             self._linger()
             return
@@ -328,6 +380,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell that the caller is gone."""
+        # The loop ends a connection whose owner raised, and hands on what it raised.
+        if exc is not None and not isinstance(exc, OSError):
+            self.front.faulted(self, exc)
         self.transport = None
         self.registry.discard(self)
         self._stop_timer()
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -23,7 +23,12 @@
 from ..kernel.messages.requests import CallerGone, Submit
 from ..kernel.messages.timers import WakeAt
 from ..routing.table import ClientLimits, RoutingTable
-from ..telemetry.catalogue.gateway import FREEZE_NOTICED, MALFORMED_REQUEST
+from ..telemetry.catalogue.gateway import (
+    FREEZE_NOTICED,
+    INTAKE_FAULT,
+    MALFORMED_REQUEST,
+    REQUEST_UNANSWERED,
+)
 from ..telemetry.catalogue.lifecycle import EFFECT_FAULT
 from ..telemetry.logs import log_event
 from .attempt import AttemptTools, EndpointAttempt, deliver, faulted
@@ -40,6 +45,7 @@
 from .pool import ConnectionPool
 from .problems import final_status
 from .request_reader import RequestMessage
+from .unanswered import Ending, Unanswered
 
 logger = getLogger(__name__)
 
@@ -115,7 +121,7 @@
         self.intake_ended = True
         for connection in list(self.connections):
             if connection.idle and not connection.lingering:
-                connection.close()
+                connection.close(Ending.INTAKE)
 
     def stop(self) -> None:
         """Close everything; open calls should have ended."""
@@ -123,7 +129,7 @@
             self.ticker.cancel()
         self.pool.close()
         for connection in list(self.connections):
-            connection.close()
+            connection.close(Ending.STOPPED)
 
     def _tick(self) -> None:
         loop = asyncio.get_running_loop()
@@ -226,6 +232,27 @@
         """Log that a caller's bytes were no proper request."""
         log_event(logger, MALFORMED_REQUEST, status=int(error.status), why=error.detail)
 
+    def unanswered(self, connection: ClientConnection, left: Unanswered) -> None:
+        """Log what a caller had sent when its connection ends, and got no answer to."""
+        table = self.table()
+        log_event(
+            logger,
+            REQUEST_UNANSWERED,
+            why=left.ending.value,
+            read=left.bytes_read,
+            waiting=left.bytes_waiting,
+            unsent=left.bytes_unsent,
+            whole=left.whole,
+            idle_ms=milliseconds(left.idle),
+            promised_ms=milliseconds(left.promised),
+            version=None if table is None else table.version,
+            draining=self.draining,
+        )
+
+    def faulted(self, connection: ClientConnection, error: BaseException) -> None:
+        """Log a fault in the code while a caller's bytes were taken."""
+        log_event(logger, INTAKE_FAULT, exc_info=error, fault=type(error).__name__)
+
     def gone(self, connection: ClientConnection) -> None:
         """Have the kernel end the call of a caller that has left."""
         request_id = self.by_connection.pop(connection, None)
--- /dev/null
+++ b/src/mimosafork/gateway/unanswered.py
@@ -0,0 +1,83 @@
+"""What of a caller's bytes is left when this instance ends its connection."""
+
+import socket
+import sys
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from fcntl import ioctl
+from termios import FIONREAD
+
+from .errors import BadRequestError
+from .request_reader import RequestReader
+
+INT_BYTES = 4
+
+
+class Ending(Enum):
+    """Why this instance ends a caller's connection."""
+
+    IDLE = "idle"
+    """Nothing came for its time."""
+    LAST_ANSWER = "last-answer"
+    """An answer had said that it would be the last."""
+    SENT_AHEAD = "sent-ahead"
+    """More came behind a request than is kept until that one is answered."""
+    INTAKE = "intake-ended"
+    """The instance stops, and takes no further calls."""
+    STOPPED = "stopped"
+    """The process ends."""
+    NOT_TAKEN = "not-taken"
+    """The caller took no more of its answer."""
+    FAULT = "fault"
+    """The answer could not be written."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unanswered:
+    """What a caller had sent, and got no answer to.
+
+    Attributes
+    ----------
+    bytes_read, bytes_waiting : int
+        Taken from its socket, and still in there.
+    bytes_unsent : int
+        Of its last answer.
+    whole : bool or None
+        Whether a whole request was read; None if what was read is not kept.
+    idle : timedelta
+        Since its last bytes were read, or its last answer ended.
+    promised : timedelta
+        How long it was told that its connection is kept when idle.
+    """
+
+    ending: Ending
+    bytes_read: int
+    bytes_waiting: int
+    bytes_unsent: int
+    whole: bool | None
+    idle: timedelta
+    promised: timedelta
+
+
+def holds_whole_request(reader: RequestReader) -> bool:
+    """Return whether a whole request was read and not handed on."""
+    if reader.head is not None:
+        return False
+    copy = RequestReader(reader.limits)
+    copy.feed(bytes(reader.buffer))
+    try:
+        return copy.next_request() is not None
+    except BadRequestError:
+        return False
+
+
+def bytes_waiting(sock: socket.socket | None) -> int:
+    """Return how many bytes the system holds that were not read; 0 if it can't say."""
+    if sock is None:
+        return 0
+    try:
+        found = ioctl(sock.fileno(), FIONREAD, bytes(INT_BYTES))
+    except (OSError, ValueError):
+        return 0
+    return int.from_bytes(found, sys.byteorder)
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -99,6 +99,27 @@
     "None.",
     Importance.CALL,
 )
+REQUEST_UNANSWERED = Event(
+    2014,
+    "request-unanswered",
+    Level.WARNING,
+    "a caller's connection was ended, {why}, with {read} bytes read and {waiting}"
+    " waiting that got no answer, {unsent} of an answer unsent; whole request: {whole}",
+    "This instance ended it, {promised_ms} ms of silence having been promised and "
+    "{idle_ms} ms passed. With waiting bytes alone, a request crossed the close: its "
+    "caller knows that it was not read. A caller whose whole request was read can't "
+    "tell whether it ran. Answers that were broken off have their call's own line.",
+    "None for one now and then that crossed a close. Report any with a whole request.",
+    Importance.CALL,
+)
+INTAKE_FAULT = Event(
+    2015,
+    "intake-fault",
+    Level.ERROR,
+    "a fault in the code while a caller's request was taken: {fault}",
+    "The caller's connection was closed without an answer.",
+    "Report it with the trace that follows.",
+)
 ATTEMPT_FAILED = Event(
     2020,
     "attempt-failed",
--- a/tests/support/faults.py
+++ b/tests/support/faults.py
@@ -4,11 +4,12 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from mimosafork.telemetry.catalogue.gateway import INTAKE_FAULT
 from mimosafork.telemetry.catalogue.lifecycle import EFFECT_FAULT, KERNEL_FAULT
 from mimosafork.telemetry.logs import PACKAGE_LOGGER
 from mimosafork.telemetry.messages import EventMessage
 
-SURVIVED = (KERNEL_FAULT, EFFECT_FAULT)
+SURVIVED = (KERNEL_FAULT, EFFECT_FAULT, INTAKE_FAULT)
 
 
 class FaultWatch(logging.Handler):
--- a/tests/unit/gateway/test_stopping.py
+++ b/tests/unit/gateway/test_stopping.py
@@ -145,6 +145,10 @@
         """Return whether it is closed."""
         return self.closed
 
+    def get_write_buffer_size(self) -> int:
+        """Return that all was taken."""
+        return 0
+
     def can_write_eof(self) -> bool:
         """Return that the caller may be left to close."""
         return False
