--- a/tests/support/virtual_callers.py
+++ b/tests/support/virtual_callers.py
@@ -1,6 +1,7 @@
 """Callers' connections over real sockets, in a loop whose time is virtual."""
 
 import asyncio
+import re
 import selectors
 import socket
 from collections.abc import Callable, Iterator
@@ -17,6 +18,7 @@
 
 from .prepared import request_bytes
 
+STATUS = re.compile(rb"HTTP/1\.1 (\d{3}) ")
 LOOPBACK = ("127.0.0.1", 0)
 MOMENT = timedelta(milliseconds=10)
 SETTLES_S = 0.002
@@ -144,8 +146,7 @@
     @property
     def statuses(self) -> list[int]:
         """Statuses of the answers that came, in order."""
-        lines = self.read().split(b"\r\n")
-        return [int(line[9:12]) for line in lines if line.startswith(b"HTTP/1.1 ")]
+        return [int(found) for found in STATUS.findall(self.read())]
 
 
 class VirtualDoor:
@@ -155,6 +156,11 @@
     ----------
     front : Front
         Who takes their requests.
+
+    Attributes
+    ----------
+    accepting : callable
+        Returns the owner of a connection that was just accepted.
     """
 
     def __init__(self, loop: VirtualLoop, front: Front) -> None:
@@ -163,6 +169,9 @@
         self.front = front
         self.registry: set[ClientConnection] = set()
         self.callers: list[VirtualCaller] = []
+        self.accepting: Callable[[], ClientConnection] = lambda: ClientConnection(
+            front, self.clock, self.registry
+        )
 
     def caller(self) -> VirtualCaller:
         """Let a caller connect."""
@@ -170,9 +179,7 @@
             outer = socket.create_connection(listener.getsockname())
             inner, _ = listener.accept()
         _, connection = self.loop.run_until_complete(
-            self.loop.connect_accepted_socket(
-                lambda: ClientConnection(self.front, self.clock, self.registry), inner
-            )
+            self.loop.connect_accepted_socket(self.accepting, inner)
         )
         assert isinstance(connection, ClientConnection)
         self.callers.append(VirtualCaller(outer, connection))
