Keep a caller's connection for as long as it was told

Callers saw a whole request on a kept connection get neither an answer nor a refusal. The head of a stream had told 9 s; a configuration shortened the idle time to 1 s while the stream ran; the connection closed 3 s after the stream's end, over the caller's next request. The same read of the limits of the moment cut answers whose callers took them slowly (their calls were told as served), told 408 to bodies that paused for less than was allowed when they began, and closed idle connections whose time had been lengthened.

Ruled out: changes after an answer's end or before its head; there the timer and the word came from the same version already. The sizes of a request come from one version, that of its first byte, and stay so.

A connection now remembers the time that its caller was told last, or that was in force when its present request began; all its waits take the longer of that and what is in force. The timer looks again when it is due, so that a longer time holds for idle connections too. The latest word still ends a longer one before it, so that a shortened time is reached with the next answer, and a caller is let go at most one promised time later than by the newest configuration.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -79,6 +79,10 @@
     ----------
     behind : bool
         The caller doesn't keep up with what it is sent.
+    promised : timedelta
+        How long the connection is kept when idle, as its caller was told last.
+    heard_at : timedelta
+        Monotonic instant of the last bytes read, or of the last answer's end.
     """
 
     def __init__(
@@ -111,8 +115,22 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.registry.add(self)
+        self.promised = self.front.limits.idle_timeout
         self.heard_at = self.clock.monotonic()
-        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self._let_go)
+        self._await_request()
+
+    @property
+    def idle_time(self) -> timedelta:
+        """How long the caller may be silent, or take nothing of its answer.
+
+        Guard: a configuration may change the time between the head that tells it and
+        the end that begins it. By the limits of the moment a connection closed before
+        the time that its caller had been told, and a request sent within that time got
+        neither an answer nor a refusal. So what was told last on this connection holds
+        for it, and a longer time that came into force since holds too, as callers may
+        go by the configuration.
+        """
+        return max(self.promised, self.front.limits.idle_timeout)
 
     @property
     def idle(self) -> bool:
@@ -174,7 +192,7 @@
             self._reset()
         elif left:
             self.left = left
-            self._wait(self.front.limits.idle_timeout, self._let_go)
+            self._wait(self.idle_time, self._let_go)
         else:
             self.close(Ending.LAST_ANSWER if self.lingering else Ending.IDLE)
 
@@ -206,6 +224,7 @@
     def _begin_request(self) -> None:
         self.first_byte_at = self.clock.monotonic()
         self.reader.limits = self.front.limits
+        self.promised = self.idle_time
         self._wait(self.front.limits.header_timeout, self._too_slow)
 
     def _read(self) -> None:
@@ -235,13 +254,22 @@
             self.transport.write(CONTINUE)
         self.continued = True
         # Anew with each piece: a long body that comes steadily is not too slow.
-        self._wait(self.front.limits.idle_timeout, self._too_slow)
+        self._wait(self.idle_time, self._too_slow)
 
     def _await_request(self) -> None:
         # Blank lines between requests begin none: one that was counted from such a
         # line had its time cut, or its idle connection got a 408 nobody asked for.
         self.first_byte_at = None
-        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self._let_go)
+        self._wait(self.idle_time + KEEP_SLACK, self._idle_over)
+
+    def _idle_over(self) -> None:
+        """Let the caller go, unless a configuration gave it more time meanwhile."""
+        due_at = self.heard_at + self.idle_time + KEEP_SLACK
+        left = due_at - self.clock.monotonic()
+        if left > timedelta(0):
+            self._wait(left, self._idle_over)
+        else:
+            self._let_go()
 
     def _too_slow(self) -> None:
         self._refuse(
