Refuse what comes too far ahead of an answer that keeps its connection

A caller's whole request on a kept connection was read and dropped, and the connection closed after the answer before it, without a word. Of what comes behind a request that is being answered no more than a head is kept; more of it ends the connection. Where the answer's head had gone out before, it had said that the connection is kept, and its caller could not know that nothing more was read.

Ruled out: where the head goes out later it says that the connection closes, so that what was sent ahead is known to be unread; so it is behind a refusal, and behind chunks that bytes follow at once.

The connection now remembers that it owes a refusal, and gives it behind the answer: 503 with Retry-After and the end of the connection. It holds for whole requests and for parts of them, as none has run, and for all that follows, which the 503's head ends. Still nothing is kept, so that a caller's leaving is noticed and memory is bounded.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -27,6 +27,11 @@
 NO_LINGER = struct.pack("ii", 1, 0)
 """Has a socket reset its connection when it is closed."""
 
+COME_BACK = Header(b"Retry-After", b"1")
+TOO_FAR_AHEAD = BadRequestError(
+    HTTPStatus.SERVICE_UNAVAILABLE, "it came too far ahead of the answer before it"
+)
+
 BODYLESS = frozenset({204, 304})
 FIRST_FINAL = 200
 
@@ -107,6 +112,7 @@
         self.promised = timedelta(0)
         self.dropped = 0
         self.refused = False
+        self.owes_refusal = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for a request."""
@@ -216,7 +222,13 @@
         Guard: a caller may send much ahead of its answer. While reading was paused
         for it, its leaving wasn't noticed, as the end of its bytes stood behind them,
         and its endpoint worked on for nobody. So all is read, and nothing kept.
+
+        Guard: where the present answer's head had said that the connection is kept,
+        a whole request could be read and dropped in silence. It is refused behind that
+        answer; where the head is yet to be sent, it says that it is the last.
         """
+        if not self.reader.closing and self.exchange is not None:
+            self.owes_refusal = self.exchange.begun
         self.reader.closing = True
         self.dropped += len(self.reader.buffer)
         self.reader.buffer.clear()
@@ -281,6 +293,8 @@
         self.front.refused(self, error)
         phrase = error.status.phrase.encode()
         headers = [Header(b"Content-Length", b"0"), Header(b"Connection", b"close")]
+        if error.status is HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append(COME_BACK)
         line = b"HTTP/1.1 %d %s" % (error.status, phrase)
         self._write(render_head(line, headers))
         self._linger()
@@ -376,6 +390,9 @@
         self.exchange = None
         self.left = 0
         self.heard_at = self.clock.monotonic()
+        if self.owes_refusal:
+            self._refuse(TOO_FAR_AHEAD)
+            return
         if self.reader.closing:
             self._linger()
             return
