Read what lies in a caller's socket before its connection is closed

Callers' whole requests were reset unread, on connections that were kept: where the process was held up between its look at the sockets and its timers, the idle timer closed the connection over a request that had come in between; and where an instance that stops took no further calls, it closed its idle connections over requests that had come in the same turn of the loop. A reset tells such a caller nothing.

Ruled out: a freeze alone. After one the loop reads what came before it runs its timers, which a test holds.

Both now look into the socket first. What lies there is read in the next turn: answered where the timer was due, refused with 503, Retry-After and the end of the connection where the door is closed. A stopping process counts as busy until such bytes are read, within its grace. Requests that reach the machine after the close are as before.

The test of the timer is replaced by a stricter one: its predecessor ran the timer by hand and 20 ms early, which no loop does, and so would have passed after any change that looks at the time again. The new one holds the loop up until both are due in one turn; it fails on the tree before this change ([200] in place of [200, 200]).

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -24,6 +24,9 @@
 KEEP_SLACK = timedelta(seconds=2)
 """Beyond the promised time: a request that crosses the close would be lost."""
 
+READ_SOON = timedelta(milliseconds=10)
+"""Within which the loop reads what lies in a socket."""
+
 NO_LINGER = struct.pack("ii", 1, 0)
 """Has a socket reset its connection when it is closed."""
 
@@ -148,6 +151,23 @@
         """Whether bytes of an answer still wait for a caller that is slow."""
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    def leave(self) -> None:
+        """Take no further request, between two of them.
+
+        Guard: a request may lie in the socket already. A close would reset it unread,
+        though the connection was to be kept; it is read and refused instead, with an
+        answer that ends the connection.
+        """
+        if self.idle and not self.lingering and not self.unread:
+            self.close(Ending.INTAKE)
+
+    @property
+    def unread(self) -> bool:
+        """Whether bytes of the caller lie in the socket."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return bytes_waiting(self.transport.get_extra_info("socket")) > 0
+
     def close(self, ending: Ending) -> None:
         """Close after what has been written."""
         if self.transport is not None:
@@ -275,11 +295,18 @@
         self._wait(self.idle_time + KEEP_SLACK, self._idle_over)
 
     def _idle_over(self) -> None:
-        """Let the caller go, unless a configuration gave it more time meanwhile."""
+        """Let the caller go, unless a configuration gave it more time meanwhile.
+
+        Guard: the process may be held up between its look at the sockets and its
+        timers. A request that came in between was reset unread; what lies in the
+        socket now is read first.
+        """
         due_at = self.heard_at + self.idle_time + KEEP_SLACK
         left = due_at - self.clock.monotonic()
         if left > timedelta(0):
             self._wait(left, self._idle_over)
+        elif self.unread:
+            self._wait(READ_SOON, self._idle_over)
         else:
             self._let_go()
 
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -105,12 +105,16 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a call is open, or a caller has yet to take its answer's rest.
+        """Whether a call is open, or a caller has yet to be heard or to take its rest.
 
         A call ends with its endpoint's answer. A process that ended then would cut
-        an answer which its caller was still reading.
+        an answer which its caller was still reading, and one that ended with a request
+        in a socket would reset it unread.
         """
-        return bool(self.calls) or any(each.unsent for each in self.connections)
+        connections = self.connections
+        return bool(self.calls) or any(
+            each.unsent or each.unread for each in connections
+        )
 
     def start(self) -> None:
         """Begin to tell the kernel of time."""
@@ -120,8 +124,7 @@
         """Take no further calls: callers in between two go elsewhere."""
         self.intake_ended = True
         for connection in list(self.connections):
-            if connection.idle and not connection.lingering:
-                connection.close(Ending.INTAKE)
+            connection.leave()
 
     def stop(self) -> None:
         """Close everything; open calls should have ended."""
--- a/tests/unit/gateway/test_kept_promises.py
+++ b/tests/unit/gateway/test_kept_promises.py
@@ -346,29 +346,15 @@
     """
     with scripted() as (front, door):
         caller = answered(door, front)
-        held_up = (LONG + KEEP_SLACK) - timedelta(milliseconds=20)
-        # Both are due in one turn, this one first.
-        door.within(
-            lambda: cast(
-                None,
-                asyncio.get_running_loop().call_later(
-                    held_up.total_seconds(), send_late, door, caller
-                ),
-            )
-        )
+        timer = caller.connection.timer
+        assert timer is not None
+        # The loop is held up until both are due in one turn, the request first.
+        door.loop.call_at(timer.when() - 0.02, door.freeze, timedelta(seconds=0.03))
+        door.loop.call_at(timer.when() - 0.01, caller.send)
         door.run(ANY_TIME)
         case.assertEqual([200, 200], caller.statuses)
 
 
-def send_late(door: VirtualDoor, caller: VirtualCaller) -> None:
-    """Let a request come in the turn in which the connection's timer is due."""
-    timer = caller.connection.timer
-    assert timer is not None
-    door.loop.call_soon(caller.send)
-    door.loop.call_soon(timer._run)
-    timer.cancel()
-
-
 # A stop
 
 
@@ -385,11 +371,13 @@
         def close_door() -> None:
             caller.send()
             gateway.end_intake()
+            case.assertTrue(gateway.busy)
 
         door.within(close_door)
         door.run()
         case.assertEqual([503], caller.statuses)
         case.assertIn(b"retry-after: ", caller.read().lower())
+        case.assertFalse(gateway.busy)
 
 
 def test_a_connection_that_was_kept_before_a_stop_is_refused_in_words() -> None:
