Hand on a whole request that waits as its connection is closed

A caller's second request was read whole, waited behind the first, and was dropped in silence when the process ended: the first answer's end and the end of the process came in one turn of the loop, and the close went before the look at the waiting request, which found its connection closing and wrote nothing.

Ruled out: answers that begin once a stop was asked for say that the connection closes, so that only those that were begun before it leave such a request behind; parts of a request are told by their caller's own closed connection as unread.

A close between two requests now looks at what was read first. A whole request is handed on and, as no more are taken then, refused with 503, Retry-After and the end of the connection, which the close writes out before it ends. Also, the look at a waiting request no longer touches a connection whose last answer was sent.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -169,7 +169,14 @@
         return bytes_waiting(self.transport.get_extra_info("socket")) > 0
 
     def close(self, ending: Ending) -> None:
-        """Close after what has been written."""
+        """Close after what has been written.
+
+        Guard: a whole request may wait behind an answer that ended in this very turn
+        of the loop. It was dropped in silence; it is handed on first, and refused where
+        no more are taken.
+        """
+        if self.exchange is None and self.reader.buffer:
+            self._read_next()
         if self.transport is not None:
             self._note_unanswered(ending)
             self.transport.close()
@@ -429,7 +436,8 @@
             asyncio.get_running_loop().call_soon(self._read_next)
 
     def _read_next(self) -> None:
-        if self.exchange is None and self.transport is not None:
+        ended = self.transport is None or self.lingering
+        if self.exchange is None and not ended:
             self._read()
 
     def _write(self, data: bytes) -> None:
