Tell callers of a fault in taking their request

A caller's whole request got no answer: an exception while it was read, matched with the configuration, refused or written to the log left the connection's owner. The loop then closed the connection without a word. Where the exception came from a callback or a timer, as for a request behind another or one that came too slowly, the loop only logged it: no timer was left, and the caller waited for ever. A configuration that splits a route and leaves all services the weight 0 did it for every call of the route.

Ruled out: faults in the kernel, its plug-ins and the effects, which are caught where they arise and end the call in words.

What the loop calls of a caller's connection now catches what it raises and tells the caller, once, where a request has no answer yet: the gateway 503 with Retry-After if the kernel has not heard of the call, which has surely not run, and the connection stays; else 500 and the end of the connection, and what the kernel had begun of the call is ended. An answer that has begun is broken off as before. Refusals are written before their lines are, so that a line that raises costs nobody an answer. MF2015 tells of each fault.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -24,6 +24,11 @@
 KEEP_SLACK = timedelta(seconds=2)
 """Beyond the promised time: a request that crosses the close would be lost."""
 
+FAULT = BadRequestError(
+    HTTPStatus.INTERNAL_SERVER_ERROR, "a fault in the code while it was read"
+)
+"""Promises nothing: a caller that is told it can't take its request for not run."""
+
 READ_SOON = timedelta(milliseconds=10)
 """Within which the loop reads what lies in a socket."""
 
@@ -234,6 +239,12 @@
         if self.lingering:
             self.dropped += len(data)
             return
+        try:
+            self._take(data)
+        except Exception as error:
+            self._fail(error)
+
+    def _take(self, data: bytes) -> None:
         self.heard_at = self.clock.monotonic()
         if self.first_byte_at is None and self.exchange is None:
             self._begin_request()
@@ -279,8 +290,42 @@
         at = self.first_byte_at or self.clock.monotonic()
         self.first_byte_at = None
         self.continued = False
-        self.exchange = Exchange(message)
-        self.front.accept(self, message, at)
+        self.exchange = exchange = Exchange(message)
+        try:
+            self.front.accept(self, message, at)
+        except Exception as error:
+            if self.exchange is exchange:
+                self._fail(error)
+            else:
+                self.front.faulted(self, error)
+
+    def _fail(self, error: Exception) -> None:
+        """End a request for a fault in the code; its caller is told.
+
+        Guard: the loop closes a connection whose owner raises, without an answer. What
+        a callback or a timer of it raises, the loop only logs: no timer was left, and
+        the caller waited for ever. A fault is told as what it is, once, and only where
+        a request has no answer yet; the front then ends what it had begun of it.
+        """
+        if self.exchange is not None:
+            self._tell_fault()
+        elif self.reader.begun and not self.lingering:
+            self._refuse(FAULT)
+        else:
+            self._wait(LINGER, self._abort)
+        self.front.faulted(self, error)
+
+    def _tell_fault(self) -> None:
+        if self.exchange is not None and self.exchange.begun:
+            self.break_off()
+            return
+        self.reader.closing = True
+        phrase = FAULT.status.phrase.encode()
+        self.answer(int(FAULT.status), phrase, [], b"")
+
+    def _abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
 
     def _await_more(self) -> None:
         if not self.reader.begun:
@@ -324,7 +369,6 @@
 
     def _refuse(self, error: BadRequestError) -> None:
         self.refused = True
-        self.front.refused(self, error)
         phrase = error.status.phrase.encode()
         headers = [Header(b"Content-Length", b"0"), Header(b"Connection", b"close")]
         if error.status is HTTPStatus.SERVICE_UNAVAILABLE:
@@ -332,6 +376,8 @@
         line = b"HTTP/1.1 %d %s" % (error.status, phrase)
         self._write(render_head(line, headers))
         self._linger()
+        # Last: whatever becomes of the line, the caller has its answer.
+        self.front.refused(self, error)
 
     def _linger(self) -> None:
         self.lingering = True
@@ -437,8 +483,12 @@
 
     def _read_next(self) -> None:
         ended = self.transport is None or self.lingering
-        if self.exchange is None and not ended:
+        if self.exchange is not None or ended:
+            return
+        try:
             self._read()
+        except Exception as error:
+            self._fail(error)
 
     def _write(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
@@ -473,7 +523,13 @@
     def _wait(self, time: timedelta, then: Callable[[], None]) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(time.total_seconds(), then)
+        self.timer = loop.call_later(time.total_seconds(), self._due, then)
+
+    def _due(self, then: Callable[[], None]) -> None:
+        try:
+            then()
+        except Exception as error:
+            self._fail(error)
 
     def _stop_timer(self) -> None:
         if self.timer is not None:
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -39,7 +39,7 @@
 from .errors import BadRequestError
 from .freeze import FreezeWatch
 from .heads import Header
-from .intake import STOPPING, Admission, Refusal, admit
+from .intake import FAULT, STOPPING, Admission, Refusal, admit
 from .orders import Orders
 from .outlook import milliseconds
 from .pool import ConnectionPool
@@ -173,9 +173,25 @@
         try:
             marks = self.dialect.read_call(message.head)
         except BadRequestError as error:
-            self.refused(connection, error)
             self._answer(connection, CallMarks(""), Refusal(error.status, "malformed"))
+            self.refused(connection, error)
             return
+        try:
+            self._take(connection, message, marks, at)
+        except Exception as error:
+            # Once the kernel has it, nobody knows whether it runs.
+            if connection in self.by_connection:
+                raise
+            self.faulted(connection, error)
+            self._answer(connection, marks, FAULT)
+
+    def _take(
+        self,
+        connection: ClientConnection,
+        message: RequestMessage,
+        marks: CallMarks,
+        at: timedelta,
+    ) -> None:
         request_id = RequestId(f"{next(self.numbers)}")
         found: Admission | Refusal = STOPPING
         if not self.intake_ended:
@@ -218,8 +234,8 @@
         marks: CallMarks,
         refusal: Refusal,
     ) -> None:
-        self.lines.refused(message, marks, refusal, self.table())
         self._answer(connection, marks, refusal)
+        self.lines.refused(message, marks, refusal, self.table())
 
     def _answer(
         self, connection: ClientConnection, marks: CallMarks, refusal: Refusal
@@ -253,8 +269,16 @@
         )
 
     def faulted(self, connection: ClientConnection, error: BaseException) -> None:
-        """Log a fault in the code while a caller's bytes were taken."""
+        """Log a fault in the code while a caller's bytes were taken.
+
+        A call that was begun of them is ended: its caller has been told, or is gone.
+        """
         log_event(logger, INTAKE_FAULT, exc_info=error, fault=type(error).__name__)
+        request_id = self.by_connection.get(connection)
+        self.gone(connection)
+        # Left where the kernel never heard of it; nobody else would end it then.
+        if request_id is not None:
+            self.calls.pop(request_id, None)
 
     def gone(self, connection: ClientConnection) -> None:
         """Have the kernel end the call of a caller that has left."""
--- a/src/mimosafork/gateway/intake.py
+++ b/src/mimosafork/gateway/intake.py
@@ -34,6 +34,8 @@
 NO_CONFIGURATION = Refusal(
     HTTPStatus.SERVICE_UNAVAILABLE, "no-configuration", NOT_CONFIGURED_COME_BACK
 )
+FAULT = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "fault", timedelta(milliseconds=500))
+"""A fault in the code before the kernel has heard of the call: it has not run."""
 NO_ROUTE = Refusal(HTTPStatus.NOT_FOUND, "no-route")
 UNKNOWN_KEY = Refusal(HTTPStatus.UNAUTHORIZED, "unknown-key")
 
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -117,7 +117,8 @@
     "intake-fault",
     Level.ERROR,
     "a fault in the code while a caller's request was taken: {fault}",
-    "The caller's connection was closed without an answer.",
+    "The caller was told 503 where its request has surely not run, else 500, unless it "
+    "had its answer already; its connection was closed unless it was told 503.",
     "Report it with the trace that follows.",
 )
 ATTEMPT_FAILED = Event(
--- a/tests/unit/gateway/test_kept_promises.py
+++ b/tests/unit/gateway/test_kept_promises.py
@@ -35,6 +35,8 @@
 )
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import Kernel
+from mimosafork.kernel.messages.base import Effect, Message
+from mimosafork.kernel.messages.requests import Submit
 from mimosafork.kernel.messages.routing import TableInForce
 from mimosafork.kernel.registry import create
 from mimosafork.platform.calls import PreparedDialect
@@ -458,6 +460,26 @@
         check_told(caller, 503)
 
 
+def test_a_call_that_the_kernel_may_have_is_told_nothing_of_a_promise() -> None:
+    """A caller's connection is closed without an answer, and its call stays open.
+
+    The fault came as the kernel was handed the call, so that nobody knows how far it
+    got: the caller is told a plain failure, and nothing of the call is left here.
+    """
+
+    def handle(message: Message) -> list[Effect]:
+        if isinstance(message, Submit):
+            raise PartBrokenError
+        return []
+
+    with gateway_door(routing_table()) as (gateway, door), expected_faults():
+        with patch.object(gateway.kernel, "handle", handle):
+            caller = asked(door)
+        case.assertEqual([500], caller.statuses)
+        case.assertEqual({}, gateway.calls)
+        case.assertEqual({}, gateway.by_connection)
+
+
 def test_a_call_behind_another_that_can_not_be_taken_is_told() -> None:
     """A caller waits for ever for the second of two answers.
 
