Tell a caller whose answer can not be made that it failed

A caller whose call had ended was closed on without a word: making the headers of its final answer raised, and the gateway then broke the connection off, as it does in the middle of an answer. Nothing of the answer had been sent, so a failure could be told.

Ruled out: answers that have begun. A failure can't be told behind a half of one, and the break is what keeps it from looking whole.

Breaking off an exchange of which nothing was sent now sends a 500 with the end of the connection, which promises nothing, as the call may have run; the call's line has that status. The test of a caller whose answer can't be written expected the silent close; it is replaced by a stricter one, which wants the 500, its Connection: close and the end.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -308,7 +308,7 @@
         a request has no answer yet; the front then ends what it had begun of it.
         """
         if self.exchange is not None:
-            self._tell_fault()
+            self.break_off()
         elif self.reader.begun and not self.lingering:
             self._refuse(FAULT)
         else:
@@ -316,9 +316,6 @@
         self.front.faulted(self, error)
 
     def _tell_fault(self) -> None:
-        if self.exchange is not None and self.exchange.begun:
-            self.break_off()
-            return
         self.reader.closing = True
         phrase = FAULT.status.phrase.encode()
         self.answer(int(FAULT.status), phrase, [], b"")
@@ -431,13 +428,18 @@
         self._done()
 
     def break_off(self) -> None:
-        """Close the connection so that the answer can't look whole."""
-        if self.transport is None:
-            self.exchange = None
-            return
+        """Close the connection so that the answer can't look whole.
+
+        Guard: where the answer could not be made at all, nothing of it has been sent,
+        and a close without a word would leave the caller to guess. It is told a
+        failure that promises nothing.
+        """
         if self.exchange is not None and not self.exchange.begun:
-            self._note_unanswered(Ending.FAULT)
+            self._tell_fault()
+            return
         exchange, self.exchange = self.exchange, None
+        if self.transport is None:
+            return
         # Without chunks an orderly end is the end of a whole answer: a reader would
         # take half of it for all. Only a reset says that it was broken off.
         if exchange is not None and exchange.begun and not exchange.chunked:
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -405,6 +405,8 @@
             effect, self._tell_problem, call
         ):
             call.responder.break_off()
+            if not call.cut:
+                call.status = int(HTTPStatus.INTERNAL_SERVER_ERROR)
         self.lines.ended(call, effect)
         self.on_ended(call, effect)
 
--- a/src/mimosafork/gateway/unanswered.py
+++ b/src/mimosafork/gateway/unanswered.py
@@ -29,8 +29,6 @@
     """The process ends."""
     NOT_TAKEN = "not-taken"
     """The caller took no more of its answer."""
-    FAULT = "fault"
-    """The answer could not be written."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/unit/gateway/test_gateway_faults.py
+++ b/tests/unit/gateway/test_gateway_faults.py
@@ -16,7 +16,6 @@
 from ...support.faults import expected_faults
 from ...support.functions import function_tests
 from ...support.gateway import BEARER, gateway_world
-from ...support.prepared import NoAnswerError
 
 case = TestCase()
 
@@ -93,13 +92,21 @@
         case.assertEqual([PartBrokenError], [type(fault) for fault in faults])
 
 
-def test_a_caller_whose_answer_can_not_be_written_is_not_left_waiting() -> None:
+def test_a_caller_whose_answer_can_not_be_written_is_told_a_failure() -> None:
+    """A caller is closed on without a word when its call ends.
+
+    The headers of its final answer could not be made. Nothing of the answer had been
+    sent, so that a failure could still be told.
+    """
     with gateway_world() as world, world.running.channel() as channel:
         with broken(PreparedDialect, "own_answer_headers") as faults:
             headers = {REQUEST_ID: "c1", "X-Deadline-Ms": "100", **BEARER}
             channel.send("POST", "/safe/1", headers)
-            with case.assertRaises(NoAnswerError):
-                channel.read_answer()
+            result = channel.read_answer()
+            case.assertEqual(
+                (500, "close"), (result.status, result.headers["connection"])
+            )
+            case.assertTrue(channel.ended())
         case.assertEqual([PartBrokenError], [type(fault) for fault in faults])
 
 
