Take an endpoint at its word that it keeps a connection for no time

A call that may run once could get a 502 though its endpoint had said that it closes the connection: its answer kept it for 0 s, which was taken for no word at all, so that the connection was used for 3.3 s as those of endpoints that say nothing, or for as long as an earlier answer had said.

Ruled out: a later word in place of an earlier one, shorter or longer, which held before and has its test; no caller loses a request by it, as the call ends in words.

The latest word counts, 0 included; such a connection is never younger than its margin and is closed when it would be taken.

--- a/src/mimosafork/gateway/pool.py
+++ b/src/mimosafork/gateway/pool.py
@@ -66,7 +66,8 @@
         while kept:
             connection = kept[-1]
             idle = now - connection.idle_since
-            limit = (connection.keep_for or DEFAULT_KEEP) - MARGIN
+            told = connection.keep_for
+            limit = (DEFAULT_KEEP if told is None else told) - MARGIN
             usable = connection.reusable and connection.transport and idle < limit
             # The others are older still: too old for this call, good for others.
             if usable and wanted.fresh_within and idle >= wanted.fresh_within:
--- a/src/mimosafork/gateway/upstream.py
+++ b/src/mimosafork/gateway/upstream.py
@@ -210,7 +210,10 @@
     def _on_head(self, head: AnswerHead) -> None:
         if head.closes:
             self.reusable = False
-        self.keep_for = keep_alive_of(head) or self.keep_for
+        # 0 s is a word too: such a connection may be closed at once.
+        told = keep_alive_of(head)
+        if told is not None:
+            self.keep_for = told
         if self.sink is not None:
             self.sink.head(head)
 
