Show that begun answers are cut for a pause of a sound endpoint

A caller's stream breaks off in the middle with a good part of its time left, beside load and changes of the configuration. Its endpoint paused for a second; the attempt was ended, as another endpoint had a slot, and the placer then found that the rest could not be done in time, or never came to it behind older calls. Nothing was left to go on with.

Ruled out: attempts that have not begun; their callers are told a failure and not cut.

The two tests end no attempt where the answer could not be made again in time, or where it would queue; a third, which passes, holds that it is made again where there is room.

--- a/tests/unit/gateway/test_silence.py
+++ b/tests/unit/gateway/test_silence.py
@@ -5,6 +5,7 @@
 
 from mimosafork.gateway.policies.patience import patience_of
 from mimosafork.ids import EndpointId, InstanceId, RequestId
+from mimosafork.kernel.lifecycle import QUEUE_MISSES
 from mimosafork.kernel.messages.attempts import (
     AttemptSilent,
     EndSilentAttempt,
@@ -12,13 +13,19 @@
 )
 from mimosafork.kernel.messages.base import Tick
 from mimosafork.kernel.messages.dispatch import Dispatch
-from mimosafork.kernel.messages.requests import CallTerms
+from mimosafork.kernel.messages.requests import CallTerms, Submit
 from mimosafork.kernel.messages.routing import PeerWorkTold
 from mimosafork.placement.reading import OVERRUN
 from mimosafork.placement.work import Part, Work
 
 from ...support.functions import function_tests
 from ...support.gateway_kernels import GatewayBench, gateway_bench, request_of
+from ...support.reserving_engines import (
+    MEMORY,
+    ReservingBench,
+    huge_request,
+    reserving_bench,
+)
 
 case = TestCase()
 
@@ -27,6 +34,11 @@
 READING = timedelta(seconds=2)
 SLOTS = 8
 PEER = InstanceId("entry-2")
+OTHERS = 14
+"""Streams that take more than half of three engines' slots."""
+SHORT_PROMPT = 1_000
+LONG_PROMPT = 100_000
+"""Three engines read it in some 0.5 s, and one in more than a second."""
 
 
 def ended(bench: GatewayBench) -> list[EndSilentAttempt]:
@@ -144,6 +156,57 @@
     case.assertEqual([], ended(bench))
 
 
+def begun_stream(bench: ReservingBench, time: timedelta) -> Dispatch:
+    """Let a long prompt's answer begin among others, and time pass."""
+    for number in range(OTHERS):
+        bench.serve(Submit(huge_request(f"b{number}", prompt=SHORT_PROMPT)))
+    bench.serve(Submit(huge_request("a", prompt=LONG_PROMPT, time=time)))
+    first = bench.last_dispatch("a")
+    bench.serve(FirstToken(first.request_id, first.attempt))
+    bench.run(SILENCE)
+    return first
+
+
+def test_a_begun_answer_that_can_not_be_made_again_in_time_goes_on() -> None:
+    """A caller's stream is cut in the middle though its endpoint is sound.
+
+    Under load the endpoint paused for a second. The attempt was ended, as another
+    endpoint had a slot, and then refused a place: the prompt could not be read once
+    more in the time that was left. The pause would have ended by itself.
+    """
+    bench = reserving_bench(engines=3)
+    first = begun_stream(bench, SILENCE * 1.5)
+    bench.serve(AttemptSilent(first.request_id, first.attempt, SILENCE))
+    case.assertEqual([], list(bench.emitted(EndSilentAttempt)))
+
+
+def test_a_begun_answer_goes_on_where_it_would_queue_behind_others() -> None:
+    """A caller's stream is cut in the middle though its endpoint is sound.
+
+    It was ended for a pause, had to wait behind older calls of its service, and its
+    time was over before their turn was.
+    """
+    bench = reserving_bench(engines=3)
+    first = begun_stream(bench, SILENCE * 9)
+    for engine in bench.engines.values():
+        engine.taken = MEMORY
+    for number in range(QUEUE_MISSES):
+        bench.serve(Submit(huge_request(f"w{number}", bench.clock.monotonic())))
+    bench.serve(AttemptSilent(first.request_id, first.attempt, SILENCE))
+    case.assertEqual([], list(bench.emitted(EndSilentAttempt)))
+
+
+def test_a_begun_answer_is_made_again_where_there_is_room_and_time() -> None:
+    bench = reserving_bench(engines=3)
+    first = begun_stream(bench, SILENCE * 9)
+    bench.serve(AttemptSilent(first.request_id, first.attempt, SILENCE))
+    (effect,) = bench.emitted(EndSilentAttempt)
+    bench.serve(effect.failure)
+    bench.run(MILLISECOND * 50)
+    second = bench.last_dispatch("a")
+    case.assertNotEqual(first.endpoint, second.endpoint)
+
+
 def test_silence_of_an_earlier_attempt_is_no_news() -> None:
     bench = gateway_bench()
     first = bench.begin(request_of(bench, "a"))
