End a begun answer for a pause only where it goes on at once

Callers' streams broke off in the middle with half of their time left, though their endpoints were sound. Beside load, as changes of the configuration move it about, an endpoint paused for some 0.9 s. The attempt was ended, as another endpoint had a slot; then the placer refused the rest, which could not be done again in the time left, or it waited behind older calls.

Ruled out: the budget of repeats, which is asked before and not used twice; the caller's leaving, which comes a second later; answers that have not begun, which end in words.

Before a begun answer is ended the placer is now asked where it would go: to another endpoint, at once, without memory that is yet to be reserved, and with fewer calls waiting for the service than the queue passes over in one turn. Otherwise the attempt goes on and is asked about again as its silence lasts. What breaks by itself goes on as before. The test of the queue had calls that were refused in place of waiting; its set-up is corrected and holds that they wait. It failed before and after that correction.

--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -7,6 +7,7 @@
 
 from ...ids import RequestId, ServiceId
 from ...kernel.context import Context
+from ...kernel.lifecycle import QUEUE_MISSES
 from ...kernel.messages.attempts import AttemptFailed, Exposure, FirstToken
 from ...kernel.messages.base import Message
 from ...kernel.messages.problems import Problem, ProblemCode
@@ -113,6 +114,32 @@
             return Refuse(overloaded(choice.reason.value, choice.come_back))
         return self._wait(record, choice, context.now)
 
+    def places_again(self, record: RequestRecord, context: Context) -> bool:
+        """Return whether a running call would be sent elsewhere at once if it ended.
+
+        Nothing is changed by asking. Memory that would have to be reserved may be
+        refused, so that a place which needs some is none yet.
+        """
+        if self.fleet is None or record.current is None:
+            return False
+        if self.quarantine.objection(record.request.body_digest, context.now):
+            return False
+        service = ServiceId(record.request.target)
+        if len(context.state.waiting.waiting_for(service)) >= QUEUE_MISSES:
+            return False
+        views = [b.view(context.now) for b in self.fleet.of_service(service)]
+        figures = self.figures_of(service)
+        engines = views if figures is None else self.narrowed(views)
+        ask = self._ask(record, figures, context)
+        avoid = ask.avoid | {record.current.endpoint}
+        ask = replace(ask, avoid=avoid, repeated=True)
+        choice = choose(ask, engines, self.book, figures, context.now, context.random)
+        return (
+            isinstance(choice, Place)
+            and choice.host not in avoid
+            and not choice.reservations
+        )
+
     def _take(
         self, place: Place, ask: PlacementAsk, record: RequestRecord, context: Context
     ) -> Placement:
--- a/src/mimosafork/gateway/policies/silence.py
+++ b/src/mimosafork/gateway/policies/silence.py
@@ -38,7 +38,9 @@
     An endpoint that has gone dark, hangs, or is busy with a prompt so long that its
     streams stand still, sends nothing: the caller would wait until it leaves, and
     its request be lost. What may run again goes elsewhere, if there is an endpoint
-    with room and the retry policy has no objection; otherwise the attempt goes on.
+    with room and the retry policy has no objection; otherwise the attempt goes on. An
+    answer that has begun is ended only if the placer would have it go on elsewhere at
+    once, as its caller would be cut off without one.
 
     It goes on too where the reading that instances have promised the engine explains
     its silence, and ends before the caller leaves, if the zone of the engine was heard
@@ -105,6 +107,8 @@
             return False
         if self.retry.objection(record, failure, context.now) is not None:
             return False
+        if record.has_begun and not self._goes_on_elsewhere(record, context):
+            return False
         service = ServiceId(record.request.target)
         tried = {attempt.endpoint for attempt in record.attempts}
         return any(
@@ -112,6 +116,16 @@
             for belief in self.fleet.of_service(service)
         )
 
+    def _goes_on_elsewhere(self, record: RequestRecord, context: Context) -> bool:
+        """Return whether an answer that has begun would be made again at once.
+
+        Guard: ended for a pause and then refused a place, or left to wait behind older
+        calls until its time was over, it was cut in the middle, though its endpoint
+        was sound and the pause would have ended by itself. A free slot elsewhere says
+        nothing of either, so the placer is asked before the attempt is ended.
+        """
+        return self.placer is None or self.placer.places_again(record, context)
+
     def _takes(self, belief: EndpointBelief, now: timedelta) -> bool:
         """Return whether an endpoint would begin with a further call at once.
 
--- a/tests/unit/gateway/test_silence.py
+++ b/tests/unit/gateway/test_silence.py
@@ -191,7 +191,9 @@
     for engine in bench.engines.values():
         engine.taken = MEMORY
     for number in range(QUEUE_MISSES):
-        bench.serve(Submit(huge_request(f"w{number}", bench.clock.monotonic())))
+        now = bench.clock.monotonic()
+        bench.serve(Submit(huge_request(f"w{number}", now, time=SILENCE * 60)))
+    case.assertEqual(QUEUE_MISSES, len(bench.kernel.state.waiting))
     bench.serve(AttemptSilent(first.request_id, first.attempt, SILENCE))
     case.assertEqual([], list(bench.emitted(EndSilentAttempt)))
 
