--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -14,6 +14,7 @@
 from .errors import BadRequestError
 from .heads import CONTENT_LENGTH, HEAD, Header, first_value, render_head
 from .request_reader import RequestMessage, RequestReader
+from .unanswered import Ending, Unanswered, bytes_waiting, holds_whole_request
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LINGER = timedelta(milliseconds=500)
@@ -23,9 +24,21 @@
 KEEP_SLACK = timedelta(seconds=2)
 """Beyond the promised time: a request that crosses the close would be lost."""
 
+FAULT = BadRequestError(
+    HTTPStatus.INTERNAL_SERVER_ERROR, "a fault in the code while it was read"
+)
+"""Promises nothing: a caller that is told it can't take its request for not run."""
+
+READ_SOON = timedelta(milliseconds=10)
+"""Within which the loop reads what lies in a socket."""
+
 NO_LINGER = struct.pack("ii", 1, 0)
 """Has a socket reset its connection when it is closed."""
 
+TOO_FAR_AHEAD = BadRequestError(
+    HTTPStatus.SERVICE_UNAVAILABLE, "it came too far ahead of the answer before it"
+)
+
 BODYLESS = frozenset({204, 304})
 FIRST_FINAL = 200
 
@@ -55,6 +68,15 @@
     def refused(self, connection: "ClientConnection", error: BadRequestError) -> None:
         """Note that a caller's bytes were no proper request."""
 
+    def come_back_headers(self) -> list[Header]:
+        """Return what tells a caller that is refused when to come back."""
+
+    def unanswered(self, connection: "ClientConnection", left: Unanswered) -> None:
+        """Note that a connection ends with a request that got no answer."""
+
+    def faulted(self, connection: "ClientConnection", error: BaseException) -> None:
+        """Note a fault in the code while a caller's bytes were taken."""
+
 
 @dataclass(slots=True)
 class Exchange:
@@ -72,6 +94,10 @@
     ----------
     behind : bool
         The caller doesn't keep up with what it is sent.
+    promised : timedelta
+        How long the connection is kept when idle, as its caller was told last.
+    heard_at : timedelta
+        Monotonic instant of the last bytes read, or of the last answer's end.
     """
 
     def __init__(
@@ -92,6 +118,11 @@
         self.continued = False
         self.left = 0
         self.behind = False
+        self.heard_at = clock.monotonic()
+        self.promised = timedelta(0)
+        self.dropped = 0
+        self.refused = False
+        self.owes_refusal = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for a request."""
@@ -100,7 +131,22 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.registry.add(self)
-        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self._let_go)
+        self.promised = self.front.limits.idle_timeout
+        self.heard_at = self.clock.monotonic()
+        self._await_request()
+
+    @property
+    def idle_time(self) -> timedelta:
+        """How long the caller may be silent, or take nothing of its answer.
+
+        Guard: a configuration may change the time between the head that tells it and
+        the end that begins it. By the limits of the moment a connection closed before
+        the time that its caller had been told, and a request sent within that time got
+        neither an answer nor a refusal. So what was told last on this connection holds
+        for it, and a longer time that came into force since holds too, as callers may
+        go by the configuration.
+        """
+        return max(self.promised, self.front.limits.idle_timeout)
 
     @property
     def idle(self) -> bool:
@@ -112,11 +158,65 @@
         """Whether bytes of an answer still wait for a caller that is slow."""
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
-    def close(self) -> None:
-        """Close after what has been written."""
+    def leave(self) -> None:
+        """Take no further request, between two of them.
+
+        Guard: a request may lie in the socket already. A close would reset it unread,
+        though the connection was to be kept; it is read and refused instead, with an
+        answer that ends the connection.
+        """
+        if self.idle and not self.lingering and not self.unread:
+            self.close(Ending.INTAKE)
+
+    @property
+    def unread(self) -> bool:
+        """Whether bytes of the caller lie in the socket."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return bytes_waiting(self.transport.get_extra_info("socket")) > 0
+
+    def close(self, ending: Ending) -> None:
+        """Close after what has been written.
+
+        Guard: a whole request may wait behind an answer that ended in this very turn
+        of the loop. It was dropped in silence; it is handed on first, and refused where
+        no more are taken.
+        """
+        if self.exchange is None and self.reader.buffer:
+            self._read_next()
         if self.transport is not None:
+            self._note_unanswered(ending)
             self.transport.close()
 
+    def _note_unanswered(self, ending: Ending) -> None:
+        """Tell of a request that was read, or lies in the socket, and is given up.
+
+        An answer that is broken off is told with its call, and what lies behind a
+        refused request with the refusal.
+        """
+        if self.transport is None or self.transport.is_closing() or self.refused:
+            return
+        read = len(self.reader.buffer) + self.dropped
+        waiting = bytes_waiting(self.transport.get_extra_info("socket"))
+        unsent = self.transport.get_write_buffer_size()
+        awaits_answer = self.exchange is not None and not self.exchange.begun
+        begun = awaits_answer or self.reader.awaits_body
+        if not (read or waiting or unsent or begun):
+            return
+        whole = awaits_answer or holds_whole_request(self.reader)
+        self.front.unanswered(
+            self,
+            Unanswered(
+                ending,
+                read,
+                waiting,
+                unsent,
+                whole if whole or not self.dropped else None,
+                self.clock.monotonic() - self.heard_at,
+                self.promised,
+            ),
+        )
+
     def _let_go(self) -> None:
         """Close, once the caller has taken its answer or takes no more of it.
 
@@ -128,17 +228,26 @@
         if self.transport is not None:
             left = self.transport.get_write_buffer_size()
         if left and left == self.left:
+            self._note_unanswered(Ending.NOT_TAKEN)
             self._reset()
         elif left:
             self.left = left
-            self._wait(self.front.limits.idle_timeout, self._let_go)
+            self._wait(self.idle_time, self._let_go)
         else:
-            self.close()
+            self.close(Ending.LAST_ANSWER if self.lingering else Ending.IDLE)
 
     def data_received(self, data: bytes) -> None:
         """Read on, unless the connection only waits to be closed."""
         if self.lingering:
+            self.dropped += len(data)
             return
+        try:
+            self._take(data)
+        except Exception as error:
+            self._fail(error)
+
+    def _take(self, data: bytes) -> None:
+        self.heard_at = self.clock.monotonic()
         if self.first_byte_at is None and self.exchange is None:
             self._begin_request()
         self.reader.feed(data)
@@ -153,13 +262,21 @@
         Guard: a caller may send much ahead of its answer. While reading was paused
         for it, its leaving wasn't noticed, as the end of its bytes stood behind them,
         and its endpoint worked on for nobody. So all is read, and nothing kept.
+
+        Guard: where the present answer's head had said that the connection is kept,
+        a whole request could be read and dropped in silence. It is refused behind that
+        answer; where the head is yet to be sent, it says that it is the last.
         """
+        if not self.reader.closing and self.exchange is not None:
+            self.owes_refusal = self.exchange.begun
         self.reader.closing = True
+        self.dropped += len(self.reader.buffer)
         self.reader.buffer.clear()
 
     def _begin_request(self) -> None:
         self.first_byte_at = self.clock.monotonic()
         self.reader.limits = self.front.limits
+        self.promised = self.idle_time
         self._wait(self.front.limits.header_timeout, self._too_slow)
 
     def _read(self) -> None:
@@ -175,8 +292,39 @@
         at = self.first_byte_at or self.clock.monotonic()
         self.first_byte_at = None
         self.continued = False
-        self.exchange = Exchange(message)
-        self.front.accept(self, message, at)
+        self.exchange = exchange = Exchange(message)
+        try:
+            self.front.accept(self, message, at)
+        except Exception as error:
+            if self.exchange is exchange:
+                self._fail(error)
+            else:
+                self.front.faulted(self, error)
+
+    def _fail(self, error: Exception) -> None:
+        """End a request for a fault in the code; its caller is told.
+
+        Guard: the loop closes a connection whose owner raises, without an answer. What
+        a callback or a timer of it raises, the loop only logs: no timer was left, and
+        the caller waited for ever. A fault is told as what it is, once, and only where
+        a request has no answer yet; the front then ends what it had begun of it.
+        """
+        if self.exchange is not None:
+            self.break_off()
+        elif self.reader.begun and not self.lingering:
+            self._refuse(FAULT)
+        else:
+            self._wait(LINGER, self._abort)
+        self.front.faulted(self, error)
+
+    def _tell_fault(self) -> None:
+        self.reader.closing = True
+        phrase = FAULT.status.phrase.encode()
+        self.answer(int(FAULT.status), phrase, [], b"")
+
+    def _abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
 
     def _await_more(self) -> None:
         if not self.reader.begun:
@@ -189,13 +337,29 @@
             self.transport.write(CONTINUE)
         self.continued = True
         # Anew with each piece: a long body that comes steadily is not too slow.
-        self._wait(self.front.limits.idle_timeout, self._too_slow)
+        self._wait(self.idle_time, self._too_slow)
 
     def _await_request(self) -> None:
         # Blank lines between requests begin none: one that was counted from such a
         # line had its time cut, or its idle connection got a 408 nobody asked for.
         self.first_byte_at = None
-        self._wait(self.front.limits.idle_timeout + KEEP_SLACK, self._let_go)
+        self._wait(self.idle_time + KEEP_SLACK, self._idle_over)
+
+    def _idle_over(self) -> None:
+        """Let the caller go, unless a configuration gave it more time meanwhile.
+
+        Guard: the process may be held up between its look at the sockets and its
+        timers. A request that came in between was reset unread; what lies in the
+        socket now is read first.
+        """
+        due_at = self.heard_at + self.idle_time + KEEP_SLACK
+        left = due_at - self.clock.monotonic()
+        if left > timedelta(0):
+            self._wait(left, self._idle_over)
+        elif self.unread:
+            self._wait(READ_SOON, self._idle_over)
+        else:
+            self._let_go()
 
     def _too_slow(self) -> None:
         self._refuse(
@@ -203,12 +367,16 @@
         )
 
     def _refuse(self, error: BadRequestError) -> None:
-        self.front.refused(self, error)
+        self.refused = True
         phrase = error.status.phrase.encode()
         headers = [Header(b"Content-Length", b"0"), Header(b"Connection", b"close")]
+        if error.status is HTTPStatus.SERVICE_UNAVAILABLE:
+            headers += self.front.come_back_headers()
         line = b"HTTP/1.1 %d %s" % (error.status, phrase)
         self._write(render_head(line, headers))
         self._linger()
+        # Last: whatever becomes of the line, the caller has its answer.
+        self.front.refused(self, error)
 
     def _linger(self) -> None:
         self.lingering = True
@@ -262,7 +430,15 @@
         self._done()
 
     def break_off(self) -> None:
-        """Close the connection so that the answer can't look whole."""
+        """Close the connection so that the answer can't look whole.
+
+        Guard: where the answer could not be made at all, nothing of it has been sent,
+        and a close without a word would leave the caller to guess. It is told a
+        failure that promises nothing.
+        """
+        if self.exchange is not None and not self.exchange.begun:
+            self._tell_fault()
+            return
         exchange, self.exchange = self.exchange, None
         if self.transport is None:
             return
@@ -284,7 +460,8 @@
             self.reader.closing = True
             headers = [*headers, Header(b"Connection", b"close")]
         else:
-            seconds = int(self.front.limits.idle_timeout.total_seconds())
+            self.promised = self.front.limits.idle_timeout
+            seconds = int(self.promised.total_seconds())
             headers = [*headers, Header(b"Keep-Alive", b"timeout=%d" % seconds)]
         return render_head(b"HTTP/1.1 %d %s" % (status, reason), headers)
 
@@ -296,6 +473,10 @@
     def _done(self) -> None:
         self.exchange = None
         self.left = 0
+        self.heard_at = self.clock.monotonic()
+        if self.owes_refusal:
+            self._refuse(TOO_FAR_AHEAD)
+            return
         if self.reader.closing:
             self._linger()
             return
@@ -305,8 +486,13 @@
             asyncio.get_running_loop().call_soon(self._read_next)
 
     def _read_next(self) -> None:
-        if self.exchange is None and self.transport is not None:
+        ended = self.transport is None or self.lingering
+        if self.exchange is not None or ended:
+            return
+        try:
             self._read()
+        except Exception as error:
+            self._fail(error)
 
     def _write(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
@@ -328,6 +514,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell that the caller is gone."""
+        # The loop ends a connection whose owner raised, and hands on what it raised.
+        if exc is not None and not isinstance(exc, OSError):
+            self.front.faulted(self, exc)
         self.transport = None
         self.registry.discard(self)
         self._stop_timer()
@@ -338,7 +527,13 @@
     def _wait(self, time: timedelta, then: Callable[[], None]) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(time.total_seconds(), then)
+        self.timer = loop.call_later(time.total_seconds(), self._due, then)
+
+    def _due(self, then: Callable[[], None]) -> None:
+        try:
+            then()
+        except Exception as error:
+            self._fail(error)
 
     def _stop_timer(self) -> None:
         if self.timer is not None:
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -23,7 +23,12 @@
 from ..kernel.messages.requests import CallerGone, Submit
 from ..kernel.messages.timers import WakeAt
 from ..routing.table import ClientLimits, RoutingTable
-from ..telemetry.catalogue.gateway import FREEZE_NOTICED, MALFORMED_REQUEST
+from ..telemetry.catalogue.gateway import (
+    FREEZE_NOTICED,
+    INTAKE_FAULT,
+    MALFORMED_REQUEST,
+    REQUEST_UNANSWERED,
+)
 from ..telemetry.catalogue.lifecycle import EFFECT_FAULT
 from ..telemetry.logs import log_event
 from .attempt import AttemptTools, EndpointAttempt, deliver, faulted
@@ -34,12 +39,13 @@
 from .errors import BadRequestError
 from .freeze import FreezeWatch
 from .heads import Header
-from .intake import STOPPING, Admission, Refusal, admit
+from .intake import FAULT, STOPPING, Admission, Refusal, admit
 from .orders import Orders
 from .outlook import milliseconds
 from .pool import ConnectionPool
-from .problems import final_status
+from .problems import COME_BACK, final_status
 from .request_reader import RequestMessage
+from .unanswered import Ending, Unanswered
 
 logger = getLogger(__name__)
 
@@ -99,12 +105,16 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a call is open, or a caller has yet to take its answer's rest.
+        """Whether a call is open, or a caller has yet to be heard or to take its rest.
 
         A call ends with its endpoint's answer. A process that ended then would cut
-        an answer which its caller was still reading.
+        an answer which its caller was still reading, and one that ended with a request
+        in a socket would reset it unread.
         """
-        return bool(self.calls) or any(each.unsent for each in self.connections)
+        connections = self.connections
+        return bool(self.calls) or any(
+            each.unsent or each.unread for each in connections
+        )
 
     def start(self) -> None:
         """Begin to tell the kernel of time."""
@@ -114,8 +124,7 @@
         """Take no further calls: callers in between two go elsewhere."""
         self.intake_ended = True
         for connection in list(self.connections):
-            if connection.idle and not connection.lingering:
-                connection.close()
+            connection.leave()
 
     def stop(self) -> None:
         """Close everything; open calls should have ended."""
@@ -123,7 +132,7 @@
             self.ticker.cancel()
         self.pool.close()
         for connection in list(self.connections):
-            connection.close()
+            connection.close(Ending.STOPPED)
 
     def _tick(self) -> None:
         loop = asyncio.get_running_loop()
@@ -164,9 +173,25 @@
         try:
             marks = self.dialect.read_call(message.head)
         except BadRequestError as error:
-            self.refused(connection, error)
             self._answer(connection, CallMarks(""), Refusal(error.status, "malformed"))
+            self.refused(connection, error)
             return
+        try:
+            self._take(connection, message, marks, at)
+        except Exception as error:
+            # Once the kernel has it, nobody knows whether it runs.
+            if connection in self.by_connection:
+                raise
+            self.faulted(connection, error)
+            self._answer(connection, marks, FAULT)
+
+    def _take(
+        self,
+        connection: ClientConnection,
+        message: RequestMessage,
+        marks: CallMarks,
+        at: timedelta,
+    ) -> None:
         request_id = RequestId(f"{next(self.numbers)}")
         found: Admission | Refusal = STOPPING
         if not self.intake_ended:
@@ -209,8 +234,8 @@
         marks: CallMarks,
         refusal: Refusal,
     ) -> None:
-        self.lines.refused(message, marks, refusal, self.table())
         self._answer(connection, marks, refusal)
+        self.lines.refused(message, marks, refusal, self.table())
 
     def _answer(
         self, connection: ClientConnection, marks: CallMarks, refusal: Refusal
@@ -226,6 +251,39 @@
         """Log that a caller's bytes were no proper request."""
         log_event(logger, MALFORMED_REQUEST, status=int(error.status), why=error.detail)
 
+    def come_back_headers(self) -> list[Header]:
+        """Return what tells a caller that is refused when to come back."""
+        return self.dialect.own_answer_headers("", COME_BACK)
+
+    def unanswered(self, connection: ClientConnection, left: Unanswered) -> None:
+        """Log what a caller had sent when its connection ends, and got no answer to."""
+        table = self.table()
+        log_event(
+            logger,
+            REQUEST_UNANSWERED,
+            why=left.ending.value,
+            read=left.bytes_read,
+            waiting=left.bytes_waiting,
+            unsent=left.bytes_unsent,
+            whole=left.whole,
+            idle_ms=milliseconds(left.idle),
+            promised_ms=milliseconds(left.promised),
+            version=None if table is None else table.version,
+            draining=self.draining,
+        )
+
+    def faulted(self, connection: ClientConnection, error: BaseException) -> None:
+        """Log a fault in the code while a caller's bytes were taken.
+
+        A call that was begun of them is ended: its caller has been told, or is gone.
+        """
+        log_event(logger, INTAKE_FAULT, exc_info=error, fault=type(error).__name__)
+        request_id = self.by_connection.get(connection)
+        self.gone(connection)
+        # Left where the kernel never heard of it; nobody else would end it then.
+        if request_id is not None:
+            self.calls.pop(request_id, None)
+
     def gone(self, connection: ClientConnection) -> None:
         """Have the kernel end the call of a caller that has left."""
         request_id = self.by_connection.pop(connection, None)
@@ -351,6 +409,8 @@
             effect, self._tell_problem, call
         ):
             call.responder.break_off()
+            if not call.cut:
+                call.status = int(HTTPStatus.INTERNAL_SERVER_ERROR)
         self.lines.ended(call, effect)
         self.on_ended(call, effect)
 
