Let a ratio of repeats hold where there is no slack

What would be seen: a deployment that allows a ratio and no slack repeats nothing at all. Cause: with a burst of nothing no repeat can ever be saved up, whatever requests earn. Change: an instance may save up one repeat as long as a ratio or a slack is allowed; with neither it sends none, which the test of both and of either says.

--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -157,8 +157,9 @@
     def terms(self) -> Terms:
         """Return what this instance may repeat of a service's calls."""
         share = self.share()
-        burst = max(LEAST_BURST, self.slack * share.part) if self.slack else 0.0
-        return Terms(self.ratio, burst, share.since)
+        burst = max(LEAST_BURST, self.slack * share.part)
+        may_repeat = self.ratio > 0 or self.slack > 0
+        return Terms(self.ratio, burst if may_repeat else 0.0, share.since)
 
     def room(self, service: ServiceId, now: timedelta) -> float:
         """Return for how many further repeats the budget has room."""
--- a/tests/unit/gateway/test_retrying.py
+++ b/tests/unit/gateway/test_retrying.py
@@ -192,6 +192,20 @@
     case.assertIsNone(bench.retried(second))
 
 
+def test_a_ratio_or_a_slack_alone_lets_repeat_and_neither_does_not() -> None:
+    for ratio, slack, allowed in (
+        (0.2, 0.0, True),
+        (0.0, 5.0, True),
+        (0.0, 0.0, False),
+    ):
+        bench = gateway_bench()
+        policy = bench.kernel.plugin(BudgetedRetry)
+        policy.ratio, policy.slack = ratio, slack
+        first = bench.begin(request_of(bench, "a"))
+        bench.fail(first)
+        case.assertEqual(allowed, bench.retried(first) is not None, (ratio, slack))
+
+
 def test_many_instances_that_fail_at_once_keep_the_budget_together() -> None:
     """Engines turn away every call of a flood, at all 64 instances.
 
