Run all state machines by one function

Seen: seven test modules each had their own copy of how a state machine is run, with the same three variables; two others ran theirs by other rules. Change: tests/support/machines.py runs a machine with a fixed seed, and says what the variables mean. Numbers of sequences and steps are as before. Two machines that shrank a failing sequence by themselves do so now when asked, as the others. Measured: `python -m tests.run unit -k machine` 12, -k reserving 26, -k interleavings 1 passed, 0 failed.

--- a/tests/unit/claims/test_claim_machine.py
+++ b/tests/unit/claims/test_claim_machine.py
@@ -1,19 +1,15 @@
 """At most once and honest outcomes, whatever comes in whatever order."""
 
-import logging
-import os
 from dataclasses import replace
 from datetime import timedelta
 from enum import Enum
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
 from mimosafork.ids import Digest
@@ -25,9 +21,9 @@
 from tests.support.claims import CarelessRetry, keyed, once
 from tests.support.fake_table import Fault
 from tests.support.functions import function_tests
+from tests.support.machines import explore
 
-EXAMPLES = int(os.environ.get("MIMOSAFORK_EXAMPLES", "80"))
-SHRINK = "MIMOSAFORK_SHRINK" in os.environ
+EXAMPLES = 80
 """Making a failing run shorter takes minutes; a test has less than that."""
 
 STEPS = 60
@@ -244,45 +240,18 @@
     retry = CarelessRetry
 
 
-MACHINES = (ClaimMachine, CarelessMachine)
-
-
-def explore(machine: type[ClaimMachine]) -> None:
-    """Run a machine with a fixed seed, so that CI says the same each time."""
-    logging.disable(logging.WARNING)
-    try:
-        _run(machine)
-    finally:
-        logging.disable(logging.NOTSET)
-
-
-def _run(machine: type[ClaimMachine]) -> None:
-    run_state_machine_as_test(
-        machine,
-        settings=settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            deadline=None,
-            derandomize=True,
-            database=None,
-            phases=[Phase.generate, Phase.shrink] if SHRINK else [Phase.generate],
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
-
-
 def test_at_most_once_and_honest_outcomes_in_any_order() -> None:
     """Failures come twice, together, and between any two steps.
 
     Instances die and freeze, engines crash, connections break, the store is down or
     loses answers, writes land late, callers leave and come back.
     """
-    explore(ClaimMachine)
+    explore(ClaimMachine, EXAMPLES, STEPS)
 
 
 def test_at_most_once_with_a_retry_policy_that_repeats_everything() -> None:
     """A faulty retry policy alone must not make two drafts of one filing."""
-    explore(CarelessMachine)
+    explore(CarelessMachine, EXAMPLES, STEPS)
 
 
 load_tests = function_tests(__name__)
--- a/tests/unit/configuration/test_interleavings.py
+++ b/tests/unit/configuration/test_interleavings.py
@@ -3,13 +3,11 @@
 from datetime import timedelta
 from unittest import TestCase
 
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from mimosafork.audit.trail import newest_entries
@@ -28,6 +26,7 @@
 from ...support.fake_table import FakeTable, Fault, Place
 from ...support.followers import FollowingInstance
 from ...support.functions import function_tests
+from ...support.machines import explore
 from ...support.manifests import manifest_with
 from ...support.operators import apply
 
@@ -218,17 +217,7 @@
 
 def test_no_interleaving_forks_reverts_or_lies() -> None:
     """Any order of racing operators, lost answers, stale reads and restarts."""
-    run_state_machine_as_test(
-        Interleavings,
-        settings=settings(
-            max_examples=120,
-            stateful_step_count=30,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    explore(Interleavings, examples=120, steps=30)
 
 
 load_tests = function_tests(__name__)
--- a/tests/unit/directory/test_directory_machine.py
+++ b/tests/unit/directory/test_directory_machine.py
@@ -1,19 +1,15 @@
 """What is believed of endpoints and configuration under any trouble of the store."""
 
 import asyncio
-import logging
-import os
 from datetime import timedelta
 from random import Random
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from mimosafork.clock import ManualClock
@@ -27,6 +23,7 @@
 
 from ...support.functions import function_tests
 from ...support.gateway_tables import KEYS, ROUTES, EndpointRows, TableHistory
+from ...support.machines import explore
 from ...support.model_store import (
     STABLE,
     Condition,
@@ -35,8 +32,7 @@
     StoreSource,
 )
 
-EXAMPLES = int(os.environ.get("MIMOSAFORK_EXAMPLES", "60"))
-SHRINK = "MIMOSAFORK_SHRINK" in os.environ
+EXAMPLES = 60
 STEPS = 40
 
 STEP = timedelta(milliseconds=250)
@@ -364,38 +360,18 @@
 MACHINES = (DirectoryMachine, PunctualPeersMachine)
 
 
-def explore(machine: type[RuleBasedStateMachine]) -> None:
-    """Run a machine with a fixed seed, so that CI says the same each time."""
-    logging.disable(logging.CRITICAL)
-    try:
-        run_state_machine_as_test(
-            machine,
-            settings=settings(
-                max_examples=EXAMPLES,
-                stateful_step_count=STEPS,
-                deadline=None,
-                derandomize=True,
-                database=None,
-                phases=[Phase.generate, Phase.shrink] if SHRINK else [Phase.generate],
-                suppress_health_check=list(HealthCheck),
-            ),
-        )
-    finally:
-        logging.disable(logging.NOTSET)
-
-
 def test_what_is_used_is_there_whatever_the_store_does() -> None:
     """The store is down, loses answers, forgets and tells what was true before.
 
     Endpoints drain, exit, lapse and return, their addresses are used again, peers tell
     old words, and the instance freezes and starts anew.
     """
-    explore(DirectoryMachine)
+    explore(DirectoryMachine, EXAMPLES, STEPS)
 
 
 def test_what_is_used_is_there_with_peers_that_are_not_late() -> None:
     """All of that but late words about endpoints that are gone."""
-    explore(PunctualPeersMachine)
+    explore(PunctualPeersMachine, EXAMPLES, STEPS)
 
 
 load_tests = function_tests(__name__)
--- a/tests/unit/directory/test_reader_machine.py
+++ b/tests/unit/directory/test_reader_machine.py
@@ -18,12 +18,14 @@
 from mimosafork.ids import EndpointId, InstanceId
 
 from ...support.functions import function_tests
+from ...support.machines import explore
 from ...support.model_store import Condition
 from .test_directory_machine import (
+    EXAMPLES,
+    STEPS,
     ConfigurationRows,
     DirectoryMachine,
     ListedRows,
-    explore,
 )
 
 READERS = 3
@@ -184,7 +186,7 @@
     One who takes their word that nothing has changed uses no endpoint that has left,
     and loses none, whatever the store does meanwhile.
     """
-    explore(ReaderMachine)
+    explore(ReaderMachine, EXAMPLES, STEPS)
 
 
 load_tests = function_tests(__name__)
--- a/tests/unit/gateway/test_budget_machine.py
+++ b/tests/unit/gateway/test_budget_machine.py
@@ -1,24 +1,21 @@
 """The budget of a whole fleet under kills, cuts and late words, in any order."""
 
-import os
 from datetime import timedelta
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from ...support.functions import function_tests
 from ...support.gossip_network import ZONES, ms
+from ...support.machines import explore
 from ...support.repeating_fleet import RepeatingFleet
 
-EXAMPLES = int(os.environ.get("MIMOSAFORK_EXAMPLES", "50"))
-SHRINK = "MIMOSAFORK_SHRINK" in os.environ
-STEPS = int(os.environ.get("MIMOSAFORK_STEPS", "25"))
+EXAMPLES = 50
+STEPS = 25
 SIZE = 6
 SLACK = 40.0
 
@@ -89,18 +86,7 @@
     In which order instances die, lose each other and the store, and hear late, must
     not matter: each one has its part by right.
     """
-    run_state_machine_as_test(
-        FleetBudgetMachine,
-        settings=settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            deadline=None,
-            derandomize=True,
-            database=None,
-            phases=[Phase.generate, Phase.shrink] if SHRINK else [Phase.generate],
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    explore(FleetBudgetMachine, EXAMPLES, STEPS)
 
 
 load_tests = function_tests(__name__)
--- a/tests/unit/gateway/test_gateway_machine.py
+++ b/tests/unit/gateway/test_gateway_machine.py
@@ -1,13 +1,10 @@
 """A gateway's decisions under troubles in any order, held against the rules."""
 
-import logging
-import os
 from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
 from typing import Any
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -15,7 +12,6 @@
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
 from mimosafork.directory.rows import Row
@@ -32,11 +28,11 @@
 from ...support.gateway_kernels import DESK
 from ...support.gateway_tables import KEYS, ROUTES
 from ...support.gateway_world import INSTANCES, Fate, GatewayWorld, ModelEndpoint
+from ...support.machines import explore
 from ...support.reserving_engines import MEMORY, POOL, ModelEngine
 
-EXAMPLES = int(os.environ.get("MIMOSAFORK_EXAMPLES", "50"))
-SHRINK = "MIMOSAFORK_SHRINK" in os.environ
-STEPS = int(os.environ.get("MIMOSAFORK_STEPS", "50"))
+EXAMPLES = 50
+STEPS = 50
 
 PLACES = {f"10.0.0.{n}:80": DESK if n < 4 else POOL for n in range(1, 8)}
 """Addresses, and who has them first."""
@@ -450,53 +446,33 @@
 MACHINES = (GatewayMachine, CrashMachine, BudgetMachine, MemoryMachine, OnceMachine)
 
 
-def explore(machine: type[RuleBasedStateMachine]) -> None:
-    """Run a machine with a fixed seed, so that CI says the same each time."""
-    logging.disable(logging.WARNING)
-    try:
-        run_state_machine_as_test(
-            machine,
-            settings=settings(
-                max_examples=EXAMPLES,
-                stateful_step_count=STEPS,
-                deadline=None,
-                derandomize=True,
-                database=None,
-                phases=[Phase.generate, Phase.shrink] if SHRINK else [Phase.generate],
-                suppress_health_check=list(HealthCheck),
-            ),
-        )
-    finally:
-        logging.disable(logging.NOTSET)
-
-
 def test_the_rules_hold_whatever_happens_in_whatever_order() -> None:
     """Answers are lost, torn, refused and late; endpoints leave and come under others.
 
     The process freezes, peers spend, fall silent and tell old words, the operator
     takes routes and keys away, callers hang up and all stops.
     """
-    explore(GatewayMachine)
+    explore(GatewayMachine, EXAMPLES, STEPS)
 
 
 def test_poisoned_contents_reach_few_endpoints_whatever_can_be_reached() -> None:
     """Many callers send what crashes endpoints, while a service is cut off."""
-    explore(CrashMachine)
+    explore(CrashMachine, EXAMPLES, STEPS)
 
 
 def test_repeats_stay_within_the_budget_however_long_they_wait() -> None:
     """Connections break all at once, again and again; repeats wait for endpoints."""
-    explore(BudgetMachine)
+    explore(BudgetMachine, EXAMPLES, STEPS)
 
 
 def test_memory_goes_to_those_that_take_work_and_is_given_back() -> None:
     """Orders are slow, lost and late while engines drain, exit and fill up."""
-    explore(MemoryMachine)
+    explore(MemoryMachine, EXAMPLES, STEPS)
 
 
 def test_what_may_run_once_runs_once_and_is_told_honestly() -> None:
     """Answers get lost or come late, around freezes and the end of the process."""
-    explore(OnceMachine)
+    explore(OnceMachine, EXAMPLES, STEPS)
 
 
 load_tests = function_tests(__name__)
--- a/tests/unit/gateway/test_reserving.py
+++ b/tests/unit/gateway/test_reserving.py
@@ -4,13 +4,11 @@
 from datetime import timedelta
 from unittest import TestCase
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from mimosafork.gateway.policies.fleet_view import FleetView
@@ -33,6 +31,7 @@
 from mimosafork.kernel.messages.routing import EndpointLeaving
 
 from ...support.functions import function_tests
+from ...support.machines import explore
 from ...support.reserving_engines import (
     HUGE,
     MEMORY,
@@ -496,16 +495,7 @@
 
 
 def test_no_order_of_events_leaves_memory_behind() -> None:
-    run_state_machine_as_test(
-        Reserving,
-        settings=settings(
-            max_examples=40,
-            stateful_step_count=25,
-            derandomize=True,
-            deadline=None,
-            database=None,
-        ),
-    )
+    explore(Reserving, examples=40, steps=25)
 
 
 load_tests = function_tests(__name__)
--- a/tests/unit/recovery/test_recovery_machine.py
+++ b/tests/unit/recovery/test_recovery_machine.py
@@ -1,16 +1,13 @@
 """Leases, orders, cleaning, quarantine and retries, with failures in any order."""
 
-import os
 from datetime import timedelta
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from mimosafork.ids import Digest, RequestId
@@ -22,11 +19,11 @@
 from tests.support.fake_table import Fault
 from tests.support.functions import function_tests
 from tests.support.kernels import MODEL
+from tests.support.machines import explore
 from tests.support.recovery_world import LOAD_INTERVAL, STEP, World
 from tests.support.requests import request
 
-EXAMPLES = int(os.environ.get("MIMOSAFORK_EXAMPLES", "40"))
-SHRINK = "MIMOSAFORK_SHRINK" in os.environ
+EXAMPLES = 40
 STEPS = 30
 SECOND = timedelta(seconds=1)
 PATIENCE = 40 * SECOND
@@ -279,18 +276,7 @@
     The store is down, stale, loses answers or does writes late; peers fall silent;
     operators change their minds; a poisoned letter is sent again and again.
     """
-    run_state_machine_as_test(
-        RecoveryMachine,
-        settings=settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            deadline=None,
-            derandomize=True,
-            database=None,
-            phases=[Phase.generate, Phase.shrink] if SHRINK else [Phase.generate],
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    explore(RecoveryMachine, EXAMPLES, STEPS)
 
 
 load_tests = function_tests(__name__)
