Share whole repeats, count them until they have arrived, and look twice in a new fleet

Cause: a part below one was rounded up; 0.6 s bound the opening of a connection and not what lies in the system; rows were read once, before others were written; the first repeat had nothing to earn it; times were not bounded; a look at what is left to take closed at once. Ruled out: to hand parts around, which is news again; to read rows again at each start (a call of the store for each, only new fleets do). Change: whole parts, the rest by rank of name; without a part, one repeat is saved up once two are earned and half the earnings pay for it; repeats count for 12.3 s; a new fleet's instances that are not alone take their part after a second look. Times of peers' rows are bounded, and compared in whole numbers.

--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -233,6 +233,11 @@
         elif left:
             self.left = left
             self._wait(self.idle_time, self._let_go)
+        elif self.left and not self.lingering:
+            # Its rest was taken since the last look: the time that was told begins.
+            self.left = 0
+            self.heard_at = self.clock.monotonic()
+            self._await_request()
         else:
             self.close(Ending.LAST_ANSWER if self.lingering else Ending.IDLE)
 
--- a/src/mimosafork/gateway/policies/allowance.py
+++ b/src/mimosafork/gateway/policies/allowance.py
@@ -7,14 +7,21 @@
 
 from ...ids import RequestId
 
-ARRIVES_WITHIN = timedelta(milliseconds=600)
-"""A repeat is counted before it is sent, and reaches its endpoint up to so much later,
-as a connection may have to be opened for it. It counts for so much longer than a
-request: one that was counted just before a window may arrive within it."""
+ARRIVES_WITHIN = timedelta(milliseconds=2300)
+"""A repeat is counted before it is sent, and reaches its endpoint up to so much later.
 
+A connection may have to be opened for it, or what is written on a kept one may lie in
+the system for as long as nothing need be acknowledged. It counts for so much longer
+than a request: one that was counted before a window may arrive within it."""
 
-LEAST_BURST = 1.0
-"""Repeats that an instance may save up at the least; with less none could be sent."""
+TOGETHER = timedelta(milliseconds=50)
+"""Repeats that follow within this are kept as one entry. An instance that repeats
+hundreds of calls a second would else look at each of them for each decision."""
+
+EARNED_IN_ADVANCE = 2.0
+"""Repeats that the requests of a window must have earned for one to be saved up."""
+
+HALF = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +32,8 @@
     ----------
     instances : int
         How many share it, itself included.
+    rank : int
+        How many of them stand before it in an order that is the same for all.
     known : bool
         False while it isn't known how many there are.
     since : timedelta or None
@@ -32,13 +41,20 @@
     """
 
     instances: int = 1
+    rank: int = 0
     known: bool = True
     since: timedelta | None = None
 
-    @property
-    def part(self) -> float:
-        """The part, from 0 to 1."""
-        return 1 / self.instances if self.known and self.since is None else 0.0
+    def of(self, slack: float) -> int:
+        """Return the part: whole repeats, the rest to the first by rank.
+
+        Guard: repeats are whole. Were each instance to have the part that is less than
+        one rounded up, a fleet of more instances than the slack would pass it.
+        """
+        if not self.known or self.since is not None:
+            return 0
+        each, rest = divmod(int(slack), self.instances)
+        return each + (self.rank < rest)
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +65,7 @@
     ----------
     ratio : float
         Repeats that a request earns.
-    burst : float
+    burst : int
         Repeats in a window beside those that its own requests earn.
     since : timedelta or None
         Before this life another one may have sent all that it could: since then no
@@ -57,10 +73,25 @@
     """
 
     ratio: float
-    burst: float
+    burst: int
     since: timedelta | None = None
 
 
+@dataclass(slots=True)
+class Repeats:
+    """Repeats that were counted nearly together.
+
+    Attributes
+    ----------
+    first, last : timedelta
+        When the first and the last of them were.
+    """
+
+    first: timedelta
+    last: timedelta
+    count: int = 1
+
+
 class Allowance:
     """Requests and repeats of one service at this instance, within a window.
 
@@ -69,6 +100,10 @@
     each repeat counted, each instance would send most after its own busiest seconds,
     and these differ: all together would pass what any one window of the fleet earns.
 
+    Without a burst no repeat could ever be the first. An instance whose requests of the
+    last window earn several may save up one, and earns half as fast for it: the other
+    half of that window's pays for what is saved, the fleet over.
+
     A repeat is promised when it is decided, and holds its place in the room until it
     is sent: it may wait for an endpoint, and what is promised meanwhile must not crowd
     it out. It counts as of the moment when it is sent, the one that endpoints see.
@@ -92,7 +127,7 @@
     def __init__(self, window: timedelta) -> None:
         self.window = window
         self.requests: list[timedelta] = []
-        self.repeats: deque[timedelta] = deque()
+        self.repeats: deque[Repeats] = deque()
         self.promised: set[RequestId] = set()
         self.sent: dict[RequestId, timedelta] = {}
         self.total = 0
@@ -100,15 +135,32 @@
     def room(self, terms: Terms, now: timedelta) -> float:
         """Return how many repeats may be sent now, the promised ones included."""
         self.forget(now)
-        room = terms.burst
-        for sent, at in enumerate(reversed(self.repeats), start=1):
-            earned = terms.ratio * self.requests_after(at + ARRIVES_WITHIN)
+        terms = self.with_savings(terms, now)
+        room = float(terms.burst)
+        sent = 0
+        for each in reversed(self.repeats):
+            sent += each.count
+            earned = terms.ratio * self.requests_after(each.last + ARRIVES_WITHIN)
             room = min(room, terms.burst + earned - sent)
         if terms.since is not None:
             earned = terms.ratio * self.requests_after(terms.since)
-            room = min(room, earned - len(self.repeats))
+            room = min(room, earned - sent)
         return room
 
+    def with_savings(self, terms: Terms, now: timedelta) -> Terms:
+        """Return terms by which an instance without a part can repeat at all."""
+        if terms.burst:
+            return terms
+        earned = terms.ratio * self.requests_after(now - self.window)
+        if terms.since is None and earned < EARNED_IN_ADVANCE:
+            return terms
+        ratio = terms.ratio if terms.since is not None else terms.ratio * HALF
+        return Terms(ratio, 1, terms.since)
+
+    def held(self) -> int:
+        """Return how many repeats still count."""
+        return sum(each.count for each in self.repeats)
+
     def requests_after(self, instant: timedelta) -> int:
         """Return how many requests came after an instant within the window."""
         return len(self.requests) - bisect_right(self.requests, instant)
@@ -116,7 +168,7 @@
     def forget(self, now: timedelta) -> None:
         """Forget what no window that ends now or later holds."""
         oldest = now - self.window - ARRIVES_WITHIN
-        while self.repeats and self.repeats[0] <= oldest:
+        while self.repeats and self.repeats[0].last <= oldest:
             self.repeats.popleft()
         if self.requests and self.requests[0] <= oldest:
             del self.requests[: bisect_right(self.requests, oldest)]
@@ -135,8 +187,12 @@
         """Count a call's last repeat no more: it has reached no endpoint."""
         self.promised.discard(request_id)
         sent_at = self.sent.pop(request_id, None)
-        if sent_at is not None and sent_at in self.repeats:
-            self.repeats.remove(sent_at)
+        if sent_at is None:
+            return
+        for each in self.repeats:
+            if each.first <= sent_at <= each.last:
+                each.count -= 1
+                return
 
     def repeated(self, request_id: RequestId) -> bool:
         """Return whether a call's next or latest attempt is a repeat."""
@@ -146,8 +202,12 @@
         """Count a repeat that is sent now."""
         self.promised.discard(request_id)
         self.sent[request_id] = now
-        self.repeats.append(now)
         self.total += 1
+        if self.repeats and now - self.repeats[-1].first < TOGETHER:
+            self.repeats[-1].last = now
+            self.repeats[-1].count += 1
+        else:
+            self.repeats.append(Repeats(now, now))
 
     def close(self, request_id: RequestId) -> None:
         """Forget a call that has ended; what was sent of it goes on to count."""
--- a/src/mimosafork/gateway/policies/reserving.py
+++ b/src/mimosafork/gateway/policies/reserving.py
@@ -193,10 +193,6 @@
         known = self.fleet.endpoints.get(endpoint)
         return known is not None and known.usable(now)
 
-    def _is_paid(self, record: RequestRecord, context: Context) -> bool:
-        """Return whether the budget of repeats still has room: orders take time."""
-        return self.retry is None or self.retry.still_paid(record.request, context)
-
     def _ask(self, gang: Gang, ticket: Ticket, context: Context) -> None:
         """Reserve, or renew what is reserved: that is the same order."""
         ticket.ask(context.now)
--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -13,7 +13,7 @@
 from ...kernel.plugins import Concluded, GiveUp, RetryDecision, RetryLater, RetryPolicy
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
-from .allowance import LEAST_BURST, Allowance, SlackShare, Terms
+from .allowance import Allowance, SlackShare, Terms
 
 RATIO = 0.2
 SLACK = 100.0
@@ -157,9 +157,7 @@
     def terms(self) -> Terms:
         """Return what this instance may repeat of a service's calls."""
         share = self.share()
-        burst = max(LEAST_BURST, self.slack * share.part)
-        may_repeat = self.ratio > 0 or self.slack > 0
-        return Terms(self.ratio, burst if may_repeat else 0.0, share.since)
+        return Terms(self.ratio, share.of(self.slack), share.since)
 
     def room(self, service: ServiceId, now: timedelta) -> float:
         """Return for how many further repeats the budget has room."""
@@ -173,7 +171,8 @@
     def sharers(self) -> int:
         """Return among how many instances the slack is shared; 0 without a part."""
         share = self.share()
-        return share.instances if share.part else 0
+        has_part = share.known and share.since is None
+        return share.instances if has_part else 0
 
 
 def problem_of(failure: AttemptFailed, detail: str) -> Problem:
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -331,7 +331,8 @@
         lasted = self.clock.monotonic() - self.began_at
         is_over = census.fleet_is_new or lasted >= self.settles_after
         since = None if is_over else self.began_at
-        return SlackShare(census.instances, census.complete, since)
+        rank = census.rank(self.gossip.instance)
+        return SlackShare(census.instances, rank, census.complete, since)
 
 
 def note_of(work: Work, now: timedelta) -> WorkNote:
--- a/src/mimosafork/gateway/unanswered.py
+++ b/src/mimosafork/gateway/unanswered.py
@@ -21,8 +21,6 @@
     """Nothing came for its time."""
     LAST_ANSWER = "last-answer"
     """An answer had said that it would be the last."""
-    SENT_AHEAD = "sent-ahead"
-    """More came behind a request than is kept until that one is answered."""
     INTAKE = "intake-ended"
     """The instance stops, and takes no further calls."""
     STOPPED = "stopped"
--- a/src/mimosafork/gossip/census.py
+++ b/src/mimosafork/gossip/census.py
@@ -37,6 +37,8 @@
         The same as a monotonic instant.
     seen : dict of InstanceId to timedelta
         When each other instance was last known to live, or was first told of.
+    looks : int
+        How often all rows have been read.
     complete : bool
         All instances that ever wrote their row have been read of. Before that a life
         that began behind a cut would count too few.
@@ -48,6 +50,7 @@
         self.started_ms = started_ms
         self.began_at: timedelta | None = None
         self.seen: dict[InstanceId, timedelta] = {}
+        self.looks = 0
         self.complete = False
         self.fleet_is_new = False
 
@@ -59,15 +62,53 @@
         """
         if identity.instance in self.seen:
             return
-        if not (self.complete and self.age(identity, now) > KEPT):
+        if not (self.complete and self.began_long_ago(identity, now)):
             self.seen[identity.instance] = now
 
-    def age(self, identity: Identity, now: timedelta) -> timedelta:
-        """Return how long ago a life began, by its clock and this one's."""
+    def all_read(
+        self, others: list[Identity], is_first_life: bool, window: timedelta
+    ) -> bool:
+        """Note that all rows have been read.
+
+        Guard: the instances of a new fleet write their rows at about the same time, so
+        that the first look finds some of them. One that took its part by these would
+        divide the slack among too few; it waits for a second look, unless it is alone.
+
+        Parameters
+        ----------
+        others : list of Identity
+            The latest life of each other instance.
+        is_first_life : bool
+            This instance had none before.
+        window : timedelta
+            Within which the lives of a new fleet have begun.
+
+        Returns
+        -------
+        bool
+            Whether they should be read again soon.
+        """
+        self.looks += 1
+        if self.looks == 1:
+            began = [each.started_ms for each in others]
+            oldest_ms = self.started_ms - window / MILLISECOND
+            self.fleet_is_new = is_first_life and min(began, default=oldest_ms) >= (
+                oldest_ms
+            )
+        is_early = self.looks == 1 and self.fleet_is_new
+        self.complete = self.complete or not (is_early and others)
+        return is_early
+
+    def began_long_ago(self, identity: Identity, now: timedelta) -> bool:
+        """Return whether a life began longer ago than a silent one counts.
+
+        By both clocks, in whole numbers: another writer's row may name any time.
+        """
         if self.began_at is None:
             self.began_at = now
-        began_before = (self.started_ms - identity.started_ms) * MILLISECOND
-        return began_before + now - self.began_at
+        lasted_ms = (now - self.began_at) // MILLISECOND
+        began_ms_ago = self.started_ms - identity.started_ms + lasted_ms
+        return began_ms_ago > KEPT // MILLISECOND
 
     def review(self, alive: Iterable[InstanceId], now: timedelta) -> None:
         """Note who is heard now, and forget those that were not for long."""
@@ -80,6 +121,10 @@
         latest = sorted(silent)[-MOST_SILENT:]
         self.seen = {name: at for at, name in latest} | heard
 
+    def rank(self, me: InstanceId) -> int:
+        """Return how many of those that count stand before this one by name."""
+        return sum(name < me for name in self.seen)
+
     @property
     def instances(self) -> int:
         """Instances that count, this one included."""
--- a/src/mimosafork/gossip/finding.py
+++ b/src/mimosafork/gossip/finding.py
@@ -19,6 +19,9 @@
 fleet that have forgotten each other, after a minute of silence. Of two instances that
 start together the later to write its row reads the other's. Each of n instances reads n
 rows, and each call of the store has a price."""
+READ_AGAIN = timedelta(seconds=3)
+"""In a fleet that has just been started each looks once more so soon: the first look
+finds those who wrote before, and behind a cut the others would count for nobody."""
 ALONE_EVERY = timedelta(seconds=3)
 """While no peer is heard; each call of the store has a price."""
 FIRST_RETRY = timedelta(milliseconds=500)
@@ -35,8 +38,9 @@
     alone : callable
         Whether no peer is heard.
     all_read : callable, optional
-        Called once, when all rows have been read for the first time, with those of
-        others and whether this instance had none of an earlier life.
+        Called each time that all rows have been read, with those of others and
+        whether this instance had none of an earlier life. Returns whether they should
+        be read again soon.
     """
 
     def __init__(
@@ -46,7 +50,7 @@
         random: Random,
         learn: Callable[[Identity], None],
         alone: Callable[[], bool],
-        all_read: Callable[[list[Identity], bool], None] = lambda found, first: None,
+        all_read: Callable[[list[Identity], bool], bool] = lambda found, first: False,
     ) -> None:
         self.me = me
         self.rows = rows
@@ -56,7 +60,7 @@
         self.all_read = all_read
         self.published = False
         self.is_first_life = False
-        self.is_read = False
+        self.looks_again = False
 
     async def run(self) -> None:
         """Look for peers for good."""
@@ -64,6 +68,8 @@
         while True:
             done = await self.look()
             pause = ALONE_EVERY if self.alone() else READ_EVERY
+            if self.looks_again:
+                pause = READ_AGAIN
             if not done:
                 pause, retry = retry, min(retry * 2, LAST_RETRY)
             else:
@@ -90,8 +96,6 @@
             return False
         for identity in found:
             self.learn(identity)
-        if not self.is_read:
-            self.is_read = True
-            others = [each for each in found if each.instance != self.me.instance]
-            self.all_read(others, self.is_first_life)
+        others = [each for each in found if each.instance != self.me.instance]
+        self.looks_again = self.all_read(others, self.is_first_life)
         return True
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -38,7 +38,6 @@
 
 BOOT_BITS = 64
 MS_PER_SECOND = 1000
-MILLISECOND = timedelta(milliseconds=1)
 AFTER_FAULT = timedelta(seconds=1)
 SHORTEST_GAP = timedelta(milliseconds=5)
 
@@ -288,8 +287,8 @@
         self.tell(self.exchange.learn(identity, now), now)
         self.arm()
 
-    def all_read(self, others: list[Identity], is_first_life: bool) -> None:
-        """Note that all who ever wrote their row have been read of.
+    def all_read(self, others: list[Identity], is_first_life: bool) -> bool:
+        """Note that all rows have been read; return whether to look again soon.
 
         Parameters
         ----------
@@ -298,12 +297,7 @@
         is_first_life : bool
             This instance had none before.
         """
-        began_ms = self.exchange.me.started_ms
-        ages = (began_ms - each.started_ms for each in others)
-        self.census.complete = True
-        self.census.fleet_is_new = is_first_life and all(
-            age <= self.window / MILLISECOND for age in ages
-        )
+        return self.census.all_read(others, is_first_life, self.window)
 
     def alone(self) -> bool:
         """Whether no peer is heard."""
--- a/src/mimosafork/gossip/wire.py
+++ b/src/mimosafork/gossip/wire.py
@@ -16,6 +16,8 @@
 KIND_MASK = (1 << KIND_BITS) - 1
 
 Count = Annotated[int, msgspec.Meta(ge=0)]
+StartedMs = Annotated[int, msgspec.Meta(ge=0, le=10**13)]
+"""Unix milliseconds of some 250 years; a later time fits into no span of time."""
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 HostBytes = Annotated[bytes, msgspec.Meta(min_length=4, max_length=4)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -44,7 +46,7 @@
     host: HostBytes
     port: Port
     boot: Count
-    started: Count
+    started: StartedMs
 
 
 class WireEntry(msgspec.Struct, array_like=True, frozen=True):
