Learn from an engine that says it is full

What callers saw: in a flood of short prompts one call was turned away by three full engines within 80 ms, and each try took a repeat from the budget of all instances. Cause: instances believed in slots that others had taken. Words of running work come late, or not at all between zones that are cut off from each other; then the engine that seems emptiest is the fullest, and its rejection taught nothing to the instance's other calls. Ruled out: the race for the last slots (0.7% with words in time) and long queues at engines (with room for twelve that wait in place of three, rejections come later and are the same). Telling peers: the word would go the way of those that are late. Change: a rejection counts as running work, so that the engine's slots are taken, and one half more that waits. It is forgotten evenly within the time of a usual answer, as old work is heard of after all, and believed for twice as long where the engine is full again. The call itself takes no engine that seems to run as many as the one that turned it away until an answer can have ended, and waits in a lane of its own. One that names another at fault isn't full. Why it holds: it is bounded by the figures of the engine, at most 2 s, and needs no word.

--- a/benchmarks/passes/__main__.py
+++ b/benchmarks/passes/__main__.py
@@ -3,7 +3,7 @@
 Same calls, same seeds, each policy in turn, in two processes. Prints tables, and writes
 the figures of all runs and a plot into ``build/``. The commands ``held``,
 ``experiment`` and ``ablation`` hold the model against played days, vary one knob, and
-leave out one mechanism at a time.
+leave out one mechanism at a time; ``refusals`` counts what full engines turn away.
 """
 
 import argparse
@@ -12,7 +12,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
-from . import ablation, experiment, held
+from . import ablation, experiment, held, refusals
 from .charts import plot_policies
 from .deployments import DEPLOYMENTS
 from .faults import TROUBLES
@@ -29,6 +29,7 @@
     "ablation": ablation.main,
     "experiment": experiment.main,
     "held": held.main,
+    "refusals": refusals.main,
 }
 
 
--- a/benchmarks/passes/ablation.py
+++ b/benchmarks/passes/ablation.py
@@ -13,13 +13,16 @@
 from pathlib import Path
 from types import ModuleType
 
+from mimosafork.ids import EndpointId
 from mimosafork.placement import forecast, plan, policy, race
 from mimosafork.placement.choice import PlacementAsk
 from mimosafork.placement.forecast import EngineState
 from mimosafork.placement.plan import Plan
 from mimosafork.routing.engine import EngineFigures
 
+from . import entry
 from .deployments import ALL_DEPLOYMENTS, DEPLOYMENTS
+from .entry import Attempt
 from .faults import TROUBLES
 from .play import DURATION_S, Run, play
 from .series import Row, earned_of, gain_of, row_of, write_csv
@@ -50,6 +53,10 @@
     return None
 
 
+def learns_nothing(attempt: Attempt, host: EndpointId) -> None:
+    """Leave the belief about a full engine as it is."""
+
+
 @dataclass(frozen=True, slots=True)
 class Mechanism:
     """What is put in the place of a constant or function, to leave it out."""
@@ -70,6 +77,7 @@
     "pause-slack": Mechanism(forecast, "PAUSE_SLACK_MS", NEARLY_ZERO),
     "first-event-slack": Mechanism(forecast, "FIRST_EVENT_SLACK", NEARLY_ZERO),
     "too-late": Mechanism(policy, "too_late", never_too_late),
+    "fullness": Mechanism(entry, "learn_full", learns_nothing),
 }
 
 
--- a/benchmarks/passes/engine.py
+++ b/benchmarks/passes/engine.py
@@ -102,6 +102,8 @@
         Of prompts that it reads alone, and parts of those that several engines read.
     reserved : int
         Tokens of memory under tickets.
+    queue_room : int
+        Requests that may wait at it.
     down : bool
         It has crashed and takes nothing.
     pace : float
@@ -118,6 +120,7 @@
     reads: list[Read] = field(default_factory=list)
     shared_reads: list[Read] = field(default_factory=list)
     reserved: int = 0
+    queue_room: int = QUEUE
     in_pass: bool = False
     down: bool = False
     busy_ms: float = 0.0
@@ -134,11 +137,16 @@
         """Jobs of other hosts that it helps to read."""
         return len({id(r.job) for r in self.shared_reads if r.host is not self})
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further job may wait."""
+        return not self.down and len(self.queue) >= self.queue_room
+
     def submit(self, job: Job) -> bool:
         """Take a job in; False if the queue or a helper is full, or one is down."""
         if self.down or any(each.down for each in job.helpers):
             return False
-        if len(self.queue) >= QUEUE:
+        if self.is_full:
             return False
         if any(each.helping >= each.figures.slots for each in job.helpers):
             return False
--- a/benchmarks/passes/entry.py
+++ b/benchmarks/passes/entry.py
@@ -13,6 +13,7 @@
     Place,
     PlacementAsk,
 )
+from mimosafork.placement.fullness import Crowd, crowd_after, stay_of, turn_of
 from mimosafork.placement.work import LoadBook, Work
 from mimosafork.routing.engine import EngineFigures
 
@@ -21,6 +22,7 @@
 from .faults import FaultKind, Suspects, Troubles
 from .outcome import Outcome
 from .traffic import Call
+from .words import Rejection, Words
 
 CALLER_S = 0.003
 """One way between a caller and an entry instance."""
@@ -71,6 +73,12 @@
         One for each call, by its number.
     hop_s : float
         One way between an entry instance and an engine.
+    words : Words
+        How words come to other instances.
+    arrivals : int
+        Calls that came to engines.
+    rejections : list of Rejection
+        Those that engines turned away as they were full.
     """
 
     loop: EventLoop
@@ -81,6 +89,9 @@
     random: Random
     hop_s: float
     troubles: Troubles = field(default_factory=Troubles)
+    words: Words = field(default_factory=Words)
+    arrivals: int = 0
+    rejections: list[Rejection] = field(default_factory=list)
     entries: list["Entry"] = field(default_factory=list)
 
     def engines_known(self) -> tuple[EngineView, ...]:
@@ -133,11 +144,18 @@
         """Send the own running work to all peers."""
         self.news = False
         works = tuple(self.book.own.values())
-        delay_s = self.world.hop_s + NEWS_WORK_S
+        words, now_s = self.world.words, self.world.loop.now_s
+        delay_s = self.world.hop_s + NEWS_WORK_S + words.late_s
         for peer in self.world.entries:
-            if peer is not self:
+            if peer is not self and words.heard(self.zone, peer.zone, now_s):
                 self.world.loop.after(delay_s, peer.hear, self.name, works)
 
+    def miss(self) -> None:
+        """Take the peers of other zones to be gone, as nothing is heard of them."""
+        for peer in self.world.entries:
+            if peer.zone != self.zone:
+                self.book.forget_peer(peer.name)
+
     def hear(self, name: InstanceId, works: tuple[Work, ...]) -> None:
         """Take in a peer's snapshot."""
         self.book.replace_peer(name, works, self.world.loop.monotonic())
@@ -167,6 +185,7 @@
     over: bool = False
     waiting_since_s: float | None = None
     avoid: frozenset[EndpointId] = frozenset()
+    crowd: Crowd | None = None
 
     @property
     def request(self) -> RequestId:
@@ -192,8 +211,16 @@
             longest_pause=timedelta(milliseconds=kind.pause_ms),
             avoid=self.avoid,
             zone=self.entry.zone,
+            crowded=self.crowded(),
         )
 
+    def crowded(self) -> int | None:
+        """Return how many requests on an engine are too many, after a rejection."""
+        now = self.entry.world.loop.monotonic()
+        if self.crowd is None or now >= self.crowd.until:
+            return None
+        return self.crowd.running
+
     def place(self) -> None:
         """Ask the policy for a place and send the call there, or wait, or refuse."""
         if self.over:
@@ -259,16 +286,27 @@
             self.lost()
             return
         short = len(taken) < len(place.reservations)
+        self.entry.world.arrivals += 1
         if short or not self.host.submit(self.job):
             self.outcome.turned_away += 1
             self.avoid = frozenset({place.host})
             self.leave()
             self.job = None
+            if self.host.is_full and not short:
+                self.note_rejection(place.host)
             self.entry.world.loop.after(ASK_AGAIN_S, self.place)
             return
         self.sends += 1
         self.watch()
 
+    def note_rejection(self, host: EndpointId) -> None:
+        """Take in that an engine is full."""
+        world = self.entry.world
+        call = (self.call.number, self.tries)
+        rejection = Rejection(world.loop.now_s, host, self.entry.name, call)
+        world.rejections.append(rejection)
+        learn_full(self, host)
+
     def watch(self) -> None:
         """Look later whether the host has been silent."""
         silent_s = self.call.kind.abandon_ms / 1e3 * SILENT_SHARE
@@ -368,3 +406,11 @@
         pause_s = min(max(pause_s, CALLER_S), left_s * WAIT_SHARE)
         self.outcome.start_again()
         world.loop.after(pause_s, entry.take, self.call, self.tries + 1)
+
+
+def learn_full(attempt: Attempt, host: EndpointId) -> None:
+    """Correct what is believed of an engine that turned an attempt away."""
+    entry = attempt.entry
+    figures, now = entry.world.figures, entry.world.loop.monotonic()
+    running = entry.book.turned_away(host, figures.slots, stay_of(figures), now)
+    attempt.crowd = crowd_after(attempt.crowd, running, now + turn_of(figures))
--- a/benchmarks/passes/play.py
+++ b/benchmarks/passes/play.py
@@ -11,12 +11,13 @@
 from ..virtual_time import EventLoop
 from .as_played import AsPlayed, SeenPlace
 from .deployments import Deployment
-from .engine import PassEngine
+from .engine import QUEUE, PassEngine
 from .entry import CALLER_S, Entry, Policy, World
 from .faults import Fault, FaultKind, Troubles
 from .outcome import Outcome
 from .policies import POLICIES
 from .traffic import Call, generate
+from .words import SILENT_S, Rejection, Words
 
 DURATION_S = 41.0
 """Long and short floods, twice each."""
@@ -38,6 +39,10 @@
         Where they go in place of the policy's choice, if given.
     load : float
         Factor of the deployment's rates of calls.
+    words : Words
+        How words come to other instances.
+    queue_room : int
+        Requests that may wait at each engine.
     """
 
     deployment: Deployment
@@ -48,6 +53,8 @@
     places: tuple[SeenPlace, ...] = ()
     faults: tuple[Fault, ...] = ()
     load: float = USUAL_LOAD
+    words: Words = Words()
+    queue_room: int = QUEUE
 
     def policy_of_entry(self) -> Policy:
         """Return the policy of one entry instance."""
@@ -64,11 +71,17 @@
         Jobs that lost their memory to older ones.
     wall_s : float
         Real time that the run took.
+    arrivals : int
+        Calls that came to engines.
+    rejections : tuple of Rejection
+        Those that engines turned away as they were full.
     """
 
     outcomes: tuple[Outcome, ...]
     preempted: int
     wall_s: float
+    arrivals: int = 0
+    rejections: tuple[Rejection, ...] = ()
 
 
 def play(run: Run) -> Played:
@@ -85,11 +98,20 @@
         world.loop.at(outcome.call.at_s + CALLER_S, entry.take, outcome.call)
     world.loop.run(run.duration_s + DRAIN_S)
     preempted = sum(engine.preempted for engine in world.engines.values())
-    return Played(tuple(world.outcomes), preempted, perf_counter() - began)
+    return Played(
+        tuple(world.outcomes),
+        preempted,
+        perf_counter() - began,
+        world.arrivals,
+        tuple(world.rejections),
+    )
 
 
 def befall(world: World) -> None:
-    """Let the faults of a run happen to its engines."""
+    """Let the faults of a run happen to its engines, and to its words."""
+    if world.words.cut_s is not None:
+        for entry in world.entries:
+            world.loop.at(world.words.cut_s[0] + SILENT_S, entry.miss)
     for fault in world.troubles.faults:
         engine = world.engines[world.views[fault.engine].endpoint]
         end_s = fault.at_s + fault.for_s
@@ -115,7 +137,10 @@
         )
         for number in range(deployment.engines)
     )
-    engines = {view.endpoint: PassEngine(loop, deployment.figures) for view in views}
+    engines = {
+        view.endpoint: PassEngine(loop, deployment.figures, queue_room=run.queue_room)
+        for view in views
+    }
     calls = run.calls or generate(deployment.loaded(run.load), run.duration_s, run.seed)
     outcomes = [Outcome(call) for call in calls]
     world = World(
@@ -127,11 +152,12 @@
         random,
         deployment.hop_s,
         Troubles(run.faults),
+        run.words,
     )
-    befall(world)
     for number in range(deployment.entries):
         zone = AvailabilityZoneId(f"z{number % deployment.zones}")
         name = InstanceId(f"entry-{number}")
         policy = run.policy_of_entry()
         world.entries.append(Entry(name, zone, world, policy, Random(number)))
+    befall(world)
     return world
--- a/src/mimosafork/gateway/policies/ordering.py
+++ b/src/mimosafork/gateway/policies/ordering.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from ...kernel.messages.attempts import FailureKind
 from ...kernel.plugins import QueueDiscipline
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
@@ -21,5 +22,17 @@
         return (record.submitted_at + objective).total_seconds()
 
     def lane(self, record: RequestRecord) -> str:
-        """Return whether the call needs much room or little."""
-        return "long" if record.request.prompt_tokens >= LONG_PROMPT else "short"
+        """Return whether the call needs much room or little, and was turned away.
+
+        Guard: a call that a full engine turned away waits for an emptier one. In one
+        lane with the others a few of them would keep all new calls behind them.
+        """
+        long = record.request.prompt_tokens >= LONG_PROMPT
+        size = "long" if long else "short"
+        return f"{size}, turned away" if was_turned_away(record) else size
+
+
+def was_turned_away(record: RequestRecord) -> bool:
+    """Return whether a call's latest attempt was refused by its endpoint."""
+    failure = record.attempts[-1].failure if record.attempts else None
+    return failure is not None and failure.kind is FailureKind.REFUSED
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -32,6 +32,7 @@
     Shortage,
     WaitForRoom,
 )
+from ...placement.fullness import stay_of, turn_of
 from ...placement.memory import needs_tickets
 from ...placement.policy import choose
 from ...placement.work import LoadBook, Work
@@ -41,6 +42,7 @@
 from .quarantining import CrashQuarantine
 from .reserving import MemoryKeeper
 from .retrying import BUDGET_USED, BudgetedRetry
+from .turned_away import TurnedAway, says_full
 
 DEFAULT_ANSWER = 600
 """Tokens that an answer is expected to have where nobody says."""
@@ -81,6 +83,7 @@
         self.narrowed: Callable[[Sequence[EngineView]], Sequence[EngineView]] = all_of
         self.waiting_since: dict[RequestId, timedelta] = {}
         self.first_token_at: dict[RequestId, timedelta] = {}
+        self.turned_away = TurnedAway()
 
     def join(self, find: PluginFinder) -> None:
         """Keep the plug-ins that are asked."""
@@ -138,7 +141,8 @@
         self, record: RequestRecord, figures: EngineFigures | None, context: Context
     ) -> PlacementAsk:
         """Return what placement is asked, without engines known to lack memory."""
-        ask = ask_of(record, context)
+        crowded = self.turned_away.crowded(record.request_id, context.now)
+        ask = replace(ask_of(record, context), crowded=crowded)
         if figures is None or not needs_tickets(ask, figures):
             return ask
         return replace(ask, avoid=ask.avoid | self.memory.short_engines(context.now))
@@ -183,6 +187,7 @@
         # The next attempt may have been placed already; its work stays.
         if work is not None and work.host == message.endpoint:
             self._end(message.request_id, context)
+            self._note_full(work, message, context)
 
     @handle.register
     def _(self, message: PlacementFailed, context: Context) -> None:
@@ -194,6 +199,7 @@
     def _(self, message: Concluded, context: Context) -> None:
         self.waiting_since.pop(message.record.request_id, None)
         self.first_token_at.pop(message.record.request_id, None)
+        self.turned_away.forget(message.record.request_id)
         if message.record.request_id in self.book.own:
             self._end(message.record.request_id, context)
 
@@ -205,6 +211,22 @@
     def _(self, message: PeerSilent, context: Context) -> None:
         self.book.forget_peer(message.instance)
 
+    def _note_full(self, work: Work, failure: AttemptFailed, context: Context) -> None:
+        """Learn from an engine's word that it has no room, for all calls.
+
+        One whose memory is reserved may have lost it, which says nothing of slots.
+        """
+        known = self.fleet.endpoints.get(work.host) if self.fleet is not None else None
+        if known is None or work.held or not says_full(failure, known.listed):
+            return
+        figures = self.figures_of(known.listed.service)
+        if figures is None:
+            return
+        slots, stay = known.listed.slots, stay_of(figures)
+        running = self.book.turned_away(work.host, slots, stay, context.now)
+        until = context.now + turn_of(figures)
+        self.turned_away.note(work.request, running, until)
+
     def _end(self, request_id: RequestId, context: Context) -> None:
         self.book.drop(request_id)
         context.emit(WorkEnded(request_id))
--- a/src/mimosafork/gateway/policies/silence.py
+++ b/src/mimosafork/gateway/policies/silence.py
@@ -119,9 +119,10 @@
         """
         if not belief.usable(now) or belief.suspect(now):
             return False
-        load = self.book.load(belief.listed.endpoint, now)
-        if load.running >= belief.listed.slots:
+        endpoint = belief.listed.endpoint
+        if self.book.believed_running(endpoint, now) >= belief.listed.slots:
             return False
+        load = self.book.load(endpoint, now)
         return load.reading_ms <= MOST_READING_MS
 
 
--- /dev/null
+++ b/src/mimosafork/gateway/policies/turned_away.py
@@ -0,0 +1,44 @@
+"""Calls that engines turned away as they were full."""
+
+from datetime import timedelta
+
+from ...ids import RequestId
+from ...kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
+from ...placement.fullness import Crowd, crowd_after
+from ...routing.listing import ListedEndpoint
+
+FULL_STATUS = 503
+
+
+def says_full(failure: AttemptFailed, listed: ListedEndpoint) -> bool:
+    """Return whether an endpoint said of itself that it has no room.
+
+    One that names another says that this one is gone or can't help; then the one that
+    answered has only refused.
+    """
+    if failure.kind is not FailureKind.REFUSED:
+        return False
+    if failure.exposure is not Exposure.REFUSED or failure.status != FULL_STATUS:
+        return False
+    return failure.fault_at in {None, listed.address, listed.endpoint}
+
+
+class TurnedAway:
+    """What each open call knows of crowded engines."""
+
+    def __init__(self) -> None:
+        self.crowds: dict[RequestId, Crowd] = {}
+
+    def note(self, request_id: RequestId, running: int, until: timedelta) -> None:
+        """Learn that an engine that seemed to run so many turned a call away."""
+        former = self.crowds.get(request_id)
+        self.crowds[request_id] = crowd_after(former, running, until)
+
+    def crowded(self, request_id: RequestId, now: timedelta) -> int | None:
+        """Return how many running requests are too many for a call, if any are."""
+        crowd = self.crowds.get(request_id)
+        return crowd.running if crowd is not None and now < crowd.until else None
+
+    def forget(self, request_id: RequestId) -> None:
+        """Forget a call that has ended."""
+        self.crowds.pop(request_id, None)
--- a/src/mimosafork/placement/admission.py
+++ b/src/mimosafork/placement/admission.py
@@ -47,7 +47,7 @@
     if done_ms <= left_ms:
         return None
     slots = sum(state.view.slots for state in states)
-    taken = sum(state.load.running for state in states)
+    taken = sum(state.running for state in states)
     if taken < TAKEN_SHARE * slots and not is_heavy_repeat(ask, figures):
         return None
     return timedelta(milliseconds=max(done_ms - left_ms, host.reading_ms))
--- a/src/mimosafork/placement/choice.py
+++ b/src/mimosafork/placement/choice.py
@@ -32,6 +32,9 @@
         Where this instance runs; its zone goes first on ties.
     repeated : bool
         Whether endpoints may have run it before.
+    crowded : int or None
+        No host of so many requests or more is taken: one that seemed to be as busy has
+        just turned it away. None where none has.
     """
 
     request: RequestId
@@ -45,6 +48,7 @@
     avoid: frozenset[EndpointId] = frozenset()
     zone: AvailabilityZoneId | None = None
     repeated: bool = False
+    crowded: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mimosafork/placement/forecast.py
+++ b/src/mimosafork/placement/forecast.py
@@ -46,6 +46,8 @@
         Length of a pass in which all promised reading is done.
     safe_ms : float
         A pass of up to this length surely breaks none of them.
+    unheard : int
+        Requests that it is taken to run beside those of its load.
     """
 
     view: EngineView
@@ -57,16 +59,22 @@
     begin_ms: float
     busy_ms: float
     safe_ms: float
+    unheard: int = 0
 
     @property
     def load(self) -> EngineLoad:
         """Its load without reading."""
         return self.found.standing
 
+    @property
+    def running(self) -> int:
+        """Requests whose host it is, unheard ones counted."""
+        return self.found.standing.running + self.unheard
+
     @property
     def has_slot(self) -> bool:
         """Whether it may be host of one more request."""
-        return self.found.standing.running < self.view.slots
+        return self.running < self.view.slots
 
     @property
     def can_help(self) -> bool:
@@ -81,6 +89,7 @@
     now_ms: float,
     order: float,
     penalty: float,
+    unheard: int = 0,
 ) -> EngineState:
     """Return an engine as a placement sees it.
 
@@ -100,6 +109,7 @@
         1.5 * pass_ms + reading_ms,
         pass_ms + reading_ms,
         found.tightest_ms - PAUSE_SLACK_MS,
+        unheard,
     )
 
 
--- a/src/mimosafork/placement/plain.py
+++ b/src/mimosafork/placement/plain.py
@@ -36,7 +36,7 @@
         return WaitForRoom(Shortage.ENDPOINTS)
 
     def rank(view: EngineView) -> tuple[float, bool, float]:
-        running = book.sum_of(view.endpoint).standing.running
+        running = book.believed_running(view.endpoint, now)
         busy = (running + 1) * pace_of(view) / max(1, view.slots)
         if view.suspect:
             busy += SUSPECT_BUSY
--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -261,10 +261,15 @@
     return [
         index
         for index, state in enumerate(states)
-        if state.has_slot and state.found.standing.promised_tokens <= room
+        if is_open_to(ask, state) and state.found.standing.promised_tokens <= room
     ]
 
 
+def is_open_to(ask: PlacementAsk, state: EngineState) -> bool:
+    """Return whether an engine has a slot, and is not too crowded for a request."""
+    return state.has_slot and (ask.crowded is None or state.running < ask.crowded)
+
+
 def opening_costs(ask: PlacementAsk, states: Sequence[EngineState]) -> list[float]:
     """Return the cost of shortening the pause that each engine's requests bear."""
     if ask.longest_pause is None:
--- a/src/mimosafork/placement/policy.py
+++ b/src/mimosafork/placement/policy.py
@@ -19,7 +19,7 @@
 from .forecast import EngineState, state_of
 from .memory import needs_tickets, shares, total_tokens
 from .plain import choose_plain, preferred
-from .plan import Plan, best_plan
+from .plan import Plan, best_plan, is_open_to
 from .race import race_costs
 from .subset import engine_rank
 from .turn import waits_its_turn
@@ -86,6 +86,7 @@
             now_ms,
             index / count,
             SUSPECT_COST if view.suspect else 0.0,
+            book.full.unheard(view.endpoint, now),
         )
         for index, view in enumerate(ordered)
     ]
@@ -100,7 +101,7 @@
     least = finish_ms(ask, 0.0, figures.step_ms, figures)
     if least > ask.time_left.total_seconds() * 1e3:
         return NoRoom(timedelta(milliseconds=least), Shortage.TIME)
-    if any(state.has_slot for state in states):
+    if any(is_open_to(ask, state) for state in states):
         return WaitForRoom(Shortage.MEMORY)
     return WaitForRoom(Shortage.SLOTS)
 
--- a/src/mimosafork/placement/race.py
+++ b/src/mimosafork/placement/race.py
@@ -38,5 +38,5 @@
 
 def race_cost(state: EngineState, costs: tuple[float, ...]) -> float:
     """Return what taking one of an engine's free slots may cost."""
-    free = state.view.slots - state.load.running
+    free = state.view.slots - state.running
     return costs[free - 1] if 0 < free <= len(costs) else 0.0
--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from ..ids import EndpointId, InstanceId, RequestId
+from .fullness import FULL_SHARE, FullWord, FullWords
 from .rate import BeginRate
 
 
@@ -187,6 +188,8 @@
     """Of engines with work that has not changed since it was summed up."""
     begun: BeginRate = field(default_factory=BeginRate)
     """Works on engines, of all instances."""
+    full: FullWords = field(default_factory=FullWords)
+    """Of engines that turned calls away."""
 
     def note(self, work: Work) -> None:
         """Add own work, or replace what was known of it; ended work is dropped."""
@@ -230,8 +233,10 @@
             if told.started_at > received_at:
                 work = replace(told, started_at=received_at)
             known = former.get(work.request)
-            if known is None and work.parts:
-                self.begun.note(work.started_at)
+            if known is None:
+                self.full.heard_of(work.host, work.started_at)
+                if work.parts:
+                    self.begun.note(work.started_at)
             fresh[work.request] = known if known == work else work
         for request, work in former.items():
             if fresh.get(request) is not work:
@@ -246,6 +251,29 @@
         for work in self.peers.pop(instance, {}).values():
             self.unlink(work)
 
+    def turned_away(
+        self, endpoint: EndpointId, slots: int, stay: timedelta, now: timedelta
+    ) -> int:
+        """Learn that an engine is full; return how many it was believed to run.
+
+        The call that it turned away has been dropped before.
+
+        Parameters
+        ----------
+        stay : timedelta
+            How long a usual answer lasts there.
+        """
+        believed = self.believed_running(endpoint, now)
+        known = self.sum_of(endpoint).standing.running
+        unheard = round(slots * FULL_SHARE) - known
+        self.full.note(endpoint, FullWord(now, max(0, unheard), stay))
+        return believed
+
+    def believed_running(self, endpoint: EndpointId, now: timedelta) -> int:
+        """Return how many requests an engine hosts, unheard ones counted."""
+        known = self.sum_of(endpoint).standing.running
+        return known + self.full.unheard(endpoint, now)
+
     def link(self, work: Work) -> None:
         """Enter work under each of its engines."""
         for endpoint in engines_of(work):
--- a/tests/unit/gateway/test_full_engines.py
+++ b/tests/unit/gateway/test_full_engines.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 from unittest import TestCase
 
+from mimosafork.gateway.policies.placing import WorkPlacer
 from mimosafork.ids import EndpointId, InstanceId, RequestId
 from mimosafork.kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from mimosafork.kernel.messages.dispatch import Dispatch
@@ -239,6 +240,48 @@
     case.assertTrue(sent_beside("10.0.0.77:80"))
 
 
+def test_calls_that_were_turned_away_do_not_hold_up_new_ones() -> None:
+    """Callers wait while engines are free.
+
+    A few calls were turned away and wait for an emptier engine. They are older than
+    all new ones, and when three of a lane find no place the rest of it is left waiting.
+    """
+    fleet = full_fleet()
+    now = fleet.benches[0].clock.monotonic()
+    fleet.benches[0].serve(told({f"e{n}": 4 for n in range(6)}, now))
+    for number in range(4):
+        fleet.submit(f"call{number}")
+    fleet.full.clear()
+    fleet.run(3 * STEP)
+    case.assertEqual([1] * 4, [len(fleet.sent_to(f"call{n}")) for n in range(4)])
+    fleet.submit("new")
+    case.assertEqual(1, len(fleet.sent_to("new")))
+
+
+def test_the_word_counts_though_its_call_ends_with_it() -> None:
+    """A call has no time left for another engine; those that come next have."""
+    fleet = full_fleet(engines=1)
+    bench = fleet.benches[0]
+    now = bench.clock.monotonic()
+    bench.serve(Submit(huge_request("first", now, SHORT)))
+    bench.clock.advance(timedelta(seconds=14.95))
+    fleet.answer()
+    case.assertIsNotNone(bench.conclusion("first"))
+    fleet.submit("second")
+    case.assertEqual([], fleet.sent_to("second"))
+
+
+def test_nothing_is_kept_of_calls_that_have_ended() -> None:
+    """Calls that were turned away in a flood must not fill the memory."""
+    fleet = full_fleet(engines=2)
+    for number in range(20):
+        fleet.submit(f"call{number}")
+    fleet.run(timedelta(seconds=16))
+    placer = fleet.benches[0].kernel.plugin(WorkPlacer)
+    case.assertEqual({}, placer.turned_away.crowds)
+    case.assertLessEqual(len(placer.book.full.words), 2)
+
+
 def test_an_engine_that_names_itself_is_full() -> None:
     case.assertFalse(sent_beside(address_of("e0")))
     case.assertFalse(sent_beside("e0"))
--- /dev/null
+++ b/tests/unit/placement/test_fullness.py
@@ -0,0 +1,136 @@
+"""Tests of what an engine's word that it is full adds to the book of work."""
+
+from dataclasses import replace
+from datetime import timedelta
+from random import Random
+from unittest import TestCase
+
+from benchmarks.passes.deployments import FIGURES
+from mimosafork.ids import AvailabilityZoneId, EndpointId, InstanceId, RequestId
+from mimosafork.placement.choice import (
+    Choice,
+    EngineView,
+    Place,
+    PlacementAsk,
+    Shortage,
+    WaitForRoom,
+)
+from mimosafork.placement.fullness import (
+    FULL_SHARE,
+    LEAST_STAY,
+    LEAST_TURN,
+    LONGEST_STAY,
+    crowd_after,
+    stay_of,
+    turn_of,
+)
+from mimosafork.placement.policy import choose
+from mimosafork.placement.work import LoadBook, Work
+
+from ...support.functions import function_tests
+
+case = TestCase()
+
+A, B = EndpointId("i-a"), EndpointId("i-b")
+PEER = InstanceId("entry-2")
+SLOTS = 8
+FULL = round(SLOTS * FULL_SHARE)
+STAY = timedelta(seconds=1)
+NOW = timedelta(seconds=100)
+ZONE = AvailabilityZoneId("z")
+
+
+def works(count: int, host: EndpointId = A, began: timedelta = NOW) -> list[Work]:
+    """Return so many works on an engine."""
+    return [
+        Work(RequestId(f"{host}/{n}"), host, started_at=began) for n in range(count)
+    ]
+
+
+def full_book(known: int = 0) -> LoadBook:
+    """Return a book whose first engine has said that it is full."""
+    book = LoadBook()
+    book.replace_peer(PEER, works(known), NOW)
+    book.turned_away(A, SLOTS, STAY, NOW)
+    return book
+
+
+def chosen(book: LoadBook, crowded: int | None = None) -> Choice:
+    """Return where a short prompt goes."""
+    views = [EngineView(name, "10.0.0.1:80", ZONE, SLOTS) for name in (A, B)]
+    ask = PlacementAsk(RequestId("x"), 2_000, 0, 600, STAY * 10, STAY, crowded=crowded)
+    return choose(ask, views, book, FIGURES, NOW, Random(1))
+
+
+def test_a_full_engine_has_its_slots_taken_whatever_is_known() -> None:
+    for known in (0, 3, SLOTS, 2 * SLOTS):
+        book = full_book(known)
+        case.assertEqual(max(known, FULL), book.believed_running(A, NOW))
+        case.assertEqual(0, book.believed_running(B, NOW))
+        choice = chosen(book)
+        assert isinstance(choice, Place)
+        case.assertEqual(B, choice.host)
+
+
+def test_what_is_not_heard_of_is_forgotten_evenly() -> None:
+    book = full_book(known=2)
+    instants = [NOW + STAY * share for share in (0.0, 0.25, 0.5, 0.75, 1.0)]
+    case.assertEqual([12, 10, 7, 5, 2], [book.believed_running(A, t) for t in instants])
+
+
+def test_work_that_is_heard_of_late_counts_once() -> None:
+    book = full_book()
+    book.replace_peer(PEER, works(5), NOW)
+    case.assertEqual(FULL, book.believed_running(A, NOW))
+
+
+def test_work_that_begins_later_counts_besides() -> None:
+    book = full_book()
+    book.replace_peer(PEER, works(2, began=NOW + STAY / 2), NOW + STAY / 2)
+    case.assertEqual(FULL // 2 + 2, book.believed_running(A, NOW + STAY / 2))
+
+
+def test_the_end_of_known_work_makes_room() -> None:
+    book = full_book(known=FULL)
+    book.replace_peer(PEER, works(SLOTS - 1), NOW)
+    case.assertEqual(SLOTS - 1, book.believed_running(A, NOW))
+
+
+def test_an_engine_that_is_full_again_is_believed_for_longer() -> None:
+    book = full_book()
+    later = NOW + STAY / 2
+    book.turned_away(A, SLOTS, STAY, later)
+    case.assertEqual(FULL // 2, book.believed_running(A, later + STAY))
+    book.turned_away(A, SLOTS, STAY, later + 5 * STAY)
+    case.assertEqual(0, book.believed_running(A, later + 6 * STAY))
+
+
+def test_a_call_takes_no_engine_as_crowded_as_the_one_that_refused_it() -> None:
+    book = LoadBook()
+    book.replace_peer(PEER, [*works(4), *works(3, B)], NOW)
+    choice = chosen(book, crowded=4)
+    assert isinstance(choice, Place)
+    case.assertEqual(B, choice.host)
+    case.assertEqual(WaitForRoom(Shortage.SLOTS), chosen(book, crowded=3))
+
+
+def test_each_rejection_leaves_a_call_fewer_engines() -> None:
+    crowd = crowd_after(None, 0, NOW)
+    case.assertEqual(1, crowd.running)
+    crowd = crowd_after(crowd, 3, NOW)
+    case.assertEqual(1, crowd.running)
+    case.assertEqual(0, crowd_after(crowd, 0, NOW).running)
+
+
+def test_times_follow_the_engines_figures_within_bounds() -> None:
+    case.assertEqual(stay_of(FIGURES) / FIGURES.slots, turn_of(FIGURES))
+    case.assertTrue(LEAST_STAY < stay_of(FIGURES) < LONGEST_STAY)
+    case.assertEqual(LONGEST_STAY, stay_of(replace(FIGURES, usual_answer=90_000)))
+    brief = replace(FIGURES, usual_answer=1)
+    case.assertEqual(LEAST_STAY, stay_of(brief))
+    case.assertEqual(LEAST_TURN, turn_of(brief))
+    unstated = replace(FIGURES, usual_answer=0)
+    case.assertTrue(LEAST_STAY < stay_of(unstated) < LONGEST_STAY)
+
+
+load_tests = function_tests(__name__)
