Spread calls further the later words of running work come

What callers saw: with words of running work 100 ms late every sixth arrival at an engine was turned away, and where engines let many wait, short prompts waited inside full engines while others were half empty. Cause: the engine that costs least is the same one to all instances that know the same. What begins before its word comes goes to engines that it no longer suits; 64 instances with 40 works a second and words 100 ms old all miss the same four works. Change: a book keeps the mean age of peers' works when they are heard of first. Engines differ by chance by 0.16 for each work that begins within that age, never less than before. Why it holds: the age is told by the word itself, with its wait at the sender. Works of a peer that is heard first, and plain calls, which are told late on purpose, don't count. Where words come in time, as in small fleets, the spread is the former one. Words that don't come at all have no age: a cut between zones is as before.

--- a/benchmarks/passes/ablation.py
+++ b/benchmarks/passes/ablation.py
@@ -14,7 +14,7 @@
 from types import ModuleType
 
 from mimosafork.ids import EndpointId
-from mimosafork.placement import forecast, plan, policy, race
+from mimosafork.placement import forecast, plan, policy, race, spread
 from mimosafork.placement.choice import PlacementAsk
 from mimosafork.placement.forecast import EngineState
 from mimosafork.placement.plan import Plan
@@ -77,6 +77,7 @@
     "pause-slack": Mechanism(forecast, "PAUSE_SLACK_MS", NEARLY_ZERO),
     "first-event-slack": Mechanism(forecast, "FIRST_EVENT_SLACK", NEARLY_ZERO),
     "too-late": Mechanism(policy, "too_late", never_too_late),
+    "spread": Mechanism(spread, "SPREAD_PER_UNHEARD", 0.0),
     "fullness": Mechanism(entry, "learn_full", learns_nothing),
 }
 
--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -241,10 +241,17 @@
     figures: EngineFigures,
     random: Random,
     races: tuple[float, ...] = (),
+    spread: float = NOISE_COST,
 ) -> Plan | None:
-    """Return the plan that costs least, or None if no engine has room."""
+    """Return the plan that costs least, or None if no engine has room.
+
+    Parameters
+    ----------
+    spread : float
+        Cost by which engines differ by chance at most.
+    """
     # Chance is used alike whether there is a host or not.
-    noise = [random.random() * NOISE_COST for _ in states]
+    noise = [random.random() * spread for _ in states]
     hosts = hosts_of(ask, states, figures)
     if not hosts:
         return None
--- a/src/mimosafork/placement/policy.py
+++ b/src/mimosafork/placement/policy.py
@@ -21,6 +21,7 @@
 from .plain import choose_plain, preferred
 from .plan import Plan, best_plan, is_open_to
 from .race import race_costs
+from .spread import spread_cost
 from .subset import engine_rank
 from .turn import waits_its_turn
 from .work import LoadBook, Part
@@ -56,8 +57,10 @@
     if not usable:
         return WaitForRoom(Shortage.ENDPOINTS)
     states = states_of(usable, book, figures, now)
-    races = race_costs(book.begun.per_s(now), figures)
-    plan = best_plan(ask, states, figures, random, races)
+    per_s = book.begun.per_s(now)
+    races = race_costs(per_s, figures)
+    spread = spread_cost(per_s, book.age.mean_s)
+    plan = best_plan(ask, states, figures, random, races, spread)
     if plan is None:
         return without_plan(ask, states, figures)
     come_back = too_late(ask, states, plan.done_ms, plan.host, figures)
--- a/src/mimosafork/placement/rate.py
+++ b/src/mimosafork/placement/rate.py
@@ -1,10 +1,14 @@
-"""How often works begin."""
+"""How often works begin, and how late their words come."""
 
 from datetime import timedelta
 from math import exp
 
 RATE_SPAN_S = 1.0
 SECOND = timedelta(seconds=1)
+AGE_WEIGHT = 1 / 32
+"""Share of the newest word in the mean age; a flood brings some tens a second."""
+LONGEST_AGE_S = 1.0
+"""A word that was lost, and told again, says no more than that about the others."""
 
 
 class BeginRate:
@@ -30,3 +34,15 @@
     def faded(self, now: timedelta) -> float:
         """Return what is left of the level at an instant."""
         return exp(-max(0.0, (now - self.at) / SECOND) / RATE_SPAN_S)
+
+
+class WordAge:
+    """How old works are when their first word comes, over the latest of them."""
+
+    def __init__(self) -> None:
+        self.mean_s = 0.0
+
+    def note(self, age: timedelta) -> None:
+        """Take in the age of a work that is heard of for the first time."""
+        age_s = min(LONGEST_AGE_S, age / SECOND)
+        self.mean_s += AGE_WEIGHT * (age_s - self.mean_s)
--- /dev/null
+++ b/src/mimosafork/placement/spread.py
@@ -0,0 +1,31 @@
+"""How far apart instances choose that don't know of one another's last calls.
+
+The engine that costs least is the same one to all instances that know the same. What
+they know is late by the way of a word: so many works as begin meanwhile go to engines
+that they no longer suit. The less is known, the more it is worth to spread.
+"""
+
+from .plan import NOISE_COST
+
+SPREAD_PER_UNHEARD = 0.16
+"""Cost by which engines differ by chance, for each work that begins before its word
+comes."""
+MOST_SPREAD = 2.0
+"""Beyond it a choice goes by chance alone."""
+
+
+def spread_cost(per_s: float, late_s: float) -> float:
+    """Return the cost by which engines differ by chance.
+
+    Guard: in a flood whose words come a tenth of a second late, all instances fill one
+    engine after the other: the works that are to come are unknown to all, and each
+    engine is the emptiest until it turns calls away. In time, words change nothing.
+
+    Parameters
+    ----------
+    per_s : float
+        Works that begin in a second.
+    late_s : float
+        How old works are when they are heard of.
+    """
+    return min(MOST_SPREAD, max(NOISE_COST, SPREAD_PER_UNHEARD * per_s * late_s))
--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -8,7 +8,7 @@
 
 from ..ids import EndpointId, InstanceId, RequestId
 from .fullness import FULL_SHARE, FullWord, FullWords
-from .rate import BeginRate
+from .rate import BeginRate, WordAge
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +188,8 @@
     """Of engines with work that has not changed since it was summed up."""
     begun: BeginRate = field(default_factory=BeginRate)
     """Works on engines, of all instances."""
+    age: WordAge = field(default_factory=WordAge)
+    """Of peers' works on engines when they were heard of first."""
     full: FullWords = field(default_factory=FullWords)
     """Of engines that turned calls away."""
 
@@ -224,6 +226,8 @@
         received_at : timedelta
             No work of the snapshot can have started after it.
         """
+        # All works of a peer that is heard for the first time have run for long.
+        is_new = instance not in self.peers
         former = self.peers.get(instance, {})
         fresh: dict[RequestId, Work] = {}
         for told in works:
@@ -234,9 +238,7 @@
                 work = replace(told, started_at=received_at)
             known = former.get(work.request)
             if known is None:
-                self.full.heard_of(work.host, work.started_at)
-                if work.parts:
-                    self.begun.note(work.started_at)
+                self._hear_first(work, None if is_new else received_at)
             fresh[work.request] = known if known == work else work
         for request, work in former.items():
             if fresh.get(request) is not work:
@@ -246,6 +248,15 @@
                 self.link(work)
         self.peers[instance] = fresh
 
+    def _hear_first(self, work: Work, received_at: timedelta | None) -> None:
+        """Learn from a peer's work that was not known; when, unless it is old news."""
+        self.full.heard_of(work.host, work.started_at)
+        if not work.parts:
+            return
+        self.begun.note(work.started_at)
+        if received_at is not None:
+            self.age.note(received_at - work.started_at)
+
     def forget_peer(self, instance: InstanceId) -> None:
         """Drop all work of a peer that is gone."""
         for work in self.peers.pop(instance, {}).values():
