Spread calls further while full engines turn them away

What callers saw: while zones didn't hear each other, every fifth arrival at an engine was turned away, by engine after engine. Cause: words that do not come have no age, so that nothing told how little was known. Ruled out: what a rejection teaches of its own engine, as the next emptiest one is as full. Change: a call that a full engine turned away counts as three works of which nothing is known, for about a second, in the cost by which engines differ by chance. Why it holds: it needs no word; where no engine is full nothing changes.

--- a/benchmarks/passes/ablation.py
+++ b/benchmarks/passes/ablation.py
@@ -78,6 +78,7 @@
     "first-event-slack": Mechanism(forecast, "FIRST_EVENT_SLACK", NEARLY_ZERO),
     "too-late": Mechanism(policy, "too_late", never_too_late),
     "spread": Mechanism(spread, "SPREAD_PER_UNHEARD", 0.0),
+    "rejections": Mechanism(spread, "UNHEARD_PER_REJECTION", 0.0),
     "fullness": Mechanism(entry, "learn_full", learns_nothing),
 }
 
--- a/src/mimosafork/placement/policy.py
+++ b/src/mimosafork/placement/policy.py
@@ -59,7 +59,7 @@
     states = states_of(usable, book, figures, now)
     per_s = book.begun.per_s(now)
     races = race_costs(per_s, figures)
-    spread = spread_cost(per_s, book.age.mean_s)
+    spread = spread_cost(per_s, book.age.mean_s, book.rejected.per_s(now))
     plan = best_plan(ask, states, figures, random, races, spread)
     if plan is None:
         return without_plan(ask, states, figures)
--- a/src/mimosafork/placement/spread.py
+++ b/src/mimosafork/placement/spread.py
@@ -10,16 +10,20 @@
 SPREAD_PER_UNHEARD = 0.16
 """Cost by which engines differ by chance, for each work that begins before its word
 comes."""
+UNHEARD_PER_REJECTION = 3.0
+"""Works of which nothing is known, for each call that a full engine turns away in a
+second: of words that are missing no age tells."""
 MOST_SPREAD = 2.0
 """Beyond it a choice goes by chance alone."""
 
 
-def spread_cost(per_s: float, late_s: float) -> float:
+def spread_cost(per_s: float, late_s: float, rejected_per_s: float = 0.0) -> float:
     """Return the cost by which engines differ by chance.
 
-    Guard: in a flood whose words come a tenth of a second late, all instances fill one
-    engine after the other: the works that are to come are unknown to all, and each
-    engine is the emptiest until it turns calls away. In time, words change nothing.
+    Guard: in a flood whose words come a tenth of a second late, or not at all from
+    behind a cut, all instances fill one engine after the other: the works that are to
+    come are unknown to all, and each engine is the emptiest until it turns calls away.
+    Where words come in time and no engine is full, the spread is the usual one.
 
     Parameters
     ----------
@@ -27,5 +31,8 @@
         Works that begin in a second.
     late_s : float
         How old works are when they are heard of.
+    rejected_per_s : float
+        Calls of this instance that full engines turn away in a second.
     """
-    return min(MOST_SPREAD, max(NOISE_COST, SPREAD_PER_UNHEARD * per_s * late_s))
+    unheard = per_s * late_s + UNHEARD_PER_REJECTION * rejected_per_s
+    return min(MOST_SPREAD, max(NOISE_COST, SPREAD_PER_UNHEARD * unheard))
--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -192,6 +192,8 @@
     """Of peers' works on engines when they were heard of first."""
     full: FullWords = field(default_factory=FullWords)
     """Of engines that turned calls away."""
+    rejected: BeginRate = field(default_factory=BeginRate)
+    """Calls of this instance that full engines turned away."""
 
     def note(self, work: Work) -> None:
         """Add own work, or replace what was known of it; ended work is dropped."""
@@ -274,6 +276,7 @@
         stay : timedelta
             How long a usual answer lasts there.
         """
+        self.rejected.note(now)
         believed = self.believed_running(endpoint, now)
         known = self.sum_of(endpoint).standing.running
         unheard = round(slots * FULL_SHARE) - known
--- a/tests/unit/placement/test_spread.py
+++ b/tests/unit/placement/test_spread.py
@@ -22,6 +22,7 @@
 A = EndpointId("i-a")
 PEER, OTHER = InstanceId("entry-2"), InstanceId("entry-3")
 LATE = Words(late_s=0.1)
+CUT = Words(cut_s=(4.0, 12.0))
 ROOM = 3
 """Requests that wait at an engine of six slots."""
 FLOODS_S = 14.0
@@ -47,6 +48,22 @@
     case.assertLess(len(spread_out.rejections), len(without.rejections) / 4)
 
 
+def test_instances_that_hear_nothing_spread_when_engines_are_full() -> None:
+    """Behind a cut between zones every fifth call is turned away.
+
+    Instances of three zones reach all engines and don't hear each other. What is heard
+    comes in time, so that no age tells of what is missing; engines that are full do.
+    """
+    without, spread_out = 0, 0
+    for seed in (SEED, SEED + 1):
+        run = Run(GROWN, "mimosafork", seed, FLOODS_S, words=CUT, queue_room=ROOM)
+        with patch.object(spread, "UNHEARD_PER_REJECTION", 0.0):
+            without += len(play(run).rejections)
+        spread_out += len(play(run).rejections)
+    case.assertGreater(without, 100)
+    case.assertLess(spread_out, 0.8 * without)
+
+
 def work(number: int, began: timedelta, reads: bool = True) -> Work:
     """Return a peer's work on an engine, or on a plain endpoint."""
     parts = (Part(A, 100, 1.0),) if reads else ()
@@ -84,6 +101,16 @@
     case.assertAlmostEqual(0.01, age.mean_s, delta=0.001)
 
 
+def test_rejections_count_as_works_that_nobody_told_of() -> None:
+    calm = spread.spread_cost(10.0, 0.006)
+    case.assertEqual(calm, spread.spread_cost(10.0, 0.006, 0.0))
+    case.assertLess(calm, spread.spread_cost(10.0, 0.006, 0.5))
+    book = LoadBook()
+    book.turned_away(A, 8, SECOND, SECOND)
+    case.assertAlmostEqual(1.0, book.rejected.per_s(SECOND))
+    case.assertLess(book.rejected.per_s(6 * SECOND), 0.01)
+
+
 def test_the_spread_grows_with_what_is_not_known_yet_within_bounds() -> None:
     case.assertEqual(NOISE_COST, spread.spread_cost(0.0, 1.0))
     case.assertEqual(NOISE_COST, spread.spread_cost(35.0, 0.006))
