Count a rejection as one unheard work, not three

Cause: each rejection spread calls over more engines, and an engine that sheds can't be told from one that is full: neither names anybody as at fault. Change: one work in place of three.

--- a/src/mimosafork/placement/spread.py
+++ b/src/mimosafork/placement/spread.py
@@ -10,9 +10,10 @@
 SPREAD_PER_UNHEARD = 0.16
 """Cost by which engines differ by chance, for each work that begins before its word
 comes."""
-UNHEARD_PER_REJECTION = 3.0
+UNHEARD_PER_REJECTION = 1.0
 """Works of which nothing is known, for each call that a full engine turns away in a
-second: of words that are missing no age tells."""
+second: of words that are missing no age tells. More than one would spread calls onto
+engines that turn some away without being full, which can't be told from full ones."""
 MOST_SPREAD = 2.0
 """Beyond it a choice goes by chance alone."""
 
