--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -241,10 +241,17 @@
     figures: EngineFigures,
     random: Random,
     races: tuple[float, ...] = (),
+    spread: float = NOISE_COST,
 ) -> Plan | None:
-    """Return the plan that costs least, or None if no engine has room."""
+    """Return the plan that costs least, or None if no engine has room.
+
+    Parameters
+    ----------
+    spread : float
+        Cost by which engines differ by chance at most.
+    """
     # Chance is used alike whether there is a host or not.
-    noise = [random.random() * NOISE_COST for _ in states]
+    noise = [random.random() * spread for _ in states]
     hosts = hosts_of(ask, states, figures)
     if not hosts:
         return None
@@ -261,10 +268,15 @@
     return [
         index
         for index, state in enumerate(states)
-        if state.has_slot and state.found.standing.promised_tokens <= room
+        if is_open_to(ask, state) and state.found.standing.promised_tokens <= room
     ]
 
 
+def is_open_to(ask: PlacementAsk, state: EngineState) -> bool:
+    """Return whether an engine has a slot, and is not too crowded for a request."""
+    return state.has_slot and (ask.crowded is None or state.running < ask.crowded)
+
+
 def opening_costs(ask: PlacementAsk, states: Sequence[EngineState]) -> list[float]:
     """Return the cost of shortening the pause that each engine's requests bear."""
     if ask.longest_pause is None:
--- a/src/mimosafork/placement/policy.py
+++ b/src/mimosafork/placement/policy.py
@@ -19,8 +19,9 @@
 from .forecast import EngineState, state_of
 from .memory import needs_tickets, shares, total_tokens
 from .plain import choose_plain, preferred
-from .plan import Plan, best_plan
+from .plan import Plan, best_plan, is_open_to
 from .race import race_costs
+from .spread import spread_cost
 from .subset import engine_rank
 from .turn import waits_its_turn
 from .work import LoadBook, Part
@@ -56,8 +57,10 @@
     if not usable:
         return WaitForRoom(Shortage.ENDPOINTS)
     states = states_of(usable, book, figures, now)
-    races = race_costs(book.begun.per_s(now), figures)
-    plan = best_plan(ask, states, figures, random, races)
+    per_s = book.begun.per_s(now)
+    races = race_costs(per_s, figures)
+    spread = spread_cost(per_s, book.age.mean_s, book.rejected.per_s(now))
+    plan = best_plan(ask, states, figures, random, races, spread)
     if plan is None:
         return without_plan(ask, states, figures)
     come_back = too_late(ask, states, plan.done_ms, plan.host, figures)
@@ -86,6 +89,7 @@
             now_ms,
             index / count,
             SUSPECT_COST if view.suspect else 0.0,
+            book.full.unheard(view.endpoint, now),
         )
         for index, view in enumerate(ordered)
     ]
@@ -100,7 +104,7 @@
     least = finish_ms(ask, 0.0, figures.step_ms, figures)
     if least > ask.time_left.total_seconds() * 1e3:
         return NoRoom(timedelta(milliseconds=least), Shortage.TIME)
-    if any(state.has_slot for state in states):
+    if any(is_open_to(ask, state) for state in states):
         return WaitForRoom(Shortage.MEMORY)
     return WaitForRoom(Shortage.SLOTS)
 
--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -7,7 +7,8 @@
 from typing import NamedTuple
 
 from ..ids import EndpointId, InstanceId, RequestId
-from .rate import BeginRate
+from .fullness import FULL_SHARE, FullWord, FullWords
+from .rate import BeginRate, WordAge
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,6 +188,12 @@
     """Of engines with work that has not changed since it was summed up."""
     begun: BeginRate = field(default_factory=BeginRate)
     """Works on engines, of all instances."""
+    age: WordAge = field(default_factory=WordAge)
+    """Of peers' works on engines when they were heard of first."""
+    full: FullWords = field(default_factory=FullWords)
+    """Of engines that turned calls away."""
+    rejected: BeginRate = field(default_factory=BeginRate)
+    """Calls of this instance that full engines turned away."""
 
     def note(self, work: Work) -> None:
         """Add own work, or replace what was known of it; ended work is dropped."""
@@ -221,6 +228,8 @@
         received_at : timedelta
             No work of the snapshot can have started after it.
         """
+        # All works of a peer that is heard for the first time have run for long.
+        is_new = instance not in self.peers
         former = self.peers.get(instance, {})
         fresh: dict[RequestId, Work] = {}
         for told in works:
@@ -230,8 +239,8 @@
             if told.started_at > received_at:
                 work = replace(told, started_at=received_at)
             known = former.get(work.request)
-            if known is None and work.parts:
-                self.begun.note(work.started_at)
+            if known is None:
+                self._hear_first(work, None if is_new else received_at)
             fresh[work.request] = known if known == work else work
         for request, work in former.items():
             if fresh.get(request) is not work:
@@ -241,11 +250,44 @@
                 self.link(work)
         self.peers[instance] = fresh
 
+    def _hear_first(self, work: Work, received_at: timedelta | None) -> None:
+        """Learn from a peer's work that was not known; when, unless it is old news."""
+        self.full.heard_of(work.host, work.started_at)
+        if not work.parts:
+            return
+        self.begun.note(work.started_at)
+        if received_at is not None:
+            self.age.note(received_at - work.started_at)
+
     def forget_peer(self, instance: InstanceId) -> None:
         """Drop all work of a peer that is gone."""
         for work in self.peers.pop(instance, {}).values():
             self.unlink(work)
 
+    def turned_away(
+        self, endpoint: EndpointId, slots: int, stay: timedelta, now: timedelta
+    ) -> int:
+        """Learn that an engine is full; return how many it was believed to run.
+
+        The call that it turned away has been dropped before.
+
+        Parameters
+        ----------
+        stay : timedelta
+            How long a usual answer lasts there.
+        """
+        self.rejected.note(now)
+        believed = self.believed_running(endpoint, now)
+        known = self.sum_of(endpoint).standing.running
+        unheard = round(slots * FULL_SHARE) - known
+        self.full.note(endpoint, FullWord(now, max(0, unheard), stay))
+        return believed
+
+    def believed_running(self, endpoint: EndpointId, now: timedelta) -> int:
+        """Return how many requests an engine hosts, unheard ones counted."""
+        known = self.sum_of(endpoint).standing.running
+        return known + self.full.unheard(endpoint, now)
+
     def link(self, work: Work) -> None:
         """Enter work under each of its engines."""
         for endpoint in engines_of(work):
