Leave a silent stream only for an endpoint that answers

What callers saw: a stream is cut in the middle with most of its time left, though its endpoint was sound and went on a moment later. Cause: an attempt was ended before another endpoint had taken what was left of its answer. A free slot, and the placer's word, are beliefs. Ruled out: never to move a begun stream (those of dark endpoints, and of connections that fall silent for good, would be found after their callers have left); a new connection as a probe (it works where the old one is dead). Change: a silent attempt whose caller has got a part stays open while the next one is placed and sent, and is ended by that one's first event. Memory that is reserved is freed when an attempt counts as failed, so such attempts are not hedged.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -18,6 +18,7 @@
     Exposure,
     FailureKind,
     FirstToken,
+    HedgedAttemptHeard,
 )
 from ..kernel.messages.base import Message
 from ..kernel.messages.dispatch import Dispatch
@@ -92,6 +93,7 @@
         self.held = 0
         self.ended = False
         self.first_reported = False
+        self.hedged = False
         self.heard_at = tools.clock.monotonic()
         self.paused = False
         self.silence_due = self.heard_at
@@ -255,6 +257,7 @@
             now = self.tools.clock.monotonic()
             self.heard_at = now
             for event in self.splitter.feed(data):
+                self._report_heard()
                 self._report_first()
                 self.call.pass_event(event, now)
             # An event that never ends would fill the memory; it is never passed on.
@@ -288,6 +291,20 @@
             self.call.responder.part(part)
         self.parts.clear()
 
+    @property
+    def may_be_hedged(self) -> bool:
+        """Whether it stays open while another attempt is tried.
+
+        Its caller has begun to get its answer, and no memory is reserved for it, which
+        is freed as soon as it counts as failed.
+        """
+        return self.call.head_sent and not self.dispatch.helpers
+
+    def _report_heard(self) -> None:
+        if self.hedged:
+            heard = HedgedAttemptHeard(self.dispatch.request_id, self.dispatch.attempt)
+            self.tools.report(heard)
+
     def _report_first(self) -> None:
         if self.first_reported:
             return
--- a/src/mimosafork/gateway/call_lines.py
+++ b/src/mimosafork/gateway/call_lines.py
@@ -8,7 +8,7 @@
 from ..ids import ServiceId
 from ..kernel.messages.attempts import AttemptFailed
 from ..kernel.messages.base import Effect
-from ..kernel.messages.dispatch import Dispatch
+from ..kernel.messages.dispatch import Dispatch, RestoreAttempt
 from ..kernel.messages.outcomes import Conclude
 from ..kernel.messages.problems import ProblemCode
 from ..kernel.messages.timers import WakeAt
@@ -16,6 +16,7 @@
 from ..telemetry.catalogue.gateway import (
     ATTEMPT_FAILED,
     ATTEMPT_OUT_OF_TIME,
+    ATTEMPT_RESTORED,
     CALL_ENDED,
     CALL_NOT_SERVED,
     CALL_REFUSED,
@@ -161,6 +162,20 @@
             **self.look.inputs(ServiceId(call.request.target)).fields(),
         )
 
+    def restored(self, call: Call, dispatch: Dispatch) -> None:
+        """Tell that a silent attempt goes on, as no other has answered before."""
+        log_event(
+            logger,
+            ATTEMPT_RESTORED,
+            call=call.marks.call_id,
+            **self._whose(call),
+            endpoint=dispatch.endpoint,
+            attempt=dispatch.attempt,
+            events=call.events,
+            after_ms=milliseconds(self.clock.monotonic() - call.arrived_at),
+            since_event_ms=since_event(call, self.clock.monotonic()),
+        )
+
     def ended(self, call: Call, conclusion: Conclude) -> None:
         """Tell how a call ended: shortly where it was served."""
         if self.meter is not None:
@@ -268,4 +283,6 @@
     kinds = {type(effect) for effect in effects}
     if Conclude in kinds:
         return "given up"
+    if RestoreAttempt in kinds:
+        return "goes on"
     return "tried again" if kinds & {WakeAt, Dispatch} else "waits"
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from dataclasses import astuple
 from datetime import timedelta
 from functools import singledispatchmethod
 from http import HTTPStatus
@@ -14,9 +15,13 @@
 from ..gossip.boot_clock import BootClock
 from ..ids import RequestId
 from ..kernel.core import TICK, Kernel
-from ..kernel.messages.attempts import AttemptFailed, EndSilentAttempt
+from ..kernel.messages.attempts import (
+    AttemptFailed,
+    AttemptHedged,
+    EndSilentAttempt,
+)
 from ..kernel.messages.base import Effect, Message, Tick
-from ..kernel.messages.dispatch import CancelAttempt, Dispatch
+from ..kernel.messages.dispatch import CancelAttempt, Dispatch, RestoreAttempt
 from ..kernel.messages.outcomes import Conclude
 from ..kernel.messages.placement import FreePart, ReserveMemory
 from ..kernel.messages.problems import ProblemCode
@@ -94,6 +99,8 @@
         self.calls: dict[RequestId, Call] = {}
         self.by_connection: dict[Responder, RequestId] = {}
         self.attempts: dict[RequestId, EndpointAttempt] = {}
+        self.hedged: dict[RequestId, EndpointAttempt] = {}
+        """Silent attempts that stay open until another one of their call answers."""
         self.numbers = count(1)
         self.inbox: deque[Message] = deque()
         self.handling = False
@@ -316,13 +323,12 @@
         if request_id is None:
             return
         self.calls[request_id].behind = stalled
-        attempt = self.attempts.get(request_id)
-        if attempt is None:
-            return
-        if stalled:
-            attempt.pause()
-        else:
-            attempt.resume()
+        for attempts in (self.attempts, self.hedged):
+            attempt = attempts.get(request_id)
+            if attempt is not None and stalled:
+                attempt.pause()
+            elif attempt is not None:
+                attempt.resume()
 
     def post(self, message: Message) -> None:
         """Have the kernel handle a message, and carry out what it decides.
@@ -391,9 +397,22 @@
 
     @perform.register
     def _(self, effect: CancelAttempt) -> None:
-        attempt = self.attempts.pop(effect.request_id, None)
+        for attempts in (self.attempts, self.hedged):
+            attempt = attempts.get(effect.request_id)
+            if attempt is not None and attempt.dispatch.attempt == effect.attempt:
+                del attempts[effect.request_id]
+                attempt.cancel()
+
+    @perform.register
+    def _(self, effect: RestoreAttempt) -> None:
+        attempt = self.hedged.pop(effect.request_id, None)
+        call = self.calls.get(effect.request_id)
         if attempt is not None:
-            attempt.cancel()
+            attempt.hedged = False
+            self.attempts[effect.request_id] = attempt
+        if attempt is not None and call is not None:
+            call.notes = attempt.notes
+            self.lines.restored(call, attempt.dispatch)
 
     @perform.register
     def _(self, effect: ReserveMemory | FreePart) -> None:
@@ -401,11 +420,18 @@
 
     @perform.register
     def _(self, effect: EndSilentAttempt) -> None:
-        attempt = self.attempts.get(effect.failure.request_id)
-        if attempt is not None and not attempt.ended:
-            attempt.cancel()
-            self.pool.drop(attempt.dispatch.endpoint)
-            self.inbox.append(effect.failure)
+        request_id = effect.failure.request_id
+        attempt = self.attempts.get(request_id)
+        if attempt is None or attempt.ended:
+            return
+        self.pool.drop(attempt.dispatch.endpoint)
+        if attempt.may_be_hedged and request_id not in self.hedged:
+            attempt.hedged = True
+            self.hedged[request_id] = self.attempts.pop(request_id)
+            self.inbox.append(AttemptHedged(*astuple(effect.failure)))
+            return
+        attempt.cancel()
+        self.inbox.append(effect.failure)
 
     @perform.register
     def _(self, effect: WakeAt) -> None:
@@ -416,9 +442,10 @@
     @perform.register
     def _(self, effect: Conclude) -> None:
         call = self.calls.pop(effect.request_id, None)
-        attempt = self.attempts.pop(effect.request_id, None)
-        if attempt is not None:
-            attempt.ended = True
+        for attempts in (self.attempts, self.hedged):
+            attempt = attempts.pop(effect.request_id, None)
+            if attempt is not None:
+                attempt.ended = True
         if call is None:
             return
         call.concluded = True
@@ -464,6 +491,8 @@
     def _log_failure(self, failure: AttemptFailed, then: list[Effect]) -> None:
         call = self.calls.get(failure.request_id)
         attempt = self.attempts.get(failure.request_id)
+        if isinstance(failure, AttemptHedged):
+            attempt = self.hedged.get(failure.request_id)
         if call is None or attempt is None:
             return
         self.lines.attempt_failed(call, failure, attempt.reused, then)
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -8,7 +8,13 @@
 from ...ids import RequestId, ServiceId
 from ...kernel.context import Context
 from ...kernel.lifecycle import QUEUE_MISSES
-from ...kernel.messages.attempts import AttemptFailed, Exposure, FirstToken
+from ...kernel.messages.attempts import (
+    AttemptFailed,
+    AttemptHedged,
+    AttemptRestored,
+    Exposure,
+    FirstToken,
+)
 from ...kernel.messages.base import Message
 from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.requests import Request
@@ -85,6 +91,8 @@
         self.waiting_since: dict[RequestId, timedelta] = {}
         self.first_token_at: dict[RequestId, timedelta] = {}
         self.turned_away = TurnedAway()
+        self.hedged: dict[RequestId, Work] = {}
+        """Work of silent attempts that stay open beside another one."""
 
     def join(self, find: PluginFinder) -> None:
         """Keep the plug-ins that are asked."""
@@ -203,6 +211,7 @@
 
     @handle.register
     def _(self, message: FirstToken, context: Context) -> None:
+        self._end_hedged(message.request_id)
         self.book.first_token(message.request_id, context.now)
         work = self.book.own.get(message.request_id)
         if work is not None and reads_long(work):
@@ -215,6 +224,34 @@
         if work is not None and work.host == message.endpoint:
             self._end(message.request_id, context)
             self._note_full(work, message, context)
+        hedged = self.hedged.get(message.request_id)
+        if hedged is not None and hedged.host == message.endpoint:
+            self._end_hedged(message.request_id)
+
+    @handle.register
+    def _(self, message: AttemptHedged, context: Context) -> None:
+        work = self.book.own.get(message.request_id)
+        if work is not None and work.host == message.endpoint:
+            self._end(message.request_id, context)
+            self.hedged[message.request_id] = work
+            self.book.note(replace(work, request=beside(work.request)))
+
+    @handle.register
+    def _(self, message: AttemptRestored, context: Context) -> None:
+        work = self._end_hedged(message.request_id)
+        if work is not None:
+            self.book.note(work)
+            context.emit(WorkBegun(work))
+
+    def _end_hedged(self, request_id: RequestId) -> Work | None:
+        """Forget the silent attempt that is open beside another; return its work.
+
+        It takes a slot of its engine until it is ended, under a name of its own.
+        """
+        work = self.hedged.pop(request_id, None)
+        if work is not None:
+            self.book.drop(beside(request_id))
+        return work
 
     @handle.register
     def _(self, message: PlacementFailed, context: Context) -> None:
@@ -227,6 +264,7 @@
         self.waiting_since.pop(message.record.request_id, None)
         self.first_token_at.pop(message.record.request_id, None)
         self.turned_away.forget(message.record.request_id)
+        self._end_hedged(message.record.request_id)
         if message.record.request_id in self.book.own:
             self._end(message.record.request_id, context)
 
@@ -265,6 +303,11 @@
         context.emit(WorkEnded(request_id))
 
 
+def beside(request_id: RequestId) -> RequestId:
+    """Return the name of a call's silent attempt that is open beside another one."""
+    return RequestId(f"{request_id} hedged")
+
+
 def reads_long(work: Work) -> bool:
     """Return whether peers need to hear when a work's prompt has been read.
 
--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -6,7 +6,12 @@
 
 from ...ids import ServiceId
 from ...kernel.context import Context
-from ...kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
+from ...kernel.messages.attempts import (
+    AttemptFailed,
+    AttemptRestored,
+    Exposure,
+    FailureKind,
+)
 from ...kernel.messages.base import Message
 from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.requests import Repeatability, Request, Submit
@@ -87,6 +92,12 @@
         service = ServiceId(message.record.request.target)
         self.allowance(service).close(message.record.request_id)
 
+    @handle.register
+    def _(self, message: AttemptRestored, context: Context) -> None:
+        record = context.state.requests.get(message.request_id)
+        if record is not None:
+            self.allowance(ServiceId(record.request.target)).close(message.request_id)
+
     def decide(
         self, record: RequestRecord, failure: AttemptFailed, context: Context
     ) -> RetryDecision:
--- a/src/mimosafork/kernel/core.py
+++ b/src/mimosafork/kernel/core.py
@@ -18,10 +18,12 @@
 from .messages.attempts import (
     AttemptFailed,
     AttemptFinished,
+    AttemptHedged,
     AttemptSent,
     ConnectionOpening,
     DispatchFaulted,
     FirstToken,
+    HedgedAttemptHeard,
     RetryDue,
 )
 from .messages.base import Effect, Message, Tick
@@ -190,6 +192,14 @@
     def _(self, message: AttemptFailed, context: Context) -> None:
         self.lifecycle.attempt_failed(message, context)
 
+    @advance.register
+    def _(self, message: AttemptHedged, context: Context) -> None:
+        self.lifecycle.attempt_hedged(message, context)
+
+    @advance.register
+    def _(self, message: HedgedAttemptHeard, context: Context) -> None:
+        self.lifecycle.hedged_heard(message, context)
+
     @advance.register
     def _(self, message: DispatchFaulted, context: Context) -> None:
         self.lifecycle.dispatch_faulted(message.failure, context)
--- a/src/mimosafork/kernel/lifecycle.py
+++ b/src/mimosafork/kernel/lifecycle.py
@@ -9,18 +9,20 @@
 from datetime import timedelta
 
 from ..ids import AttemptNumber, ModelId, RequestId, ServiceId
+from . import hedging
 from .attempts import dispatch_of, new_attempt, own_dispatch_of
 from .context import Context
 from .messages.attempts import (
     AttemptFailed,
     AttemptFinished,
+    AttemptHedged,
     AttemptSent,
     ConnectionOpening,
     FailureKind,
     FirstToken,
+    HedgedAttemptHeard,
     RetryDue,
 )
-from .messages.dispatch import CancelAttempt
 from .messages.outcomes import Conclude, Outcome, Retention
 from .messages.problems import Problem, ProblemCode
 from .messages.requests import Request
@@ -263,6 +265,7 @@
         record = self._running(message.request_id, message.attempt, context)
         if record is None or record.current is None:
             return
+        hedging.cancel_hedged(record, context)
         record.current.first_token_at = context.now
         endpoint = context.state.fleet.endpoints.get(record.current.endpoint)
         if endpoint is not None and record.request_id in endpoint.own:
@@ -270,6 +273,7 @@
 
     def attempt_finished(self, message: AttemptFinished, context: Context) -> None:
         """Conclude a request whose answer is whole, unless a finisher holds it."""
+        self._restore(message.request_id, message.attempt, context)
         record = self._running(message.request_id, message.attempt, context)
         if record is None:
             return
@@ -294,8 +298,38 @@
 
     def attempt_failed(self, message: AttemptFailed, context: Context) -> None:
         """Retry or give up after a failed attempt."""
+        record = context.state.requests.get(message.request_id)
+        if record is not None and hedging.is_hedged(record, message.attempt):
+            record.hedged = None
+            return
         record = self._running(message.request_id, message.attempt, context)
-        if record is None or record.current is None:
+        if record is not None:
+            self._fail(record, message, context)
+
+    def attempt_hedged(self, message: AttemptHedged, context: Context) -> None:
+        """Try another attempt beside one that is silent."""
+        record = self._running(message.request_id, message.attempt, context)
+        if record is not None:
+            record.hedged = record.current
+            self._fail(record, message, context)
+
+    def hedged_heard(self, message: HedgedAttemptHeard, context: Context) -> None:
+        """Go on with an attempt that was only silent."""
+        self._restore(message.request_id, message.attempt, context)
+
+    def _restore(
+        self, request_id: RequestId, attempt: AttemptNumber, context: Context
+    ) -> None:
+        record = context.state.requests.get(request_id)
+        if record is None or not hedging.is_hedged(record, attempt):
+            return
+        if record.state in hedging.RESTORABLE:
+            hedging.restore(record, context)
+
+    def _fail(
+        self, record: RequestRecord, message: AttemptFailed, context: Context
+    ) -> None:
+        if record.current is None:
             return
         self._forget_own_dispatch(record, context)
         record.current.failure = message
@@ -395,7 +429,14 @@
         context: Context,
         retention: Retention = Retention.NOT_ASKED,
     ) -> None:
-        """End a request's life; its caller gets the final answer at once."""
+        """End a request's life; its caller gets the final answer at once.
+
+        Unless a silent attempt of it is still open, which then goes on.
+        """
+        if hedging.goes_on(record, problem):
+            hedging.restore(record, context)
+            return
+        hedging.cancel_hedged(record, context)
         context.state.waiting.remove(record)
         self._forget_own_dispatch(record, context)
         current = record.current
@@ -403,15 +444,7 @@
         # because this caller left would cut that one's answer.
         own = record.state is RequestState.RUNNING and record.shared_run is None
         if own and current is not None and outcome is not Outcome.COMPLETED:
-            context.emit(
-                CancelAttempt(
-                    record.request_id,
-                    current.number,
-                    current.stream_id,
-                    current.endpoint,
-                    current.address,
-                )
-            )
+            context.emit(hedging.cancellation_of(record, current))
         context.state.requests.pop(record.request_id, None)
         conclusion = Conclude(
             record.request_id, outcome, len(record.attempts), problem, retention
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -33,6 +33,8 @@
     ENGINE_FAILED = "engine-failed"
     """The engine ended the stream as failed."""
     DEADLINE = "deadline"
+    SUPERSEDED = "superseded"
+    """An earlier attempt that was silent has gone on before it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +114,30 @@
     digest: Digest | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptHedged(AttemptFailed):
+    """An attempt is silent, and another may be tried beside it.
+
+    It stays open until the other one answers, and goes on if that fails.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class HedgedAttemptHeard(Message):
+    """A hedged attempt has sent an event."""
+
+    request_id: RequestId
+    attempt: AttemptNumber
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptRestored(Message):
+    """A hedged attempt goes on as the current one of its request."""
+
+    request_id: RequestId
+    endpoint: EndpointId
+
+
 @dataclass(frozen=True, slots=True)
 class DispatchFaulted(Message):
     """An attempt could not be made for a fault in the code that makes it.
@@ -146,6 +172,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EndSilentAttempt(Effect):
-    """Cancel an attempt and report it as failed, so that another may follow."""
+    """Report an attempt as failed, or as hedged, so that another may follow.
+
+    One whose answer the caller has begun to get is left open beside the next one.
+    """
 
     failure: AttemptFailed
--- a/src/mimosafork/kernel/messages/dispatch.py
+++ b/src/mimosafork/kernel/messages/dispatch.py
@@ -92,6 +92,14 @@
     patience: Patience | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RestoreAttempt(Effect):
+    """Take a hedged attempt for the current one again."""
+
+    request_id: RequestId
+    attempt: AttemptNumber
+
+
 @dataclass(frozen=True, slots=True)
 class CancelAttempt(Effect):
     """Stop an attempt; its endpoint frees what it holds."""
--- a/src/mimosafork/kernel/records.py
+++ b/src/mimosafork/kernel/records.py
@@ -102,6 +102,8 @@
         The run goes on for its kept answer.
     part_run : bool
         A part of the prompt may have been prefilled before any attempt.
+    hedged : Attempt or None
+        An earlier attempt that is silent and stays open until a later one answers.
     """
 
     request: Request
@@ -118,6 +120,7 @@
     stream_base: str | None = None
     caller_gone: bool = False
     part_run: bool = False
+    hedged: Attempt | None = None
 
     @property
     def request_id(self) -> RequestId:
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -142,6 +142,16 @@
     "None. If many come, see what took their time: `waited_ms`, or the endpoint.",
     Importance.CALL,
 )
+ATTEMPT_RESTORED = Event(
+    2022,
+    "attempt-restored",
+    Level.INFO,
+    "call {call} goes on at endpoint {endpoint}, which was silent, after {after_ms} ms"
+    " and {events} events",
+    "Another endpoint was tried beside it and did not answer before. Nothing is lost.",
+    "None. If many come, see why endpoints pause, and why others refuse.",
+    Importance.CALL,
+)
 ENDPOINT_LEFT_ALONE = Event(
     2030,
     "endpoint-left-alone",
--- a/tests/support/gateway_truth.py
+++ b/tests/support/gateway_truth.py
@@ -46,6 +46,8 @@
         Its request has reached an endpoint, which may have rejected it.
     events : int
         Events of the whole call that its caller has.
+    hedged : bool
+        It is silent, and stays open until another one answers.
     """
 
     call: "ModelCall"
@@ -56,6 +58,7 @@
     may_have_run: bool = True
     arrived: bool = False
     begun: bool = False
+    hedged: bool = False
 
 
 @dataclass
--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 from datetime import timedelta
 from enum import Enum
 from random import Random
@@ -23,20 +23,33 @@
 from mimosafork.gateway.policies.allowance import SlackShare
 from mimosafork.gateway.policies.retrying import BudgetedRetry
 from mimosafork.gateway.problems import final_status
-from mimosafork.ids import EndpointId, Incarnation, InstanceId, RequestId, ServiceId
+from mimosafork.ids import (
+    AttemptNumber,
+    EndpointId,
+    Incarnation,
+    InstanceId,
+    RequestId,
+    ServiceId,
+)
 from mimosafork.kernel.context import Identity
 from mimosafork.kernel.core import TICK, Kernel
 from mimosafork.kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
+    AttemptHedged,
     AttemptSilent,
     EndSilentAttempt,
     Exposure,
     FailureKind,
     FirstToken,
+    HedgedAttemptHeard,
 )
 from mimosafork.kernel.messages.base import Effect, Message, Tick
-from mimosafork.kernel.messages.dispatch import CancelAttempt, Dispatch
+from mimosafork.kernel.messages.dispatch import (
+    CancelAttempt,
+    Dispatch,
+    RestoreAttempt,
+)
 from mimosafork.kernel.messages.lifecycle import StopNow
 from mimosafork.kernel.messages.outcomes import Conclude, Outcome
 from mimosafork.kernel.messages.placement import (
@@ -288,7 +301,10 @@
         if isinstance(effect, Dispatch):
             self.dispatch(effect)
         elif isinstance(effect, CancelAttempt):
-            self.end_attempts(effect.request_id)
+            self.end_attempt(effect.request_id, effect.attempt)
+        elif isinstance(effect, RestoreAttempt):
+            for sent in self.sent_as(effect.request_id, effect.attempt):
+                sent.hedged = False
         elif isinstance(effect, EndSilentAttempt):
             self.end_silent(effect.failure)
         elif isinstance(effect, WakeAt):
@@ -344,11 +360,30 @@
         for sent in [s for s in self.open if s.dispatch.request_id == request_id]:
             self._end(sent)
 
+    def sent_as(self, request_id: RequestId, number: AttemptNumber) -> list[Sent]:
+        """Return an open attempt, if it is one."""
+        return [
+            sent
+            for sent in self.open
+            if sent.dispatch.request_id == request_id
+            and sent.dispatch.attempt == number
+        ]
+
+    def end_attempt(self, request_id: RequestId, number: AttemptNumber) -> None:
+        """End one attempt of a call."""
+        for sent in self.sent_as(request_id, number):
+            self._end(sent)
+
     def end_silent(self, failure: AttemptFailed) -> None:
-        """Cancel a silent attempt and report it as failed."""
-        if any(s.dispatch.request_id == failure.request_id for s in self.open):
-            self.end_attempts(failure.request_id)
-            self.inbox.append(failure)
+        """Report a silent attempt as failed, or as hedged, as the gateway does."""
+        for sent in self.sent_as(failure.request_id, failure.attempt):
+            others = [s for s in self.open if s.call is sent.call and s.hedged]
+            if sent.call.head_sent and not sent.dispatch.helpers and not others:
+                sent.hedged = True
+                self.inbox.append(AttemptHedged(*astuple(failure)))
+            else:
+                self._end(sent)
+                self.inbox.append(failure)
 
     def _end(self, sent: Sent) -> None:
         sent.phase = Phase.ENDED
@@ -466,6 +501,9 @@
     def event(self, sent: Sent) -> None:
         """Let an event of a stream, or the head of an answer, come."""
         sent.heard_at = self.now
+        if sent.hedged:
+            name, attempt = sent.dispatch.request_id, sent.dispatch.attempt
+            self.post(HedgedAttemptHeard(name, attempt))
         if sent.call.request.terms is not None and sent.call.request.terms.streams:
             sent.call.events += 1
             sent.call.head_sent = True
@@ -554,7 +592,7 @@
         """Report silence and tick, as the gateway does while calls are open."""
         if not self.open_calls:
             return
-        for sent in list(self.open):
+        for sent in [each for each in self.open if not each.hedged]:
             self.report_silence(sent)
         self.post(Tick())
         late = [c for c in self.open_calls if c.request.deadline <= self.now]
--- a/tests/unit/gateway/test_moved_streams.py
+++ b/tests/unit/gateway/test_moved_streams.py
@@ -1,8 +1,9 @@
 """A stream whose sound endpoint pauses is not cut by the search for another one."""
 
 import asyncio
+import re
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from datetime import timedelta
 from random import Random
 from unittest import TestCase
@@ -109,6 +110,47 @@
             writer.close()
 
 
+class Resuming(Endpoints):
+    """Go on with a stream at the second endpoint, after a time.
+
+    Parameters
+    ----------
+    after : timedelta
+        The second endpoint's first event comes so much later.
+
+    Attributes
+    ----------
+    left : int
+        Requests whose callers closed their connection before the answer's end.
+    """
+
+    def __init__(self, before: int, after: timedelta) -> None:
+        super().__init__(before)
+        self.after = after
+        self.left = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one request; only the first has a pause."""
+        with suppress(asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            self.arrivals += 1
+            closed = asyncio.ensure_future(reader.read())
+            if self.arrivals == 1:
+                writer.write(HEAD + b"".join(map(event, range(1, self.before + 1))))
+                pause = PAUSE
+            else:
+                writer.write(HEAD)
+                pause = self.after
+            await asyncio.wait([closed], timeout=pause.total_seconds())
+            if closed.done():
+                self.left += 1
+                return
+            closed.cancel()
+            writer.write(b"".join(map(event, range(self.before + 1, 4))) + LAST)
+
+
 @contextmanager
 def engines(served: Endpoints) -> Iterator[VirtualDoor]:
     """Open the door of a gateway before two endpoints with free slots."""
@@ -178,4 +220,33 @@
         served_whole(door)
 
 
+def test_the_endpoint_that_answers_first_has_the_stream_and_no_event_is_doubled() -> (
+    None
+):
+    """A caller gets a sentence twice, or an endpoint works on for nobody.
+
+    A silent endpoint and the one that is tried beside it may both go on.
+    """
+    for after in (SECOND * 0.1, SECOND * 0.4, SECOND * 5):
+        served = Resuming(before=1, after=after)
+        with engines(served) as door:
+            caller = served_whole(door)
+            numbers = re.findall(rb"id: (\d+)", caller.read())
+            case.assertEqual([b"1", b"2", b"3"], numbers, after)
+            case.assertEqual((2, 1), (served.arrivals, served.left), after)
+
+
+def test_both_attempts_end_when_their_caller_leaves() -> None:
+    served = Resuming(before=1, after=5 * SECOND)
+    with engines(served) as door:
+        caller = door.caller()
+        headers = {"X-Request-Id": "q1", "X-Deadline-Ms": "15000"}
+        caller.send("/stream/1", b"", **headers)
+        door.run(SECOND * 1.2)
+        case.assertEqual((2, 0), (served.arrivals, served.left))
+        caller.socket.close()
+        door.run(SECOND * 0.1)
+        case.assertEqual(2, served.left)
+
+
 load_tests = function_tests(__name__)
