End hedged attempts for good, and let no early instance's part be given twice

Cause: what belongs to an attempt was told apart by its call or its host; a fleet counted as new for a whole window. Change: works in the book and hedged attempts go by the attempt's number; a hedged attempt that ends is forgotten; peers are told of the next place in the place of the silent one, and of no end; waiting before is not counted after; lives of a new fleet began within a second.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -298,7 +298,8 @@
         Its caller has begun to get its answer, and no memory is reserved for it, which
         is freed as soon as it counts as failed.
         """
-        return self.call.head_sent and not self.dispatch.helpers
+        reserved = any(each.reservation for each in self.dispatch.helpers)
+        return self.call.head_sent and not reserved
 
     def _report_heard(self) -> None:
         if self.hedged:
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -350,6 +350,7 @@
         effects = self.kernel.handle(message)
         if isinstance(message, AttemptFailed):
             self._guarded(message, self._log_failure, effects)
+            self._forget_hedged(message)
         for effect in effects:
             done = self._guarded(effect, self.performer)
             if isinstance(effect, Dispatch) and not done:
@@ -488,6 +489,12 @@
             f"{code.value}: {conclusion.outcome.value}\n".encode(),
         )
 
+    def _forget_hedged(self, failure: AttemptFailed) -> None:
+        """Forget a hedged attempt that has ended, so that a later one may be hedged."""
+        hedged = self.hedged.get(failure.request_id)
+        if hedged is not None and hedged.ended:
+            del self.hedged[failure.request_id]
+
     def _log_failure(self, failure: AttemptFailed, then: list[Effect]) -> None:
         call = self.calls.get(failure.request_id)
         attempt = self.attempts.get(failure.request_id)
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from ...ids import RequestId, ServiceId
+from ...ids import AttemptNumber, RequestId, ServiceId
 from ...kernel.context import Context
 from ...kernel.lifecycle import QUEUE_MISSES
 from ...kernel.messages.attempts import (
@@ -91,8 +91,10 @@
         self.waiting_since: dict[RequestId, timedelta] = {}
         self.first_token_at: dict[RequestId, timedelta] = {}
         self.turned_away = TurnedAway()
-        self.hedged: dict[RequestId, Work] = {}
-        """Work of silent attempts that stay open beside another one."""
+        self.placed_as: dict[RequestId, AttemptNumber] = {}
+        """Numbers of the attempts whose works stand in the book."""
+        self.hedged: dict[RequestId, AttemptNumber] = {}
+        """Numbers of silent attempts that stay open beside another one."""
 
     def join(self, find: PluginFinder) -> None:
         """Keep the plug-ins that are asked."""
@@ -157,6 +159,7 @@
         """Enter a call's work at its place, and tell peers of it."""
         work = place.work(ask, context.now)
         self.book.note(work)
+        self.placed_as[work.request] = AttemptNumber(len(record.attempts) + 1)
         self.waiting_since.pop(record.request_id, None)
         self._note_forecast(place, record.request_id, context.now)
         context.emit(WorkBegun(work))
@@ -211,7 +214,8 @@
 
     @handle.register
     def _(self, message: FirstToken, context: Context) -> None:
-        self._end_hedged(message.request_id)
+        if self.placed_as.get(message.request_id) == message.attempt:
+            self._forget_hedged(message.request_id)
         self.book.first_token(message.request_id, context.now)
         work = self.book.own.get(message.request_id)
         if work is not None and reads_long(work):
@@ -221,38 +225,31 @@
     def _(self, message: AttemptFailed, context: Context) -> None:
         work = self.book.own.get(message.request_id)
         # The next attempt may have been placed already; its work stays.
-        if work is not None and work.host == message.endpoint:
+        if work is not None and self.placed_as.get(work.request) == message.attempt:
             self._end(message.request_id, context)
             self._note_full(work, message, context)
-        hedged = self.hedged.get(message.request_id)
-        if hedged is not None and hedged.host == message.endpoint:
-            self._end_hedged(message.request_id)
+        elif self.hedged.get(message.request_id) == message.attempt:
+            self._forget_hedged(message.request_id)
+            if work is None:
+                context.emit(WorkEnded(message.request_id))
 
     @handle.register
     def _(self, message: AttemptHedged, context: Context) -> None:
-        work = self.book.own.get(message.request_id)
-        if work is not None and work.host == message.endpoint:
-            self._end(message.request_id, context)
-            self.hedged[message.request_id] = work
-            self.book.note(replace(work, request=beside(work.request)))
+        # Peers go on to take it for running; they hear of the next one in its place.
+        if self.book.rename(message.request_id, beside(message.request_id)):
+            self.hedged[message.request_id] = message.attempt
 
     @handle.register
     def _(self, message: AttemptRestored, context: Context) -> None:
-        work = self._end_hedged(message.request_id)
+        self.waiting_since.pop(message.request_id, None)
+        if self.hedged.pop(message.request_id, None) is None:
+            return
+        self.book.drop(message.request_id)
+        work = self.book.rename(beside(message.request_id), message.request_id)
+        self.placed_as[message.request_id] = message.attempt
         if work is not None:
-            self.book.note(work)
             context.emit(WorkBegun(work))
 
-    def _end_hedged(self, request_id: RequestId) -> Work | None:
-        """Forget the silent attempt that is open beside another; return its work.
-
-        It takes a slot of its engine until it is ended, under a name of its own.
-        """
-        work = self.hedged.pop(request_id, None)
-        if work is not None:
-            self.book.drop(beside(request_id))
-        return work
-
     @handle.register
     def _(self, message: PlacementFailed, context: Context) -> None:
         request_id = RequestId(message.request_id)
@@ -261,12 +258,22 @@
 
     @handle.register
     def _(self, message: Concluded, context: Context) -> None:
-        self.waiting_since.pop(message.record.request_id, None)
-        self.first_token_at.pop(message.record.request_id, None)
-        self.turned_away.forget(message.record.request_id)
-        self._end_hedged(message.record.request_id)
-        if message.record.request_id in self.book.own:
-            self._end(message.record.request_id, context)
+        request_id = message.record.request_id
+        self.waiting_since.pop(request_id, None)
+        self.first_token_at.pop(request_id, None)
+        self.turned_away.forget(request_id)
+        self.placed_as.pop(request_id, None)
+        was_hedged = self._forget_hedged(request_id)
+        if was_hedged or request_id in self.book.own:
+            self._end(request_id, context)
+
+    def _forget_hedged(self, request_id: RequestId) -> bool:
+        """Forget the silent attempt that is open beside another; say if there was one.
+
+        It takes a slot of its engine until it is ended, under a name of its own.
+        """
+        self.book.drop(beside(request_id))
+        return self.hedged.pop(request_id, None) is not None
 
     @handle.register
     def _(self, message: PeerWorkTold, context: Context) -> None:
@@ -300,7 +307,8 @@
 
     def _end(self, request_id: RequestId, context: Context) -> None:
         self.book.drop(request_id)
-        context.emit(WorkEnded(request_id))
+        if request_id not in self.hedged:
+            context.emit(WorkEnded(request_id))
 
 
 def beside(request_id: RequestId) -> RequestId:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -242,7 +242,6 @@
             settings.instance.availability_zone,
             FLEET,
             seed_addresses(settings.gossip.seeds, port),
-            settings.bounds.retry_window,
         )
         return Gossip(
             options,
--- a/src/mimosafork/gossip/census.py
+++ b/src/mimosafork/gossip/census.py
@@ -20,6 +20,10 @@
 """Of those that are silent so many count at most, the latest; state stays bounded where
 machines come under ever new names."""
 
+STARTED_TOGETHER = timedelta(seconds=1)
+"""Lives of a new fleet begin within this. One that began earlier may have sent, alone,
+all that there is to be shared."""
+
 MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -65,9 +69,7 @@
         if not (self.complete and self.began_long_ago(identity, now)):
             self.seen[identity.instance] = now
 
-    def all_read(
-        self, others: list[Identity], is_first_life: bool, window: timedelta
-    ) -> bool:
+    def all_read(self, others: list[Identity], is_first_life: bool) -> bool:
         """Note that all rows have been read.
 
         Guard: the instances of a new fleet write their rows at about the same time, so
@@ -80,8 +82,6 @@
             The latest life of each other instance.
         is_first_life : bool
             This instance had none before.
-        window : timedelta
-            Within which the lives of a new fleet have begun.
 
         Returns
         -------
@@ -90,9 +90,9 @@
         """
         self.looks += 1
         if self.looks == 1:
-            began = [each.started_ms for each in others]
-            oldest_ms = self.started_ms - window / MILLISECOND
-            self.fleet_is_new = is_first_life and min(began, default=oldest_ms) >= (
+            oldest_ms = self.started_ms - STARTED_TOGETHER // MILLISECOND
+            began_ms = [each.started_ms for each in others]
+            self.fleet_is_new = is_first_life and min(began_ms, default=oldest_ms) >= (
                 oldest_ms
             )
         is_early = self.looks == 1 and self.fleet_is_new
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -65,15 +65,12 @@
         Name of the fleet; datagrams of others are refused.
     seeds : tuple of Address
         Hosts where instances may listen, with the gossip's own port number.
-    window : timedelta
-        Within which all lives of a new fleet have begun.
     """
 
     instance: InstanceId
     zone: AvailabilityZoneId
     fleet: str
     seeds: tuple[Address, ...] = ()
-    window: timedelta = timedelta(seconds=10)
     timing: Timing = Timing()
 
 
@@ -107,7 +104,6 @@
         self.random = random or Random()
         self.sockets = sockets
         self.callbacks = callbacks
-        self.window = options.window
         me = own_identity(options, sockets.address, self.clock, self.random)
         self.exchange = Exchange(
             me,
@@ -309,7 +305,7 @@
         is_first_life : bool
             This instance had none before.
         """
-        return self.census.all_read(others, is_first_life, self.window)
+        return self.census.all_read(others, is_first_life)
 
     def alone(self) -> bool:
         """Whether no peer is heard."""
--- a/src/mimosafork/kernel/hedging.py
+++ b/src/mimosafork/kernel/hedging.py
@@ -45,8 +45,10 @@
     if hedged is None:
         return
     context.state.waiting.remove(record)
-    if record.state is RequestState.RUNNING and record.current is not None:
-        _supersede(record, record.current, context)
+    current = record.current
+    tried = current is not None and current is not hedged
+    if current is not None and tried and record.state is RequestState.RUNNING:
+        _supersede(record, current, context)
     hedged.failure = None
     record.attempts.remove(hedged)
     record.attempts.append(hedged)
@@ -54,7 +56,7 @@
     own = own_dispatch_of(record, context.now)
     context.state.fleet.note_own(hedged.endpoint, own)
     context.emit(RestoreAttempt(record.request_id, hedged.number))
-    context.post(AttemptRestored(record.request_id, hedged.endpoint))
+    context.post(AttemptRestored(record.request_id, hedged.number))
 
 
 def cancel_hedged(record: RequestRecord, context: Context) -> None:
@@ -76,6 +78,8 @@
 
 
 def _supersede(record: RequestRecord, attempt: Attempt, context: Context) -> None:
+    context.state.fleet.forget_own(attempt.endpoint, record.request_id)
+    context.emit(cancellation_of(record, attempt))
     if attempt.failure is not None:
         return
     attempt.failure = AttemptFailed(
@@ -86,6 +90,4 @@
         endpoint=attempt.endpoint,
         digest=record.request.body_digest,
     )
-    context.state.fleet.forget_own(attempt.endpoint, record.request_id)
-    context.emit(cancellation_of(record, attempt))
     context.post(attempt.failure)
--- a/src/mimosafork/kernel/lifecycle.py
+++ b/src/mimosafork/kernel/lifecycle.py
@@ -273,7 +273,7 @@
 
     def attempt_finished(self, message: AttemptFinished, context: Context) -> None:
         """Conclude a request whose answer is whole, unless a finisher holds it."""
-        self._restore(message.request_id, message.attempt, context)
+        self._finish_hedged(message, context)
         record = self._running(message.request_id, message.attempt, context)
         if record is None:
             return
@@ -317,6 +317,12 @@
         """Go on with an attempt that was only silent."""
         self._restore(message.request_id, message.attempt, context)
 
+    def _finish_hedged(self, message: AttemptFinished, context: Context) -> None:
+        """Go on with a hedged attempt whose answer is whole, whatever is under way."""
+        record = context.state.requests.get(message.request_id)
+        if record is not None and hedging.is_hedged(record, message.attempt):
+            hedging.restore(record, context)
+
     def _restore(
         self, request_id: RequestId, attempt: AttemptNumber, context: Context
     ) -> None:
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -135,7 +135,7 @@
     """A hedged attempt goes on as the current one of its request."""
 
     request_id: RequestId
-    endpoint: EndpointId
+    attempt: AttemptNumber
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -210,6 +210,16 @@
         if former is not None:
             self.unlink(former)
 
+    def rename(self, request: RequestId, name: RequestId) -> Work | None:
+        """Give own work another name, and return it; nothing else of it changes."""
+        former = self.own.pop(request, None)
+        if former is None:
+            return None
+        self.unlink(former)
+        work = self.own[name] = replace(former, request=name)
+        self.link(work)
+        return work
+
     def first_token(self, request: RequestId, now: timedelta) -> None:
         """Learn that own work has been read and writes from now on."""
         work = self.own.get(request)
--- a/tests/unit/gateway/test_budget_bounds.py
+++ b/tests/unit/gateway/test_budget_bounds.py
@@ -16,7 +16,6 @@
 from ...support import repeating_fleet
 from ...support.functions import function_tests
 from ...support.gateway_kernels import DESK, gateway_bench, request_of
-from ...support.gateway_truth import WINDOW
 from ...support.gossip_network import ZONES, identity, ms
 from ...support.repeating_fleet import (
     REFUSED_AFTER,
@@ -79,7 +78,7 @@
         for each in found:
             self.exchange.learn(each, self.now)
         others = [each for each in found if each.boot != self.exchange.me.boot]
-        self.exchange.roster.census.all_read(others, True, WINDOW)
+        self.exchange.roster.census.all_read(others, True)
 
     def step(self, now: timedelta) -> None:
         """Handle what is due."""
--- a/tests/unit/gossip/test_census.py
+++ b/tests/unit/gossip/test_census.py
@@ -109,16 +109,16 @@
     came seconds later took the fleet for new, as nobody in it had lasted for a window,
     and had its part at its second look. Both fell into one window.
     """
-    window, slack = timedelta(seconds=10), 100.0
+    slack = 100.0
     early, late = row_of(1), row_of(2, STARTED_MS + 7000)
     alone = Census(early.started_ms)
-    alone.all_read([], True, window)
+    alone.all_read([], True)
     case.assertTrue(alone.complete)
     spent = SlackShare(alone.instances, 0, alone.complete).of(slack)
     joining = Census(late.started_ms)
     joining.learn(early, START)
-    joining.all_read([early], True, window)
-    joining.all_read([early], True, window)
+    joining.all_read([early], True)
+    joining.all_read([early], True)
     since = None if joining.fleet_is_new else START
     share = SlackShare(joining.instances, 1, joining.complete, since)
     case.assertLessEqual(spent + share.of(slack), slack)
