Hold when a life has its part of the slack, by its rows and its own earlier life

Lives find each other by rows through the finder, the gossip and the sharing, without sockets, with the clock set: a first life in an old fleet and a life after another have no part until a window and the longest way are over, one that could not read the rows has none however long, and one of a new fleet has its part after the second look, or at once where it is alone. The rows of the tests keep the condition of a write now.

--- /dev/null
+++ b/tests/support/sharing_lives.py
@@ -0,0 +1,118 @@
+"""Lives of instances that find each other by the rows of the store, without sockets."""
+
+import asyncio
+from collections.abc import Sequence
+from datetime import timedelta
+from random import Random
+from typing import Any, cast
+
+from mimosafork.clock import ManualClock
+from mimosafork.directory.directory import Directory
+from mimosafork.directory.errors import ConflictError, StoreUnavailableError
+from mimosafork.directory.rows import (
+    ABSENT,
+    Row,
+    RowCondition,
+    RowName,
+    RowPage,
+    RowPut,
+)
+from mimosafork.gateway.neighbours import Neighbours
+from mimosafork.gateway.policies.fleet_view import FleetView
+from mimosafork.gateway.sharing import Sharing
+from mimosafork.gossip.finding import Finder
+from mimosafork.gossip.peer_rows import TABLE, SharedPeerRows
+from mimosafork.gossip.service import Gossip, GossipOptions
+from mimosafork.gossip.sockets import Sockets
+
+from .directories import ScriptedConfigurations, ScriptedEndpoints
+from .gossip_network import identity
+
+
+class FakeRows:
+    """Rows in memory, with pages of two; down while told so."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, bytes] = {}
+        self.down = False
+        self.writes = 0
+
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        start: str | None = None,
+        end: str | None = None,
+        limit: int | None = None,
+    ) -> RowPage:
+        self.check()
+        keys = sorted(key for key in self.rows if start is None or key >= start)
+        rows = tuple(Row(table, part, key, self.rows[key], 1) for key in keys[:2])
+        return RowPage(rows, 1, len(keys) > 2)
+
+    async def changes(self, table: str, after: int, wait: timedelta) -> RowPage:
+        raise NotImplementedError
+
+    async def write(
+        self,
+        puts: Sequence[RowPut] = (),
+        removes: Sequence[RowName] = (),
+        conditions: Sequence[RowCondition] = (),
+    ) -> int:
+        self.check()
+        assert [put.table for put in puts] == [TABLE]
+        for each in conditions:
+            assert each.version == ABSENT
+            if each.key in self.rows:
+                raise ConflictError("the row exists")
+        self.writes += 1
+        self.rows.update({put.key: put.value for put in puts})
+        return 1
+
+    def check(self) -> None:
+        if self.down:
+            raise StoreUnavailableError("down")
+
+
+class SharingLife:
+    """One life of an instance: its sharing, its gossip and its finder.
+
+    Parameters
+    ----------
+    number : int
+        In the instance's name.
+    """
+
+    def __init__(self, rows: FakeRows, clock: ManualClock, number: int) -> None:
+        me = identity(number)
+        directory = Directory(
+            ScriptedConfigurations(), ScriptedEndpoints(), clock, Random(1)
+        )
+        self.sharing = Sharing(
+            directory,
+            lambda message: None,
+            lambda endpoint: None,
+            clock,
+            Neighbours(me.instance, FleetView()),
+        )
+        self.gossip = Gossip(
+            GossipOptions(me.instance, me.zone, "blue"),
+            Sockets(cast(Any, None), cast(Any, None), me.address),
+            lambda matter: None,
+            self.sharing.callbacks,
+            SharedPeerRows(rows),
+            clock,
+            Random(number),
+        )
+        self.sharing.gossip = self.gossip
+
+    def look(self) -> bool:
+        """Write the own row and read all; return whether to look again soon."""
+        finder = self.gossip.finder
+        assert isinstance(finder, Finder)
+        asyncio.run(finder.look())
+        return finder.looks_again
+
+    def part(self, slack: float = 100.0) -> int:
+        """Return this life's part of a slack."""
+        return self.sharing.slack_share().of(slack)
--- a/tests/unit/gateway/test_budget_bounds.py
+++ b/tests/unit/gateway/test_budget_bounds.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from unittest import TestCase
 
+from mimosafork.clock import ManualClock
 from mimosafork.gateway.policies.allowance import SlackShare
 from mimosafork.gateway.policies.retrying import RATIO, BudgetedRetry
 from mimosafork.gateway.upstream import UNACKNOWLEDGED_MS
@@ -14,13 +15,17 @@
 from ...support.gateway_kernels import DESK, gateway_bench, request_of
 from ...support.gateway_truth import WINDOW
 from ...support.gossip_network import ZONES, identity, ms
-from ...support.repeating_fleet import RepeatingFleet, RepeatingInstance
+from ...support.repeating_fleet import LATEST, RepeatingFleet, RepeatingInstance
+from ...support.sharing_lives import FakeRows, SharingLife
 
 case = TestCase()
 
 CALM = timedelta(seconds=12)
 FLOOD = timedelta(seconds=14)
 
+SETTLES = WINDOW + LATEST
+"""Until then what a former life has sent may arrive in the same window."""
+
 
 class EarlyInstance(RepeatingInstance):
     """The first life of an instance in a fleet that is new, as its finder looks."""
@@ -117,6 +122,98 @@
     case.assertLessEqual(fleet.worst_window(), 0)
 
 
+def waits_for_its_part(life: SharingLife, clock: ManualClock, part: int) -> None:
+    """Check that a life has no part for a window and the way, and then has it."""
+    case.assertEqual(0, life.part())
+    clock.advance(SETTLES - ms(1))
+    case.assertEqual(0, life.part())
+    clock.advance(ms(1))
+    case.assertEqual(part, life.part())
+
+
+def test_a_first_life_in_an_old_fleet_waits_for_its_part() -> None:
+    """A machine is replaced in a flood, and its part of the slack is spent twice.
+
+    The new one has another name, and no row of an earlier life. It took itself for one
+    of a new fleet, though the one whose place it takes had just spent its part.
+    """
+    for age, is_new in ((WINDOW, True), (WINDOW + ms(1), False)):
+        rows, clock = FakeRows(), ManualClock(CALM)
+        SharingLife(rows, clock, 1).look()
+        clock.advance(age)
+        late = SharingLife(rows, clock, 2)
+        case.assertEqual(is_new, late.look())
+        if is_new:
+            case.assertFalse(late.look())
+            case.assertEqual(50, late.part())
+        else:
+            waits_for_its_part(late, clock, 50)
+
+
+def test_one_old_row_among_fresh_ones_is_of_an_old_fleet() -> None:
+    rows, clock = FakeRows(), ManualClock(CALM)
+    SharingLife(rows, clock, 1).look()
+    clock.advance(CALM)
+    SharingLife(rows, clock, 2).look()
+    last = SharingLife(rows, clock, 3)
+    case.assertFalse(last.look())
+    waits_for_its_part(last, clock, 33)
+
+
+def test_a_life_after_another_waits_for_its_part() -> None:
+    """A fleet has just been started, and an instance of it is killed in a flood.
+
+    All rows are fresh, its own and those of others. Its next life took itself for one
+    of a new fleet, and spent the part that its former life had spent before.
+    """
+    for others in (0, 1, 3):
+        rows, clock = FakeRows(), ManualClock(CALM)
+        for number in range(others + 1):
+            SharingLife(rows, clock, number).look()
+        clock.advance(ms(500))
+        again = SharingLife(rows, clock, 0)
+        case.assertFalse(again.look(), others)
+        waits_for_its_part(again, clock, 100 // (others + 1))
+
+
+def test_a_life_that_can_not_read_the_rows_has_no_part() -> None:
+    """An instance starts behind a cut, without the store, and takes itself for alone.
+
+    However long it has lasted, it can't know among how many the slack is divided.
+    """
+    rows, clock = FakeRows(), ManualClock(CALM)
+    SharingLife(rows, clock, 1).look()
+    rows.down = True
+    clock.advance(CALM)
+    life = SharingLife(rows, clock, 2)
+    for _ in range(3):
+        case.assertFalse(life.look())
+        case.assertEqual(0, life.part())
+        clock.advance(SETTLES)
+    case.assertEqual(0, life.part())
+    rows.down = False
+    life.look()
+    case.assertEqual(50, life.part())
+
+
+def test_a_life_of_a_new_fleet_has_its_part_after_a_second_look() -> None:
+    """A fleet is started, and each instance divides the slack among those it found.
+
+    Their rows are written at about the same time, so that the first look finds some.
+    """
+    rows, clock = FakeRows(), ManualClock(CALM)
+    first, second, third = (SharingLife(rows, clock, number) for number in range(3))
+    case.assertTrue(first.look())
+    case.assertEqual(100, first.part())
+    case.assertTrue(second.look())
+    case.assertEqual(0, second.part())
+    case.assertTrue(third.look())
+    clock.advance(READ_AGAIN)
+    for each, part in ((first, 34), (second, 33), (third, 33)):
+        case.assertFalse(each.look())
+        case.assertEqual(part, each.part())
+
+
 def test_without_a_slack_requests_still_earn_repeats() -> None:
     """A deployment sets no slack, and nothing is ever sent again.
 
--- a/tests/unit/gossip/test_service.py
+++ b/tests/unit/gossip/test_service.py
@@ -1,7 +1,7 @@
 """Tests of the gossip on loopback sockets, and of pulls and the store's rows."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from random import Random
 from socket import AF_INET, SOCK_DGRAM, socket
@@ -9,14 +9,6 @@
 from unittest import TestCase
 
 from mimosafork.clock import ManualClock
-from mimosafork.directory.errors import StoreUnavailableError
-from mimosafork.directory.rows import (
-    Row,
-    RowCondition,
-    RowName,
-    RowPage,
-    RowPut,
-)
 from mimosafork.gossip.callbacks import Callbacks
 from mimosafork.gossip.effects import DatagramRefused
 from mimosafork.gossip.errors import PullError
@@ -25,7 +17,7 @@
 from mimosafork.gossip.kinds.load import WorkNote
 from mimosafork.gossip.ledger import Entry, Slot
 from mimosafork.gossip.members import Address, Identity, Member
-from mimosafork.gossip.peer_rows import TABLE, SharedPeerRows
+from mimosafork.gossip.peer_rows import SharedPeerRows
 from mimosafork.gossip.pulling import Puller
 from mimosafork.gossip.pulls import Held, Matter, pull
 from mimosafork.gossip.roster import Roster
@@ -36,6 +28,7 @@
 
 from ...support.functions import function_tests
 from ...support.gossip_network import identity
+from ...support.sharing_lives import FakeRows
 
 case = TestCase()
 
@@ -331,47 +324,6 @@
     in_loop(scenario)
 
 
-class FakeRows:
-    """Rows in memory, with pages of two; down while told so."""
-
-    def __init__(self) -> None:
-        self.rows: dict[str, bytes] = {}
-        self.down = False
-        self.writes = 0
-
-    async def read(
-        self,
-        table: str,
-        part: str = "",
-        start: str | None = None,
-        end: str | None = None,
-        limit: int | None = None,
-    ) -> RowPage:
-        self.check()
-        keys = sorted(key for key in self.rows if start is None or key >= start)
-        rows = tuple(Row(table, part, key, self.rows[key], 1) for key in keys[:2])
-        return RowPage(rows, 1, len(keys) > 2)
-
-    async def changes(self, table: str, after: int, wait: timedelta) -> RowPage:
-        raise NotImplementedError
-
-    async def write(
-        self,
-        puts: Sequence[RowPut] = (),
-        removes: Sequence[RowName] = (),
-        conditions: Sequence[RowCondition] = (),
-    ) -> int:
-        self.check()
-        case.assertEqual([TABLE], [put.table for put in puts])
-        self.writes += 1
-        self.rows.update({put.key: put.value for put in puts})
-        return 1
-
-    def check(self) -> None:
-        if self.down:
-            raise StoreUnavailableError("down")
-
-
 def test_rows_of_peers_are_written_once_and_read_over_pages() -> None:
     # The store is down when an instance starts; it writes its row when the store is
     # back, once, over that of its earlier life. A row that nobody can read does not
