Hold that a repeat is counted once, when it is sent, though its memory came slowly

A refused call's memory is reserved in several steps that take longer than a repeat stays paid for: it is counted once, as of the moment when it is sent, and refused if others have taken the room meanwhile, with its memory given back.

--- a/tests/unit/gateway/test_reserving.py
+++ b/tests/unit/gateway/test_reserving.py
@@ -11,6 +11,7 @@
     rule,
 )
 
+from mimosafork.gateway.policies.allowance import Allowance
 from mimosafork.gateway.policies.fleet_view import FleetView
 from mimosafork.gateway.policies.placing import WorkPlacer
 from mimosafork.gateway.policies.reserving import (
@@ -19,6 +20,7 @@
     LAST_OF_HOLD,
     MemoryKeeper,
 )
+from mimosafork.gateway.policies.retrying import BudgetedRetry
 from mimosafork.gateway.sharing import note_of
 from mimosafork.ids import EndpointId, RequestId
 from mimosafork.kernel.messages.attempts import AttemptFinished, FirstToken
@@ -35,6 +37,7 @@
 from ...support.reserving_engines import (
     HUGE,
     MEMORY,
+    POOL,
     ReservingBench,
     address_of,
     first_attempt,
@@ -407,6 +410,56 @@
     case.assertGreaterEqual(sum(part.tokens for part in told.held), HUGE)
 
 
+def held_up_repeat(bench: ReservingBench, repeats: int) -> Allowance:
+    """Have a call refused and its memory reserved again, for longer than it is paid.
+
+    Parameters
+    ----------
+    repeats : int
+        Of other calls, which are sent meanwhile.
+    """
+    policy = bench.kernel.plugin(BudgetedRetry)
+    policy.ratio, policy.slack = 0.0, 2.0
+    begun(bench)
+    bench.held_back = []
+    bench.fail_attempt("r")
+    bench.run(ms(50))
+    own = policy.allowance(POOL)
+    case.assertEqual(1, own.held())
+    bench.run(ms(400))
+    for number in range(repeats):
+        own.count_repeat(RequestId(f"o{number}"), bench.clock.monotonic())
+    bench.answer_held_back()
+    return own
+
+
+def test_a_repeat_that_waited_for_memory_is_counted_when_it_is_sent() -> None:
+    """Other calls are refused their repeats though the budget has room.
+
+    Memory for a repeat was reserved slowly, in several steps. It was counted when they
+    began and again when it was sent, or only when they began: in another window.
+    """
+    bench = reserving_bench()
+    own = held_up_repeat(bench, repeats=1)
+    case.assertEqual(2, len(bench.dispatches("r")))
+    case.assertEqual(2, own.held())
+    case.assertEqual(bench.clock.monotonic(), own.sent[RequestId("r")])
+
+
+def test_a_repeat_that_waited_for_memory_needs_room_when_it_is_sent() -> None:
+    """Engines are sent more repeats than they may be, after waiting for memory.
+
+    A repeat had room when its memory began to be reserved. Others took the room before
+    all of it was.
+    """
+    bench = reserving_bench()
+    own = held_up_repeat(bench, repeats=2)
+    case.assertEqual(1, len(bench.dispatches("r")))
+    case.assertIsNotNone(bench.conclusion("r"))
+    case.assertEqual(2, own.held())
+    nothing_kept(bench)
+
+
 class Reserving(RuleBasedStateMachine):
     """Requests come, end and fail while engines fill up, fall silent and recover."""
 
