Hold each reason for which a begun answer stays where it is

The placer is asked whether a begun answer would go on elsewhere at once: not where it would be placed as before, nor where memory must be reserved, nor with a content that peers know to crash endpoints, nor where its prompt is dear to read a second time. To leave repeated=True away is still not seen: a running attempt's exposure is POSSIBLE unless a connection is being opened for it, so that the ask says the same by itself for an answer that has begun.

--- a/tests/unit/gateway/test_silence.py
+++ b/tests/unit/gateway/test_silence.py
@@ -4,6 +4,7 @@
 from unittest import TestCase
 
 from mimosafork.gateway.policies.patience import patience_of
+from mimosafork.gateway.policies.placing import WorkPlacer
 from mimosafork.ids import EndpointId, InstanceId, RequestId
 from mimosafork.kernel.lifecycle import QUEUE_MISSES
 from mimosafork.kernel.messages.attempts import (
@@ -15,6 +16,7 @@
 from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.requests import CallTerms, Submit
 from mimosafork.kernel.messages.routing import PeerWorkTold
+from mimosafork.kernel.messages.sharing import CrashTold
 from mimosafork.placement.reading import OVERRUN
 from mimosafork.placement.work import Part, Work
 
@@ -198,6 +200,69 @@
     case.assertEqual([], list(bench.emitted(EndSilentAttempt)))
 
 
+def stays_where_it_is(bench: ReservingBench, first: Dispatch) -> None:
+    """Check that a silent attempt is not ended though another engine has room."""
+    bench.serve(AttemptSilent(first.request_id, first.attempt, SILENCE))
+    case.assertEqual([], list(bench.emitted(EndSilentAttempt)))
+
+
+def test_a_begun_answer_goes_on_where_its_place_would_be_the_same() -> None:
+    """A caller's stream is cut in the middle though its endpoint is sound.
+
+    Of the engines that this instance uses, all others had gone. It would have been
+    placed where it ran before, and another service's free slot helped nobody.
+    """
+    bench = reserving_bench(engines=3)
+    first = begun_stream(bench, SILENCE * 9)
+    placer = bench.kernel.plugin(WorkPlacer)
+    placer.narrowed = lambda views: [v for v in views if v.endpoint == first.endpoint]
+    stays_where_it_is(bench, first)
+
+
+def test_a_begun_answer_goes_on_where_its_memory_may_be_refused() -> None:
+    """A caller's stream is cut in the middle though its endpoint is sound.
+
+    Its prompt is larger than one engine. Memory was free by the book, and taken when
+    it was to be reserved; the answer had been ended by then.
+    """
+    bench = reserving_bench(engines=6)
+    now = bench.clock.monotonic()
+    bench.serve(Submit(huge_request("a", now, time=SILENCE * 300)))
+    first = bench.last_dispatch("a")
+    bench.serve(FirstToken(first.request_id, first.attempt))
+    bench.run(SILENCE)
+    stays_where_it_is(bench, first)
+
+
+def test_a_begun_answer_goes_on_where_its_content_is_poison() -> None:
+    """A caller's stream is cut in the middle though its endpoint is sound.
+
+    Its content had brought down others, as peers told meanwhile, and the placer sends
+    such a content nowhere any more.
+    """
+    bench = reserving_bench(engines=3)
+    first = begun_stream(bench, SILENCE * 9)
+    record = bench.kernel.state.requests[first.request_id]
+    crashed = frozenset(EndpointId(f"gone-{number}") for number in range(9))
+    bench.serve(CrashTold(record.request.body_digest, crashed, False))
+    stays_where_it_is(bench, first)
+
+
+def test_a_begun_answer_goes_on_where_its_prompt_is_dear_to_read_again() -> None:
+    """A caller's stream is cut in the middle though its endpoint is sound.
+
+    Engines had room for a new call of its size, which is tried even if the time seems
+    too short. What was read once is not read for seconds again in vain, and refused.
+    """
+    bench = reserving_bench(engines=3)
+    prompt, now = 2 * LONG_PROMPT, bench.clock.monotonic()
+    bench.serve(Submit(huge_request("a", now, prompt=prompt, time=SILENCE * 2)))
+    first = bench.last_dispatch("a")
+    bench.serve(FirstToken(first.request_id, first.attempt))
+    bench.run(SILENCE)
+    stays_where_it_is(bench, first)
+
+
 def test_a_begun_answer_is_made_again_where_there_is_room_and_time() -> None:
     bench = reserving_bench(engines=3)
     first = begun_stream(bench, SILENCE * 9)
