Show where instances replaced behind a cut pass the budget by their names

Where the slack has fewer repeats than there are instances, the first by name have one each. Instances that are replaced while zones are cut off read of all others in the store's rows, and have a part if their names go before; those that don't hear of them go on with theirs. Of 12 instances with a slack of 8, four that had none are replaced under names that go first: 11 repeats are sent where 10.4 are allowed. Without a cut 8 are.

--- a/tests/unit/gateway/test_fleet_budget.py
+++ b/tests/unit/gateway/test_fleet_budget.py
@@ -87,6 +87,27 @@
         case.assertLessEqual(fleet.worst_window(), 0, store_answers)
 
 
+def test_those_replaced_behind_a_cut_keep_the_budget_together() -> None:
+    """Machines are replaced while zones are cut off, and endpoints get too much.
+
+    The slack has fewer repeats than there are instances, and goes to the first by name.
+    Those that are killed had no part; the new ones know all by the store's rows, and
+    their names go before others that have a part and don't hear of them.
+    """
+    instances, slack = 12, 8.0
+    for is_cut in (False, True):
+        fleet = RepeatingFleet(instances, slack)
+        fleet.run(CALM)
+        if is_cut:
+            fleet.cut_zones()
+        fleet.replace(range(6, 10))
+        fleet.run(FLOOD)
+        for number in range(instances):
+            fleet.call(number)
+        fleet.run(timedelta(seconds=4))
+        case.assertLessEqual(fleet.worst_window(), 0, is_cut)
+
+
 def test_a_fleet_uses_what_it_may() -> None:
     """Calls fail though their repeats were allowed and endpoints had room.
 
