--- a/tests/unit/gateway/test_silence.py
+++ b/tests/unit/gateway/test_silence.py
@@ -209,8 +209,8 @@
 def test_a_begun_answer_goes_on_where_its_place_would_be_the_same() -> None:
     """A caller's stream is cut in the middle though its endpoint is sound.
 
-    Of the engines that this instance uses, all others had gone. It would have been
-    placed where it ran before, and another service's free slot helped nobody.
+    Of the engines that this instance uses, all others had gone: the free slot was at
+    one that it doesn't use, and the answer would have been placed where it ran before.
     """
     bench = reserving_bench(engines=3)
     first = begun_stream(bench, SILENCE * 9)
