Let an instance under a new name stand last among those that share

Cause: the rest of the slack goes to the first by name. A new name may stand before others, and those that don't hear of it go on by the order that they know. Ruled out: to order by when lives began, as each restart would move its instance.

--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -381,7 +381,7 @@
         lasted = self.clock.monotonic() - self.began_at
         is_over = census.fleet_is_new or lasted >= self.settles_after
         since = None if is_over else self.began_at
-        rank = census.rank(self.gossip.instance)
+        rank = census.rank(self.gossip.instance, self.gossip.clock.monotonic())
         return SlackShare(census.instances, rank, census.complete, since)
 
 
--- a/src/mimosafork/gossip/census.py
+++ b/src/mimosafork/gossip/census.py
@@ -48,6 +48,8 @@
         that began behind a cut would count too few.
     fleet_is_new : bool
         No instance had a life before those that have just begun.
+    joins : bool
+        This instance had none, and others had.
     """
 
     def __init__(self, started_ms: int) -> None:
@@ -57,6 +59,7 @@
         self.looks = 0
         self.complete = False
         self.fleet_is_new = False
+        self.joins = False
 
     def learn(self, identity: Identity, now: timedelta) -> None:
         """Take in that a life exists; it need not be heard.
@@ -95,6 +98,7 @@
             self.fleet_is_new = is_first_life and min(began_ms, default=oldest_ms) >= (
                 oldest_ms
             )
+            self.joins = is_first_life and not self.fleet_is_new
         is_early = self.looks == 1 and self.fleet_is_new
         self.complete = self.complete or not (is_early and others)
         return is_early
@@ -112,6 +116,8 @@
 
     def review(self, alive: Iterable[InstanceId], now: timedelta) -> None:
         """Note who is heard now, and forget those that were not for long."""
+        if self.began_at is None:
+            self.began_at = now
         heard = dict.fromkeys(alive, now)
         silent = [
             (at, name)
@@ -121,8 +127,17 @@
         latest = sorted(silent)[-MOST_SILENT:]
         self.seen = {name: at for at, name in latest} | heard
 
-    def rank(self, me: InstanceId) -> int:
-        """Return how many of those that count stand before this one by name."""
+    def rank(self, me: InstanceId, now: timedelta) -> int:
+        """Return how many of those that count stand before this one.
+
+        They stand by name. Guard: those that don't hear of one that comes under a new
+        name go on by the order that they know; where it stood before some of them,
+        one more than there are had a part. It stands last until all have heard it, as
+        long as those that are cut off count.
+        """
+        lasted = now - self.began_at if self.began_at is not None else timedelta(0)
+        if self.joins and lasted < KEPT:
+            return len(self.seen)
         return sum(name < me for name in self.seen)
 
     @property
--- a/tests/support/repeating_fleet.py
+++ b/tests/support/repeating_fleet.py
@@ -87,7 +87,7 @@
         lasted = self.now - self.began_at
         is_over = self.is_first_life or lasted >= WINDOW + ARRIVES_WITHIN
         since = None if is_over else self.began_at
-        rank = census.rank(self.exchange.me.instance)
+        rank = census.rank(self.exchange.me.instance, self.now)
         return SlackShare(census.instances, rank, census.complete, since)
 
     @property
@@ -192,6 +192,7 @@
             self.network.stop(self.instances[number].exchange)
             self.names[number] = next(self.further_names)
             self.begin(number)
+            self.instances[number].exchange.roster.census.joins = True
 
     def begin(self, number: int) -> None:
         """Begin a life in a fleet that had others."""
--- a/tests/unit/gossip/test_census.py
+++ b/tests/unit/gossip/test_census.py
@@ -124,4 +124,24 @@
     case.assertLessEqual(spent + share.of(slack), slack)
 
 
+def test_who_joins_under_a_new_name_stands_last_until_all_have_heard_it() -> None:
+    """A machine is replaced behind a cut, and one repeat has two owners.
+
+    Those that don't hear of the new name go on by the order that they know.
+    """
+    for others, is_first, joins in (
+        ([row_of(1, STARTED_MS - HOUR_MS)], True, True),
+        ([row_of(1, STARTED_MS - HOUR_MS)], False, False),
+        ([row_of(1)], True, False),
+    ):
+        census = Census(STARTED_MS)
+        for number in (1, 3, 5):
+            census.learn(row_of(number), START)
+        census.review([], START)
+        census.all_read(others, is_first)
+        me = row_of(2).instance
+        case.assertEqual(3 if joins else 1, census.rank(me, START + MINUTE))
+        case.assertEqual(1, census.rank(me, START + KEPT))
+
+
 load_tests = function_tests(__name__)
