Sort the calls of logs by what they lost

Lines of ends state the route's objective and longest gap. The value of a request type is the operator's to state (--value); the program knows no types by name.

Left out: calls whose instance was killed have no line; a call that came back after a refusal is counted as two.

--- a/src/mimosafork/commands/explain.py
+++ b/src/mimosafork/commands/explain.py
@@ -10,10 +10,12 @@
 import typer
 
 from ..cli.exits import CommandError, ExitCode
+from ..explain import losses
 from ..explain.lines import LogLine, LogReader, LogSource, Tally
 from ..explain.links import ZoneStory
 from ..explain.stories import CallStory, EndpointStory, Story, VersionStory
 from ..telemetry.events import all_events
+from .explain_losses import VALUE_FORM, plot_losses, print_losses, valuation_of
 
 app = typer.Typer(add_completion=False)
 
@@ -46,9 +48,30 @@
         str | None,
         typer.Option(help="explain the ways of this availability zone instead"),
     ] = None,
+    by_loss: Annotated[
+        bool,
+        typer.Option("--losses", help="sort all calls of the logs by what they lost"),
+    ] = False,
+    value: Annotated[
+        list[str] | None,
+        typer.Option(
+            metavar=VALUE_FORM,
+            help="value of an answer of the request type with this objective; 1 where "
+            "there is none",
+        ),
+    ] = None,
+    late_share: Annotated[
+        float, typer.Option(help="share of its value that a late answer earns")
+    ] = losses.LATE_SHARE,
+    plot: Annotated[
+        Path | None, typer.Option(help="write a plot of the losses to this file")
+    ] = None,
 ) -> None:
     """Print the life of a call from logs of instances, and its cause in the last line.
 
+    With --losses, print what was lost by late and failed calls instead, by request
+    type, reason, account, zone and time.
+
     Lines may have something before their JSON, whose last word is taken for the
     instance's name. Lines that can't be read are counted. Ends with 1 if no line
     names what was asked for, and with 3 if a file can't be read.
@@ -56,6 +79,9 @@
     Example: mimosafork explain 36851835ae21e671 front-1.log front-2.log
     """
     asked = list(words or [])
+    if by_loss:
+        explain_losses(asked, valuation_of(value or (), late_share), plot)
+        return
     story = chosen_story(asked, endpoint, config, zone)
     with opened(asked) as sources, shown_progress(sources) as progress:
         reader = LogReader(story.wanted, progress)
@@ -66,6 +92,21 @@
         raise CommandError(ExitCode.FAILED, told.cause)
 
 
+def explain_losses(
+    files: Sequence[str], valuation: losses.Valuation, plot: Path | None
+) -> None:
+    """Print what the calls of logs lost, and plot it where a file is named."""
+    with opened(files) as sources, shown_progress(sources) as progress:
+        reader = LogReader(losses.wanted, progress)
+        report = losses.report_of(reader.read(sources), valuation)
+    print_tally(reader.tally)
+    if not report.calls:
+        raise CommandError(ExitCode.FAILED, "no line is of a call's end")
+    print_losses(report)
+    if plot is not None:
+        plot_losses(report, plot)
+
+
 def chosen_story(
     asked: list[str], endpoint: str | None, config: int | None, zone: str | None
 ) -> CallStory | EndpointStory | VersionStory | ZoneStory:
--- a/src/mimosafork/gateway/call_lines.py
+++ b/src/mimosafork/gateway/call_lines.py
@@ -232,7 +232,12 @@
         }
 
     def _course(self, call: Call) -> LineFields:
+        terms = call.request.terms
         return {
+            "objective_ms": None if terms is None else milliseconds(terms.objective),
+            "longest_gap_ms": None
+            if terms is None
+            else milliseconds(terms.longest_pause),
             "endpoints": LIST_MARK.join(call.endpoints),
             "zones": Names(tuple(call.zones)) if any(call.zones) else None,
             "helpers": helpers_of(call),
