Avoid a zone as soon as all of its instances fall silent

Cause: a zone was suspected only when two or more of its endpoints had failed one instance, and each instance has few calls. That 20 peers of the zone fell silent at once, of which a datagram had come each 16 ms, counted for nothing.

Change: the gossip compares each zone's silence with its own traffic (three times its longest gap of late, at most a heartbeat and 200 ms). While the own zone and others are received, such a zone's endpoints are taken last, until it is received again; after 10 s calls try them again. An event that still comes from one of its endpoints speaks against it: instances may all have been killed alone.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -8,6 +8,7 @@
 from logging import getLogger
 
 from ..clock import Clock
+from ..ids import EndpointId
 from ..kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
@@ -105,6 +106,16 @@
         """Whether the answer has no body, whatever its head says of one."""
         return self.call.message.head.method == HEAD
 
+    @property
+    def endpoint(self) -> EndpointId:
+        """Where it was sent."""
+        return self.dispatch.endpoint
+
+    @property
+    def event_received_at(self) -> timedelta | None:
+        """When the latest event came; None before the first, and while not read on."""
+        return self.heard_at if self.first_reported and not self.paused else None
+
     def start(self) -> None:
         """Take or open a connection and send."""
         once = self.call.request.repeatability is Repeatability.NON_IDEMPOTENT
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -47,10 +47,12 @@
 from .intake import FAULT, STOPPING, Admission, Refusal, admit
 from .orders import Orders
 from .outlook import milliseconds
+from .policies.fleet_view import FleetView
 from .pool import ConnectionPool
 from .problems import COME_BACK, final_status
 from .request_reader import RequestMessage
 from .unanswered import Ending, Unanswered
+from .zone_watch import ZoneWatch
 
 logger = getLogger(__name__)
 
@@ -93,6 +95,7 @@
         self.pool = ConnectionPool(clock)
         self.tools = AttemptTools(clock, self.pool, dialect, self.post)
         self.lines = CallLines(clock)
+        self.zones = ZoneWatch(self.post, kernel.plugin(FleetView).zone_of)
         self.freezes = FreezeWatch(clock, BootClock(), TICK)
         self.orders = Orders(clock, self.pool, dialect, self.post)
         self.connections: set[ClientConnection] = set()
@@ -153,6 +156,7 @@
         planned = self.tick_after
         self._tick_after(TICK if self.calls else IDLE_TICK)
         self._note_freeze(planned)
+        self.zones.look(self.attempts.values(), self.clock.monotonic())
         if self.calls:
             self._report_silence()
             self.post(Tick())
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -13,7 +13,13 @@
     FirstToken,
 )
 from ...kernel.messages.base import Message
-from ...kernel.messages.routing import EndpointLeaving, EndpointUsable, TableInForce
+from ...kernel.messages.routing import (
+    EndpointLeaving,
+    EndpointUsable,
+    TableInForce,
+    ZoneReachable,
+    ZoneUnreachable,
+)
 from ...kernel.plugins import Plugin
 from ...kernel.registry import register
 from ...placement.choice import EngineView
@@ -150,6 +156,11 @@
         self.heard: dict[AvailabilityZoneId, timedelta] = {}
         """When an endpoint of each zone began an answer last, or refused a call."""
 
+    def zone_of(self, endpoint: EndpointId) -> AvailabilityZoneId | None:
+        """Return an endpoint's zone; None if it is not known."""
+        known = self.endpoints.get(endpoint)
+        return None if known is None else known.listed.zone
+
     def zone_heard(self, endpoint: EndpointId, since: timedelta) -> bool:
         """Return whether any endpoint of an endpoint's zone was heard since then."""
         known = self.endpoints.get(endpoint)
@@ -202,6 +213,17 @@
             self.by_service[known.listed.service].pop(message.endpoint, None)
             tell_out(known, message.final)
 
+    @handle.register
+    def _(self, message: ZoneUnreachable, context: Context) -> None:
+        # Its instances may all have been killed while its endpoints serve on.
+        heard = self.heard.get(message.zone)
+        if heard is None or heard <= message.since:
+            self.zones.note_unreachable(message.zone, context.now)
+
+    @handle.register
+    def _(self, message: ZoneReachable, context: Context) -> None:
+        self.zones.note_answer(message.zone, context.now)
+
     @handle.register
     def _(self, message: FirstToken, context: Context) -> None:
         record = context.state.requests.get(message.request_id)
--- a/src/mimosafork/gateway/policies/zone_doubt.py
+++ b/src/mimosafork/gateway/policies/zone_doubt.py
@@ -83,13 +83,23 @@
         seen.unheard[listed.endpoint] = Unheard(now, UNHEARD[kind])
         if seen.doubted_since is None and seen.weight(now) < WITNESSES:
             return
+        self._suspect(listed.zone, seen, now)
+
+    def note_unreachable(self, zone: AvailabilityZoneId, now: timedelta) -> None:
+        """Note that nothing at all is received from a zone."""
+        self._suspect(zone, self.zones.setdefault(zone, ZoneSeen()), now)
+
+    def _suspect(
+        self, zone: AvailabilityZoneId, seen: ZoneSeen, now: timedelta
+    ) -> None:
+        """Take a zone's endpoints last for a while from now on."""
         seen.doubted_until = now + DOUBT_FOR
         if seen.doubted_since is None:
             seen.doubted_since = now
             log_event(
                 logger,
                 ZONE_DOUBTED,
-                zone=listed.zone,
+                zone=zone,
                 unheard=len(seen.unheard),
                 for_ms=DOUBT_FOR // MILLISECOND,
             )
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -180,6 +180,7 @@
         self.directory.peers = self.sharing.peers_heard
         self.directory.peer_feed.publish = self.sharing.feed_told
         self.sharing.gossip = self._new_gossip()
+        self.gateway.zones.silent_zones = self.sharing.gossip.silent_zones
         await self.sharing.gossip.start()
         self.directory.start()
         self.gateway.start()
--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -4,14 +4,14 @@
 reorder datagrams among many exchanges in no time.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
 import msgspec
 
-from ..ids import InstanceId
+from ..ids import AvailabilityZoneId, InstanceId
 from .calling import Caller
 from .circle import Circle
 from .counters import Counters
@@ -175,6 +175,12 @@
         """Whether the last tick is so long ago that the process was suspended."""
         return self.ticked is not None and now - self.ticked > self.timing.late
 
+    def silent_zones(self, now: timedelta) -> Mapping[AvailabilityZoneId, timedelta]:
+        """Return the zones whose peers have all fallen silent, and since how long."""
+        heartbeat = None if self.circle.relaying else self.sender.heartbeat()
+        members = self.roster.members.values()
+        return self.receiver.zones.review(members, heartbeat, now)
+
     # What is due
 
     def tick(self, now: timedelta) -> Ticked:
--- a/src/mimosafork/gossip/receiving.py
+++ b/src/mimosafork/gossip/receiving.py
@@ -13,6 +13,7 @@
 from .taking import Intake
 from .wire import Datagram, Flag
 from .wire import from_wire as identity_of
+from .zone_silence import ZoneSilence
 
 CONFIRM_AFTER = timedelta(milliseconds=700)
 """Well before an unconfirmed datagram counts as lost; mostly a word goes back sooner
@@ -42,6 +43,7 @@
         self.caller = caller
         self.intake = intake
         self.counters = counters
+        self.zones = ZoneSilence(circle.me.zone)
 
     def take(
         self, datagram: Datagram, address: Address, now: timedelta
@@ -67,6 +69,7 @@
         self.roster.moved(member, address)
         self.circle.wake(member.identity.instance)
         effects += self.circle.revive(member, now)
+        self.zones.received(member.identity.zone, now)
         self.take_head(datagram, member, now)
         if told:
             self.confirm_in_time(member, now)
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -176,6 +176,10 @@
         """The living peers."""
         return self.exchange.roster.peers(self.clock.monotonic())
 
+    def silent_zones(self) -> Mapping[AvailabilityZoneId, timedelta]:
+        """Return the zones whose peers have all fallen silent, and since how long."""
+        return self.exchange.silent_zones(self.clock.monotonic())
+
     def loads(self) -> tuple[PeerLoad, ...]:
         """Return the works of the living peers."""
         return self.state.loads(self.clock.monotonic())
--- a/src/mimosafork/kernel/messages/routing.py
+++ b/src/mimosafork/kernel/messages/routing.py
@@ -1,8 +1,9 @@
 """Messages about what is routed: the table in force, endpoints, peers' work."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 
-from ...ids import EndpointId, InstanceId, RequestId
+from ...ids import AvailabilityZoneId, EndpointId, InstanceId, RequestId
 from ...placement.work import Work
 from ...routing.listing import ListedEndpoint
 from ...routing.table import RoutingTable
@@ -66,3 +67,24 @@
     """Nothing is known any more of a peer's work."""
 
     instance: InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneUnreachable(Message):
+    """Nothing is received from an availability zone.
+
+    Attributes
+    ----------
+    since : timedelta
+        Monotonic instant of the latest sign of it.
+    """
+
+    zone: AvailabilityZoneId
+    since: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneReachable(Message):
+    """An availability zone that was unreachable is received again."""
+
+    zone: AvailabilityZoneId
--- a/src/mimosafork/telemetry/catalogue/zones.py
+++ b/src/mimosafork/telemetry/catalogue/zones.py
@@ -9,9 +9,10 @@
     "zone-doubted",
     Level.WARNING,
     "zone {zone} is taken last for {for_ms} ms: {unheard} of its endpoints in turn"
-    " were not heard",
-    "It looks cut off from here. Its endpoints get work only where no other can; one "
-    "call tries it when the time is over, and renews the doubt if it is not heard.",
+    " were not heard, or none of its instances",
+    "It looks cut off from here; 0 endpoints where its instances alone tell it. Its "
+    "endpoints get work only where no other can; one call tries it when the time is "
+    "over, and renews the doubt if it is not heard.",
     "See to the network between the zones.",
 )
 ZONE_ANSWERS = Event(
