Name suspicion of zones and endpoints by the field's terms

zone_doubt.py and standing.py spoke of doubts, witnesses and what was unheard. They now say what other systems say: a zone is suspected once the weight of its failures reaches a threshold, a suspicion has a period, an endpoint is ejected or reinstated in the log. The event zone-doubted is zone-suspected and keeps its number, MF2301; its field unheard is failures.

No logic changes.

--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -25,8 +25,8 @@
 from ...placement.choice import EngineView
 from ...routing.listing import ListedEndpoint
 from ...routing.table import RoutingTable
-from .standing import Standing, tell_doubt, tell_out, tell_return
-from .zone_doubt import UNHEARD, ZoneDoubts
+from .standing import Standing, log_ejected, log_reinstated, log_suspicion
+from .zone_suspicion import FAILURE_WEIGHTS, ZoneSuspicion
 
 UNREACHED_FOR = timedelta(seconds=1)
 """An endpoint that couldn't be connected to is left alone for so long at first."""
@@ -66,10 +66,10 @@
         Connections in a row that could not be made.
     failure_rate : float
         Share of its latest attempts that it failed, newest weighing most.
-    doubted_at : timedelta or None
-        Since when it has been left alone or taken last.
-    zones : ZoneDoubts
-        What is known of all zones.
+    suspected_at : timedelta or None
+        Since when it has been ejected or taken last.
+    zones : ZoneSuspicion
+        Which zones look cut off.
     last_view : LastView or None
         What placement was told last: each placement asks for all endpoints.
     """
@@ -80,8 +80,8 @@
     suspect_until: timedelta = timedelta(0)
     misses: int = 0
     failure_rate: float = 0.0
-    doubted_at: timedelta | None = None
-    zones: ZoneDoubts = field(default_factory=ZoneDoubts)
+    suspected_at: timedelta | None = None
+    zones: ZoneSuspicion = field(default_factory=ZoneSuspicion)
     last_view: LastView | None = None
 
     def note_unreached(self, now: timedelta) -> None:
@@ -109,7 +109,7 @@
 
     def suspect(self, now: timedelta) -> bool:
         """Return whether it is taken last."""
-        if self.zones.doubted(self.listed.zone, now):
+        if self.zones.suspected(self.listed.zone, now):
             return True
         return now < self.suspect_until or self.failure_rate > BAD_RATE
 
@@ -152,7 +152,7 @@
         self.by_service: dict[ServiceId, dict[EndpointId, EndpointBelief]] = {}
         self.left: dict[EndpointId, int | None] = {}
         """Endpoints that drain or are gone, and when their life began."""
-        self.zones = ZoneDoubts()
+        self.zones = ZoneSuspicion()
         self.heard: dict[AvailabilityZoneId, timedelta] = {}
         """When an endpoint of each zone began an answer last, or refused a call."""
 
@@ -211,7 +211,7 @@
         if known is not None:
             known.leaving = True
             self.by_service[known.listed.service].pop(message.endpoint, None)
-            tell_out(known, message.final)
+            log_ejected(known, message.final)
 
     @handle.register
     def _(self, message: ZoneUnreachable, context: Context) -> None:
@@ -233,7 +233,7 @@
                 known.note_outcome(False, context.now)
                 self.zones.note_answer(known.listed.zone, context.now)
                 self.heard[known.listed.zone] = context.now
-                tell_return(known, context.now)
+                log_reinstated(known, context.now)
 
     @handle.register
     def _(self, message: AttemptFinished, context: Context) -> None:
@@ -249,8 +249,8 @@
             self.heard[known.listed.zone] = context.now
         before = Standing.of(known, context.now)
         away = known.listed.zone != context.state.identity.availability_zone
-        if message.kind in UNHEARD and away:
-            self.zones.note_unheard(known.listed, message.kind, context.now)
+        if message.kind in FAILURE_WEIGHTS and away:
+            self.zones.note_failure(known.listed, message.kind, context.now)
         if message.kind is FailureKind.UNREACHED:
             known.note_unreached(context.now)
         elif message.refusal == "elsewhere":
@@ -259,7 +259,7 @@
             known.note_outcome(True, context.now)
         elif message.kind is FailureKind.ENGINE_FAILED:
             known.note_outcome(False, context.now)
-        tell_doubt(known, before, message.refusal or message.kind.value, context.now)
+        log_suspicion(known, before, message.refusal or message.kind.value, context.now)
 
     def _note_fault(self, failure: AttemptFailed, now: timedelta) -> None:
         """Suspect the endpoint that another one names as at fault.
@@ -275,4 +275,4 @@
             if is_named and known.listed.endpoint != failure.endpoint:
                 before = Standing.of(known, now)
                 known.suspect_until = now + SUSPECT_FOR
-                tell_doubt(known, before, NAMED_AT_FAULT, now)
+                log_suspicion(known, before, NAMED_AT_FAULT, now)
--- a/src/mimosafork/gateway/policies/standing.py
+++ b/src/mimosafork/gateway/policies/standing.py
@@ -19,15 +19,15 @@
 MILLISECOND = timedelta(milliseconds=1)
 
 
-class Doubted(Protocol):
-    """What is known of one endpoint, as far as it is told here."""
+class Suspectable(Protocol):
+    """What is known of one endpoint, as far as it is logged here."""
 
     listed: ListedEndpoint
     unusable_until: timedelta
     suspect_until: timedelta
     misses: int
     failure_rate: float
-    doubted_at: timedelta | None
+    suspected_at: timedelta | None
 
     def usable(self, now: timedelta) -> bool:
         """Return whether it gets new work."""
@@ -44,13 +44,15 @@
     suspect: bool
 
     @classmethod
-    def of(cls, known: Doubted, now: timedelta) -> "Standing":
+    def of(cls, known: Suspectable, now: timedelta) -> "Standing":
         """Return how an endpoint stands now."""
         return cls(known.usable(now), known.suspect(now))
 
 
-def tell_doubt(known: Doubted, before: Standing, why: str, now: timedelta) -> None:
-    """Tell that an endpoint is left alone or suspected, if it was not before.
+def log_suspicion(
+    known: Suspectable, before: Standing, why: str, now: timedelta
+) -> None:
+    """Log that an endpoint is ejected or suspected, if it was not before.
 
     Parameters
     ----------
@@ -66,8 +68,8 @@
         event, until = ENDPOINT_SUSPECTED, known.suspect_until
     else:
         return
-    if known.doubted_at is None:
-        known.doubted_at = now
+    if known.suspected_at is None:
+        known.suspected_at = now
     log_event(
         logger,
         event,
@@ -80,23 +82,23 @@
     )
 
 
-def tell_return(known: Doubted, now: timedelta) -> None:
-    """Tell that an endpoint which was doubted answers as it should."""
-    if known.doubted_at is None or not known.usable(now) or known.suspect(now):
+def log_reinstated(known: Suspectable, now: timedelta) -> None:
+    """Log that a suspected endpoint answers as it should."""
+    if known.suspected_at is None or not known.usable(now) or known.suspect(now):
         return
     log_event(
         logger,
         ENDPOINT_BACK,
         endpoint=known.listed.endpoint,
         service=known.listed.service,
-        after_ms=(now - known.doubted_at) // MILLISECOND,
+        after_ms=(now - known.suspected_at) // MILLISECOND,
         failure_rate=round(known.failure_rate, 2),
     )
-    known.doubted_at = None
+    known.suspected_at = None
 
 
-def tell_out(known: Doubted, final: bool) -> None:
-    """Tell that an endpoint gets no new work any more.
+def log_ejected(known: Suspectable, final: bool) -> None:
+    """Log that an endpoint gets no new work any more.
 
     Parameters
     ----------
--- a/tests/unit/gateway/test_standing.py
+++ b/tests/unit/gateway/test_standing.py
@@ -6,7 +6,7 @@
 from mimosafork.clock import ManualClock
 from mimosafork.gateway.policies import PLUGINS
 from mimosafork.gateway.policies.fleet_view import EndpointBelief
-from mimosafork.gateway.policies.standing import Standing, tell_doubt, tell_return
+from mimosafork.gateway.policies.standing import Standing, log_reinstated, log_suspicion
 from mimosafork.ids import (
     AvailabilityZoneId,
     Digest,
@@ -65,10 +65,10 @@
         for _ in range(8):
             before = Standing.of(known, START)
             known.note_unreached(START)
-            tell_doubt(known, before, "unreached", START)
-        tell_return(known, START)
-        tell_return(known, START + 5 * SECOND)
-        tell_return(known, START + 6 * SECOND)
+            log_suspicion(known, before, "unreached", START)
+        log_reinstated(known, START)
+        log_reinstated(known, START + 5 * SECOND)
+        log_reinstated(known, START + 6 * SECOND)
     assert caught.one(ENDPOINT_LEFT_ALONE)["for_ms"] == 1000
     assert caught.one(ENDPOINT_BACK)["after_ms"] == 5000
 
@@ -79,7 +79,7 @@
         for _ in range(3):
             before = Standing.of(known, START)
             known.note_outcome(True, START)
-            tell_doubt(known, before, "broken", START)
+            log_suspicion(known, before, "broken", START)
     fields = caught.one(ENDPOINT_SUSPECTED)
     assert (fields["endpoint"], fields["why"]) == ("e1", "broken")
 
--- a/tests/unit/gateway/test_zone_doubt.py
+++ b/tests/unit/gateway/test_zone_suspicion.py
@@ -5,18 +5,18 @@
 from unittest import TestCase
 
 from mimosafork.gateway.policies.fleet_view import LONGEST_ABSENCE, FleetView
-from mimosafork.gateway.policies.zone_doubt import (
-    DOUBT_FOR,
-    WITHIN,
-    WITNESSES,
-    ZoneDoubts,
+from mimosafork.gateway.policies.zone_suspicion import (
+    FAILURE_WINDOW,
+    SUSPICION_PERIOD,
+    SUSPICION_THRESHOLD,
+    ZoneSuspicion,
 )
 from mimosafork.ids import AvailabilityZoneId
 from mimosafork.kernel.messages.attempts import Exposure, FailureKind
 from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.routing import EndpointUsable
 from mimosafork.routing.listing import ListedEndpoint
-from mimosafork.telemetry.catalogue.zones import ZONE_ANSWERS, ZONE_DOUBTED
+from mimosafork.telemetry.catalogue.zones import ZONE_ANSWERS, ZONE_SUSPECTED
 
 from ...support.functions import function_tests
 from ...support.gateway_kernels import (
@@ -77,9 +77,9 @@
     bench = bench_of_zones(FAR, OTHER, each=6)
     with caught_lines() as lines:
         lost = serve(bench, 100, FAR)
-    seconds = 100 * BETWEEN / DOUBT_FOR
-    case.assertLessEqual(lost, WITNESSES + seconds)
-    case.assertEqual(FAR, lines.one(ZONE_DOUBTED)["zone"])
+    seconds = 100 * BETWEEN / SUSPICION_PERIOD
+    case.assertLessEqual(lost, SUSPICION_THRESHOLD + seconds)
+    case.assertEqual(FAR, lines.one(ZONE_SUSPECTED)["zone"])
 
 
 def test_a_zone_that_answers_again_is_taken_again() -> None:
@@ -93,13 +93,13 @@
     case.assertGreater(sum(zone_of(d) == FAR for d in later), 10)
 
 
-def doubts(
-    *unheard: str, kind: FailureKind = FailureKind.UNREACHED
-) -> tuple[ZoneDoubts, timedelta]:
+def suspicion_after(
+    *failing: str, kind: FailureKind = FailureKind.UNREACHED
+) -> tuple[ZoneSuspicion, timedelta]:
     """Return what is believed once some endpoints were not heard at one moment."""
-    zones, now = ZoneDoubts(), timedelta(seconds=100)
-    for endpoint in unheard:
-        zones.note_unheard(far(endpoint), kind, now)
+    zones, now = ZoneSuspicion(), timedelta(seconds=100)
+    for endpoint in failing:
+        zones.note_failure(far(endpoint), kind, now)
     return zones, now
 
 
@@ -108,11 +108,11 @@
 
 
 def test_one_endpoint_that_is_gone_does_not_speak_for_its_zone() -> None:
-    zones, now = doubts("a", "a", "a")
-    case.assertFalse(zones.doubted(FAR, now))
-    later = now + WITHIN + MOMENT
-    zones.note_unheard(far("b"), FailureKind.UNREACHED, later)
-    case.assertFalse(zones.doubted(FAR, later))
+    zones, now = suspicion_after("a", "a", "a")
+    case.assertFalse(zones.suspected(FAR, now))
+    later = now + FAILURE_WINDOW + MOMENT
+    zones.note_failure(far("b"), FailureKind.UNREACHED, later)
+    case.assertFalse(zones.suspected(FAR, later))
 
 
 def test_endpoints_that_are_silent_together_may_read_a_long_prompt() -> None:
@@ -122,33 +122,33 @@
     before stood still so long that its calls were tried elsewhere. Two such engines
     of a zone were taken for a cut.
     """
-    for count, doubted in ((3, False), (4, True)):
-        zones, now = doubts(*"abcd"[:count], kind=FailureKind.STALLED)
-        case.assertEqual(doubted, zones.doubted(FAR, now))
+    for count, suspected in ((3, False), (4, True)):
+        zones, now = suspicion_after(*"abcd"[:count], kind=FailureKind.STALLED)
+        case.assertEqual(suspected, zones.suspected(FAR, now))
 
 
 def test_an_answer_between_two_that_are_gone_speaks_for_the_zone() -> None:
-    zones, now = doubts("a")
+    zones, now = suspicion_after("a")
     zones.note_answer(FAR, now)
-    zones.note_unheard(far("b"), FailureKind.UNREACHED, now)
-    case.assertFalse(zones.doubted(FAR, now))
+    zones.note_failure(far("b"), FailureKind.UNREACHED, now)
+    case.assertFalse(zones.suspected(FAR, now))
 
 
-def test_a_doubt_ends_by_itself_and_one_more_renews_it() -> None:
-    zones, now = doubts("a", "b")
-    case.assertTrue(zones.doubted(FAR, now + DOUBT_FOR - MOMENT))
-    case.assertFalse(zones.doubted(OTHER, now))
-    later = now + DOUBT_FOR * 3
-    case.assertFalse(zones.doubted(FAR, later))
-    zones.note_unheard(far("c"), FailureKind.UNREACHED, later)
-    case.assertTrue(zones.doubted(FAR, later))
+def test_a_suspicion_expires_and_one_more_renews_it() -> None:
+    zones, now = suspicion_after("a", "b")
+    case.assertTrue(zones.suspected(FAR, now + SUSPICION_PERIOD - MOMENT))
+    case.assertFalse(zones.suspected(OTHER, now))
+    later = now + SUSPICION_PERIOD * 3
+    case.assertFalse(zones.suspected(FAR, later))
+    zones.note_failure(far("c"), FailureKind.UNREACHED, later)
+    case.assertTrue(zones.suspected(FAR, later))
 
 
-def test_the_own_zone_is_never_doubted() -> None:
+def test_the_own_zone_is_never_suspected() -> None:
     bench = bench_of_zones(ZONE, OTHER)
     serve(bench, 20, ZONE)
     now = bench.clock.monotonic()
-    case.assertFalse(bench.kernel.plugin(FleetView).zones.doubted(ZONE, now))
+    case.assertFalse(bench.kernel.plugin(FleetView).zones.suspected(ZONE, now))
 
 
 load_tests = function_tests(__name__)
--- a/tests/unit/gateway/test_zone_watch.py
+++ b/tests/unit/gateway/test_zone_watch.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from unittest import TestCase
 
-from mimosafork.gateway.policies.zone_doubt import DOUBT_FOR
+from mimosafork.gateway.policies.zone_suspicion import SUSPICION_PERIOD
 from mimosafork.gateway.zone_watch import LONGEST_SILENCE, RENEW_EVERY, ZoneWatch
 from mimosafork.ids import AvailabilityZoneId, EndpointId
 from mimosafork.kernel.messages.base import Message
@@ -13,7 +13,7 @@
 
 from ...support.functions import function_tests
 from ...support.gateway_kernels import GatewayBench, request_of
-from .test_zone_doubt import FAR, OTHER, bench_of_zones, zone_of
+from .test_zone_suspicion import FAR, OTHER, bench_of_zones, zone_of
 
 case = TestCase()
 
@@ -58,7 +58,7 @@
     watched.run(3 * RENEW_EVERY)
     since = timedelta(seconds=100) - HALF
     case.assertEqual([ZoneUnreachable(FAR, since)] * 3, watched.posted)
-    case.assertLess(RENEW_EVERY, DOUBT_FOR)
+    case.assertLess(RENEW_EVERY, SUSPICION_PERIOD)
     watched.silent = {}
     watched.run(TICK)
     case.assertEqual(ZoneReachable(FAR), watched.posted[-1])
--- a/tests/unit/tooling/test_gateway_page.py
+++ b/tests/unit/tooling/test_gateway_page.py
@@ -14,7 +14,7 @@
     quarantining,
     reserving,
     retrying,
-    zone_doubt,
+    zone_suspicion,
 )
 from mimosafork.gossip import census
 from mimosafork.gossip.timing import Timing
@@ -63,8 +63,8 @@
         f"cannot be connected to within {s(pool.CONNECT_TIMEOUT)} | left alone for "
         f"{s(fleet_view.UNREACHED_FOR)}, then 2 s, then {s(longest)}",
         f"taken last for {s(fleet_view.SUSPECT_FOR)}, and while over a quarter",
-        f"were silent, within {s(zone_doubt.WITHIN)} and none answered | its endpoints "
-        f"are taken last for {s(zone_doubt.DOUBT_FOR)}",
+        f"were silent, within {s(zone_suspicion.FAILURE_WINDOW)} and none answered | "
+        f"its endpoints are taken last for {s(zone_suspicion.SUSPICION_PERIOD)}",
         f"the address is left alone for {s(longest)}",
         f"broke at {WORDS[quarantining.CRASHES + 1]} endpoints",
         f"for {s(quarantining.KEPT_FOR)} after the last such break",
