Take answers of which nothing is said for the deployment's usual length

Memory, the time until an answer can be complete and the stay of a full engine's work go by it. Both modules now ask the figures; 600 remains, once, for a deployment that states no usual answer. Plain calls have no answer's length.

--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -51,9 +51,6 @@
 from .retrying import BUDGET_USED, BudgetedRetry
 from .turned_away import TurnedAway, says_full
 
-DEFAULT_ANSWER = 600
-"""Tokens that an answer is expected to have where nobody says."""
-
 HOPELESS_SHARE = 0.25
 """A call that has waited for this share of its time is given up: one held longer
 could hardly be served, and its caller should come back elsewhere at once."""
@@ -180,7 +177,7 @@
     ) -> PlacementAsk:
         """Return what placement is asked, without engines known to lack memory."""
         crowded = self.turned_away.crowded(record.request_id, context.now)
-        ask = replace(ask_of(record, context), crowded=crowded)
+        ask = replace(ask_of(record, figures, context), crowded=crowded)
         if figures is None or not needs_tickets(ask, figures):
             return ask
         return replace(ask, avoid=ask.avoid | self.memory.short_engines(context.now))
@@ -326,7 +323,9 @@
     return any(part.read_ms >= TOLD_READING_MS for part in work.parts)
 
 
-def ask_of(record: RequestRecord, context: Context) -> PlacementAsk:
+def ask_of(
+    record: RequestRecord, figures: EngineFigures | None, context: Context
+) -> PlacementAsk:
     """Return what placement is asked for a call."""
     request = record.request
     terms = request.terms
@@ -337,7 +336,7 @@
         request=request.request_id,
         prompt_tokens=request.prompt_tokens,
         max_answer_tokens=request.max_tokens,
-        answer_tokens=expected_answer(request),
+        answer_tokens=0 if figures is None else expected_answer(request, figures),
         time_left=request.deadline - context.now,
         objective=max(timedelta(0), objective),
         longest_pause=None if terms is None else terms.longest_pause,
@@ -348,10 +347,10 @@
     )
 
 
-def expected_answer(request: Request) -> int:
+def expected_answer(request: Request, figures: EngineFigures) -> int:
     """Return the tokens that an answer is expected to have."""
     hint = request.terms.expected_tokens if request.terms is not None else 0
-    expected = hint or DEFAULT_ANSWER
+    expected = hint or figures.likely_answer
     return min(expected, request.max_tokens) if request.max_tokens else expected
 
 
--- a/src/mimosafork/placement/fullness.py
+++ b/src/mimosafork/placement/fullness.py
@@ -21,9 +21,6 @@
 """Bounds of what a usual answer is taken to last: one that states a wrong length, or
 none, must neither make a rejection worth nothing nor let an engine stand idle."""
 
-DEFAULT_ANSWER = 600
-"""Tokens of a usual answer where the deployment states none."""
-
 LEAST_TURN = timedelta(milliseconds=100)
 """Below this two rejections of one call say the same."""
 
@@ -97,7 +94,7 @@
 def stay_of(figures: EngineFigures) -> timedelta:
     """Return how long a usual answer lasts on an engine whose slots are taken."""
     step_ms = figures.step_ms + figures.per_sequence_ms * figures.slots
-    lasts = timedelta(milliseconds=(figures.usual_answer or DEFAULT_ANSWER) * step_ms)
+    lasts = timedelta(milliseconds=figures.likely_answer * step_ms)
     return min(LONGEST_STAY, max(LEAST_STAY, lasts))
 
 
--- a/src/mimosafork/routing/engine.py
+++ b/src/mimosafork/routing/engine.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+DEFAULT_ANSWER = 600
+"""Tokens of a usual answer where the deployment states none."""
+
 
 @dataclass(frozen=True, slots=True)
 class EngineFigures:
@@ -51,6 +54,11 @@
     usual_prompt: int = 0
     usual_answer: int = 0
 
+    @property
+    def likely_answer(self) -> int:
+        """Tokens of an answer of which the caller says nothing."""
+        return self.usual_answer or DEFAULT_ANSWER
+
     def read_ms(self, tokens: int, prompt_tokens: int) -> float:
         """Return how long an engine reads its even part of a prompt.
 
--- a/tests/unit/gateway/test_placing.py
+++ b/tests/unit/gateway/test_placing.py
@@ -1,9 +1,14 @@
 """Tests of the placer: where calls go, what is kept of them, and when it gives up."""
 
+from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
-from mimosafork.gateway.policies.placing import WorkPlacer, reads_long
+from mimosafork.gateway.policies.placing import (
+    WorkPlacer,
+    expected_answer,
+    reads_long,
+)
 from mimosafork.ids import EndpointId, InstanceId, RequestId
 from mimosafork.kernel.messages.attempts import Exposure, FailureKind, RetryDue
 from mimosafork.kernel.messages.base import Tick
@@ -13,9 +18,11 @@
 from mimosafork.kernel.messages.routing import EndpointLeaving, PeerSilent, PeerWorkTold
 from mimosafork.kernel.messages.sharing import WorkBegun, WorkEnded
 from mimosafork.placement.work import LoadBook, Part, Work
+from mimosafork.routing.engine import DEFAULT_ANSWER
 
 from ...support.functions import function_tests
 from ...support.gateway_kernels import DEADLINE, GatewayBench, gateway_bench, request_of
+from ...support.reserving_engines import FIGURES
 
 case = TestCase()
 
@@ -122,6 +129,20 @@
     case.assertEqual(1, len(bench.dispatches("a")))
 
 
+def test_a_call_without_a_hint_is_taken_for_the_deployments_usual_one() -> None:
+    """Memory and time must be reckoned for answers as long as they are here."""
+    bench = gateway_bench()
+    silent = replace(request_of(bench, "a"), max_tokens=0)
+    assert silent.terms is not None
+    hinting = replace(silent, terms=replace(silent.terms, expected_tokens=90))
+    capped = replace(silent, max_tokens=1_000)
+    figures = replace(FIGURES, usual_answer=1_700)
+    asked = [expected_answer(each, figures) for each in (silent, hinting, capped)]
+    case.assertEqual([1_700, 90, 1_000], asked)
+    unstated = replace(FIGURES, usual_answer=0)
+    case.assertEqual(DEFAULT_ANSWER, expected_answer(silent, unstated))
+
+
 def test_peers_hear_only_of_long_readings_that_they_are_over() -> None:
     """Words of running work crowd each other out in a flood of short prompts.
 
