Play the shifted deployment on the model of engines

The model had the two small deployments and the grown one, and gave an event 34 tokens everywhere, although an event holds one pass: 38 tokens of the grown engines, 52 of the shifted ones. An answer's length now follows the deployment's stride (equal for the small ones), the shifted sheet is a deployment, and the comparison takes any that is named.

--- a/benchmarks/passes/__main__.py
+++ b/benchmarks/passes/__main__.py
@@ -14,7 +14,7 @@
 
 from . import ablation, experiment, held, refusals
 from .charts import plot_policies
-from .deployments import DEPLOYMENTS
+from .deployments import ALL_DEPLOYMENTS, DEPLOYMENTS
 from .faults import TROUBLES
 from .play import DURATION_S, Run, play
 from .policies import POLICIES
@@ -49,14 +49,17 @@
     parser.add_argument("--duration", type=float, default=DURATION_S, help="seconds")
     parser.add_argument("--policy", action="append", choices=sorted(POLICIES))
     parser.add_argument(
-        "--deployment", action="append", choices=[each.name for each in DEPLOYMENTS]
+        "--deployment",
+        action="append",
+        choices=[each.name for each in ALL_DEPLOYMENTS],
+        help="the small ones where none is named",
     )
     parser.add_argument("--faults", action="store_true", help="with troubled engines")
     parser.add_argument("--out", type=Path, default=BUILD, help="folder for the files")
     options = parser.parse_args(argv)
     chosen = [
         each
-        for each in DEPLOYMENTS
+        for each in (ALL_DEPLOYMENTS if options.deployment else DEPLOYMENTS)
         if not options.deployment or each.name in options.deployment
     ]
     faults = TROUBLES if options.faults else ()
--- a/benchmarks/passes/deployments.py
+++ b/benchmarks/passes/deployments.py
@@ -1,4 +1,4 @@
-"""The two deployments as their sheets state them, with their alternating floods."""
+"""Deployments as their sheets state them, with their alternating floods."""
 
 from dataclasses import dataclass, replace
 
@@ -194,5 +194,63 @@
     figures=replace(FIGURES, slots=6, memory_tokens=344_250, stride=38),
 )
 """Tens of instances; its runs take minutes, so it is played when it is named."""
+SHIFTED = Deployment(
+    "shifted",
+    61,
+    54,
+    (
+        replace(
+            SHORT,
+            per_s=34.6,
+            events_mean=33.0,
+            events_most=82.0,
+            objective_ms=321.0,
+            pause_ms=200.0,
+            limit_ms=10_684.0,
+            worth=1.4,
+            late_worth=0.34,
+            long_flood=0.35,
+        ),
+        replace(
+            MIDDLE,
+            per_s=5.5,
+            events_mean=19.8,
+            events_most=49.0,
+            objective_ms=1_532.0,
+            pause_ms=500.0,
+            limit_ms=10_215.0,
+            worth=2.6,
+            late_worth=0.66,
+        ),
+        replace(
+            LONG,
+            per_s=0.935,
+            prompt_mean=300_000.0,
+            prompt_most=1_000_000.0,
+            events_mean=16.5,
+            events_most=41.0,
+            objective_ms=4_055.0,
+            pause_ms=800.0,
+            limit_ms=15_207.0,
+            worth=30.0,
+            late_worth=7.5,
+        ),
+    ),
+    figures=EngineFigures(
+        slots=6,
+        memory_tokens=382_500,
+        stride=52,
+        step_ms=0.925,
+        per_sequence_ms=0.00483,
+        context_ms_per_k=0.00254,
+        read_tokens_per_ms=256.0,
+        pairs_ms_per_m=0.0917,
+        chunk=2_048,
+        hop_ms=0.1,
+        usual_prompt=14_000,
+        usual_answer=1_600,
+    ),
+)
+"""More prompts of middle length and longer ones, faster engines, shorter gaps."""
 DEPLOYMENTS = (VOCES, DALA)
-ALL_DEPLOYMENTS = (*DEPLOYMENTS, GROWN)
+ALL_DEPLOYMENTS = (*DEPLOYMENTS, GROWN, SHIFTED)
--- a/benchmarks/passes/replay.py
+++ b/benchmarks/passes/replay.py
@@ -16,7 +16,7 @@
 from .entry import CALLER_S
 from .outcome import Outcome
 from .played import SeenCall, engines_of, instances_of
-from .traffic import EVENT_TOKENS, HINT_SPREAD, Call, drawn, weight_of
+from .traffic import HINT_SPREAD, Call, drawn, weight_of
 
 AGAIN_S = 15.0
 """A caller comes again within its limit, if at all."""
@@ -65,20 +65,23 @@
     kinds = classes_of(seen, deployment)
     entries = {name: number for number, name in enumerate(instances_of(seen))}
     calls = [
-        replace(call_of(each, kinds[each.route], random), entry=entries[each.instance])
+        replace(
+            call_of(each, kinds[each.route], deployment.figures.stride, random),
+            entry=entries[each.instance],
+        )
         for each in first_attempts(seen)
     ]
     return tuple(replace(each, number=n) for n, each in enumerate(calls))
 
 
-def call_of(seen: SeenCall, kind: CallClass, random: Random) -> Call:
+def call_of(seen: SeenCall, kind: CallClass, event_tokens: int, random: Random) -> Call:
     """Return one call of the model."""
     size = (kind.events_mean, kind.events_spread, kind.events_most)
     guess = max(1, round(drawn(*size, random)))
     events = seen.events if seen.served and seen.events else max(guess, seen.events)
-    answer = events * EVENT_TOKENS
+    answer = events * event_tokens
     hint = max(1, round(answer * exp(random.gauss(0.0, HINT_SPREAD))))
-    weight = weight_of(kind, seen.prompt_tokens, answer)
+    weight = weight_of(kind, seen.prompt_tokens, answer, event_tokens)
     at_s = max(0.0, seen.at_s - CALLER_S)
     return Call(0, kind, at_s, seen.prompt_tokens, answer, hint, weight)
 
--- a/benchmarks/passes/traffic.py
+++ b/benchmarks/passes/traffic.py
@@ -7,7 +7,6 @@
 
 from .deployments import CallClass, Deployment
 
-EVENT_TOKENS = 34
 HINT_SPREAD = 0.5
 """Sigma of the logarithm of expected by real answer length."""
 ANSWER_WEIGHT = 10
@@ -67,24 +66,26 @@
     return min(most, mean * exp(random.gauss(-spread * spread / 2, spread)))
 
 
-def weight_of(kind: CallClass, prompt: int, answer: int) -> float:
+def weight_of(kind: CallClass, prompt: int, answer: int, event_tokens: int) -> float:
     """Return a call's worth against the mean of its class, by its size."""
-    mean = kind.prompt_mean + ANSWER_WEIGHT * kind.events_mean * EVENT_TOKENS
+    mean = kind.prompt_mean + ANSWER_WEIGHT * kind.events_mean * event_tokens
     return min(MOST_WORTH, 0.3 + 0.7 * (prompt + ANSWER_WEIGHT * answer) / mean)
 
 
 def generate(deployment: Deployment, duration_s: float, seed: int) -> list[Call]:
     """Return the calls of a run, in the order of their instants."""
     random = Random(seed)
+    # One event holds the tokens of one pass.
+    event_tokens = deployment.figures.stride
     calls: list[Call] = []
     for kind in deployment.classes:
         for at_s in arrivals(kind, deployment, duration_s, random):
             size = (kind.prompt_mean, kind.prompt_spread, kind.prompt_most)
             prompt = max(100, round(drawn(*size, random)))
             size = (kind.events_mean, kind.events_spread, kind.events_most)
-            answer = max(1, round(drawn(*size, random))) * EVENT_TOKENS
+            answer = max(1, round(drawn(*size, random))) * event_tokens
             hint = max(1, round(answer * exp(random.gauss(0.0, HINT_SPREAD))))
-            weight = weight_of(kind, prompt, answer)
+            weight = weight_of(kind, prompt, answer, event_tokens)
             calls.append(Call(0, kind, at_s, prompt, answer, hint, weight))
     calls.sort(key=lambda call: call.at_s)
     return [replace(each, number=number) for number, each in enumerate(calls)]
