--- a/benchmarks/passes/deployments.py
+++ b/benchmarks/passes/deployments.py
@@ -74,6 +74,8 @@
         One way between an entry instance and an engine, over all pairs of zones.
     flood_s, gap_s : float
         Length of a flood, and the usual traffic between two.
+    event_tokens : int
+        Tokens that one event of an answer holds.
     """
 
     name: str
@@ -85,6 +87,7 @@
     hop_s: float = 0.001
     flood_s: float = 9.5
     gap_s: float = 0.7
+    event_tokens: int = 34
 
     def loaded(self, factor: float) -> "Deployment":
         """Return the same with so many times as many calls."""
@@ -250,6 +253,7 @@
         usual_prompt=14_000,
         usual_answer=1_600,
     ),
+    event_tokens=52,
 )
 """More prompts of middle length and longer ones, faster engines, shorter gaps."""
 DEPLOYMENTS = (VOCES, DALA)
--- a/benchmarks/passes/replay.py
+++ b/benchmarks/passes/replay.py
@@ -66,7 +66,7 @@
     entries = {name: number for number, name in enumerate(instances_of(seen))}
     calls = [
         replace(
-            call_of(each, kinds[each.route], deployment.figures.stride, random),
+            call_of(each, kinds[each.route], deployment.event_tokens, random),
             entry=entries[each.instance],
         )
         for each in first_attempts(seen)
--- a/benchmarks/passes/traffic.py
+++ b/benchmarks/passes/traffic.py
@@ -75,8 +75,7 @@
 def generate(deployment: Deployment, duration_s: float, seed: int) -> list[Call]:
     """Return the calls of a run, in the order of their instants."""
     random = Random(seed)
-    # One event holds the tokens of one pass.
-    event_tokens = deployment.figures.stride
+    event_tokens = deployment.event_tokens
     calls: list[Call] = []
     for kind in deployment.classes:
         for at_s in arrivals(kind, deployment, duration_s, random):
