--- a/src/mimosafork/directory/follower.py
+++ b/src/mimosafork/directory/follower.py
@@ -20,6 +20,7 @@
 from .errors import HistoryGoneError, RowsError
 from .feed_word import FeedWord
 from .health import Horizon, StoreHealth
+from .outage import CallFailures
 from .peer_feed import FRESH, HeardWord, PeerFeed
 from .rows import RowPage
 from .settings import FollowSettings
@@ -98,6 +99,10 @@
     answered_at : timedelta or None
         Monotonic instant of the last answer that was taken, or as of which a peer's
         word stood for one.
+    asked_at : timedelta
+        Monotonic instant of the last call.
+    failures : CallFailures
+        Calls that failed since the last answer.
     """
 
     def __init__(
@@ -124,6 +129,8 @@
         self.position: int | None = None
         self.changed_at = 0
         self.answered_at: timedelta | None = None
+        self.asked_at = clock.monotonic()
+        self.failures = CallFailures()
         self.troubles = 0
 
     @property
@@ -168,6 +175,7 @@
         timedelta
             Pause until the next call.
         """
+        self.asked_at = self.clock.monotonic()
         try:
             if self.position is None:
                 return await self.read_whole()
@@ -177,6 +185,7 @@
             log_event(logger, FEED_CUT, table=self.name, version=self.position)
             self.position = None
         except RowsError as error:
+            self.failures.add(str(error), self.clock.monotonic() - self.asked_at)
             if self.health.failed():
                 silence = self.health.silence
                 log_event(
@@ -280,12 +289,17 @@
     def note_answer(self) -> None:
         """Note that the store answers."""
         lasted = self.health.answered()
+        failures, self.failures = self.failures, CallFailures()
         if lasted is not None:
             log_event(
                 logger,
                 STORE_REGAINED,
                 table=self.name,
                 duration_ms=lasted // MILLISECOND,
+                answered_in_ms=(self.clock.monotonic() - self.asked_at) // MILLISECOND,
+                failed_calls=failures.count,
+                longest_ms=failures.longest // MILLISECOND,
+                why=failures.last_reason,
             )
 
     def retry_pause(self) -> timedelta:
--- a/src/mimosafork/telemetry/catalogue/directory.py
+++ b/src/mimosafork/telemetry/catalogue/directory.py
@@ -73,8 +73,10 @@
     2108,
     "store-regained",
     Level.INFO,
-    "the store tells the {table} again after {duration_ms} ms",
-    "Changes are followed again.",
+    "the store tells the {table} again after {duration_ms} ms; {failed_calls} calls "
+    "failed meanwhile, the last by: {why}",
+    "Changes are followed again. `longest_ms` is the time that the longest of the "
+    "failed calls took, `answered_in_ms` that of the call that was answered.",
     "None.",
 )
 FEED_CUT = Event(
--- a/tests/unit/directory/test_lines.py
+++ b/tests/unit/directory/test_lines.py
@@ -7,6 +7,7 @@
 from mimosafork.telemetry.catalogue.directory import (
     ENDPOINT_GONE,
     STORE_LOST,
+    STORE_REGAINED,
     TABLE_TAKEN,
 )
 
@@ -106,4 +107,19 @@
     assert lost["age_ms"] == 2400
 
 
+def test_a_regained_store_says_how_its_calls_failed() -> None:
+    """A return noticed late by few long calls must not look like one of refusals."""
+    with directory_world() as world, caught_lines() as caught:
+        world.endpoints(page(9))
+        world.endpoints(DOWN, StoreUnavailableError("no answer within 4.8 s"))
+        world.endpoints(page(12))
+    line = caught.one(STORE_REGAINED)
+    assert (line["failed_calls"], line["longest_ms"], line["answered_in_ms"]) == (
+        2,
+        0,
+        0,
+    )
+    assert line["why"] == "no answer within 4.8 s"
+
+
 load_tests = function_tests(__name__)
