Show how late a silent store's return is noticed

After a store that kept silent for 3 to 10 s, a change confirmed by it was not in force for seconds on any instance: callers got 404 for a route that had been added. The tests run the directory and the store's client against a store in virtual time, which keeps silent with or without taking connections, refuses, resets, or loses its history.

--- /dev/null
+++ b/tests/unit/directory/test_store_return.py
@@ -0,0 +1,127 @@
+"""Tests of how soon an instance follows the store again after a trouble."""
+
+import asyncio
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.clock import ManualClock
+
+from ...support.functions import function_tests
+from ...support.virtual_store import (
+    Trouble,
+    VirtualStore,
+    following_instance,
+    run_followed,
+)
+
+case = TestCase()
+
+LONG_OUTAGES_S = (2.7, 3.3, 4.1, 5.6, 7.4, 9.8)
+LONGEST_RETURN_S = 1.5
+"""From the store's return to the configuration in force, once the store is missed."""
+SLOW_STORE_S = 6.0
+
+
+async def return_of(
+    store: VirtualStore,
+    clock: ManualClock,
+    trouble: Trouble,
+    outage_s: float,
+    begins_s: float = 1.0,
+) -> float:
+    """Return the seconds from the end of a trouble to the newest configuration."""
+    own = following_instance(store, clock, seed=1)
+    store.configure(1)
+    own.directory.start()
+    await own.until(1, 5.0)
+    await asyncio.sleep(begins_s)
+    store.set_trouble(trouble)
+    await asyncio.sleep(outage_s)
+    store.set_trouble(Trouble.NONE)
+    store.configure(2)
+    took_s = await own.until(2, 20.0)
+    await own.directory.stop()
+    return took_s
+
+
+def slowest_return(
+    trouble: Trouble, outages_s: tuple[float, ...], begins_s: float = 1.0
+) -> float:
+    """Return the slowest of some outages' returns."""
+    seen: list[float] = []
+
+    for outage_s in outages_s:
+
+        async def work(
+            store: VirtualStore, clock: ManualClock, outage_s: float = outage_s
+        ) -> None:
+            seen.append(await return_of(store, clock, trouble, outage_s, begins_s))
+
+        run_followed(work)
+    return max(seen)
+
+
+def test_return_of_a_silent_store_is_noticed_soon() -> None:
+    """A call sent into the silence must not put off the next one by its time-out."""
+    for trouble in (Trouble.SILENT, Trouble.UNREACHABLE):
+        slowest = slowest_return(trouble, LONG_OUTAGES_S)
+        case.assertLess(slowest, LONGEST_RETURN_S)
+
+
+def test_return_of_a_refusing_store_is_noticed_soon() -> None:
+    """Pauses between refused calls must not grow past the time to apply a change."""
+    for trouble in (
+        Trouble.BUSY,
+        Trouble.TOO_MANY,
+        Trouble.RESETTING,
+        Trouble.CLOSED,
+    ):
+        slowest = slowest_return(trouble, LONG_OUTAGES_S[:3])
+        case.assertLess(slowest, LONGEST_RETURN_S)
+
+
+def test_history_lost_in_a_silence_is_read_whole_soon() -> None:
+    """Refused history after a long silence must not cost another long pause."""
+    seen: list[float] = []
+
+    for outage_s in LONG_OUTAGES_S:
+
+        async def work(
+            store: VirtualStore, clock: ManualClock, outage_s: float = outage_s
+        ) -> None:
+            own = following_instance(store, clock, seed=1)
+            store.configure(1)
+            own.directory.start()
+            await own.until(1, 5.0)
+            store.set_trouble(Trouble.SILENT)
+            await asyncio.sleep(outage_s)
+            store.configure(2)
+            store.forget()
+            store.set_trouble(Trouble.NONE)
+            seen.append(await own.until(2, 20.0))
+            await own.directory.stop()
+
+        run_followed(work)
+    case.assertLess(max(seen), LONGEST_RETURN_S)
+
+
+def test_a_store_slower_than_any_time_out_is_still_followed() -> None:
+    """Calls sent again must not give up the answer that is on its way."""
+    seen: list[float] = []
+
+    async def work(store: VirtualStore, clock: ManualClock) -> None:
+        own = following_instance(store, clock, seed=1)
+        store.configure(1)
+        own.directory.start()
+        await own.until(1, 5.0)
+        store.delay = timedelta(seconds=2)
+        await asyncio.sleep(1.0)
+        store.configure(2)
+        seen.append(await own.until(2, 20.0))
+        await own.directory.stop()
+
+    run_followed(work)
+    case.assertLess(seen[0], SLOW_STORE_S)
+
+
+load_tests = function_tests(__name__)
