Send a read of the store again while an earlier one waits in its silence

What callers saw: after the store had kept silent for 6 s, changes that it had confirmed were not in force for up to three seconds on a whole fleet; a route that had been added was answered with 404, keys that had been added with 401.

Cause: while the store is lost, the call that would show its return was a long poll with the wait of a sound store, and each silence doubled its time-out, up to 4.8 s for the endpoints and 7.2 s for the configuration (8 s for a whole read, behind which the other table's read waited for the same connection). A call sent just before the return is swallowed, and no other went out until it was given up. All instances lose the store at one instant and keep step, so that no peer knows more.

Ruled out: refused or stale answers (no call at all), connections that can't be opened (they give up after 1 s).

Change: a read that stays unanswered is sent again every 0.8 s over a new connection, while the earlier ones wait on: a slow store answers the oldest, one that has returned the newest. While a table is lost, its calls ask for no wait. The pause after a failed call counts from its start, and an answer of any kind ends the doubling. Each table is read over its own connection, and a silence that goes on no longer ends the reads of the other table.

Why it holds: between the return and a call sent after it lie at most 0.8 s, or the pause of at most 1 s, whatever the kind of trouble; a first silence is found as before.

Two tests of the client said how often the store is called and over how many connections; the ones in their place say the same of the new way.

--- a/src/mimosafork/directory/follower.py
+++ b/src/mimosafork/directory/follower.py
@@ -229,7 +229,7 @@
     async def follow(self, position: int) -> timedelta:
         """Wait for changes and take them, unless peers say that there are none."""
         if self.peer_feed is None:
-            await self.ask(position, self.taker.longest_wait(self.settings.wait))
+            await self.ask(position, self.usual_wait())
             return self.settings.pause
         heard = self.covering(position, self.peer_feed)
         if heard is not None:
@@ -238,13 +238,21 @@
             usual = COVERED_PAUSE * self.random.uniform(LEAST_JITTER, 1.0)
             return min(usual, left + MILLISECOND)
         asked_at = self.peer_feed.clock.monotonic()
-        usual = self.taker.longest_wait(self.settings.wait)
-        wait = self.peer_feed.wait_for_others(usual, self.random)
+        wait = self.peer_feed.wait_for_others(self.usual_wait(), self.random)
         followed = await self.ask(position, wait)
         if not self.taker.in_doubt:
             self.peer_feed.tell(FeedWord(self.changed_at, followed), asked_at, wait)
         return self.settings.pause
 
+    def usual_wait(self) -> timedelta:
+        """Return how long the next call may wait for changes.
+
+        While the store is lost it doesn't: the answer tells that the store is back.
+        """
+        if self.health.lost_at is not None:
+            return timedelta(0)
+        return self.taker.longest_wait(self.settings.wait)
+
     async def ask(self, position: int, wait: timedelta) -> int:
         """Ask the store for changes and take them; return the new position."""
         page = await self.source.changes(position, wait)
@@ -289,6 +297,8 @@
     def note_answer(self) -> None:
         """Note that the store answers."""
         lasted = self.health.answered()
+        if lasted is not None:
+            self.troubles = 0
         failures, self.failures = self.failures, CallFailures()
         if lasted is not None:
             log_event(
@@ -303,14 +313,21 @@
             )
 
     def retry_pause(self) -> timedelta:
-        """Return the pause before a call after a trouble; it doubles up to a bound."""
+        """Return the pause before a call after a trouble.
+
+        The time between two calls doubles up to a bound. One that was waited for takes
+        its time from the pause: the longer a store keeps silent, the sooner its return
+        is to be noticed.
+        """
         pause = self.settings.first_retry
         for _ in range(self.troubles):
             pause = min(pause * 2, self.settings.last_retry)
             if pause == self.settings.last_retry:
                 break
         self.troubles += 1
-        return pause * self.random.uniform(LEAST_JITTER, 1.0)
+        waited = self.clock.monotonic() - self.asked_at
+        left = max(pause - waited, self.settings.first_retry)
+        return left * self.random.uniform(LEAST_JITTER, 1.0)
 
 
 async def sleep(pause: timedelta) -> None:
--- a/src/mimosafork/platform/store.py
+++ b/src/mimosafork/platform/store.py
@@ -1,7 +1,7 @@
 """The platform's store: reads, the feed of a table, and writes under conditions."""
 
 from base64 import b64decode, b64encode
-from collections.abc import Sequence
+from collections.abc import Awaitable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import NoReturn
@@ -24,7 +24,7 @@
 from .channel import Answer
 from .documents import RowDocument, RowsDocument, WrittenDocument, decode
 from .errors import DocumentError, SilentError
-from .lane import Lane
+from .lane import CallLimits, Lane
 
 OK = 200
 FORBIDDEN = 403
@@ -48,21 +48,22 @@
         A new connection.
     call : timedelta
         A read or write, from the call to its whole answer.
-    feed_slack : timedelta
+    silence : timedelta
         A long poll may answer this much after the wait that it asked for; with
-        the shortest wait it bounds how soon silence is found.
+        the shortest wait it bounds how soon silence is found. While the store keeps
+        silent, reads are sent again this often.
     """
 
     connect: timedelta = timedelta(seconds=1)
     call: timedelta = timedelta(seconds=2)
-    feed_slack: timedelta = timedelta(milliseconds=800)
+    silence: timedelta = timedelta(milliseconds=800)
 
 
 class PreparedStore:
     """The store of the prepared platform, as `directory.rows.Rows`.
 
-    Keeps a connection for each table that is followed, as a long poll holds it, and
-    one for all other calls. To be built where an asyncio loop runs.
+    Keeps a connection for each table that is read, as a long poll holds it, and one for
+    writes. To be built where an asyncio loop runs.
 
     Parameters
     ----------
@@ -82,14 +83,20 @@
         self.timeouts = timeouts or StoreTimeouts()
         self.answered = 0
         self.unanswered = 0
-        self.calls = self.new_lane()
-        self.feeds: dict[str, Lane] = {}
+        self.writes = self.new_lane()
+        self.reads: dict[str, Lane] = {}
 
     def new_lane(self) -> Lane:
         """Return a lane without a connection yet."""
         host, _, port = self.address.rpartition(":")
         return Lane(host, int(port), self.timeouts.connect)
 
+    def lane_of(self, table: str) -> Lane:
+        """Return the lane of a table's reads, which wait for no other table's."""
+        if table not in self.reads:
+            self.reads[table] = self.new_lane()
+        return self.reads[table]
+
     async def read(
         self,
         table: str,
@@ -107,8 +114,9 @@
         if limit is not None:
             query[names.LIMIT] = str(limit)
         request = self.get(names.ROWS_GET_PATH, query)
-        timeout = self.timeouts.call * self.calls.patience
-        return await self.page(self.calls, request, timeout)
+        timeouts = self.timeouts
+        limits = CallLimits(timeouts.call, timedelta(0), timeouts.silence)
+        return await self.page(self.lane_of(table), request, limits)
 
     async def changes(self, table: str, after: int, wait: timedelta) -> RowPage:
         """Wait up to `wait` for changes of a table after a version."""
@@ -118,11 +126,9 @@
             names.WAIT_MS: str(wait // MILLISECOND),
         }
         request = self.get(names.ROWS_FEED_PATH, query)
-        lane = self.feeds.get(table)
-        if lane is None:
-            lane = self.feeds[table] = self.new_lane()
-        timeout = wait + self.timeouts.feed_slack * lane.patience
-        return await self.page(lane, request, timeout)
+        silence = self.timeouts.silence
+        limits = CallLimits(wait + silence, usual=wait, silence=silence)
+        return await self.page(self.lane_of(table), request, limits)
 
     async def write(
         self,
@@ -140,9 +146,8 @@
         )
         request = self.post(names.ROWS_TX_PATH, body)
         try:
-            answer = await self.counted(
-                self.calls, request, self.timeouts.call, repeatable=False
-            )
+            call = self.writes.call(request, self.timeouts.call)
+            answer = await self.counted(call)
         except NoAnswerError as error:
             raise UnknownResultError(str(error)) from error
         except NetworkError as error:
@@ -154,7 +159,7 @@
         except DocumentError as error:
             raise UnknownResultError(f"answer not read: {error}") from error
 
-    async def page(self, lane: Lane, request: bytes, timeout: timedelta) -> RowPage:
+    async def page(self, lane: Lane, request: bytes, limits: CallLimits) -> RowPage:
         """Send a call that reads rows.
 
         Raises
@@ -162,13 +167,15 @@
         RowsError
             By status; no answer to a read means that nothing was done.
         """
+        was_answered = lane.patience == 1
         try:
-            answer = await self.counted(lane, request, timeout, repeatable=True)
+            answer = await self.counted(lane.repeatable_call(request, limits))
         except NetworkError as error:
             # Not for a connection that merely ended: a feed that was dropped here
-            # ends so, and would drop the one that took its place.
-            if isinstance(error, SilentError):
-                self.drop_feeds()
+            # ends so, and would drop the one that took its place. Nor while a silence
+            # goes on: the newest connections may be about to answer.
+            if was_answered and isinstance(error, SilentError):
+                self.drop_reads()
             raise StoreUnavailableError(str(error)) from error
         if answer.status != OK:
             raise rows_error(answer)
@@ -177,37 +184,35 @@
         except DocumentError as error:
             raise StoreUnavailableError(f"answer not read: {error}") from error
 
-    async def counted(
-        self, lane: Lane, request: bytes, timeout: timedelta, *, repeatable: bool
-    ) -> Answer:
-        """Send a call, and count whether it was answered.
+    async def counted(self, call: Awaitable[Answer]) -> Answer:
+        """Make a call, and count whether it was answered.
 
         Raises
         ------
         NetworkError
         """
         try:
-            answer = await lane.call(request, timeout, repeatable=repeatable)
+            answer = await call
         except NetworkError:
             self.unanswered += 1
             raise
         self.answered += 1
         return answer
 
-    def drop_feeds(self) -> None:
-        """End the feeds' connections after one call met silence.
+    def drop_reads(self) -> None:
+        """End the connections of all reads after one call met silence.
 
         Guard: connections fall silent together. The feed of a quiet table waits
         longest and would find it last, while a new configuration lies in the store.
-        Feeds only read, so ending a sound one costs a call and nothing else.
+        Ending a sound one costs a call and nothing else.
         """
-        for lane in self.feeds.values():
+        for lane in self.reads.values():
             lane.drop()
 
     def close(self) -> None:
         """Drop all connections."""
-        self.calls.drop()
-        self.drop_feeds()
+        self.writes.drop()
+        self.drop_reads()
 
     def get(self, path: str, query: dict[str, str]) -> bytes:
         """Return a whole GET request."""
--- a/tests/unit/directory/test_store_return.py
+++ b/tests/unit/directory/test_store_return.py
@@ -17,8 +17,11 @@
 case = TestCase()
 
 LONG_OUTAGES_S = (2.7, 3.3, 4.1, 5.6, 7.4, 9.8)
+SHORT_OUTAGES_S = (0.2, 0.6, 1.1, 1.9, 2.3)
 LONGEST_RETURN_S = 1.5
 """From the store's return to the configuration in force, once the store is missed."""
+LONGEST_UNNOTICED_S = 2.7
+"""The same if its return comes before it is missed: what finds a silent connection."""
 SLOW_STORE_S = 6.0
 
 
@@ -80,6 +83,35 @@
         case.assertLess(slowest, LONGEST_RETURN_S)
 
 
+def test_silence_that_ends_before_it_is_noticed_is_bounded_too() -> None:
+    """A call that a short silence swallowed must end within its own time-out."""
+    for begins_s in (0.05, 0.3, 1.0):
+        slowest = slowest_return(Trouble.SILENT, SHORT_OUTAGES_S, begins_s)
+        case.assertLess(slowest, LONGEST_UNNOTICED_S)
+
+
+def test_a_start_in_a_silence_ends_soon_after_it() -> None:
+    """An instance that starts while the store is silent must not wait out a read."""
+    seen: list[float] = []
+
+    for outage_s in LONG_OUTAGES_S:
+
+        async def work(
+            store: VirtualStore, clock: ManualClock, outage_s: float = outage_s
+        ) -> None:
+            store.set_trouble(Trouble.SILENT)
+            own = following_instance(store, clock, seed=1)
+            own.directory.start()
+            await asyncio.sleep(outage_s)
+            store.set_trouble(Trouble.NONE)
+            store.configure(1)
+            seen.append(await own.until(1, 20.0))
+            await own.directory.stop()
+
+        run_followed(work)
+    case.assertLess(max(seen), LONGEST_RETURN_S)
+
+
 def test_history_lost_in_a_silence_is_read_whole_soon() -> None:
     """Refused history after a long silence must not cost another long pause."""
     seen: list[float] = []
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
@@ -30,7 +31,7 @@
 SHORT = StoreTimeouts(
     connect=timedelta(seconds=5),
     call=timedelta(milliseconds=250),
-    feed_slack=timedelta(milliseconds=250),
+    silence=timedelta(milliseconds=250),
 )
 """Bounds of calls that are to run into them."""
 
@@ -50,20 +51,41 @@
     run(work())
 
 
-def test_calls_use_one_connection_and_a_feed_its_own() -> None:
+def test_each_tables_reads_and_the_writes_keep_a_connection() -> None:
     async def work() -> None:
         async with scripted_store(lambda *_: reply(200, PAGE)) as store:
             client = PreparedStore(store.address)
             for _ in range(3):
                 await client.read("t")
                 await client.changes("t", 4, WAIT)
+                await client.read("other")
+                await client.write([RowPut("t", "", "k", b"")])
             client.close()
-            case.assertEqual(2, store.connections)
+            case.assertEqual(3, store.connections)
             case.assertIn("table=t&after=4&wait-ms=3000", store.calls[1])
 
     run(work())
 
 
+def test_a_read_waits_for_no_other_tables_read() -> None:
+    """A table whose read hangs must not keep another from being read."""
+
+    def answer(line: str, _: bytes) -> Reply:
+        return None if "table=hanging" in line else reply(200, PAGE)
+
+    async def work() -> None:
+        async with scripted_store(answer) as store:
+            client = PreparedStore(store.address)
+            hanging = asyncio.ensure_future(client.read("hanging"))
+            page = await asyncio.wait_for(client.read("t"), 20.0)
+            case.assertFalse(hanging.done())
+            hanging.cancel()
+            client.close()
+            case.assertEqual(9, page.version)
+
+    run(work())
+
+
 def test_a_write_carries_values_and_conditions() -> None:
     async def work() -> None:
         async with scripted_store(lambda *_: reply(200, b'{"ver": 12}')) as store:
@@ -200,13 +222,14 @@
 
 
 def test_a_slow_store_is_waited_for_longer_until_it_answers() -> None:
-    """The store answers, but later than a call's time-out.
+    """A store that answers after each time-out must be heard before it is quick again.
 
-    Each call is given up just before its answer, and nothing is heard until the
-    store is quick again. After a silence the next call waits longer.
+    The longer a call is waited for, the more often it is sent over new connections.
     """
-    replies: list[Reply] = [None, None, None, reply(200, EMPTY), reply(200, EMPTY)]
+    silent = 1 + 2 + 4
+    replies: list[Reply] = [None] * silent + [reply(200, EMPTY), reply(200, EMPTY)]
     seen: list[int] = []
+    sent: list[int] = []
 
     async def work() -> None:
         async with scripted_store(lambda *_: replies.pop(0)) as store:
@@ -214,12 +237,51 @@
             for _ in range(3):
                 with case.assertRaises(StoreUnavailableError):
                     await client.changes("t", 1, timedelta(0))
-                seen.append(client.feeds["t"].patience)
+                seen.append(client.reads["t"].patience)
+                sent.append(len(store.calls))
             for _ in range(2):
                 await client.changes("t", 1, timedelta(0))
-                seen.append(client.feeds["t"].patience)
+                seen.append(client.reads["t"].patience)
             client.close()
         case.assertEqual([2, 4, 4, 2, 1], seen)
+        case.assertEqual([1, 3, 7], sent)
+
+    run(work())
+
+
+def test_the_answer_to_an_earlier_send_counts_too() -> None:
+    """A call that is sent again must not give up the answer that is on its way."""
+    came = asyncio.Event()
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        waiting: list[asyncio.StreamWriter] = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            waiting.append(writer)
+            if len(waiting) == 2:
+                waiting[0].write(reply(200, PAGE))
+                came.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = PreparedStore(f"127.0.0.1:{port}", replace(SHORT, call=WAIT * 5))
+        page = await client.read("t")
+        case.assertTrue(came.is_set())
+        case.assertEqual(9, page.version)
+        # The connection that answered is the one that is kept.
+        kept = client.reads["t"].channel
+        assert kept is not None and kept.transport is not None
+        own = kept.transport.get_extra_info("sockname")
+        case.assertEqual(waiting[0].get_extra_info("peername"), own)
+        client.close()
+        for each in waiting:
+            each.close()
+        server.close()
+        await loop.shutdown_asyncgens()
 
     run(work())
 
