Make an instance known within a second of a store's return

What callers would see: an instance that starts while the store is lost, for half a minute, stays unknown to its peers for up to eight seconds after the store's return. It hears of no endpoint that leaves and of no newer configuration but from the store.

Cause: the class of the late return after a silence: the pause between two tries grew with the outage, up to 8 s.

The pause ends at 1 s. Looked at and left: the table client of the own interface (one probe each 2 s at most), the reads of its configuration (each 3 s), gRPC to peers (2 s), fetches from peers (1 s), orders to endpoints (0.25 s): none grows past a bound that its promise allows.

--- a/src/mimosafork/gossip/finding.py
+++ b/src/mimosafork/gossip/finding.py
@@ -25,7 +25,9 @@
 ALONE_EVERY = timedelta(seconds=3)
 """While no peer is heard; each call of the store has a price."""
 FIRST_RETRY = timedelta(milliseconds=500)
-LAST_RETRY = timedelta(seconds=8)
+LAST_RETRY = timedelta(seconds=1)
+"""An instance that starts while the store is lost is known to nobody until its row is
+written: it hears of no endpoint that leaves, and is told no newer configuration."""
 
 
 class Finder:
