Show that instances which a change woke together miss a short silence together

The two tests fail: 4.3 s after the silence where 2.7 s are allowed, and seven instances within 0.02 s of each other after 20 s at rest.

--- a/tests/support/virtual_store.py
+++ b/tests/support/virtual_store.py
@@ -32,6 +32,7 @@
     NONE = "none"
     SILENT = "silent"
     UNREACHABLE = "unreachable"
+    DEAF = "deaf"
     BUSY = "busy"
     TOO_MANY = "too many"
     RESETTING = "resetting"
@@ -40,7 +41,8 @@
 
 STATUS = {Trouble.BUSY: 503, Trouble.TOO_MANY: 429}
 QUIET = frozenset({Trouble.SILENT, Trouble.UNREACHABLE})
-"""Troubles in which nothing is answered; one of them takes connections."""
+"""Troubles in which nothing is answered; one of them takes connections. While it is
+deaf, only the calls that arrive are lost, and those that wait go on."""
 
 
 @dataclass
@@ -122,6 +124,11 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     answers: set[asyncio.Task[None]] = field(default_factory=set)
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether calls that have arrived are carried out."""
+        return self.trouble in (Trouble.NONE, Trouble.DEAF)
+
     def put(self, table: str, key: str, value: bytes) -> int:
         """Write a row; return its version."""
         self.version += 1
@@ -142,7 +149,7 @@
     def set_trouble(self, trouble: Trouble) -> None:
         """Begin a trouble, or end it."""
         self.trouble = trouble
-        if trouble is Trouble.NONE:
+        if trouble in (Trouble.NONE, Trouble.DEAF):
             return
         for each in self.connections:
             if trouble in QUIET:
@@ -177,6 +184,9 @@
         """Answer a call in its time."""
         target = request.split(b" ", 2)[1].decode()
         self.calls.append(target)
+        if self.trouble is Trouble.DEAF:
+            transport.silent = True
+            return
         task = asyncio.ensure_future(self.answer(transport, target))
         self.answers.add(task)
         task.add_done_callback(self.answers.discard)
@@ -187,7 +197,7 @@
         url = urlsplit(target)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         table = query[names.TABLE]
-        if url.path == names.ROWS_FEED_PATH and self.trouble is Trouble.NONE:
+        if url.path == names.ROWS_FEED_PATH and self.is_serving:
             wait_s = int(query[names.WAIT_MS]) / 1000
             await self.until_changed(table, int(query[names.AFTER]), wait_s)
         if self.trouble in QUIET:
@@ -205,7 +215,7 @@
         """Wait for a change, a trouble, or the end of the wait."""
         loop = asyncio.get_running_loop()
         end = loop.time() + wait_s
-        while self.trouble is Trouble.NONE and after >= self.oldest:
+        while self.is_serving and after >= self.oldest:
             left = end - loop.time()
             if left <= 0 or self.rows(table, after, self.version):
                 return
--- a/tests/unit/directory/test_store_return.py
+++ b/tests/unit/directory/test_store_return.py
@@ -5,6 +5,7 @@
 from unittest import TestCase
 
 from mimosafork.clock import ManualClock
+from mimosafork.directory.follower import sleep
 
 from ...support.functions import function_tests
 from ...support.virtual_store import (
@@ -23,6 +24,7 @@
 LONGEST_UNNOTICED_S = 2.7
 """The same if its return comes before it is missed: what finds a silent connection."""
 SLOW_STORE_S = 6.0
+INSTANCES = 7
 
 
 async def return_of(
@@ -156,4 +158,57 @@
     case.assertLess(seen[0], SLOW_STORE_S)
 
 
+def test_a_short_silence_right_after_a_change_is_bounded_without_peers() -> None:
+    """Calls that one change sent together must not all wait long in one silence."""
+    took: list[float] = []
+
+    async def work(store: VirtualStore, clock: ManualClock) -> None:
+        fleet = [following_instance(store, clock, seed) for seed in range(INSTANCES)]
+        store.configure(1)
+        for own in fleet:
+            own.directory.peers = lambda: INSTANCES - 1
+            own.directory.start()
+        await asyncio.sleep(5.0)
+        store.configure(2)
+        await asyncio.sleep(0.1)
+        store.set_trouble(Trouble.DEAF)
+        await asyncio.sleep(0.7)
+        store.set_trouble(Trouble.NONE)
+        store.configure(3)
+        waits = (own.until(3, 20.0) for own in fleet)
+        took.extend(await asyncio.gather(*waits))
+        for own in fleet:
+            await own.directory.stop()
+
+    run_followed(work)
+    case.assertLess(max(took), LONGEST_UNNOTICED_S)
+
+
+def test_instances_that_a_change_woke_together_ask_apart() -> None:
+    """Peers that wait at the same instants would find a silent connection together."""
+    took: list[float] = []
+
+    async def work(store: VirtualStore, clock: ManualClock) -> None:
+        fleet = [following_instance(store, clock, seed) for seed in range(INSTANCES)]
+        store.configure(1)
+        following = []
+        for own in fleet:
+            own.directory.peers = lambda: INSTANCES - 1
+            follower = own.directory.configuration_follower
+            following.append(asyncio.ensure_future(follower.run(sleep)))
+        await asyncio.sleep(3.0)
+        store.configure(2)
+        await asyncio.sleep(20.0)
+        store.silence_connections()
+        store.configure(3)
+        waits = (own.until(3, 20.0) for own in fleet)
+        took.extend(await asyncio.gather(*waits))
+        for each in following:
+            each.cancel()
+
+    run_followed(work)
+    case.assertLess(min(took), LONGEST_UNNOTICED_S)
+    case.assertGreater(max(took) - min(took), 1.0)
+
+
 load_tests = function_tests(__name__)
