--- a/tests/unit/directory/test_store_return.py
+++ b/tests/unit/directory/test_store_return.py
@@ -139,6 +139,34 @@
     case.assertLess(max(seen), LONGEST_RETURN_S)
 
 
+def test_reads_that_are_behind_after_a_silence_are_made_again_soon() -> None:
+    """Whole reads from an older state must not be paced by the silence before."""
+    seen: list[float] = []
+
+    for outage_s in LONG_OUTAGES_S:
+
+        async def work(
+            store: VirtualStore, clock: ManualClock, outage_s: float = outage_s
+        ) -> None:
+            own = following_instance(store, clock, seed=1)
+            store.configure(1)
+            own.directory.start()
+            await own.until(1, 5.0)
+            store.set_trouble(Trouble.SILENT)
+            await asyncio.sleep(outage_s)
+            store.configure(2)
+            store.forget()
+            store.behind = 1
+            store.set_trouble(Trouble.NONE)
+            await asyncio.sleep(2.0)
+            store.behind = 0
+            seen.append(await own.until(2, 20.0))
+            await own.directory.stop()
+
+        run_followed(work)
+    case.assertLess(max(seen), LONGEST_RETURN_S)
+
+
 def test_a_store_slower_than_any_time_out_is_still_followed() -> None:
     """Calls sent again must not give up the answer that is on its way."""
     seen: list[float] = []
