Keep what all settings share apart from those of one program

These stand in settings/sections.py and settings/checking.py now; the loader and the models import them. No behaviour changes.

--- a/src/mimosafork/manifest/model.py
+++ b/src/mimosafork/manifest/model.py
@@ -11,7 +11,7 @@
 from pydantic import AfterValidator, Field
 
 from ..ids import AccountId, ModelId, ServiceId
-from ..settings.model import Section
+from ..settings.sections import Section
 from ..settings.types import Duration, NameList
 
 FORMAT = 1
--- a/src/mimosafork/manifest/parser.py
+++ b/src/mimosafork/manifest/parser.py
@@ -6,9 +6,9 @@
 
 from pydantic import BaseModel, ValidationError
 
+from ..settings.checking import reason_of
 from ..settings.errors import Fault
 from ..settings.ini import IniFile, parse_ini, read_ini
-from ..settings.loader import reason_of
 from ..settings.types import split_list
 from .errors import ManifestError
 from .model import (
--- a/src/mimosafork/settings/errors.py
+++ b/src/mimosafork/settings/errors.py
@@ -1,13 +1,13 @@
 """Errors of settings and other INI files."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from ..errors import MimosaforkError
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
+class Fault(msgspec.Struct, frozen=True):
     """One thing that is wrong in an INI file.
 
     Attributes
--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -6,9 +6,9 @@
 
 from pydantic import Field
 
+from .checking import checked
 from .ini import IniFile, parse_ini, read_ini
-from .loader import checked
-from .model import InstanceSection, Positive, Section
+from .sections import InstanceSection, Positive, Section
 from .types import Address, Duration, NameList
 
 Port = Annotated[int, Field(ge=1, le=65535)]
--- a/src/mimosafork/settings/ini.py
+++ b/src/mimosafork/settings/ini.py
@@ -13,17 +13,17 @@
     MissingSectionHeaderError,
     ParsingError,
 )
-from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
+
 from .errors import Fault
 
 NO_DEFAULT_SECTION = "\0"
 """A name that no section can have: ``[DEFAULT]`` becomes a section like others."""
 
 
-@dataclass(frozen=True, slots=True)
-class IniFile:
+class IniFile(msgspec.Struct, frozen=True):
     """What an INI file says, and what can't be read in it.
 
     Attributes
--- a/src/mimosafork/settings/model.py
+++ b/src/mimosafork/settings/model.py
@@ -3,39 +3,12 @@
 from datetime import timedelta
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import Field
 
-from ..ids import AvailabilityZoneId, Incarnation, InstanceId
+from ..ids import Incarnation
+from .sections import Count, InstanceSection, Name, Positive, Section
 from .types import Address, Duration, NameList
 
-NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]*$"
-
-Positive = Annotated[Duration, Field(gt=timedelta(0))]
-Name = Annotated[str, Field(pattern=NAME, max_length=64)]
-Count = Annotated[int, Field(ge=1)]
-
-
-class Section(BaseModel):
-    """Base of all sections: a key that nobody knows is a fault."""
-
-    model_config = ConfigDict(frozen=True, extra="forbid")
-
-
-class InstanceSection(Section):
-    """Who this entry instance is."""
-
-    id: InstanceId = Field(
-        pattern=NAME, max_length=64, description="unique name of this instance"
-    )
-    availability_zone: AvailabilityZoneId = Field(
-        pattern=NAME, max_length=64, description="availability zone that it runs in"
-    )
-    region: Name = Field(description="region of the availability zone")
-    incarnation: Annotated[int, Field(ge=1)] | None = Field(
-        default=None,
-        description="number of this life; taken from wall time if absent, in ms",
-    )
-
 
 class FrontSection(Section):
     """The HTTP server for callers."""
