--- a/benchmarks/gossip_bytes.py
+++ b/benchmarks/gossip_bytes.py
@@ -5,10 +5,12 @@
 
 import time
 from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
+from msgspec.structs import replace
+
 from mimosafork.gossip.exchange import Exchange
 from mimosafork.gossip.kinds.base import Key, Kind
 from mimosafork.gossip.kinds.configuration import CONFIGURATION, KEY, Versions
--- a/benchmarks/passes/deployments.py
+++ b/benchmarks/passes/deployments.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, replace
 
+from msgspec import structs
+
 from mimosafork.routing.engine import EngineFigures
 
 FIGURES = EngineFigures(
@@ -194,7 +196,7 @@
             late_worth=8.6,
         ),
     ),
-    figures=replace(FIGURES, slots=6, memory_tokens=344_250, stride=38),
+    figures=structs.replace(FIGURES, slots=6, memory_tokens=344_250, stride=38),
 )
 """Tens of instances; its runs take minutes, so it is played when it is named."""
 SHIFTED = Deployment(
--- a/benchmarks/passes/faults.py
+++ b/benchmarks/passes/faults.py
@@ -5,9 +5,11 @@
 calls that fail. An engine that has just failed a call counts as suspect for a while.
 """
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec.structs import replace
+
 from mimosafork.ids import EndpointId
 from mimosafork.placement.choice import EngineView
 
--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -4,10 +4,11 @@
 import logging
 import sys
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
+from msgspec.structs import replace
+
 from ..clock import Clock
 from ..ids import EndpointId
 from ..routing.changes import TableChanges
--- a/src/mimosafork/directory/endpoint_book.py
+++ b/src/mimosafork/directory/endpoint_book.py
@@ -1,9 +1,11 @@
 """The endpoints that are known, and which word about each counts."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
 from datetime import timedelta
 
+import msgspec
+from msgspec.structs import replace
+
 from ..clock import Clock
 from ..ids import EndpointId
 from ..routing.listing import ListedEndpoint, ListedState
@@ -19,8 +21,7 @@
 """Longer than a row outlives the last report of its endpoint."""
 
 
-@dataclass(frozen=True, slots=True)
-class GoneWord:
+class GoneWord(msgspec.Struct, frozen=True):
     """An endpoint that is gone.
 
     Attributes
@@ -42,8 +43,7 @@
     born_ms: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Reappearance:
+class Reappearance(msgspec.Struct, frozen=True):
     """A gone endpoint whose row is there again, since a monotonic instant."""
 
     row: Row
@@ -444,7 +444,7 @@
 
 def same_to_others(first: ListedEndpoint, second: ListedEndpoint) -> bool:
     """Whether two listings differ at most in what each report changes."""
-    return replace(first, **UNTOLD) == replace(second, **UNTOLD)  # type: ignore[arg-type]
+    return replace(first, **UNTOLD) == replace(second, **UNTOLD)
 
 
 def removal_of(entry: DirectoryEntry) -> Row:
--- a/src/mimosafork/directory/feed_word.py
+++ b/src/mimosafork/directory/feed_word.py
@@ -1,10 +1,9 @@
 """What an instance tells its peers of the endpoints' feed that it follows."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class FeedWord:
+class FeedWord(msgspec.Struct, frozen=True):
     """The store told no change between two versions.
 
     Attributes
--- a/src/mimosafork/directory/messages.py
+++ b/src/mimosafork/directory/messages.py
@@ -1,9 +1,10 @@
 """What the directory tells the rest of the instance."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from ..ids import EndpointId
 from ..routing.listing import ListedEndpoint
 from ..routing.table import RoutingTable
@@ -27,8 +28,7 @@
     """Its newest row cannot be read; it rests until the next one that can."""
 
 
-@dataclass(frozen=True, slots=True)
-class DirectoryEntry:
+class DirectoryEntry(msgspec.Struct, frozen=True):
     """What is known of one life of an endpoint.
 
     Attributes
@@ -59,8 +59,7 @@
         return self.state is EndpointState.READY
 
 
-@dataclass(frozen=True, slots=True)
-class TableChanged:
+class TableChanged(msgspec.Struct, frozen=True):
     """A newer configuration is in force.
 
     Attributes
@@ -74,8 +73,7 @@
     before: RoutingTable | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointChanged:
+class EndpointChanged(msgspec.Struct, frozen=True):
     """An endpoint is new, changed, held, draining or gone; the entry says which.
 
     Attributes
--- a/src/mimosafork/directory/outage.py
+++ b/src/mimosafork/directory/outage.py
@@ -1,11 +1,11 @@
 """What the calls of one outage of the store had in common."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
 
-@dataclass(slots=True)
-class CallFailures:
+
+class CallFailures(msgspec.Struct):
     """Calls about one table that failed in a row.
 
     A return of the store that is noticed late has one of three reasons: few calls that
--- a/src/mimosafork/directory/peer_feed.py
+++ b/src/mimosafork/directory/peer_feed.py
@@ -8,10 +8,11 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
+import msgspec
+
 from ..clock import Clock
 from ..ids import InstanceId
 from ..kernel.rendezvous import ranked
@@ -40,8 +41,7 @@
 fresh, it would keep peers from asking while an endpoint leaves."""
 
 
-@dataclass(frozen=True, slots=True)
-class HeardWord:
+class HeardWord(msgspec.Struct, frozen=True):
     """A peer's word, and the instant as of which it holds."""
 
     word: FeedWord
--- a/src/mimosafork/directory/rows.py
+++ b/src/mimosafork/directory/rows.py
@@ -1,16 +1,16 @@
 """The shared rows as the product sees them: read, follow, write under conditions."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
+import msgspec
+
 ABSENT = 0
 """Version in a condition that says: the row must not exist."""
 
 
-@dataclass(frozen=True, slots=True)
-class Row:
+class Row(msgspec.Struct, frozen=True):
     """One row, or the word that it was removed.
 
     Attributes
@@ -33,8 +33,7 @@
     removed: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class RowPage:
+class RowPage(msgspec.Struct, frozen=True):
     """Rows as of one moment.
 
     Attributes
@@ -52,8 +51,7 @@
     truncated: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class RowPut:
+class RowPut(msgspec.Struct, frozen=True):
     """A row to write."""
 
     table: str
@@ -62,8 +60,7 @@
     value: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class RowName:
+class RowName(msgspec.Struct, frozen=True):
     """A row to remove."""
 
     table: str
@@ -71,8 +68,7 @@
     key: str
 
 
-@dataclass(frozen=True, slots=True)
-class RowCondition:
+class RowCondition(msgspec.Struct, frozen=True):
     """A row must have this version, `ABSENT` if it must not exist."""
 
     table: str
--- a/src/mimosafork/directory/settings.py
+++ b/src/mimosafork/directory/settings.py
@@ -1,16 +1,16 @@
 """Times of following the configuration and the endpoints."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 
+import msgspec
+
 
 def ms(value: int) -> timedelta:
     """Return milliseconds as a time."""
     return timedelta(milliseconds=value)
 
 
-@dataclass(frozen=True, slots=True)
-class FollowSettings:
+class FollowSettings(msgspec.Struct, frozen=True):
     """How one table is followed.
 
     Attributes
@@ -31,8 +31,7 @@
     last_retry: timedelta = ms(1000)
 
 
-@dataclass(frozen=True, slots=True)
-class DirectorySettings:
+class DirectorySettings(msgspec.Struct, frozen=True):
     """How the directory follows the store.
 
     Attributes
@@ -60,10 +59,10 @@
         How long the word that an endpoint is gone is remembered.
     """
 
-    configuration: FollowSettings = field(
+    configuration: FollowSettings = msgspec.field(
         default_factory=lambda: FollowSettings(pause=ms(200), wait=ms(1600))
     )
-    endpoints: FollowSettings = field(
+    endpoints: FollowSettings = msgspec.field(
         default_factory=lambda: FollowSettings(
             pause=ms(250), wait=ms(1600), last_retry=ms(700)
         )
--- a/src/mimosafork/gateway/answer_reader.py
+++ b/src/mimosafork/gateway/answer_reader.py
@@ -1,9 +1,9 @@
 """Reads answers from an endpoint's bytes."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import httptools
+import msgspec
 
 from .errors import BadAnswerError
 from .heads import (
@@ -22,8 +22,7 @@
 before it, its trailers, a chunk's extensions. Real ones have a few hundred."""
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
+class AnswerHead(msgspec.Struct, frozen=True):
     """An answer's status and headers.
 
     Attributes
@@ -43,8 +42,7 @@
         return not self.framed or b"close" in connection_tokens(self.headers)
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerSink:
+class AnswerSink(msgspec.Struct, frozen=True):
     """Who hears of an answer's parts."""
 
     head: Callable[[AnswerHead], None]
--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 from logging import getLogger
 
+import msgspec
+
 from ..clock import Clock
 from ..ids import EndpointId
 from ..kernel.messages.attempts import (
@@ -63,8 +64,7 @@
     """An answer to another call; it is skipped."""
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptTools:
+class AttemptTools(msgspec.Struct, frozen=True):
     """What attempts share."""
 
     clock: Clock
--- a/src/mimosafork/gateway/attempt_notes.py
+++ b/src/mimosafork/gateway/attempt_notes.py
@@ -1,8 +1,9 @@
 """What the log tells of an attempt beside its outcome: zones, connection, forecast."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ..ids import AvailabilityZoneId
 from .upstream import ConnectionLoss
 
@@ -10,8 +11,7 @@
 """Stands in a list of zones for an endpoint that is no longer known."""
 
 
-@dataclass(frozen=True, slots=True)
-class Names:
+class Names(msgspec.Struct, frozen=True):
     """Names that become one text where a line is written, and only there."""
 
     names: tuple[str | None, ...]
@@ -21,8 +21,7 @@
         return ",".join(name or UNNAMED for name in self.names)
 
 
-@dataclass(frozen=True, slots=True)
-class Spread:
+class Spread(msgspec.Struct, frozen=True):
     """Where an attempt goes, and what placement expects of it.
 
     Attributes
@@ -40,8 +39,7 @@
     first_token_at: timedelta | None = None
 
 
-@dataclass(slots=True)
-class AttemptNotes:
+class AttemptNotes(msgspec.Struct):
     """What is noted of a call's latest attempt.
 
     Attributes
--- a/src/mimosafork/gateway/call.py
+++ b/src/mimosafork/gateway/call.py
@@ -1,9 +1,10 @@
 """A caller's call while it is open: what has been sent to the caller of it."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Protocol
 
+import msgspec
+
 from ..ids import AccountId, AvailabilityZoneId, EndpointId, RequestId
 from ..kernel.messages.dispatch import Helper
 from ..kernel.messages.requests import Request
@@ -17,8 +18,7 @@
 from .request_reader import RequestMessage
 
 
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
+class WholeAnswer(msgspec.Struct, frozen=True):
     """An endpoint's answer, read to its end."""
 
     head: AnswerHead
@@ -46,8 +46,7 @@
         """Close the connection so that the answer can't look whole."""
 
 
-@dataclass(slots=True)
-class Call:
+class Call(msgspec.Struct):
     """An open call.
 
     Attributes
@@ -111,13 +110,13 @@
     last_sent_at: timedelta | None = None
     longest_pause: timedelta | None = None
     version: int | None = None
-    endpoints: list[EndpointId] = field(default_factory=list)
+    endpoints: list[EndpointId] = msgspec.field(default_factory=list)
     helpers: tuple[Helper, ...] = ()
     placed_at: timedelta | None = None
     inputs: Inputs | None = None
     behind: bool = False
-    notes: AttemptNotes = field(default_factory=AttemptNotes)
-    zones: list[AvailabilityZoneId | None] = field(default_factory=list)
+    notes: AttemptNotes = msgspec.field(default_factory=AttemptNotes)
+    zones: list[AvailabilityZoneId | None] = msgspec.field(default_factory=list)
     first_token_at: timedelta | None = None
 
     @property
--- a/src/mimosafork/gateway/client_connection.py
+++ b/src/mimosafork/gateway/client_connection.py
@@ -4,11 +4,12 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Protocol, cast
 
+import msgspec
+
 from ..clock import Clock
 from ..routing.table import ClientLimits
 from .errors import BadRequestError
@@ -78,8 +79,7 @@
         """Note a fault in the code while a caller's bytes were taken."""
 
 
-@dataclass(slots=True)
-class Exchange:
+class Exchange(msgspec.Struct):
     """The request that is being answered."""
 
     message: RequestMessage
--- a/src/mimosafork/gateway/dialect.py
+++ b/src/mimosafork/gateway/dialect.py
@@ -1,9 +1,10 @@
 """What the gateway needs to know of a deployment's manner of speaking."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
+import msgspec
+
 from ..ids import AccountId, EndpointId
 from ..kernel.messages.base import Effect
 from ..kernel.messages.dispatch import Helper
@@ -13,8 +14,7 @@
 from .heads import Header, RequestHead
 
 
-@dataclass(frozen=True, slots=True)
-class CallMarks:
+class CallMarks(msgspec.Struct, frozen=True):
     """What a caller says about its call.
 
     Attributes
@@ -40,8 +40,7 @@
     expected_tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptMarks:
+class AttemptMarks(msgspec.Struct, frozen=True):
     """What this instance tells an endpoint about an attempt."""
 
     endpoint: EndpointId
@@ -52,8 +51,7 @@
     helpers: tuple[Helper, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerMarks:
+class AnswerMarks(msgspec.Struct, frozen=True):
     """What an endpoint says about its answer.
 
     Attributes
@@ -77,8 +75,7 @@
     fault_at: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class OrderMessage:
+class OrderMessage(msgspec.Struct, frozen=True):
     """An order to an endpoint, with a body in JSON."""
 
     path: str
--- a/src/mimosafork/gateway/event_stream.py
+++ b/src/mimosafork/gateway/event_stream.py
@@ -1,7 +1,8 @@
 """Whole events of an event stream, with their ids."""
 
 import re
-from dataclasses import dataclass
+
+import msgspec
 
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 LONGEST_END = 4
@@ -9,8 +10,7 @@
 EVENT_STREAM = b"text/event-stream"
 
 
-@dataclass(frozen=True, slots=True)
-class StreamEvent:
+class StreamEvent(msgspec.Struct, frozen=True):
     """One event with the empty line that ends it; `number` is its id, if any."""
 
     data: bytes
--- a/src/mimosafork/gateway/freeze.py
+++ b/src/mimosafork/gateway/freeze.py
@@ -1,15 +1,15 @@
 """Notices that this process stood still."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ..clock import Clock
 
 LEAST_FREEZE = timedelta(seconds=1)
 
 
-@dataclass(frozen=True, slots=True)
-class Freeze:
+class Freeze(msgspec.Struct, frozen=True):
     """A time in which nothing ran here.
 
     Attributes
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import astuple
 from datetime import timedelta
 from functools import singledispatchmethod
 from http import HTTPStatus
@@ -11,6 +10,8 @@
 from logging import getLogger
 from random import Random
 
+from msgspec.structs import astuple
+
 from ..clock import Clock
 from ..gossip.boot_clock import BootClock
 from ..ids import RequestId
--- a/src/mimosafork/gateway/heads.py
+++ b/src/mimosafork/gateway/heads.py
@@ -2,10 +2,11 @@
 
 import re
 from collections.abc import Iterable
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import NamedTuple
 
+import msgspec
+
 from .errors import BadRequestError
 
 REQUEST_LINE = re.compile(rb"([A-Z]{1,20}) (/[\x21-\x7e\x80-\xff]*) HTTP/1\.([01])")
@@ -46,8 +47,7 @@
     value: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class RequestHead:
+class RequestHead(msgspec.Struct, frozen=True):
     """A request's first line and headers.
 
     Attributes
--- a/src/mimosafork/gateway/intake.py
+++ b/src/mimosafork/gateway/intake.py
@@ -2,11 +2,12 @@
 
 import hashlib
 import struct
-from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
 from random import Random
 
+import msgspec
+
 from ..ids import AccountId, Digest, ModelId, RequestId, ServiceId
 from ..kernel.messages.requests import CallTerms, Repeatability, Request, RequestKind
 from ..routing.table import Account, CallKind, Route, RoutingTable, Split
@@ -19,8 +20,7 @@
 NOT_CONFIGURED_COME_BACK = timedelta(milliseconds=500)
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True):
     """The call ends here, before the kernel has heard of it."""
 
     status: HTTPStatus
@@ -41,8 +41,7 @@
 UNKNOWN_KEY = Refusal(HTTPStatus.UNAUTHORIZED, "unknown-key")
 
 
-@dataclass(frozen=True, slots=True)
-class Match:
+class Match(msgspec.Struct, frozen=True):
     """What the routing table has for a request.
 
     Attributes
@@ -61,8 +60,7 @@
         return None if self.account is None else self.account.name
 
 
-@dataclass(frozen=True, slots=True)
-class Admission:
+class Admission(msgspec.Struct, frozen=True):
     """What a request asks for, by the routing table in force."""
 
     route: Route
--- a/src/mimosafork/gateway/orders.py
+++ b/src/mimosafork/gateway/orders.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from functools import singledispatchmethod
 from logging import getLogger
 
+import msgspec
+
 from ..clock import Clock
 from ..ids import EndpointId
 from ..kernel.messages.base import Effect, Message
@@ -37,8 +38,7 @@
 nothing, and a kept connection may have been closed just then."""
 
 
-@dataclass(frozen=True, slots=True)
-class Order:
+class Order(msgspec.Struct, frozen=True):
     """An order on its way.
 
     Attributes
@@ -53,8 +53,7 @@
     done: Callable[[PartFailure | None], None]
 
 
-@dataclass(frozen=True, slots=True)
-class OrderTools:
+class OrderTools(msgspec.Struct, frozen=True):
     """What orders share."""
 
     pool: ConnectionPool
--- a/src/mimosafork/gateway/outlook.py
+++ b/src/mimosafork/gateway/outlook.py
@@ -1,10 +1,11 @@
 """What this instance knows at a moment, as the log tells it beside a decision."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, Protocol
 
+import msgspec
+
 from ..directory.directory import Directory
 from ..ids import AvailabilityZoneId, EndpointId, ServiceId
 from ..kernel.core import Kernel
@@ -19,8 +20,7 @@
 """Fields of a log line."""
 
 
-@dataclass(frozen=True, slots=True)
-class Inputs:
+class Inputs(msgspec.Struct, frozen=True):
     """What decisions about a service's calls go by.
 
     Attributes
--- a/src/mimosafork/gateway/page_connection.py
+++ b/src/mimosafork/gateway/page_connection.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import cast
 
+import msgspec
+
 from ..routing.table import ClientLimits
 from .errors import BadRequestError
 from .heads import Header, render_head
@@ -14,8 +15,7 @@
 ANSWER_LIMITS = ClientLimits(header_bytes=4096, body_bytes=0)
 
 
-@dataclass(frozen=True, slots=True)
-class PageAnswer:
+class PageAnswer(msgspec.Struct, frozen=True):
     """What a question is answered with.
 
     Attributes
--- a/src/mimosafork/gateway/policies/allowance.py
+++ b/src/mimosafork/gateway/policies/allowance.py
@@ -2,9 +2,10 @@
 
 from bisect import bisect_right
 from collections import deque
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ...ids import RequestId
 
 ARRIVES_WITHIN = timedelta(milliseconds=2300)
@@ -24,8 +25,7 @@
 HALF = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class SlackShare:
+class SlackShare(msgspec.Struct, frozen=True):
     """An instance's part in what its fleet may repeat beside the ratio.
 
     Attributes
@@ -57,8 +57,7 @@
         return each + (self.rank < rest)
 
 
-@dataclass(frozen=True, slots=True)
-class Terms:
+class Terms(msgspec.Struct, frozen=True):
     """What one instance may repeat of a service's calls.
 
     Attributes
@@ -77,8 +76,7 @@
     since: timedelta | None = None
 
 
-@dataclass(slots=True)
-class Repeats:
+class Repeats(msgspec.Struct):
     """Repeats that were counted nearly together.
 
     Attributes
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -1,9 +1,10 @@
 """What this instance believes of each endpoint."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import singledispatchmethod
 
+import msgspec
+
 from ...ids import AvailabilityZoneId, EndpointId, ServiceId
 from ...kernel.context import Context
 from ...kernel.messages.attempts import (
@@ -46,16 +47,14 @@
 """Above this rate of failures an endpoint is taken last."""
 
 
-@dataclass(frozen=True, slots=True)
-class LastView:
+class LastView(msgspec.Struct, frozen=True):
     """What placement was told of an endpoint, and the entry that it came from."""
 
     listed: ListedEndpoint
     view: EngineView
 
 
-@dataclass(slots=True)
-class EndpointBelief:
+class EndpointBelief(msgspec.Struct):
     """What is known of one endpoint.
 
     Attributes
@@ -81,7 +80,7 @@
     misses: int = 0
     failure_rate: float = 0.0
     suspected_at: timedelta | None = None
-    zones: ZoneSuspicion = field(default_factory=ZoneSuspicion)
+    zones: ZoneSuspicion = msgspec.field(default_factory=ZoneSuspicion)
     last_view: LastView | None = None
 
     def note_unreached(self, now: timedelta) -> None:
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -1,10 +1,11 @@
 """Places calls by the work that this instance and its peers have running."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import replace
 from datetime import timedelta
 from functools import singledispatchmethod
 
+from msgspec.structs import replace
+
 from ...ids import AttemptNumber, RequestId, ServiceId
 from ...kernel.context import Context
 from ...kernel.lifecycle import QUEUE_MISSES
--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -1,10 +1,11 @@
 """Keeps a request that crashes endpoints from reaching further ones."""
 
 import logging
-from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import singledispatchmethod
 
+import msgspec
+
 from ...ids import Digest, EndpointId
 from ...kernel.context import Context
 from ...kernel.messages.attempts import AttemptFailed, FailureKind
@@ -31,11 +32,10 @@
 """Whose word a line tells."""
 
 
-@dataclass(slots=True)
-class Suspicion:
+class Suspicion(msgspec.Struct):
     """Endpoints whose connections broke under a request, and when last."""
 
-    endpoints: set[EndpointId] = field(default_factory=set)
+    endpoints: set[EndpointId] = msgspec.field(default_factory=set)
     seen_at: timedelta = timedelta(0)
 
 
--- a/src/mimosafork/gateway/policies/standing.py
+++ b/src/mimosafork/gateway/policies/standing.py
@@ -1,10 +1,11 @@
 """Logs what changes in the belief about an endpoint, once for each change."""
 
 import logging
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
+import msgspec
+
 from ...routing.listing import ListedEndpoint
 from ...telemetry.catalogue.gateway import (
     ENDPOINT_BACK,
@@ -36,8 +37,7 @@
         """Return whether it is taken last."""
 
 
-@dataclass(frozen=True, slots=True)
-class Standing:
+class Standing(msgspec.Struct, frozen=True):
     """How an endpoint stood before something was learnt of it."""
 
     usable: bool
--- a/src/mimosafork/gateway/policies/tickets.py
+++ b/src/mimosafork/gateway/policies/tickets.py
@@ -1,10 +1,11 @@
 """Memory that is reserved on several engines for one attempt of a request."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ...ids import AttemptNumber, EndpointId, RequestId, ReservationId
 from ...kernel.messages.dispatch import Helper
 from ...placement.choice import Place, Reservation
@@ -26,8 +27,7 @@
     """It may be held: its order is not answered, or its time may be over."""
 
 
-@dataclass(slots=True)
-class Ticket:
+class Ticket(msgspec.Struct):
     """Memory on one engine, and what is known of it.
 
     Attributes
@@ -90,8 +90,7 @@
         return self.held_until - last <= now < self.held_until
 
 
-@dataclass(slots=True)
-class Gang:
+class Gang(msgspec.Struct):
     """The reservations of one attempt, in the order in which they are asked for.
 
     Attributes
@@ -104,7 +103,7 @@
     attempt: AttemptNumber
     place: Place
     begun_at: timedelta
-    tickets: list[Ticket] = field(default_factory=list)
+    tickets: list[Ticket] = msgspec.field(default_factory=list)
     step: Step = Step.RESERVING
 
     def next_missing(self) -> Ticket | None:
--- a/src/mimosafork/gateway/policies/zone_suspicion.py
+++ b/src/mimosafork/gateway/policies/zone_suspicion.py
@@ -1,9 +1,10 @@
 """Whether a whole zone looks cut off from this instance."""
 
 import logging
-from dataclasses import dataclass, field
 from datetime import timedelta
 
+import msgspec
+
 from ...ids import AvailabilityZoneId, EndpointId
 from ...kernel.messages.attempts import FailureKind
 from ...routing.listing import ListedEndpoint
@@ -27,16 +28,14 @@
 """Its endpoints are taken last for so long; then the next call tries it."""
 
 
-@dataclass(frozen=True, slots=True)
-class ZoneFailure:
+class ZoneFailure(msgspec.Struct, frozen=True):
     """When an endpoint could not be reached, and how much that says of its zone."""
 
     at: timedelta
     weight: float
 
 
-@dataclass(slots=True)
-class ZoneState:
+class ZoneState(msgspec.Struct):
     """What is known of one zone.
 
     Attributes
@@ -49,7 +48,7 @@
         Monotonic instant up to which its endpoints are taken last.
     """
 
-    failures: dict[EndpointId, ZoneFailure] = field(default_factory=dict)
+    failures: dict[EndpointId, ZoneFailure] = msgspec.field(default_factory=dict)
     suspected_since: timedelta | None = None
     suspected_until: timedelta = timedelta(0)
 
--- a/src/mimosafork/gateway/pool.py
+++ b/src/mimosafork/gateway/pool.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ..clock import Clock
 from ..ids import EndpointId
 from ..settings.types import split_address
@@ -21,8 +22,7 @@
 MOST_IDLE = 16
 
 
-@dataclass(frozen=True, slots=True)
-class Wanted:
+class Wanted(msgspec.Struct, frozen=True):
     """A connection that is wanted.
 
     Attributes
--- a/src/mimosafork/gateway/problems.py
+++ b/src/mimosafork/gateway/problems.py
@@ -1,9 +1,10 @@
 """How the end of a request that has no answer is told to its caller."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
 
+import msgspec
+
 from ..kernel.messages.outcomes import Conclude, Outcome
 from ..kernel.messages.problems import ProblemCode
 
@@ -23,8 +24,7 @@
 TIMED_OUT = frozenset({ProblemCode.DEADLINE_PASSED, ProblemCode.DEADLINE_UNREACHABLE})
 
 
-@dataclass(frozen=True, slots=True)
-class FinalStatus:
+class FinalStatus(msgspec.Struct, frozen=True):
     """Status of the final answer, and when to come back."""
 
     status: HTTPStatus
--- a/src/mimosafork/gateway/request_reader.py
+++ b/src/mimosafork/gateway/request_reader.py
@@ -1,9 +1,9 @@
 """Reads requests from a caller's bytes, one at a time."""
 
-from dataclasses import dataclass
 from http import HTTPStatus
 
 import httptools
+import msgspec
 
 from ..routing.table import ClientLimits
 from .errors import BadRequestError
@@ -14,8 +14,7 @@
 """Sets the parser to read chunks; the caller's own head is checked here."""
 
 
-@dataclass(frozen=True, slots=True)
-class RequestMessage:
+class RequestMessage(msgspec.Struct, frozen=True):
     """A whole request."""
 
     head: RequestHead
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import timedelta
 from functools import singledispatchmethod
 
 import msgspec
+from msgspec.structs import replace
 
 from ..clock import Clock
 from ..directory.directory import Directory
--- a/src/mimosafork/gateway/unanswered.py
+++ b/src/mimosafork/gateway/unanswered.py
@@ -2,12 +2,13 @@
 
 import socket
 import sys
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 from fcntl import ioctl
 from termios import FIONREAD
 
+import msgspec
+
 from .errors import BadRequestError
 from .request_reader import RequestReader
 
@@ -29,8 +30,7 @@
     """The caller took no more of its answer."""
 
 
-@dataclass(frozen=True, slots=True)
-class Unanswered:
+class Unanswered(msgspec.Struct, frozen=True):
     """What a caller had sent, and got no answer to.
 
     Attributes
--- a/src/mimosafork/gateway/upstream.py
+++ b/src/mimosafork/gateway/upstream.py
@@ -5,7 +5,6 @@
 import socket
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 from errno import EHOSTDOWN, EHOSTUNREACH, ENETDOWN, ENETUNREACH
@@ -13,6 +12,8 @@
 from termios import TIOCOUTQ
 from typing import cast
 
+import msgspec
+
 from ..clock import Clock
 from .answer_reader import AnswerHead, AnswerReader, AnswerSink
 from .errors import BadAnswerError
@@ -50,8 +51,7 @@
     """This instance closed it."""
 
 
-@dataclass(frozen=True, slots=True)
-class CallSink:
+class CallSink(msgspec.Struct, frozen=True):
     """Who hears of a call's answer on a connection."""
 
     head: Callable[[AnswerHead], None]
--- a/src/mimosafork/gossip/callbacks.py
+++ b/src/mimosafork/gossip/callbacks.py
@@ -2,10 +2,11 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from functools import singledispatchmethod
 
+import msgspec
+
 from ..directory.feed_word import FeedWord
 from ..ids import EndpointId, InstanceId
 from ..telemetry.catalogue.gossip import (
@@ -42,8 +43,7 @@
     """Do nothing."""
 
 
-@dataclass(slots=True)
-class Callbacks:
+class Callbacks(msgspec.Struct):
     """What is called, in the loop's own thread; none may block.
 
     Parameters
--- a/src/mimosafork/gossip/counters.py
+++ b/src/mimosafork/gossip/counters.py
@@ -1,10 +1,9 @@
 """What has passed through an exchange."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(slots=True)
-class Counters:
+class Counters(msgspec.Struct):
     """What has passed, since the start.
 
     Attributes
--- a/src/mimosafork/gossip/effects.py
+++ b/src/mimosafork/gossip/effects.py
@@ -1,8 +1,9 @@
 """What the exchange has found out and others should know."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ..directory.feed_word import FeedWord
 from ..ids import EndpointId, InstanceId
 from .kinds.configuration import Versions
@@ -12,53 +13,46 @@
 from .members import Address, Identity
 
 
-@dataclass(frozen=True, slots=True)
-class PeerUp:
+class PeerUp(msgspec.Struct, frozen=True):
     """A peer is heard, for the first time or again."""
 
     identity: Identity
 
 
-@dataclass(frozen=True, slots=True)
-class PeerDown:
+class PeerDown(msgspec.Struct, frozen=True):
     """A peer is silent, and its load is forgotten."""
 
     identity: Identity
 
 
-@dataclass(frozen=True, slots=True)
-class PeerRestarted:
+class PeerRestarted(msgspec.Struct, frozen=True):
     """A peer has begun a new life."""
 
     identity: Identity
 
 
-@dataclass(frozen=True, slots=True)
-class DatagramRefused:
+class DatagramRefused(msgspec.Struct, frozen=True):
     """A datagram was counted and passed over."""
 
     address: Address
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class VersionsOffered:
+class VersionsOffered(msgspec.Struct, frozen=True):
     """A peer can hand over these versions."""
 
     identity: Identity
     versions: Versions
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointSaid:
+class EndpointSaid(msgspec.Struct, frozen=True):
     """A peer has a word about an endpoint."""
 
     endpoint: EndpointId
     said: EndpointWord
 
 
-@dataclass(frozen=True, slots=True)
-class FeedTold:
+class FeedTold(msgspec.Struct, frozen=True):
     """A peer was told by the store that nothing changed.
 
     Parameters
@@ -72,16 +66,14 @@
     born: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class SuspicionChanged:
+class SuspicionChanged(msgspec.Struct, frozen=True):
     """A peer knows more of a request's digest; this is what all know together."""
 
     digest: bytes
     known: Suspicion
 
 
-@dataclass(frozen=True, slots=True)
-class DoubtChanged:
+class DoubtChanged(msgspec.Struct, frozen=True):
     """A peer has ejected an endpoint, or taken it back (None)."""
 
     instance: InstanceId
@@ -89,8 +81,7 @@
     doubt: Doubt | None
 
 
-@dataclass(frozen=True, slots=True)
-class LoadChanged:
+class LoadChanged(msgspec.Struct, frozen=True):
     """Some of a peer's works have begun, changed or ended.
 
     Parameters
--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
@@ -35,12 +34,11 @@
 PURGE_EVERY = timedelta(seconds=1)
 
 
-@dataclass(slots=True)
-class Ticked:
+class Ticked(msgspec.Struct):
     """What a tick brings."""
 
-    datagrams: list[Outgoing] = field(default_factory=list)
-    effects: list[Effect] = field(default_factory=list)
+    datagrams: list[Outgoing] = msgspec.field(default_factory=list)
+    effects: list[Effect] = msgspec.field(default_factory=list)
 
 
 class Exchange:
--- a/src/mimosafork/gossip/kinds/base.py
+++ b/src/mimosafork/gossip/kinds/base.py
@@ -1,9 +1,10 @@
 """What a kind of state is, and the registry of kinds."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
+import msgspec
+
 from ..errors import BadDatagramError, DuplicateStateKindError
 from ..ids import IdReader, IdWriter
 
@@ -32,8 +33,7 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class Kind:
+class Kind(msgspec.Struct, frozen=True):
     """A kind of state.
 
     Parameters
--- a/src/mimosafork/gossip/kinds/configuration.py
+++ b/src/mimosafork/gossip/kinds/configuration.py
@@ -1,6 +1,5 @@
 """Which versions of configuration and list of endpoints an instance has."""
 
-from dataclasses import dataclass
 from typing import Any, cast
 
 import msgspec
@@ -11,8 +10,7 @@
 KEY = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Versions:
+class Versions(msgspec.Struct, frozen=True):
     """What an instance has, and can hand over.
 
     Parameters
--- a/src/mimosafork/gossip/kinds/doubt.py
+++ b/src/mimosafork/gossip/kinds/doubt.py
@@ -1,6 +1,5 @@
 """Endpoints that an instance has ejected, as a hint to others."""
 
-from dataclasses import dataclass
 from enum import IntEnum
 from typing import cast
 
@@ -18,8 +17,7 @@
     UNREACHABLE = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Doubt:
+class Doubt(msgspec.Struct, frozen=True):
     """An ejection; the zone of who doubts is its origin's."""
 
     reason: Reason
--- a/src/mimosafork/gossip/kinds/endpoints.py
+++ b/src/mimosafork/gossip/kinds/endpoints.py
@@ -1,7 +1,6 @@
 """Words about endpoints that are leaving or gone."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import IntEnum
 from typing import cast
@@ -19,8 +18,7 @@
     GONE = 2
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointWord:
+class EndpointWord(msgspec.Struct, frozen=True):
     """A word about an endpoint, from the version of its row that said so."""
 
     word: Word
--- a/src/mimosafork/gossip/kinds/load.py
+++ b/src/mimosafork/gossip/kinds/load.py
@@ -1,6 +1,5 @@
 """The works that run for an instance, so that others know what endpoints bear."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import cast
 
@@ -12,16 +11,14 @@
 from .base import Kind, register
 
 
-@dataclass(frozen=True, slots=True)
-class Part:
+class Part(msgspec.Struct, frozen=True):
     """Tokens of a prompt that a helper reads, or that an engine holds."""
 
     helper: EndpointId
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class WorkNote:
+class WorkNote(msgspec.Struct, frozen=True):
     """One running work, as of the instant of the note.
 
     Ages go on by themselves at the receiver: a note is to be told anew when a work
--- a/src/mimosafork/gossip/kinds/suspicion.py
+++ b/src/mimosafork/gossip/kinds/suspicion.py
@@ -1,7 +1,6 @@
 """Requests that are suspected of crashing endpoints."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import cast
 
@@ -12,8 +11,7 @@
 from .base import Kind, register
 
 
-@dataclass(frozen=True, slots=True)
-class Suspicion:
+class Suspicion(msgspec.Struct, frozen=True):
     """What is known of a request's digest.
 
     Parameters
--- a/src/mimosafork/gossip/ledger.py
+++ b/src/mimosafork/gossip/ledger.py
@@ -1,11 +1,12 @@
 """What one instance has said: the newest entry for each kind and key."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from heapq import heappop, heappush
 from itertools import count
 from typing import NamedTuple
 
+import msgspec
+
 from .kinds.base import Key, kind_of
 
 TOMBSTONE_LIFETIME = timedelta(seconds=75)
@@ -21,8 +22,7 @@
     key: Key
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True):
     """A word of its origin.
 
     Parameters
--- a/src/mimosafork/gossip/links.py
+++ b/src/mimosafork/gossip/links.py
@@ -4,10 +4,11 @@
 News in a datagram that did not come becomes due again, in its newest form.
 """
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import NamedTuple
 
+import msgspec
+
 from ..ids import InstanceId
 from .ledger import Slot
 from .timing import Timing
@@ -23,16 +24,14 @@
     slot: Slot
 
 
-@dataclass(frozen=True, slots=True)
-class Flight:
+class Flight(msgspec.Struct, frozen=True):
     """News in a datagram that isn't confirmed yet."""
 
     sent: timedelta
     news: tuple[News, ...]
 
 
-@dataclass(slots=True)
-class Receipts:
+class Receipts(msgspec.Struct):
     """Which of a peer's datagrams have come.
 
     Attributes
@@ -62,8 +61,7 @@
         return True
 
 
-@dataclass(slots=True)
-class Alarm:
+class Alarm(msgspec.Struct):
     """When the next tick should be, kept up as news becomes due.
 
     It was looked for among all links after each datagram, and each tick looked at all
@@ -78,8 +76,7 @@
         self.at = min(self.at, instant)
 
 
-@dataclass(slots=True)
-class Link:
+class Link(msgspec.Struct):
     """State of the exchange with one peer.
 
     Parameters
@@ -99,12 +96,12 @@
         Until when the peer counts as having chosen this instance.
     """
 
-    alarm: Alarm = field(default_factory=Alarm)
-    pending: dict[News, None] = field(default_factory=dict)
+    alarm: Alarm = msgspec.field(default_factory=Alarm)
+    pending: dict[News, None] = msgspec.field(default_factory=dict)
     due: timedelta | None = None
     look: timedelta = timedelta.min
-    flights: dict[int, Flight] = field(default_factory=dict)
-    receipts: Receipts = field(default_factory=Receipts)
+    flights: dict[int, Flight] = msgspec.field(default_factory=dict)
+    receipts: Receipts = msgspec.field(default_factory=Receipts)
     number: int = 0
     sent: timedelta | None = None
     named: bool = False
--- a/src/mimosafork/gossip/members.py
+++ b/src/mimosafork/gossip/members.py
@@ -1,9 +1,10 @@
 """Who takes part: identities of instances, and what is known of each peer."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import NamedTuple
 
+import msgspec
+
 from ..ids import AvailabilityZoneId, InstanceId
 from .ledger import Ledger
 
@@ -17,8 +18,7 @@
     port: int
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(msgspec.Struct, frozen=True):
     """One life of an instance.
 
     Parameters
@@ -41,8 +41,7 @@
         return self.boot & TAG_MASK
 
 
-@dataclass(frozen=True, slots=True)
-class Peer:
+class Peer(msgspec.Struct, frozen=True):
     """A living peer.
 
     Parameters
@@ -57,8 +56,7 @@
     age: timedelta
 
 
-@dataclass(slots=True)
-class Member:
+class Member(msgspec.Struct):
     """What is known of a peer.
 
     Attributes
@@ -72,7 +70,7 @@
     identity: Identity
     heard: timedelta
     alive: bool = False
-    ledger: Ledger = field(default_factory=Ledger)
+    ledger: Ledger = msgspec.field(default_factory=Ledger)
 
 
 def replaces(new: Identity, old: Identity, heard_while_silent: bool) -> bool:
--- a/src/mimosafork/gossip/outbox.py
+++ b/src/mimosafork/gossip/outbox.py
@@ -1,10 +1,11 @@
 """Building the datagrams to one peer, within a budget of bytes."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import NamedTuple
 
+import msgspec
+
 from ..ids import InstanceId
 from .ledger import Ledger
 from .links import Flight, Link, News
@@ -26,16 +27,14 @@
 SECOND = timedelta(seconds=1)
 
 
-@dataclass(frozen=True, slots=True)
-class Outgoing:
+class Outgoing(msgspec.Struct, frozen=True):
     """A datagram to send."""
 
     address: Address
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Source:
+class Source(msgspec.Struct, frozen=True):
     """Where an origin's entries are.
 
     Parameters
--- a/src/mimosafork/gossip/packing.py
+++ b/src/mimosafork/gossip/packing.py
@@ -1,7 +1,6 @@
 """Filling datagrams with entries up to their longest size."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from datetime import timedelta
 
 import msgspec
@@ -18,8 +17,7 @@
 MILLISECOND = timedelta(milliseconds=1)
 
 
-@dataclass(frozen=True, slots=True)
-class Item:
+class Item(msgspec.Struct, frozen=True):
     """An entry to send.
 
     Parameters
@@ -33,15 +31,14 @@
     entry: Entry
 
 
-@dataclass(slots=True)
-class Load:
+class Load(msgspec.Struct):
     """Entries of one datagram."""
 
     sender: int
-    ids: IdWriter = field(default_factory=IdWriter)
-    origins: list[int] = field(default_factory=list)
-    entries: list[WireEntry] = field(default_factory=list)
-    news: list[News] = field(default_factory=list)
+    ids: IdWriter = msgspec.field(default_factory=IdWriter)
+    origins: list[int] = msgspec.field(default_factory=list)
+    entries: list[WireEntry] = msgspec.field(default_factory=list)
+    news: list[News] = msgspec.field(default_factory=list)
     size: int = 0
 
     def add(self, item: Item, now: timedelta, room: int) -> bool:
--- a/src/mimosafork/gossip/reading.py
+++ b/src/mimosafork/gossip/reading.py
@@ -1,8 +1,9 @@
 """Reading the entries of a datagram."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from .errors import BadDatagramError
 from .ids import IdReader
 from .kinds.base import KINDS, kind_of
@@ -12,8 +13,7 @@
 MILLISECOND = timedelta(milliseconds=1)
 
 
-@dataclass(frozen=True, slots=True)
-class Told:
+class Told(msgspec.Struct, frozen=True):
     """An entry that came.
 
     Parameters
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -3,10 +3,11 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Iterable, Mapping
-from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
+import msgspec
+
 from ..clock import Clock
 from ..directory.feed_word import FeedWord
 from ..ids import AvailabilityZoneId, EndpointId, InstanceId
@@ -55,8 +56,7 @@
     return tuple(Address(each.rpartition(":")[0], port) for each in seeds)
 
 
-@dataclass(frozen=True, slots=True)
-class GossipOptions:
+class GossipOptions(msgspec.Struct, frozen=True):
     """Who this instance is, and where others may be.
 
     Parameters
--- a/src/mimosafork/gossip/sockets.py
+++ b/src/mimosafork/gossip/sockets.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from socket import AF_INET, SO_REUSEADDR, SOCK_DGRAM, SOCK_STREAM, SOL_SOCKET, socket
 
+import msgspec
+
 from .members import Address
 
 TRIES = 20
@@ -15,8 +16,7 @@
 """Datagrams that are read before others of the loop have their turn."""
 
 
-@dataclass(frozen=True, slots=True)
-class Sockets:
+class Sockets(msgspec.Struct, frozen=True):
     """Both sockets, bound to one address."""
 
     datagrams: socket
--- a/src/mimosafork/gossip/state.py
+++ b/src/mimosafork/gossip/state.py
@@ -1,10 +1,11 @@
 """What the fleet knows together: own words merged with those of the living peers."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import cast
 
+import msgspec
+
 from ..ids import AvailabilityZoneId, EndpointId, InstanceId
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord, newest
@@ -15,8 +16,7 @@
 from .roster import Roster
 
 
-@dataclass(frozen=True, slots=True)
-class HeardWork:
+class HeardWork(msgspec.Struct, frozen=True):
     """A peer's work.
 
     Parameters
@@ -29,8 +29,7 @@
     age: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class PeerLoad:
+class PeerLoad(msgspec.Struct, frozen=True):
     """The works of a living peer."""
 
     instance: InstanceId
@@ -38,8 +37,7 @@
     works: tuple[HeardWork, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class HeardDoubt:
+class HeardDoubt(msgspec.Struct, frozen=True):
     """An endpoint that a living peer has ejected.
 
     Parameters
--- a/src/mimosafork/gossip/timing.py
+++ b/src/mimosafork/gossip/timing.py
@@ -1,11 +1,11 @@
 """Sizes and times of the gossip."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
 
-@dataclass(frozen=True, slots=True)
-class Timing:
+
+class Timing(msgspec.Struct, frozen=True):
     """Sizes and times, the same on all instances.
 
     Parameters
--- a/src/mimosafork/gossip/zone_silence.py
+++ b/src/mimosafork/gossip/zone_silence.py
@@ -6,9 +6,10 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ..ids import AvailabilityZoneId
 from .members import Member
 
@@ -25,8 +26,7 @@
 LATE_HEARTBEAT = timedelta(milliseconds=200)
 
 
-@dataclass(slots=True)
-class ZoneTraffic:
+class ZoneTraffic(msgspec.Struct):
     """When a zone's datagrams came.
 
     Attributes
--- a/src/mimosafork/kernel/configuration.py
+++ b/src/mimosafork/kernel/configuration.py
@@ -5,14 +5,14 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from datetime import timedelta
 
+import msgspec
+
 from ..ids import AccountId, Digest, ModelId, Revision, ServiceId
 
 
-@dataclass(frozen=True, slots=True)
-class ModelPolicy:
+class ModelPolicy(msgspec.Struct, frozen=True):
     """How one model is served.
 
     Attributes
@@ -28,8 +28,7 @@
     adapters: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class ServicePolicy:
+class ServicePolicy(msgspec.Struct, frozen=True):
     """How one plain service is served.
 
     Attributes
@@ -43,8 +42,7 @@
     non_repeatable: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class AccountPolicy:
+class AccountPolicy(msgspec.Struct, frozen=True):
     """Rights and limits of one client account.
 
     Attributes
@@ -69,8 +67,7 @@
     models: tuple[ModelId, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class FleetPolicy:
+class FleetPolicy(msgspec.Struct, frozen=True):
     """Settings that hold for the whole deployment.
 
     Attributes
@@ -98,8 +95,7 @@
     max_attempts: int = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True):
     """One accepted configuration.
 
     Attributes
@@ -112,7 +108,7 @@
 
     revision: Revision
     digest: Digest
-    fleet: FleetPolicy = field(default_factory=FleetPolicy)
-    models: Mapping[ModelId, ModelPolicy] = field(default_factory=dict)
-    services: Mapping[ServiceId, ServicePolicy] = field(default_factory=dict)
-    accounts: Mapping[AccountId, AccountPolicy] = field(default_factory=dict)
+    fleet: FleetPolicy = msgspec.field(default_factory=FleetPolicy)
+    models: Mapping[ModelId, ModelPolicy] = msgspec.field(default_factory=dict)
+    services: Mapping[ServiceId, ServicePolicy] = msgspec.field(default_factory=dict)
+    accounts: Mapping[AccountId, AccountPolicy] = msgspec.field(default_factory=dict)
--- a/src/mimosafork/kernel/context.py
+++ b/src/mimosafork/kernel/context.py
@@ -1,10 +1,11 @@
 """What a plug-in may see and do while it handles one message."""
 
 from collections import deque
-from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
+import msgspec
+
 from ..ids import AvailabilityZoneId, Incarnation, InstanceId, RequestId
 from .configuration import Configuration
 from .fleet import Fleet
@@ -14,8 +15,7 @@
 from .records import RequestRecord
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(msgspec.Struct, frozen=True):
     """Who this entry instance is."""
 
     instance: InstanceId
@@ -23,8 +23,7 @@
     availability_zone: AvailabilityZoneId
 
 
-@dataclass(slots=True)
-class KernelState:
+class KernelState(msgspec.Struct):
     """All state that plug-ins share; each keeps its own beside it.
 
     Attributes
@@ -38,14 +37,13 @@
     identity: Identity
     fleet: Fleet
     waiting: WaitingQueue
-    requests: dict[RequestId, RequestRecord] = field(default_factory=dict)
+    requests: dict[RequestId, RequestRecord] = msgspec.field(default_factory=dict)
     configuration: Configuration | None = None
     draining: bool = False
     stopping: bool = False
 
 
-@dataclass(slots=True)
-class Context:
+class Context(msgspec.Struct):
     """Handed to plug-ins with each message.
 
     Attributes
@@ -61,9 +59,9 @@
     now: timedelta
     random: Random
     state: KernelState
-    effects: list[Effect] = field(default_factory=list)
-    posted: deque[Message] = field(default_factory=deque)
-    faults: list[Exception] = field(default_factory=list)
+    effects: list[Effect] = msgspec.field(default_factory=list)
+    posted: deque[Message] = msgspec.field(default_factory=deque)
+    faults: list[Exception] = msgspec.field(default_factory=list)
 
     def emit(self, effect: Effect) -> None:
         """Have an adapter do something."""
--- a/src/mimosafork/kernel/fleet.py
+++ b/src/mimosafork/kernel/fleet.py
@@ -1,9 +1,11 @@
 """The kernel's view of endpoints and entry instances."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
+import msgspec
+from msgspec.structs import replace
+
 from ..ids import EndpointId, InstanceId, ModelId, RequestId, ServiceId
 from .messages.fleet import (
     EndpointEntry,
@@ -28,8 +30,7 @@
 whatever its number says."""
 
 
-@dataclass(slots=True)
-class OwnDispatch:
+class OwnDispatch(msgspec.Struct):
     """A request of this instance that runs on an endpoint."""
 
     request_id: RequestId
@@ -39,8 +40,7 @@
     prefilled: bool = False
 
 
-@dataclass(slots=True)
-class Endpoint:
+class Endpoint(msgspec.Struct):
     """What is known of one endpoint.
 
     Attributes
@@ -80,7 +80,7 @@
     answered_at: timedelta = LONG_AGO
     failed_at: timedelta = LONG_AGO
     own_failed_at: timedelta = LONG_AGO
-    own: dict[RequestId, OwnDispatch] = field(default_factory=dict)
+    own: dict[RequestId, OwnDispatch] = msgspec.field(default_factory=dict)
 
     @property
     def endpoint_id(self) -> EndpointId:
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -1,9 +1,10 @@
 """How an attempt at a request goes on and ends."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ...ids import AttemptNumber, Digest, EndpointId, RequestId
 from .base import Effect, Message
 
@@ -37,8 +38,7 @@
     """An earlier attempt that was silent has gone on before it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Usage:
+class Usage(msgspec.Struct, frozen=True):
     """What an engine says a stream has cost, in tokens."""
 
     prompt_tokens: int
@@ -46,16 +46,14 @@
     completion_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class FirstToken(Message):
+class FirstToken(Message, frozen=True):
     """The first chunk of an attempt has arrived."""
 
     request_id: RequestId
     attempt: AttemptNumber
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionOpening(Message):
+class ConnectionOpening(Message, frozen=True):
     """An attempt waits for a connection: nothing of it has been sent yet.
 
     An adapter that says so says `AttemptSent` before the first byte goes out. Of an
@@ -66,16 +64,14 @@
     attempt: AttemptNumber
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptSent(Message):
+class AttemptSent(Message, frozen=True):
     """An attempt that waited for a connection is about to be sent."""
 
     request_id: RequestId
     attempt: AttemptNumber
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptFinished(Message):
+class AttemptFinished(Message, frozen=True):
     """An attempt has delivered its whole answer to the caller."""
 
     request_id: RequestId
@@ -83,8 +79,7 @@
     usage: Usage | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptFailed(Message):
+class AttemptFailed(Message, frozen=True):
     """An attempt ended without its whole answer.
 
     Attributes
@@ -114,32 +109,28 @@
     digest: Digest | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptHedged(AttemptFailed):
+class AttemptHedged(AttemptFailed, frozen=True):
     """An attempt is silent, and another may be tried beside it.
 
     It stays open until the other one answers, and goes on if that fails.
     """
 
 
-@dataclass(frozen=True, slots=True)
-class HedgedAttemptHeard(Message):
+class HedgedAttemptHeard(Message, frozen=True):
     """A hedged attempt has sent an event."""
 
     request_id: RequestId
     attempt: AttemptNumber
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptRestored(Message):
+class AttemptRestored(Message, frozen=True):
     """A hedged attempt goes on as the current one of its request."""
 
     request_id: RequestId
     attempt: AttemptNumber
 
 
-@dataclass(frozen=True, slots=True)
-class DispatchFaulted(Message):
+class DispatchFaulted(Message, frozen=True):
     """An attempt could not be made for a fault in the code that makes it.
 
     Attributes
@@ -151,15 +142,13 @@
     failure: AttemptFailed
 
 
-@dataclass(frozen=True, slots=True)
-class RetryDue(Message):
+class RetryDue(Message, frozen=True):
     """The pause before a further attempt is over."""
 
     request_id: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptSilent(Message):
+class AttemptSilent(Message, frozen=True):
     """An attempt has been silent for longer than its patience.
 
     It goes on meanwhile: silence alone proves nothing.
@@ -170,8 +159,7 @@
     silence: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class EndSilentAttempt(Effect):
+class EndSilentAttempt(Effect, frozen=True):
     """Report an attempt as failed, or as hedged, so that another may follow.
 
     One whose answer the caller has begun to get is left open beside the next one.
--- a/src/mimosafork/kernel/messages/base.py
+++ b/src/mimosafork/kernel/messages/base.py
@@ -1,20 +1,17 @@
 """Base classes of what goes into the kernel and what comes out."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class Message:
+class Message(msgspec.Struct, frozen=True):
     """Something that happened, told to the kernel."""
 
 
-@dataclass(frozen=True, slots=True)
-class Effect:
+class Effect(msgspec.Struct, frozen=True):
     """Something that the kernel wants done by an adapter."""
 
 
-@dataclass(frozen=True, slots=True)
-class Tick(Message):
+class Tick(Message, frozen=True):
     """Time has passed; timers are looked at.
 
     Adapters send it every `mimosafork.kernel.core.TICK`.
--- a/src/mimosafork/kernel/messages/cache.py
+++ b/src/mimosafork/kernel/messages/cache.py
@@ -1,6 +1,6 @@
 """What instances tell each other of engines' prefix caches."""
 
-from dataclasses import dataclass
+import msgspec
 
 from ...ids import Incarnation
 from .base import Message
@@ -8,8 +8,7 @@
 from .watch import EndpointKey
 
 
-@dataclass(frozen=True, slots=True)
-class CacheNews(PeerValue):
+class CacheNews(PeerValue, msgspec.Struct, frozen=True):
     """Prefixes that entered or left an engine's cache since the last batch.
 
     Attributes
@@ -26,8 +25,7 @@
     evicted: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class CacheSummary(PeerValue):
+class CacheSummary(PeerValue, msgspec.Struct, frozen=True):
     """All prefixes of an engine that its watcher has told, as of a batch."""
 
     incarnation: Incarnation
@@ -35,15 +33,13 @@
     marks: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class CacheWanted(PeerValue):
+class CacheWanted(PeerValue, msgspec.Struct, frozen=True):
     """The writer has missed something of an engine's cache; a summary, please."""
 
     batch: int
 
 
-@dataclass(frozen=True, slots=True)
-class CacheNewsHeard(Message):
+class CacheNewsHeard(Message, frozen=True):
     """A peer has told news of an engine's cache."""
 
     key: EndpointKey
@@ -51,8 +47,7 @@
     origin: Origin
 
 
-@dataclass(frozen=True, slots=True)
-class CacheSummaryHeard(Message):
+class CacheSummaryHeard(Message, frozen=True):
     """A peer has told what an engine's cache holds."""
 
     key: EndpointKey
@@ -60,8 +55,7 @@
     origin: Origin
 
 
-@dataclass(frozen=True, slots=True)
-class CacheWantedHeard(Message):
+class CacheWantedHeard(Message, frozen=True):
     """A peer wants a summary of an engine's cache."""
 
     key: EndpointKey
--- a/src/mimosafork/kernel/messages/claims.py
+++ b/src/mimosafork/kernel/messages/claims.py
@@ -5,10 +5,11 @@
 (`mimosafork.claims`) batches the writes and settles those of unknown result.
 """
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ...ids import (
     ClaimId,
     ClaimKey,
@@ -34,8 +35,7 @@
     """It surely never ran; the key is free."""
 
 
-@dataclass(frozen=True, slots=True)
-class StreamPlace:
+class StreamPlace(msgspec.Struct, frozen=True):
     """Where a stream runs."""
 
     stream_id: StreamId
@@ -44,8 +44,7 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class Claim:
+class Claim(msgspec.Struct, frozen=True):
     """A claim as its row has it.
 
     Attributes
@@ -74,8 +73,7 @@
     answer_kept: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class WriteClaim(Effect):
+class WriteClaim(Effect, frozen=True):
     """Claim a key unless another call has it.
 
     Attributes
@@ -93,8 +91,7 @@
     replaces: ClaimId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class NotePlace(Effect):
+class NotePlace(Effect, frozen=True):
     """Note in the claim's row where its stream runs."""
 
     key: ClaimKey
@@ -102,16 +99,14 @@
     place: StreamPlace
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseClaim(Effect):
+class ReleaseClaim(Effect, frozen=True):
     """Free the key: what it stands for surely did not run under this claim."""
 
     key: ClaimKey
     claim_id: ClaimId
 
 
-@dataclass(frozen=True, slots=True)
-class EndClaim(Effect):
+class EndClaim(Effect, frozen=True):
     """Write down that the run has ended without an answer to keep."""
 
     key: ClaimKey
@@ -119,8 +114,7 @@
     outcome: Outcome
 
 
-@dataclass(frozen=True, slots=True)
-class KeepAnswer(Effect):
+class KeepAnswer(Effect, frozen=True):
     """Store the captured whole answer and end the claim with it."""
 
     request_id: RequestId
@@ -128,8 +122,7 @@
     claim_id: ClaimId
 
 
-@dataclass(frozen=True, slots=True)
-class ReplayAnswer(Effect):
+class ReplayAnswer(Effect, frozen=True):
     """Deliver the kept answer of a key to a caller.
 
     Attributes
@@ -143,8 +136,7 @@
     offset: int
 
 
-@dataclass(frozen=True, slots=True)
-class PaceClaims(Effect):
+class PaceClaims(Effect, frozen=True):
     """Share what the store takes among the entry instances.
 
     Attributes
@@ -156,8 +148,7 @@
     instances: int
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointToAsk:
+class EndpointToAsk(msgspec.Struct, frozen=True):
     """An endpoint that may run a stream."""
 
     endpoint: EndpointId
@@ -165,8 +156,7 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class FindStream(Effect):
+class FindStream(Effect, frozen=True):
     """Ask endpoints for a stream under any of some ids; nothing is run.
 
     Attributes
@@ -181,8 +171,7 @@
     endpoints: tuple[EndpointToAsk, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimWon(Message):
+class ClaimWon(Message, frozen=True):
     """The store holds this instance's claim.
 
     Attributes
@@ -196,8 +185,7 @@
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimLost(Message):
+class ClaimLost(Message, frozen=True):
     """Another call has the key."""
 
     request_id: RequestId
@@ -205,24 +193,21 @@
     existing: Claim
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimUnavailable(Message):
+class ClaimUnavailable(Message, frozen=True):
     """The store can't be asked now, or did not say what became of the claim."""
 
     request_id: RequestId
     claim_id: ClaimId
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimOverdue(Message):
+class ClaimOverdue(Message, frozen=True):
     """A claim has not been settled in the time that its request waits for it."""
 
     request_id: RequestId
     claim_id: ClaimId
 
 
-@dataclass(frozen=True, slots=True)
-class StreamSearched(Message):
+class StreamSearched(Message, frozen=True):
     """Endpoints have been asked for a stream.
 
     Attributes
@@ -235,30 +220,26 @@
     place: StreamPlace | None
 
 
-@dataclass(frozen=True, slots=True)
-class SearchOverdue(Message):
+class SearchOverdue(Message, frozen=True):
     """A search for a stream has taken too long."""
 
     request_id: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerKept(Message):
+class AnswerKept(Message, frozen=True):
     """What became of `KeepAnswer`."""
 
     request_id: RequestId
     kept: bool
 
 
-@dataclass(frozen=True, slots=True)
-class KeepingOverdue(Message):
+class KeepingOverdue(Message, frozen=True):
     """An answer's end has been held as long as it may be."""
 
     request_id: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerReplayed(Message):
+class AnswerReplayed(Message, frozen=True):
     """What became of `ReplayAnswer`.
 
     Attributes
--- a/src/mimosafork/kernel/messages/dispatch.py
+++ b/src/mimosafork/kernel/messages/dispatch.py
@@ -1,8 +1,9 @@
 """Effects that send an attempt to an endpoint and stop it there."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ...ids import (
     AttemptNumber,
     EndpointId,
@@ -14,8 +15,7 @@
 from .base import Effect
 
 
-@dataclass(frozen=True, slots=True)
-class Helper:
+class Helper(msgspec.Struct, frozen=True):
     """An endpoint that reads a part of a prompt for the one that answers.
 
     Attributes
@@ -29,8 +29,7 @@
     reservation: ReservationId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Patience:
+class Patience(msgspec.Struct, frozen=True):
     """How long an attempt may be silent before that is worth a thought.
 
     Attributes
@@ -45,8 +44,7 @@
     further: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class Dispatch(Effect):
+class Dispatch(Effect, frozen=True):
     """Send an attempt to an endpoint.
 
     Attributes
@@ -92,16 +90,14 @@
     patience: Patience | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class RestoreAttempt(Effect):
+class RestoreAttempt(Effect, frozen=True):
     """Take a hedged attempt for the current one again."""
 
     request_id: RequestId
     attempt: AttemptNumber
 
 
-@dataclass(frozen=True, slots=True)
-class CancelAttempt(Effect):
+class CancelAttempt(Effect, frozen=True):
     """Stop an attempt; its endpoint frees what it holds."""
 
     request_id: RequestId
--- a/src/mimosafork/kernel/messages/fleet.py
+++ b/src/mimosafork/kernel/messages/fleet.py
@@ -1,9 +1,10 @@
 """Messages about endpoints and instances."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ...ids import (
     AvailabilityZoneId,
     Digest,
@@ -38,8 +39,7 @@
     IGNORED = "ignored"
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointEntry:
+class EndpointEntry(msgspec.Struct, frozen=True):
     """An endpoint as the platform lists it.
 
     Attributes
@@ -59,8 +59,7 @@
     service: ServiceId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EntryInstance:
+class EntryInstance(msgspec.Struct, frozen=True):
     """An entry instance as the platform lists it.
 
     Attributes
@@ -79,8 +78,7 @@
     operations_address: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class InstancesListed(Message):
+class InstancesListed(Message, frozen=True):
     """The platform's instance list was read.
 
     Attributes
@@ -94,8 +92,7 @@
     age: timedelta = timedelta(0)
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True):
     """An endpoint's own report of its load, `lag` old when it was made.
 
     Attributes
@@ -124,8 +121,7 @@
     role: str = "mixed"
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReported(Message):
+class LoadReported(Message, frozen=True):
     """A load report arrived, from the endpoint or by way of a peer.
 
     Attributes
@@ -138,8 +134,7 @@
     heard_from: InstanceId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeFailed(Message):
+class ProbeFailed(Message, frozen=True):
     """An endpoint does not answer this instance's load probes."""
 
     endpoint: EndpointId
@@ -152,8 +147,7 @@
     EVICTED = "evicted"
 
 
-@dataclass(frozen=True, slots=True)
-class CacheEvent:
+class CacheEvent(msgspec.Struct, frozen=True):
     """A change of an engine's prefix cache."""
 
     sequence: int
@@ -162,8 +156,7 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class CacheEventsReported(Message):
+class CacheEventsReported(Message, frozen=True):
     """Cache events of an engine, possibly late and with gaps.
 
     Attributes
@@ -181,8 +174,7 @@
     events: tuple[CacheEvent, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class CacheSnapshotReported(Message):
+class CacheSnapshotReported(Message, frozen=True):
     """The whole prefix cache of an engine at one sequence number."""
 
     endpoint: EndpointId
--- a/src/mimosafork/kernel/messages/leases.py
+++ b/src/mimosafork/kernel/messages/leases.py
@@ -1,9 +1,10 @@
 """Messages about the leases that this instance holds."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ...ids import FencingNumber
 from .base import Message
 
@@ -17,8 +18,7 @@
     """Frees what dead instances have left on the zone's engines."""
 
 
-@dataclass(frozen=True, slots=True)
-class Lease:
+class Lease(msgspec.Struct, frozen=True):
     """A lease as its holder sees it.
 
     Attributes
@@ -46,8 +46,7 @@
         return until < self.valid_until
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseChanged(Message):
+class LeaseChanged(Message, frozen=True):
     """A lease was taken, renewed or lost.
 
     Attributes
--- a/src/mimosafork/kernel/messages/lifecycle.py
+++ b/src/mimosafork/kernel/messages/lifecycle.py
@@ -1,12 +1,9 @@
 """Messages about the life of this instance itself."""
 
-from dataclasses import dataclass
-
 from .base import Message
 
 
-@dataclass(frozen=True, slots=True)
-class DrainBegun(Message):
+class DrainBegun(Message, frozen=True):
     """A graceful shutdown has begun.
 
     Requests are still let in: the balancer has not noticed yet. Duties pass on to
@@ -14,6 +11,5 @@
     """
 
 
-@dataclass(frozen=True, slots=True)
-class StopNow(Message):
+class StopNow(Message, frozen=True):
     """There is no time left: every open request gets its final answer now."""
--- a/src/mimosafork/kernel/messages/limits.py
+++ b/src/mimosafork/kernel/messages/limits.py
@@ -1,9 +1,10 @@
 """Messages about the demand of client accounts."""
 
-from dataclasses import dataclass
 from hashlib import blake2b
 from typing import NewType
 
+import msgspec
+
 from ...ids import AccountId
 from .base import Message
 from .peers import Origin, PeerValue
@@ -26,8 +27,7 @@
     return AccountKey(int.from_bytes(digest))
 
 
-@dataclass(frozen=True, slots=True)
-class AccountDemand(PeerValue):
+class AccountDemand(PeerValue, msgspec.Struct, frozen=True):
     """Recent demand of the accounts that want most of their limits.
 
     Attributes
@@ -45,8 +45,7 @@
             raise ValueError("a demand for each account is needed")
 
 
-@dataclass(frozen=True, slots=True)
-class AccountDemandHeard(Message):
+class AccountDemandHeard(Message, frozen=True):
     """An entry instance has told its own demand, or a zone's speaker its zone's.
 
     Attributes
--- a/src/mimosafork/kernel/messages/orders.py
+++ b/src/mimosafork/kernel/messages/orders.py
@@ -1,9 +1,10 @@
 """Orders to endpoints, and what endpoints say of their state."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ...ids import AdapterId, EndpointId, FencingNumber, Incarnation, ModelId, OrderId
 from .base import Effect, Message
 from .fleet import FencingMode
@@ -20,8 +21,7 @@
     LOAD_ADAPTER = "load-adapter"
 
 
-@dataclass(frozen=True, slots=True)
-class Order:
+class Order(msgspec.Struct, frozen=True):
     """A desired state; sent twice, it is still one order."""
 
     order_id: OrderId
@@ -31,8 +31,7 @@
     adapter: AdapterId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SendOrder(Effect):
+class SendOrder(Effect, frozen=True):
     """Send an order under a lease.
 
     Attributes
@@ -67,8 +66,7 @@
     """No answer; a look at the endpoint's state tells."""
 
 
-@dataclass(frozen=True, slots=True)
-class OrderAnswered(Message):
+class OrderAnswered(Message, frozen=True):
     """An order has ended, in whatever way."""
 
     endpoint: EndpointId
@@ -78,16 +76,14 @@
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class ReadState(Effect):
+class ReadState(Effect, frozen=True):
     """Ask an endpoint for its state."""
 
     endpoint: EndpointId
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class LoadedModel:
+class LoadedModel(msgspec.Struct, frozen=True):
     """A model version on an endpoint.
 
     Attributes
@@ -101,8 +97,7 @@
     is_ready: bool
 
 
-@dataclass(frozen=True, slots=True)
-class StateRead(Message):
+class StateRead(Message, frozen=True):
     """An endpoint's own word on its state."""
 
     endpoint: EndpointId
@@ -111,8 +106,7 @@
     adapters: tuple[AdapterId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class StateReadFailed(Message):
+class StateReadFailed(Message, frozen=True):
     """An endpoint did not tell its state."""
 
     endpoint: EndpointId
--- a/src/mimosafork/kernel/messages/outcomes.py
+++ b/src/mimosafork/kernel/messages/outcomes.py
@@ -1,6 +1,5 @@
 """What a caller is told at the end of its request."""
 
-from dataclasses import dataclass
 from enum import Enum
 
 from ...ids import RequestId
@@ -29,8 +28,7 @@
     """It should have been kept, but the store could not take it in time."""
 
 
-@dataclass(frozen=True, slots=True)
-class Conclude(Effect):
+class Conclude(Effect, frozen=True):
     """Give the caller its final answer now.
 
     Attributes
--- a/src/mimosafork/kernel/messages/peers.py
+++ b/src/mimosafork/kernel/messages/peers.py
@@ -1,9 +1,10 @@
 """Messages about what entry instances tell each other."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ...ids import AvailabilityZoneId, Incarnation, InstanceId, Revision
 from .base import Effect, Message
 from .fleet import EntryInstance
@@ -28,8 +29,7 @@
     __slots__ = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Origin:
+class Origin(msgspec.Struct, frozen=True):
     """Where a value heard from peers comes from.
 
     Attributes
@@ -46,8 +46,7 @@
     age: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class Publish(Effect):
+class Publish(Effect, frozen=True):
     """Tell a value to the other instances.
 
     The newest value of each key replaces this instance's earlier one in the same
@@ -75,8 +74,7 @@
     not tell which."""
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True):
     """An entry instance as its peers hear of it.
 
     Attributes
@@ -93,8 +91,7 @@
     revision: Revision
 
 
-@dataclass(frozen=True, slots=True)
-class MembersChanged(Message):
+class MembersChanged(Message, frozen=True):
     """The peers' view of the instances has changed.
 
     Attributes
@@ -109,13 +106,11 @@
     silent_zones: tuple[AvailabilityZoneId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class MeetInstances(Effect):
+class MeetInstances(Effect, frozen=True):
     """Exchange with these instances; from the platform's list."""
 
     instances: tuple[EntryInstance, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class DrainAnnounced(Effect):
+class DrainAnnounced(Effect, frozen=True):
     """Tell the peers that this instance is stopping."""
--- a/src/mimosafork/kernel/messages/placement.py
+++ b/src/mimosafork/kernel/messages/placement.py
@@ -1,6 +1,5 @@
 """Messages and effects of prompts that are spread over several engines."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
@@ -24,8 +23,7 @@
     """The engine began and ended the step as failed."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReserveMemory(Effect):
+class ReserveMemory(Effect, frozen=True):
     """Have an engine set memory aside for a while."""
 
     request_id: RequestId
@@ -36,16 +34,14 @@
     time_to_live: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class MemoryReserved(Message):
+class MemoryReserved(Message, frozen=True):
     """An engine has set the memory aside."""
 
     request_id: RequestId
     reservation: ReservationId
 
 
-@dataclass(frozen=True, slots=True)
-class ReservationFailed(Message):
+class ReservationFailed(Message, frozen=True):
     """An engine has not set the memory aside, as far as is known."""
 
     request_id: RequestId
@@ -53,8 +49,7 @@
     failure: PartFailure
 
 
-@dataclass(frozen=True, slots=True)
-class PrefillSegment(Effect):
+class PrefillSegment(Effect, frozen=True):
     """Have an engine prefill a part of a prompt and keep its KV for others.
 
     Attributes
@@ -78,8 +73,7 @@
     imports: tuple[ReservationId, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class SegmentPrefilled(Message):
+class SegmentPrefilled(Message, frozen=True):
     """A part of a prompt is prefilled.
 
     Attributes
@@ -95,8 +89,7 @@
     handle: str
 
 
-@dataclass(frozen=True, slots=True)
-class SegmentFailed(Message):
+class SegmentFailed(Message, frozen=True):
     """A part of a prompt was not prefilled."""
 
     request_id: RequestId
@@ -105,8 +98,7 @@
     exposure: Exposure
 
 
-@dataclass(frozen=True, slots=True)
-class ImportKv(Effect):
+class ImportKv(Effect, frozen=True):
     """Have an engine pull another one's exported KV."""
 
     request_id: RequestId
@@ -118,16 +110,14 @@
     time_to_live: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class KvImported(Message):
+class KvImported(Message, frozen=True):
     """An engine has the exported KV."""
 
     request_id: RequestId
     import_id: ReservationId
 
 
-@dataclass(frozen=True, slots=True)
-class ImportFailed(Message):
+class ImportFailed(Message, frozen=True):
     """An engine has not got the exported KV, as far as is known."""
 
     request_id: RequestId
@@ -135,8 +125,7 @@
     failure: PartFailure
 
 
-@dataclass(frozen=True, slots=True)
-class FreePart(Effect):
+class FreePart(Effect, frozen=True):
     """Free what an engine holds for a request of ours; it need not be there."""
 
     endpoint: EndpointId
--- a/src/mimosafork/kernel/messages/problems.py
+++ b/src/mimosafork/kernel/messages/problems.py
@@ -1,9 +1,10 @@
 """Why a request ends without its answer."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 
 class ProblemCode(Enum):
     """Why a request was refused or failed; the last part of the problem's type."""
@@ -33,8 +34,7 @@
     INTERNAL = "internal"
 
 
-@dataclass(frozen=True, slots=True)
-class Problem:
+class Problem(msgspec.Struct, frozen=True):
     """Why a request ends without its answer.
 
     Attributes
--- a/src/mimosafork/kernel/messages/quarantine.py
+++ b/src/mimosafork/kernel/messages/quarantine.py
@@ -1,23 +1,22 @@
 """Suspicion that a request's body crashes the engines that run it."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ...ids import Digest, EndpointId, Incarnation
 from .base import Effect, Message
 from .peers import Origin, PeerValue
 
 
-@dataclass(frozen=True, slots=True)
-class Life:
+class Life(msgspec.Struct, frozen=True):
     """One life of an endpoint."""
 
     endpoint: EndpointId
     incarnation: Incarnation
 
 
-@dataclass(frozen=True, slots=True)
-class CrashEvidence:
+class CrashEvidence(msgspec.Struct, frozen=True):
     """A body was in progress when an endpoint's life ended.
 
     Attributes
@@ -42,8 +41,7 @@
         return Life(self.endpoint, self.incarnation)
 
 
-@dataclass(frozen=True, slots=True)
-class Suspicion(PeerValue):
+class Suspicion(PeerValue, msgspec.Struct, frozen=True):
     """What the writer knows against a body; the key is its digest.
 
     Attributes
@@ -57,8 +55,7 @@
     dropped: tuple[Life, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class SuspicionHeard(Message):
+class SuspicionHeard(Message, frozen=True):
     """A peer has told a suspicion."""
 
     digest: Digest
@@ -66,8 +63,7 @@
     origin: Origin
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointIsolation(PeerValue):
+class EndpointIsolation(PeerValue, msgspec.Struct, frozen=True):
     """An endpoint is kept free for a suspect; the key is the endpoint.
 
     Attributes
@@ -79,8 +75,7 @@
     left_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointIsolationHeard(Message):
+class EndpointIsolationHeard(Message, frozen=True):
     """A peer keeps an endpoint free, or no longer does."""
 
     endpoint: EndpointId
@@ -88,23 +83,20 @@
     origin: Origin
 
 
-@dataclass(frozen=True, slots=True)
-class KeepSuspicion(Effect):
+class KeepSuspicion(Effect, frozen=True):
     """Add evidence to what the table service keeps of a body."""
 
     digest: Digest
     evidence: tuple[CrashEvidence, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class DropSuspicion(Effect):
+class DropSuspicion(Effect, frozen=True):
     """Drop what the table service keeps of a body."""
 
     digest: Digest
 
 
-@dataclass(frozen=True, slots=True)
-class KeptSuspicion:
+class KeptSuspicion(msgspec.Struct, frozen=True):
     """What the table service keeps of a body.
 
     Attributes
@@ -118,8 +110,7 @@
     age: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class SuspicionsRead(Message):
+class SuspicionsRead(Message, frozen=True):
     """The kept suspicions were read from the table service."""
 
     suspicions: tuple[KeptSuspicion, ...]
--- a/src/mimosafork/kernel/messages/recovery.py
+++ b/src/mimosafork/kernel/messages/recovery.py
@@ -1,9 +1,10 @@
 """What instances hold on engines, and freeing what nobody will free."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ...ids import EndpointId, Incarnation, InstanceId
 from .base import Effect, Message
 
@@ -16,8 +17,7 @@
     EXPORT = "export"
 
 
-@dataclass(frozen=True, slots=True)
-class Holding:
+class Holding(msgspec.Struct, frozen=True):
     """A part of an engine's memory, and whose it is.
 
     Attributes
@@ -36,8 +36,7 @@
     time_left: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class ListHoldings(Effect):
+class ListHoldings(Effect, frozen=True):
     """Ask an engine what is held there.
 
     Attributes
@@ -51,8 +50,7 @@
     owner: InstanceId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class HoldingsListed(Message):
+class HoldingsListed(Message, frozen=True):
     """An engine has told what is held there."""
 
     endpoint: EndpointId
@@ -67,8 +65,7 @@
     OWNER_REMOVED = "its owner has long been removed from the platform's list"
 
 
-@dataclass(frozen=True, slots=True)
-class FreeHolding(Effect):
+class FreeHolding(Effect, frozen=True):
     """Free a holding that its owner can't free any more."""
 
     endpoint: EndpointId
--- a/src/mimosafork/kernel/messages/reports.py
+++ b/src/mimosafork/kernel/messages/reports.py
@@ -1,9 +1,10 @@
 """Effects that only tell: what operators count and read."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ...ids import (
     AccountId,
     EndpointId,
@@ -28,8 +29,7 @@
     CANCELLED = "cancelled"
 
 
-@dataclass(frozen=True, slots=True)
-class RequestReport(Effect):
+class RequestReport(Effect, frozen=True):
     """A request's life has ended.
 
     Attributes
@@ -66,16 +66,14 @@
     LEAVING = "leaving"
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointView:
+class EndpointView(msgspec.Struct, frozen=True):
     """One endpoint as operators see it."""
 
     incarnation: Incarnation
     condition: EndpointCondition
 
 
-@dataclass(frozen=True, slots=True)
-class FleetReport(Effect):
+class FleetReport(Effect, frozen=True):
     """What the kernel knows of its surroundings, told now and then."""
 
     endpoints: dict[EndpointId, EndpointView]
@@ -84,8 +82,7 @@
     leases: int
 
 
-@dataclass(frozen=True, slots=True)
-class OrderReport(Effect):
+class OrderReport(Effect, frozen=True):
     """An order to an endpoint has ended, in whatever way."""
 
     kind: OrderKind
--- a/src/mimosafork/kernel/messages/requests.py
+++ b/src/mimosafork/kernel/messages/requests.py
@@ -1,9 +1,10 @@
 """A caller's request: what it asks for, how it arrives, and that its caller left."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ...ids import AccountId, AdapterId, Digest, ModelId, RequestId, ServiceId
 from .base import Message
 
@@ -22,8 +23,7 @@
     NON_IDEMPOTENT = "non-idempotent"
 
 
-@dataclass(frozen=True, slots=True)
-class PrefixMark:
+class PrefixMark(msgspec.Struct, frozen=True):
     """Digest of a prompt's beginning at one length.
 
     Attributes
@@ -38,8 +38,7 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class CallTerms:
+class CallTerms(msgspec.Struct, frozen=True):
     """What a route and its caller say about a call that is passed on as it is.
 
     Attributes
@@ -69,8 +68,7 @@
     expected_tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
+class Request(msgspec.Struct, frozen=True):
     """What the kernel knows of a caller's request; never its text.
 
     Attributes
@@ -104,15 +102,13 @@
     terms: CallTerms | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Submit(Message):
+class Submit(Message, frozen=True):
     """A caller's request has been read and its caller authenticated."""
 
     request: Request
 
 
-@dataclass(frozen=True, slots=True)
-class CallerGone(Message):
+class CallerGone(Message, frozen=True):
     """The caller closed its connection.
 
     The relay goes on reading the endpoint until it is told otherwise by
--- a/src/mimosafork/kernel/messages/routing.py
+++ b/src/mimosafork/kernel/messages/routing.py
@@ -1,6 +1,5 @@
 """Messages about what is routed: the table in force, endpoints, peers' work."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
 from ...ids import AvailabilityZoneId, EndpointId, InstanceId, RequestId
@@ -10,22 +9,19 @@
 from .base import Message
 
 
-@dataclass(frozen=True, slots=True)
-class TableInForce(Message):
+class TableInForce(Message, frozen=True):
     """A newer version of the routing table is in force."""
 
     table: RoutingTable
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointUsable(Message):
+class EndpointUsable(Message, frozen=True):
     """An endpoint takes new work."""
 
     listed: ListedEndpoint
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointLeaving(Message):
+class EndpointLeaving(Message, frozen=True):
     """An endpoint takes no new work any more; what runs there goes on.
 
     Attributes
@@ -38,16 +34,14 @@
     final: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class PeerWorkTold(Message):
+class PeerWorkTold(Message, frozen=True):
     """A peer's whole running work, in times of this instance's clock."""
 
     instance: InstanceId
     works: tuple[Work, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerWorkChanged(Message):
+class PeerWorkChanged(Message, frozen=True):
     """Some of a peer's works have begun, changed or ended.
 
     Attributes
@@ -62,15 +56,13 @@
     ended: tuple[RequestId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerSilent(Message):
+class PeerSilent(Message, frozen=True):
     """Nothing is known any more of a peer's work."""
 
     instance: InstanceId
 
 
-@dataclass(frozen=True, slots=True)
-class ZoneUnreachable(Message):
+class ZoneUnreachable(Message, frozen=True):
     """Nothing is received from an availability zone.
 
     Attributes
@@ -83,8 +75,7 @@
     since: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class ZoneReachable(Message):
+class ZoneReachable(Message, frozen=True):
     """An availability zone that was unreachable is received again."""
 
     zone: AvailabilityZoneId
--- a/src/mimosafork/kernel/messages/sharing.py
+++ b/src/mimosafork/kernel/messages/sharing.py
@@ -1,43 +1,36 @@
 """What the kernel has peers told, and what it hears from them."""
 
-from dataclasses import dataclass
-
 from ...ids import Digest, EndpointId, RequestId
 from ...placement.work import Work
 from .base import Effect, Message
 
 
-@dataclass(frozen=True, slots=True)
-class WorkBegun(Effect):
+class WorkBegun(Effect, frozen=True):
     """Own work was sent, or has written its first token."""
 
     work: Work
 
 
-@dataclass(frozen=True, slots=True)
-class WorkEnded(Effect):
+class WorkEnded(Effect, frozen=True):
     """Own work has ended."""
 
     request_id: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class CrashSuspected(Effect):
+class CrashSuspected(Effect, frozen=True):
     """An endpoint's connection broke under a request."""
 
     digest: Digest
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class CrashCleared(Effect):
+class CrashCleared(Effect, frozen=True):
     """A request that was suspected has run to its end."""
 
     digest: Digest
 
 
-@dataclass(frozen=True, slots=True)
-class CrashTold(Message):
+class CrashTold(Message, frozen=True):
     """What all instances together know of a suspected request."""
 
     digest: Digest
--- a/src/mimosafork/kernel/messages/timers.py
+++ b/src/mimosafork/kernel/messages/timers.py
@@ -1,14 +1,14 @@
 """Effects that ask the kernel's task for time."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 
+import msgspec
+
 from .base import Effect, Message
 
 
-@dataclass(frozen=True, slots=True)
-class WakeAt(Effect):
+class WakeAt(Effect, frozen=True):
     """Send `message` back to the kernel at the monotonic instant `at`."""
 
     at: timedelta
-    message: Message = field(default_factory=Message)
+    message: Message = msgspec.field(default_factory=Message)
--- a/src/mimosafork/kernel/messages/watch.py
+++ b/src/mimosafork/kernel/messages/watch.py
@@ -1,10 +1,11 @@
 """Messages about watching endpoints and passing on what is seen."""
 
 from base64 import urlsafe_b64encode
-from dataclasses import dataclass
 from hashlib import blake2b
 from typing import NewType
 
+import msgspec
+
 from ...ids import AvailabilityZoneId, EndpointId, Incarnation, ModelId
 from .base import Effect, Message
 from .fleet import EndpointKind, FencingMode
@@ -23,8 +24,7 @@
     return EndpointKey(urlsafe_b64encode(digest).decode())
 
 
-@dataclass(frozen=True, slots=True)
-class WatchedEndpoint:
+class WatchedEndpoint(msgspec.Struct, frozen=True):
     """An endpoint that this instance probes.
 
     Attributes
@@ -40,22 +40,19 @@
     first: bool
 
 
-@dataclass(frozen=True, slots=True)
-class WatchEndpoints(Effect):
+class WatchEndpoints(Effect, frozen=True):
     """Probe exactly these endpoints from now on."""
 
     endpoints: tuple[WatchedEndpoint, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class FetchCacheSnapshot(Effect):
+class FetchCacheSnapshot(Effect, frozen=True):
     """Read an engine's whole prefix cache, as what is known of it has a gap."""
 
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class SpeakForZone(Message):
+class SpeakForZone(Message, frozen=True):
     """Speak for the availability zone now; posted every second to whom it falls.
 
     Plug-ins then publish to the whole fleet what the other zones should know of
@@ -69,8 +66,7 @@
 KV_WHOLE = 65_535
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointProfile(PeerValue):
+class EndpointProfile(PeerValue, msgspec.Struct, frozen=True):
     """What seldom changes of an endpoint.
 
     Attributes
@@ -87,8 +83,7 @@
     role: str
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointLoad(PeerValue):
+class EndpointLoad(PeerValue, msgspec.Struct, frozen=True):
     """What always changes of an endpoint, in few bytes.
 
     Attributes
@@ -113,8 +108,7 @@
     draining: bool
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointSilence(PeerValue):
+class EndpointSilence(PeerValue, msgspec.Struct, frozen=True):
     """An endpoint does not answer the writer's probes.
 
     Attributes
@@ -127,8 +121,7 @@
     age_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointProfileHeard(Message):
+class EndpointProfileHeard(Message, frozen=True):
     """A peer has told an endpoint's profile."""
 
     key: EndpointKey
@@ -136,8 +129,7 @@
     origin: Origin
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointLoadHeard(Message):
+class EndpointLoadHeard(Message, frozen=True):
     """A peer has told an endpoint's load."""
 
     key: EndpointKey
@@ -145,8 +137,7 @@
     origin: Origin
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointSilenceHeard(Message):
+class EndpointSilenceHeard(Message, frozen=True):
     """A peer can't reach an endpoint."""
 
     key: EndpointKey
--- a/src/mimosafork/kernel/plugins.py
+++ b/src/mimosafork/kernel/plugins.py
@@ -6,10 +6,11 @@
 request's life by deriving from one of the roles below.
 """
 
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, ClassVar, Protocol, TypeVar
 
+import msgspec
+
 from ..ids import EndpointId, Incarnation, ReservationId, StreamId
 from .messages.attempts import AttemptFailed
 from .messages.base import Message
@@ -47,18 +48,15 @@
         """React to a message; types that nobody registered are not delivered."""
 
 
-@dataclass(frozen=True, slots=True)
-class Proceed:
+class Proceed(msgspec.Struct, frozen=True):
     """The stage has no objection."""
 
 
-@dataclass(frozen=True, slots=True)
-class Hold:
+class Hold(msgspec.Struct, frozen=True):
     """The stage waits for something and will post `StageCleared`."""
 
 
-@dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(msgspec.Struct, frozen=True):
     """The request ends here.
 
     `outcome` is NOT_RUN unless the stage knows of an earlier run.
@@ -68,24 +66,21 @@
     outcome: Outcome = Outcome.NOT_RUN
 
 
-@dataclass(frozen=True, slots=True)
-class Bypass:
+class Bypass(msgspec.Struct, frozen=True):
     """The request goes to the placers at once; later stages don't review it.
 
     For a request that brings no new work: it is answered by a run that exists.
     """
 
 
-@dataclass(frozen=True, slots=True)
-class Answered:
+class Answered(msgspec.Struct, frozen=True):
     """The stage has had the whole answer delivered; the request ends here."""
 
 
 Verdict = Proceed | Hold | Refuse | Bypass | Answered
 
 
-@dataclass(frozen=True, slots=True)
-class StageCleared(Message):
+class StageCleared(Message, frozen=True):
     """A stage that held a request has come to its verdict."""
 
     request_id: str
@@ -103,13 +98,11 @@
         raise NotImplementedError
 
 
-@dataclass(frozen=True, slots=True)
-class NotMine:
+class NotMine(msgspec.Struct, frozen=True):
     """The placer leaves this request to the next one."""
 
 
-@dataclass(frozen=True, slots=True)
-class Wait:
+class Wait(msgspec.Struct, frozen=True):
     """No endpoint should take the request now; it stays in the queue.
 
     `reason` tells which queue bound was met, for metrics.
@@ -118,8 +111,7 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class PlaceOn:
+class PlaceOn(msgspec.Struct, frozen=True):
     """Dispatch to this endpoint now."""
 
     endpoint: EndpointId
@@ -135,24 +127,21 @@
     patience: Patience | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class InHand:
+class InHand(msgspec.Struct, frozen=True):
     """The placer works on it and will post `Placed` or `PlacementFailed`."""
 
 
 Placement = NotMine | Wait | PlaceOn | InHand | Refuse
 
 
-@dataclass(frozen=True, slots=True)
-class Placed(Message):
+class Placed(Message, frozen=True):
     """A placer that had a request in hand has found its place."""
 
     request_id: str
     place: PlaceOn
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementFailed(Message):
+class PlacementFailed(Message, frozen=True):
     """A placer gives a request that it had in hand back to the queue."""
 
     request_id: str
@@ -169,15 +158,13 @@
         raise NotImplementedError
 
 
-@dataclass(frozen=True, slots=True)
-class RetryLater:
+class RetryLater(msgspec.Struct, frozen=True):
     """Run a further attempt after a pause."""
 
     pause: "timedelta"
 
 
-@dataclass(frozen=True, slots=True)
-class GiveUp:
+class GiveUp(msgspec.Struct, frozen=True):
     """Answer the caller at once."""
 
     problem: Problem
@@ -196,16 +183,14 @@
         raise NotImplementedError
 
 
-@dataclass(frozen=True, slots=True)
-class Concluded(Message):
+class Concluded(Message, frozen=True):
     """A request's life has ended; told to plug-ins that learn or clean up."""
 
     record: "RequestRecord"
     conclusion: Conclude
 
 
-@dataclass(frozen=True, slots=True)
-class CompletionCleared(Message):
+class CompletionCleared(Message, frozen=True):
     """A finisher that held a whole answer lets its end go out."""
 
     request_id: str
--- a/src/mimosafork/kernel/records.py
+++ b/src/mimosafork/kernel/records.py
@@ -1,9 +1,10 @@
 """Records of requests that the kernel has not concluded."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ..ids import (
     AttemptNumber,
     ClaimId,
@@ -33,8 +34,7 @@
     """The whole answer went out; a finisher holds its end."""
 
 
-@dataclass(slots=True)
-class Attempt:
+class Attempt(msgspec.Struct):
     """One try of a request on an endpoint.
 
     Attributes
@@ -61,8 +61,7 @@
         return self.failure.exposure
 
 
-@dataclass(slots=True)
-class HeldClaim:
+class HeldClaim(msgspec.Struct):
     """The claim on a request's key that this instance holds.
 
     Attributes
@@ -76,8 +75,7 @@
     settled: bool = False
 
 
-@dataclass(slots=True)
-class RequestRecord:
+class RequestRecord(msgspec.Struct):
     """A request and what has happened to it so far.
 
     Attributes
@@ -110,10 +108,10 @@
     submitted_at: timedelta
     state: RequestState = RequestState.REVIEWING
     stage_index: int = 0
-    attempts: list[Attempt] = field(default_factory=list)
+    attempts: list[Attempt] = msgspec.field(default_factory=list)
     delivered_tokens: int = 0
     predicted_first_token: timedelta | None = None
-    avoid: set[EndpointId] = field(default_factory=set)
+    avoid: set[EndpointId] = msgspec.field(default_factory=set)
     claim: HeldClaim | None = None
     shared_run: PlaceOn | None = None
     run_elsewhere: bool = False
--- a/src/mimosafork/manifest/convert.py
+++ b/src/mimosafork/manifest/convert.py
@@ -1,7 +1,6 @@
 """From a manifest to the configuration that the kernel works by."""
 
 from collections.abc import Iterable
-from dataclasses import fields
 from functools import singledispatch
 
 from pydantic import BaseModel
@@ -97,7 +96,7 @@
 def _(section: FleetSection, name: str) -> FleetPolicy:
     """Take over each field by its name: the kernel's names are the manifest's."""
     return FleetPolicy(
-        **{each.name: getattr(section, each.name) for each in fields(FleetPolicy)}
+        **{name: getattr(section, name) for name in FleetPolicy.__struct_fields__}
     )
 
 
--- a/src/mimosafork/peers/kinds/base.py
+++ b/src/mimosafork/peers/kinds/base.py
@@ -6,7 +6,6 @@
 """
 
 from abc import ABC, abstractmethod
-from dataclasses import fields
 from datetime import timedelta
 from typing import Any, ClassVar, Generic, TypeVar, cast, get_type_hints
 
@@ -72,12 +71,12 @@
 class ArrayKind(EntryKind[V]):
     """A kind whose values are encoded as a MessagePack array of their fields.
 
-    `value_type` must be a dataclass whose fields have types that msgspec knows.
+    `value_type` must be a struct whose fields have types that msgspec knows.
     """
 
     def __init__(self) -> None:
         hints = get_type_hints(self.value_type)
-        self.names = [each.name for each in fields(cast(Any, self.value_type))]
+        self.names = list(cast(Any, self.value_type).__struct_fields__)
         shape = tuple(hints[name] for name in self.names)
         self.decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(
             tuple.__class_getitem__(shape)
--- a/src/mimosafork/peers/kinds/instances.py
+++ b/src/mimosafork/peers/kinds/instances.py
@@ -1,16 +1,16 @@
 """What an entry instance says of itself."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ...ids import Revision
 from ...kernel.messages.base import Message
 from ...kernel.messages.peers import Origin, PeerValue, Scope
 from .base import ArrayKind, register_kind
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceState(PeerValue):
+class InstanceState(PeerValue, msgspec.Struct, frozen=True):
     """State of an entry instance, told by itself.
 
     Attributes
@@ -28,8 +28,7 @@
     revision: Revision
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceStateHeard(Message):
+class InstanceStateHeard(Message, frozen=True):
     """An entry instance has told its state."""
 
     state: InstanceState
--- a/src/mimosafork/placement/choice.py
+++ b/src/mimosafork/placement/choice.py
@@ -1,15 +1,15 @@
 """What is asked of placement, and what it says."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ..ids import AvailabilityZoneId, EndpointId, RequestId
 from .work import Held, Part, Work
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementAsk:
+class PlacementAsk(msgspec.Struct, frozen=True):
     """A request that needs a place.
 
     Attributes
@@ -51,8 +51,7 @@
     crowded: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EngineView:
+class EngineView(msgspec.Struct, frozen=True):
     """What this instance knows of an endpoint beside its work.
 
     Attributes
@@ -77,16 +76,14 @@
     cold: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Helper:
+class Helper(msgspec.Struct, frozen=True):
     """An engine that reads a part of the prompt for the host."""
 
     endpoint: EndpointId
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class Reservation:
+class Reservation(msgspec.Struct, frozen=True):
     """Memory to be reserved before the request is sent, in this order."""
 
     endpoint: EndpointId
@@ -94,8 +91,7 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
+class Place(msgspec.Struct, frozen=True):
     """Where a request goes.
 
     Attributes
@@ -141,15 +137,13 @@
     TURN = "older prompts are being read"
 
 
-@dataclass(frozen=True, slots=True)
-class WaitForRoom:
+class WaitForRoom(msgspec.Struct, frozen=True):
     """Nothing is free now; to be asked again when work ends."""
 
     reason: Shortage
 
 
-@dataclass(frozen=True, slots=True)
-class NoRoom:
+class NoRoom(msgspec.Struct, frozen=True):
     """The request can't be done in time; to be refused at once.
 
     Attributes
--- a/src/mimosafork/placement/forecast.py
+++ b/src/mimosafork/placement/forecast.py
@@ -4,7 +4,7 @@
 Costs are in the worth of a request without a prompt.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 from ..routing.engine import EngineFigures
 from .choice import EngineView
@@ -22,8 +22,7 @@
 """Share of an objective that a prediction must leave to be sure of it."""
 
 
-@dataclass(slots=True)
-class EngineState:
+class EngineState(msgspec.Struct):
     """One engine as a placement sees it; not changed once it is made.
 
     Not frozen, as that would make each of hundreds twice as dear.
--- a/src/mimosafork/placement/fullness.py
+++ b/src/mimosafork/placement/fullness.py
@@ -5,10 +5,12 @@
 as it is full tells in the same moment that more runs there than is known.
 """
 
-from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from math import ceil
 
+import msgspec
+from msgspec.structs import replace
+
 from ..ids import EndpointId
 from ..routing.engine import EngineFigures
 
@@ -25,8 +27,7 @@
 """Below this two rejections of one call say the same."""
 
 
-@dataclass(frozen=True, slots=True)
-class FullWord:
+class FullWord(msgspec.Struct, frozen=True):
     """An engine's word that it was full.
 
     Attributes
@@ -47,8 +48,7 @@
         return ceil(self.unheard * share) if share > 0.0 else 0
 
 
-@dataclass(slots=True)
-class FullWords:
+class FullWords(msgspec.Struct):
     """The newest word of each engine that was full lately.
 
     Guard: believed to be the emptiest, an engine would be sent call after call, each
@@ -58,7 +58,7 @@
     and one by one as old work there is heard of after all.
     """
 
-    words: dict[EndpointId, FullWord] = field(default_factory=dict)
+    words: dict[EndpointId, FullWord] = msgspec.field(default_factory=dict)
 
     def note(self, endpoint: EndpointId, word: FullWord) -> None:
         """Take an engine's word; it replaces a former one.
@@ -103,8 +103,7 @@
     return max(LEAST_TURN, stay_of(figures) / max(1, figures.slots))
 
 
-@dataclass(frozen=True, slots=True)
-class Crowd:
+class Crowd(msgspec.Struct, frozen=True):
     """What a call that was turned away knows of engines that seem to have room.
 
     Attributes
--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -7,10 +7,11 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from math import inf
 from random import Random
 
+import msgspec
+
 from ..routing.engine import EngineFigures
 from .choice import PlacementAsk
 from .forecast import EngineState, harm, lateness, slack_of, worth_of
@@ -39,8 +40,7 @@
 """A bound may lie so far above the cost that it bounds, as sums are rounded."""
 
 
-@dataclass(frozen=True, slots=True)
-class Plan:
+class Plan(msgspec.Struct, frozen=True):
     """A host, its helpers, and what that costs."""
 
     host: EngineState
@@ -54,8 +54,7 @@
         return mine < (other.cost, len(other.helpers))
 
 
-@dataclass(slots=True)
-class Weights:
+class Weights(msgspec.Struct):
     """All engines with one size of part, each list in their order.
 
     Attributes
--- a/src/mimosafork/placement/reading.py
+++ b/src/mimosafork/placement/reading.py
@@ -1,9 +1,10 @@
 """Until when promised reading explains that an engine is silent."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ..ids import EndpointId
 from .work import Work, read_of
 
@@ -12,8 +13,7 @@
 slow engine's pace are not in the prediction."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReadingSpan:
+class ReadingSpan(msgspec.Struct, frozen=True):
     """A time through which an engine reads without a pause.
 
     Attributes
--- a/src/mimosafork/placement/subset.py
+++ b/src/mimosafork/placement/subset.py
@@ -7,10 +7,11 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from functools import lru_cache
 from zlib import crc32
 
+import msgspec
+
 from ..ids import EndpointId, InstanceId
 from .choice import EngineView
 
@@ -48,8 +49,7 @@
     return crc32(endpoint.encode(), OTHER_ORDER), endpoint
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceOrder:
+class InstanceOrder(msgspec.Struct, frozen=True):
     """The living instances of a fleet, in their order.
 
     Attributes
--- a/src/mimosafork/placement/work.py
+++ b/src/mimosafork/placement/work.py
@@ -1,18 +1,19 @@
 """Running work, own and peers', and the load that it puts on each engine."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from math import inf
 from typing import NamedTuple
 
+import msgspec
+from msgspec.structs import replace
+
 from ..ids import EndpointId, InstanceId, RequestId
 from .fullness import FULL_SHARE, FullWord, FullWords
 from .rate import BeginRate, WordAge
 
 
-@dataclass(frozen=True, slots=True)
-class Part:
+class Part(msgspec.Struct, frozen=True):
     """What one engine reads of a prompt.
 
     Attributes
@@ -28,16 +29,14 @@
     read_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class Held:
+class Held(msgspec.Struct, frozen=True):
     """Tokens of a prompt's memory that one engine holds."""
 
     endpoint: EndpointId
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class Work:
+class Work(msgspec.Struct, frozen=True):
     """One running request on the engines.
 
     Attributes
@@ -87,8 +86,7 @@
     prompt_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class EngineLoad:
+class EngineLoad(msgspec.Struct, frozen=True):
     """What is known of the work on one engine at one moment.
 
     Attributes
@@ -142,8 +140,7 @@
     prompt_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class LoadSum:
+class LoadSum(msgspec.Struct, frozen=True):
     """The load of one engine until its work changes.
 
     Attributes
@@ -171,8 +168,7 @@
 NOTHING = LoadSum(IDLE)
 
 
-@dataclass(slots=True)
-class LoadBook:
+class LoadBook(msgspec.Struct):
     """The running work of this instance and of its peers, by engine.
 
     Adding or ending a request costs the number of its engines. The load of an engine
@@ -180,19 +176,19 @@
     are of this instance's clock.
     """
 
-    own: dict[RequestId, Work] = field(default_factory=dict)
-    peers: dict[InstanceId, dict[RequestId, Work]] = field(default_factory=dict)
-    by_engine: dict[EndpointId, dict[int, Work]] = field(default_factory=dict)
+    own: dict[RequestId, Work] = msgspec.field(default_factory=dict)
+    peers: dict[InstanceId, dict[RequestId, Work]] = msgspec.field(default_factory=dict)
+    by_engine: dict[EndpointId, dict[int, Work]] = msgspec.field(default_factory=dict)
     """Work under its identity, as two instances may name the same request."""
-    sums: dict[EndpointId, LoadSum] = field(default_factory=dict)
+    sums: dict[EndpointId, LoadSum] = msgspec.field(default_factory=dict)
     """Of engines with work that has not changed since it was summed up."""
-    begun: BeginRate = field(default_factory=BeginRate)
+    begun: BeginRate = msgspec.field(default_factory=BeginRate)
     """Works on engines, of all instances."""
-    age: WordAge = field(default_factory=WordAge)
+    age: WordAge = msgspec.field(default_factory=WordAge)
     """Of peers' works on engines when they were heard of first."""
-    full: FullWords = field(default_factory=FullWords)
+    full: FullWords = msgspec.field(default_factory=FullWords)
     """Of engines that turned calls away."""
-    rejected: BeginRate = field(default_factory=BeginRate)
+    rejected: BeginRate = msgspec.field(default_factory=BeginRate)
     """Calls of this instance that full engines turned away."""
 
     def note(self, work: Work) -> None:
--- a/src/mimosafork/platform/channel.py
+++ b/src/mimosafork/platform/channel.py
@@ -1,17 +1,16 @@
 """One connection to the store: a call at a time, parsed by httptools."""
 
 import asyncio
-from dataclasses import dataclass
 
 import httptools
+import msgspec
 
 from ..network.errors import NoAnswerError
 
 FIRST_FINAL_STATUS = 200
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """A whole answer.
 
     Attributes
--- a/src/mimosafork/platform/lane.py
+++ b/src/mimosafork/platform/lane.py
@@ -1,9 +1,10 @@
 """A kept connection to the store, replaced whenever it may be dead."""
 
 import asyncio
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ..network.errors import NetworkError, NeverSentError, NoAnswerError
 from .channel import Answer, Channel
 from .errors import SilentError
@@ -16,24 +17,23 @@
 """A slow store is waited for up to so many times as long."""
 
 
-@dataclass(frozen=True, slots=True)
-class CallLimits:
+class CallLimits(msgspec.Struct, frozen=True):
     """How long a repeatable call is waited for.
 
     Attributes
     ----------
     timeout : timedelta
-        For all of it, waiting for earlier calls included; longer by `silence` for each
-        further unit of patience.
-    usual : timedelta
+        For all of it, waiting for earlier calls included; longer by `resend_after` for
+        each further unit of patience.
+    server_wait : timedelta
         How long the other side may wait before it answers.
-    silence : timedelta
-        An answer that is later than usual by this is not waited for alone.
+    resend_after : timedelta
+        An answer that is later than that by this is not waited for alone.
     """
 
     timeout: timedelta
-    usual: timedelta
-    silence: timedelta
+    server_wait: timedelta
+    resend_after: timedelta
 
 
 class Lane:
@@ -106,8 +106,8 @@
             As `call` does.
         """
         sent: list[Channel] = []
-        allowed = limits.timeout + limits.silence * (self.patience - 1)
-        sends = max((allowed - limits.usual) // limits.silence, 1)
+        allowed = limits.timeout + limits.resend_after * (self.patience - 1)
+        sends = max((allowed - limits.server_wait) // limits.resend_after, 1)
         try:
             # Guard: a connection may fall silent for good without a reset; a call
             # would then wait for ever and its table would stand still.
@@ -133,7 +133,7 @@
             If no send is left that may be answered.
         """
         waiting = {asyncio.ensure_future(self.send_first(request, sent))}
-        pause: timedelta | None = limits.usual + limits.silence
+        pause: timedelta | None = limits.server_wait + limits.resend_after
         try:
             while True:
                 pause_s = None if pause is None else pause.total_seconds()
@@ -146,7 +146,7 @@
                 if done:
                     continue
                 sends -= 1
-                pause = limits.silence if sends > 0 else None
+                pause = limits.resend_after if sends > 0 else None
                 if sends > 0:
                     again = self.send_again(request, sent)
                     waiting.add(asyncio.ensure_future(again))
--- a/src/mimosafork/platform/store.py
+++ b/src/mimosafork/platform/store.py
@@ -2,7 +2,6 @@
 
 from base64 import b64decode, b64encode
 from collections.abc import Awaitable, Sequence
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import NoReturn
 from urllib.parse import urlencode
@@ -38,8 +37,7 @@
 MILLISECOND = timedelta(milliseconds=1)
 
 
-@dataclass(frozen=True, slots=True)
-class StoreTimeouts:
+class StoreTimeouts(msgspec.Struct, frozen=True):
     """How long calls of the store may take.
 
     Attributes
@@ -48,7 +46,7 @@
         A new connection.
     call : timedelta
         A read or write, from the call to its whole answer.
-    silence : timedelta
+    resend_after : timedelta
         A long poll may answer this much after the wait that it asked for; with
         the shortest wait it bounds how soon silence is found. While the store keeps
         silent, reads are sent again this often.
@@ -56,7 +54,7 @@
 
     connect: timedelta = timedelta(seconds=1)
     call: timedelta = timedelta(seconds=2)
-    silence: timedelta = timedelta(milliseconds=800)
+    resend_after: timedelta = timedelta(milliseconds=800)
 
 
 class PreparedStore:
@@ -115,7 +113,7 @@
             query[names.LIMIT] = str(limit)
         request = self.get(names.ROWS_GET_PATH, query)
         timeouts = self.timeouts
-        limits = CallLimits(timeouts.call, timedelta(0), timeouts.silence)
+        limits = CallLimits(timeouts.call, timedelta(0), timeouts.resend_after)
         return await self.page(self.lane_of(table), request, limits)
 
     async def changes(self, table: str, after: int, wait: timedelta) -> RowPage:
@@ -126,8 +124,8 @@
             names.WAIT_MS: str(wait // MILLISECOND),
         }
         request = self.get(names.ROWS_FEED_PATH, query)
-        silence = self.timeouts.silence
-        limits = CallLimits(wait + silence, usual=wait, silence=silence)
+        resend_after = self.timeouts.resend_after
+        limits = CallLimits(wait + resend_after, wait, resend_after)
         return await self.page(self.lane_of(table), request, limits)
 
     async def write(
--- a/src/mimosafork/policies/quarantine/ledger.py
+++ b/src/mimosafork/policies/quarantine/ledger.py
@@ -1,10 +1,12 @@
 """Evidence against request bodies."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 
+from msgspec.structs import replace
+
 from ...ids import Digest, EndpointId
 from ...kernel.messages.quarantine import CrashEvidence, Life, Suspicion
 
--- a/src/mimosafork/relay/exchange.py
+++ b/src/mimosafork/relay/exchange.py
@@ -1,9 +1,10 @@
 """One request between its caller and the endpoints that its attempts run on."""
 
 import socket
-from dataclasses import replace
 from selectors import EVENT_READ, EVENT_WRITE
 
+from msgspec.structs import replace
+
 from ..claims.replayer import AnswerToReplay
 from ..endpoints.calls import OpenCall
 from ..kernel.messages.attempts import (
--- a/src/mimosafork/routing/engine.py
+++ b/src/mimosafork/routing/engine.py
@@ -1,14 +1,14 @@
 """Figures of a service's engines, as the deployment states them."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 DEFAULT_ANSWER = 600
 """Tokens of a usual answer where the deployment states none."""
 
 
-@dataclass(frozen=True, slots=True)
-class EngineFigures:
+class EngineFigures(msgspec.Struct, frozen=True):
     """How an engine reads and writes, in passes over all its requests.
 
     A pass with writers runs `stride` steps; in each, up to `chunk` prompt tokens are
--- a/src/mimosafork/routing/listing.py
+++ b/src/mimosafork/routing/listing.py
@@ -1,9 +1,10 @@
 """What the list of endpoints says about one of them."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ..ids import AvailabilityZoneId, EndpointId, ServiceId
 
 
@@ -14,8 +15,7 @@
     DRAINING = "draining"
 
 
-@dataclass(frozen=True, slots=True)
-class ListedEndpoint:
+class ListedEndpoint(msgspec.Struct, frozen=True):
     """One life of an endpoint.
 
     Attributes
--- a/src/mimosafork/routing/table.py
+++ b/src/mimosafork/routing/table.py
@@ -1,10 +1,12 @@
 """The routing table: what a version of the configuration says about traffic."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 from typing import NewType
 
+import msgspec
+from msgspec.structs import force_setattr
+
 from ..ids import AccountId, Revision, ServiceId
 from .engine import EngineFigures
 
@@ -21,16 +23,14 @@
     """A series of events; repeatable only where the route is resumable."""
 
 
-@dataclass(frozen=True, slots=True)
-class Split:
+class Split(msgspec.Struct, frozen=True):
     """A service's share of a route's traffic."""
 
     service: ServiceId
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Where calls of one host and path prefix go, and how they are treated.
 
     Attributes
@@ -71,8 +71,7 @@
         return self.kind is CallKind.IDEMPOTENT
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(msgspec.Struct, frozen=True):
     """A set of like endpoints."""
 
     name: ServiceId
@@ -81,8 +80,7 @@
     engine: EngineFigures | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ClientLimits:
+class ClientLimits(msgspec.Struct, frozen=True):
     """What a caller may send, and how long it may take or stay idle."""
 
     header_bytes: int = 16384
@@ -91,8 +89,7 @@
     idle_timeout: timedelta = timedelta(seconds=15)
 
 
-@dataclass(frozen=True, slots=True)
-class Account:
+class Account(msgspec.Struct, frozen=True):
     """A client account and its API keys; `priority` goes before a route's."""
 
     name: AccountId
@@ -100,8 +97,7 @@
     priority: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class RoutingTable:
+class RoutingTable(msgspec.Struct, frozen=True):
     """One version of the configuration.
 
     Attributes
@@ -116,8 +112,8 @@
     limits: ClientLimits
     accounts: tuple[Account, ...]
     has_accounts: bool = True
-    by_host: dict[str, tuple[Route, ...]] = field(init=False, repr=False)
-    by_key: dict[ApiKey, Account] = field(init=False, repr=False)
+    by_host: dict[str, tuple[Route, ...]] = msgspec.field(default_factory=dict)
+    by_key: dict[ApiKey, Account] = msgspec.field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Build the indexes: a host's routes, longest prefix first, and the keys."""
@@ -129,8 +125,8 @@
             for host, routes in hosts.items()
         }
         keys = {key: account for account in self.accounts for key in account.keys}
-        object.__setattr__(self, "by_host", ranked)
-        object.__setattr__(self, "by_key", keys)
+        force_setattr(self, "by_host", ranked)
+        force_setattr(self, "by_key", keys)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path.
--- a/src/mimosafork/runtime/own_listing.py
+++ b/src/mimosafork/runtime/own_listing.py
@@ -1,9 +1,10 @@
 """Keeps this instance's own entry in the platform's list."""
 
-from dataclasses import replace
 from datetime import timedelta
 from logging import getLogger
 
+from msgspec.structs import replace
+
 from ..clock import Clock
 from ..kernel.messages.fleet import EntryInstance, LifeState
 from ..runtime.task import Task
--- a/src/mimosafork/storage/instances.py
+++ b/src/mimosafork/storage/instances.py
@@ -10,6 +10,7 @@
 from urllib.parse import quote
 
 import msgspec
+from msgspec import structs
 
 from ..clock import Clock
 from ..ids import (
@@ -116,7 +117,7 @@
         answer = self._call("GET", "/v1/instances", headers=headers)
         if answer.status == HTTPStatus.NOT_MODIFIED and last is not None:
             age = _seconds(answer.headers.get(AGE_HEADER))
-            return replace(last, listed=replace(last.listed, age=age), size=0)
+            return replace(last, listed=structs.replace(last.listed, age=age), size=0)
         return _reading_of(answer)
 
     def register(self, entry: EntryInstance) -> None:
@@ -181,7 +182,9 @@
         raise StoreUnavailableError("the instance list can't be read")
     age = _seconds(listed.get("as_of_s"))
     tag = answer.headers.get("ETag")
-    return ListReading(replace(listed_of(entries), age=age), tag, len(answer.body))
+    return ListReading(
+        structs.replace(listed_of(entries), age=age), tag, len(answer.body)
+    )
 
 
 def _seconds(value: object) -> timedelta:
--- a/src/mimosafork/telemetry/budget.py
+++ b/src/mimosafork/telemetry/budget.py
@@ -2,9 +2,10 @@
 
 import threading
 from collections import Counter
-from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ..clock import Clock
 from .events import Importance
 
@@ -16,8 +17,7 @@
 served calls go first, then failures and refusals, and changes of belief last."""
 
 
-@dataclass(frozen=True, slots=True)
-class LeftOut:
+class LeftOut(msgspec.Struct, frozen=True):
     """Lines that were left out in a time.
 
     Attributes
--- a/src/mimosafork/telemetry/events.py
+++ b/src/mimosafork/telemetry/events.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from enum import IntEnum
 from importlib import import_module
 from logging import DEBUG, ERROR, INFO, WARNING
@@ -13,6 +12,8 @@
 from string import Formatter
 from types import ModuleType
 
+import msgspec
+
 from . import catalogue
 from .errors import CatalogueError
 
@@ -40,8 +41,7 @@
     """Anything else: a start, a stop, a change of what the process believes."""
 
 
-@dataclass(frozen=True, slots=True)
-class Event:
+class Event(msgspec.Struct, frozen=True):
     """One kind of log line.
 
     Parameters
--- a/src/mimosafork/telemetry/instruments.py
+++ b/src/mimosafork/telemetry/instruments.py
@@ -4,10 +4,11 @@
 of the same concern; `all_instruments` gathers them.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import Final
 
+import msgspec
+
 DURATION_BUCKETS_S: Final = (
     0.005,
     0.01,
@@ -43,8 +44,7 @@
     """Read from its owner's state when the metrics page is asked for."""
 
 
-@dataclass(frozen=True, slots=True)
-class Instrument:
+class Instrument(msgspec.Struct, frozen=True):
     """One metric.
 
     Parameters
--- a/src/mimosafork/telemetry/logs.py
+++ b/src/mimosafork/telemetry/logs.py
@@ -1,12 +1,13 @@
 """Structured logging of numbered events over the standard library's `logging`."""
 
 import logging
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 from types import TracebackType
 from typing import Protocol
 
+import msgspec
+
 from ..clock import SystemClock
 from .budget import LineBudget
 from .events import Event
@@ -30,8 +31,7 @@
     JSON = "json"
 
 
-@dataclass(frozen=True, slots=True)
-class LogOptions:
+class LogOptions(msgspec.Struct, frozen=True):
     """What the settings say about logs.
 
     Parameters
@@ -49,8 +49,7 @@
     library_level: str = "WARNING"
 
 
-@dataclass(frozen=True, slots=True)
-class LogLimits:
+class LogLimits(msgspec.Struct, frozen=True):
     """What the logs of a process may cost.
 
     Parameters
--- a/src/mimosafork/telemetry/messages.py
+++ b/src/mimosafork/telemetry/messages.py
@@ -1,13 +1,13 @@
 """Messages of log records that stand for an event."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from .events import Event
 
 
-@dataclass(frozen=True, slots=True)
-class EventMessage:
+class EventMessage(msgspec.Struct, frozen=True):
     """The message of a log record, put together only if a line is written.
 
     Parameters
@@ -19,7 +19,7 @@
     """
 
     event: Event
-    fields: Mapping[str, object] = field(default_factory=dict)
+    fields: Mapping[str, object] = msgspec.field(default_factory=dict)
 
     def __str__(self) -> str:
         return self.event.template.format_map(Fields(self.fields))
--- a/src/mimosafork/telemetry/readings.py
+++ b/src/mimosafork/telemetry/readings.py
@@ -1,11 +1,11 @@
 """Values of observable instruments."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
+import msgspec
 
-@dataclass(frozen=True, slots=True)
-class Reading:
+
+class Reading(msgspec.Struct, frozen=True):
     """A value of an observable instrument.
 
     Parameters
--- a/tests/support/claim_world.py
+++ b/tests/support/claim_world.py
@@ -5,12 +5,14 @@
 """
 
 from collections import Counter, deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 from functools import singledispatchmethod
 from random import Random
 
+from msgspec.structs import replace
+
 from mimosafork.claims.rows import TABLE, decoded
 from mimosafork.claims.writer import ClaimWriter, StoreAnswer
 from mimosafork.clock import ManualClock
--- a/tests/support/crashing_fleet.py
+++ b/tests/support/crashing_fleet.py
@@ -2,12 +2,14 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import partial
 from itertools import count
 from random import Random
 
+from msgspec.structs import replace
+
 import mimosafork.policies  # noqa: F401  (registers the plug-ins)
 from mimosafork.clock import ManualClock
 from mimosafork.ids import Incarnation, InstanceId, RequestId
--- a/tests/support/gateway_kernels.py
+++ b/tests/support/gateway_kernels.py
@@ -1,9 +1,10 @@
 """A gateway's kernel with its policies, plain endpoints and a clock that is set."""
 
-from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
+from msgspec.structs import replace
+
 from mimosafork.clock import ManualClock
 from mimosafork.gateway.policies import PLUGINS
 from mimosafork.ids import (
@@ -161,5 +162,5 @@
         deadline=now + time,
         body_digest=digest_of(request_id),
         repeatability=Repeatability.NON_IDEMPOTENT if once else repeatable,
-        terms=replace(usual, **terms),  # type: ignore[arg-type]
+        terms=replace(usual, **terms),
     )
--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -5,11 +5,13 @@
 """
 
 from collections import deque
-from dataclasses import astuple, dataclass
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 from random import Random
 
+from msgspec.structs import astuple
+
 from mimosafork.clock import ManualClock
 from mimosafork.directory.directory import Directory
 from mimosafork.directory.messages import (
--- a/tests/support/kernels.py
+++ b/tests/support/kernels.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 from typing import TypeVar
 
+from msgspec.structs import replace
+
 from mimosafork.clock import ManualClock
 from mimosafork.ids import (
     AccountId,
@@ -110,7 +112,7 @@
         """Deliver a load report of an idle engine, with changes."""
         self.sequence += 1
         base = load_report(endpoint, self.sequence)
-        return self.tell(LoadReported(replace(base, **changes)))  # type: ignore[arg-type]
+        return self.tell(LoadReported(replace(base, **changes)))
 
 
 def load_report(endpoint: str, sequence: int) -> LoadReport:
@@ -184,7 +186,7 @@
         deadline=deadline,
         body_digest=Digest(f"body-{name}"),
     )
-    return replace(request, **changes)  # type: ignore[arg-type]
+    return replace(request, **changes)
 
 
 def failed(
--- a/tests/support/limits.py
+++ b/tests/support/limits.py
@@ -2,11 +2,13 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from itertools import count
 from random import Random
 
+from msgspec.structs import replace
+
 from mimosafork.clock import ManualClock
 from mimosafork.ids import AvailabilityZoneId, Incarnation, InstanceId, Revision
 from mimosafork.kernel import registry
--- a/tests/support/zones.py
+++ b/tests/support/zones.py
@@ -4,10 +4,12 @@
 exchanger; probes and exchanges happen when the test lets time pass.
 """
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
+from msgspec.structs import replace
+
 from mimosafork.clock import ManualClock
 from mimosafork.ids import EndpointId
 from mimosafork.kernel.core import Kernel
--- a/tests/unit/benchmarks/test_pass_engine.py
+++ b/tests/unit/benchmarks/test_pass_engine.py
@@ -1,6 +1,8 @@
 """The model engine follows the published steps, as played days showed them."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
 
 from benchmarks.passes.deployments import FIGURES
 from benchmarks.passes.engine import STALL_S, Job, PassEngine
--- a/tests/unit/claims/test_claim_machine.py
+++ b/tests/unit/claims/test_claim_machine.py
@@ -1,6 +1,5 @@
 """At most once and honest outcomes, whatever comes in whatever order."""
 
-from dataclasses import replace
 from datetime import timedelta
 from enum import Enum
 
@@ -11,6 +10,7 @@
     precondition,
     rule,
 )
+from msgspec.structs import replace
 
 from mimosafork.ids import Digest
 from mimosafork.kernel.messages.outcomes import Outcome, Retention
--- a/tests/unit/claims/test_claim_stage.py
+++ b/tests/unit/claims/test_claim_stage.py
@@ -1,8 +1,9 @@
 """One run for each key, decided without any I/O."""
 
-from dataclasses import replace
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from mimosafork.ids import AttemptNumber, Digest, Incarnation, InstanceId, RequestId
 from mimosafork.kernel.messages.attempts import (
     AttemptFinished,
--- a/tests/unit/claims/test_claim_writer.py
+++ b/tests/unit/claims/test_claim_writer.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
+from msgspec import structs
+
 from mimosafork.claims.book import MOST_ANSWER_BYTES
 from mimosafork.claims.rows import RETENTION, TABLE, ClaimRow, decoded
 from mimosafork.claims.writer import (
@@ -60,7 +62,7 @@
         )
         name = RequestId(f"{self.name}-{serial}")
         effect = WriteClaim(name, ClaimKey(key), claim, required=True)
-        self.send(replace(effect, **changes))  # type: ignore[arg-type]
+        self.send(structs.replace(effect, **changes))
         return claim.claim_id
 
     def send(self, message: WriterMessage) -> None:
--- a/tests/unit/directory/test_over_store.py
+++ b/tests/unit/directory/test_over_store.py
@@ -42,7 +42,7 @@
     least_outage=timedelta(0),
 )
 TIMEOUTS = StoreTimeouts(
-    call=timedelta(milliseconds=300), silence=timedelta(milliseconds=200)
+    call=timedelta(milliseconds=300), resend_after=timedelta(milliseconds=200)
 )
 
 
--- a/tests/unit/endpoints/test_reservations.py
+++ b/tests/unit/endpoints/test_reservations.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from mimosafork.clock import ManualClock
 from mimosafork.endpoints.calls import ModelCall
 from mimosafork.endpoints.reservations import ReservationAdapter
--- a/tests/unit/gateway/test_call_lines.py
+++ b/tests/unit/gateway/test_call_lines.py
@@ -1,10 +1,11 @@
 """The lines of a call carry its id, who decided, by what, and how old that was."""
 
-from dataclasses import replace
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Any
 
+from msgspec.structs import replace
+
 from mimosafork.clock import ManualClock
 from mimosafork.gateway.attempt_notes import Spread
 from mimosafork.gateway.call import Call
--- a/tests/unit/gateway/test_doubtful_connections.py
+++ b/tests/unit/gateway/test_doubtful_connections.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import timedelta
 from typing import Any, cast
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from mimosafork.clock import ManualClock
 from mimosafork.gateway.answer_reader import AnswerHead
 from mimosafork.gateway.attempt import AttemptTools, EndpointAttempt
--- a/tests/unit/gateway/test_fleet_view.py
+++ b/tests/unit/gateway/test_fleet_view.py
@@ -1,9 +1,10 @@
 """Tests of what an instance believes of each endpoint."""
 
-from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from mimosafork.gateway.policies.fleet_view import (
     LONGEST_ABSENCE,
     SUSPECT_FOR,
--- a/tests/unit/gateway/test_hedged_ends.py
+++ b/tests/unit/gateway/test_hedged_ends.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from contextlib import suppress
-from dataclasses import astuple, replace
 from datetime import timedelta
 from unittest import TestCase
 
+from msgspec.structs import astuple, replace
+
 from mimosafork.gateway.gateway import Gateway
 from mimosafork.gateway.policies.placing import WorkPlacer
 from mimosafork.ids import EndpointId, InstanceId
--- a/tests/unit/gateway/test_kept_promises.py
+++ b/tests/unit/gateway/test_kept_promises.py
@@ -8,13 +8,14 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import replace
 from datetime import timedelta
 from random import Random
 from typing import cast
 from unittest import TestCase
 from unittest.mock import Mock, patch
 
+from msgspec.structs import replace
+
 from mimosafork.clock import ManualClock
 from mimosafork.gateway.answer_reader import AnswerHead
 from mimosafork.gateway.call_lines import CallLines
--- a/tests/unit/gateway/test_placing.py
+++ b/tests/unit/gateway/test_placing.py
@@ -1,9 +1,10 @@
 """Tests of the placer: where calls go, what is kept of them, and when it gives up."""
 
-from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from mimosafork.gateway.policies.placing import (
     WorkPlacer,
     expected_answer,
--- a/tests/unit/gateway/test_reserving.py
+++ b/tests/unit/gateway/test_reserving.py
@@ -1,6 +1,5 @@
 """Memory for prompts beyond one engine is reserved whole, and left nowhere."""
 
-from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
@@ -10,6 +9,7 @@
     invariant,
     rule,
 )
+from msgspec.structs import replace
 
 from mimosafork.gateway.policies.allowance import Allowance
 from mimosafork.gateway.policies.fleet_view import FleetView
--- a/tests/unit/gateway/test_silence.py
+++ b/tests/unit/gateway/test_silence.py
@@ -3,6 +3,8 @@
 from datetime import timedelta
 from unittest import TestCase
 
+from msgspec.structs import force_setattr
+
 from mimosafork.gateway.policies.patience import patience_of
 from mimosafork.gateway.policies.placing import WorkPlacer
 from mimosafork.ids import EndpointId, InstanceId, RequestId
@@ -288,7 +290,7 @@
 def test_a_streams_patience_ends_before_its_callers() -> None:
     bench = gateway_bench()
     request = request_of(bench, "a")
-    object.__setattr__(
+    force_setattr(
         request,
         "terms",
         CallTerms(
--- a/tests/unit/gateway/test_zone_suspicion.py
+++ b/tests/unit/gateway/test_zone_suspicion.py
@@ -1,9 +1,10 @@
 """Tests of how an instance notices that a zone is cut off from it."""
 
-from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from mimosafork.gateway.policies.fleet_view import LONGEST_ABSENCE, FleetView
 from mimosafork.gateway.policies.zone_suspicion import (
     FAILURE_WINDOW,
--- a/tests/unit/gossip/test_network.py
+++ b/tests/unit/gossip/test_network.py
@@ -1,10 +1,11 @@
 """Tests of many exchanges on a network that loses, doubles, reorders and parts."""
 
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from mimosafork.gossip.effects import EndpointSaid, PeerDown, PeerRestarted, PeerUp
 from mimosafork.gossip.exchange import Exchange
 from mimosafork.gossip.kinds.doubt import DOUBT, Doubt, Reason
--- a/tests/unit/manifest/test_canonical.py
+++ b/tests/unit/manifest/test_canonical.py
@@ -1,6 +1,5 @@
 """Tests of the canonical form, the digest, changes and the configuration."""
 
-import dataclasses
 from datetime import timedelta
 from unittest import TestCase
 
@@ -89,7 +88,7 @@
 
 def test_the_manifest_has_every_setting_of_the_fleet() -> None:
     """A setting that the kernel knows and the manifest lacks could not be reviewed."""
-    known = [each.name for each in dataclasses.fields(FleetPolicy)]
+    known = list(FleetPolicy.__struct_fields__)
     case.assertEqual(known, list(FleetSection.model_fields))
 
 
--- a/tests/unit/membership/test_endpoint_words.py
+++ b/tests/unit/membership/test_endpoint_words.py
@@ -1,9 +1,10 @@
 """What is published of endpoints, when, and by whom."""
 
 from contextlib import AbstractContextManager
-from dataclasses import replace
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from mimosafork.ids import EndpointId
 from mimosafork.kernel.messages.fleet import InstancesListed, LoadReported, ProbeFailed
 from mimosafork.kernel.messages.peers import Origin, PeerValue, Publish
--- a/tests/unit/membership/test_membership.py
+++ b/tests/unit/membership/test_membership.py
@@ -1,6 +1,6 @@
 """Who watches which endpoint, and how fast a word spreads."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from mimosafork.ids import EndpointId, Incarnation
 from mimosafork.kernel.messages.fleet import EndpointEntry
--- a/tests/unit/placement/test_fullness.py
+++ b/tests/unit/placement/test_fullness.py
@@ -1,10 +1,11 @@
 """Tests of what an engine's word that it is full adds to the book of work."""
 
-from dataclasses import replace
 from datetime import timedelta
 from random import Random
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from benchmarks.passes.deployments import FIGURES
 from mimosafork.ids import AvailabilityZoneId, EndpointId, InstanceId, RequestId
 from mimosafork.placement.choice import (
--- a/tests/unit/placement/test_policy.py
+++ b/tests/unit/placement/test_policy.py
@@ -1,11 +1,12 @@
 """Tests of the choice of host and helpers."""
 
 from collections.abc import Sequence
-from dataclasses import replace
 from datetime import timedelta
 from random import Random
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from mimosafork.ids import AvailabilityZoneId, EndpointId, RequestId
 from mimosafork.placement.choice import (
     Choice,
--- a/tests/unit/placement/test_search.py
+++ b/tests/unit/placement/test_search.py
@@ -1,11 +1,13 @@
 """Tests that the quick search for a place decides as the plain one does."""
 
 from collections import Counter
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from mimosafork.ids import AvailabilityZoneId, EndpointId, InstanceId, RequestId
 from mimosafork.placement.choice import EngineView, PlacementAsk
 from mimosafork.placement.memory import FULL_SHARE
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
-from dataclasses import replace
 from datetime import timedelta
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from mimosafork.directory.errors import (
     CallRejectedError,
     ConflictError,
@@ -31,7 +32,7 @@
 SHORT = StoreTimeouts(
     connect=timedelta(seconds=5),
     call=timedelta(milliseconds=250),
-    silence=timedelta(milliseconds=250),
+    resend_after=timedelta(milliseconds=250),
 )
 """Bounds of calls that are to run into them."""
 
--- a/tests/unit/policies/test_engine_load.py
+++ b/tests/unit/policies/test_engine_load.py
@@ -1,8 +1,9 @@
 """Work of an engine, estimated between its reports."""
 
-from dataclasses import replace
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from mimosafork.ids import Incarnation, RequestId
 from mimosafork.kernel.fleet import Endpoint
 from mimosafork.policies.engine_load import EngineLoad, Sent
--- a/tests/unit/policies/test_fair_shares.py
+++ b/tests/unit/policies/test_fair_shares.py
@@ -1,8 +1,9 @@
 """A large account's queue and the small accounts' requests."""
 
-from dataclasses import replace
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from mimosafork.ids import AccountId, RequestId
 from mimosafork.kernel.configuration import AccountPolicy
 from mimosafork.kernel.messages.base import Tick
--- a/tests/unit/policies/test_limits.py
+++ b/tests/unit/policies/test_limits.py
@@ -1,8 +1,9 @@
 """Limits of client accounts over all entry instances."""
 
-from dataclasses import replace
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from mimosafork.ids import AccountId
 from mimosafork.kernel.configuration import AccountPolicy
 from mimosafork.kernel.context import Context
--- a/tests/unit/policies/test_model_rights.py
+++ b/tests/unit/policies/test_model_rights.py
@@ -1,6 +1,6 @@
 """What an account may have of a model."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from mimosafork.ids import AdapterId, ModelId
 from mimosafork.kernel.configuration import AccountPolicy, ModelPolicy
--- a/tests/unit/quarantine/test_poisoned_request.py
+++ b/tests/unit/quarantine/test_poisoned_request.py
@@ -1,9 +1,10 @@
 """A request that crashes engines is stopped, and nobody else pays for it."""
 
-from dataclasses import replace
 from datetime import timedelta
 from functools import partial
 
+from msgspec.structs import replace
+
 from mimosafork.ids import Digest, RequestId
 from mimosafork.kernel.core import Kernel
 from mimosafork.kernel.messages.outcomes import Conclude, Outcome
--- a/tests/unit/routing/test_changes.py
+++ b/tests/unit/routing/test_changes.py
@@ -1,8 +1,9 @@
 """What a configuration changed is told as counts, without keys or names."""
 
-from dataclasses import replace
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from mimosafork.ids import AccountId, Revision, ServiceId
 from mimosafork.routing.changes import NOTHING, TableChanges
 from mimosafork.routing.table import (
--- a/tests/unit/telemetry/test_reporting_adapter.py
+++ b/tests/unit/telemetry/test_reporting_adapter.py
@@ -3,9 +3,10 @@
 import logging
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import replace
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from mimosafork.ids import (
     AccountId,
     EndpointId,
--- a/tests/unit/tooling/test_gateway_page.py
+++ b/tests/unit/tooling/test_gateway_page.py
@@ -52,10 +52,10 @@
         f"{patience.SHORTEST_CALL // timedelta(milliseconds=1)} ms",
         f"tries again after {s(follow.endpoints.first_retry)}, doubled up to "
         f"{s(follow.endpoints.last_retry)}",
-        f"found within {s(StoreTimeouts().silence)} after the long poll's wait "
+        f"found within {s(StoreTimeouts().resend_after)} after the long poll's wait "
         f"({s(follow.endpoints.wait)} for endpoints, "
         f"{s(follow.configuration.wait)} for the configuration)",
-        f"asked again every {s(StoreTimeouts().silence)} over a new connection",
+        f"asked again every {s(StoreTimeouts().resend_after)} over a new connection",
         f"outage of {s(follow.least_outage)} or more | endpoints stay in use until "
         f"{s(follow.return_grace)} after",
         f"peers count as silent after {s(gossip.suspect_after)} "
--- a/tests/unit/watch/test_watch_task.py
+++ b/tests/unit/watch/test_watch_task.py
@@ -4,10 +4,12 @@
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
+from msgspec.structs import replace
+
 from mimosafork.clock import SystemClock
 from mimosafork.ids import Digest, EndpointId, Incarnation
 from mimosafork.kernel.messages.base import Message
