Name updates, their origin and removals in directory/ by the field's terms

words, tellers, hear, tell and doubt become updates, origins, receive, publish and notify, uncertainty; a life that begins becomes an incarnation that starts. Names, docstrings and their users change; no wire format, log field or behaviour does.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -33,7 +33,7 @@
     EndpointState,
     Listener,
     TableChanged,
-    Teller,
+    UpdateOrigin,
 )
 from .peer_feed import PeerFeed
 from .rows import Row, RowPage
@@ -49,7 +49,7 @@
 """Half of the time for which the store keeps its history."""
 
 LATEST = sys.maxsize
-"""Version of a word that is not older than anything known."""
+"""Version of an update that is not older than anything known."""
 
 LONGEST_FIELD = 300
 """Characters of a field of a line that another's row fills."""
@@ -104,8 +104,8 @@
     pause : Sleep, optional
         Waits for a time.
     boot_clock : Clock, optional
-        Its monotonic scale counts the time of a suspension, by which peers' words grow
-        old; `clock` if it is not given.
+        Its monotonic scale counts the time of a suspension, by which peers' updates
+        grow old; `clock` if it is not given.
     """
 
     def __init__(
@@ -210,63 +210,65 @@
     def offer_configuration(self, row: Row) -> None:
         """Take the configuration that a peer knows, if it is newer."""
         self.horizon.see(row.version)
-        self.take_configuration(row, Teller.PEER)
+        self.take_configuration(row, UpdateOrigin.PEER)
 
     def offer_endpoint(self, row: Row) -> None:
-        """Take a peer's word about an endpoint."""
+        """Take a peer's update about an endpoint."""
         self.horizon.see(row.version)
-        self.take_endpoint(row, Teller.PEER)
+        self.take_endpoint(row, UpdateOrigin.PEER)
 
     def offer_gone(self, endpoint: EndpointId, version: int) -> None:
-        """Take a peer's word that an endpoint's row is no longer there."""
+        """Take a peer's update that an endpoint's row is no longer there."""
         known = self.book.entries.get(endpoint)
         if known is not None:
             row = replace(known.row, value=b"", version=version, removed=True)
-            self.take_endpoint(row, Teller.PEER)
+            self.take_endpoint(row, UpdateOrigin.PEER)
 
     def offer_draining(self, endpoint: EndpointId, version: int = LATEST) -> None:
-        """Take a peer's word, of some version, that an endpoint leaves."""
-        changed = self.book.drain_known(endpoint, Teller.PEER, version)
+        """Take a peer's update, of some version, that an endpoint leaves."""
+        changed = self.book.drain_known(endpoint, UpdateOrigin.PEER, version)
         if changed is not None:
-            self.tell_endpoint(changed)
+            self.publish_endpoint(changed)
 
-    def take_configuration(self, row: Row, teller: Teller) -> None:
+    def take_configuration(self, row: Row, origin: UpdateOrigin) -> None:
         """Take a configuration's row and tell what changed."""
         try:
-            changed = self.tables.take(row, teller)
+            changed = self.tables.take(row, origin)
         except UnreadableError as error:
             # Each peer hands over what the store holds, again and again.
             if row.version > self.unreadable_table:
                 self.unreadable_table = row.version
-                log_unreadable(row, teller, error)
+                log_unreadable(row, origin, error)
             return
         if changed is not None:
-            self.tell_table(changed)
+            self.publish_table(changed)
 
-    def take_endpoint(self, row: Row, teller: Teller) -> None:
+    def take_endpoint(self, row: Row, origin: UpdateOrigin) -> None:
         """Take an endpoint's row and tell what changed."""
         try:
-            changed = self.book.take(row, teller)
+            changed = self.book.take(row, origin)
         except UnreadableError as error:
-            self.take_unreadable(row, teller, error)
+            self.take_unreadable(row, origin, error)
             return
         if changed is not None:
-            self.tell_endpoint(changed)
+            self.publish_endpoint(changed)
 
-    def take_unreadable(self, row: Row, teller: Teller, error: UnreadableError) -> None:
+    def take_unreadable(
+        self, row: Row, origin: UpdateOrigin, error: UnreadableError
+    ) -> None:
         """Take an endpoint's row that cannot be read; one line tells it."""
         if self.book.note_unreadable(row):
-            log_unreadable(row, teller, error)
-        resting = self.book.rest(row, teller)
+            log_unreadable(row, origin, error)
+        resting = self.book.rest(row, origin)
         if resting is not None:
-            self.tell(resting)
+            self.notify(resting)
 
     def settle(self) -> None:
         """Tell what is still missing after an outage."""
-        for changed in self.book.settle(Teller.STORE):
-            self.tell_endpoint(changed)
+        for changed in self.book.settle(UpdateOrigin.STORE):
+            self.publish_endpoint(changed)
 
-    def tell_table(self, changed: TableChanged) -> None:
+    def publish_table(self, changed: TableChanged) -> None:
         """Log a configuration and tell the listeners."""
         silence = self.configuration_follower.health.silence
         before = changed.before
@@ -274,19 +276,19 @@
             logger,
             TABLE_TAKEN,
             version=changed.table.version,
-            source=changed.teller.value,
+            source=changed.origin.value,
             before=None if before is None else before.version,
             changes=TableChanges(before, changed.table),
             age_ms=None if silence is None else silence // MILLISECOND,
         )
-        self.tell(changed)
+        self.notify(changed)
 
-    def tell_endpoint(self, changed: EndpointChanged) -> None:
+    def publish_endpoint(self, changed: EndpointChanged) -> None:
         """Log a change of an endpoint and tell the listeners."""
         log_endpoint(changed)
-        self.tell(changed)
+        self.notify(changed)
 
-    def tell(self, change: DirectoryChange) -> None:
+    def notify(self, change: DirectoryChange) -> None:
         """Tell all listeners."""
         for listener in self.listeners:
             listener(change)
@@ -318,17 +320,17 @@
     def take_changes(self, page: RowPage) -> None:
         """Take the configuration."""
         for row in page.rows:
-            self.directory.take_configuration(row, Teller.STORE)
+            self.directory.take_configuration(row, UpdateOrigin.STORE)
 
     def longest_wait(self, usual: timedelta) -> timedelta:
         """Return a longer wait the more peers there are that would tell."""
         return wait_among(usual, self.directory.peers())
 
     def take_nothing_new(self, version: int) -> None:
-        """Do nothing: no peer's word stands for an answer about the configuration."""
+        """Do nothing: no peer's update stands for an answer about the configuration."""
 
     @property
-    def in_doubt(self) -> bool:
+    def is_uncertain(self) -> bool:
         """Nothing of the configuration is ever in doubt."""
         return False
 
@@ -353,12 +355,12 @@
         """Take all rows and what is missing among them."""
         book = self.directory.book
         self.take(page.rows + book.missing_from(page.rows, page.version))
-        book.note_told(page.version)
+        book.note_followed(page.version)
 
     def take_changes(self, page: RowPage) -> None:
         """Take changed rows."""
         self.take(page.rows)
-        self.directory.book.note_told(page.version)
+        self.directory.book.note_followed(page.version)
 
     def longest_wait(self, usual: timedelta) -> timedelta:
         """Return the usual wait, or what is left of a doubt.
@@ -369,23 +371,23 @@
         """
         if not self.directory.book.holds_missing:
             return usual
-        return min(usual, self.directory.health.doubt_left)
+        return min(usual, self.directory.health.uncertain_for)
 
     def take_nothing_new(self, version: int) -> None:
-        """Note up to where all is known, and drop words that are long over."""
-        self.directory.book.note_told(version)
+        """Note up to where all is known, and drop updates that are long over."""
+        self.directory.book.note_followed(version)
         self.directory.settle()
 
     @property
-    def in_doubt(self) -> bool:
+    def is_uncertain(self) -> bool:
         """Whether something vanished or came back that time has yet to judge."""
         book = self.directory.book
-        return book.holds_missing or bool(book.reappeared) or book.health.in_doubt
+        return book.holds_missing or bool(book.reappeared) or book.health.is_uncertain
 
     def take(self, rows: tuple[Row, ...]) -> None:
         """Take rows, then settle what was in doubt."""
         for row in rows:
-            self.directory.take_endpoint(row, Teller.STORE)
+            self.directory.take_endpoint(row, UpdateOrigin.STORE)
         self.directory.settle()
 
 
@@ -406,25 +408,25 @@
         endpoint=changed.endpoint,
         service=entry.listed.service,
         address=entry.listed.address,
-        source=changed.teller.value,
+        source=changed.origin.value,
         zone=entry.listed.zone,
-        before=None if changed.before is None else word_of(changed.before),
+        before=None if changed.before is None else state_name(changed.before),
     )
 
 
-def word_of(entry: DirectoryEntry) -> str:
-    """Return in a word what is believed of an endpoint."""
+def state_name(entry: DirectoryEntry) -> str:
+    """Return by name what is believed of an endpoint."""
     return HELD if entry.missing_version is not None else entry.state.value
 
 
-def log_unreadable(row: Row, teller: Teller, error: UnreadableError) -> None:
+def log_unreadable(row: Row, origin: UpdateOrigin, error: UnreadableError) -> None:
     """Log a row that cannot be read."""
     log_event(
         logger,
         ENTRY_UNREADABLE,
         version=row.version,
         row=clipped(row.key),
-        source=teller.value,
+        source=origin.value,
         why=clipped(str(error)),
     )
 
--- a/src/mimosafork/directory/endpoint_book.py
+++ b/src/mimosafork/directory/endpoint_book.py
@@ -1,4 +1,4 @@
-"""The endpoints that are known, and which word about each counts."""
+"""The endpoints that are known, and which update about each counts."""
 
 from collections.abc import Iterable
 from datetime import timedelta
@@ -10,7 +10,7 @@
 from ..ids import EndpointId
 from ..routing.listing import ListedEndpoint, ListedState
 from .health import StoreHealth
-from .messages import DirectoryEntry, EndpointChanged, EndpointState, Teller
+from .messages import DirectoryEntry, EndpointChanged, EndpointState, UpdateOrigin
 from .rows import Row
 from .sources import EndpointSource
 
@@ -21,16 +21,16 @@
 """Longer than a row outlives the last report of its endpoint."""
 
 
-class GoneWord(msgspec.Struct, frozen=True):
+class Removal(msgspec.Struct, frozen=True):
     """An endpoint that is gone.
 
     Attributes
     ----------
     row : Row
-        The word in raw form, to hand to peers.
+        The update in raw form, to hand to peers.
     sure : bool
         False if its row vanished around an outage of the store, so that a newer
-        word of the endpoint itself may bring it back.
+        update of the endpoint itself may bring it back.
     since : timedelta
         Monotonic instant at which it was learned.
     born_ms : int or None
@@ -54,7 +54,7 @@
 class EndpointBook:
     """Decides what each row says about its endpoint.
 
-    The strictest word counts: gone before draining before ready. A word's version
+    The strictest update counts: gone before draining before ready. An update's version
     orders what was said about one id; ids are new with each start of an endpoint.
 
     Parameters
@@ -66,7 +66,7 @@
     clock : Clock
         Its monotonic scale is used.
     gone_kept : timedelta
-        How long the word that an endpoint is gone is remembered.
+        How long the update that an endpoint is gone is remembered.
     """
 
     def __init__(
@@ -81,11 +81,11 @@
         self.clock = clock
         self.gone_kept = gone_kept
         self.entries: dict[EndpointId, DirectoryEntry] = {}
-        self.gone: dict[EndpointId, GoneWord] = {}
+        self.gone: dict[EndpointId, Removal] = {}
         self.reappeared: dict[EndpointId, Reappearance] = {}
         self.unreadable: dict[EndpointId, Row] = {}
         """The newest rows that cannot be read, without their values."""
-        self.told_up_to = 0
+        self.followed_up_to = 0
         """Version up to which the store itself has told all changes."""
 
     @property
@@ -93,8 +93,8 @@
         """Whether an endpoint is in use whose row has vanished."""
         return any(each.missing_version is not None for each in self.entries.values())
 
-    def take(self, row: Row, teller: Teller) -> EndpointChanged | None:
-        """Take one word.
+    def take(self, row: Row, origin: UpdateOrigin) -> EndpointChanged | None:
+        """Take one update.
 
         Returns
         -------
@@ -107,16 +107,16 @@
             If the row's value cannot be read.
         """
         if row.removed:
-            return self.remove(row, teller)
+            return self.remove(row, origin)
         endpoint = EndpointId(row.key)
-        if teller is Teller.PEER and self.left_before(endpoint, row):
+        if origin is UpdateOrigin.PEER and self.left_before(endpoint, row):
             return None
-        word = self.gone.get(endpoint)
+        update = self.gone.get(endpoint)
         # Guard: a row read late, or a last report that crossed the removal, comes
         # after the endpoint is gone. Taken, calls would go to an address that is
         # another's by then. What vanished around an outage may come back at once,
         # anything else only when its row lasts.
-        if word is not None and row.version <= word.row.version:
+        if update is not None and row.version <= update.row.version:
             return None
         listed = self.source.decode(row)
         # Guard: a late row of a former life says that it leaves, or is ready at an
@@ -126,15 +126,15 @@
             return None
         self.note_readable(row)
         if listed.follows(born_ms):
-            return self.begin_life(row, listed, teller)
-        if word is not None and word.sure:
+            return self.start_incarnation(row, listed, origin)
+        if update is not None and update.sure:
             self.note_again(row, listed)
             return None
         if listed.state is ListedState.DRAINING:
-            return self.drain(row, listed, teller)
+            return self.drain(row, listed, origin)
         if endpoint in self.unreadable:
             return None
-        return self.ready(row, listed, teller)
+        return self.ready(row, listed, origin)
 
     def note_readable(self, row: Row) -> None:
         """Forget an unreadable row that a newer one of its endpoint replaces.
@@ -159,12 +159,12 @@
             self.unreadable[endpoint] = replace(row, value=b"")
         return before is None
 
-    def rest(self, row: Row, teller: Teller) -> EndpointChanged | None:
+    def rest(self, row: Row, origin: UpdateOrigin) -> EndpointChanged | None:
         """Let an endpoint rest whose row has been replaced by one that can't be read.
 
         Guard: what was said before says nothing of now: whether it drains, or whose
-        address that is, nobody knows. It must not be used by the former word, nor, if
-        it was gone and is back, by the word with which it came. One that drains goes
+        address that is, nobody knows. It must not be used by the former update, nor, if
+        it was gone and is back, by the update with which it came. One that drains goes
         on to do so.
 
         Returns
@@ -186,17 +186,17 @@
         self.entries[endpoint] = entry
         if known.state is EndpointState.UNREADABLE:
             return None
-        return EndpointChanged(entry, teller, known)
+        return EndpointChanged(entry, origin, known)
 
     def latest_birth(self, endpoint: EndpointId) -> int | None:
         """Return when the latest life began that was heard of under an id."""
-        known, word = self.entries.get(endpoint), self.gone.get(endpoint)
+        known, update = self.entries.get(endpoint), self.gone.get(endpoint)
         if known is not None:
             return known.listed.born_ms
-        return None if word is None else word.born_ms
+        return None if update is None else update.born_ms
 
-    def begin_life(
-        self, row: Row, listed: ListedEndpoint, teller: Teller
+    def start_incarnation(
+        self, row: Row, listed: ListedEndpoint, origin: UpdateOrigin
     ) -> EndpointChanged:
         """Take a later life under an id: what the former one said ends with it.
 
@@ -210,7 +210,7 @@
         state = EndpointState.DRAINING if drains else EndpointState.READY
         entry = DirectoryEntry(listed, row, state, began_version=row.version)
         self.entries[listed.endpoint] = entry
-        return EndpointChanged(entry, teller, former)
+        return EndpointChanged(entry, origin, former)
 
     def left_before(self, endpoint: EndpointId, row: Row) -> bool:
         """Return whether a row is of an endpoint that the store no longer lists.
@@ -219,11 +219,11 @@
         this instance read the list. Taken, it would stay for good, as the store tells
         of no removal after the read, and its address may be another's by then.
         """
-        return endpoint not in self.entries and row.version <= self.told_up_to
+        return endpoint not in self.entries and row.version <= self.followed_up_to
 
-    def note_told(self, version: int) -> None:
+    def note_followed(self, version: int) -> None:
         """Note up to which version the store has told all changes."""
-        self.told_up_to = max(self.told_up_to, version)
+        self.followed_up_to = max(self.followed_up_to, version)
 
     def note_again(self, row: Row, listed: ListedEndpoint) -> None:
         """Note that a gone endpoint's row is there again.
@@ -242,7 +242,7 @@
             now = self.clock.monotonic()
             self.reappeared[listed.endpoint] = Reappearance(row, listed, now)
 
-    def revive(self, teller: Teller) -> list[EndpointChanged]:
+    def revive(self, origin: UpdateOrigin) -> list[EndpointChanged]:
         """Use endpoints again whose rows have not expired since they are back."""
         now = self.clock.monotonic()
         lasting = [
@@ -252,37 +252,37 @@
         for each in lasting:
             del self.reappeared[each.listed.endpoint]
             self.gone.pop(each.listed.endpoint, None)
-            changed = self.ready(each.row, each.listed, teller)
+            changed = self.ready(each.row, each.listed, origin)
             if changed is not None:
                 revived.append(changed)
         return revived
 
     def drain_known(
-        self, endpoint: EndpointId, teller: Teller, version: int
+        self, endpoint: EndpointId, origin: UpdateOrigin, version: int
     ) -> EndpointChanged | None:
-        """Take a word without a row, of some version, that an endpoint leaves."""
+        """Take an update without a row, of some version, that an endpoint leaves."""
         known = self.entries.get(endpoint)
         if known is None or known.state is EndpointState.DRAINING:
             return None
-        # Guard: a late word about the former life would drain the present one.
+        # Guard: a late update about the former life would drain the present one.
         if version < known.began_version:
             return None
         entry = replace(known, state=EndpointState.DRAINING)
         self.entries[endpoint] = entry
-        return EndpointChanged(entry, teller)
+        return EndpointChanged(entry, origin)
 
     def ready(
-        self, row: Row, listed: ListedEndpoint, teller: Teller
+        self, row: Row, listed: ListedEndpoint, origin: UpdateOrigin
     ) -> EndpointChanged | None:
-        """Take the word that an endpoint takes work."""
+        """Take the update that an endpoint takes work."""
         known = self.entries.get(listed.endpoint)
         began = 0 if known is None else known.began_version
         entry = DirectoryEntry(listed, row, EndpointState.READY, began_version=began)
         if known is None:
             self.gone.pop(listed.endpoint, None)
             self.entries[listed.endpoint] = entry
-            return EndpointChanged(entry, teller)
-        # Guard: a ready word written before the draining one is heard after it.
+            return EndpointChanged(entry, origin)
+        # Guard: a ready update written before the draining one is heard after it.
         # Taken, calls would reach an endpoint that is about to exit. An id never
         # takes work again once it has said that it leaves.
         if known.state is EndpointState.DRAINING:
@@ -290,31 +290,31 @@
         if known.state is EndpointState.UNREADABLE:
             # An older row than the unreadable one has been left out before.
             self.entries[listed.endpoint] = entry
-            return EndpointChanged(entry, teller, known)
+            return EndpointChanged(entry, origin, known)
         if row.version <= max(known.row.version, known.missing_version or 0):
             return None
         self.entries[listed.endpoint] = entry
         if known.missing_version is None and same_to_others(known.listed, listed):
             return None
-        return EndpointChanged(entry, teller)
+        return EndpointChanged(entry, origin)
 
     def drain(
-        self, row: Row, listed: ListedEndpoint, teller: Teller
+        self, row: Row, listed: ListedEndpoint, origin: UpdateOrigin
     ) -> EndpointChanged | None:
-        """Take the word that an endpoint leaves, whatever its version."""
+        """Take the update that an endpoint leaves, whatever its version."""
         known = self.entries.get(listed.endpoint)
         began = 0 if known is None else known.began_version
         entry = DirectoryEntry(listed, row, EndpointState.DRAINING, began_version=began)
         if known is None or known.state is not EndpointState.DRAINING:
             self.gone.pop(listed.endpoint, None)
             self.entries[listed.endpoint] = entry
-            return EndpointChanged(entry, teller)
+            return EndpointChanged(entry, origin)
         if row.version > known.row.version:
             self.entries[listed.endpoint] = entry
         return None
 
-    def remove(self, row: Row, teller: Teller) -> EndpointChanged | None:
-        """Take the word that a row is no longer there."""
+    def remove(self, row: Row, origin: UpdateOrigin) -> EndpointChanged | None:
+        """Take the update that a row is no longer there."""
         endpoint = EndpointId(row.key)
         known = self.entries.get(endpoint)
         # Guard: a peer hands over a removal that is older than the row that is there
@@ -325,23 +325,23 @@
             del self.reappeared[endpoint]
         self.note_readable(row)
         if known is None:
-            self.remember(row, sure=not self.health.in_doubt)
+            self.remember(row, sure=not self.health.is_uncertain)
             return None
         if row.version < known.row.version:
             return None
         # Guard: rows expire while the store is down although their endpoints
         # serve. Taken at once, all endpoints would be lost with the store. What
         # was serving stays in use until `settle` sees it still missing.
-        if known.takes_new_work and self.health.in_doubt:
-            return self.hold(known, row, teller)
+        if known.takes_new_work and self.health.is_uncertain:
+            return self.hold(known, row, origin)
         sure = known.missing_version is None
-        if known.state is EndpointState.UNREADABLE and self.health.in_doubt:
+        if known.state is EndpointState.UNREADABLE and self.health.is_uncertain:
             # It got no new work, so there is nothing to hold; it may well be alive.
             sure = False
-        return self.forget(known, row, teller, sure=sure)
+        return self.forget(known, row, origin, sure=sure)
 
     def hold(
-        self, known: DirectoryEntry, row: Row, teller: Teller
+        self, known: DirectoryEntry, row: Row, origin: UpdateOrigin
     ) -> EndpointChanged | None:
         """Keep an endpoint in use whose row vanished around an outage."""
         version = max(row.version, known.missing_version or 0)
@@ -349,10 +349,10 @@
         self.entries[known.listed.endpoint] = entry
         if known.missing_version is not None:
             return None
-        return EndpointChanged(entry, teller)
+        return EndpointChanged(entry, origin)
 
     def forget(
-        self, known: DirectoryEntry, row: Row, teller: Teller, *, sure: bool
+        self, known: DirectoryEntry, row: Row, origin: UpdateOrigin, *, sure: bool
     ) -> EndpointChanged:
         """Treat an endpoint as gone.
 
@@ -363,17 +363,17 @@
         sure = sure or known.state is EndpointState.DRAINING
         self.remember(row, sure=sure, born_ms=known.listed.born_ms)
         gone = replace(known, state=EndpointState.GONE, missing_version=None)
-        return EndpointChanged(gone, teller, known)
+        return EndpointChanged(gone, origin, known)
 
     def remember(self, row: Row, *, sure: bool, born_ms: int | None = None) -> None:
-        """Remember that an endpoint is gone; a sure word stays sure."""
+        """Remember that an endpoint is gone; a sure update stays sure."""
         endpoint = EndpointId(row.key)
-        word = self.gone.get(endpoint)
-        if word is not None:
-            sure = sure or word.sure
-            row = max(row, word.row, key=lambda each: each.version)
-            born_ms = word.born_ms if born_ms is None else born_ms
-        self.gone[endpoint] = GoneWord(row, sure, self.clock.monotonic(), born_ms)
+        update = self.gone.get(endpoint)
+        if update is not None:
+            sure = sure or update.sure
+            row = max(row, update.row, key=lambda each: each.version)
+            born_ms = update.born_ms if born_ms is None else born_ms
+        self.gone[endpoint] = Removal(row, sure, self.clock.monotonic(), born_ms)
 
     def contradicted_by(self, rows: Iterable[Row]) -> bool:
         """Whether one of the rows is older than what is known of its endpoint."""
@@ -386,7 +386,7 @@
     def missing_from(self, rows: Iterable[Row], version: int) -> tuple[Row, ...]:
         """Return the removals that a whole read as of a version amounts to.
 
-        What is known by a newer word than the read is left alone.
+        What is known by a newer update than the read is left alone.
 
         Guard: a gone endpoint whose row came back waits until its row has lasted. If
         the row went again while the feed was cut, only the whole read shows it by what
@@ -402,43 +402,43 @@
             if row.key not in present and row.version <= version
         )
 
-    def settle(self, teller: Teller) -> tuple[EndpointChanged, ...]:
+    def settle(self, origin: UpdateOrigin) -> tuple[EndpointChanged, ...]:
         """Treat as gone what is still missing some time after the store's return.
 
         To be called after an answer about the endpoints was taken, so that what
         came back in time has been heard.
         """
-        if self.health.in_doubt:
+        if self.health.is_uncertain:
             return ()
         self.prune()
-        revived = self.revive(teller)
+        revived = self.revive(origin)
         missing = [
             entry
             for entry in self.entries.values()
             if entry.missing_version is not None
         ]
         forgotten = [
-            self.forget(entry, removal_of(entry), teller, sure=False)
+            self.forget(entry, removal_of(entry), origin, sure=False)
             for entry in missing
         ]
         return tuple(forgotten + revived)
 
     def prune(self) -> None:
-        """Drop words about endpoints that are long gone."""
+        """Drop updates about endpoints that are long gone."""
         oldest = self.clock.monotonic() - self.gone_kept
         self.gone = {
-            endpoint: word
-            for endpoint, word in self.gone.items()
-            if word.since >= oldest
+            endpoint: update
+            for endpoint, update in self.gone.items()
+            if update.since >= oldest
         }
 
     def raw_rows(self) -> tuple[Row, ...]:
-        """Return all words in raw form, to hand to peers.
+        """Return all updates in raw form, to hand to peers.
 
         An unsure removal is left out: a peer could not tell it from a sure one.
         """
         listed = [entry.row for entry in self.entries.values()]
-        gone = [word.row for word in self.gone.values() if word.sure]
+        gone = [update.row for update in self.gone.values() if update.sure]
         return tuple(listed + gone)
 
 
--- a/src/mimosafork/directory/errors.py
+++ b/src/mimosafork/directory/errors.py
@@ -34,5 +34,5 @@
 class UnreadableError(MimosaforkError):
     """A row's value cannot be read.
 
-    A configuration before it stays in force; an endpoint's word before it does not.
+    A configuration before it stays in force; an endpoint's update before it does not.
     """
--- a/src/mimosafork/directory/feed_word.py
+++ b/src/mimosafork/directory/feed_update.py
@@ -3,7 +3,7 @@
 import msgspec
 
 
-class FeedWord(msgspec.Struct, frozen=True):
+class FeedUpdate(msgspec.Struct, frozen=True):
     """The store told no change between two versions.
 
     Attributes
--- a/src/mimosafork/directory/follower.py
+++ b/src/mimosafork/directory/follower.py
@@ -18,10 +18,10 @@
 )
 from ..telemetry.logs import log_event
 from .errors import HistoryGoneError, RowsError
-from .feed_word import FeedWord
+from .feed_update import FeedUpdate
 from .health import Horizon, StoreHealth
 from .outage import CallFailures
-from .peer_feed import FRESH, HeardWord, PeerFeed
+from .peer_feed import FRESH, PeerFeed, ReceivedUpdate
 from .rows import RowPage
 from .settings import FollowSettings
 from .sources import RowSource
@@ -33,8 +33,9 @@
 LEAST_JITTER = 0.75
 """Smallest part of a pause that is made."""
 COVERED_PAUSE = timedelta(milliseconds=600)
-"""Until one who follows by peers' words looks at them again. Several changes that come
-within it cost one call; an endpoint's leaving is told by peers at once all the same."""
+"""Until one who follows by peers' updates looks at them again. Several changes that
+come within it cost one call; peers publish an endpoint's leaving at once all the
+same."""
 
 
 class Taker(Protocol):
@@ -57,11 +58,11 @@
         ...
 
     def take_nothing_new(self, version: int) -> None:
-        """Take the word that nothing has changed up to a version."""
+        """Take the update that nothing has changed up to a version."""
         ...
 
     @property
-    def in_doubt(self) -> bool:
+    def is_uncertain(self) -> bool:
         """Whether the store's own answers are awaited to judge what is known."""
         ...
 
@@ -98,7 +99,7 @@
         Version of the newest change that was told, or of the whole read.
     answered_at : timedelta or None
         Monotonic instant of the last answer that was taken, or as of which a peer's
-        word stood for one.
+        update stood for one.
     in_step : bool
         Peers are likely to have had an answer at the same instant as the last one.
     asked_at : timedelta
@@ -238,14 +239,16 @@
         heard = self.covering(position, self.peer_feed)
         if heard is not None:
             left = heard.left(self.peer_feed.clock.monotonic())
-            self.take_peers_word(position, heard.word, FRESH - left)
+            self.take_peer_update(position, heard.update, FRESH - left)
             usual = COVERED_PAUSE * self.random.uniform(LEAST_JITTER, 1.0)
             return min(usual, left + MILLISECOND)
         asked_at = self.peer_feed.clock.monotonic()
         wait = self.peer_feed.wait_for_others(self.usual_wait(), self.random)
         followed = await self.ask(position, wait)
-        if not self.taker.in_doubt:
-            self.peer_feed.tell(FeedWord(self.changed_at, followed), asked_at, wait)
+        if not self.taker.is_uncertain:
+            self.peer_feed.publish_answer(
+                FeedUpdate(self.changed_at, followed), asked_at, wait
+            )
         return self.settings.pause
 
     def usual_wait(self) -> timedelta:
@@ -275,26 +278,28 @@
         self.taken(followed)
         return followed
 
-    def covering(self, position: int, peer_feed: PeerFeed) -> HeardWord | None:
-        """Return a peer's fresh word by which nothing has changed, if there is one.
+    def covering(self, position: int, peer_feed: PeerFeed) -> ReceivedUpdate | None:
+        """Return a peer's fresh update by which nothing has changed, if there is one.
 
         Guard: while something is in doubt the own answers judge it. An instance that
         has lost the store, or holds what vanished around an outage, asks on.
         """
-        if self.health.lost_at is not None or self.taker.in_doubt:
+        if self.health.lost_at is not None or self.taker.is_uncertain:
             return None
         return peer_feed.newest_covering(position)
 
-    def take_peers_word(self, position: int, word: FeedWord, age: timedelta) -> None:
-        """Take a peer's word that nothing has changed for an empty answer.
+    def take_peer_update(
+        self, position: int, update: FeedUpdate, age: timedelta
+    ) -> None:
+        """Take a peer's update that nothing has changed for an empty answer.
 
-        Guard: the position goes on with the word. One that stood still would fall out
+        Guard: the position goes on with the update. One that stood still would fall out
         of the history that the store keeps, and the table be read whole.
         """
         told_at = self.clock.monotonic() - age
-        self.health.answered_by_peer(told_at)
-        self.taker.take_nothing_new(word.followed)
-        self.position = max(position, word.followed)
+        self.health.note_peer_answer(told_at)
+        self.taker.take_nothing_new(update.followed)
+        self.position = max(position, update.followed)
         self.horizon.see(self.position)
         self.answered_at = told_at
 
--- a/src/mimosafork/directory/health.py
+++ b/src/mimosafork/directory/health.py
@@ -34,7 +34,7 @@
         last; None before the first answer and without an outage.
     returned_at : timedelta or None
         Instant of the first answer after the last outage.
-    told_by_peer : bool
+    answered_last_by_peer : bool
         The last answer was a peer's.
     """
 
@@ -43,7 +43,7 @@
         self.grace = grace
         self.least_outage = least_outage
         self.answered_at: timedelta | None = None
-        self.told_by_peer = False
+        self.answered_last_by_peer = False
         self.lost_at: timedelta | None = None
         self.outage_from: timedelta | None = None
         self.returned_at: timedelta | None = None
@@ -56,7 +56,7 @@
         return self.clock.monotonic() - self.answered_at
 
     @property
-    def in_doubt(self) -> bool:
+    def is_uncertain(self) -> bool:
         """Whether an entry may be missing only because of an outage."""
         now = self.clock.monotonic()
         if self.lost_at is not None:
@@ -66,13 +66,17 @@
         return self.lasts_until(self.returned_at)
 
     @property
-    def doubt_left(self) -> timedelta:
+    def uncertain_for(self) -> timedelta:
         """Time until a doubt about missing entries ends; zero without one.
 
         While the store is lost it is zero, too: the answer that brings it back is
         wanted at once.
         """
-        if self.lost_at is not None or self.returned_at is None or not self.in_doubt:
+        if (
+            self.lost_at is not None
+            or self.returned_at is None
+            or not self.is_uncertain
+        ):
             return timedelta(0)
         return self.returned_at + self.grace - self.clock.monotonic()
 
@@ -99,23 +103,23 @@
         assert self.returned_at is not None
         return self.clock.monotonic() < self.returned_at + self.grace
 
-    def answered_by_peer(self, told_at: timedelta) -> None:
+    def note_peer_answer(self, told_at: timedelta) -> None:
         """Note that a peer had an answer, while the store is not lost here."""
         self.answered_at = max(told_at, self.answered_at or told_at)
-        self.told_by_peer = True
+        self.answered_last_by_peer = True
 
     def answered(self) -> timedelta | None:
         """Note an answer; return how long the store was lost if it is regained.
 
-        Guard: one who follows by peers' words asks the store only when they grow old.
+        Guard: one who follows by peers' updates asks the store only when they grow old.
         That call may wait out an outage and be answered at its end, with removals of
         rows that expired in it. Taken for sure, those endpoints would be lost, so a
         silence that no usual answer takes counts as an outage.
         """
         now = self.clock.monotonic()
-        if self.told_by_peer and now - (self.answered_at or now) > LONGEST_GAP:
+        if self.answered_last_by_peer and now - (self.answered_at or now) > LONGEST_GAP:
             self.failed()
-        self.told_by_peer = False
+        self.answered_last_by_peer = False
         self.answered_at = now
         if self.lost_at is None:
             return None
--- a/src/mimosafork/directory/messages.py
+++ b/src/mimosafork/directory/messages.py
@@ -11,8 +11,8 @@
 from .rows import Row
 
 
-class Teller(Enum):
-    """Who told a word."""
+class UpdateOrigin(Enum):
+    """Who told an update."""
 
     STORE = "store"
     PEER = "peer"
@@ -34,7 +34,7 @@
     Attributes
     ----------
     listed : ListedEndpoint
-        Its last word about itself that could be read.
+        Its last update about itself that could be read.
     row : Row
         Its newest row in raw form, to hand to peers.
     state : EndpointState
@@ -44,7 +44,7 @@
         use until that is settled.
     began_version : int
         Of the row with which this life replaced a former one under the same id; 0 where
-        none did. Older words without a birth are about a former life.
+        none did. Older updates without a birth are about a former life.
     """
 
     listed: ListedEndpoint
@@ -69,7 +69,7 @@
     """
 
     table: RoutingTable
-    teller: Teller
+    origin: UpdateOrigin
     before: RoutingTable | None = None
 
 
@@ -83,7 +83,7 @@
     """
 
     entry: DirectoryEntry
-    teller: Teller
+    origin: UpdateOrigin
     before: DirectoryEntry | None = None
 
     @property
--- a/src/mimosafork/directory/peer_feed.py
+++ b/src/mimosafork/directory/peer_feed.py
@@ -1,10 +1,10 @@
-"""Following the endpoints by peers' words, so that not every instance asks the store.
+"""Following the endpoints by peers' updates, so that not every instance asks the store.
 
 Each answer of the store is a call that costs, changed or not. In a large fleet a few
 instances follow the feed themselves and tell the others, after each answer, that
 nothing has changed since some version. Who knows all up to that version needs no call;
-who does not, or hears no such word in time, asks the store itself, as all do in a small
-fleet. So a peer's word is never taken for a change: only for there being none.
+who does not, or receives no such update in time, asks the store itself, as all do in a
+small fleet. So a peer's update is never taken for a change: only for there being none.
 """
 
 from collections.abc import Callable, Iterable
@@ -16,23 +16,23 @@
 from ..clock import Clock
 from ..ids import InstanceId
 from ..kernel.rendezvous import ranked
-from .feed_word import FeedWord
+from .feed_update import FeedUpdate
 
 SUBJECT = "endpoints"
 READERS = 8
-"""Instances that follow the feed themselves. Their words come at any instant, so that
+"""Instances that follow the feed themselves. Their updates come at any instant, so that
 one comes every 0.25 s and no silence of one of them is noticed by others; 8 of 195 make
 a 24th of the calls at rest. Fleets of up to so many all follow it themselves."""
 
 LEAST_WAIT = 0.5
 """Smallest part of a wait that an instance makes for others. One change ends the waits
-of all who follow the feed at the same instant; with equal waits their words came
-together from then on, and grew old for their hearers between two calls."""
+of all who follow the feed at the same instant; with equal waits their updates came
+together from then on, and grew old for the others between two calls."""
 
 FRESH = timedelta(milliseconds=1700)
-"""How old a word may be. If all who follow the feed fall silent at once, a hearer asks
-the store this much later: before the two seconds after which an endpoint that leaves
-may have no new work, and before rows may have expired in an outage."""
+"""How old an update may be. If all who follow the feed fall silent at once, the others
+ask the store this much later: before the two seconds after which an endpoint that
+leaves may have no new work, and before rows may have expired in an outage."""
 
 LATE_ANSWER = timedelta(milliseconds=300)
 """An answer that comes this much later than its wait was over is not passed on.
@@ -41,10 +41,10 @@
 fresh, it would keep peers from asking while an endpoint leaves."""
 
 
-class HeardWord(msgspec.Struct, frozen=True):
-    """A peer's word, and the instant as of which it holds."""
+class ReceivedUpdate(msgspec.Struct, frozen=True):
+    """A peer's update, and the instant as of which it holds."""
 
-    word: FeedWord
+    update: FeedUpdate
     as_of: timedelta
 
     def left(self, now: timedelta) -> timedelta:
@@ -58,7 +58,7 @@
     Parameters
     ----------
     clock : Clock
-        Its monotonic scale must count the time of a suspension: words grow old in it.
+        Its monotonic scale must count the time of a suspension: updates grow old in it.
 
     Attributes
     ----------
@@ -72,23 +72,23 @@
         self.clock = clock
         self.reads_itself = True
         self.has_followers = False
-        self.words: dict[InstanceId, HeardWord] = {}
-        self.publish: Callable[[FeedWord], None] = lambda word: None
-        """Tells peers a word of this instance's own."""
+        self.updates: dict[InstanceId, ReceivedUpdate] = {}
+        self.publish: Callable[[FeedUpdate], None] = lambda update: None
+        """Tells peers an update of this instance's own."""
 
     def choose(self, own: InstanceId, peers: Iterable[InstanceId]) -> None:
         """Work out whether this instance is one of those that follow the feed."""
         others = set(peers)
         self.has_followers = len(others) >= READERS
         self.reads_itself = own in ranked(SUBJECT, {own, *others})[:READERS]
-        self.words = {each: self.words[each] for each in others & set(self.words)}
+        self.updates = {each: self.updates[each] for each in others & set(self.updates)}
 
-    def hear(self, peer: InstanceId, word: FeedWord, age: timedelta) -> None:
-        """Take a peer's word of some age."""
-        self.words[peer] = HeardWord(word, self.clock.monotonic() - age)
+    def receive(self, peer: InstanceId, update: FeedUpdate, age: timedelta) -> None:
+        """Take a peer's update of some age."""
+        self.updates[peer] = ReceivedUpdate(update, self.clock.monotonic() - age)
 
-    def newest_covering(self, position: int) -> HeardWord | None:
-        """Return the newest word by which all is known to one who is at a position.
+    def newest_covering(self, position: int) -> ReceivedUpdate | None:
+        """Return the newest update by which all is known to one who is at a position.
 
         None if there is none that is fresh, or if this instance is to ask itself.
         """
@@ -97,8 +97,8 @@
         now = self.clock.monotonic()
         fitting = [
             each
-            for each in self.words.values()
-            if each.left(now) > timedelta(0) and each.word.covers(position)
+            for each in self.updates.values()
+            if each.left(now) > timedelta(0) and each.update.covers(position)
         ]
         return max(fitting, key=lambda each: each.as_of, default=None)
 
@@ -108,8 +108,10 @@
             return usual
         return usual * random.uniform(LEAST_WAIT, 1.0)
 
-    def tell(self, word: FeedWord, asked_at: timedelta, wait: timedelta) -> None:
-        """Tell peers of an answer, unless it came late.
+    def publish_answer(
+        self, update: FeedUpdate, asked_at: timedelta, wait: timedelta
+    ) -> None:
+        """Publish an answer to peers, unless it came late.
 
         Parameters
         ----------
@@ -120,4 +122,4 @@
         """
         took = self.clock.monotonic() - asked_at
         if self.reads_itself and self.has_followers and took <= wait + LATE_ANSWER:
-            self.publish(word)
+            self.publish(update)
--- a/src/mimosafork/directory/rows.py
+++ b/src/mimosafork/directory/rows.py
@@ -11,7 +11,7 @@
 
 
 class Row(msgspec.Struct, frozen=True):
-    """One row, or the word that it was removed.
+    """One row, or the update that it was removed.
 
     Attributes
     ----------
--- a/src/mimosafork/directory/settings.py
+++ b/src/mimosafork/directory/settings.py
@@ -56,7 +56,7 @@
         the outage began: two reports' time, less a margin. More than it takes to
         find and replace a silent connection.
     gone_kept : timedelta
-        How long the word that an endpoint is gone is remembered.
+        How long the update that an endpoint is gone is remembered.
     """
 
     configuration: FollowSettings = msgspec.field(
--- a/src/mimosafork/directory/table_book.py
+++ b/src/mimosafork/directory/table_book.py
@@ -1,7 +1,7 @@
 """The configuration in force: only ever a newer one."""
 
 from ..routing.table import RoutingTable
-from .messages import TableChanged, Teller
+from .messages import TableChanged, UpdateOrigin
 from .rows import Row
 from .sources import ConfigurationSource
 
@@ -20,7 +20,7 @@
         self.table: RoutingTable | None = None
         self.row: Row | None = None
 
-    def take(self, row: Row, teller: Teller) -> TableChanged | None:
+    def take(self, row: Row, origin: UpdateOrigin) -> TableChanged | None:
         """Take a row if its configuration is newer than the one in force.
 
         Guard: a stale read or a slow peer tells an older configuration after a
@@ -38,4 +38,4 @@
         if self.table is not None and table.version <= self.table.version:
             return None
         before, self.table, self.row = self.table, table, row
-        return TableChanged(table, teller, before)
+        return TableChanged(table, origin, before)
--- a/src/mimosafork/gateway/sharing.py
+++ b/src/mimosafork/gateway/sharing.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..directory.directory import Directory
-from ..directory.feed_word import FeedWord
+from ..directory.feed_update import FeedUpdate
 from ..directory.messages import DirectoryChange, EndpointState, TableChanged
 from ..directory.rows import Row
 from ..gossip.callbacks import Callbacks
@@ -120,7 +120,7 @@
             on_peers_changed=self.peers_changed,
             on_peer_restarted=self.peer_restarted,
             on_load_changed=self.load_changed,
-            on_feed_told=directory.peer_feed.hear,
+            on_feed_told=directory.peer_feed.receive,
             on_endpoint_word=self.endpoint_word,
             on_suspicion=self.suspicion_told,
         )
@@ -228,10 +228,10 @@
         if self.gossip is not None:
             self.gossip.publish_versions(versions)
 
-    def feed_told(self, word: FeedWord) -> None:
+    def feed_told(self, word: FeedUpdate) -> None:
         """Tell peers that the store told nothing new of the endpoints."""
         if self.gossip is not None:
-            self.gossip.publish_feed_word(word)
+            self.gossip.publish_feed_update(word)
 
     def holding(self, matter: Matter) -> Held | None:
         """Return what this instance can hand over."""
--- a/src/mimosafork/gossip/callbacks.py
+++ b/src/mimosafork/gossip/callbacks.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..directory.feed_word import FeedWord
+from ..directory.feed_update import FeedUpdate
 from ..ids import EndpointId, InstanceId
 from ..telemetry.catalogue.gossip import (
     GOSSIP_DATAGRAM_REFUSED,
@@ -70,7 +70,7 @@
     on_peers_changed: Callable[[], None] = ignore
     on_peer_restarted: Callable[[InstanceId], None] = ignore
     on_load_changed: Callable[[InstanceId, tuple[int, ...]], None] = ignore
-    on_feed_told: Callable[[InstanceId, FeedWord, timedelta], None] = ignore
+    on_feed_told: Callable[[InstanceId, FeedUpdate, timedelta], None] = ignore
     on_endpoint_word: Callable[[EndpointId, EndpointWord], None] = ignore
     on_suspicion: Callable[[bytes, Suspicion], None] = ignore
     on_doubt: Callable[[InstanceId, EndpointId, Doubt | None], None] = ignore
--- a/src/mimosafork/gossip/effects.py
+++ b/src/mimosafork/gossip/effects.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..directory.feed_word import FeedWord
+from ..directory.feed_update import FeedUpdate
 from ..ids import EndpointId, InstanceId
 from .kinds.configuration import Versions
 from .kinds.doubt import Doubt
@@ -62,7 +62,7 @@
     """
 
     instance: InstanceId
-    word: FeedWord
+    word: FeedUpdate
     born: timedelta
 
 
--- a/src/mimosafork/gossip/kinds/feed.py
+++ b/src/mimosafork/gossip/kinds/feed.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ...directory.feed_word import FeedWord
+from ...directory.feed_update import FeedUpdate
 from ..ids import IdReader, IdWriter
 from .base import Kind, register
 
@@ -17,14 +17,14 @@
 
     def pack(self, value: object, ids: IdWriter) -> object:
         """Return what travels."""
-        word = cast(FeedWord, value)
+        word = cast(FeedUpdate, value)
         return [word.since, word.followed - word.since]
 
     def unpack(self, packed: object, ids: IdReader) -> object:
         """Return the value."""
         fields: Any = msgspec.convert(packed, tuple[int, int])
         since, further = fields
-        return FeedWord(since, since + further)
+        return FeedUpdate(since, since + further)
 
 
 FEED = register(
--- a/src/mimosafork/gossip/reports.py
+++ b/src/mimosafork/gossip/reports.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import cast
 
-from ..directory.feed_word import FeedWord
+from ..directory.feed_update import FeedUpdate
 from ..ids import EndpointId, InstanceId
 from .effects import (
     DoubtChanged,
@@ -59,7 +59,7 @@
             said = cast(EndpointWord, entry.value)
             return [EndpointSaid(endpoint_of(slot.key), said)]
         if slot.kind == FEED.number:
-            return [FeedTold(name, cast(FeedWord, entry.value), entry.born)]
+            return [FeedTold(name, cast(FeedUpdate, entry.value), entry.born)]
         if slot.kind == SUSPICION.number and isinstance(slot.key, bytes):
             return [SuspicionChanged(slot.key, self.state.suspicion(slot.key))]
         return []
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..directory.feed_word import FeedWord
+from ..directory.feed_update import FeedUpdate
 from ..ids import AvailabilityZoneId, EndpointId, InstanceId
 from ..telemetry.catalogue.gossip import GOSSIP_FAULT
 from ..telemetry.logs import log_event
@@ -226,7 +226,7 @@
         self.exchange.say(ENDPOINTS, endpoint, said, self.clock.monotonic())
         self.arm()
 
-    def publish_feed_word(self, word: FeedWord) -> None:
+    def publish_feed_update(self, word: FeedUpdate) -> None:
         """Tell that the store told nothing new of the endpoints."""
         self.exchange.confirm(FEED, FEED_KEY, word, self.clock.monotonic())
         self.arm()
--- a/src/mimosafork/kernel/fleet.py
+++ b/src/mimosafork/kernel/fleet.py
@@ -106,7 +106,7 @@
             return False
         return self.ejected_until is None or self.ejected_until <= now
 
-    def begin_life(self, entry: EndpointEntry) -> None:
+    def start_incarnation(self, entry: EndpointEntry) -> None:
         """Forget what was known of the endpoint's former life."""
         self.entry = entry
         self.report = None
@@ -201,7 +201,7 @@
         elif entry.incarnation < known.entry.incarnation:
             return
         elif entry.incarnation > known.entry.incarnation:
-            known.begin_life(entry)
+            known.start_incarnation(entry)
         known.entry = entry
         self.index(known)
 
@@ -222,7 +222,7 @@
             life = replace(
                 known.entry, incarnation=report.incarnation, state=LifeState.LIVE
             )
-            known.begin_life(life)
+            known.start_incarnation(life)
         described_at = now - report.lag
         known.note_answer(described_at, own)
         if not known.is_news(report, described_at):
--- a/tests/unit/directory/test_peer_feed.py
+++ b/tests/unit/directory/test_peer_feed.py
@@ -7,7 +7,7 @@
 
 from mimosafork.clock import ManualClock
 from mimosafork.directory.errors import StoreUnavailableError
-from mimosafork.directory.feed_word import FeedWord
+from mimosafork.directory.feed_update import FeedUpdate
 from mimosafork.directory.peer_feed import FRESH, READERS, PeerFeed
 from mimosafork.directory.rows import RowPage
 from mimosafork.ids import InstanceId
@@ -40,9 +40,9 @@
 
 
 @contextmanager
-def reading_world() -> Iterator[tuple[DirectoryWorld, list[FeedWord]]]:
+def reading_world() -> Iterator[tuple[DirectoryWorld, list[FeedUpdate]]]:
     """Give a directory that reads for others, and what it tells them."""
-    told: list[FeedWord] = []
+    told: list[FeedUpdate] = []
     with directory_world() as world:
         world.directory.peer_feed.has_followers = True
         world.directory.peer_feed.publish = told.append
@@ -52,7 +52,7 @@
 
 def hear(world: DirectoryWorld, since: int, followed: int) -> None:
     """Let a peer tell that nothing has changed between two versions."""
-    world.directory.peer_feed.hear(PEER, FeedWord(since, followed), NOW)
+    world.directory.peer_feed.receive(PEER, FeedUpdate(since, followed), NOW)
 
 
 def covered_steps(world: DirectoryWorld, count: int = 1) -> None:
@@ -93,12 +93,12 @@
 
 
 def test_all_of_a_small_fleet_read_and_tell_nobody() -> None:
-    told: list[FeedWord] = []
+    told: list[FeedUpdate] = []
     feed = PeerFeed(ManualClock())
     feed.publish = told.append
     feed.choose(FLEET[0], FLEET[1:READERS])
     case.assertTrue(feed.reads_itself)
-    feed.tell(FeedWord(4, 9), feed.clock.monotonic(), SECOND)
+    feed.publish_answer(FeedUpdate(4, 9), feed.clock.monotonic(), SECOND)
     case.assertEqual([], told)
 
 
@@ -144,12 +144,12 @@
     """
     with reading_world() as (world, told):
         world.endpoints(page(9))
-        case.assertEqual([FeedWord(9, 9)], told)
+        case.assertEqual([FeedUpdate(9, 9)], told)
         stand_still_in_a_call(world, 5)
         world.endpoints(page(12))
-        case.assertEqual([FeedWord(9, 9)], told)
+        case.assertEqual([FeedUpdate(9, 9)], told)
         world.endpoints(page(13))
-        case.assertEqual([FeedWord(9, 9), FeedWord(9, 13)], told)
+        case.assertEqual([FeedUpdate(9, 9), FeedUpdate(9, 13)], told)
 
 
 def stand_still_in_a_call(world: DirectoryWorld, seconds: float) -> None:
@@ -176,7 +176,7 @@
         case.assertEqual([], told)
         world.pass_time(2.5)
         world.endpoints(page(11), page(11))
-        case.assertEqual([FeedWord(10, 11)] * 2, told)
+        case.assertEqual([FeedUpdate(10, 11)] * 2, told)
 
 
 def test_one_in_doubt_asks_the_store_whatever_peers_say() -> None:
--- a/tests/unit/directory/test_reader_machine.py
+++ b/tests/unit/directory/test_reader_machine.py
@@ -11,7 +11,7 @@
 
 from mimosafork.directory.directory import Directory
 from mimosafork.directory.errors import StoreUnavailableError
-from mimosafork.directory.feed_word import FeedWord
+from mimosafork.directory.feed_update import FeedUpdate
 from mimosafork.directory.follower import Follower
 from mimosafork.directory.messages import DirectoryChange, EndpointState, TableChanged
 from mimosafork.directory.rows import RowPage
@@ -124,10 +124,10 @@
         self.directory.peer_feed.reads_itself = False
         self.readers = [Reader(self, number) for number in range(READERS)]
 
-    def feed_told(self, reader: Reader, word: FeedWord) -> None:
+    def feed_told(self, reader: Reader, word: FeedUpdate) -> None:
         """Hand over a reader's word that nothing has changed."""
         if not self.words_lost:
-            self.directory.peer_feed.hear(reader.name, word, timedelta(0))
+            self.directory.peer_feed.receive(reader.name, word, timedelta(0))
 
     def endpoint_told(self, reader: Reader, change: DirectoryChange) -> None:
         """Hand over a reader's word that an endpoint takes no new work."""
--- a/tests/unit/gateway/test_gateway_machine.py
+++ b/tests/unit/gateway/test_gateway_machine.py
@@ -102,11 +102,11 @@
         self.most = most
         self.configure(set(ROUTES), set(KEYS))
         for address in sorted(PLACES):
-            self.begin_life(address, PLACES[address])
+            self.start_incarnation(address, PLACES[address])
 
     # Who is there
 
-    def begin_life(self, address: str, service: ServiceId) -> None:
+    def start_incarnation(self, address: str, service: ServiceId) -> None:
         """Start an endpoint under a new id."""
         self.lives += 1
         name = EndpointId(f"i-{self.lives}")
@@ -262,7 +262,7 @@
                 version = self.world.next_version()
                 self.world.directory.offer_gone(life.name, version)
         if again is not None:
-            self.begin_life(address, again)
+            self.start_incarnation(address, again)
 
     # Old words, peers and the operator
 
--- a/tests/unit/gateway/test_peer_works.py
+++ b/tests/unit/gateway/test_peer_works.py
@@ -7,7 +7,7 @@
 
 from mimosafork.clock import ManualClock
 from mimosafork.directory.directory import Directory
-from mimosafork.directory.messages import TableChanged, Teller
+from mimosafork.directory.messages import TableChanged, UpdateOrigin
 from mimosafork.gateway.neighbours import Neighbours
 from mimosafork.gateway.policies.fleet_view import FleetView
 from mimosafork.gateway.sharing import Sharing
@@ -208,7 +208,7 @@
     hearer.run(ms(100))
     hearer.figures = FIGURES
     hearer.sharing.offer_configuration_soon = lambda: None  # type: ignore[method-assign]
-    hearer.sharing.directory_changed(TableChanged(EMPTY, Teller.STORE))
+    hearer.sharing.directory_changed(TableChanged(EMPTY, UpdateOrigin.STORE))
     peer.say(LOAD, 2, note(2, 2), network.now)
     hearer.run(ms(100))
     first, _ = hearer.told()["front-1"].values()
