Place no request before a resumed instance has its peers' evidence

Callers saw a request that crashes engines take down three of them, and the answers of all other requests on the third break off. The design allows two.

Cause: a process that was frozen handles its backlog in the order of arrival. Requests in it were placed before the evidence behind them was read. An instance that starts while the store is down has the same gap until its peers' first updates.

The sole-run placer now holds requests back for one second, the propagation time that isolation already counts with, after more than a second without a tick and after the start. That time is bounded, costs nothing without peers, and leaves attaching to running streams alone.

--- a/src/mimosafork/policies/quarantine/isolation.py
+++ b/src/mimosafork/policies/quarantine/isolation.py
@@ -8,15 +8,13 @@
 from ...kernel.fleet import Endpoint
 from ...kernel.messages.peers import Publish, Scope
 from ...kernel.messages.quarantine import EndpointIsolation, EndpointIsolationReceived
+from .recency import PROPAGATION_TIME
 
 ISOLATION_TIME = timedelta(seconds=6)
 """Duration of an isolation unless it is renewed."""
 
 RENEWAL_INTERVAL = timedelta(seconds=2)
 
-PROPAGATION_TIME = timedelta(seconds=1)
-"""Time until peers have received an isolation, and this instance has theirs."""
-
 MS = timedelta(milliseconds=1)
 
 
--- a/src/mimosafork/policies/quarantine/sole_run.py
+++ b/src/mimosafork/policies/quarantine/sole_run.py
@@ -5,7 +5,7 @@
 
 from ...kernel.context import Context
 from ...kernel.fleet import Endpoint
-from ...kernel.messages.base import Message
+from ...kernel.messages.base import Message, Tick
 from ...kernel.messages.quarantine import EndpointIncarnation, EndpointIsolationReceived
 from ...kernel.plugins import (
     NotApplicable,
@@ -23,6 +23,7 @@
 from .crashes import ConnectionBreak
 from .isolation import Isolations
 from .ledger import SUSPECT_CRASHES, EvidenceLedger, Verdict
+from .recency import EvidenceRecency
 from .stage import Quarantine, condemned_problem
 
 MAX_ISOLATED_SHARE = 0.1
@@ -35,7 +36,8 @@
 
     All instances rank the endpoints of a target identically, so that they isolate
     the same one. A body that has crashed two endpoints runs on these two only, so
-    that it never crashes a third one.
+    that it never crashes a third one. While evidence of peers may be missing, no
+    request is placed: any could be a suspect.
     """
 
     order = 5
@@ -44,6 +46,7 @@
         self.ledger = EvidenceLedger()
         self.breaks: Mapping[EndpointIncarnation, ConnectionBreak] = {}
         self.isolations = Isolations()
+        self.recency = EvidenceRecency()
 
     def resolve_dependencies(self, find: PluginFinder) -> None:
         """Share the ledger and the breaks of the quarantine plug-in."""
@@ -54,6 +57,8 @@
 
     def place(self, record: RequestRecord, context: Context) -> Placement:
         """Place a suspect and refuse a condemned body; not applicable to others."""
+        if not self.recency.is_current(context):
+            return Wait("evidence-outdated")
         verdict = self.ledger.verdict(record.request.body_digest)
         if verdict is Verdict.CLEAR:
             return NotApplicable()
@@ -65,7 +70,7 @@
 
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
-        """React to concluded requests and to isolations by peers."""
+        """React to concluded requests, to isolations by peers and to ticks."""
 
     @handle.register
     def _(self, message: RequestConcluded, context: Context) -> None:
@@ -78,6 +83,10 @@
     def _(self, message: EndpointIsolationReceived, context: Context) -> None:
         self.isolations.receive(message, context)
 
+    @handle.register
+    def _(self, message: Tick, context: Context) -> None:
+        self.recency.observe(context.now)
+
     def _has_waiting_suspect(self, record: RequestRecord, context: Context) -> bool:
         """Return whether an endpoint should stay isolated for the next suspect."""
         return any(
