Republish evidence against crashing requests when instances start

Callers saw a quarantined request take down a third engine, minutes later, at an instance that had restarted.

Cause: published evidence lasts as long as its publisher, and one other instance republished it, only on receipt. With that one frozen, or with evidence that its holders had read from the store, nobody published what several knew.

Two of the instances that run for longer and are not suspected now republish the evidence against suspects whenever instances start, and on receipt. Which ones follows from the list and the members alone, so no message is needed to agree.

Both new tests fail without the change: three engines crashed, and a quarantined request that ran again.

--- a/src/mimosafork/policies/quarantine/stage.py
+++ b/src/mimosafork/policies/quarantine/stage.py
@@ -8,8 +8,9 @@
 from ...kernel.context import Context
 from ...kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from ...kernel.messages.base import Message, Tick
+from ...kernel.messages.fleet import InstancesListed
 from ...kernel.messages.outcomes import Outcome
-from ...kernel.messages.peers import Publish, Scope
+from ...kernel.messages.peers import MembersChanged, Publish, Scope
 from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.quarantine import (
     DropSuspicion,
@@ -22,7 +23,6 @@
 from ...kernel.plugins import ReviewDecision as StageVerdict
 from ...kernel.records import Attempt, RequestRecord
 from ...kernel.registry import register
-from ...kernel.rendezvous import ranked
 from ...telemetry.catalogue.quarantine import (
     REQUEST_CLEARED,
     REQUEST_QUARANTINED,
@@ -31,6 +31,7 @@
 from ...telemetry.logs import log_event
 from .crashes import BREAK_RETENTION, ConnectionBreak, incarnation_ended, start_break
 from .ledger import EvidenceLedger, Verdict
+from .witnesses import Witnesses
 
 logger = getLogger(__name__)
 
@@ -59,6 +60,7 @@
     def __init__(self) -> None:
         self.ledger = EvidenceLedger()
         self.breaks: dict[EndpointIncarnation, ConnectionBreak] = {}
+        self.witnesses = Witnesses()
         self.concluded_request: RequestId | None = None
         self.checked_at = timedelta(0)
 
@@ -102,7 +104,8 @@
     def _(self, message: SuspicionReceived, context: Context) -> None:
         at = context.now - message.origin.age
         changed = self.ledger.merge(message.digest, message.suspicion, at)
-        if changed and self._should_republish(message, context):
+        publisher = frozenset({message.origin.instance})
+        if changed and self.witnesses.includes_own(message.digest, publisher, context):
             self._publish_suspicion(message.digest, context)
         for evidence in message.suspicion.evidence:
             if not evidence.is_confirmed:
@@ -113,6 +116,17 @@
                 )
                 known.peer_bodies.add(message.digest)
 
+    @handle.register
+    def _(self, message: InstancesListed | MembersChanged, context: Context) -> None:
+        started = self.witnesses.update(context)
+        if not started:
+            return
+        for digest, case in self.ledger.cases.items():
+            if case.verdict is not Verdict.CLEAR and self.witnesses.includes_own(
+                digest, started, context
+            ):
+                self._publish_suspicion(digest, context)
+
     @handle.register
     def _(self, message: SuspicionsRead, context: Context) -> None:
         for stored in message.suspicions:
@@ -174,25 +188,6 @@
             return self.ledger.confirm(digest, endpoint_incarnation, context.now)
         return self.ledger.drop(digest, [endpoint_incarnation], context.now)
 
-    def _should_republish(self, message: SuspicionReceived, context: Context) -> bool:
-        """Return whether this instance republishes a suspicion that it has received.
-
-        What an instance has published is lost when it stops, so that its successor
-        and all instances that start later would not receive it. One other instance
-        of the publisher's zone, on which all instances agree, publishes it as well.
-        """
-        zone = context.state.identity.availability_zone
-        if message.origin.availability_zone != zone:
-            return False
-        others = [
-            entry.instance
-            for entry in context.state.fleet.instances.values()
-            if entry.availability_zone == zone
-            and entry.instance != message.origin.instance
-        ]
-        first = ranked(f"witness {message.digest}", others)[:1]
-        return first == [context.state.identity.instance]
-
     def _publish_suspicion(self, digest: Digest, context: Context) -> None:
         suspicion = self.ledger.suspicion(digest)
         context.emit(Publish(digest, suspicion, Scope.FLEET, urgent=True))
--- a/tests/unit/recovery/test_outdated_evidence.py
+++ b/tests/unit/recovery/test_outdated_evidence.py
@@ -3,14 +3,17 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from mimosafork.ids import RequestId
 from mimosafork.kernel.messages.leases import Duty
+from mimosafork.kernel.messages.outcomes import Outcome
 from tests.support.functions import function_tests
+from tests.support.recovery_world import World
 from tests.unit.recovery.test_recovery_machine import SECOND, RecoveryMachine
 
 Step = Callable[[RecoveryMachine], None]
 
 
-def play(*steps: Step) -> None:
+def play(*steps: Step) -> World:
     """Run the steps of one sequence and check all invariants after each."""
     machine = RecoveryMachine()
     machine.peers(may_partition=False)
@@ -19,6 +22,7 @@
         for check in machine.invariants:
             check.function(machine)
     machine.teardown()
+    return machine.world
 
 
 def freeze(name: str) -> Step:
@@ -81,6 +85,34 @@
     )
 
 
+def test_restarted_publisher_learns_its_evidence_while_a_witness_is_frozen() -> None:
+    """Evidence must outlive its publisher although the first witness is frozen.
+
+    Stale reads of the store do not show the evidence to the new incarnation.
+    """
+    play(
+        lambda machine: machine.reads_change(is_stale=True, then=SECOND),
+        freeze("i3"),
+        crashing_requests("i2", then=12 * SECOND),
+        replace("i2", then=12 * SECOND),
+        crashing_requests("i2", then=12 * SECOND),
+    )
+
+
+def test_evidence_read_from_the_store_is_published_to_instances_that_start() -> None:
+    """Evidence that its holders have only read must reach an instance in an outage."""
+    world = play(
+        crashing_requests("i1", then=12 * SECOND),
+        replace("i2", then=SECOND / 4),
+        replace("i1", then=30 * SECOND),
+        replace("i3", then=SECOND),
+        lambda machine: machine.store_changes(is_down=True, then=SECOND),
+        replace("i3", then=12 * SECOND),
+        crashing_requests("i3", then=12 * SECOND),
+    )
+    assert world.conclusions[RequestId("r2")].outcome is Outcome.NOT_RUN
+
+
 def test_slow_ticks_are_no_freeze() -> None:
     """A busy instance must not hold requests back."""
     machine = RecoveryMachine()
