Place calls of a resumed gateway after the updates that it missed

Callers saw a content that crashes endpoints taken to a fourth endpoint after its quarantine, by an instance that had been frozen.

Cause: a resumed event loop handles sockets in the order in which they became readable, and the freeze was noticed only by the tick after them.

--- a/src/mimosafork/gateway/freeze_watch.py
+++ b/src/mimosafork/gateway/freeze_watch.py
@@ -49,6 +49,17 @@
         self.interval = interval
         self.previous: tuple[timedelta, timedelta] | None = None
 
+    def is_overdue(self) -> bool:
+        """Return whether the next tick is as late as after a freeze.
+
+        Other events of the loop may be handled before that tick. A suspension that the
+        steady clock does not count is seen by the tick alone.
+        """
+        if self.previous is None:
+            return False
+        elapsed = self.steady.monotonic() - self.previous[0]
+        return elapsed - self.interval >= MIN_FREEZE
+
     def record_tick(
         self, expected_interval: timedelta | None = None
     ) -> ProcessFreeze | None:
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -20,6 +20,7 @@
 )
 from ..kernel.messages.base import Effect, Message, Tick
 from ..kernel.messages.dispatch import CancelAttempt, Dispatch, RestoreAttempt
+from ..kernel.messages.lifecycle import ProcessResumed
 from ..kernel.messages.outcomes import Conclude
 from ..kernel.messages.placement import FreeOwnHolding, ReserveMemory
 from ..kernel.messages.requests import CallerGone, Submit
@@ -147,6 +148,7 @@
         freeze = self.freeze_watch.record_tick(expected_interval)
         if freeze is not None:
             log_freeze(freeze, len(self.calls), len(self.kernel.state.waiting))
+            self.post(ProcessResumed())
         self.zone_watch.check(self.attempts.current.values(), self.clock.monotonic())
         if self.calls:
             self._report_silence()
@@ -290,6 +292,8 @@
         Messages posted meanwhile, such as a connection that fails at once, are handled
         after the effects of the current message have been executed.
         """
+        if self.freeze_watch.is_overdue():
+            self.inbox.append(ProcessResumed())
         self.inbox.append(message)
         if self.handling:
             return
--- a/src/mimosafork/gateway/policies/__init__.py
+++ b/src/mimosafork/gateway/policies/__init__.py
@@ -1,6 +1,7 @@
 """Policy plug-ins of the gateway; importing this package registers them."""
 
 from . import (
+    catching_up,
     fleet_view,
     ordering,
     placing,
@@ -14,6 +15,7 @@
 
 PLUGINS = (
     fleet_view.FleetView.name,
+    catching_up.CatchUp.name,
     quarantining.CrashQuarantine.name,
     rate_limits.EndpointRateLimits.name,
     rate_limit_admission.RateLimitAdmission.name,
--- a/src/mimosafork/kernel/messages/lifecycle.py
+++ b/src/mimosafork/kernel/messages/lifecycle.py
@@ -11,5 +11,9 @@
     """
 
 
+class ProcessResumed(Message, frozen=True):
+    """The process runs again after a freeze; updates that it missed may follow."""
+
+
 class StopNow(Message, frozen=True):
     """The grace period is over: every open request gets its final answer now."""
