Free an instance's first permits at even intervals over the fleet

Callers saw an endpoint left unused for seconds after its rate limit had ended, by a fleet that had just started; a functional test failed once with 0 requests where more than 11 were expected.

Cause: the instances of a new fleet get their permits in one moment, 3 s after the start, and each permit became free at a random time within 11 to 13 s. No permit, no request, no response that shows the end.

New permits now become free one every 1 / L s over the fleet, by each instance's place. That does not touch the bound on a window, which holds whenever permits are first free.

--- a/src/mimosafork/gateway/policies/limited_endpoint.py
+++ b/src/mimosafork/gateway/policies/limited_endpoint.py
@@ -17,7 +17,7 @@
     request was sent: at least the span within which requests may arrive in one window.
     The rest of that time is random. With fixed times all instances would send at the
     same instants, and nobody could notice the end of a limit in between. For the same
-    reason added permits become free one after the other.
+    reason added permits become free at even intervals over the fleet.
 
     Attributes
     ----------
@@ -51,8 +51,10 @@
         """Apply this instance's present share."""
         former = self.portion
         self.portion = share.portion_of(self.allowance.requests)
-        for _ in range(self.portion - former):
-            heappush(self.free_at, now + self.allowance.span * self.random.random())
+        interval = self.allowance.span / self.allowance.requests
+        for number in range(former, self.portion):
+            place = number * share.instances + share.rank + 1
+            heappush(self.free_at, now + interval * place)
 
     def taken(self, now: timedelta) -> int:
         """Return the number of permits that are not free."""
--- a/tests/unit/gateway/test_fleet_limits.py
+++ b/tests/unit/gateway/test_fleet_limits.py
@@ -11,7 +11,7 @@
 from mimosafork.kernel.core import TICK
 
 from ...support.functions import function_tests
-from ...support.limited_fleet import LimitedFleet, desk
+from ...support.limited_fleet import WINDOW_BURST, LimitedFleet, desk
 from ...support.retrying_fleet import MAX_TRANSIT
 
 case = TestCase()
@@ -32,6 +32,12 @@
 """Limits in turn, and the time after which all instances apply each of them."""
 
 
+class SmallFleet(LimitedFleet):
+    """A fleet in front of two endpoints."""
+
+    endpoints = 2
+
+
 def test_a_fleet_keeps_the_limit_of_an_endpoint() -> None:
     """Instances that each know an endpoint's limit must not exceed it together."""
     for limit in (0.3, 1.0, 1.2, 4.0):
@@ -152,6 +158,21 @@
         case.assertEqual(refused, fleet.refused_calls, instances)
 
 
+def test_a_fleet_that_has_just_started_notices_the_end_of_a_limit() -> None:
+    """Some instance must have a permit soon, although they all get theirs at once."""
+    for seed in range(12):
+        fleet = SmallFleet(5, seed=seed)
+        fleet.run(timedelta(milliseconds=300))
+        fleet.state_limit(desk(0), 0.7)
+        fleet.run(timedelta(seconds=1), CALLS_S)
+        fleet.state_limit(desk(0), None)
+        fleet.run(timedelta(seconds=4), CALLS_S)
+        before = len(fleet.arrived[desk(0)])
+        fleet.run(timedelta(seconds=1), CALLS_S)
+        arrived = len(fleet.arrived[desk(0)]) - before
+        case.assertGreater(arrived, WINDOW_BURST, seed)
+
+
 def test_late_updates_do_not_end_a_limit_for_the_fleet() -> None:
     """A limit that ends and begins again must hold while updates are seconds late."""
     fleet = LimitedFleet(INSTANCES, lag=timedelta(milliseconds=400))
