Do not count a stall of the process as a connection's time-out

Callers saw calls refused as overloaded after 2.5 to 3 s while all endpoints were up and served other calls of the same instance.

Cause: after a stall the overdue timer of a connection attempt fires in the same turn of the event loop in which the connection becomes writable, and before the attempt completes. All endpoints were left alone as unreachable; calls waited for a quarter of their time and were refused.

--- a/src/mimosafork/gateway/pool.py
+++ b/src/mimosafork/gateway/pool.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..ids import EndpointId
+from ..network.timeouts import running_timeout
 from ..settings.types import split_address
 from .upstream import EndpointConnection
 
@@ -123,7 +124,7 @@
         loop = asyncio.get_running_loop()
         try:
             address = split_address(wanted.address)
-            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+            async with running_timeout(CONNECT_TIMEOUT):
                 _, connection = await loop.create_connection(
                     lambda: EndpointConnection(self.clock, self._forget(wanted)),
                     address.host,
--- a/src/mimosafork/platform/lane.py
+++ b/src/mimosafork/platform/lane.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..network.errors import NetworkError, NeverSentError, NoAnswerError
+from ..network.timeouts import running_timeout
 from .channel import Answer, Channel
 from .errors import SilentError
 
@@ -214,7 +215,7 @@
         """
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(self.connect_timeout.total_seconds()):
+            async with running_timeout(self.connect_timeout):
                 _, channel = await loop.create_connection(Channel, self.host, self.port)
         except OSError as error:  # a passed time-out is one too
             raise NeverSentError(f"no connection: {error!r}") from error
--- a/tests/unit/gateway/test_pool.py
+++ b/tests/unit/gateway/test_pool.py
@@ -1,6 +1,8 @@
 """Tests of the pool of idle connections: reuse, limits and closing."""
 
 import asyncio
+import socket
+import time
 from datetime import timedelta
 from typing import cast
 from unittest import TestCase
@@ -9,6 +11,7 @@
 from mimosafork.clock import ManualClock
 from mimosafork.gateway.heads import Header
 from mimosafork.gateway.pool import (
+    CONNECT_TIMEOUT,
     DEFAULT_KEEP_ALIVE_TIMEOUT,
     KEEP_ALIVE_MARGIN,
     MAX_IDLE_PER_ENDPOINT,
@@ -134,4 +137,28 @@
         case.assertEqual(timeout, parse_keep_alive_timeout(head), value)
 
 
+async def open_during_stall(port: int) -> list[str]:
+    """Open a connection while the loop stands still; return what was called back."""
+    pool = ConnectionPool(ManualClock())
+    outcome: list[str] = []
+
+    def ready(connection: EndpointConnection) -> None:
+        outcome.append("ready")
+        connection.close()
+
+    wanted = ConnectionRequest(DESK, f"127.0.0.1:{port}")
+    task = pool.open(wanted, ready, lambda error: outcome.append(f"failed: {error}"))
+    stall_s = 1.2 * CONNECT_TIMEOUT.total_seconds()
+    asyncio.get_running_loop().call_soon(time.sleep, stall_s)
+    await task
+    return outcome
+
+
+def test_a_stalled_process_does_not_take_an_endpoint_for_unreachable() -> None:
+    """A connection that was accepted during a stall must not count as timed out."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        outcome = asyncio.run(open_during_stall(listener.getsockname()[1]))
+    case.assertEqual(["ready"], outcome)
+
+
 load_tests = function_tests(__name__)
