Begin one backoff for connections that fail in one moment

Callers saw an instance leave an endpoint alone for 4 s after a failure of a moment, if three calls were opening connections to it; the operators' page says 1 s, then 2 s, then 4 s.

Cause: each failed connection doubled the backoff, also those that were opened before it began.

A failure during a backoff now belongs to the one that began it.

--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -86,9 +86,13 @@
     def note_unreached(self, now: timedelta) -> None:
         """Back off after a failed connection, exponentially up to a maximum.
 
-        The number of doublings is bounded because a hundred connections may fail at
-        once; the backoff would overflow `timedelta` and the failure go unhandled.
+        Connections that were opened before a backoff and fail during it belong to the
+        failure that began it: several calls at once would otherwise begin with the
+        longest backoff. The number of doublings is bounded, as the backoff would
+        overflow `timedelta` and the failure go unhandled.
         """
+        if now < self.unusable_until:
+            return
         doublings = min(self.misses, MAX_BACKOFF_DOUBLINGS)
         absence = min(MAX_UNREACHABLE_BACKOFF, UNREACHABLE_BACKOFF * 2**doublings)
         self.misses += 1
