Judge all arrivals under a rate limit again where links are fast

The check on arrivals is back beside the present one, for windows in which no request was on a link of more than half a second. The tests and both state machines pass with it as they are drawn. On slower links only the present check applies; sequences that fail there are searched by hand.

--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -161,6 +161,8 @@
         How long each call that was not served had waited.
     gossiping : bool
         Whether instances receive anything from each other.
+    slow_at : timedelta
+        When requests were last sent on links slower than `TOLD_AFTER`.
     """
 
     instance_type = LimitedInstance
@@ -180,6 +182,7 @@
         self.submitted_at: dict[RequestId, timedelta] = {}
         self.refused_after: list[timedelta] = []
         self.gossiping = gossiping
+        self.slow_at = timedelta(days=-1)
         super().__init__(size, slack=0.0, lag=lag, seed=seed)
         self.latest = USUAL_TRANSIT
 
@@ -199,6 +202,8 @@
         self, sender: LimitedInstance, dispatch: Dispatch, now: timedelta
     ) -> timedelta:
         """Record the arrival of a request; return its time."""
+        if self.latest > TOLD_AFTER:
+            self.slow_at = now
         at = now + USUAL_TRANSIT
         if self.latest > USUAL_TRANSIT:
             at += (self.latest - USUAL_TRANSIT) * min(
@@ -227,8 +232,8 @@
         """Number of calls that were not served."""
         return len(self.refused_after)
 
-    def counted(self, endpoint: EndpointId) -> list[timedelta]:
-        """Return the arrivals of instances that had been told of the present limit.
+    def sent_under_limit(self, endpoint: EndpointId) -> list[timedelta]:
+        """Return the arrivals that were sent after the present limit was passed on.
 
         What an instance has sent before can't be recalled. An instance that has just
         started is excused.
@@ -245,6 +250,26 @@
                 counted.append(each.at)
         return sorted(counted)
 
+    def arrived_under_limit(self, endpoint: EndpointId) -> list[timedelta]:
+        """Return the arrivals from instances that have passed on any limit before.
+
+        An instance that has just started is excused.
+        """
+        counted = []
+        for each in self.arrived.get(endpoint, []):
+            told = [
+                at
+                for limit, at in each.sender.told_at.items()
+                if limit.endpoint == endpoint
+            ]
+            if (
+                told
+                and each.at - min(told) >= TOLD_AFTER
+                and each.at - each.sender.began_at >= STABLE_AFTER
+            ):
+                counted.append(each.at)
+        return sorted(counted)
+
     def instances_at(self, endpoint: EndpointId, per_s: float | None) -> int:
         """Return the number of instances that apply a limit to an endpoint."""
         limited = (each.limits.limited.get(endpoint) for each in self.instances)
@@ -252,10 +277,19 @@
         return applied.count(per_s)
 
     def excess(self, endpoint: EndpointId) -> float:
-        """Return by how many requests the worst window exceeds the present limit."""
+        """Return by how many requests the worst window exceeds the present limit.
+
+        All arrivals count, unless links have been so slow that requests may arrive
+        long after their instance has passed on the limit.
+        """
+        excess = self._excess(endpoint, self.sent_under_limit(endpoint))
+        if self.network.now - self.slow_at <= WINDOW + MAX_TRANSIT:
+            return excess
+        return max(excess, self._excess(endpoint, self.arrived_under_limit(endpoint)))
+
+    def _excess(self, endpoint: EndpointId, counted: list[timedelta]) -> float:
         limit = self.limits[endpoint]
         allowed = int(WINDOW_FACTOR * WINDOW / SECOND * limit + WINDOW_BURST)
-        counted = self.counted(endpoint)
         judged_from = self.changed_at[endpoint] + NOTICE
         worst = -allowed
         for end in counted:
