Hold requests back after a freeze whether or not peers are known

Callers saw an instance that had been stopped run a prompt which its peer had quarantined: it had been stopped before it knew the peer, took itself for alone and did not wait.

An instance that has started and knows no peers still does not wait.

--- a/src/mimosafork/policies/quarantine/recency.py
+++ b/src/mimosafork/policies/quarantine/recency.py
@@ -23,17 +23,25 @@
         When the process was last seen to run.
     current_from : timedelta
         When this instance has received what it may have missed.
+    was_frozen : bool
+        Whether the process has been frozen since its start.
     """
 
     def __init__(self) -> None:
         self.observed_at: timedelta | None = None
         self.current_from = timedelta(0)
+        self.was_frozen = False
 
     def is_current(self, context: Context) -> bool:
-        """Return whether this instance is up to date, or has no peers."""
+        """Return whether this instance is up to date, or has started without peers.
+
+        After a freeze the known peers don't count: others may have joined meanwhile.
+        """
         self.observe(context.now)
         if context.now >= self.current_from:
             return True
+        if self.was_frozen:
+            return False
         own = context.state.identity.instance
         return all(name == own for name in context.state.fleet.instances)
 
@@ -41,5 +49,8 @@
         """Record that the process runs, and detect a freeze that has just ended."""
         last = self.observed_at
         self.observed_at = now
-        if last is None or now - last > MAX_TICK_GAP:
+        if last is None:
+            self.current_from = now + PROPAGATION_TIME
+        elif now - last > MAX_TICK_GAP:
             self.current_from = now + PROPAGATION_TIME
+            self.was_frozen = True
--- a/tests/functional/test_recovery.py
+++ b/tests/functional/test_recovery.py
@@ -1,12 +1,15 @@
 """What dead instances and deadly requests leave behind, with real processes."""
 
+import signal
 import threading
 import time
 from datetime import timedelta
 from typing import Any
 
+import urllib3
+
 from mimosafork.standins import expected_answer
-from tests.support.calls import Client, StreamedText
+from tests.support.calls import Client, HttpAnswer, StreamedText
 from tests.support.duties import holder
 from tests.support.functions import function_tests
 from tests.support.processes import Cluster, running_platform
@@ -191,4 +194,45 @@
         assert crashes(cluster) == before
 
 
+def is_quarantined(answer: HttpAnswer) -> bool:
+    kind: str = answer.json()["type"]
+    return kind.endswith("quarantined")
+
+
+def all_answer(cluster: Cluster) -> bool:
+    """Return whether no engine is down."""
+    try:
+        crashes(cluster)
+    except urllib3.exceptions.HTTPError:
+        return False
+    return True
+
+
+def test_poisoned_prompt_received_in_a_freeze_costs_no_third_engine() -> None:
+    """A resumed instance must not run a prompt that its peer knows to crash engines."""
+    with running_platform() as cluster:
+        for number in range(4):
+            name = f"engine-{number}"
+            address = cluster.add_engine(name, "--token-interval-ms", "20")
+            fault = {"kind": "crash-on-prompt", "marker": "poison", "down_s": 1.0}
+            assert Client(address).call("POST", "/faults", fault).status < 300
+        frozen = cluster.add_entry("entry-1")
+        client = cluster.add_entry("entry-2")
+        for name in ("entry-1", "entry-2"):
+            cluster.wait_until_served(name, endpoints=4)
+        cluster.entries["entry-1"].signal(signal.SIGSTOP)
+        statuses: list[int] = []
+        caller = threading.Thread(
+            target=lambda: statuses.append(frozen.complete("a poison letter", 5).status)
+        )
+        caller.start()
+        while not is_quarantined(client.complete("a poison letter", 5)):
+            continue
+        cluster.entries["entry-1"].signal(signal.SIGCONT)
+        caller.join(60)
+        assert len(statuses) == 1 and statuses[0] >= 400, statuses
+        eventually(lambda: all_answer(cluster))
+        assert len(crashes(cluster)) <= 2
+
+
 load_tests = function_tests(__name__)
