Wait for the drain itself in the tests of planned stops

Cause: the test waits for a failing readiness check before it sends the second signal. An instance that serves may not be ready yet, as the newest configuration is not known; so the check fails at once, the two signals are sent within a few milliseconds and the kernel merges them, as SignalThread documents.

The product is as documented. The test now waits until the page says that the instance drains, and demands the same as before after that.

--- a/tests/functional/test_graceful_shutdown.py
+++ b/tests/functional/test_graceful_shutdown.py
@@ -24,15 +24,19 @@
         yield cluster
 
 
-def ready_status(cluster: Cluster) -> int:
-    """Return what the balancer is told."""
-    return cluster.operations[ENTRY].call("GET", "/readyz").status
+def is_draining(cluster: Cluster) -> bool:
+    """Return whether the balancer is told that the instance drains.
+
+    An instance that has just started fails the readiness check for other reasons.
+    """
+    answer = cluster.operations[ENTRY].call("GET", "/readyz")
+    return answer.status == 503 and answer.json()["why"] == "draining"
 
 
 def wait_for_drain(cluster: Cluster) -> None:
-    """Wait until the readiness check fails."""
+    """Wait until the readiness check fails because of the stop."""
     limit = time.monotonic() + 10
-    while ready_status(cluster) != 503:
+    while not is_draining(cluster):
         assert time.monotonic() < limit
 
 
