--- a/tests/functional/test_recovery.py
+++ b/tests/functional/test_recovery.py
@@ -154,6 +154,15 @@
     return {name: count for name, count in counts.items() if count}
 
 
+def add_crashing_engines(cluster: Cluster) -> None:
+    """Add four engines that crash on a poisoned prompt."""
+    for number in range(4):
+        name = f"engine-{number}"
+        address = cluster.add_engine(name, "--token-interval-ms", "20")
+        fault = {"kind": "crash-on-prompt", "marker": "poison", "down_s": 1.0}
+        assert Client(address).call("POST", "/faults", fault).status < 300
+
+
 def test_poisoned_prompt_costs_two_engines_and_bystanders_finish() -> None:
     """A letter crashes each engine that reads it, and its sender will not give up.
 
@@ -161,11 +170,7 @@
     all the crashes. The letters that ran beside it come to their end.
     """
     with running_platform() as cluster:
-        for number in range(4):
-            name = f"engine-{number}"
-            address = cluster.add_engine(name, "--token-interval-ms", "20")
-            fault = {"kind": "crash-on-prompt", "marker": "poison", "down_s": 1.0}
-            assert Client(address).call("POST", "/faults", fault).status < 300
+        add_crashing_engines(cluster)
         client = cluster.add_entry("entry-1")
         cluster.wait_until_served("entry-1", endpoints=4)
         answers: dict[str, StreamedText] = {}
@@ -211,11 +216,7 @@
 def test_poisoned_prompt_received_in_a_freeze_costs_no_third_engine() -> None:
     """A resumed instance must not run a prompt that its peer knows to crash engines."""
     with running_platform() as cluster:
-        for number in range(4):
-            name = f"engine-{number}"
-            address = cluster.add_engine(name, "--token-interval-ms", "20")
-            fault = {"kind": "crash-on-prompt", "marker": "poison", "down_s": 1.0}
-            assert Client(address).call("POST", "/faults", fault).status < 300
+        add_crashing_engines(cluster)
         frozen = cluster.add_entry("entry-1")
         client = cluster.add_entry("entry-2")
         for name in ("entry-1", "entry-2"):
