Ask the next peer for a configuration while a silent one is waited for

Cause: the puller asked one peer after the other and gave each its whole second, and pulled the list and the configuration in one loop. With five of six peers cut off but not yet suspected a configuration came after up to 5 s, and as long as a list that nobody hands over was asked for, none was pulled at all.

Mend: the next peer is asked after 0.2 s while earlier ones may still answer; each matter has a loop of its own; a newer version that a slow peer offers is asked for again. A peer that answers at once is the only one asked, as before.

--- a/src/mimosafork/gossip/pulling.py
+++ b/src/mimosafork/gossip/pulling.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from datetime import timedelta
 from random import Random
 from typing import cast
@@ -18,6 +18,9 @@
 logger = logging.getLogger(__name__)
 
 RETRY_AFTER = timedelta(seconds=1)
+ASK_NEXT_AFTER = timedelta(milliseconds=200)
+"""Time after which the next peer is asked as well. A peer whose machine is cut off
+counts as alive for seconds and does not answer."""
 
 Pull = Callable[[Address, Matter], Awaitable[Held]]
 Offered = Callable[[Matter, Held], None]
@@ -31,7 +34,10 @@
 
 
 class Puller:
-    """Pulls what peers have newer, one peer after another until one hands it over.
+    """Pulls what peers have newer, until one of them hands it over.
+
+    Each matter is pulled by itself, so that a list that no peer hands over does not
+    delay a configuration.
 
     Parameters
     ----------
@@ -56,21 +62,33 @@
         self.pull = pull
         self.offered = offered
         self.random = random
-        self.wake = asyncio.Event()
+        self.wakes = {matter: asyncio.Event() for matter in Matter}
 
     def look(self) -> None:
         """Look soon whether something is to be pulled."""
-        self.wake.set()
+        for wake in self.wakes.values():
+            wake.set()
 
     async def run(self) -> None:
         """Pull for good."""
+        # A fault in one pull ends both, and the other one's wake-up is lost with it.
+        self.look()
+        async with asyncio.TaskGroup() as group:
+            for matter in Matter:
+                group.create_task(self.keep_up(matter))
+
+    async def keep_up(self, matter: Matter) -> None:
+        """Pull one matter for good."""
+        wake = self.wakes[matter]
         while True:
-            await self.wake.wait()
-            self.wake.clear()
-            behind = [matter for matter in Matter if not await self.catch_up(matter)]
-            if behind:
+            await wake.wait()
+            wake.clear()
+            if not await self.catch_up(matter):
                 await asyncio.sleep(RETRY_AFTER.total_seconds())
-                self.wake.set()
+                wake.set()
+            elif any(self.offers(matter)):
+                # The peer with the newest version was slower than one with an older.
+                wake.set()
 
     def held(self, matter: Matter) -> int:
         """Return the version that this instance has."""
@@ -97,14 +115,41 @@
             return True
         self.random.shuffle(offers)
         offers.sort(key=lambda offer: -offer[0])
-        for _, identity in offers:
-            if await self.pulled(matter, identity):
-                return True
+        if await self.pulled_from_any([identity for _, identity in offers], matter):
+            return True
         log_event(
             logger, GOSSIP_PULL_FAILED, matter=matter.name.lower(), version=offers[0][0]
         )
         return False
 
+    async def pulled_from_any(
+        self, identities: Iterable[Identity], matter: Matter
+    ) -> bool:
+        """Ask peers in order until one has something newer; return whether one had.
+
+        The next one is asked when the last one fails or is slow, which may still
+        answer.
+        """
+        asking: set[asyncio.Task[bool]] = set()
+        try:
+            for identity in identities:
+                asking.add(asyncio.create_task(self.pulled(matter, identity)))
+                done, asking = await asyncio.wait(
+                    asking,
+                    timeout=ASK_NEXT_AFTER.total_seconds(),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if any(each.result() for each in done):
+                    return True
+            for each in asyncio.as_completed(asking):
+                if await each:
+                    return True
+            return False
+        finally:
+            for each in asking:
+                each.cancel()
+            await asyncio.gather(*asking, return_exceptions=True)
+
     async def pulled(self, matter: Matter, identity: Identity) -> bool:
         """Ask one peer; return whether it had something newer."""
         try:
