--- a/src/mimosafork/standins/prepared/job.py
+++ b/src/mimosafork/standins/prepared/job.py
@@ -9,7 +9,7 @@
 from .http import Answer, Connection, Header, Request, whichever
 from .runs import Run, RunEnd, Visit
 from .sending import CLOSE, Sending
-from .words import DEADLINE_MS, REQUEST_ID, SEAL, SERVER_LIMIT
+from .words import DEADLINE_MS, REQUEST_ID, SEAL, SERVER_LEAVING, SERVER_LIMIT
 
 if TYPE_CHECKING:
     from .endpoint import Endpoint
@@ -51,16 +51,20 @@
             Header(REQUEST_ID, self.run.request_id),
             Header(SEAL, seal_of(self.run)),
             *more,
-            *self.limit_headers(),
+            *self.statement_headers(),
         ]
         if settings.keep_alive_s is not None:
             headers.append(Header("Keep-Alive", f"timeout={settings.keep_alive_s}"))
         return Sending(self.connection, self.fault, tuple(headers), closing)
 
-    def limit_headers(self) -> list[Header]:
-        """Return the header of the endpoint's rate limit, if it states one."""
-        limit = self.endpoint.stated_limit
-        return [] if limit is None else [Header(SERVER_LIMIT, limit)]
+    def statement_headers(self) -> list[Header]:
+        """Return the headers with what the endpoint states about itself."""
+        endpoint, headers = self.endpoint, []
+        if endpoint.stated_limit is not None:
+            headers.append(Header(SERVER_LIMIT, endpoint.stated_limit))
+        if endpoint.draining:
+            headers.append(Header(SERVER_LEAVING, "1"))
+        return headers
 
     def whole(self, answer: Answer) -> None:
         """Write the whole answer of its run."""
@@ -70,7 +74,7 @@
         """Write an answer that says that it has not run."""
         self.visited(answer.status)
         echo = Header(REQUEST_ID, self.request.header(REQUEST_ID))
-        headers = [*answer.headers, echo, *self.limit_headers()]
+        headers = [*answer.headers, echo, *self.statement_headers()]
         if self.endpoint.draining:
             headers.append(CLOSE)
         wire = Answer(answer.status, answer.body, tuple(headers))
