Log what endpoints announce in their responses

Whether an instance was told that an endpoint leaves, or wants no request for some time, could not be seen in its lines, so that an answer that is not read looked like one that came too late. Both are read now, in any response, and logged: MF2404 leaving-announced, MF2405 backoff-requested, MF2406 backoff-unreadable (once in ten seconds).

A date, a list, a sign or an exponent is logged and ignored. Responses of another endpoint at the address and of an earlier incarnation are not counted.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -205,7 +205,7 @@
             return
         self.head = head
         self.metadata = metadata
-        self.reports.rate_limit(metadata, self.sent_at)
+        self.reports.statements(metadata, self.sent_at)
         self.chunks.clear()
         self.buffered_bytes = 0
         if metadata.not_run:
--- a/src/mimosafork/gateway/attempt_reports.py
+++ b/src/mimosafork/gateway/attempt_reports.py
@@ -13,6 +13,11 @@
     HedgedAttemptResumed,
 )
 from ..kernel.messages.dispatch import Dispatch
+from ..kernel.messages.endpoint_statements import (
+    BackoffRequested,
+    BackoffUnreadable,
+    LeavingAnnounced,
+)
 from .attempt_context import AttemptContext
 from .call import Call
 from .dialect import ResponseMetadata
@@ -46,7 +51,21 @@
             AttemptSent(self.dispatch.request_id, self.dispatch.attempt)
         )
 
-    def rate_limit(self, metadata: ResponseMetadata, sent_at: timedelta) -> None:
+    def statements(self, metadata: ResponseMetadata, sent_at: timedelta) -> None:
+        """Report what a response states about its endpoint."""
+        # A response of another endpoint says nothing about this one.
+        if metadata.endpoint_moved:
+            return
+        endpoint = self.dispatch.endpoint
+        if metadata.announces_leaving:
+            self.context.report(LeavingAnnounced(endpoint, sent_at))
+        if metadata.backoff:
+            self.context.report(BackoffRequested(endpoint, sent_at, metadata.backoff))
+        elif not metadata.backoff_readable:
+            self.context.report(BackoffUnreadable(endpoint))
+        self._rate_limit(metadata, sent_at)
+
+    def _rate_limit(self, metadata: ResponseMetadata, sent_at: timedelta) -> None:
         """Report the rate limit that a response states, or that one has ended."""
         # Most endpoints have no limit: their responses cost no message.
         nothing_stated = metadata.rate_limit is None and metadata.rate_limit_readable
--- a/src/mimosafork/gateway/dialect.py
+++ b/src/mimosafork/gateway/dialect.py
@@ -71,6 +71,13 @@
         if it states no limit.
     rate_limit_readable : bool
         False if it states a limit that is not a valid number.
+    announces_leaving : bool
+        Whether the endpoint is about to exit.
+    backoff : timedelta or None
+        Time for which the endpoint wants no further request from this instance; None if
+        it does not ask for it.
+    backoff_readable : bool
+        False if it asks for a time that is not a valid number.
     """
 
     call_id: str | None
@@ -80,6 +87,9 @@
     fault_at: str | None = None
     rate_limit: float | None = None
     rate_limit_readable: bool = True
+    announces_leaving: bool = False
+    backoff: timedelta | None = None
+    backoff_readable: bool = True
 
 
 class OrderMessage(msgspec.Struct, frozen=True):
--- a/src/mimosafork/gateway/limit_reports.py
+++ b/src/mimosafork/gateway/limit_reports.py
@@ -17,10 +17,8 @@
     """Return the message about a response's rate limit; None if it says nothing.
 
     Only a signed response without a limit shows that there is none: a rejection may
-    omit the header. A response of another endpoint says nothing about this one.
+    omit the header.
     """
-    if metadata.endpoint_moved:
-        return None
     if not metadata.rate_limit_readable:
         return RateLimitUnreadable(dispatch.endpoint)
     if metadata.rate_limit is None and not metadata.signed:
--- a/src/mimosafork/gateway/policies/__init__.py
+++ b/src/mimosafork/gateway/policies/__init__.py
@@ -2,6 +2,7 @@
 
 from . import (
     catching_up,
+    endpoint_statements,
     fleet_view,
     ordering,
     placing,
@@ -15,6 +16,7 @@
 
 PLUGINS = (
     fleet_view.FleetView.name,
+    endpoint_statements.EndpointStatements.name,
     catching_up.CatchUp.name,
     quarantining.CrashQuarantine.name,
     rate_limits.EndpointRateLimits.name,
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -59,6 +59,8 @@
 
     Attributes
     ----------
+    listed_at : timedelta
+        Monotonic instant at which this incarnation was first listed.
     unusable_until, suspect_until : timedelta
         Monotonic instants.
     misses : int
@@ -74,6 +76,7 @@
     """
 
     listed: ListedEndpoint
+    listed_at: timedelta = timedelta(0)
     leaving: bool = False
     unusable_until: timedelta = timedelta(0)
     suspect_until: timedelta = timedelta(0)
@@ -197,7 +200,9 @@
             del self.departed[listed.endpoint]
         known = self.endpoints.get(listed.endpoint)
         if known is None or listed.started_after(known.listed.started_ms):
-            known = EndpointHealth(listed, zone_suspicion=self.zone_suspicion)
+            known = EndpointHealth(
+                listed, context.now, zone_suspicion=self.zone_suspicion
+            )
             self.endpoints[listed.endpoint] = known
         known.listed = listed
         known.leaving = False
--- a/src/mimosafork/platform/calls.py
+++ b/src/mimosafork/platform/calls.py
@@ -20,13 +20,9 @@
 from ..routing.table import ApiKey
 from . import names
 from .orders import failure_of, order_of
+from .statements import announces_leaving, rate_limit, requested_backoff
 
 NUMBER = re.compile(rb"[0-9]{1,15}")
-DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?")
-MIN_RATE_LIMIT = 0.05
-"""Requests per second. With a limit of zero an endpoint would get no request whose
-response could end the limit."""
-MAX_RATE_LIMIT = 1e6
 MILLISECOND = timedelta(milliseconds=1)
 REPLACED = frozenset(
     name.lower()
@@ -94,7 +90,7 @@
         fault_at = first_header_value(head.headers, names.AT_SERVER.lower())
         elsewhere = head.status == HTTPStatus.MISDIRECTED_REQUEST
         stated = first_header_value(head.headers, names.NOT_RUN.lower()) is not None
-        limit = rate_limit(head)
+        limit, backoff = rate_limit(head), requested_backoff(head)
         return ResponseMetadata(
             call_id=None if call_id is None else call_id.decode("latin-1"),
             signed=first_header_value(head.headers, names.RESPONSE_SEAL.lower())
@@ -104,6 +100,9 @@
             fault_at=None if fault_at is None else fault_at.decode("latin-1"),
             rate_limit=limit.per_s,
             rate_limit_readable=limit.readable,
+            announces_leaving=announces_leaving(head),
+            backoff=backoff.duration,
+            backoff_readable=backoff.readable,
         )
 
     def local_response_headers(
@@ -163,27 +162,6 @@
     return TokenCounts(count_of(prompt), count_of(most))
 
 
-class RateLimit(NamedTuple):
-    """Rate limit that a response states; None without one."""
-
-    per_s: float | None
-    readable: bool = True
-
-
-def rate_limit(head: ResponseHead) -> RateLimit:
-    """Return the strictest rate limit that a response states.
-
-    Values outside the usable range are clamped to it. A value that is not a decimal
-    number is ignored if another one is.
-    """
-    name = names.SERVER_LIMIT.lower()
-    values = [each.value.strip() for each in head.headers if each.name.lower() == name]
-    limits = [float(value) for value in values if DECIMAL.fullmatch(value)]
-    if not limits:
-        return RateLimit(None, readable=not values)
-    return RateLimit(min(max(min(limits), MIN_RATE_LIMIT), MAX_RATE_LIMIT))
-
-
 def count_of(value: bytes) -> int:
     """Return a number of tokens; 0 if the text is none."""
     found = NUMBER.fullmatch(value.strip())
--- a/src/mimosafork/telemetry/catalogue/rate_limits.py
+++ b/src/mimosafork/telemetry/catalogue/rate_limits.py
@@ -1,4 +1,4 @@
-"""Events of rate limits that endpoints state."""
+"""Events of what endpoints state about themselves in their responses."""
 
 from ..events import Event, Level
 
@@ -31,3 +31,30 @@
     "seconds.",
     "Mend the endpoint.",
 )
+LEAVING_ANNOUNCED = Event(
+    2404,
+    "leaving-announced",
+    Level.INFO,
+    "endpoint {endpoint} of service {service} announces in a response that it leaves",
+    "It gets no new work from this instance, whatever the store's list says; what runs "
+    "there goes on.",
+    "None.",
+)
+BACKOFF_REQUESTED = Event(
+    2405,
+    "backoff-requested",
+    Level.WARNING,
+    "endpoint {endpoint} of service {service} rejected a call and wants no further one "
+    "for {for_ms} ms",
+    "It gets none from this instance until then; others are told by their own calls.",
+    "See why the endpoint is in need.",
+)
+BACKOFF_UNREADABLE = Event(
+    2406,
+    "backoff-unreadable",
+    Level.WARNING,
+    "endpoint {endpoint} rejected a call and names a time that is no decimal number of "
+    "seconds; {count} so far",
+    "The rejection counts as one that asks for no backoff. Shown once in ten seconds.",
+    "Mend the endpoint.",
+)
--- a/tests/unit/platform/test_calls.py
+++ b/tests/unit/platform/test_calls.py
@@ -10,11 +10,8 @@
 from mimosafork.ids import AccountId, EndpointId, ReservationId
 from mimosafork.kernel.messages.dispatch import PrefillHelper
 from mimosafork.platform import names
-from mimosafork.platform.calls import (
-    MAX_RATE_LIMIT,
-    MIN_RATE_LIMIT,
-    PreparedDialect,
-)
+from mimosafork.platform.calls import PreparedDialect
+from mimosafork.platform.statements import MAX_BACKOFF, MAX_RATE_LIMIT, MIN_RATE_LIMIT
 
 from ...support.functions import function_tests
 
@@ -180,4 +177,40 @@
     case.assertEqual([], DIALECT.local_response_headers("", None))
 
 
+def test_a_backoff_is_read_from_a_503_and_kept_in_its_range() -> None:
+    """An endpoint that rejects calls may ask for none in any form that callers know."""
+    name = names.RETRY_AFTER
+    for value, seconds in (
+        (b"3", 3.0),
+        (b" 0.5 ", 0.5),
+        (b"0", 0.0),
+        (b"3600", 3600.0),
+        (b"9" * 15, MAX_BACKOFF.total_seconds()),
+    ):
+        backoff = answered(503, Header(name.lower(), value)).backoff
+        case.assertEqual(timedelta(seconds=seconds), backoff)
+    longest = answered(503, Header(name, b"1"), Header(name, b"2"), Header(name, b"x"))
+    case.assertEqual(timedelta(seconds=2), longest.backoff)
+    date = b"Thu, 03 Dec 2026 19:00:00 GMT"
+    for value in (b"", b"-1", b"+1", b"1e3", b"nan", b"inf", b"1,2", b"9" * 400, date):
+        odd = answered(503, Header(name, value))
+        case.assertEqual((None, False), (odd.backoff, odd.backoff_readable))
+    for marks in (answered(503), answered(429, Header(name, b"3"))):
+        case.assertEqual((None, True), (marks.backoff, marks.backoff_readable))
+
+
+def test_an_announced_leaving_is_read_in_any_response() -> None:
+    """Only the documented value counts: another one may mean the contrary."""
+    name = names.SERVER_LEAVING
+    for status in (200, 404, 500, 503):
+        for spelled in (name, name.lower(), name.upper()):
+            case.assertTrue(answered(status, Header(spelled, b" 1 ")).announces_leaving)
+    for value in (b"0", b"", b"true", b"11"):
+        case.assertFalse(answered(200, Header(name, value)).announces_leaving)
+    case.assertTrue(
+        answered(200, Header(name, b"0"), Header(name, b"1")).announces_leaving
+    )
+    case.assertFalse(answered(200).announces_leaving)
+
+
 load_tests = function_tests(__name__)
