Withdraw an endpoint that announces in a response that it leaves

Cause: the announcement in responses was read by nobody; an endpoint was withdrawn only when the store's list said so, which it did not while the store was down.

Change: the first response that announces it withdraws the endpoint in the kernel at once, marks it as draining in the directory, where no later listing as ready restores it, and so reaches the peers by the notice that there was already. A call that was placed before and waits for its connection is not sent (one check before every send, with the one of rate limits) and goes elsewhere without costing a retry. Responses to reservations count as well. A restart under the same id is new: responses to requests that were sent before it was listed are not counted.

Why it holds: what an endpoint says is final for its incarnation in the same place as a row that says it drains, and every request to it passes the one check.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -227,11 +227,14 @@
             row = replace(known.row, value=b"", version=version, removed=True)
             self.apply_endpoint(row, UpdateOrigin.PEER)
 
-    def offer_draining(self, endpoint: EndpointId, version: int = LATEST) -> None:
-        """Apply a peer's update that an endpoint is draining."""
-        changed = self.endpoint_registry.mark_draining(
-            endpoint, UpdateOrigin.PEER, version
-        )
+    def offer_draining(
+        self,
+        endpoint: EndpointId,
+        version: int = LATEST,
+        origin: UpdateOrigin = UpdateOrigin.PEER,
+    ) -> None:
+        """Apply an update without a row that an endpoint is draining."""
+        changed = self.endpoint_registry.mark_draining(endpoint, origin, version)
         if changed is not None:
             self.publish_endpoint(changed)
 
--- a/src/mimosafork/directory/messages.py
+++ b/src/mimosafork/directory/messages.py
@@ -16,6 +16,8 @@
 
     STORE = "store"
     PEER = "peer"
+    ENDPOINT = "endpoint"
+    """A response of the endpoint itself."""
 
 
 class EndpointState(Enum):
--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -168,11 +168,11 @@
             self.context.pool.release(self.dispatch.endpoint, connection)
             self._fail(FailureKind.DEADLINE, Exposure.NEVER_SENT)
             return
-        # The endpoint's rate limit may have fallen since the attempt was placed.
         now = self.context.clock.monotonic()
-        if not self.context.sends.admit(self.dispatch, now):
+        objection = self.context.sends.objection(self.dispatch, now)
+        if objection is not None:
             self.context.pool.release(self.dispatch.endpoint, connection)
-            self._fail(FailureKind.RATE_LIMITED, Exposure.NEVER_SENT)
+            self._fail(objection, Exposure.NEVER_SENT)
             return
         request = endpoint_request(
             self.call, self.dispatch, self.context.dialect, time_left
--- a/src/mimosafork/gateway/attempt_context.py
+++ b/src/mimosafork/gateway/attempt_context.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..ids import EndpointId
+from ..kernel.messages.attempts import FailureKind
 from ..kernel.messages.base import Message
 from ..kernel.messages.dispatch import Dispatch
 from .dialect import Dialect
@@ -17,8 +18,8 @@
 class SendGate(Protocol):
     """Admits each request that is sent to an endpoint."""
 
-    def admit(self, dispatch: Dispatch, now: timedelta) -> bool:
-        """Count an attempt that is about to be sent; return whether it may be."""
+    def objection(self, dispatch: Dispatch, now: timedelta) -> FailureKind | None:
+        """Count a request that is about to be sent; return why it may not be."""
 
     def tracks(self, endpoint: EndpointId) -> bool:
         """Return whether an endpoint has stated a rate limit."""
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -47,6 +47,7 @@
 from .order_client import OrderClient
 from .policies.fleet_view import FleetView
 from .policies.rate_limits import EndpointRateLimits
+from .policies.send_gate import EndpointSendGate
 from .pool import ConnectionPool
 from .problems import DEFAULT_RETRY_AFTER
 from .request_reader import RequestMessage
@@ -87,8 +88,11 @@
         self.random = random
         self.table = table
         self.pool = ConnectionPool(clock)
+        send_gate = EndpointSendGate(
+            kernel.plugin(FleetView), kernel.plugin(EndpointRateLimits)
+        )
         self.attempt_context = AttemptContext(
-            clock, self.pool, dialect, self.post, kernel.plugin(EndpointRateLimits)
+            clock, self.pool, dialect, self.post, send_gate
         )
         self.call_log = CallLog(clock)
         self.zone_watch = ZoneWatch(self.post, kernel.plugin(FleetView).zone_of)
--- a/src/mimosafork/gateway/gossip_adapter.py
+++ b/src/mimosafork/gateway/gossip_adapter.py
@@ -11,7 +11,12 @@
 from ..clock import Clock
 from ..directory.directory import Directory
 from ..directory.feed_update import FeedUpdate
-from ..directory.messages import DirectoryChange, EndpointState, TableChanged
+from ..directory.messages import (
+    DirectoryChange,
+    EndpointState,
+    TableChanged,
+    UpdateOrigin,
+)
 from ..directory.rows import Row
 from ..gossip.callbacks import Callbacks
 from ..gossip.kinds.configuration import Versions
@@ -23,6 +28,7 @@
 from ..gossip.state import HeardWork
 from ..ids import Digest, EndpointId, InstanceId, RequestId
 from ..kernel.messages.base import Effect, Message
+from ..kernel.messages.endpoint_statements import MarkDraining
 from ..kernel.messages.rate_limits import PeerRateLimitStated, PublishRateLimit
 from ..kernel.messages.routing import PeerWorkChanged, PeerWorkReplaced, PeerWorkUnknown
 from ..kernel.messages.sharing import (
@@ -180,6 +186,11 @@
         if self.gossip is not None:
             self.gossip.publish_limit(effect.endpoint, limit_note(effect.statement))
 
+    @publish_effect.register
+    def _(self, effect: MarkDraining) -> None:
+        # The directory notifies its listeners of the change, this adapter among them.
+        self.directory.offer_draining(effect.endpoint, origin=UpdateOrigin.ENDPOINT)
+
     def directory_changed(self, change: DirectoryChange) -> None:
         """Publish a change of the directory to peers."""
         if self.gossip is None:
--- a/src/mimosafork/gateway/order_client.py
+++ b/src/mimosafork/gateway/order_client.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ..ids import EndpointId
 from ..kernel.messages.base import Effect, Message
+from ..kernel.messages.endpoint_statements import LeavingAnnounced
 from ..kernel.messages.placement import (
     FreeOwnHolding,
     GangStepFailure,
@@ -56,8 +57,10 @@
 class OrderContext(msgspec.Struct, frozen=True):
     """Dependencies shared by all orders."""
 
+    clock: Clock
     pool: ConnectionPool
     dialect: Dialect
+    report: Callable[[Message], None]
 
 
 class OrderRequest:
@@ -71,6 +74,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.status: int | None = None
         self.sends = 0
+        self.sent_at = timedelta(0)
         self.ended = False
 
     def start(self) -> None:
@@ -97,6 +101,7 @@
             return
         self.connection = connection
         self.sends += 1
+        self.sent_at = self.context.clock.monotonic()
         sink = CallSink(self._on_head, lambda data: None, self._on_end, self._on_lost)
         connection.send(self._request(), sink, without_body=False)
 
@@ -112,6 +117,9 @@
 
     def _on_head(self, head: ResponseHead) -> None:
         self.status = head.status
+        metadata = self.context.dialect.parse_response_metadata(head)
+        if metadata.announces_leaving and not metadata.endpoint_moved:
+            self.context.report(LeavingAnnounced(self.order.endpoint, self.sent_at))
 
     def _on_end(self) -> None:
         connection, self.connection = self.connection, None
@@ -167,7 +175,7 @@
         post: Callable[[Message], None],
     ) -> None:
         self.clock = clock
-        self.context = OrderContext(pool, dialect)
+        self.context = OrderContext(clock, pool, dialect, post)
         self.post = post
         self.in_flight: set[OrderRequest] = set()
         self.all_answered = asyncio.Event()
--- a/src/mimosafork/gateway/policies/endpoint_statements.py
+++ b/src/mimosafork/gateway/policies/endpoint_statements.py
@@ -8,7 +8,9 @@
     BackoffRequested,
     BackoffUnreadable,
     LeavingAnnounced,
+    MarkDraining,
 )
+from ...kernel.messages.routing import EndpointLeaving
 from ...kernel.plugins import Plugin, PluginFinder
 from ...kernel.registry import register
 from .fleet_view import EndpointHealth, FleetView
@@ -36,6 +38,8 @@
         known = self._current(message)
         if known is not None:
             self.log.leaving(known.listed)
+            context.post(EndpointLeaving(message.endpoint, final=True))
+            context.emit(MarkDraining(message.endpoint))
 
     @handle.register
     def _(self, message: BackoffRequested, context: Context) -> None:
--- /dev/null
+++ b/src/mimosafork/gateway/policies/send_gate.py
@@ -0,0 +1,33 @@
+"""Last check of each request before it is sent to an endpoint."""
+
+from datetime import timedelta
+
+from ...ids import EndpointId
+from ...kernel.messages.attempts import FailureKind
+from ...kernel.messages.dispatch import Dispatch
+from .fleet_view import FleetView
+from .rate_limits import EndpointRateLimits
+
+
+class EndpointSendGate:
+    """Admits requests by what their endpoints have stated since they were placed.
+
+    An attempt may wait for a connection between its placement and its sending.
+    """
+
+    def __init__(self, fleet: FleetView, limits: EndpointRateLimits) -> None:
+        self.fleet = fleet
+        self.limits = limits
+
+    def tracks(self, endpoint: EndpointId) -> bool:
+        """Return whether an endpoint has stated a rate limit."""
+        return self.limits.tracks(endpoint)
+
+    def objection(self, dispatch: Dispatch, now: timedelta) -> FailureKind | None:
+        """Count a request that is about to be sent; return why it may not be."""
+        if dispatch.endpoint in self.fleet.departed:
+            self.limits.release(dispatch.request_id)
+            return FailureKind.DRAINING
+        if not self.limits.admit(dispatch, now):
+            return FailureKind.RATE_LIMITED
+        return None
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -34,6 +34,8 @@
     ENGINE_FAILED = "engine-failed"
     """The engine reported the stream as failed."""
     DEADLINE = "deadline"
+    DRAINING = "draining"
+    """The endpoint has begun to drain since the attempt was placed."""
     RATE_LIMITED = "rate-limited"
     """The endpoint's rate limit allows no further request of this instance now."""
     SUPERSEDED = "superseded"
--- a/tests/unit/gateway/test_doubtful_connections.py
+++ b/tests/unit/gateway/test_doubtful_connections.py
@@ -19,7 +19,9 @@
     ResponseMetadata,
 )
 from mimosafork.gateway.heads import Header, RequestHead
+from mimosafork.gateway.policies.fleet_view import FleetView
 from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
+from mimosafork.gateway.policies.send_gate import EndpointSendGate
 from mimosafork.gateway.pool import ConnectionPool, ConnectionRequest
 from mimosafork.gateway.request_reader import RequestMessage
 from mimosafork.gateway.response_reader import ResponseHead
@@ -115,7 +117,7 @@
             self.pool,
             dialect,
             self.reported.append,
-            EndpointRateLimits(),
+            EndpointSendGate(FleetView(), EndpointRateLimits()),
         )
 
     def release_idle(self, endpoint: EndpointId) -> EndpointConnection:
