--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -1,7 +1,6 @@
 """The directory: follows the configuration and the endpoints, and publishes changes."""
 
 import asyncio
-import logging
 import sys
 from collections.abc import Callable
 from datetime import timedelta
@@ -11,27 +10,17 @@
 
 from ..clock import Clock
 from ..ids import EndpointId
-from ..routing.changes import TableChanges
 from ..routing.table import RoutingTable
-from ..telemetry.catalogue.directory import (
-    ENDPOINT_DRAINING,
-    ENDPOINT_GONE,
-    ENDPOINT_HELD,
-    ENDPOINT_LISTED,
-    ENTRY_UNREADABLE,
-    TABLE_TAKEN,
-)
-from ..telemetry.logs import log_event
+from .change_log import log_endpoint, log_table, log_unreadable
 from .current_table import CurrentTable
 from .endpoint_registry import EndpointRegistry
 from .errors import UnreadableRowError
-from .follower import MILLISECOND, Sleep, TableFollower, sleep
+from .follower import Sleep, TableFollower, sleep
 from .health import StoreHealth, VersionWatermark
 from .messages import (
     DirectoryChange,
     DirectoryEntry,
     EndpointChanged,
-    EndpointState,
     Listener,
     TableChanged,
     UpdateOrigin,
@@ -41,8 +30,6 @@
 from .settings import DirectorySettings
 from .sources import ConfigurationSource, EndpointSource
 
-logger = logging.getLogger(__name__)
-
 MISSED_DETECTION_PROBABILITY = 0.001
 """Accepted probability that no instance detects in time that all connections stall."""
 LONGEST_WAIT = timedelta(seconds=10)
@@ -51,12 +38,6 @@
 LATEST = sys.maxsize
 """Version of an update that counts as newer than all known ones."""
 
-MAX_FIELD_CHARS = 300
-"""Maximum length of a log field whose content comes from a row."""
-
-HELD = "held"
-"""State name of an endpoint that stays in use although its row is missing."""
-
 
 def no_peers() -> int:
     """Return zero, the number of peers before any is connected."""
@@ -278,17 +259,7 @@
 
     def publish_table(self, changed: TableChanged) -> None:
         """Log a configuration change and notify the listeners."""
-        silence = self.configuration_follower.health.time_since_answer
-        before = changed.before
-        log_event(
-            logger,
-            TABLE_TAKEN,
-            version=changed.table.version,
-            source=changed.origin.value,
-            before=None if before is None else before.version,
-            changes=TableChanges(before, changed.table),
-            age_ms=None if silence is None else silence // MILLISECOND,
-        )
+        log_table(changed, self.configuration_follower.health.time_since_answer)
         self.notify(changed)
 
     def publish_endpoint(self, changed: EndpointChanged) -> None:
@@ -395,48 +366,3 @@
         for row in rows:
             self.directory.apply_endpoint(row, UpdateOrigin.STORE)
         self.directory.resolve_missing()
-
-
-def log_endpoint(changed: EndpointChanged) -> None:
-    """Log the new state of an endpoint."""
-    entry = changed.entry
-    if entry.state is EndpointState.GONE:
-        event = ENDPOINT_GONE
-    elif entry.state is EndpointState.DRAINING:
-        event = ENDPOINT_DRAINING
-    elif entry.missing_version is not None:
-        event = ENDPOINT_HELD
-    else:
-        event = ENDPOINT_LISTED
-    log_event(
-        logger,
-        event,
-        endpoint=changed.endpoint,
-        service=entry.listed.service,
-        address=entry.listed.address,
-        source=changed.origin.value,
-        zone=entry.listed.zone,
-        before=None if changed.before is None else state_name(changed.before),
-    )
-
-
-def state_name(entry: DirectoryEntry) -> str:
-    """Return the name of an endpoint's state."""
-    return HELD if entry.missing_version is not None else entry.state.value
-
-
-def log_unreadable(row: Row, origin: UpdateOrigin, error: UnreadableRowError) -> None:
-    """Log a row that cannot be decoded."""
-    log_event(
-        logger,
-        ENTRY_UNREADABLE,
-        version=row.version,
-        row=truncate_field(row.key),
-        source=origin.value,
-        why=truncate_field(str(error)),
-    )
-
-
-def truncate_field(text: str) -> str:
-    """Return a text truncated to the maximum length of a log field."""
-    return text if len(text) <= MAX_FIELD_CHARS else f"{text[:MAX_FIELD_CHARS]}..."
