Send an endpoint nothing within the backoff that it requested

Cause: Retry-After of an endpoint's 503 was read by nobody. The class: an endpoint says something of itself in an answer, and no instance reads it; the same as with the rate limit and with the announced leaving before.

Change: the endpoint is not usable until the latest end that it asked for, so that first sends, retries, hedges, resumed streams and gangs leave it out where they choose; what was placed before is held back by the check before each send, and goes elsewhere without costing a retry. A rejection with a backoff no longer counts as one of a full engine, which excluded other engines with as many requests. Where all endpoints of a service are in one, a call waits for at most a quarter of its time and is refused at once else, with the time until the first end. Placements in the first second after a backoff are 0.1 s apart.

--- a/src/mimosafork/gateway/policies/__init__.py
+++ b/src/mimosafork/gateway/policies/__init__.py
@@ -1,6 +1,7 @@
 """Policy plug-ins of the gateway; importing this package registers them."""
 
 from . import (
+    backoff_waits,
     catching_up,
     endpoint_statements,
     fleet_view,
@@ -21,6 +22,7 @@
     quarantining.CrashQuarantine.name,
     rate_limits.EndpointRateLimits.name,
     rate_limit_admission.RateLimitAdmission.name,
+    backoff_waits.BackoffAdmission.name,
     placing.WorkPlacer.name,
     reserving.MemoryKeeper.name,
     retrying.BudgetedRetry.name,
--- a/src/mimosafork/gateway/policies/endpoint_statements.py
+++ b/src/mimosafork/gateway/policies/endpoint_statements.py
@@ -46,6 +46,7 @@
         known = self._current(message)
         if known is not None:
             self.log.backoff(known.listed, message.duration)
+            known.backoff.extend(message.duration, context.now)
 
     @handle.register
     def _(self, message: BackoffUnreadable, context: Context) -> None:
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -27,6 +27,7 @@
 from ...routing.listing import ListedEndpoint
 from ...routing.table import RoutingTable
 from .health_log import HealthStatus, log_ejected, log_reinstated, log_suspicion
+from .requested_backoff import RequestedBackoff
 from .zone_suspicion import FAILURE_WEIGHTS, ZoneSuspicion
 
 UNREACHABLE_BACKOFF = timedelta(seconds=1)
@@ -69,6 +70,8 @@
         Exponential moving average of attempt failures.
     suspected_at : timedelta or None
         Start of the current ejection or suspicion.
+    backoff : RequestedBackoff
+        Backoff that the endpoint has requested.
     zone_suspicion : ZoneSuspicion
         Zones that appear to be partitioned.
     cached_view : CachedView or None
@@ -83,6 +86,7 @@
     misses: int = 0
     failure_rate: float = 0.0
     suspected_at: timedelta | None = None
+    backoff: RequestedBackoff = msgspec.field(default_factory=RequestedBackoff)
     zone_suspicion: ZoneSuspicion = msgspec.field(default_factory=ZoneSuspicion)
     cached_view: CachedView | None = None
 
@@ -111,7 +115,9 @@
 
     def usable(self, now: timedelta) -> bool:
         """Return whether the endpoint may receive new requests."""
-        return not self.leaving and now >= self.unusable_until
+        if self.leaving or self.backoff.active(now):
+            return False
+        return now >= self.unusable_until
 
     def suspect(self, now: timedelta) -> bool:
         """Return whether the endpoint is used only as a last resort."""
@@ -122,7 +128,8 @@
     def view(self, now: timedelta) -> EngineView:
         """Return the view for placement; the cached one if nothing has changed."""
         last = self.cached_view
-        usable, suspect = self.usable(now), self.suspect(now)
+        usable = self.usable(now) and not self.backoff.delays_placement(now)
+        suspect = self.suspect(now)
         if (
             last is not None
             and last.listed is self.listed
--- a/src/mimosafork/gateway/policies/placement_requests.py
+++ b/src/mimosafork/gateway/policies/placement_requests.py
@@ -10,6 +10,8 @@
 from ...placement.choice import PlacementRequest
 from ...routing.engine import EngineFigures
 
+RETRY_AFTER = timedelta(milliseconds=600)
+
 MAX_WAIT_SHARE = 0.25
 """A call that has waited for this share of its time is rejected: it could hardly be
 served any more, and its caller should retry elsewhere immediately."""
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -6,7 +6,7 @@
 
 from msgspec.structs import replace
 
-from ...ids import AttemptNumber, RequestId, ServiceId
+from ...ids import AttemptNumber, EndpointId, RequestId, ServiceId
 from ...kernel.context import Context
 from ...kernel.lifecycle import QUEUE_MISSES
 from ...kernel.messages.attempts import (
@@ -39,29 +39,26 @@
     PlacementRequest,
     RejectRequest,
     Shortage,
-    WaitForCapacity,
 )
 from ...placement.load_tracker import InFlightRequest, LoadTracker
 from ...placement.memory import needs_reservations
 from ...placement.overload import slot_release_time, typical_answer_time
 from ...placement.policy import choose
 from ...routing.engine import EngineFigures
+from .capacity_waits import CapacityWaits
 from .dispatch_places import place_on, prefill_helpers
 from .fleet_view import FleetView
 from .full_rejections import FullRejections, reports_full
 from .placement_requests import (
-    MAX_WAIT_SHARE,
+    RETRY_AFTER,
     overloaded_problem,
     placement_request,
 )
 from .quarantining import CrashQuarantine
-from .rate_limit_waits import rate_limit_wait
 from .rate_limits import EndpointRateLimits
 from .reserving import MemoryKeeper
 from .retrying import RETRY_BUDGET_EXHAUSTED, BudgetedRetry
 
-RETRY_AFTER = timedelta(milliseconds=600)
-
 MIN_PUBLISHED_PREFILL_MS = 100.0
 """The end of a prefill is published to peers if a part takes an engine this long."""
 
@@ -93,7 +90,7 @@
         self.engine_subset: Callable[[Sequence[EngineView]], Sequence[EngineView]] = (
             all_engines
         )
-        self.waiting_since: dict[RequestId, timedelta] = {}
+        self.waits = CapacityWaits()
         self.predicted_first_token_at: dict[RequestId, timedelta] = {}
         self.full_rejections = FullRejections()
         self.placed_attempts: dict[RequestId, AttemptNumber] = {}
@@ -109,6 +106,7 @@
         self.retry = find(BudgetedRetry) or self.retry
         self.rate_limits = find(EndpointRateLimits) or self.rate_limits
         self.rate_limits.in_flight = self.load_tracker.own
+        self.waits.rate_limits = self.rate_limits
 
     def place(self, record: RequestRecord, context: Context) -> Placement:
         """Return the placement of a call."""
@@ -121,7 +119,8 @@
         if objection is not None:
             return Refuse(objection)
         service = ServiceId(record.request.target)
-        views = [b.view(context.now) for b in self.fleet.service_endpoints(service)]
+        endpoints = self.fleet.service_endpoints(service)
+        views = [each.view(context.now) for each in endpoints]
         if self.memory.is_backing_off(record.request_id, context.now):
             return Wait(Shortage.MEMORY.value)
         figures = self.figures_of(service)
@@ -136,7 +135,7 @@
             return self._assign(choice, ask, record, context)
         if isinstance(choice, RejectRequest):
             return Refuse(overloaded_problem(choice.reason.value, choice.retry_after))
-        return self._wait_or_refuse(record, choice, views, context)
+        return self.waits.decide(record, choice, endpoints, context)
 
     def _eligible_engines(
         self,
@@ -199,14 +198,21 @@
         work = place.to_in_flight_request(ask, context.now)
         self.load_tracker.record(work)
         self.rate_limits.reserve(work.request, work.host)
+        self._note_placed(work.host, context.now)
         self.placed_attempts[work.request] = AttemptNumber(len(record.attempts) + 1)
-        self.waiting_since.pop(record.request_id, None)
+        self.waits.forget(record.request_id)
         self._record_prediction(place, record.request_id, context.now)
         context.emit(PublishWork(work))
         if place.reservations:
             return self.memory.begin(place, record, context)
         return place_on(place, record.request, prefill_helpers(place))
 
+    def _note_placed(self, endpoint: EndpointId, now: timedelta) -> None:
+        """Space the placements on an endpoint that was in a backoff until recently."""
+        known = None if self.fleet is None else self.fleet.endpoints.get(endpoint)
+        if known is not None:
+            known.backoff.note_placed(now)
+
     def _record_prediction(
         self, place: Assignment, request_id: RequestId, now: timedelta
     ) -> None:
@@ -233,40 +239,6 @@
             ask, avoid=ask.avoid | self.memory.engines_short_of_memory(context.now)
         )
 
-    def _wait_or_refuse(
-        self,
-        record: RequestRecord,
-        choice: WaitForCapacity,
-        views: Sequence[EngineView],
-        context: Context,
-    ) -> Placement:
-        """Let a call wait, or reject it if it has waited too long or would.
-
-        Only time in the queue counts: otherwise a stream that breaks late while all
-        engines are full would be rejected at once with time left. A call that yields to
-        others in turn is not rejected, as it can start at any moment.
-        """
-        if choice.reason is Shortage.TURN:
-            return Wait(choice.reason.value)
-        now = context.now
-        since = self.waiting_since.setdefault(record.request_id, now)
-        allowed = record.request.deadline - record.submitted_at
-        latest = since + allowed * MAX_WAIT_SHARE
-        if now > latest:
-            return Refuse(overloaded_problem(choice.reason.value, RETRY_AFTER))
-        if not self.rate_limits.limited:
-            return Wait(choice.reason.value)
-        shares = [self.rate_limits.limit(view.endpoint, now) for view in views]
-        queue = context.state.waiting.waiting_for(ServiceId(record.request.target))
-        before = [self.waiting_since.get(each.request_id) for each in queue]
-        ahead = sum(at is not None and at < since for at in before)
-        wait = rate_limit_wait(views, shares, ahead, now)
-        if wait is None:
-            return Wait(choice.reason.value)
-        if wait.until is None or wait.until > latest:
-            return Refuse(overloaded_problem(Shortage.RATE.value, wait.retry_after))
-        return Wait(Shortage.RATE.value)
-
     def figures_of(self, service: ServiceId) -> EngineFigures | None:
         """Return the engine parameters of a service; None for a plain service."""
         table = self.fleet.table if self.fleet is not None else None
@@ -309,7 +281,7 @@
 
     @handle.register
     def _(self, message: AttemptRestored, context: Context) -> None:
-        self.waiting_since.pop(message.request_id, None)
+        self.waits.forget(message.request_id)
         if self.hedged_attempts.pop(message.request_id, None) is None:
             return
         self.load_tracker.remove(message.request_id)
@@ -329,7 +301,7 @@
     @handle.register
     def _(self, message: RequestConcluded, context: Context) -> None:
         request_id = message.record.request_id
-        self.waiting_since.pop(request_id, None)
+        self.waits.forget(request_id)
         self.predicted_first_token_at.pop(request_id, None)
         self.full_rejections.forget(request_id)
         self.placed_attempts.pop(request_id, None)
@@ -370,6 +342,9 @@
         known = self.fleet.endpoints.get(work.host) if self.fleet is not None else None
         if known is None or work.held or not reports_full(failure, known.listed):
             return
+        # An endpoint that requests a backoff may have free slots.
+        if known.backoff.active(context.now):
+            return
         figures = self.figures_of(known.listed.service)
         if figures is None:
             return
--- a/src/mimosafork/gateway/policies/send_gate.py
+++ b/src/mimosafork/gateway/policies/send_gate.py
@@ -28,6 +28,10 @@
         if dispatch.endpoint in self.fleet.departed:
             self.limits.release(dispatch.request_id)
             return FailureKind.DRAINING
+        known = self.fleet.endpoints.get(dispatch.endpoint)
+        if known is not None and known.backoff.active(now):
+            self.limits.release(dispatch.request_id)
+            return FailureKind.BACKING_OFF
         if not self.limits.admit(dispatch, now):
             return FailureKind.RATE_LIMITED
         return None
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -34,6 +34,8 @@
     ENGINE_FAILED = "engine-failed"
     """The engine reported the stream as failed."""
     DEADLINE = "deadline"
+    BACKING_OFF = "backing-off"
+    """The endpoint has requested a backoff since the attempt was placed."""
     DRAINING = "draining"
     """The endpoint has begun to drain since the attempt was placed."""
     RATE_LIMITED = "rate-limited"
--- a/src/mimosafork/placement/choice.py
+++ b/src/mimosafork/placement/choice.py
@@ -142,6 +142,7 @@
     TIME = "the time that is left is too short"
     TURN = "older prompts are being read"
     RATE = "the rate limits of all endpoints are reached"
+    BACKOFF = "all endpoints have requested a backoff"
 
 
 class WaitForCapacity(msgspec.Struct, frozen=True):
--- a/tests/unit/gateway/test_gateway_machine.py
+++ b/tests/unit/gateway/test_gateway_machine.py
@@ -404,7 +404,7 @@
             set(keeper.gang_failures),
             set(keeper.backoff_until),
             set(placer.load_tracker.own),
-            set(placer.waiting_since),
+            set(placer.waits.since),
             {record.request_id for record in kernel.state.waiting},
         ]
         assert not any(ended & names for names in kept), ("LEAK", kept)
