Look for a hedged attempt's load under its own id in the gateway's machine

The check that running calls are counted at their endpoints looked for each attempt under its call's id. A hedged attempt stays open beside the next one and is counted under an id of its own (hedged_id), so that the check compared the next attempt's endpoint with the hedged one's and failed. The check is as strict: each open attempt must be counted, at its own endpoint.

--- a/tests/unit/gateway/test_gateway_machine.py
+++ b/tests/unit/gateway/test_gateway_machine.py
@@ -16,7 +16,7 @@
 
 from mimosafork.directory.rows import Row
 from mimosafork.gateway.policies.fleet_view import FleetView
-from mimosafork.gateway.policies.placing import WorkPlacer
+from mimosafork.gateway.policies.placing import WorkPlacer, hedged_id
 from mimosafork.gateway.policies.reserving import MemoryKeeper
 from mimosafork.gateway.policies.retry_budget import SlackShare
 from mimosafork.ids import EndpointId, InstanceId, RequestId, ServiceId
@@ -411,10 +411,14 @@
 
     @invariant()
     def running_calls_are_booked(self) -> None:
-        """Check that running calls are counted at their endpoints."""
+        """Check that running calls are counted at their endpoints.
+
+        A hedged attempt is counted beside the next one of its call, under its own id.
+        """
         own = self.gateway.kernel.plugin(WorkPlacer).load_tracker.own
         for sent in self.gateway.open:
-            work = own.get(sent.dispatch.request_id)
+            name = sent.dispatch.request_id
+            work = own.get(hedged_id(name) if sent.hedged else name)
             assert work is not None, ("LIMIT", sent)
             assert work.host == sent.dispatch.endpoint, ("LIMIT", sent)
 
