Keep an endpoint's backoff while it is missing from the list

What callers saw: nothing yet; found while looking for ways in which a backoff is forgotten. An endpoint whose row expires around an outage of the store is withdrawn for now, and was listed again some seconds later without the backoff that it had requested: all calls went to it again.

Cause: the health of an endpoint, the backoff with it, is dropped when it is no longer listed.

Change: the backoff of an endpoint that may return is kept until it ends, and holds for the same incarnation when it is listed again.

Evidence: the new test failed before, calls were placed within the backoff of 30 s; it passes now.

--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -165,6 +165,8 @@
         self.by_service: dict[ServiceId, dict[EndpointId, EndpointHealth]] = {}
         self.departed: dict[EndpointId, int | None] = {}
         """Start time of each endpoint that is draining or gone, by endpoint."""
+        self.absent: dict[EndpointId, EndpointHealth] = {}
+        """Endpoints in a backoff that are missing from the list and may return."""
         self.zone_suspicion = ZoneSuspicion()
         self.zone_answered_at: dict[AvailabilityZoneId, timedelta] = {}
         """Time of the latest first token or status from an endpoint of each zone."""
@@ -210,11 +212,29 @@
             known = EndpointHealth(
                 listed, context.now, zone_suspicion=self.zone_suspicion
             )
+            self._restore_backoff(known)
             self.endpoints[listed.endpoint] = known
         known.listed = listed
         known.leaving = False
         self.by_service.setdefault(listed.service, {})[listed.endpoint] = known
 
+    def _restore_backoff(self, known: EndpointHealth) -> None:
+        """Keep the backoff of an incarnation that was missing from the list."""
+        former = self.absent.pop(known.listed.endpoint, None)
+        if former is None or known.listed.started_after(former.listed.started_ms):
+            return
+        known.listed_at = former.listed_at
+        known.backoff = former.backoff
+
+    def _keep_backoff(self, known: EndpointHealth, now: timedelta) -> None:
+        """Keep an absent endpoint's backoff as long as it lasts."""
+        self.absent[known.listed.endpoint] = known
+        self.absent = {
+            endpoint: each
+            for endpoint, each in self.absent.items()
+            if each.backoff.active(now)
+        }
+
     @handle.register
     def _(self, message: EndpointLeaving, context: Context) -> None:
         known = self.endpoints.pop(message.endpoint, None)
@@ -227,6 +247,8 @@
             known.leaving = True
             self.by_service[known.listed.service].pop(message.endpoint, None)
             log_ejected(known, message.final)
+            if not message.final:
+                self._keep_backoff(known, context.now)
 
     @handle.register
     def _(self, message: ZoneUnreachable, context: Context) -> None:
--- a/tests/unit/gateway/test_endpoint_statements.py
+++ b/tests/unit/gateway/test_endpoint_statements.py
@@ -18,7 +18,7 @@
     LeavingAnnounced,
     MarkDraining,
 )
-from mimosafork.kernel.messages.routing import EndpointUsable
+from mimosafork.kernel.messages.routing import EndpointLeaving, EndpointUsable
 
 from ...support.functions import function_tests
 from ...support.gateway_kernels import GatewayBench, gateway_bench, listed, request_of
@@ -188,6 +188,18 @@
     case.assertEqual({DESK}, hosts(bench, 1, "r"))
 
 
+def test_a_backoff_outlasts_a_short_absence_from_the_list() -> None:
+    """An endpoint whose row expired in an outage of the store must keep its backoff."""
+    bench = gateway_bench(endpoints=2)
+    request_backoff(bench, 30 * SECOND)
+    bench.handle(EndpointLeaving(DESK, final=False))
+    bench.clock.advance(4 * SECOND)
+    bench.list_endpoint(DESK)
+    case.assertEqual({OTHER_DESK}, hosts(bench, 6, "r"))
+    bench.clock.advance(27 * SECOND)
+    case.assertIn(DESK, hosts(bench, 6, "s"))
+
+
 def test_a_requested_backoff_does_not_count_as_a_full_engine() -> None:
     """Other engines with as many running requests must not be taken for full."""
     for backs_off in (False, True):
