Let endpoints announce leavings and request backoffs in the gateway's machine

Two rules and a machine of their own: endpoints announce that they leave or ask for no request for 0.1 to 30 s, while calls wait, connect and reserve memory, endpoints drain, end and are cut off, and old rows arrive. Each placement and each send is checked against what was announced.

--- a/tests/support/simulated_gateway.py
+++ b/tests/support/simulated_gateway.py
@@ -18,12 +18,16 @@
     DirectoryChange,
     EndpointState,
     TableChanged,
+    UpdateOrigin,
 )
 from mimosafork.directory.rows import Row
 from mimosafork.gateway.intake import AdmittedCall, CallRefusal, admit
 from mimosafork.gateway.policies import PLUGINS
+from mimosafork.gateway.policies.fleet_view import FleetView
+from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
 from mimosafork.gateway.policies.retry_budget import SlackShare
 from mimosafork.gateway.policies.retrying import BudgetedRetry
+from mimosafork.gateway.policies.send_gate import EndpointSendGate
 from mimosafork.gateway.problems import final_status
 from mimosafork.ids import (
     AttemptNumber,
@@ -52,6 +56,11 @@
     Dispatch,
     RestoreAttempt,
 )
+from mimosafork.kernel.messages.endpoint_statements import (
+    BackoffRequested,
+    LeavingAnnounced,
+    MarkDraining,
+)
 from mimosafork.kernel.messages.lifecycle import StopNow
 from mimosafork.kernel.messages.outcomes import Conclude, Outcome
 from mimosafork.kernel.messages.placement import (
@@ -184,6 +193,10 @@
         self.endpoints: dict[EndpointId, SimulatedEndpoint] = {}
         self.endpoint_by_address: dict[str, EndpointId] = {}
         self.reported_draining: set[EndpointId] = set()
+        self.backoff_ends: dict[EndpointId, timedelta] = {}
+        self.send_gate = EndpointSendGate(
+            self.kernel.plugin(FleetView), self.kernel.plugin(EndpointRateLimits)
+        )
         self.calls: dict[RequestId, ModelCall] = {}
         self.refusals: list[CallRefusal] = []
         self.open: list[SimulatedAttempt] = []
@@ -247,6 +260,19 @@
             CrashSuspicionUpdated(digest, frozenset(endpoints), cleared=not endpoints)
         )
 
+    def announce_leaving(self, endpoint: EndpointId) -> None:
+        """Receive a response in which an endpoint announces that it leaves."""
+        if endpoint in self.directory.endpoints:
+            self.reported_draining.add(endpoint)
+        self.post(LeavingAnnounced(endpoint, self.now))
+
+    def request_backoff(self, endpoint: EndpointId, duration: timedelta) -> None:
+        """Receive a rejection with which an endpoint requests a backoff."""
+        if endpoint in self.kernel.plugin(FleetView).endpoints:
+            former = self.backoff_ends.get(endpoint, self.now)
+            self.backoff_ends[endpoint] = max(former, self.now + duration)
+        self.post(BackoffRequested(endpoint, self.now, duration))
+
     # Callers
 
     @property
@@ -327,6 +353,8 @@
             self.wakes.append(effect)
         elif isinstance(effect, ReserveMemory | FreeOwnHolding):
             self.order(effect)
+        elif isinstance(effect, MarkDraining):
+            self.directory.offer_draining(effect.endpoint, origin=UpdateOrigin.ENDPOINT)
         elif isinstance(effect, Conclude):
             self.conclude(effect)
 
@@ -353,6 +381,12 @@
             entry = self.directory.endpoints.get(endpoint)
             assert entry is not None, ("DRAIN: gone", endpoint, effect)
             assert entry.takes_new_work, ("DRAIN", endpoint, effect)
+            self.check_backoff(endpoint)
+
+    def check_backoff(self, endpoint: EndpointId) -> None:
+        """Check that an endpoint gets nothing within the backoff that it requested."""
+        end = self.backoff_ends.get(endpoint, self.now)
+        assert end <= self.now, ("BUDGET: backoff", endpoint)
 
     def check_slots(self, endpoint: EndpointId) -> None:
         """Check that an engine hosts no more attempts than it has slots."""
@@ -368,6 +402,11 @@
         if sent.dispatch.deadline <= self.now:
             self.fail(sent, FailureKind.DEADLINE, Exposure.NEVER_SENT)
             return
+        objection = self.send_gate.objection(sent.dispatch, self.now)
+        if objection is not None:
+            self.fail(sent, objection, Exposure.NEVER_SENT)
+            return
+        self.check_backoff(sent.dispatch.endpoint)
         sent.phase = Phase.SENT
         self.checker.arrived(sent, self.now)
 
--- a/tests/unit/gateway/test_gateway_machine.py
+++ b/tests/unit/gateway/test_gateway_machine.py
@@ -50,6 +50,7 @@
 TICKS_AFTER = st.sampled_from([0, 0, 1, 1, 4, 20])
 """Ticks that pass after a step; in none of them a tick can come before what follows."""
 
+BACKOFFS = st.sampled_from([0.1, 1.0, 3.0, 30.0])
 FREEZES = st.sampled_from([0.3, 1.0, 3.9, 7.0, 10.0, 15.0])
 ANY_KEYS = (*KEYS, *KEYS, "nobody")
 BODIES = st.sampled_from(["a", "b"])
@@ -64,6 +65,7 @@
     MEMORY = "memory"
     LEAVING = "leaving"
     STALE_ROWS = "stale rows"
+    STATEMENTS = "statements"
     PEERS = "peers"
     PEER_CRASH_REPORTS = "crashes reported"
     OPERATOR = "operator"
@@ -280,6 +282,24 @@
             self.offer_row(endpoint.row("draining", self.gateway.next_version()))
             self.gateway.run(TICK * ticks_after)
 
+    @precondition(has_disturbance(Disturbance.STATEMENTS))
+    @rule(address=ADDRESSES)
+    def announces_leaving(self, address: str) -> None:
+        """Let a response of an endpoint announce that the endpoint leaves."""
+        endpoint = self.endpoint_at(address)
+        if endpoint is not None:
+            self.gateway.announce_leaving(endpoint.name)
+
+    @precondition(has_disturbance(Disturbance.STATEMENTS))
+    @rule(address=ADDRESSES, seconds=BACKOFFS, ticks_after=TICKS_AFTER)
+    def requests_backoff(self, address: str, seconds: float, ticks_after: int) -> None:
+        """Let an endpoint that rejects a request ask for no more for some time."""
+        endpoint = self.endpoint_at(address)
+        if endpoint is not None:
+            duration = timedelta(seconds=seconds)
+            self.gateway.request_backoff(endpoint.name, duration)
+            self.gateway.run(TICK * ticks_after)
+
     @precondition(has_disturbance(Disturbance.LEAVING))
     @rule(address=ADDRESSES, crashes=BOTH, reported=BOTH, again=st.none() | SERVICES)
     def ends(
@@ -484,6 +504,20 @@
     )
 
 
+class StatementMachine(GatewayMachine):
+    """Endpoints that leave, request backoffs and vanish from the list for a while."""
+
+    routes = ("safe", "once", "huge")
+    disturbances = frozenset(
+        {
+            Disturbance.CUTS,
+            Disturbance.LEAVING,
+            Disturbance.STALE_ROWS,
+            Disturbance.STATEMENTS,
+        }
+    )
+
+
 class OnceMachine(GatewayMachine):
     """Non-idempotent calls during freezes and partitions."""
 
@@ -493,7 +527,14 @@
     )
 
 
-MACHINES = (GatewayMachine, CrashMachine, BudgetMachine, MemoryMachine, OnceMachine)
+MACHINES = (
+    GatewayMachine,
+    CrashMachine,
+    BudgetMachine,
+    MemoryMachine,
+    StatementMachine,
+    OnceMachine,
+)
 
 
 def test_the_rules_hold_whatever_happens_in_whatever_order() -> None:
@@ -520,6 +561,11 @@
     explore(MemoryMachine, EXAMPLES, STEPS)
 
 
+def test_what_endpoints_announce_is_kept_whatever_else_happens() -> None:
+    """Endpoints leave and request backoffs while calls wait, connect and reserve."""
+    explore(StatementMachine, EXAMPLES, STEPS)
+
+
 def test_what_may_run_once_runs_once_and_is_told_honestly() -> None:
     """Responses are lost or late, around freezes and the end of the process."""
     explore(OnceMachine, EXAMPLES, STEPS)
