Space no placements on a machine that has just booted

Without any backoff its end counted as the instant zero of the monotonic clock, so that in the first second after a machine's boot each endpoint got one placement each 0.1 s. The new test failed before.

--- a/src/mimosafork/gateway/policies/requested_backoff.py
+++ b/src/mimosafork/gateway/policies/requested_backoff.py
@@ -17,7 +17,7 @@
     Attributes
     ----------
     ends_at : timedelta
-        Monotonic instant of the latest end that was requested.
+        Monotonic instant of the latest end that was requested; 0 if none was.
     next_placement_at : timedelta
         Monotonic instant of the next placement in the ramp after a backoff.
     """
@@ -39,5 +39,5 @@
 
     def note_placed(self, now: timedelta) -> None:
         """Space the next placement if the backoff has ended only recently."""
-        if self.ends_at <= now < self.ends_at + RAMP:
+        if self.ends_at and self.ends_at <= now < self.ends_at + RAMP:
             self.next_placement_at = now + PLACEMENT_INTERVAL
--- a/tests/unit/gateway/test_endpoint_statements.py
+++ b/tests/unit/gateway/test_endpoint_statements.py
@@ -8,6 +8,7 @@
 from mimosafork.gateway.policies.fleet_view import FleetView
 from mimosafork.gateway.policies.placing import WorkPlacer
 from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
+from mimosafork.gateway.policies.requested_backoff import RequestedBackoff
 from mimosafork.gateway.policies.send_gate import EndpointSendGate
 from mimosafork.ids import EndpointId
 from mimosafork.kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
@@ -177,6 +178,13 @@
     case.assertEqual(calls, placements(bench, calls))
 
 
+def test_placements_are_not_spaced_without_a_backoff() -> None:
+    """An instance on a machine that has just booted must not hold back calls."""
+    backoff = RequestedBackoff()
+    backoff.note_placed(0.5 * SECOND)
+    case.assertFalse(backoff.delays_placement(0.5 * SECOND))
+
+
 def test_a_backoff_belongs_to_an_incarnation() -> None:
     """A restarted endpoint must not inherit the backoff of the former one."""
     bench = gateway_bench(endpoints=0)
