--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -349,6 +349,9 @@
         "invalid": "answered what makes no sense",
         "stalled": "fell silent",
         "deadline": "was reached too late",
+        "draining": "began to leave before the call was sent",
+        "backing-off": "wanted no calls when the call was to be sent",
+        "rate-limited": "had reached its rate limit when the call was to be sent",
     }.get(kind, kind)
     after = line.number("events")
     seen = f" after {after} events" if after else ""
--- a/tests/unit/explain/test_explain.py
+++ b/tests/unit/explain/test_explain.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from mimosafork.explain.causes import cause_of
+from mimosafork.explain.causes import attempt_text, cause_of
 from mimosafork.explain.lines import LogLine, LogReader, LogSource
 from mimosafork.explain.links import ZoneStory
 from mimosafork.explain.stories import CallStory, EndpointStory, Story, VersionStory
@@ -241,6 +241,17 @@
     )
 
 
+def test_attempts_that_were_held_back_are_explained() -> None:
+    """An operator sees failed attempts at endpoints that are well."""
+    for kind, text in (
+        ("draining", "began to leave"),
+        ("backing-off", "wanted no calls"),
+        ("rate-limited", "had reached its rate limit"),
+    ):
+        line = LogLine("entry-1", "", "MF2020", "", {"endpoint": "i-1", "kind": kind})
+        assert attempt_text(line).startswith(f"i-1 {text}")
+
+
 def test_what_the_log_does_not_name_has_no_story() -> None:
     assert told(CallStory("0000"), REFUSED) == Story((), "no line names it")
 
