--- a/src/mimosafork/gateway/policies/rate_limit_log.py
+++ b/src/mimosafork/gateway/policies/rate_limit_log.py
@@ -10,6 +10,7 @@
     RATE_LIMIT_UNREADABLE,
 )
 from ...telemetry.logs import log_event
+from ...telemetry.throttled_event import ThrottledEvent
 from .limited_endpoint import LimitedEndpoint
 
 logger = getLogger(__name__)
@@ -21,8 +22,9 @@
     """Logs changes of limits, and unreadable ones at bounded intervals."""
 
     def __init__(self) -> None:
-        self.unreadable_count = 0
-        self.unreadable_logged_at: timedelta | None = None
+        self.unreadable_limits = ThrottledEvent(
+            logger, RATE_LIMIT_UNREADABLE, UNREADABLE_LOG_INTERVAL
+        )
 
     def changed(
         self,
@@ -48,14 +50,4 @@
 
     def unreadable(self, endpoint: EndpointId, now: timedelta) -> None:
         """Log that a limit is not a valid number."""
-        self.unreadable_count += 1
-        logged_at = self.unreadable_logged_at
-        if logged_at is not None and now - logged_at < UNREADABLE_LOG_INTERVAL:
-            return
-        self.unreadable_logged_at = now
-        log_event(
-            logger,
-            RATE_LIMIT_UNREADABLE,
-            endpoint=endpoint,
-            count=self.unreadable_count,
-        )
+        self.unreadable_limits.occurred(now, endpoint=endpoint)
--- a/src/mimosafork/gateway/policies/statement_log.py
+++ b/src/mimosafork/gateway/policies/statement_log.py
@@ -11,6 +11,7 @@
     LEAVING_ANNOUNCED,
 )
 from ...telemetry.logs import log_event
+from ...telemetry.throttled_event import ThrottledEvent
 
 logger = getLogger(__name__)
 
@@ -22,8 +23,9 @@
     """Logs announcements, and unreadable ones at bounded intervals."""
 
     def __init__(self) -> None:
-        self.unreadable_count = 0
-        self.unreadable_logged_at: timedelta | None = None
+        self.unreadable_backoffs = ThrottledEvent(
+            logger, BACKOFF_UNREADABLE, UNREADABLE_LOG_INTERVAL
+        )
 
     def leaving(self, listed: ListedEndpoint) -> None:
         """Log that an endpoint has announced that it is about to exit."""
@@ -46,14 +48,4 @@
 
     def unreadable_backoff(self, endpoint: EndpointId, now: timedelta) -> None:
         """Log that a requested backoff is not a valid number."""
-        self.unreadable_count += 1
-        logged_at = self.unreadable_logged_at
-        if logged_at is not None and now - logged_at < UNREADABLE_LOG_INTERVAL:
-            return
-        self.unreadable_logged_at = now
-        log_event(
-            logger,
-            BACKOFF_UNREADABLE,
-            endpoint=endpoint,
-            count=self.unreadable_count,
-        )
+        self.unreadable_backoffs.occurred(now, endpoint=endpoint)
--- a/src/mimosafork/gossip/callbacks.py
+++ b/src/mimosafork/gossip/callbacks.py
@@ -17,6 +17,7 @@
 )
 from ..telemetry.events import Event
 from ..telemetry.logs import log_event
+from ..telemetry.throttled_event import ThrottledEvent
 from .effects import (
     DatagramRefused,
     DoubtChanged,
@@ -95,8 +96,7 @@
     ) -> None:
         self.callbacks = callbacks
         self.offered = offered
-        self.refused = 0
-        self.refused_shown: timedelta | None = None
+        self.refused = ThrottledEvent(logger, GOSSIP_DATAGRAM_REFUSED, REFUSED_EVERY)
 
     @singledispatchmethod
     def tell(self, effect: object, now: timedelta) -> None:
@@ -118,18 +118,7 @@
 
     @tell.register
     def _(self, effect: DatagramRefused, now: timedelta) -> None:
-        self.refused += 1
-        shown = self.refused_shown
-        if shown is not None and now - shown < REFUSED_EVERY:
-            return
-        self.refused_shown = now
-        log_event(
-            logger,
-            GOSSIP_DATAGRAM_REFUSED,
-            address=effect.address.host,
-            reason=effect.reason,
-            count=self.refused,
-        )
+        self.refused.occurred(now, address=effect.address.host, reason=effect.reason)
 
     @tell.register
     def _(self, effect: VersionsOffered, now: timedelta) -> None:
