Apply what an endpoint announces while it is missing from the list

What callers saw: nothing yet; found while asking what else forgets an announcement. An endpoint whose row expires around an outage of the store is withdrawn for now, while its calls run on. A response that announced its leaving, or a rejection that asked for a backoff, was not applied then, and when the row was back the endpoint got calls.

Cause: announcements were looked up among the listed endpoints only.

Change: an endpoint that may return is remembered for a minute, or as long as its backoff lasts, and announcements are applied to it as to a listed one; a leaving is final for its incarnation, and a later start under the same id is used.

--- a/src/mimosafork/gateway/policies/endpoint_statements.py
+++ b/src/mimosafork/gateway/policies/endpoint_statements.py
@@ -55,14 +55,14 @@
     def _current(
         self, message: LeavingAnnounced | BackoffRequested
     ) -> EndpointHealth | None:
-        """Return the endpoint that a response is about, if it still receives requests.
+        """Return the endpoint that a response is about, if it may receive requests.
 
         A response to a request that was sent before the present incarnation was listed
         may be an earlier incarnation's.
         """
-        known = None
-        if self.fleet is not None:
-            known = self.fleet.endpoints.get(message.endpoint)
+        if self.fleet is None:
+            return None
+        known = self.fleet.responding(message.endpoint)
         if known is None or message.requested_at < known.listed_at:
             return None
         return known
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -48,6 +48,11 @@
 """Failure rate above which an endpoint is used as a last resort."""
 
 
+ABSENCE_RETENTION = timedelta(minutes=1)
+"""Time for which an endpoint that is missing from the list is remembered. Calls that
+run there may still receive responses."""
+
+
 class CachedView(msgspec.Struct, frozen=True):
     """View of an endpoint for placement, with the listing entry it derives from."""
 
@@ -142,6 +147,19 @@
         return view
 
 
+class AbsentEndpoint(msgspec.Struct, frozen=True):
+    """An endpoint that is missing from the list.
+
+    Attributes
+    ----------
+    since : timedelta
+        Monotonic instant.
+    """
+
+    health: EndpointHealth
+    since: timedelta
+
+
 def engine_view(listed: ListedEndpoint, usable: bool, suspect: bool) -> EngineView:
     """Return the view of an endpoint for placement."""
     return EngineView(
@@ -165,8 +183,8 @@
         self.by_service: dict[ServiceId, dict[EndpointId, EndpointHealth]] = {}
         self.departed: dict[EndpointId, int | None] = {}
         """Start time of each endpoint that is draining or gone, by endpoint."""
-        self.absent: dict[EndpointId, EndpointHealth] = {}
-        """Endpoints in a backoff that are missing from the list and may return."""
+        self.absent: dict[EndpointId, AbsentEndpoint] = {}
+        """Endpoints that are missing from the list and may return."""
         self.zone_suspicion = ZoneSuspicion()
         self.zone_answered_at: dict[AvailabilityZoneId, timedelta] = {}
         """Time of the latest first token or status from an endpoint of each zone."""
@@ -218,37 +236,46 @@
         known.leaving = False
         self.by_service.setdefault(listed.service, {})[listed.endpoint] = known
 
+    def responding(self, endpoint: EndpointId) -> EndpointHealth | None:
+        """Return an endpoint whose responses count, whether it is listed or absent."""
+        absent = self.absent.get(endpoint)
+        return self.endpoints.get(endpoint) if absent is None else absent.health
+
     def _restore_backoff(self, known: EndpointHealth) -> None:
         """Keep the backoff of an incarnation that was missing from the list."""
-        former = self.absent.pop(known.listed.endpoint, None)
-        if former is None or known.listed.started_after(former.listed.started_ms):
+        absent = self.absent.pop(known.listed.endpoint, None)
+        if absent is None:
             return
-        known.listed_at = former.listed_at
-        known.backoff = former.backoff
-
-    def _keep_backoff(self, known: EndpointHealth, now: timedelta) -> None:
-        """Keep an absent endpoint's backoff as long as it lasts."""
-        self.absent[known.listed.endpoint] = known
+        former = absent.health
+        if not known.listed.started_after(former.listed.started_ms):
+            known.listed_at = former.listed_at
+            known.backoff = former.backoff
+
+    def _note_absent(self, known: EndpointHealth, now: timedelta) -> None:
+        """Remember an endpoint that may return, and forget those that did not."""
+        self.absent[known.listed.endpoint] = AbsentEndpoint(known, now)
         self.absent = {
             endpoint: each
             for endpoint, each in self.absent.items()
-            if each.backoff.active(now)
+            if now - each.since < ABSENCE_RETENTION or each.health.backoff.active(now)
         }
 
     @handle.register
     def _(self, message: EndpointLeaving, context: Context) -> None:
         known = self.endpoints.pop(message.endpoint, None)
         if message.final:
+            absent = self.absent.pop(message.endpoint, None)
             before = self.departed.get(message.endpoint)
+            last = known if absent is None else absent.health
             self.departed[message.endpoint] = (
-                before if known is None else known.listed.started_ms
+                before if last is None else last.listed.started_ms
             )
         if known is not None:
             known.leaving = True
             self.by_service[known.listed.service].pop(message.endpoint, None)
             log_ejected(known, message.final)
             if not message.final:
-                self._keep_backoff(known, context.now)
+                self._note_absent(known, context.now)
 
     @handle.register
     def _(self, message: ZoneUnreachable, context: Context) -> None:
--- a/tests/support/simulated_gateway.py
+++ b/tests/support/simulated_gateway.py
@@ -262,13 +262,13 @@
 
     def announce_leaving(self, endpoint: EndpointId) -> None:
         """Receive a response in which an endpoint announces that it leaves."""
-        if endpoint in self.directory.endpoints:
+        if self.kernel.plugin(FleetView).responding(endpoint) is not None:
             self.reported_draining.add(endpoint)
         self.post(LeavingAnnounced(endpoint, self.now))
 
     def request_backoff(self, endpoint: EndpointId, duration: timedelta) -> None:
         """Receive a rejection with which an endpoint requests a backoff."""
-        if endpoint in self.kernel.plugin(FleetView).endpoints:
+        if self.kernel.plugin(FleetView).responding(endpoint) is not None:
             former = self.backoff_ends.get(endpoint, self.now)
             self.backoff_ends[endpoint] = max(former, self.now + duration)
         self.post(BackoffRequested(endpoint, self.now, duration))
--- a/tests/unit/gateway/test_endpoint_statements.py
+++ b/tests/unit/gateway/test_endpoint_statements.py
@@ -73,6 +73,20 @@
     case.assertEqual({OTHER_DESK}, hosts(bench, 6, "r"))
 
 
+def test_an_endpoint_that_leaves_while_it_is_not_listed_is_not_used_again() -> None:
+    """A response may announce the leaving while the row has expired in an outage."""
+    bench = gateway_bench(endpoints=0)
+    bench.handle(EndpointUsable(replace(listed(DESK), started_ms=4)))
+    bench.handle(EndpointUsable(replace(listed(OTHER_DESK), started_ms=4)))
+    bench.handle(EndpointLeaving(DESK, final=False))
+    announce_leaving(bench)
+    bench.clock.advance(4 * SECOND)
+    bench.handle(EndpointUsable(replace(listed(DESK), started_ms=4)))
+    case.assertEqual({OTHER_DESK}, hosts(bench, 6, "r"))
+    bench.handle(EndpointUsable(replace(listed(DESK), started_ms=9)))
+    case.assertIn(DESK, hosts(bench, 6, "s"))
+
+
 def test_a_restarted_endpoint_is_used_whatever_the_former_one_announced() -> None:
     """A late response of the former incarnation must not withdraw the new one."""
     bench = gateway_bench(endpoints=0)
@@ -208,6 +222,16 @@
     case.assertIn(DESK, hosts(bench, 6, "s"))
 
 
+def test_a_backoff_that_is_requested_during_an_absence_is_kept() -> None:
+    """A rejection may arrive while the endpoint's row has expired in an outage."""
+    bench = gateway_bench(endpoints=2)
+    bench.handle(EndpointLeaving(DESK, final=False))
+    request_backoff(bench, 30 * SECOND)
+    bench.clock.advance(4 * SECOND)
+    bench.list_endpoint(DESK)
+    case.assertEqual({OTHER_DESK}, hosts(bench, 6, "r"))
+
+
 def test_a_requested_backoff_does_not_count_as_a_full_engine() -> None:
     """Other engines with as many running requests must not be taken for full."""
     for backs_off in (False, True):
