Log how a response was delimited and what followed its last event

The lines of the incident of broken-off streams can't tell an answer that ends with its connection from one with an intact framing, nor say whether bytes were left after the last event. Lines of calls have both now where they apply: unframed, and partial_event_bytes.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -205,6 +205,7 @@
             return
         self.head = head
         self.metadata = metadata
+        self.diagnostics.unframed = not head.framed
         self.reports.statements(metadata, self.sent_at)
         self.chunks.clear()
         self.buffered_bytes = 0
@@ -304,6 +305,7 @@
         connection.expect_another_response()
 
     def _finish_stream(self) -> None:
+        self.diagnostics.partial_event_bytes = len(self.splitter.remainder)
         # The last bytes lack the terminating empty line and form no event. The response
         # is complete according to the endpoint, so they are forwarded unchanged.
         if self.splitter.remainder:
--- a/src/mimosafork/gateway/attempt_diagnostics.py
+++ b/src/mimosafork/gateway/attempt_diagnostics.py
@@ -52,12 +52,18 @@
         How long the connect took until it succeeded or failed.
     connection_loss : ConnectionLoss or None
         How the connection was lost; None if it wasn't.
+    unframed : bool
+        Whether the end of the connection ends the response.
+    partial_event_bytes : int
+        Bytes after the last complete event when a stream ended.
     """
 
     placement: AttemptPlacement = AttemptPlacement()
     connecting_since: timedelta | None = None
     connect_time: timedelta | None = None
     connection_loss: ConnectionLoss | None = None
+    unframed: bool = False
+    partial_event_bytes: int = 0
 
     def note_connected(self, now: timedelta) -> None:
         """Record that connecting has succeeded or failed."""
--- a/src/mimosafork/gateway/call_log.py
+++ b/src/mimosafork/gateway/call_log.py
@@ -265,11 +265,13 @@
 
 
 def connection_fields(call: Call) -> LogFields:
-    """Return the connect time of the latest attempt and how its connection was lost."""
+    """Return how the connection of the latest attempt began and ended."""
     notes = call.diagnostics
     return {
         "connect_ms": milliseconds(notes.connect_time),
         "ending": notes.connection_loss,
+        "unframed": notes.unframed or None,
+        "partial_event_bytes": notes.partial_event_bytes or None,
     }
 
 
