--- a/src/mimosafork/standins/prepared/faults.py
+++ b/src/mimosafork/standins/prepared/faults.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 
 from .http import Request
 
@@ -57,6 +58,26 @@
     reset: bool = False
 
 
+class Framing(Enum):
+    """What delimits the body of an answer."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
+@dataclass(frozen=True, slots=True)
+class EarlyEnd:
+    """A stream that ends after so many bytes, as if it were complete.
+
+    With `Framing.LENGTH` and `Framing.CHUNKS` the framing is intact, with
+    `Framing.CONNECTION` the connection is closed in an orderly way.
+    """
+
+    after_bytes: int
+    framing: Framing = Framing.CONNECTION
+
+
 @dataclass(frozen=True, slots=True)
 class LostAnswer:
     """The request runs and no answer comes: a reset, or `silent` for good."""
@@ -114,6 +135,7 @@
     | Garbage
     | ExtraAnswer
     | UnboundedAnswer
+    | EarlyEnd
     | LostAnswer
     | OwnError
     | Shed
--- a/src/mimosafork/standins/prepared/sending.py
+++ b/src/mimosafork/standins/prepared/sending.py
@@ -3,8 +3,10 @@
 from .faults import (
     CloseAfter,
     CutAnswer,
+    EarlyEnd,
     ExtraAnswer,
     Fault,
+    Framing,
     Garbage,
     LostAnswer,
     UnboundedAnswer,
@@ -43,6 +45,7 @@
         self.headers = (*headers, CLOSE) if self.closing else headers
         self.events = 0
         self.sent = b""
+        self.body_bytes = 0
 
     def whole(self, answer: Answer) -> None:
         """Write a whole answer, or what the fault makes of it."""
@@ -73,8 +76,11 @@
                 self.connection.write(garbage)
             case LostAnswer():
                 pass
-            case UnboundedAnswer():
+            case UnboundedAnswer() | EarlyEnd(framing=Framing.CONNECTION):
                 self._stream(head_bytes(status, (EVENT_STREAM, *self.headers)))
+            case EarlyEnd(framing=Framing.LENGTH, after_bytes=size):
+                length = Header("Content-Length", str(size))
+                self._stream(head_bytes(status, (EVENT_STREAM, length, *self.headers)))
             case _:
                 framing = Header("Transfer-Encoding", "chunked")
                 self._stream(head_bytes(status, (EVENT_STREAM, framing, *self.headers)))
@@ -88,6 +94,8 @@
             case UnboundedAnswer(reset=reset):
                 self._stream(event)
                 return not (reset and self._cut(reset))
+            case EarlyEnd() as early:
+                return self._event_before(early, event)
             case CutAnswer(after_events=whole) as cut if self.events > whole:
                 if cut.inside_event:
                     self._stream(chunk_of(event)[: len(event) // 2])
@@ -111,6 +119,20 @@
                 self._extra(self.sent)
                 self._end()
 
+    def _event_before(self, end: EarlyEnd, event: bytes) -> bool:
+        part = event[: end.after_bytes - self.body_bytes]
+        self.body_bytes += len(part)
+        if part:
+            chunked = end.framing is Framing.CHUNKS
+            self._stream(chunk_of(part) if chunked else part)
+        if self.body_bytes < end.after_bytes:
+            return True
+        if end.framing is Framing.CHUNKS:
+            self._stream(LAST_CHUNK)
+        elif end.framing is Framing.CONNECTION:
+            self.connection.close()
+        return False
+
     def _stream(self, data: bytes) -> None:
         if isinstance(self.fault, ExtraAnswer):
             self.sent += data
