Take a stream that ends inside an event for broken off

Cause: an answer may have neither a length nor chunks and end with its connection. The gateway took any end that the framing allowed for the end of the stream, passed on the bytes after the last event as they were and completed its own answer. What the bytes say was asked nowhere, so the attempt counted as finished: nothing was resumed, and neither the endpoint's health nor the evidence about crashes heard of it.

A stream is broken off if it ends inside an event, however it is framed, or unframed before its first event. Such an attempt is a lost one: the connection is not used again, the half event goes nowhere, a resumable stream goes on at another endpoint, any other is aborted so that neither an HTTP/1.1 nor an HTTP/1.0 caller can take it for complete. Empty lines and comments after the last event are no part of one.

--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -37,6 +37,7 @@
     "timed-out": "nothing came back in time",
     "no-way": "no way to its address",
     "refused": "its machine opens no connection",
+    "broken-off": "the answer ended inside an event",
 }
 """How a connection ended. The other endings are this instance's own, or told by the
 kind of the failure."""
--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -24,6 +24,7 @@
 from .heads import HEAD, end_to_end_headers
 from .pool import ConnectionRequest
 from .problems import NOT_RUN_STATUSES
+from .response_end import ResponseEnd, end_of_response, end_of_stream
 from .response_mode import ResponseMode
 from .response_reader import ResponseHead
 from .silence_timer import SilenceTimer
@@ -276,6 +277,9 @@
             self.connection.after_parsing(self._after_end)
 
     def _after_end(self) -> None:
+        if self._end() is ResponseEnd.BROKEN_OFF:
+            self._break_off()
+            return
         # The last bytes may have stalled the caller and paused this connection. The
         # call is over, so nothing would resume it, and the next call on the connection
         # would never read its response.
@@ -293,6 +297,19 @@
         else:
             self._finish_whole()
 
+    def _end(self) -> ResponseEnd:
+        assert self.head is not None
+        if self.mode is ResponseMode.STREAM:
+            return end_of_stream(self.head, self.splitter)
+        return end_of_response(self.head)
+
+    def _break_off(self) -> None:
+        self.diagnostics.partial_event_bytes = len(self.splitter.remainder)
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.abort()
+        self._on_lost(ConnectionLoss.BROKEN_OFF)
+
     def _await_own_response(self, connection: EndpointConnection | None) -> None:
         if connection is None or connection.transport is None:
             self._fail(FailureKind.BROKEN, Exposure.POSSIBLE)
@@ -305,9 +322,7 @@
         connection.expect_another_response()
 
     def _finish_stream(self) -> None:
-        self.diagnostics.partial_event_bytes = len(self.splitter.remainder)
-        # The last bytes lack the terminating empty line and form no event. The response
-        # is complete according to the endpoint, so they are forwarded unchanged.
+        # Empty lines and comments after the last event.
         if self.splitter.remainder:
             self.call.responder.send_body(self.splitter.remainder)
         self.call.responder.end_response()
--- a/src/mimosafork/gateway/event_stream.py
+++ b/src/mimosafork/gateway/event_stream.py
@@ -6,6 +6,8 @@
 
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 LONGEST_END = 4
+LINE_END = re.compile(rb"\r\n|\n|\r")
+COMMENT = b":"
 EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,18})[ ]*(?=[\r\n]|$)")
 EVENT_STREAM = b"text/event-stream"
 
@@ -26,6 +28,7 @@
 
     def __init__(self) -> None:
         self.buffer = bytearray()
+        self.event_count = 0
 
     def feed(self, data: bytes) -> list[RawStreamEvent]:
         """Add received bytes; return the events that they complete."""
@@ -41,8 +44,20 @@
             start = match.end()
             events.append(RawStreamEvent(block, event_id_of(block)))
         del self.buffer[:start]
+        self.event_count += len(events)
         return events
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether the bytes so far end inside an event.
+
+        Empty lines and complete comments after the last event belong to none.
+        """
+        *lines, unfinished = LINE_END.split(self.buffer)
+        return bool(unfinished) or any(
+            line and not line.startswith(COMMENT) for line in lines
+        )
+
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
--- a/src/mimosafork/gateway/upstream.py
+++ b/src/mimosafork/gateway/upstream.py
@@ -39,6 +39,8 @@
 
     CLOSED = "closed"
     RESET = "reset"
+    BROKEN_OFF = "broken-off"
+    """The response ended inside an event."""
     MALFORMED = "garbled"
     """The endpoint sent a malformed response."""
     TIMED_OUT = "timed-out"
