Take a reset of an unframed answer for broken off in the relay too

What callers saw: nothing yet; found while looking for what else is taken for complete because its connection ended. In the product's own interface, a plain service's answer without a length was delivered with a length of its own, also when its connection had been reset in the middle.

Cause: the relay read an error of the socket as the end of the connection, and only framed answers notice the difference.

Change: the reading moved to the attempt's side of the connection, which takes an error for a broken attempt, an orderly end for the end of the answer.

Model engines were not affected, as their streams have an end event of their own.

--- a/src/mimosafork/relay/exchange.py
+++ b/src/mimosafork/relay/exchange.py
@@ -38,8 +38,6 @@
     open_upstream,
 )
 
-RECEIVE_BYTES = 64 << 10
-
 
 class Exchange:
     """Moves one answer; owned by the relay's thread.
@@ -169,18 +167,7 @@
         upstream = self.upstream
         if upstream is None:
             return
-        try:
-            data = upstream.sock.recv(RECEIVE_BYTES)
-        except BlockingIOError:
-            return
-        except OSError:
-            data = b""
-        if not data:
-            upstream.connection_ended()
-            self._after_upstream(upstream)
-            return
-        upstream.last_byte_s = self.ports.now_s
-        events = upstream.feed(data)
+        events = upstream.receive(self.ports.now_s)
         if events:
             self._deliver(events, upstream.dispatch)
         if upstream.ended:
--- a/src/mimosafork/relay/upstream.py
+++ b/src/mimosafork/relay/upstream.py
@@ -16,6 +16,7 @@
 from .response import MAX_WHOLE_BODY, ResponseReader
 from .sequence import ChunkSequence, Judgement
 
+RECEIVE_BYTES = 64 << 10
 REFUSAL_STATUSES = frozenset({409, 429, 503})
 DUPLICATE = "duplicate"
 STREAM_GONE = "stream-gone"
@@ -78,6 +79,25 @@
         """Whether nothing more is to be read."""
         return self.finished or self.failure is not None
 
+    def receive(self, now_s: float) -> list[StreamEvent]:
+        """Read what has arrived; return the events to deliver, in their order.
+
+        Only an orderly end of the connection can end an unframed answer. One that is
+        reset has lost its rest.
+        """
+        try:
+            data = self.sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return []
+        except OSError:
+            self.fail(FailureKind.BROKEN)
+            return []
+        if not data:
+            self.connection_ended()
+            return []
+        self.last_byte_s = now_s
+        return self.feed(data)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Take bytes; return the events to deliver, in their order."""
         try:
@@ -88,7 +108,7 @@
             return []
 
     def connection_ended(self) -> None:
-        """Judge the answer now that no more bytes will come."""
+        """Judge the answer after an orderly end of the connection."""
         if self.ended:
             return
         if self.reader.connection_ended():
