End an event of a stream at any mix of line ends

What callers saw: nothing yet; found while looking at how streams may end. An empty line after a line with another line end (LF before CRLF) did not end an event, so that the event waited for the next one, and with the check for streams broken off inside an event a whole stream would have counted as broken.

Change: an empty line ends an event whatever the line ends are.

--- a/src/mimosafork/gateway/event_stream.py
+++ b/src/mimosafork/gateway/event_stream.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-LONGEST_END = 4
+EVENT_END = re.compile(rb"\n\r?\n|\r\r")
+LONGEST_END = 3
 LINE_END = re.compile(rb"\r\n|\n|\r")
 COMMENT = b":"
 EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,18})[ ]*(?=[\r\n]|$)")
--- a/tests/unit/gateway/test_event_stream.py
+++ b/tests/unit/gateway/test_event_stream.py
@@ -17,6 +17,8 @@
     b"id:2\r\ndata: b\r\n\r\n",
     b"x-weight-versions: 3\nid: 3\ndata: c\ndata: d\n\n",
     b"id: 4\rdata: e\r\r",
+    b"id: 5\r\ndata: f\n\r\n",
+    b"id: 6\ndata: g\r\n\n",
     b": a comment\n\n",
     b"data: id: 9\n\n",
     b"data: \xc3\xa4\nid: 12\n\n",
@@ -56,7 +58,7 @@
 
 def test_event_ids() -> None:
     numbers = [event_id_of(block) for block in BLOCKS]
-    case.assertEqual([1, 2, 3, 4, None, None, 12], numbers)
+    case.assertEqual([1, 2, 3, 4, 5, 6, None, None, 12], numbers)
     case.assertIsNone(event_id_of(b"id: x\n\n"))
     case.assertIsNone(event_id_of(b"id: " + b"1" * 30 + b"\n\n"))
 
@@ -77,4 +79,16 @@
     case.assertEqual(b"", splitter.remainder)
 
 
+def test_only_lines_of_an_event_count_as_inside_one() -> None:
+    """A stream cut at any byte of an event looks complete."""
+    whole = b"".join(BLOCKS)
+    ends = [len(b"".join(BLOCKS[:count])) for count in range(len(BLOCKS) + 1)]
+    for size in range(len(whole) + 1):
+        splitter = EventSplitter()
+        splitter.feed(whole[:size])
+        begun = whole[max(end for end in ends if end <= size) : size]
+        comment = begun.startswith(b":") and begun.endswith(b"\n")
+        case.assertEqual(bool(begun) and not comment, splitter.inside_event, begun)
+
+
 load_tests = function_tests(__name__)
