--- a/tests/support/gateway_processes.py
+++ b/tests/support/gateway_processes.py
@@ -2,7 +2,7 @@
 
 import os
 import socket
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from itertools import count
 from pathlib import Path
@@ -10,6 +10,7 @@
 
 from mimosafork.standins.prepared.deployment import Deployment
 
+from .endpoint_cut import SITECUSTOMIZE
 from .prepared import CallResult, NoAnswerError, ask, call
 from .processes import Process
 from .waiting import eventually
@@ -105,6 +106,11 @@
         eventually(lambda: any(text in line for line in self.process.lines))
 
 
+def cut_file(folder: Path) -> Path:
+    """Return the file that tells an instance how it is cut off."""
+    return folder / "cut"
+
+
 @contextmanager
 def gateway_process(
     platform: Deployment,
@@ -112,6 +118,7 @@
     store: str = "",
     bounds: str = "",
     sitecustomize: str = "",
+    cut_from: Sequence[str] = (),
 ) -> Iterator[GatewayProcess]:
     """Run an instance on a prepared platform; it is killed at the end.
 
@@ -123,8 +130,13 @@
         Further lines of that section of the settings.
     sitecustomize : str
         Code that the interpreter runs at startup, to inject a fault.
+    cut_from : sequence of str
+        Addresses of the endpoints from which a test may cut the instance off.
     """
     with TemporaryDirectory() as folder, ExitStack() as stack:
+        if cut_from:
+            path = str(cut_file(Path(folder)))
+            sitecustomize += SITECUSTOMIZE.format(path=path, addresses=list(cut_from))
         Path(folder, "sitecustomize.py").write_text(sitecustomize)
         address = store or platform.store.address
         started = GatewayProcess(Path(folder), name, address, bounds)
--- a/tests/support/plain_fleet.py
+++ b/tests/support/plain_fleet.py
@@ -1,17 +1,19 @@
 """Instances as processes in front of plain endpoints, under a steady load."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from itertools import count
 
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.desk import Desk
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 
-from .gateway_processes import GatewayProcess, gateway_process
-from .prepared import API_KEY, DESKS, deployment
+from .endpoint_cut import CutMode
+from .gateway_processes import GatewayProcess, cut_file, gateway_process
+from .prepared import API_KEY, DESKS, NoAnswerError, deployment
 from .waiting import eventually
 
 KEY = f"Bearer {API_KEY}"
@@ -25,6 +27,9 @@
     platform: Deployment
     instances: list[GatewayProcess]
     desks: list[Desk]
+    mixed: bool = False
+    """Whether every second call may run once at most."""
+    numbers: Iterator[int] = field(default_factory=count)
 
     def send_calls(self, seconds: float) -> list[int]:
         """Send calls to all instances at a steady rate; return their statuses."""
@@ -32,10 +37,17 @@
             futures = []
             for number in range(int(seconds * CALLS_S)):
                 instance = self.instances[number % len(self.instances)]
-                futures.append(pool.submit(call, instance, f"c{number}"))
+                name = f"c{next(self.numbers)}"
+                once = self.mixed and number % 2 == 0
+                futures.append(pool.submit(call, instance, name, once))
                 time.sleep(1 / CALLS_S)
             return [each.result() for each in futures]
 
+    def cut_off(self, instances: Iterable[GatewayProcess], mode: CutMode) -> None:
+        """Cut instances off from all endpoints, or end that."""
+        for instance in instances:
+            cut_file(instance.path.parent).write_text(mode.value)
+
 
 @contextmanager
 def plain_fleet(instances: int, desks: int) -> Iterator[PlainFleet]:
@@ -43,8 +55,10 @@
     with deployment() as platform, ExitStack() as stack:
         endpoints = [platform.add_desk(EndpointSettings(DESKS)) for _ in range(desks)]
         names = [f"entry-{number}" for number in range(instances)]
+        addresses = [desk.address for desk in endpoints]
         processes = [
-            stack.enter_context(gateway_process(platform, name)) for name in names
+            stack.enter_context(gateway_process(platform, name, cut_from=addresses))
+            for name in names
         ]
         for process, name in zip(processes, names, strict=True):
             process.wait_until_ready()
@@ -54,6 +68,10 @@
         yield PlainFleet(platform, processes, endpoints)
 
 
-def call(instance: GatewayProcess, name: str) -> int:
-    """Send a call; return its status."""
-    return instance.ask("/safe/1", name, Authorization=KEY).status
+def call(instance: GatewayProcess, name: str, once: bool = False) -> int:
+    """Send a call, which may run once at most; return its status, 0 without any."""
+    path = "/unsafe/1" if once else "/safe/1"
+    try:
+        return instance.ask(path, name, Authorization=KEY).status
+    except (NoAnswerError, OSError):
+        return 0
