Serve calls through peers while no endpoint can be reached

Cause: each endpoint is judged for itself, by what this one instance can reach. Nothing concluded from many failures and no success that the fault lies on the own side, and there was no way round: each call paid one connection time-out after the other, over up to 16 endpoints.

Once two endpoints of any service have failed in turn, connections to three more of each service are opened; if all fail, the service is unreachable from here until half of a later round succeeds. Meanwhile its calls go to peers that reach it, which run them as their own, at most one hop; what is repeated is decided, and counted, by the instance that received the call. A peer refuses what it can't reach either, and more than its limit. Without any peer calls are refused at once.

--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -352,6 +352,7 @@
         "deadline": "was reached too late",
         "draining": "began to leave before the call was sent",
         "backing-off": "wanted no calls when the call was to be sent",
+        "peer-failed": "ran it for this instance and sent no whole answer",
         "rate-limited": "had reached its rate limit when the call was to be sent",
     }.get(kind, kind)
     after = line.number("events")
--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -11,33 +11,26 @@
     FailureKind,
 )
 from ..kernel.messages.dispatch import Dispatch
-from ..kernel.messages.requests import Repeatability
 from ..telemetry.catalogue.lifecycle import EFFECT_FAULT
 from ..telemetry.logs import log_event
 from .attempt_context import AttemptContext
 from .attempt_reports import AttemptReports
 from .call import Call, CompleteResponse
+from .connection_choice import connection_request
 from .dialect import ResponseMetadata
-from .endpoint_request import endpoint_request
+from .endpoint_request import endpoint_request, peer_request
 from .event_stream import EventSplitter
-from .final_responses import dispatch_faulted, is_stream, send_complete_response
+from .final_responses import dispatch_faulted, send_complete_response
 from .heads import HEAD, end_to_end_headers
-from .pool import ConnectionRequest
 from .problems import NOT_RUN_STATUSES
 from .response_end import ResponseEnd, end_of_response, end_of_stream
-from .response_mode import ResponseMode
+from .response_mode import SUCCESS, ResponseMode, mode_of, mode_of_peer_response
 from .response_reader import ResponseHead
 from .silence_timer import SilenceTimer
 from .upstream import CallSink, ConnectionLoss, EndpointConnection, connection_loss_of
 
 logger = getLogger(__name__)
 
-NON_IDEMPOTENT_MAX_IDLE = timedelta(milliseconds=1500)
-"""A non-idempotent call uses a pooled connection only if it was idle for no longer: if
-the endpoint closes the connection under the request, the outcome is unknown."""
-
-SUCCESS = range(200, 300)
-
 MAX_BUFFERED_BYTES = 256 * 1024
 """Limit on the buffered bytes of one incomplete response or event."""
 
@@ -87,20 +80,14 @@
 
     def start(self) -> None:
         """Acquire or open a connection and send the request."""
-        non_idempotent = self.call.request.repeatability is Repeatability.NON_IDEMPOTENT
-        connection_request = ConnectionRequest(
-            self.dispatch.endpoint,
-            self.dispatch.address,
-            NON_IDEMPOTENT_MAX_IDLE if non_idempotent else None,
-            proven_since_break=non_idempotent or self.dispatch.attempt > 1,
-        )
-        pooled = self.context.pool.acquire(connection_request)
+        wanted = connection_request(self.call.request, self.dispatch)
+        pooled = self.context.pool.acquire(wanted)
         if pooled is not None:
             self._on_connected(pooled)
             return
         self.diagnostics.connecting_since = self.context.clock.monotonic()
         self.connecting = self.context.pool.open(
-            connection_request, self._on_connected, self._on_connect_failed
+            wanted, self._on_connected, self._on_connect_failed
         )
         # If the deadline passes meanwhile, the caller learns that the call has not run.
         self.reports.opening()
@@ -175,9 +162,7 @@
             self.context.pool.release(self.dispatch.endpoint, connection)
             self._fail(objection, Exposure.NEVER_SENT)
             return
-        request = endpoint_request(
-            self.call, self.dispatch, self.context.dialect, time_left
-        )
+        request = self._request(time_left)
         self.connection = connection
         self.reused = connection.use_count > 0
         if not self.reused:
@@ -192,6 +177,13 @@
         if self.call.caller_stalled:
             self.pause()
 
+    def _request(self, time_left: timedelta) -> bytes:
+        dialect = self.context.dialect
+        if self.dispatch.via_peer:
+            instance = self.context.instance
+            return peer_request(self.call, dialect, time_left, instance)
+        return endpoint_request(self.call, self.dispatch, dialect, time_left)
+
     def _on_head(self, head: ResponseHead) -> None:
         metadata = self.context.dialect.parse_response_metadata(head)
         # An endpoint may repeat the response to an earlier call on this connection when
@@ -207,18 +199,16 @@
         self.head = head
         self.metadata = metadata
         self.diagnostics.unframed = not head.framed
-        self.reports.statements(metadata, self.sent_at)
+        if not self.dispatch.via_peer:
+            self.reports.statements(metadata, self.sent_at)
         self.chunks.clear()
         self.buffered_bytes = 0
-        if metadata.not_run:
-            self.mode = ResponseMode.REFUSAL
-        elif head.status in SUCCESS and not metadata.signed:
+        decide = mode_of_peer_response if self.dispatch.via_peer else mode_of
+        self.mode = decide(head, metadata, self.without_body)
+        if self.mode is ResponseMode.UNSIGNED:
             self._abort(FailureKind.INVALID)
-        elif head.status in SUCCESS and is_stream(head) and not self.without_body:
-            self.mode = ResponseMode.STREAM
+        elif self.mode is ResponseMode.STREAM:
             self.call.begin_stream(head, end_to_end_headers(head.headers))
-        else:
-            self.mode = ResponseMode.WHOLE
 
     def _on_data(self, data: bytes) -> None:
         if self.mode is ResponseMode.STREAM:
@@ -330,11 +320,15 @@
 
     def _finish_whole(self) -> None:
         assert self.head is not None
+        assert self.metadata is not None
         response = CompleteResponse(self.head, b"".join(self.chunks))
         if response.head.status in SUCCESS and not self.call.head_sent:
             self._send_complete(response)
             self._finish()
             return
+        if self.dispatch.via_peer and not self.metadata.signed:
+            self._fail(FailureKind.PEER_FAILED, Exposure.POSSIBLE)
+            return
         # A status that means "not run", without the endpoint's explicit statement, is
         # no guarantee: the caller might repeat a call that has run.
         if response.head.status in NOT_RUN_STATUSES:
@@ -371,10 +365,13 @@
         if self.mode is ResponseMode.REFUSAL:
             self._fail_refused()
             return
-        malformed = loss is ConnectionLoss.MALFORMED
-        if not malformed:
+        kind = FailureKind.BROKEN
+        if self.dispatch.via_peer:
+            kind = FailureKind.PEER_FAILED
+        elif loss is ConnectionLoss.MALFORMED:
+            kind = FailureKind.INVALID
+        else:
             self.context.pool.note_connection_broken()
-        kind = FailureKind.INVALID if malformed else FailureKind.BROKEN
         # The caller already has the status; reporting it prevents a retry by policies.
         final = self.head if self.mode is ResponseMode.PASSTHROUGH else None
         status = None if final is None else final.status
--- a/src/mimosafork/gateway/attempt_context.py
+++ b/src/mimosafork/gateway/attempt_context.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..ids import EndpointId
+from ..ids import EndpointId, InstanceId
 from ..kernel.messages.attempts import FailureKind
 from ..kernel.messages.base import Message
 from ..kernel.messages.dispatch import Dispatch
@@ -33,3 +33,4 @@
     dialect: Dialect
     report: Callable[[Message], None]
     sends: SendGate
+    instance: InstanceId
--- a/src/mimosafork/gateway/call.py
+++ b/src/mimosafork/gateway/call.py
@@ -14,6 +14,7 @@
 from .event_stream import RawStreamEvent
 from .heads import Header
 from .instance_view import DecisionInputs
+from .intake import AdmittedCall
 from .request_reader import RequestMessage
 from .response_reader import ResponseHead
 
@@ -158,3 +159,25 @@
             if self.longest_pause is None or pause > self.longest_pause:
                 self.longest_pause = pause
         self.last_sent_at = now
+
+
+def new_call(
+    message: RequestMessage,
+    metadata: CallMetadata,
+    admission: AdmittedCall,
+    responder: Responder,
+    arrived_at: timedelta,
+) -> Call:
+    """Return the state of a call that was admitted."""
+    return Call(
+        admission.request.request_id,
+        message,
+        metadata,
+        admission.route,
+        admission.account,
+        admission.request,
+        responder,
+        arrived_at,
+        last_event_id=metadata.last_event_id,
+        table_version=admission.version,
+    )
--- a/src/mimosafork/gateway/call_log.py
+++ b/src/mimosafork/gateway/call_log.py
@@ -229,6 +229,7 @@
             "account": call.account,
             "service": call.request.target,
             "version": call.table_version,
+            "forwarded_by": call.request.forwarded_by,
         }
 
     def _progress_fields(self, call: Call) -> LogFields:
--- a/src/mimosafork/gateway/dialect.py
+++ b/src/mimosafork/gateway/dialect.py
@@ -116,6 +116,11 @@
     ) -> list[Header]:
         """Return the headers of an attempt, without those that frame the body."""
 
+    def forwarding_headers(
+        self, head: RequestHead, time_left: timedelta, last_event_id: int | None
+    ) -> list[Header]:
+        """Return the caller's headers for a peer, without those that frame the body."""
+
     def parse_response_metadata(self, head: ResponseHead) -> ResponseMetadata:
         """Parse the headers of an endpoint's response."""
 
--- a/src/mimosafork/gateway/endpoint_request.py
+++ b/src/mimosafork/gateway/endpoint_request.py
@@ -2,9 +2,11 @@
 
 from datetime import timedelta
 
+from ..ids import InstanceId
 from ..kernel.messages.dispatch import Dispatch
 from .call import Call
 from .dialect import AttemptMetadata, Dialect
+from .forwarding import with_sender
 from .heads import HEAD, Header, render_head
 
 
@@ -12,7 +14,6 @@
     call: Call, dispatch: Dispatch, dialect: Dialect, time_left: timedelta
 ) -> bytes:
     """Return the head and body of a call's attempt."""
-    head, body = call.message.head, call.message.body
     metadata = AttemptMetadata(
         endpoint=dispatch.endpoint,
         time_left=time_left,
@@ -21,7 +22,22 @@
         priority=dispatch.priority,
         helpers=dispatch.helpers,
     )
-    headers = dialect.endpoint_headers(head, metadata)
+    return render(call, dialect.endpoint_headers(call.message.head, metadata))
+
+
+def peer_request(
+    call: Call, dialect: Dialect, time_left: timedelta, instance: InstanceId
+) -> bytes:
+    """Return the head and body of a call that a peer runs for this instance."""
+    headers = dialect.forwarding_headers(
+        call.message.head, time_left, call.last_event_id
+    )
+    return render(call, with_sender(headers, instance))
+
+
+def render(call: Call, headers: list[Header]) -> bytes:
+    """Return a call's request with other headers."""
+    head, body = call.message.head, call.message.body
     if body or head.content_length != 0 or head.method not in {b"GET", HEAD}:
         headers.append(Header(b"Content-Length", b"%d" % len(body)))
     first_line = b"%s %s HTTP/1.1" % (head.method, head.target)
--- a/src/mimosafork/gateway/errors.py
+++ b/src/mimosafork/gateway/errors.py
@@ -26,5 +26,9 @@
         self.detail = detail
 
 
+class ForwardingError(GatewayError):
+    """A request on the instances' own listener was not sent by an instance."""
+
+
 class BadResponseError(GatewayError):
     """An endpoint sent a malformed response."""
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -12,13 +12,14 @@
 
 from ..clock import Clock
 from ..gossip.boot_clock import BootClock
-from ..ids import RequestId
+from ..ids import InstanceId, RequestId
 from ..kernel.core import TICK, Kernel
 from ..kernel.messages.attempts import (
     AttemptFailed,
     EndSilentAttempt,
 )
 from ..kernel.messages.base import Effect, Message, Tick
+from ..kernel.messages.connectivity import ProbeConnections
 from ..kernel.messages.dispatch import CancelAttempt, Dispatch, RestoreAttempt
 from ..kernel.messages.lifecycle import ProcessResumed
 from ..kernel.messages.outcomes import Conclude
@@ -27,7 +28,7 @@
 from ..kernel.messages.timers import WakeAt
 from ..routing.table import ClientLimits, RoutingTable
 from .attempt_context import AttemptContext
-from .call import Call, Responder
+from .call import Call, Responder, new_call
 from .call_log import CallLog
 from .caller_log import (
     log_intake_fault,
@@ -35,13 +36,21 @@
     log_unanswered_request,
 )
 from .client_connection import ClientConnection
+from .connection_probes import ConnectionProbes
 from .dialect import CallMetadata, Dialect
 from .errors import BadRequestError
 from .final_responses import dispatch_faulted
 from .freeze_watch import FreezeWatch, log_freeze
 from .guarded import run_guarded
 from .heads import Header
-from .intake import INTERNAL_FAULT, STOPPING, AdmittedCall, CallRefusal, admit
+from .intake import (
+    INTERNAL_FAULT,
+    STOPPING,
+    AdmittedCall,
+    CallRefusal,
+    admit,
+    forwarded,
+)
 from .local_responses import send_problem, send_refusal
 from .open_attempts import OpenAttempts
 from .order_client import OrderClient
@@ -91,9 +100,11 @@
         send_gate = EndpointSendGate(
             kernel.plugin(FleetView), kernel.plugin(EndpointRateLimits)
         )
+        instance = kernel.state.identity.instance
         self.attempt_context = AttemptContext(
-            clock, self.pool, dialect, self.post, send_gate
+            clock, self.pool, dialect, self.post, send_gate, instance
         )
+        self.probes = ConnectionProbes(self.pool, self.post)
         self.call_log = CallLog(clock)
         self.zone_watch = ZoneWatch(self.post, kernel.plugin(FleetView).zone_of)
         self.freeze_watch = FreezeWatch(clock, BootClock(), TICK)
@@ -159,18 +170,19 @@
             self.post(Tick())
 
     def _report_silence(self) -> None:
-        now = self.clock.monotonic()
-        for attempt in list(self.attempts.current.values()):
-            silent = attempt.check_silence(now)
-            if silent is not None:
-                self.post(silent)
+        for silent in self.attempts.silent(self.clock.monotonic()):
+            self.post(silent)
 
     def new_connection(self) -> ClientConnection:
         """Return the protocol for a newly accepted client connection."""
         return ClientConnection(self, self.clock, self.connections)
 
     def accept(
-        self, connection: ClientConnection, message: RequestMessage, at: timedelta
+        self,
+        connection: ClientConnection,
+        message: RequestMessage,
+        at: timedelta,
+        forwarded_by: InstanceId | None = None,
     ) -> None:
         """Accept a complete request; `at` is the instant of its first byte."""
         try:
@@ -181,7 +193,7 @@
             self.malformed_request(connection, error)
             return
         try:
-            self._admit(connection, message, metadata, at)
+            self._admit(connection, message, metadata, at, forwarded_by)
         except Exception as error:
             # Once the kernel has the call, it may be running: it must not be answered
             # as not run.
@@ -196,6 +208,7 @@
         message: RequestMessage,
         metadata: CallMetadata,
         at: timedelta,
+        forwarded_by: InstanceId | None,
     ) -> None:
         request_id = RequestId(f"{next(self.request_numbers)}")
         decision: AdmittedCall | CallRefusal = STOPPING
@@ -206,6 +219,8 @@
         if isinstance(decision, CallRefusal):
             self._reject(connection, message, metadata, decision)
             return
+        if forwarded_by is not None:
+            decision = forwarded(decision, forwarded_by)
         self._submit(connection, message, metadata, decision, at)
 
     def _submit(
@@ -216,24 +231,12 @@
         admission: AdmittedCall,
         at: timedelta,
     ) -> None:
-        request = admission.request
-        call = Call(
-            request.request_id,
-            message,
-            metadata,
-            admission.route,
-            admission.account,
-            request,
-            connection,
-            at,
-            last_event_id=metadata.last_event_id,
-            table_version=admission.version,
-            caller_stalled=connection.write_paused,
-        )
+        call = new_call(message, metadata, admission, connection, at)
+        call.caller_stalled = connection.write_paused
         self.calls[call.request_id] = call
         self.by_connection[connection] = call.request_id
         self.ticker.hurry()
-        self.post(Submit(request))
+        self.post(Submit(call.request))
 
     def _reject(
         self,
@@ -355,6 +358,10 @@
     def _(self, effect: ReserveMemory | FreeOwnHolding) -> None:
         self.order_client.perform(effect)
 
+    @perform.register
+    def _(self, effect: ProbeConnections) -> None:
+        self.probes.open(effect.targets)
+
     @perform.register
     def _(self, effect: EndSilentAttempt) -> None:
         message = self.attempts.end_silent(effect)
@@ -374,7 +381,8 @@
         if call is None:
             return
         call.concluded = True
-        self._unlink_connection(call)
+        if self.by_connection.get(call.responder) == call.request_id:
+            del self.by_connection[call.responder]
         if self.kernel.state.waiting.by_target:
             self.inbox.append(Tick())
         if effect.problem is not None and not run_guarded(
@@ -386,10 +394,6 @@
         self.call_log.ended(call, effect)
         self.on_call_ended(call, effect)
 
-    def _unlink_connection(self, call: Call) -> None:
-        if self.by_connection.get(call.responder) == call.request_id:
-            del self.by_connection[call.responder]
-
     def _log_failure(self, failure: AttemptFailed, effects: list[Effect]) -> None:
         call = self.calls.get(failure.request_id)
         attempt = self.attempts.failed(failure)
--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -8,6 +8,7 @@
 
 from ..ids import ServiceId
 from ..telemetry.catalogue.gateway import (
+    CALLS_FORWARDED,
     CALLS_OPEN,
     CALLS_WAITING,
     CONNECTIONS_IDLE,
@@ -22,6 +23,7 @@
     REPEATS_SENT,
     REPEATS_SHARERS,
     ROWS_CALLS,
+    SERVICES_UNREACHABLE,
     TABLE_AGE,
     TABLE_VERSION,
     WORK_KNOWN,
@@ -32,6 +34,8 @@
 from ..telemetry.readings import Reading, ReadingSource
 from .gateway import Gateway
 from .instance_view import LiveInstanceView
+from .policies.connectivity import EndpointConnectivity
+from .policies.peer_forwarding import PeerForwarding
 from .policies.reservations import ReservationState
 from .policies.reserving import MemoryKeeper
 
@@ -77,6 +81,8 @@
         """Register the sources of all instruments."""
         registry.observe(CALLS_OPEN, lambda: [Reading(len(self.gateway.calls))])
         registry.observe(CALLS_WAITING, self.waiting)
+        registry.observe(CALLS_FORWARDED, self.forwarded_calls)
+        registry.observe(SERVICES_UNREACHABLE, self.unreachable_services)
         registry.observe(CONNECTIONS_IDLE, self.idle)
         registry.observe(WORK_KNOWN, self.known_calls)
         registry.observe(MEMORY_RESERVED, self.reserved_tokens)
@@ -100,6 +106,21 @@
         registry.observe(LOG_DROPS, dropped_records)
         registry.observe(LOG_LEFT_OUT, suppressed_records)
 
+    def forwarded_calls(self) -> Iterable[Reading]:
+        """Return the numbers of calls that run at peers, and for peers."""
+        sent = len(self.gateway.kernel.plugin(PeerForwarding).forwarded)
+        calls = self.gateway.calls.values()
+        received = sum(call.request.forwarded_by is not None for call in calls)
+        return [
+            Reading(sent, (("direction", "out"),)),
+            Reading(received, (("direction", "in"),)),
+        ]
+
+    def unreachable_services(self) -> Iterable[Reading]:
+        """Return the number of services that can't be reached from here."""
+        services = self.gateway.kernel.plugin(EndpointConnectivity).services
+        return [Reading(sum(each.unreachable for each in services.values()))]
+
     def waiting(self) -> Iterable[Reading]:
         """Return the number of waiting calls."""
         return [Reading(len(self.gateway.kernel.state.waiting))]
--- a/src/mimosafork/gateway/gossip_adapter.py
+++ b/src/mimosafork/gateway/gossip_adapter.py
@@ -5,7 +5,6 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-import msgspec
 from msgspec.structs import replace
 
 from ..clock import Clock
@@ -17,7 +16,6 @@
     TableChanged,
     UpdateOrigin,
 )
-from ..directory.rows import Row
 from ..gossip.callbacks import Callbacks
 from ..gossip.kinds.configuration import Versions
 from ..gossip.kinds.endpoints import EndpointWord, Word
@@ -28,6 +26,7 @@
 from ..gossip.state import HeardWork
 from ..ids import Digest, EndpointId, InstanceId, RequestId
 from ..kernel.messages.base import Effect, Message
+from ..kernel.messages.connectivity import PublishConnectivity
 from ..kernel.messages.endpoint_statements import MarkDraining
 from ..kernel.messages.rate_limits import PeerRateLimitStated, PublishRateLimit
 from ..kernel.messages.routing import PeerWorkChanged, PeerWorkReplaced, PeerWorkUnknown
@@ -40,6 +39,8 @@
 )
 from ..placement.load_tracker import InFlightRequest
 from .limit_notes import limit_note, peer_statement
+from .peer_connectivity import PeerConnectivity
+from .row_payload import decode_rows, encode_rows
 from .subset_selector import SubsetSelector
 from .work_notes import (
     EngineFiguresLookup,
@@ -69,12 +70,6 @@
 machine may delay the second reading."""
 
 
-class RowsPayload(msgspec.Struct):
-    """Rows as they are transferred to a peer."""
-
-    rows: list[Row]
-
-
 class GossipAdapter:
     """Connects the gossip with the kernel and the directory.
 
@@ -115,6 +110,7 @@
         self.published_versions = Versions()
         self.delayed_publishes: dict[RequestId, asyncio.TimerHandle] = {}
         """Timers of plain endpoints' calls that are published if they last."""
+        self.connectivity = PeerConnectivity(post)
         self.callbacks = Callbacks(
             on_configuration_offered=self.receive_configuration,
             on_listing_offered=self.receive_listing,
@@ -125,6 +121,7 @@
             on_endpoint_word=self.receive_endpoint_notice,
             on_suspicion=self.receive_suspicion,
             on_limit=self.receive_limit,
+            on_connectivity=self.connectivity.update,
         )
 
     # Publishing to peers
@@ -186,6 +183,10 @@
         if self.gossip is not None:
             self.gossip.publish_limit(effect.endpoint, limit_note(effect.statement))
 
+    @publish_effect.register
+    def _(self, effect: PublishConnectivity) -> None:
+        self.connectivity.set_unreachable(effect.unreachable)
+
     @publish_effect.register
     def _(self, effect: MarkDraining) -> None:
         # The directory notifies its listeners of the change, this adapter among them.
@@ -265,7 +266,7 @@
         if not rows:
             return None
         newest = max(row.version for row in rows)
-        return Held(newest, msgspec.msgpack.encode(RowsPayload(rows)))
+        return Held(newest, encode_rows(rows))
 
     # Receiving from peers
 
@@ -311,6 +312,7 @@
             self.synced_peers.discard(instance)
             self.post(PeerWorkUnknown(instance))
         self.live_peers = live
+        self.connectivity.update()
         self.directory.peer_feed.select_readers(self.gossip.instance, live)
         self.subset_selector.update_peers(live, self.gossip.is_large)
 
@@ -382,11 +384,3 @@
     def live_peer_count(self) -> int:
         """Return the number of live peers."""
         return 0 if self.gossip is None else len(self.gossip.peers)
-
-
-def decode_rows(payload: bytes) -> list[Row]:
-    """Return the rows in a peer's payload; none if it can't be decoded."""
-    try:
-        return msgspec.msgpack.decode(payload, type=RowsPayload).rows
-    except msgspec.MsgspecError:
-        return []
--- a/src/mimosafork/gateway/intake.py
+++ b/src/mimosafork/gateway/intake.py
@@ -7,8 +7,9 @@
 from random import Random
 
 import msgspec
+from msgspec.structs import replace
 
-from ..ids import AccountId, Digest, ModelId, RequestId, ServiceId
+from ..ids import AccountId, Digest, InstanceId, ModelId, RequestId, ServiceId
 from ..kernel.messages.requests import CallTerms, Repeatability, Request, RequestKind
 from ..routing.table import Account, CallKind, Route, RoutingTable, TrafficSplit
 from .dialect import CallMetadata
@@ -114,6 +115,20 @@
     return AdmittedCall(route, match.account_name, request, match.table.version)
 
 
+def forwarded(admission: AdmittedCall, sender: InstanceId) -> AdmittedCall:
+    """Return the admission of a call that a peer has forwarded.
+
+    It may run at one endpoint only: the peer decides on another attempt, and counts all
+    of them against the limits of the route.
+    """
+    request = admission.request
+    terms = request.terms
+    if terms is not None:
+        terms = replace(terms, max_attempts=1)
+    request = replace(request, terms=terms, forwarded_by=sender)
+    return replace(admission, request=request)
+
+
 def match_route(
     message: RequestMessage, metadata: CallMetadata, table: RoutingTable | None
 ) -> RouteMatch | CallRefusal:
--- a/src/mimosafork/gateway/open_attempts.py
+++ b/src/mimosafork/gateway/open_attempts.py
@@ -1,9 +1,16 @@
 """Open attempts of the calls of one instance."""
 
+from datetime import timedelta
+
 from msgspec.structs import astuple
 
 from ..ids import RequestId
-from ..kernel.messages.attempts import AttemptFailed, AttemptHedged, EndSilentAttempt
+from ..kernel.messages.attempts import (
+    AttemptFailed,
+    AttemptHedged,
+    AttemptSilent,
+    EndSilentAttempt,
+)
 from ..kernel.messages.dispatch import CancelAttempt, Dispatch
 from .attempt import EndpointAttempt
 from .attempt_context import AttemptContext
@@ -48,6 +55,11 @@
             self.current[request_id] = attempt
         return attempt
 
+    def silent(self, now: timedelta) -> list[AttemptSilent]:
+        """Return messages about the attempts that have been silent for too long."""
+        found = (each.check_silence(now) for each in self.current.values())
+        return [message for message in found if message is not None]
+
     def end_silent(self, effect: EndSilentAttempt) -> AttemptFailed | None:
         """Hedge or cancel a silent attempt; return the message about it."""
         request_id = effect.failure.request_id
--- a/src/mimosafork/gateway/policies/__init__.py
+++ b/src/mimosafork/gateway/policies/__init__.py
@@ -3,9 +3,11 @@
 from . import (
     backoff_waits,
     catching_up,
+    connectivity,
     endpoint_statements,
     fleet_view,
     ordering,
+    peer_forwarding,
     placing,
     quarantining,
     rate_limit_admission,
@@ -17,6 +19,8 @@
 
 PLUGINS = (
     fleet_view.FleetView.name,
+    connectivity.EndpointConnectivity.name,
+    peer_forwarding.PeerForwarding.name,
     endpoint_statements.EndpointStatements.name,
     catching_up.CatchUp.name,
     quarantining.CrashQuarantine.name,
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -14,6 +14,7 @@
     FirstToken,
 )
 from ...kernel.messages.base import Message
+from ...kernel.messages.connectivity import ServiceReachable
 from ...kernel.messages.routing import (
     EndpointLeaving,
     EndpointUsable,
@@ -284,6 +285,15 @@
         if answered_at is None or answered_at <= message.since:
             self.zone_suspicion.note_unreachable(message.zone, context.now)
 
+    @handle.register
+    def _(self, message: ServiceReachable, context: Context) -> None:
+        # The failures were this instance's own. With the backoffs that followed, all
+        # calls would go to the few endpoints that were not tried meanwhile.
+        for known in self.service_endpoints(message.service):
+            if known.misses:
+                known.misses = 0
+                known.unusable_until = context.now
+
     @handle.register
     def _(self, message: ZoneReachable, context: Context) -> None:
         self.zone_suspicion.note_answer(message.zone, context.now)
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -49,6 +49,7 @@
 from .dispatch_places import place_on, prefill_helpers
 from .fleet_view import FleetView
 from .full_rejections import FullRejections, reports_full
+from .peer_forwarding import PeerForwarding
 from .placement_requests import (
     RETRY_AFTER,
     overloaded_problem,
@@ -86,6 +87,7 @@
         self.quarantine = CrashQuarantine()
         self.retry = BudgetedRetry()
         self.rate_limits = EndpointRateLimits()
+        self.forwarding = PeerForwarding()
         self.load_tracker = LoadTracker()
         self.engine_subset: Callable[[Sequence[EngineView]], Sequence[EngineView]] = (
             all_engines
@@ -105,6 +107,7 @@
         self.quarantine = find(CrashQuarantine) or self.quarantine
         self.retry = find(BudgetedRetry) or self.retry
         self.rate_limits = find(EndpointRateLimits) or self.rate_limits
+        self.forwarding = find(PeerForwarding) or self.forwarding
         self.rate_limits.in_flight = self.load_tracker.own
         self.waits.rate_limits = self.rate_limits
 
@@ -118,6 +121,9 @@
         )
         if objection is not None:
             return Refuse(objection)
+        forwarded = self.forwarding.place(record, context)
+        if forwarded is not None:
+            return forwarded
         service = ServiceId(record.request.target)
         endpoints = self.fleet.service_endpoints(service)
         views = [each.view(context.now) for each in endpoints]
--- a/src/mimosafork/gateway/policies/retrying.py
+++ b/src/mimosafork/gateway/policies/retrying.py
@@ -91,8 +91,10 @@
 
     @handle.register
     def _(self, message: Submit, context: Context) -> None:
-        service = ServiceId(message.request.target)
-        self.budget(service).count_request(context.now)
+        # The instance that received the call from its caller has counted it.
+        if message.request.forwarded_by is None:
+            service = ServiceId(message.request.target)
+            self.budget(service).count_request(context.now)
 
     @handle.register
     def _(self, message: RequestConcluded, context: Context) -> None:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -50,6 +50,7 @@
 from .dialect import Dialect
 from .draining import POLL_INTERVAL, drain
 from .fleet_shares import FleetShares
+from .forwarded_intake import ForwardedIntake
 from .gateway import Gateway
 from .gauges import GatewayGauges, StoreCallCounts
 from .gossip_adapter import GossipAdapter
@@ -121,6 +122,9 @@
         self.gateway = Gateway(
             self.kernel, dialect, clock, random, lambda: self.directory.table
         )
+        self.forwarded_intake = ForwardedIntake(
+            self.gateway, settings.forwarding.max_calls
+        )
         subset_selector = SubsetSelector(
             settings.instance.id, self.kernel.plugin(FleetView)
         )
@@ -191,7 +195,9 @@
         self.directory.add_listener(self.gossip_adapter.directory_changed)
         self.directory.peer_count = self.gossip_adapter.live_peer_count
         self.directory.peer_feed.publish = self.gossip_adapter.publish_feed_state
-        self.gossip_adapter.gossip = self.shares.gossip = self._new_gossip()
+        gossip = self._new_gossip()
+        self.gossip_adapter.gossip = self.shares.gossip = gossip
+        self.gossip_adapter.connectivity.gossip = gossip
         self.gateway.zone_watch.silent_zones = self.gossip_adapter.gossip.silent_zones
         await self.gossip_adapter.gossip.start()
         self.directory.start()
@@ -207,10 +213,23 @@
                 lambda: ReadinessConnection(lambda: self.ready), ready.host, ready.port
             ),
         ]
+        await self._accept_forwarded_calls(front.host)
         metrics = self.settings.listen.metrics
         if metrics is not None:
             self.metrics_task = loop.create_task(self._serve_metrics(metrics))
 
+    async def _accept_forwarded_calls(self, host: str) -> None:
+        listener = await asyncio.get_running_loop().create_server(
+            self.forwarded_intake.new_connection,
+            host,
+            self.settings.forwarding_port,
+            backlog=BACKLOG,
+        )
+        self.listeners.append(listener)
+        connectivity = self.gossip_adapter.connectivity
+        connectivity.forwarding_port = listener.sockets[0].getsockname()[1]
+        connectivity.publish()
+
     async def _serve_metrics(self, address: str) -> None:
         metrics = await asyncio.to_thread(create_metrics)
         self.gateway.call_log.meter = CallMetrics(metrics)
@@ -330,6 +349,7 @@
         """
         gateway = self.gateway
         gateway.draining = True
+        self.gossip_adapter.connectivity.drain()
         requested_at = self.clock.monotonic()
         log_event(logger, GATEWAY_STOPPING, open=len(gateway.calls))
         cut = await drain(
--- a/src/mimosafork/gossip/callbacks.py
+++ b/src/mimosafork/gossip/callbacks.py
@@ -19,6 +19,7 @@
 from ..telemetry.logs import log_event
 from ..telemetry.throttled_event import ThrottledEvent
 from .effects import (
+    ConnectivityChanged,
     DatagramRefused,
     DoubtChanged,
     EndpointSaid,
@@ -68,6 +69,8 @@
         taken back is None.
     on_limit : callable
         A peer's note of an endpoint's rate limit, and its age.
+    on_connectivity : callable
+        A peer has published whether it reaches endpoints.
     """
 
     on_configuration_offered: Callable[[bytes, int], None] = ignore
@@ -80,6 +83,7 @@
     on_suspicion: Callable[[bytes, Suspicion], None] = ignore
     on_doubt: Callable[[InstanceId, EndpointId, Doubt | None], None] = ignore
     on_limit: Callable[[EndpointId, LimitNote, timedelta], None] = ignore
+    on_connectivity: Callable[[], None] = ignore
 
 
 class Teller:
@@ -144,6 +148,10 @@
     def _(self, effect: LimitStated, now: timedelta) -> None:
         self.callbacks.on_limit(effect.endpoint, effect.note, now - effect.born)
 
+    @tell.register
+    def _(self, effect: ConnectivityChanged, now: timedelta) -> None:
+        self.callbacks.on_connectivity()
+
     @tell.register
     def _(self, effect: LoadChanged, now: timedelta) -> None:
         self.callbacks.on_load_changed(effect.instance, effect.numbers)
--- a/src/mimosafork/gossip/effects.py
+++ b/src/mimosafork/gossip/effects.py
@@ -109,6 +109,12 @@
     numbers: tuple[int, ...]
 
 
+class ConnectivityChanged(msgspec.Struct, frozen=True):
+    """A peer has published its connectivity."""
+
+    instance: InstanceId
+
+
 Effect = (
     PeerUp
     | PeerDown
@@ -120,5 +126,6 @@
     | SuspicionChanged
     | DoubtChanged
     | LimitStated
+    | ConnectivityChanged
     | LoadChanged
 )
--- a/src/mimosafork/gossip/reports.py
+++ b/src/mimosafork/gossip/reports.py
@@ -6,6 +6,7 @@
 from ..directory.feed_update import FeedUpdate
 from ..ids import EndpointId, InstanceId
 from .effects import (
+    ConnectivityChanged,
     DoubtChanged,
     Effect,
     EndpointSaid,
@@ -17,6 +18,7 @@
 )
 from .kinds.base import Key
 from .kinds.configuration import CONFIGURATION, Versions
+from .kinds.connectivity import CONNECTIVITY
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord
 from .kinds.feed import FEED
@@ -65,6 +67,8 @@
         if slot.kind == LIMITS.number:
             note = cast(LimitNote, entry.value)
             return [LimitStated(endpoint_of(slot.key), note, entry.born)]
+        if slot.kind == CONNECTIVITY.number:
+            return [ConnectivityChanged(name)]
         if slot.kind == SUSPICION.number and isinstance(slot.key, bytes):
             return [SuspicionChanged(slot.key, self.state.suspicion(slot.key))]
         return []
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -21,6 +21,8 @@
 from .finding import Finder
 from .kinds.configuration import CONFIGURATION, Versions
 from .kinds.configuration import KEY as VERSIONS_KEY
+from .kinds.connectivity import CONNECTIVITY, Connectivity
+from .kinds.connectivity import KEY as CONNECTIVITY_KEY
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord
 from .kinds.feed import FEED
@@ -244,6 +246,12 @@
         self.exchange.confirm(LIMITS, endpoint, note, self.clock.monotonic())
         self.arm()
 
+    def publish_connectivity(self, own: Connectivity) -> None:
+        """Publish whether this instance reaches endpoints."""
+        now = self.clock.monotonic()
+        self.exchange.say(CONNECTIVITY, CONNECTIVITY_KEY, own, now)
+        self.arm()
+
     def publish_doubt(self, endpoint: EndpointId, doubt: Doubt | None) -> None:
         """Tell that an endpoint was ejected; None takes it back."""
         self.exchange.say(DOUBT, endpoint, doubt, self.clock.monotonic())
--- a/src/mimosafork/gossip/state.py
+++ b/src/mimosafork/gossip/state.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from ..ids import AvailabilityZoneId, EndpointId, InstanceId
+from .kinds.connectivity import CONNECTIVITY, Connectivity
+from .kinds.connectivity import KEY as CONNECTIVITY_KEY
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord, newest
 from .kinds.load import LOAD, WorkNote
@@ -91,6 +93,14 @@
             return None
         return HeardWork(cast(WorkNote, entry.value), now - entry.born)
 
+    def connectivity(self, instance: InstanceId) -> Connectivity | None:
+        """Return what a living peer has published of its connectivity."""
+        member = self.roster.members.get(instance)
+        if member is None or not member.alive:
+            return None
+        value = member.ledger.value(CONNECTIVITY.number, CONNECTIVITY_KEY)
+        return cast(Connectivity | None, value)
+
     def ledgers(self) -> Iterator[Ledger]:
         """Return the own words and those of all members, silent ones too."""
         yield self.own
--- a/src/mimosafork/kernel/attempts.py
+++ b/src/mimosafork/kernel/attempts.py
@@ -47,6 +47,7 @@
         shared=record.is_shareable,
         helpers=place.helpers,
         silence_timeouts=place.silence_timeouts,
+        via_peer=place.via_peer,
     )
 
 
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -40,6 +40,8 @@
     """The endpoint has begun to drain since the attempt was placed."""
     RATE_LIMITED = "rate-limited"
     """The endpoint's rate limit allows no further request of this instance now."""
+    PEER_FAILED = "peer-failed"
+    """The entry instance that ran the call for this one sent no complete answer."""
     SUPERSEDED = "superseded"
     """A hedged attempt resumed before this one answered."""
 
--- /dev/null
+++ b/src/mimosafork/kernel/messages/connectivity.py
@@ -0,0 +1,68 @@
+"""Which services this instance reaches, and which ones its peers do."""
+
+import msgspec
+
+from ...ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
+from .base import Effect, Message
+
+
+class ProbeTarget(msgspec.Struct, frozen=True):
+    """An endpoint to which a connection is opened."""
+
+    service: ServiceId
+    endpoint: EndpointId
+    address: str
+
+
+class ProbeConnections(Effect, frozen=True):
+    """Open a connection to each of these endpoints; `ConnectionProbed` follows."""
+
+    targets: tuple[ProbeTarget, ...]
+
+
+class ConnectionProbed(Message, frozen=True):
+    """A probe has opened a connection, or has failed."""
+
+    target: ProbeTarget
+    opened: bool
+
+
+class ProbesDue(Message, frozen=True):
+    """The endpoints of an unreachable service are probed again."""
+
+    service: ServiceId
+
+
+class PublishConnectivity(Effect, frozen=True):
+    """Publish to peers which services this instance does not reach."""
+
+    unreachable: frozenset[ServiceId]
+
+
+class ServiceReachable(Message, frozen=True):
+    """An endpoint of a service that was unreachable can be reached again."""
+
+    service: ServiceId
+
+
+class ForwardingPeer(msgspec.Struct, frozen=True):
+    """A live peer.
+
+    Attributes
+    ----------
+    address : str or None
+        Where it accepts forwarded calls; None if unknown.
+    unreachable : frozenset of ServiceId
+        Services of which it reaches no endpoint.
+    """
+
+    instance: InstanceId
+    zone: AvailabilityZoneId
+    address: str | None
+    unreachable: frozenset[ServiceId] = frozenset()
+
+
+class ForwardingPeersChanged(Message, frozen=True):
+    """The live peers, after a change."""
+
+    peers: tuple[ForwardingPeer, ...]
--- a/src/mimosafork/kernel/messages/dispatch.py
+++ b/src/mimosafork/kernel/messages/dispatch.py
@@ -69,6 +69,8 @@
         Endpoints that prefill the prompt in equal parts together with this one.
     silence_timeouts : SilenceTimeouts or None
         A longer silence is reported by `AttemptSilent`; None disables the reports.
+    via_peer : bool
+        The endpoint is another entry instance, which runs the call as its own.
     """
 
     request_id: RequestId
@@ -88,6 +90,7 @@
     shared: bool = False
     helpers: tuple[PrefillHelper, ...] = ()
     silence_timeouts: SilenceTimeouts | None = None
+    via_peer: bool = False
 
 
 class RestoreAttempt(Effect, frozen=True):
--- a/src/mimosafork/kernel/messages/requests.py
+++ b/src/mimosafork/kernel/messages/requests.py
@@ -5,7 +5,15 @@
 
 import msgspec
 
-from ...ids import AccountId, AdapterId, Digest, ModelId, RequestId, ServiceId
+from ...ids import (
+    AccountId,
+    AdapterId,
+    Digest,
+    InstanceId,
+    ModelId,
+    RequestId,
+    ServiceId,
+)
 from .base import Message
 
 
@@ -84,6 +92,8 @@
         Tokens that the caller has already received, when it resumes with its key.
     terms : CallTerms or None
         Set for a call that is forwarded unchanged.
+    forwarded_by : InstanceId or None
+        The entry instance that received the call from its caller, if it is another one.
     """
 
     request_id: RequestId
@@ -100,6 +110,7 @@
     idempotency_key: str | None = None
     resume_offset: int = 0
     terms: CallTerms | None = None
+    forwarded_by: InstanceId | None = None
 
 
 class Submit(Message, frozen=True):
--- a/src/mimosafork/kernel/plugins.py
+++ b/src/mimosafork/kernel/plugins.py
@@ -125,6 +125,7 @@
     reservation: ReservationId | None = None
     helpers: tuple[PrefillHelper, ...] = ()
     silence_timeouts: SilenceTimeouts | None = None
+    via_peer: bool = False
 
 
 class PlacementPending(msgspec.Struct, frozen=True):
--- a/src/mimosafork/platform/calls.py
+++ b/src/mimosafork/platform/calls.py
@@ -38,6 +38,9 @@
 )
 """Headers that this system sets itself, or that end here."""
 
+FORWARDED_ANEW = frozenset({names.DEADLINE_MS.lower(), names.LAST_EVENT_ID.lower()})
+"""Headers whose values have changed since the caller sent them."""
+
 
 class PreparedDialect:
     """The prepared platform's headers."""
@@ -84,6 +87,21 @@
             kept.append(Header(names.HELPERS, helper_list(metadata.helpers)))
         return kept
 
+    def forwarding_headers(
+        self, head: RequestHead, time_left: timedelta, last_event_id: int | None
+    ) -> list[Header]:
+        """Return the caller's headers for a peer, without those that frame the body."""
+        kept = [
+            header
+            for header in end_to_end_headers(head.headers)
+            if header.name.lower() not in FORWARDED_ANEW
+        ]
+        left_ms = max(1, int(time_left / MILLISECOND))
+        kept.append(Header(names.DEADLINE_MS, b"%d" % left_ms))
+        if last_event_id is not None:
+            kept.append(Header(names.LAST_EVENT_ID, b"%d" % last_event_id))
+        return kept
+
     def parse_response_metadata(self, head: ResponseHead) -> ResponseMetadata:
         """Return what an endpoint's headers say."""
         call_id = first_header_value(head.headers, names.REQUEST_ID.lower())
--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -39,6 +39,17 @@
     )
 
 
+class ForwardingSection(Section):
+    """Calls that peers without a way to endpoints send here."""
+
+    port: Port | None = Field(
+        default=None, description="port for them; the one after the gossip's if absent"
+    )
+    max_calls: Annotated[int, Field(ge=0)] = Field(
+        default=256, description="most of them that run here at the same time"
+    )
+
+
 class BoundsSection(Section):
     """What the deployment promises and asks."""
 
@@ -85,9 +96,17 @@
     listen: ListenSection
     store: StoreSection
     gossip: GossipSection
+    forwarding: ForwardingSection = ForwardingSection()
     bounds: BoundsSection = BoundsSection()
     logging: GatewayLoggingSection = GatewayLoggingSection()
 
+    @property
+    def forwarding_port(self) -> int:
+        """Port on which peers forward calls; 0 lets the system choose."""
+        if self.forwarding.port is not None:
+            return self.forwarding.port
+        return self.gossip.first_port and self.gossip.first_port + 1
+
 
 def load_gateway_settings(path: Path) -> GatewaySettings:
     """Read and check the settings of a gateway instance.
--- a/src/mimosafork/standins/prepared/runs.py
+++ b/src/mimosafork/standins/prepared/runs.py
@@ -86,12 +86,14 @@
     visits: list[Visit] = field(default_factory=list)
     changed: Condition = field(default_factory=Condition)
     begun: int = 0
+    recorded: tuple[str, ...] = tuple(RECORDED_HEADERS)
+    """Names of the headers that runs keep."""
 
     def begin(self, request: Request, instance: str, service: str, now_s: float) -> Run:
         """Record the start of a run."""
         headers = {
             name: request.header(name)
-            for name in RECORDED_HEADERS
+            for name in self.recorded
             if name.lower() in request.headers
         }
         with self.changed:
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -345,6 +345,18 @@
     "{instance}",
     "Entry instances that are heard.",
 )
+CALLS_FORWARDED = Instrument(
+    "mimosafork.calls.forwarded",
+    Kind.OBSERVABLE_GAUGE,
+    "{call}",
+    "Open calls that a peer runs for this instance (out) or that it runs for one (in).",
+)
+SERVICES_UNREACHABLE = Instrument(
+    "mimosafork.services.unreachable",
+    Kind.OBSERVABLE_GAUGE,
+    "{service}",
+    "Services of which this instance reaches no endpoint.",
+)
 GOSSIP_SENT = Instrument(
     "mimosafork.gossip.sent",
     Kind.OBSERVABLE_COUNTER,
--- a/tests/support/simulated_gateway.py
+++ b/tests/support/simulated_gateway.py
@@ -51,6 +51,7 @@
     HedgedAttemptResumed,
 )
 from mimosafork.kernel.messages.base import Effect, Message, Tick
+from mimosafork.kernel.messages.connectivity import ConnectionProbed, ProbeConnections
 from mimosafork.kernel.messages.dispatch import (
     CancelAttempt,
     Dispatch,
@@ -353,11 +354,20 @@
             self.wakes.append(effect)
         elif isinstance(effect, ReserveMemory | FreeOwnHolding):
             self.order(effect)
+        elif isinstance(effect, ProbeConnections):
+            self.probe(effect)
         elif isinstance(effect, MarkDraining):
             self.directory.offer_draining(effect.endpoint, origin=UpdateOrigin.ENDPOINT)
         elif isinstance(effect, Conclude):
             self.conclude(effect)
 
+    def probe(self, effect: ProbeConnections) -> None:
+        """Open connections to endpoints; those that hang time out."""
+        for target in effect.targets:
+            opened = self.endpoints[target.endpoint].reachable
+            at = self.now if opened else self.now + CONNECT_TIMEOUT
+            self.wakes.append(WakeAt(at, ConnectionProbed(target, opened)))
+
     def dispatch(self, effect: Dispatch) -> None:
         """Start an attempt."""
         call = self.calls[effect.request_id]
--- a/tests/unit/gateway/test_doubtful_connections.py
+++ b/tests/unit/gateway/test_doubtful_connections.py
@@ -32,6 +32,7 @@
     Digest,
     EndpointId,
     Incarnation,
+    InstanceId,
     RequestId,
     ServiceId,
     StreamId,
@@ -118,6 +119,7 @@
             dialect,
             self.reported.append,
             EndpointSendGate(FleetView(), EndpointRateLimits()),
+            InstanceId("entry-1"),
         )
 
     def release_idle(self, endpoint: EndpointId) -> EndpointConnection:
