Let an endpoint be silent for two seconds while its response is awaited

Cause: with probes after 1 s of idleness and a time-out of 2 s, which counts from the last received byte, one lost probe ended the connection, and the call with it: an endpoint in a long prefill, silent for a moment just as the probe came, was enough.

Calls that end sooner set no option more than before.

Not run against a network that drops packets: that needs one.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -18,7 +18,7 @@
 from .call import Call, CompleteResponse
 from .connection_choice import connection_request
 from .dialect import ResponseMetadata
-from .endpoint_request import endpoint_request, peer_request
+from .endpoint_request import attempt_request
 from .event_stream import EventSplitter
 from .final_responses import dispatch_faulted, send_complete_response
 from .heads import HEAD, end_to_end_headers
@@ -31,6 +31,9 @@
 
 logger = getLogger(__name__)
 
+SHORT_RESPONSE_TIME = timedelta(milliseconds=500)
+"""Most plain calls end sooner, and need no longer time-out."""
+
 MAX_BUFFERED_BYTES = 256 * 1024
 """Limit on the buffered bytes of one incomplete response or event."""
 
@@ -112,6 +115,11 @@
             return None
         return AttemptSilent(self.dispatch.request_id, self.dispatch.attempt, silence)
 
+    def extend_timeout(self, now: timedelta) -> None:
+        """Allow the endpoint a longer silence if it has taken its time already."""
+        if self.connection is not None and now - self.sent_at >= SHORT_RESPONSE_TIME:
+            self.connection.allow_silence()
+
     def pause(self) -> None:
         """Pause reading: the caller reads too slowly."""
         self.silence.paused = True
@@ -162,7 +170,7 @@
             self.context.pool.release(self.dispatch.endpoint, connection)
             self._fail(objection, Exposure.NEVER_SENT)
             return
-        request = self._request(time_left)
+        request = attempt_request(self.call, self.dispatch, self.context, time_left)
         self.connection = connection
         self.reused = connection.use_count > 0
         if not self.reused:
@@ -177,13 +185,6 @@
         if self.call.caller_stalled:
             self.pause()
 
-    def _request(self, time_left: timedelta) -> bytes:
-        dialect = self.context.dialect
-        if self.dispatch.via_peer:
-            instance = self.context.instance
-            return peer_request(self.call, dialect, time_left, instance)
-        return endpoint_request(self.call, self.dispatch, dialect, time_left)
-
     def _on_head(self, head: ResponseHead) -> None:
         metadata = self.context.dialect.parse_response_metadata(head)
         # An endpoint may repeat the response to an earlier call on this connection when
--- a/src/mimosafork/gateway/endpoint_request.py
+++ b/src/mimosafork/gateway/endpoint_request.py
@@ -4,12 +4,22 @@
 
 from ..ids import InstanceId
 from ..kernel.messages.dispatch import Dispatch
+from .attempt_context import AttemptContext
 from .call import Call
 from .dialect import AttemptMetadata, Dialect
 from .forwarding import with_sender
 from .heads import HEAD, Header, render_head
 
 
+def attempt_request(
+    call: Call, dispatch: Dispatch, context: AttemptContext, time_left: timedelta
+) -> bytes:
+    """Return the head and body of an attempt, at an endpoint or through a peer."""
+    if dispatch.via_peer:
+        return peer_request(call, context.dialect, time_left, context.instance)
+    return endpoint_request(call, dispatch, context.dialect, time_left)
+
+
 def endpoint_request(
     call: Call, dispatch: Dispatch, dialect: Dialect, time_left: timedelta
 ) -> bytes:
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -166,13 +166,10 @@
             self.post(ProcessResumed())
         self.zone_watch.check(self.attempts.current.values(), self.clock.monotonic())
         if self.calls:
-            self._report_silence()
+            for silent in self.attempts.tick(self.clock.monotonic()):
+                self.post(silent)
             self.post(Tick())
 
-    def _report_silence(self) -> None:
-        for silent in self.attempts.silent(self.clock.monotonic()):
-            self.post(silent)
-
     def new_connection(self) -> ClientConnection:
         """Return the protocol for a newly accepted client connection."""
         return ClientConnection(self, self.clock, self.connections)
--- a/src/mimosafork/gateway/open_attempts.py
+++ b/src/mimosafork/gateway/open_attempts.py
@@ -55,8 +55,10 @@
             self.current[request_id] = attempt
         return attempt
 
-    def silent(self, now: timedelta) -> list[AttemptSilent]:
-        """Return messages about the attempts that have been silent for too long."""
+    def tick(self, now: timedelta) -> list[AttemptSilent]:
+        """Update time-outs; return messages about attempts that are silent too long."""
+        for each in self.current.values():
+            each.extend_timeout(now)
         found = (each.check_silence(now) for each in self.current.values())
         return [message for message in found if message is not None]
 
--- a/src/mimosafork/gateway/upstream.py
+++ b/src/mimosafork/gateway/upstream.py
@@ -22,8 +22,14 @@
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
+KEEPALIVE_PROBES = 3
 TCP_USER_TIMEOUT_MS = 2000
+"""Limit on the time that a request may be on its way."""
+
+RESPONSE_USER_TIMEOUT_MS = 3500
+"""The same while a response is awaited. The option also decides when unanswered probes
+end a connection, counted from the last received byte: a healthy endpoint that has
+nothing to send may be unreachable for a second or two."""
 
 LONG_REQUEST_BYTES = 64 * 1024
 """A shorter request fits into the endpoint's receive buffer, read or unread."""
@@ -90,6 +96,7 @@
         self.feeding = False
         self.after_feeding: Callable[[], None] | None = None
         self.long_send: LongSendWatch | None = None
+        self.silence_allowed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Enable the detection of a dead peer on the socket."""
@@ -105,10 +112,26 @@
         self.reader.expect(
             ResponseSink(self._on_head, sink.data, self._on_end), without_body
         )
+        if self.silence_allowed:
+            self._set_user_timeout(TCP_USER_TIMEOUT_MS)
+            self.silence_allowed = False
         self.transport.write(request)
         if self.request_size >= LONG_REQUEST_BYTES:
             self._watch_long_send(self.transport.get_extra_info("socket"))
 
+    def allow_silence(self) -> None:
+        """Allow a longer silence, once the request is acknowledged."""
+        if self.silence_allowed or self.long_send is not None or self.unacknowledged:
+            return
+        self.silence_allowed = True
+        self._set_user_timeout(RESPONSE_USER_TIMEOUT_MS)
+
+    def _set_user_timeout(self, milliseconds: int) -> None:
+        assert self.transport is not None
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
     def _watch_long_send(self, sock: socket.socket | None) -> None:
         if sock is None:
             return
@@ -144,11 +167,18 @@
     @property
     def send_pending(self) -> bool:
         """Whether part of the last request is not yet acknowledged by the endpoint."""
-        if self.transport is None or self.request_size < LONG_REQUEST_BYTES:
-            return False
+        return self.request_size >= LONG_REQUEST_BYTES and self.unacknowledged
+
+    @property
+    def unacknowledged(self) -> bool:
+        """Whether the endpoint has not acknowledged all bytes that were sent."""
+        if self.transport is None:
+            return True
         if self.transport.get_write_buffer_size():
             return True
         sock = self.transport.get_extra_info("socket")
+        if sock is None:
+            return True
         queued = ioctl(sock.fileno(), TIOCOUTQ, bytes(INT_BYTES))
         return int.from_bytes(queued, sys.byteorder) > 0
 
