--- a/tests/support/gateway_processes.py
+++ b/tests/support/gateway_processes.py
@@ -2,7 +2,7 @@
 
 import os
 import socket
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from itertools import count
 from pathlib import Path
@@ -33,6 +33,9 @@
 first_port = {gossip}
 seeds = {seeds}
 
+[forwarding]
+port = {forwarding}
+
 [bounds]
 grace = 8s
 {bounds}
@@ -41,6 +44,7 @@
 level = INFO
 """
 READY_PATH = "/-/ready"
+LAST_LINES = 20
 HOSTS = count(1)
 
 
@@ -49,12 +53,16 @@
     return f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}.{next(HOSTS)}"
 
 
-def free_port(host: str) -> int:
-    """Return a free port of a loopback address."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        port: int = probe.getsockname()[1]
-        return port
+def free_ports(host: str, number: int) -> list[int]:
+    """Return different free ports of a loopback address.
+
+    All are bound at the same time: the system may pick a port again once it is closed.
+    """
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(number)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 class GatewayProcess:
@@ -68,9 +76,10 @@
 
     def __init__(self, folder: Path, name: str, store: str, bounds: str = "") -> None:
         host = unique_loopback_host()
-        self.front = f"{host}:{free_port(host)}"
-        self.ready = f"{host}:{free_port(host)}"
-        self.metrics = f"{host}:{free_port(host)}"
+        front, ready, metrics, gossip, forwarding = free_ports(host, 5)
+        self.front = f"{host}:{front}"
+        self.ready = f"{host}:{ready}"
+        self.metrics = f"{host}:{metrics}"
         self.path = folder / f"{name}.ini"
         self.path.write_text(
             SETTINGS.format(
@@ -79,7 +88,8 @@
                 ready=self.ready,
                 metrics=self.metrics,
                 store=store,
-                gossip=free_port(host),
+                gossip=gossip,
+                forwarding=forwarding,
                 seeds="",
                 bounds=bounds,
             )
@@ -95,7 +105,7 @@
 
     def wait_until_ready(self, status: int = 200) -> None:
         """Wait until the readiness check returns a status."""
-        eventually(lambda: self.ready_status() == status)
+        self.wait_until(lambda: self.ready_status() == status, f"ready is {status}")
 
     def ask(self, path: str, name: str, **headers: str) -> CallResult:
         """Post a request with an id."""
@@ -103,7 +113,30 @@
 
     def wait_until_logged(self, text: str) -> None:
         """Wait for a log line that contains a text."""
-        eventually(lambda: any(text in line for line in self.process.lines))
+        self.wait_until(
+            lambda: any(text in line for line in self.process.lines), f"logged {text!r}"
+        )
+
+    def wait_until(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait for a condition; say what the process did if it doesn't come.
+
+        Raises
+        ------
+        AssertionError
+            If the condition does not hold in time, or the process has exited.
+        """
+
+        def holds() -> bool:
+            if condition():
+                return True
+            assert self.process.child.poll() is None, "the process has exited"
+            return False
+
+        try:
+            eventually(holds)
+        except AssertionError as error:
+            output = [*self.process.lines[-LAST_LINES:], *self.process.errors]
+            raise AssertionError("\n".join([f"{what}: {error}", *output])) from None
 
 
 def cut_file(folder: Path) -> Path:
--- a/tests/support/plain_fleet.py
+++ b/tests/support/plain_fleet.py
@@ -14,7 +14,6 @@
 from .endpoint_cut import CutMode
 from .gateway_processes import GatewayProcess, cut_file, gateway_process
 from .prepared import API_KEY, DESKS, NoAnswerError, deployment
-from .waiting import eventually
 
 KEY = f"Bearer {API_KEY}"
 CALLS_S = 40
@@ -64,7 +63,7 @@
             process.wait_until_ready()
             for each in set(names) - {name}:
                 process.wait_until_logged(f"peer {each} ")
-            eventually(lambda p=process: call(p, "w") == 200)  # type: ignore[misc]
+            process.wait_until(lambda p=process: call(p, "w") == 200, "serves")  # type: ignore[misc]
         yield PlainFleet(platform, processes, endpoints)
 
 
