Publish no crash while the instance itself may be partitioned

What callers saw: nothing yet; found while asking what else judges by what one instance can reach. When all connections of an instance are reset, each content that ran on them has a crash against it, which all instances hear of: after three endpoints they refuse it for 60 s, however harmless.

Change: a crash at an endpoint whose service is unreachable from here, or is being probed, is published only once a round of probes has reached the service.

--- a/src/mimosafork/gateway/policies/connectivity.py
+++ b/src/mimosafork/gateway/policies/connectivity.py
@@ -20,7 +20,7 @@
     ProbesDue,
     ProbeTarget,
     PublishConnectivity,
-    ServiceReachable,
+    ServiceProbed,
 )
 from ...kernel.plugins import Plugin, PluginFinder
 from ...kernel.registry import register
@@ -72,6 +72,14 @@
         reach = self.services.get(service)
         return reach is not None and reach.unreachable
 
+    def in_doubt(self, endpoint: EndpointId) -> bool:
+        """Return whether a failure at an endpoint may be due to a partition.
+
+        Its service is unreachable, or is being probed.
+        """
+        reach = self._reach_of(endpoint)
+        return reach is not None and (reach.unreachable or bool(reach.probing))
+
     def _reach_of(self, endpoint: EndpointId | None) -> ServiceReach | None:
         """Return the reach of an endpoint's service; None for an unknown endpoint."""
         if self.fleet is None or endpoint is None:
@@ -181,12 +189,13 @@
         self, service: ServiceId, reach: ServiceReach, context: Context
     ) -> None:
         since = reach.unreachable_since
-        if reach.close_round(context.now):
+        changed = reach.close_round(context.now)
+        context.post(ServiceProbed(service, not reach.unreachable, changed))
+        if changed:
             self._publish(context)
             if since is None:
                 self._log_unreachable(service, reach)
             else:
-                context.post(ServiceReachable(service))
                 after_ms = (context.now - since) // MILLISECOND
                 log_event(logger, SERVICE_REACHABLE, service=service, after_ms=after_ms)
         if reach.unreachable:
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -14,7 +14,7 @@
     FirstToken,
 )
 from ...kernel.messages.base import Message
-from ...kernel.messages.connectivity import ServiceReachable
+from ...kernel.messages.connectivity import ServiceProbed
 from ...kernel.messages.routing import (
     EndpointLeaving,
     EndpointUsable,
@@ -286,7 +286,9 @@
             self.zone_suspicion.note_unreachable(message.zone, context.now)
 
     @handle.register
-    def _(self, message: ServiceReachable, context: Context) -> None:
+    def _(self, message: ServiceProbed, context: Context) -> None:
+        if not (message.reachable and message.changed):
+            return
         # The failures were this instance's own. With the backoffs that followed, all
         # calls would go to the few endpoints that were not tried meanwhile.
         for known in self.service_endpoints(message.service):
--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -10,6 +10,7 @@
 from ...kernel.context import Context
 from ...kernel.messages.attempts import AttemptFailed, FailureKind
 from ...kernel.messages.base import Message
+from ...kernel.messages.connectivity import ServiceProbed
 from ...kernel.messages.outcomes import Outcome
 from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.sharing import (
@@ -17,11 +18,20 @@
     PublishCrashClearance,
     PublishCrashSuspicion,
 )
-from ...kernel.plugins import Proceed, Refuse, RequestConcluded, ReviewDecision, Stage
+from ...kernel.plugins import (
+    PluginFinder,
+    Proceed,
+    Refuse,
+    RequestConcluded,
+    ReviewDecision,
+    Stage,
+)
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
 from ...telemetry.catalogue.gateway import CONTENT_CLEARED, CONTENT_QUARANTINED
 from ...telemetry.logs import log_event
+from .connectivity import EndpointConnectivity
+from .fleet_view import FleetView
 
 logger = logging.getLogger(__name__)
 
@@ -52,6 +62,15 @@
     def __init__(self) -> None:
         # Ordered by the time of the last crash, most recent last.
         self.suspicions: dict[Digest, CrashSuspicion] = {}
+        self.unpublished: list[PublishCrashSuspicion] = []
+        """Crashes that a partition of this instance may have caused."""
+        self.connectivity: EndpointConnectivity | None = None
+        self.fleet: FleetView | None = None
+
+    def resolve_dependencies(self, find: PluginFinder) -> None:
+        """Look up the plug-ins that this one uses."""
+        self.connectivity = find(EndpointConnectivity)
+        self.fleet = find(FleetView)
 
     def review(self, record: RequestRecord, context: Context) -> ReviewDecision:
         """Reject a request whose content is quarantined."""
@@ -77,9 +96,31 @@
         if message.kind is not FailureKind.BROKEN or message.digest is None:
             return
         suspicion = self._record_crash(message.digest, context.now)
-        if message.endpoint is not None:
-            self._add(message.digest, suspicion, {message.endpoint}, SOURCE_OWN)
-            context.emit(PublishCrashSuspicion(message.digest, message.endpoint))
+        if message.endpoint is None:
+            return
+        self._add(message.digest, suspicion, {message.endpoint}, SOURCE_OWN)
+        crash = PublishCrashSuspicion(message.digest, message.endpoint)
+        if self._in_doubt(message.endpoint):
+            self.unpublished.append(crash)
+        else:
+            context.emit(crash)
+
+    def _in_doubt(self, endpoint: EndpointId) -> bool:
+        connectivity = self.connectivity
+        return connectivity is not None and connectivity.in_doubt(endpoint)
+
+    @handle.register
+    def _(self, message: ServiceProbed, context: Context) -> None:
+        # A partition of this instance breaks the connections of all contents that run
+        # behind it. Peers must not refuse these for it.
+        held, self.unpublished = self.unpublished, []
+        endpoints = {} if self.fleet is None else self.fleet.endpoints
+        for crash in held:
+            known = endpoints.get(crash.endpoint)
+            if known is not None and known.listed.service != message.service:
+                self.unpublished.append(crash)
+            elif message.reachable:
+                context.emit(crash)
 
     @handle.register
     def _(self, message: RequestConcluded, context: Context) -> None:
--- a/src/mimosafork/kernel/messages/connectivity.py
+++ b/src/mimosafork/kernel/messages/connectivity.py
@@ -39,10 +39,19 @@
     unreachable: frozenset[ServiceId]
 
 
-class ServiceReachable(Message, frozen=True):
-    """An endpoint of a service that was unreachable can be reached again."""
+class ServiceProbed(Message, frozen=True):
+    """A round of probes has ended.
+
+    Attributes
+    ----------
+    reachable : bool
+    changed : bool
+        Whether the service was not, or was, reachable before.
+    """
 
     service: ServiceId
+    reachable: bool
+    changed: bool
 
 
 class ForwardingPeer(msgspec.Struct, frozen=True):
--- a/tests/support/gateway_kernels.py
+++ b/tests/support/gateway_kernels.py
@@ -27,6 +27,8 @@
     FirstToken,
     RetryDue,
 )
+from mimosafork.kernel.messages.base import Effect, Message
+from mimosafork.kernel.messages.connectivity import ConnectionProbed, ProbeConnections
 from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.outcomes import Conclude
 from mimosafork.kernel.messages.requests import (
@@ -50,6 +52,18 @@
 class GatewayBench(Bench):
     """Adds common steps of tests of the gateway's policies."""
 
+    answers_probes = True
+    """Whether probes of endpoints open connections at once."""
+
+    def handle(self, message: Message) -> list[Effect]:
+        """Handle a message, and answer the probes that it causes."""
+        emitted = super().handle(message)
+        for effect in emitted:
+            if self.answers_probes and isinstance(effect, ProbeConnections):
+                for target in effect.targets:
+                    self.handle(ConnectionProbed(target, opened=True))
+        return emitted
+
     def list_endpoint(self, name: str, slots: int = 8) -> None:
         """List an endpoint as usable."""
         self.handle(EndpointUsable(listed(name, slots)))
--- a/tests/unit/gateway/test_connectivity.py
+++ b/tests/unit/gateway/test_connectivity.py
@@ -24,6 +24,7 @@
     ProbeTarget,
     PublishConnectivity,
 )
+from mimosafork.kernel.messages.sharing import PublishCrashSuspicion
 
 from ...support.functions import function_tests
 from ...support.gateway_kernels import (
@@ -38,6 +39,13 @@
 LATER = PROBE_INTERVAL * (1 + PROBE_JITTER)
 
 
+def silent_bench(endpoints: int = 8) -> GatewayBench:
+    """Return a kernel whose probes are answered by the test."""
+    bench = gateway_bench(endpoints)
+    bench.answers_probes = False
+    return bench
+
+
 def is_unreachable(bench: GatewayBench) -> bool:
     return bench.kernel.plugin(EndpointConnectivity).unreachable(PLAIN_SERVICE)
 
@@ -72,7 +80,7 @@
 def test_a_service_is_unreachable_once_all_probes_fail() -> None:
     """Calls try one endpoint of a partitioned service after the other."""
     for kind in (FailureKind.UNREACHED, FailureKind.STALLED, FailureKind.BROKEN):
-        bench = gateway_bench(endpoints=8)
+        bench = silent_bench()
         fail_calls(bench, kind, 2)
         case.assertEqual(PROBES, len(probed(bench)))
         case.assertFalse(is_unreachable(bench))
@@ -83,7 +91,7 @@
 
 def test_one_failed_endpoint_raises_no_suspicion() -> None:
     """The crash of one endpoint costs connections to others."""
-    bench = gateway_bench(endpoints=8)
+    bench = silent_bench()
     dispatch = bench.begin(request_of(bench, "r0"))
     for _ in range(3):
         bench.fail(dispatch)
@@ -91,7 +99,7 @@
 
 
 def test_one_opened_connection_shows_that_a_service_can_be_reached() -> None:
-    bench = gateway_bench(endpoints=8)
+    bench = silent_bench()
     fail_calls(bench, FailureKind.UNREACHED, 2)
     answer_probes(bench, opened=1)
     case.assertFalse(is_unreachable(bench))
@@ -100,7 +108,7 @@
 
 def test_nothing_is_probed_right_after_a_connection_was_opened() -> None:
     """Endpoints that stall together in a flood cost connections all the time."""
-    bench = gateway_bench(endpoints=8)
+    bench = silent_bench()
     dispatch = bench.begin(request_of(bench, "opened"))
     bench.handle(AttemptSent(dispatch.request_id, dispatch.attempt))
     fail_calls(bench, FailureKind.STALLED, 3)
@@ -112,7 +120,7 @@
 
 def test_answers_on_open_connections_do_not_hide_refused_ones() -> None:
     """Old connections live on, and calls that need a new one are refused."""
-    bench = gateway_bench(endpoints=8)
+    bench = silent_bench()
     fail_calls(bench, FailureKind.UNREACHED, 1)
     bench.finish(bench.begin(request_of(bench, "served")))
     fail_calls(bench, FailureKind.UNREACHED, 2)
@@ -122,7 +130,7 @@
 
 def test_silent_endpoints_are_suspected_before_their_attempts_end() -> None:
     """Non-idempotent calls wait in silence, and nobody asks why."""
-    bench = gateway_bench(endpoints=8)
+    bench = silent_bench()
     for name in ("r0", "r1"):
         dispatch = bench.begin(request_of(bench, name))
         bench.handle(
@@ -134,7 +142,7 @@
 
 def test_an_unreachable_service_is_probed_until_half_of_a_round_succeeds() -> None:
     """With one endpoint in ten within reach, each round would reverse the last one."""
-    bench = gateway_bench(endpoints=8)
+    bench = silent_bench()
     fail_calls(bench, FailureKind.UNREACHED, 2)
     answer_probes(bench, opened=0)
     for opened, unreachable in ((0, True), (1, True), (2, False)):
@@ -146,7 +154,7 @@
 
 def test_endpoints_are_used_at_once_when_they_can_be_reached_again() -> None:
     """After a cut all calls go to the few endpoints whose backoff has ended."""
-    bench = gateway_bench(endpoints=8)
+    bench = silent_bench()
     fail_calls(bench, FailureKind.UNREACHED, 4)
     answer_probes(bench, opened=0)
     bench.handle_after(LATER, ProbesDue(PLAIN_SERVICE))
@@ -157,7 +165,7 @@
 
 def test_a_service_without_endpoints_is_not_unreachable() -> None:
     """Endpoints that replace all others are not used."""
-    bench = gateway_bench(endpoints=2)
+    bench = silent_bench(endpoints=2)
     fail_calls(bench, FailureKind.UNREACHED, 2)
     answer_probes(bench, opened=0)
     fleet = bench.kernel.plugin(FleetView)
@@ -166,4 +174,32 @@
     case.assertFalse(is_unreachable(bench))
 
 
+def suspected(bench: GatewayBench) -> int:
+    """Return how many contents were published as suspected of a crash."""
+    return len(bench.emitted(PublishCrashSuspicion))
+
+
+def test_contents_are_not_blamed_for_a_partition() -> None:
+    """Harmless contents are refused everywhere after one instance was cut off."""
+    for opened, blamed in ((0, 1), (PROBES, 4)):
+        bench = silent_bench()
+        running = [bench.begin(request_of(bench, f"r{n}")) for n in range(4)]
+        for dispatch in running:
+            bench.fail(dispatch)
+        case.assertEqual(1, suspected(bench))
+        answer_probes(bench, opened)
+        case.assertEqual(blamed, suspected(bench))
+
+
+def test_connections_that_break_in_a_partition_blame_no_content() -> None:
+    bench = silent_bench()
+    running = bench.begin(request_of(bench, "running"))
+    fail_calls(bench, FailureKind.UNREACHED, 2)
+    answer_probes(bench, opened=0)
+    bench.fail(running)
+    bench.handle_after(LATER, ProbesDue(PLAIN_SERVICE))
+    answer_probes(bench, opened=0)
+    case.assertEqual(0, suspected(bench))
+
+
 load_tests = function_tests(__name__)
