Notice the loss of a fleet's only endpoint, and say why peers refuse

Found by a test with one endpoint: its failure alone raised no suspicion, so that its calls were never forwarded. As many endpoints must fail as there are, two at most. The test failed before (nothing was probed).

A call that all peers have refused now says so, with the retry delay of an overload instead of the one for an instance that is alone. One retry delay stood in two modules.

--- a/src/mimosafork/gateway/forwarded_intake.py
+++ b/src/mimosafork/gateway/forwarded_intake.py
@@ -17,19 +17,19 @@
 from .heads import Header
 from .intake import CallRefusal
 from .local_responses import send_refusal
+from .policies.peer_forwarding import ELSEWHERE_AFTER
 from .request_reader import RequestMessage
 from .unanswered_request import UnansweredRequest
 
 logger = getLogger(__name__)
 
-RETRY_AFTER = timedelta(milliseconds=200)
 REFUSED_EVERY = timedelta(seconds=10)
 
 NOT_FORWARDED = CallRefusal(HTTPStatus.BAD_REQUEST, "not-forwarded")
 """A request of something else than an instance."""
 
 TOO_MANY = CallRefusal(
-    HTTPStatus.SERVICE_UNAVAILABLE, "too-many-forwarded", RETRY_AFTER
+    HTTPStatus.SERVICE_UNAVAILABLE, "too-many-forwarded", ELSEWHERE_AFTER
 )
 
 
--- a/src/mimosafork/gateway/policies/connectivity.py
+++ b/src/mimosafork/gateway/policies/connectivity.py
@@ -34,7 +34,7 @@
 MILLISECOND = timedelta(milliseconds=1)
 
 SUSPICIOUS_ENDPOINTS = 2
-"""Endpoints that must fail in turn before others are probed."""
+"""Endpoints that must fail in turn before others are probed, if there are so many."""
 
 PROBE_INTERVAL = timedelta(milliseconds=400)
 PROBE_JITTER = 0.5
@@ -158,9 +158,11 @@
         Calls of other services would find out for themselves, but the shortest ones
         have no time for it.
         """
+        if self.fleet is None:
+            return
         now = context.now
         suspects = set().union(*(each.suspects(now) for each in self.services.values()))
-        if len(suspects) < SUSPICIOUS_ENDPOINTS or self.fleet is None:
+        if len(suspects) < min(SUSPICIOUS_ENDPOINTS, len(self.fleet.endpoints)):
             return
         for service in list(self.fleet.by_service):
             reach = self.services.setdefault(service, ServiceReach())
--- a/src/mimosafork/gateway/policies/peer_forwarding.py
+++ b/src/mimosafork/gateway/policies/peer_forwarding.py
@@ -21,16 +21,17 @@
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
 from .connectivity import EndpointConnectivity
-from .placement_requests import overloaded_problem
+from .placement_requests import RETRY_AFTER, overloaded_problem
 from .retrying import RETRY_BUDGET_EXHAUSTED, BudgetedRetry
 
 PEER_INCARNATION = Incarnation(1)
 ENDPOINT_PREFIX = "instance/"
 """Distinguishes peers from endpoints where attempts name what they were sent to."""
 
-RETRY_AFTER = timedelta(milliseconds=200)
-"""Callers that come back reach another instance."""
+ELSEWHERE_AFTER = timedelta(milliseconds=200)
+"""Retry delay of callers that another instance may serve at once."""
 
+REFUSED_BY_PEERS = "all peers that reach the service have refused it"
 NO_WAY = "no endpoint and no peer that reaches one can be reached"
 
 
@@ -85,9 +86,11 @@
             return Refuse(no_way())
         peers = self.peers_reaching(service)
         peer = self._choose(peers, record, context)
+        if peer is None and peers:
+            return Refuse(overloaded_problem(REFUSED_BY_PEERS, RETRY_AFTER))
         if peer is None:
             alone = self.had_peers and not self.peers
-            return Refuse(no_way()) if alone or peers else None
+            return Refuse(no_way()) if alone else None
         if not self.retry.charge_retry(record.request, context):
             return Refuse(overloaded_problem(RETRY_BUDGET_EXHAUSTED, RETRY_AFTER))
         self.forwarded[record.request_id] = peer.instance
@@ -163,4 +166,4 @@
 
 def no_way() -> Problem:
     """Return the problem of a call that neither this instance nor a peer can run."""
-    return Problem(ProblemCode.NO_ENDPOINT, NO_WAY, RETRY_AFTER)
+    return Problem(ProblemCode.NO_ENDPOINT, NO_WAY, ELSEWHERE_AFTER)
--- a/tests/support/gateway_processes.py
+++ b/tests/support/gateway_processes.py
@@ -94,7 +94,20 @@
                 bounds=bounds,
             )
         )
-        self.process = Process(["gateway", "--settings", str(self.path)], folder)
+        self.folder = folder
+        self.process = self._start()
+
+    def _start(self) -> Process:
+        return Process(["gateway", "--settings", str(self.path)], self.folder)
+
+    def kill(self) -> None:
+        """End the process at once; harmless when repeated."""
+        self.process.kill()
+
+    def restart(self) -> None:
+        """Kill the process and start another one with the same settings."""
+        self.process.kill()
+        self.process = self._start()
 
     def ready_status(self) -> int:
         """Return the status of the readiness check; 0 without an answer."""
@@ -173,5 +186,5 @@
         Path(folder, "sitecustomize.py").write_text(sitecustomize)
         address = store or platform.store.address
         started = GatewayProcess(Path(folder), name, address, bounds)
-        stack.callback(started.process.kill)
+        stack.callback(started.kill)
         yield started
--- a/tests/unit/gateway/test_connectivity.py
+++ b/tests/unit/gateway/test_connectivity.py
@@ -98,6 +98,14 @@
     case.assertEqual([], bench.emitted(ProbeConnections))
 
 
+def test_the_only_endpoint_of_a_fleet_may_be_unreachable_too() -> None:
+    """A service with one endpoint is never taken for unreachable."""
+    bench = silent_bench(endpoints=1)
+    fail_calls(bench, FailureKind.UNREACHED, 1)
+    answer_probes(bench, opened=0)
+    case.assertTrue(is_unreachable(bench))
+
+
 def test_one_opened_connection_shows_that_a_service_can_be_reached() -> None:
     bench = silent_bench()
     fail_calls(bench, FailureKind.UNREACHED, 2)
