--- a/tests/unit/gateway/test_gateway_machine.py
+++ b/tests/unit/gateway/test_gateway_machine.py
@@ -29,12 +29,8 @@
 from ...support.gateway_tables import KEYS, ROUTES
 from ...support.machines import explore
 from ...support.reserving_engines import MEMORY, POOL, FakeModelEngine
-from ...support.simulated_gateway import (
-    INSTANCES,
-    AttemptEvent,
-    SimulatedEndpoint,
-    SimulatedGateway,
-)
+from ...support.simulated_endpoints import INSTANCES, AttemptEvent, SimulatedEndpoint
+from ...support.simulated_gateway import SimulatedGateway
 
 EXAMPLES = 50
 STEPS = 50
