Trust a peer's bare status only where it is the peer's own statement

What callers could have seen: a call that may run once, forwarded to a peer, whose endpoint ran it and answered with an unsigned 4xx, was told as not run (503) or sent to another peer.

Cause: all unsigned statuses below 500 of a peer counted as 'not run', for the sake of a peer with another configuration, which answers 401 or 404.

Change: only 408, 421, 429 and 503 count, which a peer never passes on from an endpoint; a peer that would deny a forwarded call says 503 instead.

Evidence: test_an_unsigned_failure_behind_a_peer_promises_nothing failed before (503 for a call that had run) and passes; 13 tests of forwarded calls pass.

--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -213,11 +213,11 @@
             decision = admit(
                 message, metadata, self.table(), request_id, at, self.random
             )
+        if forwarded_by is not None:
+            decision = forwarded(decision, forwarded_by)
         if isinstance(decision, CallRefusal):
             self._reject(connection, message, metadata, decision)
             return
-        if forwarded_by is not None:
-            decision = forwarded(decision, forwarded_by)
         self._submit(connection, message, metadata, decision, at)
 
     def _submit(
--- a/src/mimosafork/gateway/intake.py
+++ b/src/mimosafork/gateway/intake.py
@@ -13,7 +13,7 @@
 from ..kernel.messages.requests import CallTerms, Repeatability, Request, RequestKind
 from ..routing.table import Account, CallKind, Route, RoutingTable, TrafficSplit
 from .dialect import CallMetadata
-from .problems import DEFAULT_RETRY_AFTER
+from .problems import DEFAULT_RETRY_AFTER, NOT_RUN_STATUSES
 from .request_reader import RequestMessage
 
 NO_ACCOUNT = AccountId("")
@@ -41,6 +41,11 @@
 )
 """Internal error before the call was submitted to the kernel: it has not run."""
 NO_ROUTE = CallRefusal(HTTPStatus.NOT_FOUND, "no-route")
+OTHER_CONFIGURATION = CallRefusal(
+    HTTPStatus.SERVICE_UNAVAILABLE, "other-configuration", NOT_CONFIGURED_RETRY_AFTER
+)
+"""For a forwarded call that this instance would deny: its configuration is another one
+than that by which the sender has admitted the call."""
 UNKNOWN_KEY = CallRefusal(HTTPStatus.UNAUTHORIZED, "unknown-key")
 
 
@@ -115,18 +120,23 @@
     return AdmittedCall(route, match.account_name, request, match.table.version)
 
 
-def forwarded(admission: AdmittedCall, sender: InstanceId) -> AdmittedCall:
-    """Return the admission of a call that a peer has forwarded.
+def forwarded(
+    decision: AdmittedCall | CallRefusal, sender: InstanceId
+) -> AdmittedCall | CallRefusal:
+    """Return the decision on a call that a peer has forwarded.
 
     It may run at one endpoint only: the peer decides on another attempt, and counts all
     of them against the limits of the route.
     """
-    request = admission.request
+    if isinstance(decision, CallRefusal):
+        denied = decision.status not in NOT_RUN_STATUSES
+        return OTHER_CONFIGURATION if denied else decision
+    request = decision.request
     terms = request.terms
     if terms is not None:
         terms = replace(terms, max_attempts=1)
     request = replace(request, terms=terms, forwarded_by=sender)
-    return replace(admission, request=request)
+    return replace(decision, request=request)
 
 
 def match_route(
--- a/src/mimosafork/gateway/policies/connectivity.py
+++ b/src/mimosafork/gateway/policies/connectivity.py
@@ -72,7 +72,7 @@
         reach = self.services.get(service)
         return reach is not None and reach.unreachable
 
-    def in_doubt(self, endpoint: EndpointId) -> bool:
+    def may_be_partitioned(self, endpoint: EndpointId) -> bool:
         """Return whether a failure at an endpoint may be due to a partition.
 
         Its service is unreachable, or is being probed.
--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -100,14 +100,14 @@
             return
         self._add(message.digest, suspicion, {message.endpoint}, SOURCE_OWN)
         crash = PublishCrashSuspicion(message.digest, message.endpoint)
-        if self._in_doubt(message.endpoint):
+        if self._may_be_partitioned(message.endpoint):
             self.unpublished.append(crash)
         else:
             context.emit(crash)
 
-    def _in_doubt(self, endpoint: EndpointId) -> bool:
+    def _may_be_partitioned(self, endpoint: EndpointId) -> bool:
         connectivity = self.connectivity
-        return connectivity is not None and connectivity.in_doubt(endpoint)
+        return connectivity is not None and connectivity.may_be_partitioned(endpoint)
 
     @handle.register
     def _(self, message: ServiceProbed, context: Context) -> None:
--- a/src/mimosafork/gateway/response_mode.py
+++ b/src/mimosafork/gateway/response_mode.py
@@ -1,10 +1,10 @@
 """Ways to handle a response."""
 
 from enum import Enum
-from http import HTTPStatus
 
 from .dialect import ResponseMetadata
 from .final_responses import is_stream
+from .problems import NOT_RUN_STATUSES
 from .response_reader import ResponseHead
 
 SUCCESS = range(200, 300)
@@ -45,13 +45,9 @@
 ) -> ResponseMode:
     """Return how a peer's response to a forwarded call is handled.
 
-    Without an endpoint's signature it is the peer's own. Its statuses below 500 and its
-    503 mean that the call has not run: a peer may have another configuration.
+    A status that means "not run", without an endpoint's signature, is the peer's own
+    statement: it passes on no such status of an endpoint.
     """
-    rejected = (
-        head.status < HTTPStatus.INTERNAL_SERVER_ERROR
-        or head.status == HTTPStatus.SERVICE_UNAVAILABLE
-    )
-    if rejected and head.status not in SUCCESS and not metadata.signed:
+    if head.status in NOT_RUN_STATUSES and not metadata.signed:
         return ResponseMode.REFUSAL
     return mode_of(head, metadata, without_body)
--- a/tests/unit/gateway/test_forwarded_calls.py
+++ b/tests/unit/gateway/test_forwarded_calls.py
@@ -4,6 +4,9 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from unittest import TestCase
+from unittest.mock import patch
+
+from msgspec.structs import replace
 
 from mimosafork.gateway.forwarding import FORWARDED_BY
 from mimosafork.gateway.policies.connectivity import EndpointConnectivity
@@ -16,6 +19,7 @@
 from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.faults import (
     CutAnswer,
+    Garbage,
     LostAnswer,
     OwnError,
     Scripted,
@@ -184,6 +188,31 @@
         case.assertIn(SEAL.lower(), result.headers)
 
 
+def test_an_unsigned_failure_behind_a_peer_promises_nothing() -> None:
+    """A payment that an endpoint ran is sent to another peer."""
+    unsigned = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+    with pair(desks=2) as running:
+        for desk in running.platform.endpoints:
+            desk.play(Garbage(unsigned), None)
+        case.assertEqual(502, running.cut.ask("/unsafe/1", "c1").status)
+        case.assertEqual(1, len(running.platform.log.of("c1")))
+
+
+def test_a_peer_with_an_older_configuration_denies_no_call() -> None:
+    """Callers get a 404 for a route that exists."""
+    with pair() as running:
+        directory = running.peer.server.directory
+        table = directory.table
+        assert table is not None
+        with patch.object(type(directory), "table", replace(table, routes=())):
+            response = Channel(running.forwarding_address)
+            headers = {SENDER: "entry-1", REQUEST_ID: "c1", **BEARER}
+            with response as channel:
+                channel.send("POST", "/safe/1", headers)
+                case.assertEqual(503, channel.read_answer().status)
+        case.assertEqual([], running.platform.log.of("c1"))
+
+
 def test_a_peer_that_reaches_no_endpoint_either_refuses_at_once() -> None:
     """Calls go around between instances that are all cut off."""
     with pair() as running:
