--- a/tests/unit/settings/test_gateway_settings.py
+++ b/tests/unit/settings/test_gateway_settings.py
@@ -112,8 +112,8 @@
             "ms, s, min, h",
             "f.ini: [logging] level: 'LOUD': input should be 'DEBUG', 'INFO', "
             "'WARNING' or 'ERROR'",
-            "f.ini: [shop]: is unknown; known are bounds, gossip, instance, listen, "
-            "logging, store",
+            "f.ini: [shop]: is unknown; known are bounds, forwarding, gossip, "
+            "instance, listen, logging, store",
         ],
         faults_in(text),
     )
