--- a/tests/unit/gateway/test_forwarded_calls.py
+++ b/tests/unit/gateway/test_forwarded_calls.py
@@ -11,6 +11,7 @@
 from mimosafork.gateway.forwarding import FORWARDED_BY
 from mimosafork.gateway.policies.connectivity import EndpointConnectivity
 from mimosafork.gateway.policies.peer_forwarding import PeerForwarding
+from mimosafork.gateway.policies.retrying import BudgetedRetry
 from mimosafork.gateway.policies.service_reach import ServiceReach
 from mimosafork.ids import ServiceId
 from mimosafork.standins.prepared.deployment import Deployment
@@ -84,10 +85,18 @@
         cut.wait_until(
             lambda: any(p.address for p in kernel.plugin(PeerForwarding).peers)
         )
+        cut.wait_until(lambda: may_retry(cut))
         cut.call_in_loop(lambda: lose_endpoints(cut))
         yield Pair(platform, cut, peer)
 
 
+def may_retry(instance: RunningGateway) -> bool:
+    """Return whether an instance of a new fleet has its share of retries."""
+    kernel = instance.server.kernel
+    now = kernel.clock.monotonic()
+    return kernel.plugin(BudgetedRetry).available_retries(ServiceId(ENGINES), now) >= 1
+
+
 def lose_endpoints(instance: RunningGateway) -> None:
     kernel = instance.server.kernel
     now = kernel.clock.monotonic()
