Show that calls with one crashing prompt part crash engine after engine

Callers' streams break with engine after engine when many prompts share one part that crashes what writes an answer on it, each prompt under a body of its own (BUDGET).

The stand-in engine learns to crash after the head of an answer to prompts with a part.

--- a/src/mimosafork/standins/prepared/engine.py
+++ b/src/mimosafork/standins/prepared/engine.py
@@ -11,6 +11,7 @@
 from .endpoint import Endpoint
 from .endpoint_settings import EndpointSettings
 from .engine_figures import EngineFigures
+from .faults import CrashOnAnswer
 from .helping import Fellows, HeldTicket, HelperEntry, helpers_of
 from .http import Answer, Header, Request, whichever
 from .job import Job
@@ -129,6 +130,8 @@
             span_s = self.figures.gap.total_seconds() / settings.speed
             if sending is None:
                 sending = self._begin(job)
+                if isinstance(job.fault, CrashOnAnswer):
+                    return await self._crash_on_answer(job, job.fault)
             changed = self.weights if self.weights != weights else None
             weights = self.weights
             if not sending.event(event_of(job.run, digest, number, changed)):
@@ -136,6 +139,13 @@
         (sending or self._begin(job)).end()
         return RunEnd.DONE
 
+    async def _crash_on_answer(self, job: Job, fault: CrashOnAnswer) -> RunEnd:
+        broken_off = await job.pause(fault.delay.total_seconds())
+        if broken_off is not None:
+            return broken_off
+        self.fall(fault.down)
+        return RunEnd.CRASHED
+
     def event_count(self, request: Request) -> int:
         """Return how many events the whole answer to a request has."""
         tokens, each = usage_of(request).answer, self.figures.tokens_per_event
--- a/src/mimosafork/standins/prepared/faults.py
+++ b/src/mimosafork/standins/prepared/faults.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from .http import Request
+from .words import PROMPT_PREFIX
 
 GARBAGE = b"\x00\x17not an answer\r\n\r\n\xff"
 
@@ -22,6 +23,22 @@
     down: timedelta | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class CrashOnAnswer:
+    """The engine crashes after the head of an answer, before its first event.
+
+    Attributes
+    ----------
+    delay : timedelta
+        Between the head and the crash.
+    down : timedelta or None
+        As in `CrashOnRun`.
+    """
+
+    delay: timedelta = timedelta(0)
+    down: timedelta | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CutAnswer:
     """The answer ends early: after so many events, or halfway through a body."""
@@ -131,6 +148,7 @@
 
 Fault = (
     CrashOnRun
+    | CrashOnAnswer
     | CutAnswer
     | Garbage
     | ExtraAnswer
@@ -157,7 +175,7 @@
         So many of them; None for all.
     every : int
         Each n-th of them, as a share of errors.
-    path_prefix, request_id : str
+    path_prefix, request_id, prompt_part : str
         Empty for any.
     """
 
@@ -166,6 +184,7 @@
     every: int = 1
     path_prefix: str = ""
     request_id: str = ""
+    prompt_part: str = ""
     seen: int = 0
 
     def meets(self, request: Request, request_id: str) -> bool:
@@ -174,6 +193,8 @@
             return False
         if self.request_id not in {"", request_id}:
             return False
+        if self.prompt_part and self.prompt_part not in prompt_parts(request):
+            return False
         self.seen += 1
         if self.seen % self.every:
             return False
@@ -182,6 +203,12 @@
         return True
 
 
+def prompt_parts(request: Request) -> list[str]:
+    """Return the ids of the parts of a request's prompt, in order."""
+    entries = request.header(PROMPT_PREFIX).split(",")
+    return [entry.partition(":")[0].strip() for entry in entries if entry]
+
+
 class Script:
     """What goes wrong at one endpoint, in the order in which it was added."""
 
