--- a/benchmarks/gossip_bytes.py
+++ b/benchmarks/gossip_bytes.py
@@ -14,11 +14,18 @@
 from mimosafork.gossip.exchange import Exchange
 from mimosafork.gossip.kinds.base import Key, Kind
 from mimosafork.gossip.kinds.configuration import CONFIGURATION, KEY, Versions
+from mimosafork.gossip.kinds.crashes import (
+    INTERRUPTED_RUNS,
+    QUARANTINES,
+    SUCCESSES,
+    QuarantineNote,
+    RunNote,
+    SuccessNote,
+)
 from mimosafork.gossip.kinds.doubt import DOUBT, Doubt, Reason
 from mimosafork.gossip.kinds.endpoints import ENDPOINTS, EndpointWord, Word
 from mimosafork.gossip.kinds.load import LOAD, Part, WorkNote
-from mimosafork.gossip.kinds.suspicion import SUSPICION, Suspicion
-from mimosafork.ids import EndpointId
+from mimosafork.ids import AccountId, Digest, EndpointId
 from tests.support.gossip_network import Network, ms
 
 HOST, HELPER = EndpointId("i-7f3a91c2"), EndpointId("i-7f3a91c3")
@@ -33,6 +40,10 @@
 GROWN = ((68, 43), (77, 52))
 """Instances of grown fleets, and works a second of all of them together."""
 UDP_AND_IP = 28
+ACCOUNT = AccountId("account-a")
+CONTENT = Digest("0" * 32)
+PARTS = (Digest("engines/5c1e07a2"), Digest("engines/91bd3f06"))
+RUN = RunNote(HOST, CONTENT, ACCOUNT, PARTS, 1, 250)
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +67,14 @@
     ),
     Said("versions", CONFIGURATION, KEY, Versions(12_345, bytes(8), 12_346)),
     Said("an endpoint's leaving", ENDPOINTS, HOST, EndpointWord(Word.LEAVING, 12_345)),
-    Said("a suspicion", SUSPICION, bytes(16), Suspicion(frozenset({HOST}))),
+    Said("an interrupted run", INTERRUPTED_RUNS, f"{HOST} {CONTENT}", RUN),
+    Said("a success", SUCCESSES, PARTS[0], SuccessNote(40)),
+    Said(
+        "a quarantine",
+        QUARANTINES,
+        PARTS[0],
+        QuarantineNote((ACCOUNT,), 40, 600_000, 0, 3, False),
+    ),
     Said("a doubt", DOUBT, HOST, Doubt(Reason.SLOW)),
 )
 
--- a/src/mimosafork/cli/lazy.py
+++ b/src/mimosafork/cli/lazy.py
@@ -17,6 +17,7 @@
     "audit": "show who changed what and when",
     "ask": "send a prompt and print the answer as it comes",
     "settings": "check the settings of an entry instance or a gateway",
+    "quarantine": "show and lift quarantines of contents that crash endpoints",
     "explain": "say from logs why a call ended as it did",
 }
 """Command names and their one-line help."""
--- a/src/mimosafork/cli/platform.py
+++ b/src/mimosafork/cli/platform.py
@@ -20,7 +20,8 @@
 NEVER_OPEN = 1_000_000_000
 
 
-def _checked(address: str) -> str:
+def checked_address(address: str) -> str:
+    """Return an address as ``IP:PORT``; a usage error for any other text."""
     try:
         split_address(address)
     except ValueError as error:
@@ -33,7 +34,7 @@
     typer.Option(
         "--table",
         envvar="MIMOSAFORK_TABLE",
-        callback=_checked,
+        callback=checked_address,
         help="IP:PORT of the platform's table service",
     ),
 ]
@@ -42,7 +43,7 @@
     typer.Option(
         "--instances",
         envvar="MIMOSAFORK_INSTANCES",
-        callback=_checked,
+        callback=checked_address,
         help="IP:PORT of the platform's instance list",
     ),
 ]
--- a/src/mimosafork/commands/gateway.py
+++ b/src/mimosafork/commands/gateway.py
@@ -91,6 +91,7 @@
         random,
     )
     server.store_counts = store
+    server.keep_quarantines(store)
     try:
         return await server.run()
     finally:
--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -212,8 +212,8 @@
         return caller_gone(end)
     if why == "quarantined":
         return (
-            f"refused with {end.text('status')} by {end.text('rule')}: the same "
-            f"content {end.text('detail')}, and is kept from further ones"
+            f"refused with {end.text('status')} by {end.text('rule')}: content "
+            f"{end.text('detail')}, and is kept from further ones"
         )
     if why == "shutting-down":
         return stopped(end)
--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -199,6 +199,7 @@
             return
         self.head = head
         self.metadata = metadata
+        self.reports.head_received = True
         self.diagnostics.unframed = not head.framed
         if not self.dispatch.via_peer:
             self.reports.statements(metadata, self.sent_at)
--- a/src/mimosafork/gateway/attempt_reports.py
+++ b/src/mimosafork/gateway/attempt_reports.py
@@ -12,6 +12,7 @@
     FirstToken,
     HedgedAttemptResumed,
 )
+from ..kernel.messages.crashes import InterruptedRun, RunPhase
 from ..kernel.messages.dispatch import Dispatch
 from ..kernel.messages.endpoint_statements import (
     BackoffRequested,
@@ -31,6 +32,10 @@
     ----------
     first_reported : bool
         Whether the first event or the whole response has been reported.
+    head_received : bool
+        Whether the head of the response has been received.
+    placed_at : timedelta
+        Monotonic time.
     """
 
     def __init__(self, call: Call, dispatch: Dispatch, context: AttemptContext) -> None:
@@ -38,6 +43,8 @@
         self.dispatch = dispatch
         self.context = context
         self.first_reported = False
+        self.head_received = False
+        self.placed_at = context.clock.monotonic()
 
     def opening(self) -> None:
         """Report that the attempt waits for a connection."""
@@ -116,5 +123,28 @@
                 fault_at=fault_at,
                 endpoint=self.dispatch.endpoint,
                 digest=self.call.request.body_digest,
+                interrupted=self._interrupted(kind),
             )
         )
+
+    def _interrupted(self, kind: FailureKind) -> InterruptedRun | None:
+        """Return the run, if its connection broke."""
+        if kind is not FailureKind.BROKEN:
+            return None
+        request = self.call.request
+        phase = self._phase()
+        # Parts that have been answered are not suspected.
+        parts = () if phase is RunPhase.ANSWERING else request.prompt_parts
+        return InterruptedRun(
+            request.body_digest,
+            request.account,
+            parts,
+            phase,
+            self.placed_at,
+            self.context.clock.monotonic(),
+        )
+
+    def _phase(self) -> RunPhase:
+        if self.first_reported:
+            return RunPhase.ANSWERING
+        return RunPhase.BEGUN if self.head_received else RunPhase.PENDING
--- a/src/mimosafork/gateway/call_log.py
+++ b/src/mimosafork/gateway/call_log.py
@@ -146,6 +146,7 @@
             exposure=failure.exposure.value,
             repeatability=call.request.repeatability.value,
             content=call.request.body_digest,
+            parts=parts_of(call),
             status=failure.status,
             refusal=failure.refusal,
             fault_at=failure.fault_at,
@@ -214,6 +215,7 @@
             detail=problem.detail,
             repeatability=call.request.repeatability.value,
             content=call.request.body_digest,
+            parts=parts_of(call),
             allowed_ms=milliseconds(call.request.deadline - call.arrived_at),
             attempts=conclusion.attempts,
             own_zone=self.instance_view.own_zone,
@@ -254,6 +256,11 @@
         }
 
 
+def parts_of(call: Call) -> str | None:
+    """Return the shared parts of a call's prompt; None if it has none."""
+    return LIST_SEPARATOR.join(call.request.prompt_parts) or None
+
+
 def helpers_of(call: Call) -> str | None:
     """Return the helpers of a call's latest attempt; None if it had none."""
     return LIST_SEPARATOR.join(each.endpoint for each in call.helpers) or None
--- a/src/mimosafork/gateway/dialect.py
+++ b/src/mimosafork/gateway/dialect.py
@@ -29,6 +29,8 @@
     prompt_tokens, max_tokens, expected_tokens : int
         Length of the prompt, and the maximum and the expected length of the output; 0
         if not given.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt that other calls may share, in order.
     """
 
     call_id: str
@@ -38,6 +40,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     expected_tokens: int = 0
+    prompt_parts: tuple[str, ...] = ()
 
 
 class AttemptMetadata(msgspec.Struct, frozen=True):
--- a/src/mimosafork/gateway/fleet_shares.py
+++ b/src/mimosafork/gateway/fleet_shares.py
@@ -4,7 +4,7 @@
 
 from ..clock import Clock
 from ..gossip.service import Gossip
-from ..ids import EndpointId, InstanceId
+from ..ids import Digest, EndpointId, InstanceId
 from ..placement.subset import distance_to_engine
 from .policies.retry_budget import MAX_RETRY_TRANSIT, SlackShare
 from .policies.retrying import RETRY_WINDOW
@@ -49,6 +49,13 @@
         """
         return self._share(lambda instance: distance_to_engine(instance, endpoint))
 
+    def holds_trials(self, content: Digest) -> bool:
+        """Return whether this instance alone admits trials of a content."""
+        share = self._share(
+            lambda instance: distance_to_engine(instance, EndpointId(content))
+        )
+        return share.rank == 0
+
     def _share(
         self, order: Callable[[InstanceId], tuple[int, InstanceId]]
     ) -> SlackShare:
--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -2,11 +2,14 @@
 
 import logging
 import resource
+from collections import Counter
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Protocol
 
 from ..ids import ServiceId
+from ..quarantine.register import QuarantineState
+from ..telemetry.catalogue.contents import CONTENTS_QUARANTINED, CONTENTS_SUSPECTED
 from ..telemetry.catalogue.gateway import (
     CALLS_FORWARDED,
     CALLS_OPEN,
@@ -36,6 +39,7 @@
 from .instance_view import LiveInstanceView
 from .policies.connectivity import EndpointConnectivity
 from .policies.peer_forwarding import PeerForwarding
+from .policies.quarantining import CrashQuarantine
 from .policies.reservations import ReservationState
 from .policies.reserving import MemoryKeeper
 
@@ -83,6 +87,8 @@
         registry.observe(CALLS_WAITING, self.waiting)
         registry.observe(CALLS_FORWARDED, self.forwarded_calls)
         registry.observe(SERVICES_UNREACHABLE, self.unreachable_services)
+        registry.observe(CONTENTS_QUARANTINED, self.quarantined_contents)
+        registry.observe(CONTENTS_SUSPECTED, self.suspected_contents)
         registry.observe(CONNECTIONS_IDLE, self.idle)
         registry.observe(WORK_KNOWN, self.known_calls)
         registry.observe(MEMORY_RESERVED, self.reserved_tokens)
@@ -121,6 +127,19 @@
         services = self.gateway.kernel.plugin(EndpointConnectivity).services
         return [Reading(sum(each.unreachable for each in services.values()))]
 
+    def quarantined_contents(self) -> Iterable[Reading]:
+        """Return the numbers of contents that are refused, by state."""
+        register = self.gateway.kernel.plugin(CrashQuarantine).register
+        now = self.gateway.clock.monotonic()
+        states = Counter(register.state(each, now) for each in register.decisions)
+        shown = (QuarantineState.QUARANTINED, QuarantineState.TRIAL)
+        return [Reading(states[each], (("state", each.value),)) for each in shown]
+
+    def suspected_contents(self) -> Iterable[Reading]:
+        """Return the number of contents with evidence against them."""
+        ledger = self.gateway.kernel.plugin(CrashQuarantine).ledger
+        return [Reading(len(ledger.by_content))]
+
     def waiting(self) -> Iterable[Reading]:
         """Return the number of waiting calls."""
         return [Reading(len(self.gateway.kernel.state.waiting))]
--- a/src/mimosafork/gateway/gossip_adapter.py
+++ b/src/mimosafork/gateway/gossip_adapter.py
@@ -20,24 +20,24 @@
 from ..gossip.kinds.configuration import Versions
 from ..gossip.kinds.endpoints import EndpointWord, Word
 from ..gossip.kinds.limits import LimitNote
-from ..gossip.kinds.suspicion import Suspicion
 from ..gossip.pulls import Held, Matter
 from ..gossip.service import Gossip
 from ..gossip.state import HeardWork
-from ..ids import Digest, EndpointId, InstanceId, RequestId
+from ..ids import EndpointId, InstanceId, RequestId
 from ..kernel.messages.base import Effect, Message
 from ..kernel.messages.connectivity import PublishConnectivity
+from ..kernel.messages.crashes import (
+    PublishInterruptedRun,
+    PublishQuarantine,
+    PublishRefutation,
+    PublishSuccess,
+)
 from ..kernel.messages.endpoint_statements import MarkDraining
 from ..kernel.messages.rate_limits import PeerRateLimitStated, PublishRateLimit
 from ..kernel.messages.routing import PeerWorkChanged, PeerWorkReplaced, PeerWorkUnknown
-from ..kernel.messages.sharing import (
-    CrashSuspicionUpdated,
-    PublishCrashClearance,
-    PublishCrashSuspicion,
-    PublishWork,
-    PublishWorkEnd,
-)
+from ..kernel.messages.sharing import PublishWork, PublishWorkEnd
 from ..placement.load_tracker import InFlightRequest
+from .crash_adapter import CrashAdapter
 from .limit_notes import limit_note, peer_statement
 from .peer_connectivity import PeerConnectivity
 from .row_payload import decode_rows, encode_rows
@@ -111,6 +111,7 @@
         self.delayed_publishes: dict[RequestId, asyncio.TimerHandle] = {}
         """Timers of plain endpoints' calls that are published if they last."""
         self.connectivity = PeerConnectivity(post)
+        self.crashes = CrashAdapter(post, clock)
         self.callbacks = Callbacks(
             on_configuration_offered=self.receive_configuration,
             on_listing_offered=self.receive_listing,
@@ -119,7 +120,10 @@
             on_load_changed=self.receive_load_changes,
             on_feed_told=directory.peer_feed.receive,
             on_endpoint_word=self.receive_endpoint_notice,
-            on_suspicion=self.receive_suspicion,
+            on_interrupted_run=self.crashes.receive_run,
+            on_crash_refuted=self.crashes.receive_refutation,
+            on_success=self.crashes.receive_success,
+            on_quarantine=self.crashes.receive_quarantine,
             on_limit=self.receive_limit,
             on_connectivity=self.connectivity.update,
         )
@@ -167,16 +171,15 @@
         )
 
     @publish_effect.register
-    def _(self, effect: PublishCrashSuspicion) -> None:
-        if self.gossip is not None:
-            suspicion = Suspicion(frozenset({effect.endpoint}))
-            self.gossip.publish_suspicion(bytes.fromhex(effect.digest), suspicion)
-
-    @publish_effect.register
-    def _(self, effect: PublishCrashClearance) -> None:
+    def _(
+        self,
+        effect: PublishInterruptedRun
+        | PublishRefutation
+        | PublishSuccess
+        | PublishQuarantine,
+    ) -> None:
         if self.gossip is not None:
-            suspicion = Suspicion(frozenset(), cleared=True)
-            self.gossip.publish_suspicion(bytes.fromhex(effect.digest), suspicion)
+            self.crashes.publish(effect, self.gossip)
 
     @publish_effect.register
     def _(self, effect: PublishRateLimit) -> None:
@@ -289,13 +292,6 @@
         else:
             self.directory.offer_removal(endpoint, notice.version)
 
-    def receive_suspicion(self, digest: bytes, known: Suspicion) -> None:
-        """Receive the merged suspicion of a request that may crash endpoints."""
-        update = CrashSuspicionUpdated(
-            Digest(digest.hex()), known.crashed, known.cleared
-        )
-        self.post(update)
-
     def receive_limit(
         self, endpoint: EndpointId, note: LimitNote, age: timedelta
     ) -> None:
--- a/src/mimosafork/gateway/intake.py
+++ b/src/mimosafork/gateway/intake.py
@@ -18,6 +18,8 @@
 
 NO_ACCOUNT = AccountId("")
 DIGEST_BYTES = 16
+MAX_PART_KEY = 40
+"""Characters."""
 NOT_CONFIGURED_RETRY_AFTER = timedelta(milliseconds=500)
 
 
@@ -116,6 +118,7 @@
         body_digest=call_digest(message, match.account_name),
         repeatability=repeatability_of(route),
         terms=call_terms(route, match.account, metadata),
+        prompt_parts=part_digests(service, metadata.prompt_parts),
     )
     return AdmittedCall(route, match.account_name, request, match.table.version)
 
@@ -202,6 +205,18 @@
     )
 
 
+def part_digests(service: ServiceId, parts: tuple[str, ...]) -> tuple[Digest, ...]:
+    """Return the keys of prompt parts: service and id, or their digest if too long."""
+    return tuple(part_digest(f"{service}/{part}") for part in parts)
+
+
+def part_digest(name: str) -> Digest:
+    """Return a key that is readable in logs, of limited length."""
+    if len(name) <= MAX_PART_KEY:
+        return Digest(name)
+    return Digest(hashlib.blake2b(name.encode(), digest_size=DIGEST_BYTES).hexdigest())
+
+
 def call_digest(message: RequestMessage, account: AccountId | None) -> Digest:
     """Return a digest of method, target, account and body, equal for repeated calls."""
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -116,9 +116,7 @@
         assert self.fleet is not None
         # Calls that were accepted before their content was quarantined may wait or be
         # retried; each would crash one more endpoint.
-        objection = self.quarantine.rejection_for(
-            record.request.body_digest, context.now
-        )
+        objection = self.quarantine.rejection_for(record.request, context.now)
         if objection is not None:
             return Refuse(objection)
         forwarded = self.forwarding.place(record, context)
@@ -173,7 +171,7 @@
         """
         if self.fleet is None or record.current is None:
             return False
-        if self.quarantine.rejection_for(record.request.body_digest, context.now):
+        if self.quarantine.rejection_for(record.request, context.now):
             return False
         service = ServiceId(record.request.target)
         if len(context.state.waiting.waiting_for(service)) >= QUEUE_MISSES:
--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -1,23 +1,29 @@
-"""Quarantines requests whose content crashes endpoints."""
+"""Quarantines bodies and prompt parts that crash endpoints."""
 
 import logging
 from datetime import timedelta
 from functools import singledispatchmethod
 
-import msgspec
-
-from ...ids import Digest, EndpointId
+from ...ids import AccountId, Digest, EndpointId
 from ...kernel.context import Context
-from ...kernel.messages.attempts import AttemptFailed, FailureKind
+from ...kernel.messages.attempts import AttemptFailed, Exposure, FailureKind, FirstToken
 from ...kernel.messages.base import Message
 from ...kernel.messages.connectivity import ServiceProbed
-from ...kernel.messages.outcomes import Outcome
-from ...kernel.messages.problems import Problem, ProblemCode
-from ...kernel.messages.sharing import (
-    CrashSuspicionUpdated,
-    PublishCrashClearance,
-    PublishCrashSuspicion,
+from ...kernel.messages.crashes import (
+    InterruptedRun,
+    PeerRefutation,
+    PeerRunInterrupted,
+    PeerSuccessReported,
+    PublishInterruptedRun,
+    PublishQuarantine,
+    PublishRefutation,
+    Quarantine,
+    QuarantineReceived,
+    RunPhase,
 )
+from ...kernel.messages.outcomes import Outcome
+from ...kernel.messages.problems import Problem
+from ...kernel.messages.requests import Request
 from ...kernel.plugins import (
     PluginFinder,
     Proceed,
@@ -28,42 +34,50 @@
 )
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
+from ...quarantine.crash_ledger import CrashLedger
+from ...quarantine.register import QuarantineRegister, QuarantineState
+from ...telemetry.catalogue.contents import CRASH_REFUTED
 from ...telemetry.catalogue.gateway import CONTENT_CLEARED, CONTENT_QUARANTINED
 from ...telemetry.logs import log_event
 from .connectivity import EndpointConnectivity
 from .fleet_view import FleetView
+from .success_reports import SuccessReportDue, SuccessReports
 
 logger = logging.getLogger(__name__)
 
-MAX_CRASHES = 2
-"""Number of endpoints that a content may crash before it is quarantined."""
+REVIEW_TIME = timedelta(minutes=1)
+"""Time in which later evidence may show that a decision was wrong."""
 
-SUSPICION_TTL = timedelta(seconds=60)
-RETRY_AFTER = timedelta(seconds=5)
+MAX_PUBLISHED_RUNS = 16
+"""Interrupted runs of one endpoint that an instance publishes besides the suspects."""
 
 SOURCE_OWN = "own attempts"
 SOURCE_PEER = "peer"
-"""Sources of a quarantine decision in log lines."""
-
-
-class CrashSuspicion(msgspec.Struct):
-    """Endpoints whose connections broke while running a content."""
-
-    endpoints: set[EndpointId] = msgspec.field(default_factory=set)
-    last_crash_at: timedelta = timedelta(0)
+"""Sources of a decision in log lines."""
 
 
 @register("crash-quarantine")
 class CrashQuarantine(Stage):
-    """Rejects requests whose content broke connections at several endpoints."""
+    """Rejects requests with a content that crashes the endpoints that run it.
+
+    Attributes
+    ----------
+    ledger : CrashLedger
+        Evidence of all instances.
+    register : QuarantineRegister
+        Decisions in force.
+    """
 
     order = 20
 
     def __init__(self) -> None:
-        # Ordered by the time of the last crash, most recent last.
-        self.suspicions: dict[Digest, CrashSuspicion] = {}
-        self.unpublished: list[PublishCrashSuspicion] = []
-        """Crashes that a partition of this instance may have caused."""
+        self.ledger = CrashLedger()
+        self.register = QuarantineRegister()
+        self.successes = SuccessReports(self.ledger)
+        self.own_decisions: set[Digest] = set()
+        """Contents that were quarantined by the evidence that this instance has."""
+        self.unpublished: list[PublishInterruptedRun] = []
+        """Runs that a partition of this instance may have interrupted."""
         self.connectivity: EndpointConnectivity | None = None
         self.fleet: FleetView | None = None
 
@@ -73,37 +87,60 @@
         self.fleet = find(FleetView)
 
     def review(self, record: RequestRecord, context: Context) -> ReviewDecision:
-        """Reject a request whose content is quarantined."""
-        problem = self.rejection_for(record.request.body_digest, context.now)
+        """Reject a request with a quarantined content."""
+        problem = self.rejection_for(record.request, context.now)
         return Proceed() if problem is None else Refuse(problem)
 
-    def rejection_for(self, digest: Digest, now: timedelta) -> Problem | None:
+    def rejection_for(self, request: Request, now: timedelta) -> Problem | None:
         """Return the problem for a quarantined content; None if it may be sent."""
-        suspicion = self.suspicions.get(digest)
-        if suspicion is None or now - suspicion.last_crash_at > SUSPICION_TTL:
-            return None
-        if len(suspicion.endpoints) <= MAX_CRASHES:
+        if not self.register.decisions:
             return None
-        detail = f"broke off at {len(suspicion.endpoints)} endpoints"
-        return Problem(ProblemCode.QUARANTINED, detail, RETRY_AFTER)
+        for content in (request.body_digest, *request.prompt_parts):
+            problem = self.register.objection(
+                content, request.account, request.request_id, now
+            )
+            if problem is not None:
+                return problem
+        return None
 
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
-        """Update suspicions from attempt outcomes and peer reports."""
+        """Collect evidence and decide on contents."""
+
+    # Evidence of own calls
 
     @handle.register
     def _(self, message: AttemptFailed, context: Context) -> None:
+        if message.endpoint is None:
+            return
+        if message.exposure is Exposure.REFUSED and message.refusal != "elsewhere":
+            self._note_answer(message, context)
         if message.kind is not FailureKind.BROKEN or message.digest is None:
             return
-        suspicion = self._record_crash(message.digest, context.now)
-        if message.endpoint is None:
+        if self._is_leaving(message.endpoint):
+            return
+        run = message.interrupted or InterruptedRun(
+            message.digest,
+            AccountId(""),
+            (),
+            RunPhase.PENDING,
+            timedelta(0),
+            context.now,
+        )
+        if not self.ledger.add(message.endpoint, run):
             return
-        self._add(message.digest, suspicion, {message.endpoint}, SOURCE_OWN)
-        crash = PublishCrashSuspicion(message.digest, message.endpoint)
+        crash = PublishInterruptedRun(message.endpoint, run)
+        runs = len(self.ledger.records[message.endpoint].runs)
         if self._may_be_partitioned(message.endpoint):
             self.unpublished.append(crash)
-        else:
+        elif runs <= MAX_PUBLISHED_RUNS or run.phase is RunPhase.BEGUN:
             context.emit(crash)
+        self._judge(message.endpoint, SOURCE_OWN, context)
+
+    def _is_leaving(self, endpoint: EndpointId) -> bool:
+        """Return whether an endpoint was about to end by itself."""
+        known = None if self.fleet is None else self.fleet.endpoints.get(endpoint)
+        return known is not None and known.leaving
 
     def _may_be_partitioned(self, endpoint: EndpointId) -> bool:
         connectivity = self.connectivity
@@ -122,63 +159,174 @@
             elif message.reachable:
                 context.emit(crash)
 
+    @handle.register
+    def _(self, message: FirstToken, context: Context) -> None:
+        record = context.state.requests.get(message.request_id)
+        if record is None or record.current is None:
+            return
+        if record.current.number != message.attempt:
+            return
+        if self.ledger.records:
+            endpoint, sent_at = record.current.endpoint, record.current.started_at
+            self._refute_if_later(endpoint, sent_at, context)
+        for part in record.request.prompt_parts:
+            self.successes.note(part, context)
+            self._review_success(part, context.now, SOURCE_OWN, context)
+
     @handle.register
     def _(self, message: RequestConcluded, context: Context) -> None:
         # Uses the conclusion, as the request record no longer exists when the end of
-        # its last attempt is reported. Otherwise a good content would never be cleared
-        # and unrelated crashes would add up until it is rejected.
+        # its last attempt is reported.
         if message.conclusion.outcome is not Outcome.COMPLETED:
             return
         digest = message.record.request.body_digest
-        if self._clear(digest, SOURCE_OWN):
-            context.emit(PublishCrashClearance(digest))
+        if digest in self.ledger.by_content or digest in self.register.decisions:
+            self.successes.note(digest, context)
+            self._review_success(digest, context.now, SOURCE_OWN, context)
+
+    def _note_answer(self, message: AttemptFailed, context: Context) -> None:
+        """Use a rejection by an endpoint as proof that it had not crashed before."""
+        record = context.state.requests.get(message.request_id)
+        if record is None or message.endpoint is None:
+            return
+        for attempt in record.attempts:
+            if attempt.number == message.attempt:
+                self._refute_if_later(message.endpoint, attempt.started_at, context)
+
+    def _refute_if_later(
+        self, endpoint: EndpointId, sent_at: timedelta, context: Context
+    ) -> None:
+        """Drop the runs that ended before an answered request was sent."""
+        dropped = self.ledger.refute(endpoint, sent_at)
+        if not dropped:
+            return
+        log_event(logger, CRASH_REFUTED, endpoint=endpoint, runs=dropped)
+        context.emit(PublishRefutation(endpoint, sent_at))
+        self._review_all(SOURCE_OWN, context)
+
+    # Evidence of peers
+
+    @handle.register
+    def _(self, message: PeerRunInterrupted, context: Context) -> None:
+        if not self.ledger.add(message.endpoint, message.run):
+            return
+        for content in message.run.parts:
+            self.successes.answer(content, context)
+        self._judge(message.endpoint, SOURCE_PEER, context)
+
+    @handle.register
+    def _(self, message: PeerRefutation, context: Context) -> None:
+        if self.ledger.refute(message.endpoint, message.sent_at):
+            self._review_all(SOURCE_PEER, context)
 
     @handle.register
-    def _(self, message: CrashSuspicionUpdated, context: Context) -> None:
-        if message.cleared:
-            self._clear(message.digest, SOURCE_PEER)
+    def _(self, message: PeerSuccessReported, context: Context) -> None:
+        self.successes.received(message.content)
+        if self.ledger.succeed(message.content, message.at):
+            self._review_success(message.content, message.at, SOURCE_PEER, context)
+
+    @handle.register
+    def _(self, message: SuccessReportDue, context: Context) -> None:
+        self.successes.publish(message.content, context)
+
+    @handle.register
+    def _(self, message: QuarantineReceived, context: Context) -> None:
+        before = self.register.state(message.quarantine.content, context.now)
+        decision = self.register.receive(message.quarantine)
+        if decision is None:
+            return
+        self._apply(decision, before, SOURCE_PEER, context)
+
+    # Decisions
+
+    def _judge(self, endpoint: EndpointId, source: str, context: Context) -> None:
+        """Decide on the contents that an endpoint ran when it crashed."""
+        for content in self.ledger.candidates(endpoint):
+            state = self.register.state(content, context.now)
+            if state is QuarantineState.CLEAR:
+                is_cause = self.ledger.is_cause(content)
+            else:
+                is_cause = self.ledger.is_suspected(content)
+            if is_cause:
+                self._quarantine(content, state, source, context)
+        self._review_all(source, context)
+
+    def _quarantine(
+        self,
+        content: Digest,
+        before: QuarantineState,
+        source: str,
+        context: Context,
+    ) -> None:
+        self.ledger.condemn(content)
+        decision = self.register.decide(
+            content,
+            self.ledger.accounts(content),
+            len(self.ledger.condemned[content]),
+            context.now,
+        )
+        if decision is not None:
+            self.own_decisions.add(content)
+            self._apply(decision, before, source, context)
+
+    def _review_all(self, source: str, context: Context) -> None:
+        """Lift the quarantines for which the evidence is no longer sufficient."""
+        for content in list(self.own_decisions):
+            decision = self.register.decisions.get(content)
+            if decision is None or context.now - decision.decided_at > REVIEW_TIME:
+                self.own_decisions.discard(content)
+            elif not self.ledger.is_cause(content):
+                self._lift(content, source, context)
+
+    def _review_success(
+        self, content: Digest, at: timedelta, source: str, context: Context
+    ) -> None:
+        """Lift a quarantine that a success contradicts."""
+        decision = self.register.decisions.get(content)
+        if decision is None:
             return
-        suspicion = self._record_crash(message.digest, context.now)
-        self._add(message.digest, suspicion, set(message.endpoints), SOURCE_PEER)
+        is_own = content in self.own_decisions
+        if at > decision.decided_at or (is_own and not self.ledger.is_cause(content)):
+            self._lift(content, source, context)
+
+    def _lift(self, content: Digest, source: str, context: Context) -> None:
+        self.ledger.release(content)
+        before = self.register.state(content, context.now)
+        decision = self.register.lift(content, context.now)
+        if decision is not None:
+            self._apply(decision, before, source, context)
 
-    def _add(
+    def _apply(
         self,
-        digest: Digest,
-        suspicion: CrashSuspicion,
-        endpoints: set[EndpointId],
+        decision: Quarantine,
+        before: QuarantineState,
         source: str,
+        context: Context,
     ) -> None:
-        before = len(suspicion.endpoints)
-        suspicion.endpoints |= endpoints
-        count = len(suspicion.endpoints)
-        if before <= MAX_CRASHES < count:
+        """Log and publish a decision.
+
+        Each instance publishes the decisions that it receives as well: those of an
+        instance that has ended would be lost for the instances that start later.
+        """
+        context.emit(PublishQuarantine(decision, is_own=source == SOURCE_OWN))
+        if decision.lifted:
+            self.ledger.release(decision.content)
+            self.own_decisions.discard(decision.content)
+            if before is not QuarantineState.CLEAR:
+                log_event(
+                    logger, CONTENT_CLEARED, content=decision.content, source=source
+                )
+            return
+        self.ledger.condemn(decision.content)
+        if before is not QuarantineState.QUARANTINED:
             log_event(
                 logger,
                 CONTENT_QUARANTINED,
-                content=digest,
-                count=count,
+                content=decision.content,
+                count=decision.crashes,
                 source=source,
-                endpoints=",".join(sorted(suspicion.endpoints)),
+                endpoints=",".join(sorted(self.ledger.condemned[decision.content])),
+                accounts=",".join(decision.accounts),
+                level=decision.level,
+                for_s=int((decision.until - context.now).total_seconds()),
             )
-
-    def _clear(self, digest: Digest, source: str) -> bool:
-        """Remove a suspicion; return whether there was one."""
-        suspicion = self.suspicions.pop(digest, None)
-        if suspicion is None:
-            return False
-        if len(suspicion.endpoints) > MAX_CRASHES:
-            log_event(logger, CONTENT_CLEARED, content=digest, source=source)
-        return True
-
-    def _record_crash(self, digest: Digest, now: timedelta) -> CrashSuspicion:
-        """Return the suspicion of a content that crashed now; drop expired ones."""
-        suspicion = self.suspicions.pop(digest, None)
-        if suspicion is None or now - suspicion.last_crash_at > SUSPICION_TTL:
-            suspicion = CrashSuspicion()
-        suspicion.last_crash_at = now
-        self.suspicions[digest] = suspicion
-        oldest = next(iter(self.suspicions))
-        while now - self.suspicions[oldest].last_crash_at > SUSPICION_TTL:
-            del self.suspicions[oldest]
-            oldest = next(iter(self.suspicions))
-        return suspicion
--- /dev/null
+++ b/src/mimosafork/gateway/quarantine_store.py
@@ -0,0 +1,139 @@
+"""Keeps decisions on contents in the store, for when all instances are restarted."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from logging import getLogger
+
+from ..clock import Clock
+from ..directory.errors import RowsError
+from ..directory.rows import Rows
+from ..ids import Digest
+from ..kernel.messages.base import Effect, Message
+from ..kernel.messages.crashes import PublishQuarantine, QuarantineReceived
+from ..quarantine.register import QuarantineRegister
+from ..quarantine.rows import quarantine_of, read_rows, row_put, stored_quarantine
+
+logger = getLogger(__name__)
+
+RETRY_DELAY = timedelta(seconds=1)
+READ_INTERVAL = timedelta(seconds=30)
+"""While any content is quarantined: an operator may have lifted it."""
+
+MAX_WAIT_AT_START = timedelta(seconds=1)
+"""Time for which an instance is not ready because decisions may be missing."""
+
+
+class QuarantineStore:
+    """Writes own decisions to the store, and reads those of other instances.
+
+    Parameters
+    ----------
+    rows : Rows
+    register : QuarantineRegister
+        The kernel's, read only.
+    post : callable
+        Posts a message to the kernel.
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        rows: Rows,
+        register: QuarantineRegister,
+        post: Callable[[Message], None],
+        clock: Clock,
+    ) -> None:
+        self.rows = rows
+        self.register = register
+        self.post = post
+        self.clock = clock
+        self.created_at = clock.monotonic()
+        self.is_read = False
+        self.versions: dict[Digest, int] = {}
+        """Version of the row that was read last, of each content."""
+        self.unwritten: dict[Digest, PublishQuarantine] = {}
+        self.changed = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether the decisions are known, or are not waited for any longer."""
+        waited = self.clock.monotonic() - self.created_at
+        return self.is_read or waited >= MAX_WAIT_AT_START
+
+    def start(self) -> None:
+        """Begin to read and to write."""
+        loop = asyncio.get_running_loop()
+        self.tasks = [
+            loop.create_task(self._read_always()),
+            loop.create_task(self._write_always()),
+        ]
+
+    async def stop(self) -> None:
+        """End reading and writing."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def receive_after(
+        self, publish: Callable[[Effect], None]
+    ) -> Callable[[Effect], None]:
+        """Return a listener that publishes an effect, and stores own decisions."""
+
+        def publish_and_store(effect: Effect) -> None:
+            publish(effect)
+            if isinstance(effect, PublishQuarantine) and effect.is_own:
+                self.unwritten[effect.quarantine.content] = effect
+                self.changed.set()
+
+        return publish_and_store
+
+    async def _read_always(self) -> None:
+        while True:
+            try:
+                await self.read()
+            except RowsError as error:
+                logger.debug("cannot read quarantines: %s", error)
+                await asyncio.sleep(RETRY_DELAY.total_seconds())
+                continue
+            self.is_read = True
+            await asyncio.sleep(READ_INTERVAL.total_seconds())
+            while not self._has_quarantines():
+                await asyncio.sleep(READ_INTERVAL.total_seconds())
+
+    def _has_quarantines(self) -> bool:
+        return any(not each.lifted for each in self.register.decisions.values())
+
+    async def read(self) -> None:
+        """Read all decisions, and post those that have changed.
+
+        Raises
+        ------
+        RowsError
+        """
+        for row in await read_rows(self.rows):
+            content = row.stored.content
+            if self.versions.get(content, 0) < row.version:
+                self.versions[content] = row.version
+                decision = quarantine_of(row.stored, self.clock)
+                self.post(QuarantineReceived(decision))
+
+    async def _write_always(self) -> None:
+        while True:
+            await self.changed.wait()
+            self.changed.clear()
+            while self.unwritten:
+                await self._write_next()
+
+    async def _write_next(self) -> None:
+        content, effect = next(iter(self.unwritten.items()))
+        put = row_put(stored_quarantine(effect.quarantine, self.clock))
+        try:
+            await self.rows.write([put])
+        except RowsError as error:
+            logger.debug("cannot write a quarantine: %s", error)
+            await asyncio.sleep(RETRY_DELAY.total_seconds())
+            return
+        if self.unwritten.get(content) is effect:
+            del self.unwritten[content]
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -17,6 +17,7 @@
     EndpointState,
     TableChanged,
 )
+from ..directory.rows import Rows
 from ..gossip.members import Address
 from ..gossip.peer_rows import PeerRows
 from ..gossip.service import Gossip, GossipOptions, seed_addresses
@@ -59,10 +60,12 @@
 from .policies import PLUGINS
 from .policies.fleet_view import FleetView
 from .policies.placing import WorkPlacer
+from .policies.quarantining import CrashQuarantine
 from .policies.rate_limits import EndpointRateLimits
 from .policies.reserving import MemoryKeeper
 from .policies.retry_budget import MAX_RETRY_TRANSIT
 from .policies.retrying import BudgetedRetry
+from .quarantine_store import QuarantineStore
 from .readiness_page import ReadinessConnection
 from .subset_selector import SubsetSelector
 
@@ -139,6 +142,9 @@
         )
         self.gateway.call_log.instance_view = self.live_view
         self.store_counts: StoreCallCounts | None = None
+        self.quarantine_store: QuarantineStore | None = None
+        quarantine = self.kernel.plugin(CrashQuarantine)
+        quarantine.register.holds_trials = self.shares.holds_trials
         self.peer_rows = peer_rows
         self._apply_bounds(settings.bounds)
         self.listeners: list[asyncio.Server] = []
@@ -150,8 +156,17 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
+        if self.quarantine_store is not None and not self.quarantine_store.may_serve:
+            return False
         return self.directory.ready_to_serve and not self.gateway.draining
 
+    def keep_quarantines(self, rows: Rows) -> None:
+        """Keep quarantines in shared rows; must be called before the start."""
+        register = self.kernel.plugin(CrashQuarantine).register
+        store = QuarantineStore(rows, register, self.gateway.post, self.clock)
+        self.quarantine_store = store
+        self.gateway.on_effect = store.receive_after(self.gateway.on_effect)
+
     async def run(self) -> int:
         """Serve until a shutdown is requested; return the number of calls cut.
 
@@ -200,6 +215,8 @@
         self.gossip_adapter.connectivity.gossip = gossip
         self.gateway.zone_watch.silent_zones = self.gossip_adapter.gossip.silent_zones
         await self.gossip_adapter.gossip.start()
+        if self.quarantine_store is not None:
+            self.quarantine_store.start()
         self.directory.start()
         self.gateway.start()
         loop = asyncio.get_running_loop()
@@ -363,6 +380,8 @@
         await gateway.order_client.wait_until_idle()
         gateway.stop()
         await self.directory.stop()
+        if self.quarantine_store is not None:
+            await self.quarantine_store.stop()
         if self.gossip_adapter.gossip is not None:
             await self.gossip_adapter.gossip.close()
         elapsed = self.clock.monotonic() - requested_at
--- a/src/mimosafork/gossip/callbacks.py
+++ b/src/mimosafork/gossip/callbacks.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..directory.feed_update import FeedUpdate
-from ..ids import EndpointId, InstanceId
+from ..ids import Digest, EndpointId, InstanceId
 from ..telemetry.catalogue.gossip import (
     GOSSIP_DATAGRAM_REFUSED,
     GOSSIP_PEER_DOWN,
@@ -20,6 +20,9 @@
 from ..telemetry.throttled_event import ThrottledEvent
 from .effects import (
     ConnectivityChanged,
+    ContentJudged,
+    ContentSucceeded,
+    CrashRefuted,
     DatagramRefused,
     DoubtChanged,
     EndpointSaid,
@@ -29,13 +32,13 @@
     PeerDown,
     PeerRestarted,
     PeerUp,
-    SuspicionChanged,
+    RunInterrupted,
     VersionsOffered,
 )
+from .kinds.crashes import QuarantineNote, RunNote, SuccessNote
 from .kinds.doubt import Doubt
 from .kinds.endpoints import EndpointWord
 from .kinds.limits import LimitNote
-from .kinds.suspicion import Suspicion
 from .members import Identity
 
 logger = logging.getLogger(__name__)
@@ -64,9 +67,15 @@
         A peer's works have changed; these, by their numbers.
     on_feed_told : callable
         A peer's word that the endpoints have not changed, and its age.
-    on_endpoint_word, on_suspicion, on_doubt : callable
-        A peer's word; the suspicion is what all know together, a doubt that was
-        taken back is None.
+    on_endpoint_word, on_doubt : callable
+        A peer's word; a doubt that was taken back is None.
+    on_interrupted_run : callable
+        A peer's note of a run that ended with its endpoint, and its age.
+    on_crash_refuted : callable
+        An endpoint that has answered a peer after runs on it had ended, milliseconds
+        from that request to the peer's note, and the note's age.
+    on_success, on_quarantine : callable
+        A content, a peer's note of its success or of a decision on it, and its age.
     on_limit : callable
         A peer's note of an endpoint's rate limit, and its age.
     on_connectivity : callable
@@ -80,7 +89,10 @@
     on_load_changed: Callable[[InstanceId, tuple[int, ...]], None] = ignore
     on_feed_told: Callable[[InstanceId, FeedUpdate, timedelta], None] = ignore
     on_endpoint_word: Callable[[EndpointId, EndpointWord], None] = ignore
-    on_suspicion: Callable[[bytes, Suspicion], None] = ignore
+    on_interrupted_run: Callable[[RunNote, timedelta], None] = ignore
+    on_crash_refuted: Callable[[EndpointId, int, timedelta], None] = ignore
+    on_success: Callable[[Digest, SuccessNote, timedelta], None] = ignore
+    on_quarantine: Callable[[Digest, QuarantineNote, timedelta], None] = ignore
     on_doubt: Callable[[InstanceId, EndpointId, Doubt | None], None] = ignore
     on_limit: Callable[[EndpointId, LimitNote, timedelta], None] = ignore
     on_connectivity: Callable[[], None] = ignore
@@ -137,8 +149,21 @@
         self.callbacks.on_feed_told(effect.instance, effect.word, now - effect.born)
 
     @tell.register
-    def _(self, effect: SuspicionChanged, now: timedelta) -> None:
-        self.callbacks.on_suspicion(effect.digest, effect.known)
+    def _(self, effect: RunInterrupted, now: timedelta) -> None:
+        self.callbacks.on_interrupted_run(effect.note, now - effect.born)
+
+    @tell.register
+    def _(self, effect: CrashRefuted, now: timedelta) -> None:
+        age = now - effect.born
+        self.callbacks.on_crash_refuted(effect.endpoint, effect.sent_ms, age)
+
+    @tell.register
+    def _(self, effect: ContentSucceeded, now: timedelta) -> None:
+        self.callbacks.on_success(effect.content, effect.note, now - effect.born)
+
+    @tell.register
+    def _(self, effect: ContentJudged, now: timedelta) -> None:
+        self.callbacks.on_quarantine(effect.content, effect.note, now - effect.born)
 
     @tell.register
     def _(self, effect: DoubtChanged, now: timedelta) -> None:
--- a/src/mimosafork/gossip/effects.py
+++ b/src/mimosafork/gossip/effects.py
@@ -5,12 +5,12 @@
 import msgspec
 
 from ..directory.feed_update import FeedUpdate
-from ..ids import EndpointId, InstanceId
+from ..ids import Digest, EndpointId, InstanceId
 from .kinds.configuration import Versions
+from .kinds.crashes import QuarantineNote, RunNote, SuccessNote
 from .kinds.doubt import Doubt
 from .kinds.endpoints import EndpointWord
 from .kinds.limits import LimitNote
-from .kinds.suspicion import Suspicion
 from .members import Address, Identity
 
 
@@ -67,11 +67,47 @@
     born: timedelta
 
 
-class SuspicionChanged(msgspec.Struct, frozen=True):
-    """A peer knows more of a request's digest; this is what all know together."""
+class RunInterrupted(msgspec.Struct, frozen=True):
+    """A run of a peer has ended with its endpoint.
 
-    digest: bytes
-    known: Suspicion
+    Attributes
+    ----------
+    born : timedelta
+        Instant of the end on this instance's clock.
+    """
+
+    note: RunNote
+    born: timedelta
+
+
+class CrashRefuted(msgspec.Struct, frozen=True):
+    """An endpoint has answered a peer after runs on it had ended.
+
+    Attributes
+    ----------
+    sent_ms : int
+        From the answered request to the note, whose instant is `born`.
+    """
+
+    endpoint: EndpointId
+    sent_ms: int
+    born: timedelta
+
+
+class ContentSucceeded(msgspec.Struct, frozen=True):
+    """A peer has run a content without a crash; `born` is the note's instant."""
+
+    content: Digest
+    note: SuccessNote
+    born: timedelta
+
+
+class ContentJudged(msgspec.Struct, frozen=True):
+    """A peer has a decision on a content; `born` is the note's instant."""
+
+    content: Digest
+    note: QuarantineNote
+    born: timedelta
 
 
 class DoubtChanged(msgspec.Struct, frozen=True):
@@ -123,7 +159,10 @@
     | VersionsOffered
     | EndpointSaid
     | FeedTold
-    | SuspicionChanged
+    | RunInterrupted
+    | CrashRefuted
+    | ContentSucceeded
+    | ContentJudged
     | DoubtChanged
     | LimitStated
     | ConnectivityChanged
--- a/src/mimosafork/gossip/exchange.py
+++ b/src/mimosafork/gossip/exchange.py
@@ -74,7 +74,7 @@
         self.state = FleetState(self.own, self.roster)
         self.counters = Counters()
         self.caller = Caller(self.circle, self.outbox, seeds, random)
-        intake = Intake(self.circle, Reports(self.state))
+        intake = Intake(self.circle, Reports())
         self.receiver = Receiver(self.circle, self.caller, intake, self.counters)
         self.sender = Sender(self.circle, self.outbox, self.caller)
         self.audiences: dict[Slot, frozenset[InstanceId] | None] = {}
--- a/src/mimosafork/gossip/kinds/__init__.py
+++ b/src/mimosafork/gossip/kinds/__init__.py
@@ -3,23 +3,23 @@
 from . import (
     configuration,
     connectivity,
+    crashes,
     doubt,
     endpoints,
     feed,
     limits,
     load,
     pulse,
-    suspicion,
 )
 
 __all__ = [
     "configuration",
     "connectivity",
+    "crashes",
     "doubt",
     "endpoints",
     "feed",
     "limits",
     "load",
     "pulse",
-    "suspicion",
 ]
--- a/src/mimosafork/gossip/reports.py
+++ b/src/mimosafork/gossip/reports.py
@@ -4,37 +4,46 @@
 from typing import cast
 
 from ..directory.feed_update import FeedUpdate
-from ..ids import EndpointId, InstanceId
+from ..ids import Digest, EndpointId, InstanceId
 from .effects import (
     ConnectivityChanged,
+    ContentJudged,
+    ContentSucceeded,
+    CrashRefuted,
     DoubtChanged,
     Effect,
     EndpointSaid,
     FeedTold,
     LimitStated,
     LoadChanged,
-    SuspicionChanged,
+    RunInterrupted,
     VersionsOffered,
 )
 from .kinds.base import Key
 from .kinds.configuration import CONFIGURATION, Versions
 from .kinds.connectivity import CONNECTIVITY
+from .kinds.crashes import (
+    INTERRUPTED_RUNS,
+    QUARANTINES,
+    REFUTATIONS,
+    SUCCESSES,
+    QuarantineNote,
+    RunNote,
+    SuccessNote,
+)
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord
 from .kinds.feed import FEED
 from .kinds.limits import LIMITS, LimitNote
 from .kinds.load import LOAD
-from .kinds.suspicion import SUSPICION
 from .ledger import Entry, Slot
 from .members import Member
-from .state import FleetState
 
 
 class Reports:
     """Turns accepted entries into effects, changes of load together at the end."""
 
-    def __init__(self, state: FleetState) -> None:
-        self.state = state
+    def __init__(self) -> None:
         self.loaded: dict[InstanceId, list[int]] = {}
 
     def begin(self) -> None:
@@ -69,9 +78,24 @@
             return [LimitStated(endpoint_of(slot.key), note, entry.born)]
         if slot.kind == CONNECTIVITY.number:
             return [ConnectivityChanged(name)]
-        if slot.kind == SUSPICION.number and isinstance(slot.key, bytes):
-            return [SuspicionChanged(slot.key, self.state.suspicion(slot.key))]
-        return []
+        return crash_effects(slot, entry)
+
+
+def crash_effects(slot: Slot, entry: Entry) -> list[Effect]:
+    """Return what an accepted entry says about crashes of endpoints."""
+    if slot.kind == INTERRUPTED_RUNS.number:
+        return [RunInterrupted(cast(RunNote, entry.value), entry.born)]
+    if slot.kind == REFUTATIONS.number:
+        sent_ms = cast(int, entry.value)
+        return [CrashRefuted(endpoint_of(slot.key), sent_ms, entry.born)]
+    content = Digest(str(slot.key))
+    if slot.kind == SUCCESSES.number:
+        success = cast(SuccessNote, entry.value)
+        return [ContentSucceeded(content, success, entry.born)]
+    if slot.kind == QUARANTINES.number:
+        decision = cast(QuarantineNote, entry.value)
+        return [ContentJudged(content, decision, entry.born)]
+    return []
 
 
 def endpoint_of(key: Key) -> EndpointId:
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..directory.feed_update import FeedUpdate
-from ..ids import AvailabilityZoneId, EndpointId, InstanceId
+from ..ids import AvailabilityZoneId, Digest, EndpointId, InstanceId
 from ..telemetry.catalogue.gossip import GOSSIP_FAULT
 from ..telemetry.logs import log_event
 from .boot_clock import BootClock
@@ -23,13 +23,21 @@
 from .kinds.configuration import KEY as VERSIONS_KEY
 from .kinds.connectivity import CONNECTIVITY, Connectivity
 from .kinds.connectivity import KEY as CONNECTIVITY_KEY
+from .kinds.crashes import (
+    INTERRUPTED_RUNS,
+    QUARANTINES,
+    REFUTATIONS,
+    SUCCESSES,
+    QuarantineNote,
+    RunNote,
+    SuccessNote,
+)
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord
 from .kinds.feed import FEED
 from .kinds.feed import KEY as FEED_KEY
 from .kinds.limits import LIMITS, LimitNote
 from .kinds.load import LOAD, WorkNote
-from .kinds.suspicion import SUSPICION, Suspicion, union
 from .members import Address, Identity, Peer
 from .peer_rows import PeerRows
 from .pulling import Puller
@@ -234,11 +242,31 @@
         self.exchange.confirm(FEED, FEED_KEY, word, self.clock.monotonic())
         self.arm()
 
-    def publish_suspicion(self, digest: bytes, seen: Suspicion) -> None:
-        """Tell what was seen of a request's digest, besides what was told before."""
-        told = self.exchange.own.value(SUSPICION.number, digest)
-        known = union([seen, told]) if isinstance(told, Suspicion) else seen
-        self.exchange.say(SUSPICION, digest, known, self.clock.monotonic())
+    def publish_interrupted_run(self, note: RunNote) -> None:
+        """Publish a run that has just ended with its endpoint."""
+        key = f"{note.endpoint} {note.content}"
+        self.exchange.say(INTERRUPTED_RUNS, key, note, self.clock.monotonic())
+        self.arm()
+
+    def publish_refutation(self, endpoint: EndpointId, sent_ms: int) -> None:
+        """Publish that an endpoint with interrupted runs had not crashed.
+
+        Parameters
+        ----------
+        sent_ms : int
+            Time since the later request was sent that it has answered.
+        """
+        self.exchange.confirm(REFUTATIONS, endpoint, sent_ms, self.clock.monotonic())
+        self.arm()
+
+    def publish_success(self, content: Digest, note: SuccessNote) -> None:
+        """Publish that a suspected content has run without a crash."""
+        self.exchange.confirm(SUCCESSES, content, note, self.clock.monotonic())
+        self.arm()
+
+    def publish_quarantine(self, content: Digest, note: QuarantineNote) -> None:
+        """Publish the decision on a content."""
+        self.exchange.confirm(QUARANTINES, content, note, self.clock.monotonic())
         self.arm()
 
     def publish_limit(self, endpoint: EndpointId, note: LimitNote) -> None:
--- a/src/mimosafork/gossip/state.py
+++ b/src/mimosafork/gossip/state.py
@@ -12,7 +12,6 @@
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord, newest
 from .kinds.load import LOAD, WorkNote
-from .kinds.suspicion import SUSPICION, Suspicion, union
 from .ledger import Entry, Ledger
 from .members import Member
 from .roster import Roster
@@ -107,11 +106,6 @@
         for member in self.roster.members.values():
             yield member.ledger
 
-    def suspicion(self, digest: bytes) -> Suspicion:
-        """Return what all know of a request's digest."""
-        known = (each.value(SUSPICION.number, digest) for each in self.ledgers())
-        return union(cast(Suspicion, each) for each in known if each is not None)
-
     def endpoint_word(self, endpoint: EndpointId) -> EndpointWord | None:
         """Return the newest word about an endpoint of the last seconds."""
         known = (each.value(ENDPOINTS.number, endpoint) for each in self.ledgers())
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -7,6 +7,7 @@
 
 from ...ids import AttemptNumber, Digest, EndpointId, RequestId
 from .base import Effect, Message
+from .crashes import InterruptedRun
 
 
 class Exposure(Enum):
@@ -103,6 +104,8 @@
     endpoint : EndpointId or None
         Endpoint of the attempt. Like `digest` of the request it is included because
         the record may be gone when plug-ins receive the failure.
+    interrupted : InterruptedRun or None
+        The run, if its connection broke.
     """
 
     request_id: RequestId
@@ -115,6 +118,7 @@
     fault_at: str | None = None
     endpoint: EndpointId | None = None
     digest: Digest | None = None
+    interrupted: InterruptedRun | None = None
 
 
 class AttemptHedged(AttemptFailed, frozen=True):
--- a/src/mimosafork/kernel/messages/requests.py
+++ b/src/mimosafork/kernel/messages/requests.py
@@ -88,6 +88,8 @@
         and quarantine.
     idempotency_key : str or None
         The caller's key.
+    prompt_parts : tuple of Digest
+        Parts of the prompt that other requests may share, in order.
     resume_offset : int
         Tokens that the caller has already received, when it resumes with its key.
     terms : CallTerms or None
@@ -111,6 +113,7 @@
     resume_offset: int = 0
     terms: CallTerms | None = None
     forwarded_by: InstanceId | None = None
+    prompt_parts: tuple[Digest, ...] = ()
 
 
 class Submit(Message, frozen=True):
--- a/src/mimosafork/platform/calls.py
+++ b/src/mimosafork/platform/calls.py
@@ -20,6 +20,7 @@
 from ..routing.table import ApiKey
 from . import names
 from .orders import failure_of, order_of
+from .prompt_parts import shared_parts
 from .statements import announces_leaving, rate_limit, requested_backoff
 
 NUMBER = re.compile(rb"[0-9]{1,15}")
@@ -63,6 +64,9 @@
             prompt_tokens=tokens.prompt,
             max_tokens=tokens.most,
             expected_tokens=number(head, names.LENGTH_HINT) or 0,
+            prompt_parts=shared_parts(
+                first_header_value(head.headers, names.PROMPT_PREFIX.lower())
+            ),
         )
 
     def endpoint_headers(
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -191,16 +191,19 @@
     "content-quarantined",
     Level.WARNING,
     "content {content} broke off at {count} endpoints, told by {source}",
-    "Calls with this content are refused for a minute, so that it brings no further "
-    "endpoint down.",
-    "See what its callers send; the lines of its attempts have the same digest.",
+    "Calls with this body or prompt part are refused for `for_s`, so that it brings no "
+    "further endpoint down: those of `accounts`, or of all accounts if two are named. "
+    "`level` counts the earlier times.",
+    "See what its callers send; the lines of its attempts have the same `content`, or "
+    "it among their `parts`. `mimosafork quarantine lift` ends it early.",
 )
 CONTENT_CLEARED = Event(
     2035,
     "content-cleared",
     Level.INFO,
     "content {content} is no longer kept from endpoints, told by {source}",
-    "A call with it has run well.",
+    "A call with it has run well, the crashes had another cause, or an operator has "
+    "lifted it.",
     "None.",
 )
 FREEZE_NOTICED = Event(
