Condemn no body for crashes of engines that were already answering it

Cause: a crash with a body alone counted as conclusive in whatever phase the run was. A body that crashes engines does so when they begin to run it.

Change: evidence says whether tokens had been received. Two crashes alone before the first token condemn a body, as before, or five in any phase; the thresholds stand with those of the gateway in quarantine/judgement.py.

--- a/src/mimosafork/kernel/messages/quarantine.py
+++ b/src/mimosafork/kernel/messages/quarantine.py
@@ -28,6 +28,8 @@
     is_confirmed : bool
         The incarnation has definitely ended; otherwise only the connection may have
         failed.
+    is_answering : bool
+        Tokens of the answer had been received.
     """
 
     endpoint: EndpointId
@@ -35,6 +37,7 @@
     weight: float
     is_sole: bool
     is_confirmed: bool
+    is_answering: bool = False
 
     @property
     def endpoint_incarnation(self) -> EndpointIncarnation:
--- a/src/mimosafork/policies/quarantine/crashes.py
+++ b/src/mimosafork/policies/quarantine/crashes.py
@@ -66,6 +66,7 @@
             weight,
             is_sole=self.in_progress == 1,
             is_confirmed=False,
+            is_answering=self.bodies[digest],
         )
 
 
--- a/src/mimosafork/policies/quarantine/ledger.py
+++ b/src/mimosafork/policies/quarantine/ledger.py
@@ -9,6 +9,7 @@
 
 from ...ids import Digest, EndpointId
 from ...kernel.messages.quarantine import CrashEvidence, EndpointIncarnation, Suspicion
+from ...quarantine.judgement import BODY_CRASHES_WHILE_ANSWERING, CONCLUSIVE_CRASHES
 
 EVIDENCE_RETENTION = timedelta(hours=1)
 """Evidence to which nothing was added for this long is dropped."""
@@ -20,11 +21,11 @@
 """Weight from which a body is a suspect after a single crash: one of four."""
 
 SUSPECT_CRASHES = 2
+"""Crashes from which a body is a suspect; it then runs on these endpoints only."""
+
 MAX_PUBLISHED_CRASHES = 8
 """Crashes of one body that are published; two are enough to condemn it."""
 
-CONDEMNING_SOLE_CRASHES = 2
-
 
 class Verdict(Enum):
     """Assessment of a body."""
@@ -59,8 +60,7 @@
         only those of incarnations that are confirmed to have ended.
         """
         crashes = self.evidence.values()
-        sole = sum(each.is_sole and each.is_confirmed for each in crashes)
-        if sole >= CONDEMNING_SOLE_CRASHES:
+        if condemns(each for each in crashes if each.is_confirmed):
             return Verdict.CONDEMNED
         weight = sum(each.weight for each in crashes)
         if weight >= SUSPECT_WEIGHT or len(crashes) >= SUSPECT_CRASHES:
@@ -74,8 +74,9 @@
         It is not run meanwhile: the next run could crash an endpoint although the
         confirmation is already on its way.
         """
-        sole = sum(each.is_sole for each in self.evidence.values())
-        return self.verdict is not Verdict.CONDEMNED and sole >= CONDEMNING_SOLE_CRASHES
+        return self.verdict is not Verdict.CONDEMNED and condemns(
+            self.evidence.values()
+        )
 
     @property
     def weight(self) -> float:
@@ -178,4 +179,12 @@
         weight=min(first.weight, second.weight),
         is_sole=first.is_sole and second.is_sole,
         is_confirmed=first.is_confirmed or second.is_confirmed,
+        is_answering=first.is_answering or second.is_answering,
     )
+
+
+def condemns(crashes: Iterable[CrashEvidence]) -> bool:
+    """Return whether crashes condemn a body, if all are confirmed."""
+    sole = [each for each in crashes if each.is_sole]
+    begun = sum(not each.is_answering for each in sole)
+    return begun >= CONCLUSIVE_CRASHES or len(sole) >= BODY_CRASHES_WHILE_ANSWERING
