Keep the fleet's judgement of contents from mass failures, and its decisions in order

Change: a part without a success is the cause after crashes of three moments, one with a success after five in sequence under runs that had begun; runs that had begun are published at once; while a part without a success is suspected, each instance runs one request with it at a time, and the instances begin in turn.

--- a/src/mimosafork/gateway/fleet_shares.py
+++ b/src/mimosafork/gateway/fleet_shares.py
@@ -49,12 +49,12 @@
         """
         return self._share(lambda instance: distance_to_engine(instance, endpoint))
 
-    def holds_trials(self, content: Digest) -> bool:
-        """Return whether this instance alone admits trials of a content."""
+    def rank_for_content(self, content: Digest) -> int:
+        """Return the rank of this instance for a content, another one for each."""
         share = self._share(
             lambda instance: distance_to_engine(instance, EndpointId(content))
         )
-        return share.rank == 0
+        return share.rank
 
     def _share(
         self, order: Callable[[InstanceId], tuple[int, InstanceId]]
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -119,6 +119,8 @@
         objection = self.quarantine.rejection_for(record.request, context.now)
         if objection is not None:
             return Refuse(objection)
+        if self.quarantine.must_wait(record, context):
+            return Wait("suspected-content")
         forwarded = self.forwarding.place(record, context)
         if forwarded is not None:
             return forwarded
--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -4,6 +4,8 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
+from msgspec.structs import replace
+
 from ...ids import AccountId, Digest, EndpointId
 from ...kernel.context import Context
 from ...kernel.messages.attempts import AttemptFailed, Exposure, FailureKind, FirstToken
@@ -32,9 +34,10 @@
     ReviewDecision,
     Stage,
 )
-from ...kernel.records import RequestRecord
+from ...kernel.records import RequestRecord, RequestState
 from ...kernel.registry import register
 from ...quarantine.crash_ledger import CrashLedger
+from ...quarantine.judgement import EVIDENCE_RETENTION
 from ...quarantine.register import QuarantineRegister, QuarantineState
 from ...telemetry.catalogue.contents import CRASH_REFUTED
 from ...telemetry.catalogue.gateway import CONTENT_CLEARED, CONTENT_QUARANTINED
@@ -45,9 +48,13 @@
 
 logger = logging.getLogger(__name__)
 
-REVIEW_TIME = timedelta(minutes=1)
+REVIEW_TIME = EVIDENCE_RETENTION / 2
 """Time in which later evidence may show that a decision was wrong."""
 
+STAGGER = timedelta(milliseconds=250)
+"""Between the instances' next requests with a suspected part."""
+
+MAX_STAGGERED = 8
 MAX_PUBLISHED_RUNS = 16
 """Interrupted runs of one endpoint that an instance publishes besides the suspects."""
 
@@ -103,6 +110,28 @@
                 return problem
         return None
 
+    def must_wait(self, record: RequestRecord, context: Context) -> bool:
+        """Return whether a request with a suspected part is not to be sent yet.
+
+        While it is open whether a part that was never answered crashes endpoints, each
+        instance runs one request with it at a time, and the instances begin in turn.
+        Without that, all requests that waited would be sent at the same moment.
+        """
+        for part in record.request.prompt_parts:
+            last_crash = self.ledger.last_crash(part)
+            if last_crash is None:
+                continue
+            rank = min(self.register.rank(part), MAX_STAGGERED)
+            if context.now - last_crash < rank * STAGGER:
+                return True
+            if any(
+                other.state is RequestState.RUNNING
+                and part in other.request.prompt_parts
+                for other in context.state.requests.values()
+            ):
+                return True
+        return False
+
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
         """Collect evidence and decide on contents."""
@@ -127,15 +156,21 @@
             timedelta(0),
             context.now,
         )
-        if not self.ledger.add(message.endpoint, run):
+        has_begun = run.phase is RunPhase.BEGUN
+        if self._may_be_partitioned(message.endpoint) and not has_begun:
+            self.unpublished.append(PublishInterruptedRun(message.endpoint, run))
+            run = replace(run, parts=())
+            if self.ledger.add(message.endpoint, run):
+                self._judge(message.endpoint, SOURCE_OWN, context)
             return
-        crash = PublishInterruptedRun(message.endpoint, run)
-        runs = len(self.ledger.records[message.endpoint].runs)
-        if self._may_be_partitioned(message.endpoint):
-            self.unpublished.append(crash)
-        elif runs <= MAX_PUBLISHED_RUNS or run.phase is RunPhase.BEGUN:
+        if self.ledger.add(message.endpoint, run):
+            self._publish(PublishInterruptedRun(message.endpoint, run), context)
+
+    def _publish(self, crash: PublishInterruptedRun, context: Context) -> None:
+        runs = len(self.ledger.records[crash.endpoint].runs)
+        if runs <= MAX_PUBLISHED_RUNS or crash.run.phase is RunPhase.BEGUN:
             context.emit(crash)
-        self._judge(message.endpoint, SOURCE_OWN, context)
+        self._judge(crash.endpoint, SOURCE_OWN, context)
 
     def _is_leaving(self, endpoint: EndpointId) -> bool:
         """Return whether an endpoint was about to end by itself."""
@@ -149,7 +184,7 @@
     @handle.register
     def _(self, message: ServiceProbed, context: Context) -> None:
         # A partition of this instance breaks the connections of all contents that run
-        # behind it. Peers must not refuse these for it.
+        # behind it. Neither peers nor calls with the same parts must suffer for it.
         held, self.unpublished = self.unpublished, []
         endpoints = {} if self.fleet is None else self.fleet.endpoints
         for crash in held:
@@ -157,7 +192,8 @@
             if known is not None and known.listed.service != message.service:
                 self.unpublished.append(crash)
             elif message.reachable:
-                context.emit(crash)
+                self.ledger.add(crash.endpoint, crash.run)
+                self._publish(crash, context)
 
     @handle.register
     def _(self, message: FirstToken, context: Context) -> None:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -144,7 +144,7 @@
         self.store_counts: StoreCallCounts | None = None
         self.quarantine_store: QuarantineStore | None = None
         quarantine = self.kernel.plugin(CrashQuarantine)
-        quarantine.register.holds_trials = self.shares.holds_trials
+        quarantine.register.rank = self.shares.rank_for_content
         self.peer_rows = peer_rows
         self._apply_bounds(settings.bounds)
         self.listeners: list[asyncio.Server] = []
--- a/src/mimosafork/quarantine/crash_ledger.py
+++ b/src/mimosafork/quarantine/crash_ledger.py
@@ -11,9 +11,10 @@
     BODY_CRASHES,
     BODY_CRASHES_WHILE_ANSWERING,
     EVIDENCE_RETENTION,
-    PART_BODIES,
+    MANY_BODIES,
     PART_CRASHES,
     PROVEN_PART_CRASHES,
+    SAME_MOMENT,
 )
 
 MAX_RECORDS = 256
@@ -87,6 +88,16 @@
         """Return whether any crash since its last success counts against a content."""
         return any(self._counted(content))
 
+    def last_crash(self, part: Digest) -> timedelta | None:
+        """Return the time of the last crash that counts against an unproven part.
+
+        None without one, and for a part that has been answered before.
+        """
+        if part in self.successes or part not in self.by_content:
+            return None
+        ends = [record.ended_at for record in self._counted(part)]
+        return max(ends, default=None)
+
     # Judgement
 
     def is_cause(self, content: Digest) -> bool:
@@ -176,31 +187,42 @@
         return begun >= BODY_CRASHES or len(phases) >= BODY_CRASHES_WHILE_ANSWERING
 
     def _is_crashing_part(self, part: Digest, counted: list[CrashRecord]) -> bool:
+        is_proven = part in self.successes
+        crashes = self._sequence(part, counted, is_proven)
+        if len(crashes) < (PROVEN_PART_CRASHES if is_proven else PART_CRASHES):
+            return False
+        # A body that is part of each crash explains them as well; several of them at
+        # once are explained best by what they have in common.
+        bodies = set.intersection(*crashes)
+        return not bodies or len(bodies) >= MANY_BODIES
+
+    def _sequence(
+        self, part: Digest, counted: list[CrashRecord], is_proven: bool
+    ) -> list[set[Digest]]:
+        """Return the suspected bodies of each moment at which endpoints crashed.
+
+        Endpoints that fail together have a common cause, and are noticed over some
+        seconds if they fall silent. Against a part that has been answered before, only
+        requests count that had begun, and that were sent after the crash before.
+        """
         since = self._since(part)
-        needed = PROVEN_PART_CRASHES if part in self.successes else PART_CRASHES
-        bodies: set[Digest] = set()
-        crashes = 0
-        last_crash = timedelta.min
+        crashes: list[set[Digest]] = []
+        after = timedelta.min
         for record in sorted(counted, key=lambda each: each.ended_at):
+            if is_proven and not record.has_begun_runs:
+                continue
+            suspects = record.suspects_with(part, since)
             runs = [
                 run
-                for run in record.suspects_with(part, since)
-                if run.sent_at > last_crash
+                for run in suspects
+                if (run.sent_at if is_proven else run.ended_at) > after
             ]
-            if not runs or self._repeats_condemned_bodies(runs, bodies):
-                continue
-            bodies |= {run.content for run in runs}
-            last_crash = max(run.ended_at for run in runs)
-            crashes += 1
-        return crashes >= needed and len(bodies) >= PART_BODIES
-
-    def _repeats_condemned_bodies(
-        self, runs: list[InterruptedRun], bodies: set[Digest]
-    ) -> bool:
-        """Return whether only bodies that are condemned themselves have run again."""
-        return all(
-            run.content in self.condemned and run.content in bodies for run in runs
-        )
+            if runs:
+                crashes.append({run.content for run in runs})
+                after = max(run.ended_at for run in runs) + SAME_MOMENT
+            elif crashes and not is_proven:
+                crashes[-1] |= {run.content for run in suspects}
+        return crashes
 
     # Limits
 
--- a/src/mimosafork/quarantine/crash_record.py
+++ b/src/mimosafork/quarantine/crash_record.py
@@ -45,7 +45,8 @@
             if len(self.runs) >= MAX_RUNS:
                 return False
         elif abs(run.ended_at - known.ended_at) <= SAME_BREAK:
-            if PRECEDENCE[run.phase] <= PRECEDENCE[known.phase]:
+            rank = PRECEDENCE[run.phase], len(run.parts)
+            if rank <= (PRECEDENCE[known.phase], len(known.parts)):
                 return False
         elif run.ended_at < known.ended_at:
             return False
--- a/src/mimosafork/quarantine/judgement.py
+++ b/src/mimosafork/quarantine/judgement.py
@@ -17,12 +17,17 @@
 """Crashes in any phase: most runs that are interrupted later did not cause them."""
 
 PART_CRASHES = 3
-"""Crashes in sequence, each by a request that was sent after the one before."""
+"""Crashes at different moments."""
+
+SAME_MOMENT = timedelta(milliseconds=20)
+"""Endpoints that crash within it may have failed together."""
 
 PROVEN_PART_CRASHES = 5
-"""The same for a part with which requests have been answered before."""
+"""Crashes in sequence, each by a request that had begun and was sent after the one
+before, for a part with which requests have been answered before."""
 
-PART_BODIES = 2
-"""Different bodies among them: a single one would be judged as a body."""
+MANY_BODIES = 3
+"""Bodies that took part in all these crashes from which their common part is the cause;
+fewer are judged as bodies."""
 
 EVIDENCE_RETENTION = timedelta(minutes=10)
--- a/src/mimosafork/quarantine/register.py
+++ b/src/mimosafork/quarantine/register.py
@@ -51,14 +51,15 @@
     ----------
     decisions : OrderedDict of Digest to Quarantine
         Those that were lifted as well, as an older decision may be received later.
-    holds_trials : callable
-        Returns whether this instance, and no other one, admits trials of a content.
+    rank : callable
+        Returns the rank of this instance among all for a content; that of rank 0 admits
+        trials.
     """
 
     def __init__(self) -> None:
         self.decisions: OrderedDict[Digest, Quarantine] = OrderedDict()
         self.trials: dict[Digest, Trial] = {}
-        self.holds_trials: Callable[[Digest], bool] = lambda content: True
+        self.rank: Callable[[Digest], int] = lambda content: 0
 
     def state(self, content: Digest, now: timedelta) -> QuarantineState:
         """Return the state of a content."""
@@ -153,7 +154,7 @@
                 return True
             if now - latest.at < TRIAL_TIME:
                 return False
-        if not self.holds_trials(content):
+        if self.rank(content) > 0:
             return False
         self.trials[content] = Trial(request_id, now)
         return True
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -88,6 +88,15 @@
         for engine in self.engines if engines is None else engines:
             engine.play_scripted(Scripted(fault, None, prompt_part=part))
 
+    def restart_all(self) -> None:
+        """Kill all instances at once and start them again."""
+        for instance in self.instances:
+            instance.kill()
+        for instance in self.instances:
+            instance.restart()
+        for instance in self.instances:
+            instance.wait_until_ready()
+
     def send(
         self, pool: ThreadPoolExecutor, parts: Sequence[str], account: str = KEY
     ) -> SentCall:
--- /dev/null
+++ b/tests/unit/gateway/test_quarantine_store.py
@@ -0,0 +1,148 @@
+"""Tests of decisions that are kept in the store."""
+
+import asyncio
+from collections.abc import Sequence
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.clock import ManualClock
+from mimosafork.directory.errors import StoreUnavailableError
+from mimosafork.directory.rows import Row, RowCondition, RowKey, RowPage, RowPut
+from mimosafork.gateway.quarantine_store import MAX_WAIT_AT_START, QuarantineStore
+from mimosafork.ids import AccountId, Digest
+from mimosafork.kernel.messages.base import Message
+from mimosafork.kernel.messages.crashes import (
+    PublishQuarantine,
+    Quarantine,
+    QuarantineReceived,
+)
+from mimosafork.quarantine.register import QuarantineRegister
+from mimosafork.quarantine.rows import TABLE
+
+from ...support.functions import function_tests
+
+case = TestCase()
+
+SECOND = timedelta(seconds=1)
+START = timedelta(seconds=100)
+PART = Digest("s/part")
+DECISION = Quarantine(
+    PART, (AccountId("a"),), START - SECOND, START + 60 * SECOND, 1, 3
+)
+
+
+class MemoryRows:
+    """Rows in memory, which may be unavailable."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.version = 0
+        self.available = True
+
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        start: str | None = None,
+        end: str | None = None,
+        limit: int | None = None,
+    ) -> RowPage:
+        """Return one row at a time, to have pages read on."""
+        if not self.available:
+            raise StoreUnavailableError("down")
+        keys = sorted(key for key in self.rows if start is None or key >= start)
+        found = tuple(self.rows[key] for key in keys[:1])
+        return RowPage(found, self.version, truncated=len(keys) > 1)
+
+    async def changes(self, table: str, after: int, wait: timedelta) -> RowPage:
+        """Not called."""
+        raise NotImplementedError
+
+    async def write(
+        self,
+        puts: Sequence[RowPut] = (),
+        removes: Sequence[RowKey] = (),
+        conditions: Sequence[RowCondition] = (),
+    ) -> int:
+        """Write rows."""
+        if not self.available:
+            raise StoreUnavailableError("down")
+        self.version += 1
+        for put in puts:
+            row = Row(put.table, put.part, put.key, put.value, self.version)
+            self.rows[put.key] = row
+        return self.version
+
+
+def store_of(rows: MemoryRows, posted: list[Message]) -> QuarantineStore:
+    """Return the store of an instance that posts what it reads to a list."""
+    clock = ManualClock(START)
+    return QuarantineStore(rows, QuarantineRegister(), posted.append, clock)
+
+
+async def settle() -> None:
+    """Let tasks run for a moment."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+def test_own_decisions_are_written_and_read_by_others() -> None:
+    """A restart of all instances loses what was quarantined."""
+
+    async def run() -> list[Message]:
+        rows, posted = MemoryRows(), list[Message]()
+        writer = store_of(rows, [])
+        writer.start()
+        publish = writer.receive_after(lambda effect: None)
+        publish(PublishQuarantine(DECISION, is_own=True))
+        other = Quarantine(Digest("s/other"), (), START, START + SECOND)
+        publish(PublishQuarantine(other, is_own=False))
+        await settle()
+        await writer.stop()
+        case.assertEqual([PART], list(rows.rows))
+        reader = store_of(rows, posted)
+        await reader.read()
+        await reader.read()
+        return posted
+
+    case.assertEqual([QuarantineReceived(DECISION)], asyncio.run(run()))
+
+
+def test_an_instance_is_ready_without_the_store_after_a_moment() -> None:
+    """Instances that start while the store is down never serve."""
+
+    async def run() -> None:
+        rows = MemoryRows()
+        rows.available = False
+        store = store_of(rows, [])
+        store.start()
+        await settle()
+        case.assertFalse(store.may_serve)
+        store.created_at -= MAX_WAIT_AT_START
+        case.assertTrue(store.may_serve)
+        await store.stop()
+
+    asyncio.run(run())
+
+
+def test_rows_that_cannot_be_read_are_skipped() -> None:
+    """One damaged row hides all decisions."""
+
+    async def run() -> list[Message]:
+        rows, posted = MemoryRows(), list[Message]()
+        writer = store_of(rows, [])
+        writer.start()
+        publish = writer.receive_after(lambda effect: None)
+        publish(PublishQuarantine(DECISION, is_own=True))
+        await settle()
+        await writer.stop()
+        for number, value in enumerate((b"", b"{}", b"\xff", b'{"content":"x"}')):
+            key = f"a{number}"
+            rows.rows[key] = Row(TABLE, "", key, value, 99)
+        await store_of(rows, posted).read()
+        return posted
+
+    case.assertEqual([QuarantineReceived(DECISION)], asyncio.run(run()))
+
+
+load_tests = function_tests(__name__)
