Condemn no part while another one without a success explains the crashes as well

Change: such a part needs five crashes instead of three; a success of the others tells them apart before. The next sound call brings it, as calls with suspected parts run one at a time.

--- a/src/mimosafork/quarantine/crash_ledger.py
+++ b/src/mimosafork/quarantine/crash_ledger.py
@@ -13,8 +13,8 @@
     EVIDENCE_RETENTION,
     MANY_BODIES,
     PART_CRASHES,
-    PROVEN_PART_CRASHES,
     SAME_MOMENT,
+    UNLIKELY_PART_CRASHES,
 )
 
 MAX_RECORDS = 256
@@ -189,13 +189,24 @@
     def _is_crashing_part(self, part: Digest, counted: list[CrashRecord]) -> bool:
         is_proven = part in self.successes
         crashes = self._sequence(part, counted, is_proven)
-        if len(crashes) < (PROVEN_PART_CRASHES if is_proven else PART_CRASHES):
+        is_likely = not is_proven and not self._has_equals(part, counted)
+        if len(crashes) < (PART_CRASHES if is_likely else UNLIKELY_PART_CRASHES):
             return False
         # A body that is part of each crash explains them as well; several of them at
         # once are explained best by what they have in common.
         bodies = set.intersection(*crashes)
         return not bodies or len(bodies) >= MANY_BODIES
 
+    def _has_equals(self, part: Digest, counted: list[CrashRecord]) -> bool:
+        """Return whether other parts without a success explain the crashes as well."""
+        since = self._since(part)
+        common = [
+            {each for each in run.parts if each not in self.successes}
+            for record in counted
+            for run in record.suspects_with(part, since)
+        ]
+        return bool(common) and len(set.intersection(*common)) > 1
+
     def _sequence(
         self, part: Digest, counted: list[CrashRecord], is_proven: bool
     ) -> list[set[Digest]]:
--- a/tests/functional/test_crowded_instance.py
+++ b/tests/functional/test_crowded_instance.py
@@ -15,6 +15,9 @@
 DESKS = 4
 CALLERS = 160
 CALLS_S = 48.0
+LEARN_S = 6.0
+"""Time in which the instances learn the limits and their shares."""
+
 EVENLY_S = 5.0
 CROWDED_S = 8.0
 CROWD_FACTOR = 1.5
@@ -59,6 +62,7 @@
 
 def check_crowd(fleet: PlainFleet) -> None:
     """Check that the first tries of a crowd at one instance are served."""
+    send(fleet, range(INSTANCES), CALLS_S, LEARN_S)
     before = served_share(send(fleet, range(INSTANCES), CALLS_S, EVENLY_S))
     tries = send(fleet, CROWD, CALLS_S * CROWD_FACTOR, CROWDED_S)
     crowded = served_share([each for each in tries if each.after_s >= SETTLE_S])
--- a/tests/unit/quarantine/test_quarantine_machine.py
+++ b/tests/unit/quarantine/test_quarantine_machine.py
@@ -127,4 +127,21 @@
     explore(QuarantineMachine, EXAMPLES, STEPS)
 
 
+def test_poisoned_calls_that_wait_for_endpoints_that_failed_at_once_reach_few() -> None:
+    """All instances send poisoned calls at the return of endpoints that fell together.
+
+    The crashes of one moment are too little evidence against the part.
+    """
+    machine = QuarantineMachine()
+    machine.instances_restart({2})
+    machine.instances_restart({0, 2})
+    for seconds in (4.0, 4.0, 0.2):
+        machine.all_endpoints_crash(seconds)
+    machine.sound_calls(1.0, 12.0)
+    machine.poisoned_calls(4.0, 2.0, 8.0)
+    for seconds in (0.2, 4.0, 4.0):
+        machine.all_endpoints_crash(seconds)
+    machine.poisoned_calls_reach_few_endpoints()
+
+
 load_tests = function_tests(__name__)
