Bound what is kept of contents that are no longer quarantined

Contents whose quarantine has ended by itself stayed in the ledger's index of causes, and their rows in the store, for good. The index keeps 256, and rows of forgotten decisions go with the next write. The new tests failed before (512 entries; the row stayed).

--- a/src/mimosafork/gateway/quarantine_store.py
+++ b/src/mimosafork/gateway/quarantine_store.py
@@ -7,12 +7,18 @@
 
 from ..clock import Clock
 from ..directory.errors import RowsError
-from ..directory.rows import Rows
+from ..directory.rows import RowKey, Rows
 from ..ids import Digest
 from ..kernel.messages.base import Effect, Message
 from ..kernel.messages.crashes import PublishQuarantine, QuarantineReceived
-from ..quarantine.register import QuarantineRegister
-from ..quarantine.rows import quarantine_of, read_rows, row_put, stored_quarantine
+from ..quarantine.register import QuarantineRegister, is_forgotten
+from ..quarantine.rows import (
+    TABLE,
+    quarantine_of,
+    read_rows,
+    row_put,
+    stored_quarantine,
+)
 
 logger = getLogger(__name__)
 
@@ -20,6 +26,7 @@
 READ_INTERVAL = timedelta(seconds=30)
 """While any content is quarantined: an operator may have lifted it."""
 
+MAX_REMOVED_ROWS = 50
 MAX_WAIT_AT_START = timedelta(seconds=1)
 """Time for which an instance is not ready because decisions may be missing."""
 
@@ -52,6 +59,8 @@
         self.is_read = False
         self.versions: dict[Digest, int] = {}
         """Version of the row that was read last, of each content."""
+        self.expired: set[Digest] = set()
+        """Contents of rows that are removed with the next write."""
         self.unwritten: dict[Digest, PublishQuarantine] = {}
         self.changed = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
@@ -114,7 +123,9 @@
         """
         for row in await read_rows(self.rows):
             content = row.stored.content
-            if self.versions.get(content, 0) < row.version:
+            if is_forgotten(row.stored.until, self.clock.now()):
+                self.expired.add(content)
+            elif self.versions.get(content, 0) < row.version:
                 self.versions[content] = row.version
                 decision = quarantine_of(row.stored, self.clock)
                 self.post(QuarantineReceived(decision))
@@ -129,11 +140,13 @@
     async def _write_next(self) -> None:
         content, effect = next(iter(self.unwritten.items()))
         put = row_put(stored_quarantine(effect.quarantine, self.clock))
+        removes = [RowKey(TABLE, "", each) for each in self.expired - {content}]
         try:
-            await self.rows.write([put])
+            await self.rows.write([put], removes[:MAX_REMOVED_ROWS])
         except RowsError as error:
             logger.debug("cannot write a quarantine: %s", error)
             await asyncio.sleep(RETRY_DELAY.total_seconds())
             return
+        self.expired.clear()
         if self.unwritten.get(content) is effect:
             del self.unwritten[content]
--- a/src/mimosafork/quarantine/crash_ledger.py
+++ b/src/mimosafork/quarantine/crash_ledger.py
@@ -19,6 +19,7 @@
 
 MAX_RECORDS = 256
 MAX_SUCCESSES = 4096
+MAX_CONDEMNED = 256
 
 
 class CrashLedger:
@@ -146,6 +147,8 @@
     def condemn(self, content: Digest) -> None:
         """Attribute the crashes that count against a content to it."""
         self.condemned[content] = self.crashes(content)
+        if len(self.condemned) > MAX_CONDEMNED:
+            del self.condemned[next(iter(self.condemned))]
 
     def release(self, content: Digest) -> None:
         """Attribute no crash to a content any more."""
--- a/src/mimosafork/quarantine/register.py
+++ b/src/mimosafork/quarantine/register.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from datetime import timedelta
+from datetime import datetime, timedelta
 from enum import Enum
 
 import msgspec
@@ -169,6 +169,11 @@
         return decision
 
 
+def is_forgotten(until: datetime, now: datetime) -> bool:
+    """Return whether a stored decision has ended so long ago that it means nothing."""
+    return now >= until + MAX_QUARANTINE_TIME
+
+
 def applies_to(decision: Quarantine, account: AccountId) -> bool:
     """Return whether a decision concerns the requests of an account."""
     if not decision.accounts or len(decision.accounts) >= ACCOUNTS_FOR_ALL:
--- a/tests/unit/gateway/test_quarantine_store.py
+++ b/tests/unit/gateway/test_quarantine_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 from unittest import TestCase
 
 from mimosafork.clock import ManualClock
@@ -24,6 +24,7 @@
 case = TestCase()
 
 SECOND = timedelta(seconds=1)
+LATER = datetime(2026, 1, 2, tzinfo=UTC)
 START = timedelta(seconds=100)
 PART = Digest("s/part")
 DECISION = Quarantine(
@@ -64,10 +65,12 @@
         removes: Sequence[RowKey] = (),
         conditions: Sequence[RowCondition] = (),
     ) -> int:
-        """Write rows."""
+        """Write and remove rows."""
         if not self.available:
             raise StoreUnavailableError("down")
         self.version += 1
+        for removed in removes:
+            self.rows.pop(removed.key, None)
         for put in puts:
             row = Row(put.table, put.part, put.key, put.value, self.version)
             self.rows[put.key] = row
@@ -145,4 +148,27 @@
     case.assertEqual([QuarantineReceived(DECISION)], asyncio.run(run()))
 
 
+def test_rows_of_forgotten_decisions_are_removed() -> None:
+    """The table grows with every content that was ever quarantined."""
+
+    async def run() -> list[str]:
+        rows, posted = MemoryRows(), list[Message]()
+        for late in (False, True):
+            store = store_of(rows, posted)
+            if late:
+                store.clock = ManualClock(START, epoch=LATER)
+                await store.read()
+            store.start()
+            content = Digest("s/late") if late else PART
+            decision = Quarantine(content, (), START, START + 60 * SECOND)
+            publish = store.receive_after(lambda effect: None)
+            publish(PublishQuarantine(decision, is_own=True))
+            await settle()
+            await store.stop()
+        case.assertEqual([], posted)
+        return list(rows.rows)
+
+    case.assertEqual(["s/late"], asyncio.run(run()))
+
+
 load_tests = function_tests(__name__)
--- a/tests/unit/quarantine/test_crash_ledger.py
+++ b/tests/unit/quarantine/test_crash_ledger.py
@@ -7,6 +7,7 @@
 from mimosafork.ids import AccountId, Digest, EndpointId
 from mimosafork.kernel.messages.crashes import InterruptedRun, RunPhase
 from mimosafork.quarantine.crash_ledger import (
+    MAX_CONDEMNED,
     MAX_RECORDS,
     MAX_SUCCESSES,
     CrashLedger,
@@ -246,6 +247,9 @@
     runs = MAX_RECORDS * MAX_RUNS
     case.assertLessEqual(len(ledger.by_content), runs + 4 * MAX_RECORDS)
     case.assertLessEqual(len(ledger.successes), MAX_SUCCESSES)
+    for number in range(2 * MAX_CONDEMNED):
+        ledger.condemn(Digest(f"p{number}"))
+    case.assertEqual(MAX_CONDEMNED, len(ledger.condemned))
 
 
 def runs_of(ledger: CrashLedger) -> list[InterruptedRun]:
