--- a/tests/support/poisoned_fleet.py
+++ b/tests/support/poisoned_fleet.py
@@ -22,7 +22,7 @@
     SUCCESSES,
     SuccessNote,
 )
-from mimosafork.ids import Digest, EndpointId
+from mimosafork.ids import AccountId, Digest, EndpointId
 from mimosafork.kernel.messages.attempts import (
     AttemptFailed,
     AttemptFinished,
@@ -134,8 +134,8 @@
             self.exchange.confirm(SUCCESSES, effect.content, note, now)
         elif isinstance(effect, PublishQuarantine):
             decision = effect.quarantine
-            note_ = quarantine_note(decision, now)
-            self.exchange.confirm(QUARANTINES, decision.content, note_, now)
+            decided = quarantine_note(decision, now)
+            self.exchange.confirm(QUARANTINES, decision.content, decided, now)
             if effect.is_own and self.fleet.store_answers:
                 self.fleet.store[decision.content] = decision
         elif isinstance(effect, Dispatch):
@@ -213,7 +213,7 @@
         request = plain_request(f"c{number}", self.network.now)
         request = replace(
             request,
-            account=type(request.account)(account),
+            account=AccountId(account),
             body_digest=Digest(f"body-{number}"),
             prompt_parts=tuple(parts),
         )
@@ -280,15 +280,10 @@
             return
         endpoint.up_at = now + DOWNTIME
         endpoint.delist_at = now + NOTICE
-        runs, endpoint.runs = endpoint.runs, []
-        for run in runs:
-            phase = self._phase(run)
-            failure = failed(run.dispatch, run.request, FailureKind.BROKEN, phase, run)
-            if run.instance in self.instances:
-                run.instance.later(now + ms(1), failure)
+        self.break_connections(endpoint)
 
     def break_connections(self, endpoint: CrashingEndpoint) -> None:
-        """Reset the connections to an endpoint, which goes on."""
+        """Reset the connections to an endpoint, which may go on."""
         now = self.network.now
         runs, endpoint.runs = endpoint.runs, []
         for run in runs:
