--- a/tests/unit/gossip/test_rules.py
+++ b/tests/unit/gossip/test_rules.py
@@ -56,6 +56,10 @@
         node.say(INTERRUPTED_RUNS, f"{endpoint} 00", note, network.now)
     network.run(ms(100))
     case.assertEqual({ONE, TWO}, interrupted_at(network, nodes[2]))
+    network.stop(nodes[0])
+    network.run(timedelta(seconds=10))
+    entries = [each.of(INTERRUPTED_RUNS.number) for each in nodes[2].state.ledgers()]
+    case.assertEqual({f"{ONE} 00", f"{TWO} 00"}, {key for e in entries for key in e})
     network.run(timedelta(minutes=3))
     for ledger in nodes[2].state.ledgers():
         case.assertEqual({}, ledger.of(INTERRUPTED_RUNS.number))
