Let the prepared platform's stand-in keep and restore a copy of its store

Cause: the platform's store may come back from a copy some seconds old; no stand-in could play that. Change: copy_rows and restore, a Store-Era in every answer, 410 for a feed from a version that is not there, and an operator and endpoints that write again what was lost.

--- a/src/mimosafork/standins/prepared/deployment.py
+++ b/src/mimosafork/standins/prepared/deployment.py
@@ -12,6 +12,7 @@
 from .endpoint_settings import EndpointSettings
 from .engine import Engine
 from .engine_figures import EngineFigures
+from .rows import Rows
 from .runs import RunLog
 from .store import NO_LIMITS, Store, StoreLimits
 from .words import KEY_CONFIG, TABLE_OPERATOR, TABLE_SERVERS
@@ -38,6 +39,9 @@
     ----------
     log : RunLog
         What ran at all endpoints.
+    unowned : set of str
+        Rows that a restored copy brought back, of endpoints that are gone; they lapse
+        as those of dead endpoints do.
     """
 
     def __init__(
@@ -56,6 +60,7 @@
         self.neighbours: dict[str, Engine] = {}
         self.beats: dict[str, int] = {}
         self.listed: dict[int, str] = {}
+        self.unowned: set[str] = set()
 
     def __enter__(self) -> "Deployment":
         self.thread.start()
@@ -93,6 +98,16 @@
         self.config = config
         return self.version
 
+    def restore(self, copy: Rows, rewritten: bool = True) -> None:
+        """Restore the store from a copy.
+
+        Parameters
+        ----------
+        rewritten : bool
+            Whether the operator and the endpoints write again what they wrote since.
+        """
+        self.thread.call(lambda: self._restore(copy, rewritten))
+
     def add_engine(
         self,
         settings: EndpointSettings,
@@ -160,6 +175,26 @@
             self._delist(endpoint)
             self._beat(endpoint)
 
+    def _restore(self, copy: Rows, rewritten: bool) -> None:
+        self.store.restore(copy)
+        owned = set(self.listed.values())
+        rows = copy.listed(TABLE_SERVERS, "")
+        self.unowned = {row.name.key for row in rows} - owned
+        if rewritten:
+            self.rewrite()
+
+    def rewrite(self) -> None:
+        """Write the newest configuration and the rows of all endpoints again."""
+        self.thread.call(self._rewrite)
+
+    def _rewrite(self) -> None:
+        if self.config is not None:
+            document = self.config.document(self.version)
+            self.store.put(TABLE_OPERATOR, KEY_CONFIG, document)
+        for endpoint in self.endpoints:
+            if endpoint.alive and id(endpoint) in self.listed:
+                self._beat(endpoint)
+
     def _exit_later(self, endpoint: Endpoint, delay: timedelta) -> None:
         def leave() -> None:
             self._delist(endpoint)
@@ -178,6 +213,14 @@
                 continue
             for endpoint in self.endpoints:
                 self._beat_or_expire(endpoint, silent)
+            self._expire_unowned(silent)
+
+    def _expire_unowned(self, silent: Counter[str]) -> None:
+        for key in list(self.unowned):
+            silent[key] += 1
+            if silent[key] >= SILENT_BEATS:
+                self.unowned.discard(key)
+                self.store.remove(TABLE_SERVERS, key)
 
     def _beat_or_expire(self, endpoint: Endpoint, silent: Counter[str]) -> None:
         if id(endpoint) not in self.listed:
--- a/src/mimosafork/standins/prepared/rows.py
+++ b/src/mimosafork/standins/prepared/rows.py
@@ -10,6 +10,7 @@
 MAX_TEXT_BYTES = 200
 FEED_ROWS = 500
 HISTORY_CHANGES = 20_000
+FIRST_ERA = 1
 
 
 class RowName(NamedTuple):
@@ -78,9 +79,16 @@
 
 
 class Rows:
-    """All rows, and what has changed lately."""
+    """All rows, and what has changed lately.
 
-    def __init__(self) -> None:
+    Attributes
+    ----------
+    era : int
+        Rises by one each time that the rows are restored from a copy.
+    """
+
+    def __init__(self, era: int = FIRST_ERA) -> None:
+        self.era = era
         self.rows: dict[RowName, Row] = {}
         self.ver = 0
         self.history: deque[Row] = deque()
@@ -133,9 +141,13 @@
         self.history.clear()
         self.oldest = self.ver
 
-    def copy(self) -> "Rows":
-        """Return the rows as they are now."""
-        other = Rows()
+    def knows(self, ver: int) -> bool:
+        """Say whether the changes after a version are known."""
+        return self.oldest <= ver <= self.ver
+
+    def copy(self, era: int | None = None) -> "Rows":
+        """Return the rows as they are now, in another era if one is given."""
+        other = Rows(self.era if era is None else era)
         other.rows, other.ver = dict(self.rows), self.ver
         other.history, other.oldest = deque(self.history), self.oldest
         return other
--- a/src/mimosafork/standins/prepared/store.py
+++ b/src/mimosafork/standins/prepared/store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 import msgspec
@@ -10,7 +10,7 @@
 from ..errors import BadRequestError
 from ..rate_limit import RateLimit
 from .background import LoopThread
-from .http import Answer, Connection, Listener, Request, whichever
+from .http import Answer, Connection, Header, Listener, Request, whichever
 from .row_answers import (
     applied_answer,
     conflict_answer,
@@ -26,6 +26,7 @@
     ROWS_GET,
     ROWS_PARTS,
     ROWS_TX,
+    STORE_ERA,
     TABLE_OPERATOR,
     TABLE_SERVERS,
 )
@@ -101,6 +102,14 @@
         """Forget all changes; feeds that need them get 410."""
         self.thread.call(self._drop_history)
 
+    def copy_rows(self) -> Rows:
+        """Return a copy of all rows, from which the store can be restored."""
+        return self.thread.call(self.rows.copy)
+
+    def restore(self, copy: Rows) -> None:
+        """Go on from a copy in the next era; what was written since is lost."""
+        self.thread.call(lambda: self._restore(copy))
+
     def silence_connections(self) -> None:
         """Let open channels deliver nothing further; new ones work."""
         self.thread.call(self.listener.silence)
@@ -140,6 +149,10 @@
         self.rows.drop_history()
         self._wake()
 
+    def _restore(self, copy: Rows) -> None:
+        self.rows = self.seen = copy.copy(era=self.rows.era + 1)
+        self._wake()
+
     def _write(self, transaction: Transaction) -> int:
         self.rows.apply(transaction)
         self._wake()
@@ -158,14 +171,19 @@
         except (BadRequestError, msgspec.DecodeError, ValueError, KeyError) as error:
             answer = Answer.json(HTTPStatus.BAD_REQUEST, {"error": str(error)})
         if answer is not None:
-            connection.write(answer.encode())
+            stamped = replace(answer, headers=(*answer.headers, self._stamp))
+            connection.write(stamped.encode())
+
+    @property
+    def _stamp(self) -> Header:
+        return Header(STORE_ERA, str(self.rows.era))
 
     async def _answer_unless_refused(
         self, request: Request, connection: Connection
     ) -> Answer | None:
         refusal = self._refusal(request)
         if refusal is not None:
-            refuse(refusal, connection)
+            refuse(refusal, connection, self._stamp)
             return None
         if self._too_many(request):
             return Answer(HTTPStatus.TOO_MANY_REQUESTS)
@@ -249,12 +267,12 @@
         # What began while the call waited goes for it too.
         refusal = self._refusal(request)
         if refusal is not None:
-            refuse(refusal, connection)
+            refuse(refusal, connection, self._stamp)
             return None
         return feed_answer(self.seen, table, after, self._now_ms())
 
     def _nothing_new(self, table: str, after: int) -> bool:
-        return after >= self.seen.oldest and not self.seen.changes(table, after)
+        return self.seen.knows(after) and not self.seen.changes(table, after)
 
     def _now_ms(self) -> int:
         return int(asyncio.get_running_loop().time() * 1000)
--- a/src/mimosafork/standins/prepared/store_faults.py
+++ b/src/mimosafork/standins/prepared/store_faults.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from http import HTTPStatus
 
-from .http import Answer, Connection, Request
+from .http import Answer, Connection, Header, Request
 
 LOSE_ALL = -1
 NO_DELAY = timedelta(0)
@@ -77,14 +77,16 @@
 NO_FAULTS = StoreFaults()
 
 
-def refuse(refusal: Refusal, connection: Connection) -> None:
-    """Turn a call away."""
+def refuse(refusal: Refusal, connection: Connection, stamp: Header) -> None:
+    """Turn a call away; an answer carries the header that all of them do."""
     match refusal:
         case Refusal.SILENT:
             connection.fall_silent()
         case Refusal.RESET:
             connection.reset()
         case Refusal.UNAVAILABLE:
-            connection.write(Answer(HTTPStatus.SERVICE_UNAVAILABLE).encode())
+            answer = Answer(HTTPStatus.SERVICE_UNAVAILABLE, headers=(stamp,))
+            connection.write(answer.encode())
         case Refusal.TOO_MANY:
-            connection.write(Answer(HTTPStatus.TOO_MANY_REQUESTS).encode())
+            answer = Answer(HTTPStatus.TOO_MANY_REQUESTS, headers=(stamp,))
+            connection.write(answer.encode())
--- a/src/mimosafork/standins/prepared/words.py
+++ b/src/mimosafork/standins/prepared/words.py
@@ -19,6 +19,7 @@
 HELPERS = "X-Helpers"
 LAST_EVENT_ID = "Last-Event-Id"
 RETRY_AFTER = "Retry-After"
+STORE_ERA = "Store-Era"
 AUTHORIZATION = "Authorization"
 
 REPORT_PATH = "/-/report"
