Show that changes after a restored store are not in force

Callers: 404 for a route and 401 for a key that were confirmed, calls to an endpoint that drains. Three instances as processes; 20 versions are lost, and one change is written after the restore.

--- /dev/null
+++ b/tests/functional/test_restored_store.py
@@ -0,0 +1,162 @@
+"""Tests of gateways as processes whose store is restored from a copy."""
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from unittest import TestCase
+
+from mimosafork.standins.prepared.deployment import Deployment
+from mimosafork.standins.prepared.documents import (
+    ConfigEntry,
+    RouteEntry,
+    TenantEntry,
+)
+from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
+from mimosafork.standins.prepared.rows import Rows
+from mimosafork.standins.prepared.store_faults import Refusal, StoreFaults
+from mimosafork.standins.prepared.words import SEAL
+
+from ..support.functions import function_tests
+from ..support.gateway_processes import GatewayProcess, gateway_process
+from ..support.prepared import API_KEY, DESKS, HOST, USUAL_CONFIG
+from ..support.waiting import eventually
+
+case = TestCase()
+
+INSTANCES = 3
+HEARTBEAT = timedelta(seconds=1)
+LOST_WRITES = 20
+AWAY_S = 0.4
+IN_FORCE_WITHIN = timedelta(seconds=3)
+"""Time after the store's return in which an instance must be up to date again."""
+
+NEW_KEY = "key-of-account-b"
+NEW_ROUTE = RouteEntry("r-new", "/new/", "safe", DESKS, HOST)
+WITH_ROUTE = replace(USUAL_CONFIG, routes=(*USUAL_CONFIG.routes, NEW_ROUTE))
+ACCOUNT = TenantEntry("account-a", (API_KEY,), 1)
+WITH_KEY = replace(
+    USUAL_CONFIG, tenants=(ACCOUNT, TenantEntry("account-b", (NEW_KEY,), 1))
+)
+
+
+@dataclass
+class Fleet:
+    """Instances before a platform whose endpoints report by themselves."""
+
+    platform: Deployment
+    instances: list[GatewayProcess]
+
+    def restore(self, copy: Rows, rewritten: bool = True) -> None:
+        """Let the store be away for a moment and come back from a copy."""
+        self.platform.store.set_faults(StoreFaults(down=Refusal.RESET))
+        time.sleep(AWAY_S)
+        self.platform.restore(copy, rewritten)
+        self.platform.store.set_faults()
+
+    def write_often(self) -> None:
+        """Write the configuration several times, as an operator's pipeline may."""
+        assert self.platform.config is not None
+        for _ in range(LOST_WRITES):
+            self.platform.configure(self.platform.config)
+            time.sleep(0.05)
+
+    def until_all(self, holds: Callable[[GatewayProcess], bool]) -> timedelta:
+        """Wait until something holds at all instances; return how long it took."""
+        return eventually(lambda: all(holds(each) for each in self.instances))
+
+    def logged(self, text: str) -> bool:
+        """Return whether each instance has written a line that contains a text."""
+        return all(
+            any(text in line for line in each.process.lines) for each in self.instances
+        )
+
+
+@contextmanager
+def fleet(number: int = INSTANCES) -> Iterator[Fleet]:
+    """Run instances that have found each other and serve."""
+    with (
+        Deployment(USUAL_CONFIG, heartbeat=HEARTBEAT) as platform,
+        ExitStack() as stack,
+    ):
+        platform.add_desk(EndpointSettings(DESKS))
+        instances = [
+            stack.enter_context(gateway_process(platform, f"entry-{at}"))
+            for at in range(number)
+        ]
+        started = Fleet(platform, instances)
+        started.until_all(lambda each: each.ready_status() == 200)
+        started.until_all(lambda each: status(each) == 200)
+        for each in instances:
+            for at in range(number):
+                if each is not instances[at]:
+                    each.wait_until_logged(f'"peer":"entry-{at}"')
+        yield started
+
+
+def status(instance: GatewayProcess, path: str = "/safe/1", key: str = API_KEY) -> int:
+    """Return the status of a call."""
+    name = f"c{time.monotonic_ns()}"
+    return instance.ask(path, name, Authorization=f"Bearer {key}").status
+
+
+def endpoint_of(instance: GatewayProcess) -> str:
+    """Return the answer's seal, which begins with the id of its endpoint."""
+    name = f"c{time.monotonic_ns()}"
+    answer = instance.ask("/safe/1", name, Authorization=f"Bearer {API_KEY}")
+    return answer.headers.get(SEAL.lower(), "")
+
+
+def check_in_force_after_restore(
+    change: ConfigEntry, in_force: Callable[[GatewayProcess], bool], rewritten: bool
+) -> None:
+    """Check that a change written after a restore is soon in force everywhere."""
+    with fleet() as running:
+        copy = running.platform.store.copy_rows()
+        running.write_often()
+        running.restore(copy, rewritten)
+        running.platform.configure(change)
+        took = running.until_all(in_force)
+        case.assertLess(took, IN_FORCE_WITHIN)
+
+
+def test_a_route_added_after_a_restored_store_is_served() -> None:
+    """A confirmed change must be in force although the store's versions went back.
+
+    The row of the change has the version of a row that instances knew before.
+    """
+    check_in_force_after_restore(
+        WITH_ROUTE, lambda each: status(each, "/new/1") == 200, rewritten=True
+    )
+
+
+def test_a_route_added_before_anything_is_rewritten_is_served() -> None:
+    """The first row that is written after a restore must be applied like any other."""
+    check_in_force_after_restore(
+        WITH_ROUTE, lambda each: status(each, "/new/1") == 200, rewritten=False
+    )
+
+
+def test_a_key_added_after_a_restored_store_is_accepted() -> None:
+    """A new account must not be refused because the store was restored."""
+    check_in_force_after_restore(
+        WITH_KEY, lambda each: status(each, key=NEW_KEY) == 200, rewritten=True
+    )
+
+
+def test_an_endpoint_that_drains_after_a_restored_store_gets_no_new_work() -> None:
+    """A draining report must be read although the store's versions went back."""
+    with fleet() as running:
+        staying = running.platform.add_desk(EndpointSettings(DESKS))
+        running.until_all(lambda each: staying.id in endpoint_of(each))
+        copy = running.platform.store.copy_rows()
+        running.write_often()
+        running.restore(copy)
+        leaving = running.platform.endpoints[0]
+        running.platform.drain(leaving)
+        took = eventually(lambda: running.logged("is draining, told by"))
+        case.assertLess(took, IN_FORCE_WITHIN)
+
+
+load_tests = function_tests(__name__)
