--- a/src/mimosafork/directory/endpoint_registry.py
+++ b/src/mimosafork/directory/endpoint_registry.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-import msgspec
 from msgspec.structs import replace
 
 from ..clock import Clock
@@ -11,6 +10,7 @@
 from ..routing.listing import ListedEndpoint, ListedState
 from .health import StoreHealth
 from .messages import DirectoryEntry, EndpointChanged, EndpointState, UpdateOrigin
+from .removed_endpoints import RemovedEndpoints
 from .rows import Row
 from .sources import EndpointSource
 
@@ -21,40 +21,6 @@
 }
 """Listing fields whose change alone is not published, with fixed values to compare."""
 
-ROW_EXPIRY = timedelta(milliseconds=3900)
-"""Time for which the row of a removed endpoint must exist again before the endpoint is
-restored; longer than the time after which a row without new reports expires."""
-
-
-class Removal(msgspec.Struct, frozen=True):
-    """An endpoint that is gone.
-
-    Attributes
-    ----------
-    row : Row
-        The update in raw form, for peers.
-    confirmed : bool
-        False if the row disappeared around an outage of the store, so that a newer
-        update of the endpoint itself restores it immediately.
-    learned_at : timedelta
-        Monotonic instant at which the removal was learned.
-    started_ms : int or None
-        Start time of the removed incarnation, if it was reported.
-    """
-
-    row: Row
-    confirmed: bool
-    learned_at: timedelta
-    started_ms: int | None = None
-
-
-class Reappearance(msgspec.Struct, frozen=True):
-    """A removed endpoint whose row exists again, and the instant it was seen."""
-
-    row: Row
-    listed: ListedEndpoint
-    seen_at: timedelta
-
 
 class EndpointRegistry:
     """Derives the state of each endpoint from its rows.
@@ -83,11 +49,8 @@
     ) -> None:
         self.source = source
         self.health = health
-        self.clock = clock
-        self.removal_retention = removal_retention
+        self.removed = RemovedEndpoints(clock, removal_retention)
         self.entries: dict[EndpointId, DirectoryEntry] = {}
-        self.removals: dict[EndpointId, Removal] = {}
-        self.reappeared: dict[EndpointId, Reappearance] = {}
         self.unreadable: dict[EndpointId, Row] = {}
         """The newest rows that cannot be decoded, without their values."""
         self.followed_up_to = 0
@@ -116,7 +79,7 @@
         endpoint = EndpointId(row.key)
         if origin is UpdateOrigin.PEER and self.is_stale_peer_row(endpoint, row):
             return None
-        removal = self.removals.get(endpoint)
+        removal = self.removed.removals.get(endpoint)
         # A stale read, or a last report that crossed the removal, may arrive after the
         # endpoint is gone. Without this check, it would send calls to an address that
         # may have been reused. Rows that disappeared around an outage are restored
@@ -134,7 +97,7 @@
         if listed.started_after(started_ms):
             return self.start_incarnation(row, listed, origin)
         if removal is not None and removal.confirmed:
-            self.record_reappearance(row, listed)
+            self.removed.record_reappearance(row, listed)
             return None
         if listed.state is ListedState.DRAINING:
             return self.apply_draining(row, listed, origin)
@@ -179,9 +142,10 @@
             None if it got no new work before.
         """
         endpoint = EndpointId(row.key)
-        reappeared, known = self.reappeared.get(endpoint), self.entries.get(endpoint)
+        known = self.entries.get(endpoint)
+        reappeared = self.removed.reappeared.get(endpoint)
         if reappeared is not None and row.version > reappeared.row.version:
-            del self.reappeared[endpoint]
+            self.removed.discard_reappearance(row)
         if known is None or known.state is EndpointState.DRAINING:
             return None
         if row.version <= max(known.row.version, known.missing_version or 0):
@@ -196,7 +160,8 @@
 
     def latest_start_ms(self, endpoint: EndpointId) -> int | None:
         """Return the start time of the latest known incarnation of an id."""
-        known, removal = self.entries.get(endpoint), self.removals.get(endpoint)
+        known = self.entries.get(endpoint)
+        removal = self.removed.removals.get(endpoint)
         if known is not None:
             return known.listed.started_ms
         return None if removal is None else removal.started_ms
@@ -210,8 +175,7 @@
         be used, as a draining id gets no new work again.
         """
         former = self.entries.get(listed.endpoint)
-        self.removals.pop(listed.endpoint, None)
-        self.reappeared.pop(listed.endpoint, None)
+        self.removed.forget(listed.endpoint)
         drains = listed.state is ListedState.DRAINING
         state = EndpointState.DRAINING if drains else EndpointState.READY
         entry = DirectoryEntry(listed, row, state, started_version=row.version)
@@ -231,39 +195,13 @@
         """Record the version up to which all changes were received from the store."""
         self.followed_up_to = max(self.followed_up_to, version)
 
-    def record_reappearance(self, row: Row, listed: ListedEndpoint) -> None:
-        """Record that the row of a removed endpoint exists again.
-
-        An endpoint that is partitioned from the store, but not from its callers, is
-        removed when its row expires and reports again after the partition. If it were
-        excluded for good, each partition would cost the endpoints of its zone. A late
-        report of an endpoint that has really left is its last one, and the row expires
-        again. A reappeared endpoint that drains is treated as removed for good.
-        """
-        if listed.state is not ListedState.READY:
-            self.reappeared.pop(listed.endpoint, None)
-            self.record_removal(row, confirmed=True)
-            return
-        if listed.endpoint not in self.reappeared:
-            now = self.clock.monotonic()
-            self.reappeared[listed.endpoint] = Reappearance(row, listed, now)
-
     def restore_reappeared(self, origin: UpdateOrigin) -> list[EndpointChanged]:
         """Restore reappeared endpoints whose rows have persisted without expiring."""
-        now = self.clock.monotonic()
-        stable = [
-            each
-            for each in self.reappeared.values()
-            if now - each.seen_at >= ROW_EXPIRY
+        changes = [
+            self.apply_ready(each.row, each.listed, origin)
+            for each in self.removed.take_persistent()
         ]
-        restored = []
-        for each in stable:
-            del self.reappeared[each.listed.endpoint]
-            self.removals.pop(each.listed.endpoint, None)
-            changed = self.apply_ready(each.row, each.listed, origin)
-            if changed is not None:
-                restored.append(changed)
-        return restored
+        return [changed for changed in changes if changed is not None]
 
     def mark_draining(
         self, endpoint: EndpointId, origin: UpdateOrigin, version: int
@@ -289,7 +227,7 @@
             listed, row, EndpointState.READY, started_version=started_version
         )
         if known is None:
-            self.removals.pop(listed.endpoint, None)
+            self.removed.removals.pop(listed.endpoint, None)
             self.entries[listed.endpoint] = entry
             return EndpointChanged(entry, origin)
         # A ready update written before the draining one may arrive after it. Without
@@ -320,7 +258,7 @@
             listed, row, EndpointState.DRAINING, started_version=started_version
         )
         if known is None or known.state is not EndpointState.DRAINING:
-            self.removals.pop(listed.endpoint, None)
+            self.removed.removals.pop(listed.endpoint, None)
             self.entries[listed.endpoint] = entry
             return EndpointChanged(entry, origin)
         if row.version > known.row.version:
@@ -334,12 +272,10 @@
         # A peer may send a removal that is older than the row that reappeared. Without
         # the comparison of versions, nothing would ever restore the endpoint, as the
         # store sends an unchanged row only once.
-        reappeared = self.reappeared.get(endpoint)
-        if reappeared is not None and row.version >= reappeared.row.version:
-            del self.reappeared[endpoint]
+        self.removed.discard_reappearance(row)
         self.clear_unreadable(row)
         if known is None:
-            self.record_removal(row, confirmed=not self.health.is_uncertain)
+            self.removed.record(row, confirmed=not self.health.is_uncertain)
             return None
         if row.version < known.row.version:
             return None
@@ -375,26 +311,12 @@
         """
         del self.entries[known.listed.endpoint]
         confirmed = confirmed or known.state is EndpointState.DRAINING
-        self.record_removal(
+        self.removed.record(
             row, confirmed=confirmed, started_ms=known.listed.started_ms
         )
         gone = replace(known, state=EndpointState.GONE, missing_version=None)
         return EndpointChanged(gone, origin, known)
 
-    def record_removal(
-        self, row: Row, *, confirmed: bool, started_ms: int | None = None
-    ) -> None:
-        """Record the removal of an endpoint; a confirmed one stays confirmed."""
-        endpoint = EndpointId(row.key)
-        removal = self.removals.get(endpoint)
-        if removal is not None:
-            confirmed = confirmed or removal.confirmed
-            row = max(row, removal.row, key=lambda each: each.version)
-            started_ms = removal.started_ms if started_ms is None else started_ms
-        self.removals[endpoint] = Removal(
-            row, confirmed, self.clock.monotonic(), started_ms
-        )
-
     def is_newer_than(self, rows: Iterable[Row]) -> bool:
         """Whether the known state of an endpoint is newer than one of the rows."""
         for row in rows:
@@ -415,7 +337,8 @@
         """
         present = {row.key for row in rows}
         known = dict(self.unreadable)
-        known |= {each.listed.endpoint: each.row for each in self.reappeared.values()}
+        reappeared = self.removed.reappeared.values()
+        known |= {each.listed.endpoint: each.row for each in reappeared}
         known |= {each.listed.endpoint: each.row for each in self.entries.values()}
         return tuple(
             replace(row, value=b"", version=version, removed=True)
@@ -431,7 +354,7 @@
         """
         if self.health.is_uncertain:
             return ()
-        self.prune_removals()
+        self.removed.prune()
         restored = self.restore_reappeared(origin)
         missing = [
             entry
@@ -444,15 +367,6 @@
         ]
         return tuple(gone + restored)
 
-    def prune_removals(self) -> None:
-        """Drop removals that are older than the retention time."""
-        oldest = self.clock.monotonic() - self.removal_retention
-        self.removals = {
-            endpoint: removal
-            for endpoint, removal in self.removals.items()
-            if removal.learned_at >= oldest
-        }
-
     def raw_rows(self) -> tuple[Row, ...]:
         """Return all updates in raw form, for peers.
 
@@ -460,10 +374,7 @@
         confirmed ones.
         """
         listed = [entry.row for entry in self.entries.values()]
-        removed = [
-            removal.row for removal in self.removals.values() if removal.confirmed
-        ]
-        return tuple(listed + removed)
+        return tuple(listed + self.removed.confirmed_rows())
 
 
 def equal_except_unreported(first: ListedEndpoint, second: ListedEndpoint) -> bool:
--- a/src/mimosafork/gateway/gossip_adapter.py
+++ b/src/mimosafork/gateway/gossip_adapter.py
@@ -211,7 +211,7 @@
             notice = EndpointWord(Word.LEAVING, change.entry.row.version)
             self.gossip.publish_endpoint_word(change.endpoint, notice)
             return
-        removal = self.directory.endpoint_registry.removals.get(change.endpoint)
+        removal = self.directory.endpoint_registry.removed.removals.get(change.endpoint)
         if removal is not None and removal.confirmed:
             notice = EndpointWord(Word.GONE, removal.row.version)
             self.gossip.publish_endpoint_word(change.endpoint, notice)
--- a/tests/unit/directory/test_endpoints.py
+++ b/tests/unit/directory/test_endpoints.py
@@ -478,10 +478,10 @@
 def test_rows_of_long_removed_endpoints_are_dropped() -> None:
     with directory_world() as world:
         world.endpoints(page(9, listed("a", 4)), page(12, removed("a", 12)))
-        case.assertEqual(1, len(world.directory.endpoint_registry.removals))
+        case.assertEqual(1, len(world.directory.endpoint_registry.removed.removals))
         world.pass_time(601)
         world.endpoints(page(13))
-        case.assertEqual({}, world.directory.endpoint_registry.removals)
+        case.assertEqual({}, world.directory.endpoint_registry.removed.removals)
 
 
 def started_value(ms: int, state: str = "ready", address: str = "10.0.0.1:80") -> str:
--- a/tests/unit/directory/test_reader_machine.py
+++ b/tests/unit/directory/test_reader_machine.py
@@ -136,7 +136,7 @@
         endpoint = EndpointId(change.endpoint)
         if change.entry.state is EndpointState.DRAINING:
             self.directory.offer_draining(endpoint, change.entry.row.version)
-        gone = reader.directory.endpoint_registry.removals.get(endpoint)
+        gone = reader.directory.endpoint_registry.removed.removals.get(endpoint)
         if gone is not None and gone.confirmed:
             self.directory.offer_removal(endpoint, gone.row.version)
 
--- a/tests/unit/tooling/test_gateway_page.py
+++ b/tests/unit/tooling/test_gateway_page.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from pathlib import Path
 
-from mimosafork.directory.endpoint_registry import ROW_EXPIRY
+from mimosafork.directory.removed_endpoints import ROW_EXPIRY
 from mimosafork.directory.settings import DirectorySettings
 from mimosafork.gateway import (
     attempt,
