Read the store's era, and log when it rises

The lines of the incident could not tell a store restored from a copy from one that loses writes: nothing read Store-Era. Now each answer's era is read, and MF2113 names the era, the store's version and the version that was known. It changes no decision.

--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -15,6 +15,7 @@
 from .consumers import ConfigurationConsumer, EndpointConsumer
 from .current_table import CurrentTable
 from .endpoint_registry import EndpointRegistry
+from .era import StoreEra
 from .errors import UnreadableRowError
 from .follower import Sleep, TableFollower, sleep
 from .health import StoreHealth, VersionWatermark
@@ -78,6 +79,7 @@
         chosen = settings or DirectorySettings()
         self.pause = pause
         self.watermark = VersionWatermark()
+        self.era = StoreEra()
         grace, min_outage = chosen.return_grace, chosen.min_outage
         self.health = StoreHealth(clock, grace, min_outage)
         self.current_table = CurrentTable(configurations)
@@ -100,6 +102,7 @@
             random,
             StoreHealth(clock, grace, min_outage),
             self.watermark,
+            era=self.era,
         )
         self.endpoint_follower = TableFollower(
             "endpoints",
@@ -111,6 +114,7 @@
             self.health,
             self.watermark,
             self.peer_feed,
+            self.era,
         )
 
     @property
--- a/src/mimosafork/directory/follower.py
+++ b/src/mimosafork/directory/follower.py
@@ -18,6 +18,7 @@
 )
 from ..telemetry.logs import log_event
 from .call_failures import CallFailures
+from .era import StoreEra
 from .errors import HistoryExpiredError, RowsError
 from .feed_update import FeedUpdate
 from .health import StoreHealth, VersionWatermark
@@ -90,6 +91,8 @@
         Highest version seen; shared by all followers.
     peer_feed : PeerFeed or None
         Updates from peers about this table's feed, if they send any.
+    era : StoreEra or None
+        The store's era; shared by all followers. A new one by default.
 
     Attributes
     ----------
@@ -119,6 +122,7 @@
         health: StoreHealth,
         watermark: VersionWatermark,
         peer_feed: PeerFeed | None = None,
+        era: StoreEra | None = None,
     ) -> None:
         self.name = name
         self.source = source
@@ -129,6 +133,7 @@
         self.health = health
         self.watermark = watermark
         self.peer_feed = peer_feed
+        self.era = era or StoreEra()
         self.position: int | None = None
         self.last_change_version = 0
         self.answered_at: timedelta | None = None
@@ -214,6 +219,7 @@
         known = self.watermark.version
         page = await self.source.whole()
         self.record_answer()
+        self.era.observe(page.era, page.version, known)
         if page.version < known or self.consumer.is_newer_than(page):
             log_event(
                 logger, STALE_READ, table=self.name, version=page.version, known=known
--- a/src/mimosafork/directory/rows.py
+++ b/src/mimosafork/directory/rows.py
@@ -44,11 +44,14 @@
         Newest version of all rows at that moment; changes are followed from here.
     truncated : bool
         There are more rows after the last one.
+    era : int
+        Rises each time the store is restored from a copy; 0 if it is not stated.
     """
 
     rows: tuple[Row, ...]
     version: int
     truncated: bool = False
+    era: int = 0
 
 
 class RowPut(msgspec.Struct, frozen=True):
--- a/src/mimosafork/platform/channel.py
+++ b/src/mimosafork/platform/channel.py
@@ -6,8 +6,11 @@
 import msgspec
 
 from ..network.errors import NoAnswerError
+from . import names
 
 FIRST_FINAL_STATUS = 200
+MAX_ERA_DIGITS = 15
+STORE_ERA = names.STORE_ERA.lower()
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -21,11 +24,14 @@
         Without its framing.
     keep : bool
         The connection takes another call.
+    era : int or None
+        The store's era; None if the answer states none that can be read.
     """
 
     status: int
     body: bytes
     keep: bool
+    era: int | None = None
 
 
 class Channel(asyncio.Protocol):
@@ -42,6 +48,7 @@
         self.waiter: asyncio.Future[Answer] | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.body: list[bytes] = []
+        self.era: int | None = None
         self.idle_since = 0.0
 
     @property
@@ -81,6 +88,7 @@
     def start_answer(self) -> None:
         """Expect a new answer."""
         self.body = []
+        self.era = None
         self.parser = httptools.HttpResponseParser(self)
 
     def abort(self) -> None:
@@ -114,6 +122,11 @@
         """End the call that waits."""
         self.fail(f"connection lost: {exc or 'closed'}")
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep the store's era, as the parser tells it."""
+        if name.lower() == STORE_ERA:
+            self.era = era_of(value)
+
     def on_body(self, body: bytes) -> None:
         """Keep a piece of the body, as the parser tells it."""
         self.body.append(body)
@@ -128,4 +141,13 @@
             return
         if self.waiter is not None and not self.waiter.done():
             body = b"".join(self.body)
-            self.waiter.set_result(Answer(status, body, parser.should_keep_alive()))
+            keep = parser.should_keep_alive()
+            self.waiter.set_result(Answer(status, body, keep, self.era))
+
+
+def era_of(value: bytes) -> int | None:
+    """Return the era in a header, or None if it is no whole number."""
+    digits = value.strip()
+    if not digits.isdigit() or len(digits) > MAX_ERA_DIGITS:
+        return None
+    return int(digits)
--- a/src/mimosafork/platform/sources.py
+++ b/src/mimosafork/platform/sources.py
@@ -58,17 +58,17 @@
         stands for all: what changes until the last one is told again as a change.
         """
         page = await self.rows.read(names.ENDPOINTS_TABLE)
-        rows, version = list(platform_rows(page)), page.version
+        rows, first = list(platform_rows(page)), page
         while page.truncated and page.rows:
             start = page.rows[-1].key + AFTER_KEY
             page = await self.rows.read(names.ENDPOINTS_TABLE, start=start)
             rows += platform_rows(page)
-        return RowPage(tuple(rows), version)
+        return RowPage(tuple(rows), first.version, era=first.era)
 
     async def changes(self, after: int, wait: timedelta) -> RowPage:
         """Wait for changed rows."""
         page = await self.rows.changes(names.ENDPOINTS_TABLE, after, wait)
-        return RowPage(platform_rows(page), page.version)
+        return RowPage(platform_rows(page), page.version, era=page.era)
 
     def decode(self, row: Row) -> ListedEndpoint:
         """Read an endpoint's word about itself."""
@@ -78,7 +78,7 @@
 def only_configuration(page: RowPage) -> RowPage:
     """Leave out other rows of the table."""
     rows = [row for row in platform_rows(page) if row.key == names.CONFIGURATION_KEY]
-    return RowPage(tuple(rows), page.version)
+    return RowPage(tuple(rows), page.version, era=page.era)
 
 
 def platform_rows(page: RowPage) -> tuple[Row, ...]:
--- a/src/mimosafork/platform/store.py
+++ b/src/mimosafork/platform/store.py
@@ -74,6 +74,8 @@
     ----------
     answered, unanswered : int
         Calls so far, by whether an answer came in time.
+    era : int
+        Latest era that an answer stated; 0 before the first one.
     """
 
     def __init__(self, address: str, timeouts: StoreTimeouts | None = None) -> None:
@@ -81,6 +83,7 @@
         self.timeouts = timeouts or StoreTimeouts()
         self.answered = 0
         self.unanswered = 0
+        self.era = 0
         self.writes = self.new_lane()
         self.reads: dict[str, Lane] = {}
 
@@ -178,7 +181,7 @@
         if answer.status != OK:
             raise rows_error(answer)
         try:
-            return page_of(decode(answer.body, RowsDocument))
+            return page_of(decode(answer.body, RowsDocument), self.era_of(answer))
         except DocumentError as error:
             raise StoreUnavailableError(f"answer not read: {error}") from error
 
@@ -197,6 +200,13 @@
         self.answered += 1
         return answer
 
+    def era_of(self, answer: Answer) -> int:
+        """Return the era of an answer; one that states none is of the latest."""
+        if answer.era is None:
+            return self.era
+        self.era = max(self.era, answer.era)
+        return answer.era
+
     def drop_reads(self) -> None:
         """End the connections of all reads after one call met silence.
 
@@ -252,10 +262,10 @@
     return CallRejectedError(why)
 
 
-def page_of(document: RowsDocument) -> RowPage:
+def page_of(document: RowsDocument, era: int) -> RowPage:
     """Translate an answer about rows."""
     rows = tuple(row_of(each) for each in document.rows)
-    return RowPage(rows, document.version, document.truncated)
+    return RowPage(rows, document.version, document.truncated, era)
 
 
 def row_of(document: RowDocument) -> Row:
--- a/src/mimosafork/telemetry/catalogue/directory.py
+++ b/src/mimosafork/telemetry/catalogue/directory.py
@@ -104,6 +104,17 @@
     "It changes nothing, and the rows are read again.",
     "None, unless it lasts.",
 )
+STORE_RESTORED = Event(
+    2113,
+    "store-restored",
+    Level.WARNING,
+    "the store was restored from a copy: era {era} after {before}, version {version}, "
+    "known up to {known}",
+    "Rows written after the copy are lost, and their versions are given out again. The "
+    "tables are read whole; what is known stays in force until it is replaced.",
+    "Check that the restore was meant, and that the configuration in force is the one "
+    "that was accepted last.",
+)
 FOLLOWER_FAULT = Event(
     2112,
     "follower-fault",
--- a/tests/unit/platform/test_mutated_rows.py
+++ b/tests/unit/platform/test_mutated_rows.py
@@ -296,7 +296,7 @@
     """
     good = b64encode(encoded(GOOD)).decode()
     for odd in ("%%%", "abc", "\u00e9", json.dumps(GOOD)):
-        page = page_of(decode(rows_document(good, odd, good), RowsDocument))
+        page = page_of(decode(rows_document(good, odd, good), RowsDocument), 0)
         case.assertEqual(["i-0", "i-1", "i-2"], [row.key for row in page.rows])
         case.assertEqual(encoded(GOOD), page.rows[2].value)
         assert_unreadable(page.rows[1].key, page.rows[1].value)
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -309,6 +309,20 @@
     run(work())
 
 
+def test_an_answer_states_the_era_of_the_store() -> None:
+    stated = ["Store-Era: 3\r\n", "store-era: 4\r\n", "", "Store-Era: four\r\n"]
+    replies: list[Reply] = [reply(200, PAGE, each) for each in stated]
+
+    async def work() -> None:
+        async with scripted_store(lambda *_: replies.pop(0)) as store:
+            client = PreparedStore(store.address)
+            eras = [(await client.read("t")).era for _ in stated]
+            client.close()
+            case.assertEqual([3, 4, 4, 4], eras)
+
+    run(work())
+
+
 def test_bytes_that_are_no_answer_end_the_call() -> None:
     async def work() -> None:
         async with scripted_store(lambda *_: b"nonsense\r\n\r\n") as store:
