Order rows by the store's era, and configurations by their own number

Callers: 404 and 401 for routes and keys that were confirmed, requests handled by an older configuration, calls to endpoints that drain, for as long as it took the store's counter to overtake what instances knew, and past that for a row whose number had been known before.

Cause: a store that is restored from a copy gives out versions again. Each place that compared versions took a larger number for a later one, which holds within one era only: whole reads, rows, removals, the watermark, peers' feed updates, words and offers.

Change: a version is (era, number) in one type; no place compares numbers any more, and mypy refuses to. An answer of another era than the position is not followed but read whole. Configurations are ordered by their own number, as a copy holds an older one in a row of a later era (MF2114 names it). Endpoints that a copy lacks are uncertain for the usual grace period; the rows of endpoints that are gone must persist; a removal of an earlier era takes an endpoint out of use until its row has persisted. A condition whose version is of another era leaves a write's result unknown. Frames carry eras as additions that the release before passes over; what it says without an era is older than anything known.

--- a/src/mimosafork/directory/change_log.py
+++ b/src/mimosafork/directory/change_log.py
@@ -10,9 +10,11 @@
     ENDPOINT_HELD,
     ENDPOINT_LISTED,
     ENTRY_UNREADABLE,
+    TABLE_KEPT,
     TABLE_TAKEN,
 )
 from ..telemetry.logs import log_event
+from .current_table import TableKept
 from .errors import UnreadableRowError
 from .follower import MILLISECOND
 from .messages import (
@@ -53,6 +55,19 @@
     )
 
 
+def log_kept(kept: TableKept, row: Row, origin: UpdateOrigin) -> None:
+    """Log that the configuration in force is kept although the store holds another."""
+    log_event(
+        logger,
+        TABLE_KEPT,
+        version=kept.stored,
+        source=origin.value,
+        kept=kept.kept,
+        why=kept.reason.value,
+        era=row.version.era,
+    )
+
+
 def log_endpoint(changed: EndpointChanged) -> None:
     """Log the new state of an endpoint."""
     entry = changed.entry
@@ -86,7 +101,8 @@
     log_event(
         logger,
         ENTRY_UNREADABLE,
-        version=row.version,
+        version=row.version.number,
+        era=row.version.era,
         row=truncate_field(row.key),
         source=origin.value,
         why=truncate_field(str(error)),
--- a/src/mimosafork/directory/consumers.py
+++ b/src/mimosafork/directory/consumers.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .messages import UpdateOrigin
+from .row_version import RowVersion
 from .rows import Row, RowPage
 
 if TYPE_CHECKING:
@@ -69,7 +70,7 @@
         """Return a timeout that grows with the number of peers."""
         return long_poll_wait(usual, self.directory.peer_count())
 
-    def apply_no_change(self, version: int) -> None:
+    def apply_no_change(self, version: RowVersion) -> None:
         """Do nothing: peers' updates do not replace answers about the configuration."""
 
     @property
@@ -96,6 +97,7 @@
     def apply_snapshot(self, page: RowPage) -> None:
         """Apply all rows, and the removals implied by missing ones."""
         book = self.directory.endpoint_registry
+        book.begin_era(page.version.era)
         self.apply_rows(page.rows + book.missing_from(page.rows, page.version))
         book.record_followed(page.version)
 
@@ -115,7 +117,7 @@
             return usual
         return min(usual, self.directory.health.uncertainty_left)
 
-    def apply_no_change(self, version: int) -> None:
+    def apply_no_change(self, version: RowVersion) -> None:
         """Advance the followed version and resolve missing endpoints."""
         self.directory.endpoint_registry.record_followed(version)
         self.directory.resolve_missing()
--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -1,7 +1,6 @@
 """The directory: follows the configuration and the endpoints, and publishes changes."""
 
 import asyncio
-import sys
 from collections.abc import Callable
 from datetime import timedelta
 from random import Random
@@ -11,9 +10,9 @@
 from ..clock import Clock
 from ..ids import EndpointId
 from ..routing.table import RoutingTable
-from .change_log import log_endpoint, log_table, log_unreadable
+from .change_log import log_endpoint, log_kept, log_table, log_unreadable
 from .consumers import ConfigurationConsumer, EndpointConsumer
-from .current_table import CurrentTable
+from .current_table import CurrentTable, TableKept
 from .endpoint_registry import EndpointRegistry
 from .era import StoreEra
 from .errors import UnreadableRowError
@@ -28,13 +27,11 @@
     UpdateOrigin,
 )
 from .peer_feed import PeerFeed
+from .row_version import LATEST, NO_VERSION, RowVersion
 from .rows import Row
 from .settings import DirectorySettings
 from .sources import ConfigurationSource, EndpointSource
 
-LATEST = sys.maxsize
-"""Version of an update that counts as newer than all known ones."""
-
 
 def no_peers() -> int:
     """Return zero, the number of peers before any is connected."""
@@ -89,7 +86,7 @@
         self.peer_count: Callable[[], int] = no_peers
         """Returns the number of peers that would send a newer configuration."""
         self.peer_feed = PeerFeed(boot_clock or clock)
-        self.unreadable_table_version = 0
+        self.unreadable_table_version = NO_VERSION
         """Version of the newest configuration that could not be read."""
         self.listeners: list[Listener] = []
         self.tasks: list[asyncio.Task[None]] = []
@@ -180,7 +177,7 @@
         self.watermark.observe(row.version)
         self.apply_endpoint(row, UpdateOrigin.PEER)
 
-    def offer_removal(self, endpoint: EndpointId, version: int) -> None:
+    def offer_removal(self, endpoint: EndpointId, version: RowVersion) -> None:
         """Apply a peer's update that an endpoint's row was removed."""
         known = self.endpoint_registry.entries.get(endpoint)
         if known is not None:
@@ -190,7 +187,7 @@
     def offer_draining(
         self,
         endpoint: EndpointId,
-        version: int = LATEST,
+        version: RowVersion = LATEST,
         origin: UpdateOrigin = UpdateOrigin.PEER,
     ) -> None:
         """Apply an update without a row that an endpoint is draining."""
@@ -208,7 +205,9 @@
                 self.unreadable_table_version = row.version
                 log_unreadable(row, origin, error)
             return
-        if changed is not None:
+        if isinstance(changed, TableKept):
+            log_kept(changed, row, origin)
+        elif changed is not None:
             self.publish_table(changed)
 
     def apply_endpoint(self, row: Row, origin: UpdateOrigin) -> None:
--- a/src/mimosafork/directory/endpoint_registry.py
+++ b/src/mimosafork/directory/endpoint_registry.py
@@ -11,6 +11,7 @@
 from .health import StoreHealth
 from .messages import DirectoryEntry, EndpointChanged, EndpointState, UpdateOrigin
 from .removed_endpoints import RemovedEndpoints
+from .row_version import NO_VERSION, RowVersion
 from .rows import Row
 from .sources import EndpointSource
 
@@ -53,8 +54,10 @@
         self.entries: dict[EndpointId, DirectoryEntry] = {}
         self.unreadable: dict[EndpointId, Row] = {}
         """The newest rows that cannot be decoded, without their values."""
-        self.followed_up_to = 0
+        self.followed_up_to = NO_VERSION
         """Version up to which all changes were received from the store itself."""
+        self.era = NO_VERSION.era
+        """Era of the last snapshot."""
 
     @property
     def has_missing(self) -> bool:
@@ -96,7 +99,7 @@
         self.clear_unreadable(row)
         if listed.started_after(started_ms):
             return self.start_incarnation(row, listed, origin)
-        if removal is not None and removal.confirmed:
+        if removal is not None and removal.requires_persistence(row):
             self.removed.record_reappearance(row, listed)
             return None
         if listed.state is ListedState.DRAINING:
@@ -148,7 +151,7 @@
             self.removed.discard_reappearance(row)
         if known is None or known.state is EndpointState.DRAINING:
             return None
-        if row.version <= max(known.row.version, known.missing_version or 0):
+        if row.version <= max(known.row.version, known.missing_version or NO_VERSION):
             return None
         entry = replace(
             known, row=row, state=EndpointState.UNREADABLE, missing_version=None
@@ -191,20 +194,37 @@
         """
         return endpoint not in self.entries and row.version <= self.followed_up_to
 
-    def record_followed(self, version: int) -> None:
+    def begin_era(self, era: int) -> None:
+        """Prepare for a snapshot of a store that was restored from a copy.
+
+        Guard: the copy lacks the endpoints that were listed after it, until they report
+        again. Without an uncertain period they would all be removed. The rows of
+        reappeared endpoints may be there only because they are in the copy.
+        """
+        if era <= self.era:
+            return
+        self.era = era
+        self.removed.reappeared.clear()
+        if any(each.row.version.era < era for each in self.entries.values()):
+            self.health.record_restore()
+
+    def record_followed(self, version: RowVersion) -> None:
         """Record the version up to which all changes were received from the store."""
         self.followed_up_to = max(self.followed_up_to, version)
 
     def restore_reappeared(self, origin: UpdateOrigin) -> list[EndpointChanged]:
         """Restore reappeared endpoints whose rows have persisted without expiring."""
-        changes = [
-            self.apply_ready(each.row, each.listed, origin)
-            for each in self.removed.take_persistent()
-        ]
-        return [changed for changed in changes if changed is not None]
+        restored = []
+        for each in self.removed.take_persistent():
+            changed = self.apply_ready(each.row, each.listed, origin)
+            if changed is not None:
+                entry = replace(changed.entry, started_version=each.row.version)
+                self.entries[each.listed.endpoint] = entry
+                restored.append(replace(changed, entry=entry))
+        return restored
 
     def mark_draining(
-        self, endpoint: EndpointId, origin: UpdateOrigin, version: int
+        self, endpoint: EndpointId, origin: UpdateOrigin, version: RowVersion
     ) -> EndpointChanged | None:
         """Apply an update without a row that an endpoint is draining."""
         known = self.entries.get(endpoint)
@@ -222,7 +242,7 @@
     ) -> EndpointChanged | None:
         """Apply the update that an endpoint is ready."""
         known = self.entries.get(listed.endpoint)
-        started_version = 0 if known is None else known.started_version
+        started_version = NO_VERSION if known is None else known.started_version
         entry = DirectoryEntry(
             listed, row, EndpointState.READY, started_version=started_version
         )
@@ -239,7 +259,7 @@
             # Rows older than the unreadable one were rejected before.
             self.entries[listed.endpoint] = entry
             return EndpointChanged(entry, origin, known)
-        if row.version <= max(known.row.version, known.missing_version or 0):
+        if row.version <= max(known.row.version, known.missing_version or NO_VERSION):
             return None
         self.entries[listed.endpoint] = entry
         if known.missing_version is None and equal_except_unreported(
@@ -253,7 +273,7 @@
     ) -> EndpointChanged | None:
         """Apply the update that an endpoint is draining, whatever its version."""
         known = self.entries.get(listed.endpoint)
-        started_version = 0 if known is None else known.started_version
+        started_version = NO_VERSION if known is None else known.started_version
         entry = DirectoryEntry(
             listed, row, EndpointState.DRAINING, started_version=started_version
         )
@@ -278,7 +298,7 @@
             self.removed.record(row, confirmed=not self.health.is_uncertain)
             return None
         if row.version < known.row.version:
-            return None
+            return self.apply_earlier_removal(known, row, origin)
         # Rows expire while the store is down although their endpoints serve. Without
         # this, an outage would remove all endpoints. Those that were ready stay in use
         # until `resolve_missing` finds them still missing.
@@ -290,11 +310,28 @@
             confirmed = False
         return self.mark_gone(known, row, origin, confirmed=confirmed)
 
+    def apply_earlier_removal(
+        self, known: DirectoryEntry, row: Row, origin: UpdateOrigin
+    ) -> EndpointChanged | None:
+        """Apply a removal that is older than the known row.
+
+        Guard: it is outdated within an era. Of an earlier era, it may be the later one:
+        the known row may come from a copy that was made before the endpoint left. The
+        endpoint gets no new work until its row has persisted.
+        """
+        if row.version.era == known.row.version.era:
+            return None
+        if row.version <= known.started_version:
+            return None
+        changed = self.mark_gone(known, row, origin, confirmed=True)
+        self.removed.record_reappearance(known.row, known.listed)
+        return changed
+
     def keep_missing(
         self, known: DirectoryEntry, row: Row, origin: UpdateOrigin
     ) -> EndpointChanged | None:
         """Keep an endpoint in use whose row disappeared around an outage."""
-        version = max(row.version, known.missing_version or 0)
+        version = max(row.version, known.missing_version or NO_VERSION)
         entry = replace(known, missing_version=version)
         self.entries[known.listed.endpoint] = entry
         if known.missing_version is not None:
@@ -325,7 +362,7 @@
                 return True
         return False
 
-    def missing_from(self, rows: Iterable[Row], version: int) -> tuple[Row, ...]:
+    def missing_from(self, rows: Iterable[Row], version: RowVersion) -> tuple[Row, ...]:
         """Return the removals implied by a snapshot as of a version.
 
         Endpoints with an update newer than the snapshot are not affected.
--- a/src/mimosafork/directory/era.py
+++ b/src/mimosafork/directory/era.py
@@ -5,12 +5,10 @@
 
 from ..telemetry.catalogue.directory import STORE_RESTORED
 from ..telemetry.logs import log_event
+from .row_version import RowVersion
 
 logger = logging.getLogger(__name__)
 
-UNKNOWN_ERA = 0
-"""Era of a store that does not state it."""
-
 
 class StoreEra:
     """The latest era that the store's answers have stated to this instance.
@@ -27,17 +25,17 @@
         self.current: int | None = None
         self.listeners: list[Callable[[int], None]] = []
 
-    def observe(self, era: int, version: int, known: int) -> None:
+    def observe(self, version: RowVersion, known: RowVersion) -> None:
         """Record the era of an answer.
 
         Parameters
         ----------
-        version : int
+        version : RowVersion
             Newest version of the store.
-        known : int
+        known : RowVersion
             Newest version that was known before.
         """
-        before = self.current
+        before, era = self.current, version.era
         if before is not None and era <= before:
             return
         self.current = era
@@ -48,8 +46,8 @@
             STORE_RESTORED,
             era=era,
             before=before,
-            version=version,
-            known=known,
+            version=version.number,
+            known=known.number,
         )
         for listener in self.listeners:
             listener(era)
--- a/src/mimosafork/directory/follower.py
+++ b/src/mimosafork/directory/follower.py
@@ -23,6 +23,7 @@
 from .feed_update import FeedUpdate
 from .health import StoreHealth, VersionWatermark
 from .peer_feed import MAX_UPDATE_AGE, PeerFeed, ReceivedUpdate
+from .row_version import NO_VERSION, RowVersion
 from .rows import RowPage
 from .settings import FollowSettings
 from .sources import RowSource
@@ -57,7 +58,7 @@
         """Return the longest timeout of the next long poll, given the usual one."""
         ...
 
-    def apply_no_change(self, version: int) -> None:
+    def apply_no_change(self, version: RowVersion) -> None:
         """Apply the update that nothing has changed up to a version."""
         ...
 
@@ -96,9 +97,9 @@
 
     Attributes
     ----------
-    position : int or None
+    position : RowVersion or None
         Version after which changes are followed; None if a full read is needed.
-    last_change_version : int
+    last_change_version : RowVersion
         Version of the newest change that was received, or of the full read.
     answered_at : timedelta or None
         Monotonic instant of the last answer that was applied, or as of which a peer's
@@ -134,8 +135,8 @@
         self.watermark = watermark
         self.peer_feed = peer_feed
         self.era = era or StoreEra()
-        self.position: int | None = None
-        self.last_change_version = 0
+        self.position: RowVersion | None = None
+        self.last_change_version = NO_VERSION
         self.answered_at: timedelta | None = None
         self.answered_with_peers = False
         self.called_at = clock.monotonic()
@@ -191,7 +192,7 @@
             return await self.follow(self.position)
         except HistoryExpiredError:
             self.record_answer()
-            log_event(logger, FEED_CUT, table=self.name, version=self.position)
+            self.log_cut()
             self.position = None
         except RowsError as error:
             self.failures.add(str(error), self.clock.monotonic() - self.called_at)
@@ -219,17 +220,24 @@
         known = self.watermark.version
         page = await self.source.whole()
         self.record_answer()
-        self.era.observe(page.era, page.version, known)
+        self.era.observe(page.version, known)
         if page.version < known or self.consumer.is_newer_than(page):
             log_event(
-                logger, STALE_READ, table=self.name, version=page.version, known=known
+                logger,
+                STALE_READ,
+                table=self.name,
+                version=page.version.number,
+                era=page.version.era,
+                known=known.number,
+                known_era=known.era,
             )
             return self.retry_delay()
         log_event(
             logger,
             WHOLE_READ,
             table=self.name,
-            version=page.version,
+            version=page.version.number,
+            era=page.version.era,
             count=len(page.rows),
         )
         self.last_change_version = page.version
@@ -237,7 +245,7 @@
         self.consumer.apply_snapshot(page)
         return self.advance(page.version)
 
-    async def follow(self, position: int) -> timedelta:
+    async def follow(self, position: RowVersion) -> timedelta:
         """Poll for changes, unless peers report that there are none."""
         if self.peer_feed is None:
             await self.poll_changes(position, self.poll_wait())
@@ -278,9 +286,20 @@
             return max(among_peers - alone, alone) * self.random.random()
         return among_peers
 
-    async def poll_changes(self, position: int, wait: timedelta) -> int:
-        """Poll the store for changes and apply them; return the new position."""
+    async def poll_changes(self, position: RowVersion, wait: timedelta) -> RowVersion:
+        """Poll the store for changes and apply them; return the new position.
+
+        Guard: an answer of another era than the position lacks the changes that the
+        new era has made up to the position's number. They would never be applied.
+
+        Raises
+        ------
+        HistoryExpiredError
+            If the answer is of another era.
+        """
         page = await self.source.changes(position, wait)
+        if page.version.era != position.era:
+            raise HistoryExpiredError(f"era {page.version.era}")
         self.answered_with_peers = bool(page.rows) or self.health.lost_at is not None
         self.record_answer()
         self.last_change_version = max(
@@ -292,7 +311,7 @@
         return followed
 
     def covering_update(
-        self, position: int, peer_feed: PeerFeed
+        self, position: RowVersion, peer_feed: PeerFeed
     ) -> ReceivedUpdate | None:
         """Return a peer's fresh update that nothing has changed, or None.
 
@@ -304,7 +323,7 @@
         return peer_feed.newest_covering(position)
 
     def apply_peer_update(
-        self, position: int, update: FeedUpdate, age: timedelta
+        self, position: RowVersion, update: FeedUpdate, age: timedelta
     ) -> None:
         """Apply a peer's update that nothing has changed, like an empty answer.
 
@@ -318,7 +337,7 @@
         self.watermark.observe(self.position)
         self.answered_at = answered_at
 
-    def advance(self, version: int) -> timedelta:
+    def advance(self, version: RowVersion) -> timedelta:
         """Advance to a version; return the delay before the next call."""
         self.position = version
         self.watermark.observe(version)
@@ -326,6 +345,17 @@
         self.consecutive_failures = 0
         return self.settings.pause
 
+    def log_cut(self) -> None:
+        """Log that changes can't be followed from the position."""
+        if self.position is not None:
+            log_event(
+                logger,
+                FEED_CUT,
+                table=self.name,
+                version=self.position.number,
+                era=self.position.era,
+            )
+
     def record_answer(self) -> None:
         """Record that the store answered."""
         outage_duration = self.health.record_answer()
--- a/src/mimosafork/directory/health.py
+++ b/src/mimosafork/directory/health.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from ..clock import Clock
+from .row_version import NO_VERSION, RowVersion
 
 MAX_ANSWER_GAP = timedelta(milliseconds=2700)
 """Maximum time between two answers of a healthy store: the long poll timeout, the time
@@ -103,6 +104,14 @@
         assert self.returned_at is not None
         return self.clock.monotonic() < self.returned_at + self.grace
 
+    def record_restore(self) -> None:
+        """Record that the store, which has just answered, was restored from a copy.
+
+        Entries written since the copy are missing until they are written again.
+        """
+        self.outage_started_at = None
+        self.returned_at = self.clock.monotonic()
+
     def record_peer_answer(self, answered_at: timedelta) -> None:
         """Record that a peer had an answer, while the store is available here."""
         self.answered_at = max(answered_at, self.answered_at or answered_at)
@@ -133,11 +142,11 @@
 
 
 class VersionWatermark:
-    """The highest version seen from any source; all rows share one counter."""
+    """The highest version seen from any source."""
 
     def __init__(self) -> None:
-        self.version = 0
+        self.version = NO_VERSION
 
-    def observe(self, version: int) -> None:
+    def observe(self, version: RowVersion) -> None:
         """Record a version."""
         self.version = max(self.version, version)
--- a/src/mimosafork/directory/messages.py
+++ b/src/mimosafork/directory/messages.py
@@ -8,6 +8,7 @@
 from ..ids import EndpointId
 from ..routing.listing import ListedEndpoint
 from ..routing.table import RoutingTable
+from .row_version import NO_VERSION, RowVersion
 from .rows import Row
 
 
@@ -41,20 +42,20 @@
         Its newest row in raw form, for peers.
     state : EndpointState
         Never changes back from draining.
-    missing_version : int or None
+    missing_version : RowVersion or None
         Version at which its row disappeared around an outage of the store; it stays in
         use until this is resolved.
-    started_version : int
+    started_version : RowVersion
         Version of the row with which this incarnation replaced a previous one of the
-        same id; 0 if none did. Older updates without a start time belong to a previous
-        incarnation.
+        same id, or with which the endpoint was restored after its removal; otherwise
+        `NO_VERSION`. Older updates without a start time are outdated.
     """
 
     listed: ListedEndpoint
     row: Row
     state: EndpointState
-    missing_version: int | None = None
-    started_version: int = 0
+    missing_version: RowVersion | None = None
+    started_version: RowVersion = NO_VERSION
 
     @property
     def takes_new_work(self) -> bool:
--- a/src/mimosafork/directory/peer_feed.py
+++ b/src/mimosafork/directory/peer_feed.py
@@ -17,6 +17,7 @@
 from ..ids import InstanceId
 from ..kernel.rendezvous import ranked
 from .feed_update import FeedUpdate
+from .row_version import RowVersion
 
 SUBJECT = "endpoints"
 FEED_READERS = 8
@@ -87,7 +88,7 @@
         """Store a peer's update of some age."""
         self.updates[peer] = ReceivedUpdate(update, self.clock.monotonic() - age)
 
-    def newest_covering(self, position: int) -> ReceivedUpdate | None:
+    def newest_covering(self, position: RowVersion) -> ReceivedUpdate | None:
         """Return the newest update that covers a position.
 
         None if there is no fresh one, or if this instance is a reader itself.
--- a/src/mimosafork/directory/removed_endpoints.py
+++ b/src/mimosafork/directory/removed_endpoints.py
@@ -35,6 +35,14 @@
     learned_at: timedelta
     started_ms: int | None = None
 
+    def requires_persistence(self, row: Row) -> bool:
+        """Whether a newer row restores the endpoint only once it has persisted.
+
+        The row of an endpoint that is gone may exist again because the store was
+        restored from a copy that still has it.
+        """
+        return self.confirmed or row.version.era > self.row.version.era
+
 
 class Reappearance(msgspec.Struct, frozen=True):
     """A removed endpoint whose row exists again, and the instant it was seen."""
--- a/src/mimosafork/directory/rows.py
+++ b/src/mimosafork/directory/rows.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-ABSENT = 0
+from .row_version import NO_VERSION, RowVersion
+
+ABSENT = NO_VERSION
 """Version in a condition that requires the row not to exist."""
 
 
@@ -19,8 +21,8 @@
         Identify the row; `part` may be empty.
     value : bytes
         Empty if the row was removed.
-    version : int
-        Version of the last write, from one counter over all rows.
+    version : RowVersion
+        Version of the last write.
     removed : bool
         The row no longer exists.
     """
@@ -29,7 +31,7 @@
     part: str
     key: str
     value: bytes
-    version: int
+    version: RowVersion
     removed: bool = False
 
 
@@ -40,18 +42,15 @@
     ----------
     rows : tuple of Row
         In the order of keys for reads, and of versions for changes.
-    version : int
+    version : RowVersion
         Newest version of all rows at that moment; changes are followed from here.
     truncated : bool
         There are more rows after the last one.
-    era : int
-        Rises each time the store is restored from a copy; 0 if it is not stated.
     """
 
     rows: tuple[Row, ...]
-    version: int
+    version: RowVersion
     truncated: bool = False
-    era: int = 0
 
 
 class RowPut(msgspec.Struct, frozen=True):
@@ -77,7 +76,7 @@
     table: str
     part: str
     key: str
-    version: int
+    version: RowVersion
 
 
 class Rows(Protocol):
@@ -97,9 +96,11 @@
         """Read the rows of a part with keys from `start` up to but excluding `end`."""
         ...
 
-    async def changes(self, table: str, after: int, wait: timedelta) -> RowPage:
+    async def changes(self, table: str, after: RowVersion, wait: timedelta) -> RowPage:
         """Wait up to `wait` for changes of a table after a version.
 
+        The answer may be of another era, and then lacks changes of that era.
+
         Raises
         ------
         HistoryExpiredError
@@ -112,7 +113,7 @@
         puts: Sequence[RowPut] = (),
         removes: Sequence[RowKey] = (),
         conditions: Sequence[RowCondition] = (),
-    ) -> int:
+    ) -> RowVersion:
         """Write atomically within one part, and return the new version.
 
         Raises
@@ -123,5 +124,6 @@
             If a table must not be written.
         UnknownResultError
             If there was no answer; the write may have taken effect or may still do so.
+            Also if the store was restored since a condition's version was read.
         """
         ...
--- a/src/mimosafork/directory/sources.py
+++ b/src/mimosafork/directory/sources.py
@@ -5,6 +5,7 @@
 
 from ..routing.listing import ListedEndpoint
 from ..routing.table import RoutingTable
+from .row_version import RowVersion
 from .rows import Row, RowPage
 
 
@@ -15,7 +16,7 @@
         """Read all rows; raises `StoreUnavailableError`."""
         ...
 
-    async def changes(self, after: int, wait: timedelta) -> RowPage:
+    async def changes(self, after: RowVersion, wait: timedelta) -> RowPage:
         """Wait for changes; raises `HistoryExpiredError`, `StoreUnavailableError`."""
         ...
 
--- a/src/mimosafork/gateway/gossip_adapter.py
+++ b/src/mimosafork/gateway/gossip_adapter.py
@@ -237,7 +237,7 @@
         self.configuration_offer_timer = None
         held = self.transfer_payload(Matter.CONFIGURATION)
         self.update_versions(
-            replace(self.published_versions, configuration=held.version if held else 0)
+            replace(self.published_versions, configuration=held.order if held else ())
         )
 
     def offer_listing(self) -> None:
@@ -245,7 +245,7 @@
         self.listing_offer_timer = None
         held = self.transfer_payload(Matter.LISTING)
         self.update_versions(
-            replace(self.published_versions, listing=held.version if held else 0)
+            replace(self.published_versions, listing=held.order if held else ())
         )
 
     def update_versions(self, versions: Versions) -> None:
@@ -262,23 +262,33 @@
     def transfer_payload(self, matter: Matter) -> Held | None:
         """Return the rows that a peer can fetch here, or None without any."""
         if matter is Matter.CONFIGURATION:
-            row = self.directory.raw_configuration
-            rows = [] if row is None else [row]
-        else:
-            rows = list(self.directory.raw_endpoints)
+            return self._held_configuration()
+        rows = list(self.directory.raw_endpoints)
         if not rows:
             return None
         newest = max(row.version for row in rows)
-        return Held(newest, encode_rows(rows))
+        return Held(newest.number, encode_rows(rows), tuple(newest))
+
+    def _held_configuration(self) -> Held | None:
+        """Return the configuration's row.
+
+        Configurations are ordered by their own versions: an older one stands in a row
+        of a later era after the store was restored.
+        """
+        table, row = self.directory.table, self.directory.raw_configuration
+        if table is None or row is None:
+            return None
+        order = (table.version, *row.version)
+        return Held(row.version.number, encode_rows([row]), order)
 
     # Receiving from peers
 
-    def receive_configuration(self, payload: bytes, version: int) -> None:
+    def receive_configuration(self, payload: bytes) -> None:
         """Receive a configuration from a peer."""
         for row in decode_rows(payload):
             self.directory.offer_configuration(row)
 
-    def receive_listing(self, payload: bytes, version: int) -> None:
+    def receive_listing(self, payload: bytes) -> None:
         """Receive the rows of endpoints from a peer."""
         for row in decode_rows(payload):
             self.directory.offer_endpoint(row)
--- a/src/mimosafork/gateway/quarantine_store.py
+++ b/src/mimosafork/gateway/quarantine_store.py
@@ -7,6 +7,7 @@
 
 from ..clock import Clock
 from ..directory.errors import RowsError
+from ..directory.row_version import NO_VERSION, RowVersion
 from ..directory.rows import RowKey, Rows
 from ..ids import Digest
 from ..kernel.messages.base import Effect, Message
@@ -57,7 +58,7 @@
         self.clock = clock
         self.created_at = clock.monotonic()
         self.is_read = False
-        self.versions: dict[Digest, int] = {}
+        self.versions: dict[Digest, RowVersion] = {}
         """Version of the row that was read last, of each content."""
         self.expired: set[Digest] = set()
         """Contents of rows that are removed with the next write."""
@@ -125,7 +126,7 @@
             content = row.stored.content
             if is_forgotten(row.stored.until, self.clock.now()):
                 self.expired.add(content)
-            elif self.versions.get(content, 0) < row.version:
+            elif self.versions.get(content, NO_VERSION) < row.version:
                 self.versions[content] = row.version
                 decision = quarantine_of(row.stored, self.clock)
                 self.post(QuarantineReceived(decision))
--- a/src/mimosafork/gossip/callbacks.py
+++ b/src/mimosafork/gossip/callbacks.py
@@ -56,9 +56,9 @@
     Parameters
     ----------
     on_configuration_offered : callable
-        Raw row of a newer configuration, and its version.
+        Raw row of a newer configuration.
     on_listing_offered : callable
-        Raw rows of a newer list of endpoints, and their version.
+        Raw rows of a newer list of endpoints.
     on_peers_changed : callable
         A peer came, fell silent or began a new life.
     on_peer_restarted : callable
@@ -82,8 +82,8 @@
         A peer has published whether it reaches endpoints.
     """
 
-    on_configuration_offered: Callable[[bytes, int], None] = ignore
-    on_listing_offered: Callable[[bytes, int], None] = ignore
+    on_configuration_offered: Callable[[bytes], None] = ignore
+    on_listing_offered: Callable[[bytes], None] = ignore
     on_peers_changed: Callable[[], None] = ignore
     on_peer_restarted: Callable[[InstanceId], None] = ignore
     on_load_changed: Callable[[InstanceId, tuple[int, ...]], None] = ignore
--- a/src/mimosafork/gossip/kinds/base.py
+++ b/src/mimosafork/gossip/kinds/base.py
@@ -33,6 +33,29 @@
         ...
 
 
+class Extension(Protocol):
+    """Adds to the packed form of a value what the release before does not read.
+
+    The codec of that release would refuse a longer list, and with it the datagram; the
+    two releases would take each other for dead. It passes over the additions, which
+    stand at the end of a datagram.
+    """
+
+    def pack(self, value: object) -> object:
+        """Return the addition."""
+        ...
+
+    def apply(self, value: object, packed: object) -> object:
+        """Return a value, as its codec read it, with its addition.
+
+        Raises
+        ------
+        msgspec.ValidationError
+            If the addition is not in this form.
+        """
+        ...
+
+
 class Kind(msgspec.Struct, frozen=True):
     """A kind of state.
 
@@ -51,6 +74,8 @@
     relayed : bool
         In a large fleet it is passed on to all; else it is told to those whom its
         origin names, by itself.
+    extension : Extension or None
+        What is added to the packed values.
     """
 
     number: int
@@ -60,6 +85,7 @@
     lifetime: timedelta | None = None
     outlives_silence: bool = False
     relayed: bool = True
+    extension: Extension | None = None
 
 
 KINDS: dict[int, Kind] = {}
--- a/src/mimosafork/gossip/kinds/endpoints.py
+++ b/src/mimosafork/gossip/kinds/endpoints.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ...directory.row_version import RowVersion
 from ..ids import IdReader, IdWriter
 from .base import Kind, register
 
@@ -22,7 +23,7 @@
     """A word about an endpoint, from the version of its row that said so."""
 
     word: Word
-    version: int
+    version: RowVersion
 
 
 class EndpointWordCodec:
@@ -31,12 +32,26 @@
     def pack(self, value: object, ids: IdWriter) -> object:
         """Return what travels."""
         said = cast(EndpointWord, value)
-        return [int(said.word), said.version]
+        return [int(said.word), said.version.number]
 
     def unpack(self, packed: object, ids: IdReader) -> object:
         """Return the value."""
-        word, version = msgspec.convert(packed, tuple[Word, int])
-        return EndpointWord(word, version)
+        word, number = msgspec.convert(packed, tuple[Word, int])
+        return EndpointWord(word, RowVersion(0, number))
+
+
+class EndpointWordEra:
+    """Adds the era of the row."""
+
+    def pack(self, value: object) -> object:
+        """Return what travels."""
+        return cast(EndpointWord, value).version.era
+
+    def apply(self, value: object, packed: object) -> object:
+        """Return the value with its era."""
+        said = cast(EndpointWord, value)
+        version = said.version._replace(era=msgspec.convert(packed, int))
+        return EndpointWord(said.word, version)
 
 
 def newest(words: Iterable[EndpointWord]) -> EndpointWord:
@@ -51,5 +66,6 @@
         coalesce=timedelta(milliseconds=5),
         lifetime=timedelta(seconds=10),
         outlives_silence=True,
+        extension=EndpointWordEra(),
     )
 )
--- a/src/mimosafork/gossip/kinds/feed.py
+++ b/src/mimosafork/gossip/kinds/feed.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ...directory.feed_update import FeedUpdate
+from ...directory.row_version import RowVersion
 from ..ids import IdReader, IdWriter
 from .base import Kind, register
 
@@ -18,13 +19,27 @@
     def pack(self, value: object, ids: IdWriter) -> object:
         """Return what travels."""
         word = cast(FeedUpdate, value)
-        return [word.since, word.followed - word.since]
+        since, followed = word.since.number, word.followed.number
+        return [since, followed - since]
 
     def unpack(self, packed: object, ids: IdReader) -> object:
         """Return the value."""
         fields: Any = msgspec.convert(packed, tuple[int, int])
         since, further = fields
-        return FeedUpdate(since, since + further)
+        return FeedUpdate(RowVersion(0, since), RowVersion(0, since + further))
+
+
+class FeedWordEra:
+    """Adds the era of both versions."""
+
+    def pack(self, value: object) -> object:
+        """Return what travels."""
+        return cast(FeedUpdate, value).followed.era
+
+    def apply(self, value: object, packed: object) -> object:
+        """Return the value with its era."""
+        word, era = cast(FeedUpdate, value), msgspec.convert(packed, int)
+        return FeedUpdate(word.since._replace(era=era), word.followed._replace(era=era))
 
 
 FEED = register(
@@ -34,6 +49,7 @@
         coalesce=timedelta(milliseconds=150),
         relay_after=timedelta(milliseconds=50),
         lifetime=timedelta(seconds=5),
+        extension=FeedWordEra(),
     )
 )
 """A word is good for 1.9 s. It goes with other news or a heartbeat where it can, and is
--- a/src/mimosafork/gossip/packing.py
+++ b/src/mimosafork/gossip/packing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from typing import Any
 
 import msgspec
 
@@ -11,8 +12,10 @@
 from .links import News
 from .wire import ENCODER, KIND_BITS, Datagram, WireEntry
 
-LIST_BYTES = 9
-"""The three lists need up to two more bytes each for their length, and three spare."""
+LIST_BYTES = 11
+"""The three lists and the additions need up to two more bytes each for their length,
+and three spare."""
+INDEX_BYTES = 3
 TAG_BYTES = 5
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -38,6 +41,7 @@
     ids: IdWriter = msgspec.field(default_factory=IdWriter)
     origins: list[int] = msgspec.field(default_factory=list)
     entries: list[WireEntry] = msgspec.field(default_factory=list)
+    additions: dict[int, Any] = msgspec.field(default_factory=dict)
     news: list[News] = msgspec.field(default_factory=list)
     size: int = 0
 
@@ -47,10 +51,15 @@
         wire = self.wire_entry(item, now)
         grown = len(ENCODER.encode(wire)) + self.ids.size - id_bytes
         grown += (len(self.origins) - origins) * TAG_BYTES
+        addition = addition_of(item)
+        if addition is not None:
+            grown += len(ENCODER.encode(addition)) + INDEX_BYTES
         if self.entries and self.size + grown > room:
             self.ids.cut(ids)
             del self.origins[origins:]
             return False
+        if addition is not None:
+            self.additions[len(self.entries)] = addition
         self.entries.append(wire)
         self.news.append(item.news)
         self.size += grown
@@ -77,10 +86,22 @@
     def fill(self, head: Datagram) -> Datagram:
         """Return a datagram with these entries."""
         return msgspec.structs.replace(
-            head, origins=self.origins, ids=self.ids.packed, entries=self.entries
+            head,
+            origins=self.origins,
+            ids=self.ids.packed,
+            entries=self.entries,
+            additions=self.additions,
         )
 
 
+def addition_of(item: Item) -> object | None:
+    """Return what is added to an entry's packed value; None for most kinds."""
+    extension = kind_of(item.news.slot.kind).extension
+    if extension is None or item.entry.value is None:
+        return None
+    return extension.pack(item.entry.value)
+
+
 def loads_of(
     items: Iterable[Item], sender: int, now: timedelta, room: int
 ) -> list[Load]:
--- a/src/mimosafork/gossip/pulling.py
+++ b/src/mimosafork/gossip/pulling.py
@@ -10,7 +10,7 @@
 from ..telemetry.catalogue.gossip import GOSSIP_PULL_FAILED, GOSSIP_PULLED
 from ..telemetry.logs import log_event
 from .errors import PullError
-from .kinds.configuration import CONFIGURATION, KEY, Versions
+from .kinds.configuration import CONFIGURATION, KEY, Order, Versions, row_version
 from .members import Address, Identity
 from .pulls import Held, Holdings, Matter
 from .roster import Roster
@@ -26,8 +26,8 @@
 Offered = Callable[[Matter, Held], None]
 
 
-def version_of(versions: Versions, matter: Matter) -> int:
-    """Return the version of a matter among those offered."""
+def order_of(versions: Versions, matter: Matter) -> Order:
+    """Return the order of a matter among those offered."""
     if matter is Matter.CONFIGURATION:
         return versions.configuration
     return versions.listing
@@ -90,12 +90,12 @@
                 # The peer with the newest version was slower than one with an older.
                 wake.set()
 
-    def held(self, matter: Matter) -> int:
-        """Return the version that this instance has."""
+    def held(self, matter: Matter) -> Order:
+        """Return the order of what this instance has."""
         held = self.holdings(matter)
-        return held.version if held else 0
+        return held.order if held else ()
 
-    def offers(self, matter: Matter) -> Iterator[tuple[int, Identity]]:
+    def offers(self, matter: Matter) -> Iterator[tuple[Order, Identity]]:
         """Return the living peers that have a newer version.
 
         What this instance holds is looked up once: it is put together from all rows of
@@ -104,9 +104,9 @@
         held = self.held(matter)
         for member in self.roster.alive():
             value = member.ledger.value(CONFIGURATION.number, KEY)
-            version = version_of(cast(Versions, value), matter) if value else 0
-            if version > held:
-                yield version, member.identity
+            order = order_of(cast(Versions, value), matter) if value else ()
+            if order > held:
+                yield order, member.identity
 
     async def catch_up(self, matter: Matter) -> bool:
         """Pull a matter if a peer has it newer; return whether none has it now."""
@@ -114,11 +114,12 @@
         if not offers:
             return True
         self.random.shuffle(offers)
-        offers.sort(key=lambda offer: -offer[0])
+        offers.sort(key=lambda offer: offer[0], reverse=True)
         if await self.pulled_from_any([identity for _, identity in offers], matter):
             return True
+        version = row_version(offers[0][0])
         log_event(
-            logger, GOSSIP_PULL_FAILED, matter=matter.name.lower(), version=offers[0][0]
+            logger, GOSSIP_PULL_FAILED, matter=matter.name.lower(), version=version
         )
         return False
 
@@ -156,7 +157,7 @@
             held = await self.pull(identity.address, matter)
         except PullError:
             return False
-        if held.version <= self.held(matter):
+        if held.order <= self.held(matter):
             return False
         log_event(
             logger,
--- a/src/mimosafork/gossip/pulls.py
+++ b/src/mimosafork/gossip/pulls.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from .errors import PullError
+from .kinds.configuration import Order
 from .members import Address
 
 LENGTH_BYTES = 4
@@ -35,13 +36,16 @@
     Parameters
     ----------
     version : int
-        Row version.
+        Row version, by which the release before compares.
     payload : bytes
         The raw row, or rows, as the store gave them; opaque here.
+    order : Order
+        Tells whether it is newer than what another instance has.
     """
 
     version: int
     payload: bytes
+    order: Order = ()
 
 
 class Question(msgspec.Struct, array_like=True, frozen=True):
--- a/src/mimosafork/gossip/reading.py
+++ b/src/mimosafork/gossip/reading.py
@@ -42,13 +42,15 @@
     ids = IdReader(datagram.ids)
     tags = [datagram.sender, *datagram.origins]
     return [
-        read_entry(each, tags, ids, now)
-        for each in datagram.entries
+        read_entry(each, datagram.additions.get(index), tags, ids, now)
+        for index, each in enumerate(datagram.entries)
         if each.place & KIND_MASK in KINDS
     ]
 
 
-def read_entry(wire: WireEntry, tags: list[int], ids: IdReader, now: timedelta) -> Told:
+def read_entry(
+    wire: WireEntry, addition: object, tags: list[int], ids: IdReader, now: timedelta
+) -> Told:
     """Return an entry with its origin and place.
 
     Raises
@@ -64,6 +66,8 @@
     slot = Slot(wire.place & KIND_MASK, wire.key)
     kind = kind_of(slot.kind)
     value = None if wire.value is None else kind.codec.unpack(wire.value, ids)
+    if value is not None and addition is not None and kind.extension is not None:
+        value = kind.extension.apply(value, addition)
     try:
         born = now - wire.age * MILLISECOND
     except OverflowError as error:
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -368,9 +368,9 @@
     def pulled(self, matter: Matter, held: Held) -> None:
         """Hand over what was pulled."""
         if matter is Matter.CONFIGURATION:
-            self.callbacks.on_configuration_offered(held.payload, held.version)
+            self.callbacks.on_configuration_offered(held.payload)
         else:
-            self.callbacks.on_listing_offered(held.payload, held.version)
+            self.callbacks.on_listing_offered(held.payload)
 
 
 async def kept_up(run: Callable[[], Awaitable[None]]) -> None:
--- a/src/mimosafork/gossip/wire.py
+++ b/src/mimosafork/gossip/wire.py
@@ -85,6 +85,8 @@
         Tags of those whose entries are passed on.
     ids : list of int or str
         Endpoint ids that entries refer to.
+    additions : dict of int to object
+        Additions to the values of entries, by the entry's index.
     """
 
     format: int
@@ -99,6 +101,7 @@
     origins: list[int] = []
     ids: list[int | str] = []
     entries: list[WireEntry] = []
+    additions: dict[int, Any] = {}
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/src/mimosafork/platform/sources.py
+++ b/src/mimosafork/platform/sources.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+from ..directory.errors import HistoryExpiredError
+from ..directory.row_version import RowVersion
 from ..directory.rows import Row, RowPage, Rows
 from ..routing.listing import ListedEndpoint
 from ..routing.table import RoutingTable
@@ -29,7 +31,7 @@
         """Read the configuration's row."""
         return only_configuration(await self.rows.read(names.CONFIGURATION_TABLE))
 
-    async def changes(self, after: int, wait: timedelta) -> RowPage:
+    async def changes(self, after: RowVersion, wait: timedelta) -> RowPage:
         """Wait for a newer configuration."""
         page = await self.rows.changes(names.CONFIGURATION_TABLE, after, wait)
         return only_configuration(page)
@@ -56,19 +58,27 @@
 
         An answer holds a bounded number of them. The version of the first one
         stands for all: what changes until the last one is told again as a change.
+
+        Raises
+        ------
+        HistoryExpiredError
+            If the store was restored between two answers; together they are no state
+            that it ever had.
         """
         page = await self.rows.read(names.ENDPOINTS_TABLE)
-        rows, first = list(platform_rows(page)), page
+        rows, version = list(platform_rows(page)), page.version
         while page.truncated and page.rows:
             start = page.rows[-1].key + AFTER_KEY
             page = await self.rows.read(names.ENDPOINTS_TABLE, start=start)
+            if page.version.era != version.era:
+                raise HistoryExpiredError(f"era {page.version.era}")
             rows += platform_rows(page)
-        return RowPage(tuple(rows), first.version, era=first.era)
+        return RowPage(tuple(rows), version)
 
-    async def changes(self, after: int, wait: timedelta) -> RowPage:
+    async def changes(self, after: RowVersion, wait: timedelta) -> RowPage:
         """Wait for changed rows."""
         page = await self.rows.changes(names.ENDPOINTS_TABLE, after, wait)
-        return RowPage(platform_rows(page), page.version, era=page.era)
+        return RowPage(platform_rows(page), page.version)
 
     def decode(self, row: Row) -> ListedEndpoint:
         """Read an endpoint's word about itself."""
@@ -78,7 +88,7 @@
 def only_configuration(page: RowPage) -> RowPage:
     """Leave out other rows of the table."""
     rows = [row for row in platform_rows(page) if row.key == names.CONFIGURATION_KEY]
-    return RowPage(tuple(rows), page.version, era=page.era)
+    return RowPage(tuple(rows), page.version)
 
 
 def platform_rows(page: RowPage) -> tuple[Row, ...]:
--- a/src/mimosafork/platform/store.py
+++ b/src/mimosafork/platform/store.py
@@ -17,7 +17,8 @@
     StoreUnavailableError,
     UnknownResultError,
 )
-from ..directory.rows import Row, RowCondition, RowKey, RowPage, RowPut
+from ..directory.row_version import RowVersion
+from ..directory.rows import ABSENT, Row, RowCondition, RowKey, RowPage, RowPut
 from ..network.errors import NetworkError, NoAnswerError
 from . import names
 from .channel import Answer
@@ -119,11 +120,11 @@
         limits = CallLimits(timeouts.call, timedelta(0), timeouts.resend_after)
         return await self.page(self.lane_of(table), request, limits)
 
-    async def changes(self, table: str, after: int, wait: timedelta) -> RowPage:
+    async def changes(self, table: str, after: RowVersion, wait: timedelta) -> RowPage:
         """Wait up to `wait` for changes of a table after a version."""
         query = {
             names.TABLE: table,
-            names.AFTER: str(after),
+            names.AFTER: str(after.number),
             names.WAIT_MS: str(wait // MILLISECOND),
         }
         request = self.get(names.ROWS_FEED_PATH, query)
@@ -136,7 +137,7 @@
         puts: Sequence[RowPut] = (),
         removes: Sequence[RowKey] = (),
         conditions: Sequence[RowCondition] = (),
-    ) -> int:
+    ) -> RowVersion:
         """Write all or nothing, in one part, and return the new version."""
         body = msgspec.json.encode(
             {
@@ -155,10 +156,13 @@
             raise StoreUnavailableError(str(error)) from error
         if answer.status != OK:
             raise_for_write(answer)
+        era = self.era_of(answer)
+        check_eras(conditions, era)
         try:
-            return decode(answer.body, WrittenDocument).version
+            number = decode(answer.body, WrittenDocument).version
         except DocumentError as error:
             raise UnknownResultError(f"answer not read: {error}") from error
+        return RowVersion(era, number)
 
     async def page(self, lane: Lane, request: bytes, limits: CallLimits) -> RowPage:
         """Send a call that reads rows.
@@ -247,6 +251,21 @@
     raise rows_error(answer)
 
 
+def check_eras(conditions: Sequence[RowCondition], era: int) -> None:
+    """Check that the conditions of a write held for the rows that were meant.
+
+    A restored store gives out numbers again, so that a condition may hold for another
+    row version than the one that was read.
+
+    Raises
+    ------
+    UnknownResultError
+        If the store was restored after a condition's version was read.
+    """
+    if any(each.version != ABSENT and each.version.era != era for each in conditions):
+        raise UnknownResultError(f"the store was restored: era {era}")
+
+
 def rows_error(answer: Answer) -> RowsError:
     """Return the error of an answer by which nothing was done."""
     status = answer.status
@@ -264,18 +283,18 @@
 
 def page_of(document: RowsDocument, era: int) -> RowPage:
     """Translate an answer about rows."""
-    rows = tuple(row_of(each) for each in document.rows)
-    return RowPage(rows, document.version, document.truncated, era)
+    rows = tuple(row_of(each, era) for each in document.rows)
+    return RowPage(rows, RowVersion(era, document.version), document.truncated)
 
 
-def row_of(document: RowDocument) -> Row:
+def row_of(document: RowDocument, era: int) -> Row:
     """Translate a row."""
     return Row(
         table=document.table,
         part=document.part,
         key=document.key,
         value=value_of(document),
-        version=document.version,
+        version=RowVersion(era, document.version),
         removed=document.removed,
     )
 
@@ -304,4 +323,4 @@
 
 def condition_fields(condition: RowCondition) -> dict[str, str | int]:
     """Return the fields of a condition."""
-    return name_fields(condition) | {names.ROW_VERSION: condition.version}
+    return name_fields(condition) | {names.ROW_VERSION: condition.version.number}
--- a/src/mimosafork/quarantine/rows.py
+++ b/src/mimosafork/quarantine/rows.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..clock import Clock
+from ..directory.row_version import RowVersion
 from ..directory.rows import Row, RowPut, Rows
 from ..ids import AccountId, Digest
 from ..kernel.messages.crashes import Quarantine
@@ -30,7 +31,7 @@
     """A decision and the version of its row."""
 
     stored: StoredQuarantine
-    version: int
+    version: RowVersion
 
 
 def stored_quarantine(decision: Quarantine, clock: Clock) -> StoredQuarantine:
--- a/src/mimosafork/telemetry/catalogue/directory.py
+++ b/src/mimosafork/telemetry/catalogue/directory.py
@@ -115,6 +115,16 @@
     "Check that the restore was meant, and that the configuration in force is the one "
     "that was accepted last.",
 )
+TABLE_KEPT = Event(
+    2114,
+    "table-kept",
+    Level.WARNING,
+    "configuration {version}, told by {source}, is not applied ({why}): {kept} stays "
+    "in force",
+    "A store that was restored holds an older configuration until the newest one is "
+    "written again. Instances that start meanwhile get the newest one from peers.",
+    "Write the configuration that was accepted last again, under a higher number.",
+)
 FOLLOWER_FAULT = Event(
     2112,
     "follower-fault",
