Write what instances keep in the store again after a restore

Callers: an instance that starts after a restore may find no peers, and so hears neither of newer configurations nor of endpoints that leave; after a restart of all instances contents that crash endpoints are sent on.

Cause: rows of peers are written once, at the start, and decisions on contents once, when they fall. A copy of the store may lack them; nobody wrote them again.

Change: each instance writes its own row again, and whichever comes first the decisions that the store lacks or has older.

--- a/benchmarks/gossip_processes.py
+++ b/benchmarks/gossip_processes.py
@@ -16,7 +16,8 @@
 
 from mimosafork.gossip.callbacks import Callbacks
 from mimosafork.gossip.members import Address
-from mimosafork.gossip.service import Gossip, GossipOptions
+from mimosafork.gossip.options import GossipOptions
+from mimosafork.gossip.service import Gossip
 from mimosafork.gossip.sockets import open_sockets
 from mimosafork.ids import AvailabilityZoneId, InstanceId
 
--- a/benchmarks/instance_cost.py
+++ b/benchmarks/instance_cost.py
@@ -40,7 +40,8 @@
 from mimosafork.gossip.callbacks import Callbacks
 from mimosafork.gossip.kinds.load import WorkNote
 from mimosafork.gossip.members import Address, Identity
-from mimosafork.gossip.service import Gossip, GossipOptions
+from mimosafork.gossip.options import GossipOptions
+from mimosafork.gossip.service import Gossip
 from mimosafork.gossip.sockets import DatagramPort, Sockets
 from mimosafork.ids import (
     AccountId,
--- a/src/mimosafork/gateway/quarantine_store.py
+++ b/src/mimosafork/gateway/quarantine_store.py
@@ -4,15 +4,21 @@
 from collections.abc import Callable
 from datetime import timedelta
 from logging import getLogger
+from random import Random
 
 from ..clock import Clock
 from ..directory.errors import RowsError
+from ..directory.restore_writes import write_delay
 from ..directory.row_version import NO_VERSION, RowVersion
 from ..directory.rows import RowKey, Rows
 from ..ids import Digest
 from ..kernel.messages.base import Effect, Message
-from ..kernel.messages.crashes import PublishQuarantine, QuarantineReceived
-from ..quarantine.register import QuarantineRegister, is_forgotten
+from ..kernel.messages.crashes import (
+    PublishQuarantine,
+    Quarantine,
+    QuarantineReceived,
+)
+from ..quarantine.register import SAME_DECISION, QuarantineRegister, is_forgotten
 from ..quarantine.rows import (
     TABLE,
     quarantine_of,
@@ -43,6 +49,10 @@
     post : callable
         Posts a message to the kernel.
     clock : Clock
+    members : callable, optional
+        Returns the number of instances that keep decisions.
+    random : Random, optional
+        Spreads what instances write after a restore.
     """
 
     def __init__(
@@ -51,11 +61,15 @@
         register: QuarantineRegister,
         post: Callable[[Message], None],
         clock: Clock,
+        members: Callable[[], int] = lambda: 1,
+        random: Random | None = None,
     ) -> None:
         self.rows = rows
         self.register = register
         self.post = post
         self.clock = clock
+        self.members = members
+        self.random = random or Random()
         self.created_at = clock.monotonic()
         self.is_read = False
         self.versions: dict[Digest, RowVersion] = {}
@@ -64,6 +78,7 @@
         """Contents of rows that are removed with the next write."""
         self.unwritten: dict[Digest, PublishQuarantine] = {}
         self.changed = asyncio.Event()
+        self.restored = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -78,6 +93,7 @@
         self.tasks = [
             loop.create_task(self._read_always()),
             loop.create_task(self._write_always()),
+            loop.create_task(self._repair_always()),
         ]
 
     async def stop(self) -> None:
@@ -99,6 +115,51 @@
 
         return publish_and_store
 
+    def receive_restore(self, era: int) -> None:
+        """Have decisions written again that a restored store lacks."""
+        self.restored.set()
+
+    async def _repair_always(self) -> None:
+        while True:
+            await self.restored.wait()
+            self.restored.clear()
+            delay = write_delay(self.members(), self.random)
+            await asyncio.sleep(delay.total_seconds())
+            try:
+                await self.repair()
+            except RowsError as error:
+                logger.debug("cannot repair quarantines: %s", error)
+                await asyncio.sleep(RETRY_DELAY.total_seconds())
+                self.restored.set()
+
+    async def repair(self) -> None:
+        """Write the known decisions that are newer than the stored ones.
+
+        Any instance writes them: the one that decided may be gone.
+
+        Raises
+        ------
+        RowsError
+        """
+        stored = {row.stored.content: row for row in await read_rows(self.rows)}
+        for decision in self.register.decisions.values():
+            row = stored.get(decision.content)
+            known = None if row is None else quarantine_of(row.stored, self.clock)
+            if self._is_worth_writing(decision, known):
+                effect = PublishQuarantine(decision, is_own=True)
+                self.unwritten.setdefault(decision.content, effect)
+        self.changed.set()
+
+    def _is_worth_writing(
+        self, decision: Quarantine, stored: Quarantine | None
+    ) -> bool:
+        until = stored_quarantine(decision, self.clock).until
+        if is_forgotten(until, self.clock.now()):
+            return False
+        if stored is None:
+            return True
+        return decision.decided_at - stored.decided_at > SAME_DECISION
+
     async def _read_always(self) -> None:
         while True:
             try:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -19,8 +19,9 @@
 )
 from ..directory.rows import Rows
 from ..gossip.members import Address
+from ..gossip.options import GossipOptions, seed_addresses
 from ..gossip.peer_rows import PeerRows
-from ..gossip.service import Gossip, GossipOptions, seed_addresses
+from ..gossip.service import Gossip
 from ..gossip.sockets import open_sockets
 from ..ids import EndpointId, Incarnation
 from ..kernel.context import InstanceIdentity
@@ -163,7 +164,14 @@
     def keep_quarantines(self, rows: Rows) -> None:
         """Keep quarantines in shared rows; must be called before the start."""
         register = self.kernel.plugin(CrashQuarantine).register
-        store = QuarantineStore(rows, register, self.gateway.post, self.clock)
+        store = QuarantineStore(
+            rows,
+            register,
+            self.gateway.post,
+            self.clock,
+            lambda: self.gossip_adapter.live_peer_count() + 1,
+        )
+        self.directory.era.listeners.append(store.receive_restore)
         self.quarantine_store = store
         self.gateway.on_effect = store.receive_after(self.gateway.on_effect)
 
@@ -212,6 +220,7 @@
         self.directory.peer_feed.publish = self.gossip_adapter.publish_feed_state
         gossip = self._new_gossip()
         self.gossip_adapter.gossip = self.shares.gossip = gossip
+        self.directory.era.listeners.append(gossip.receive_restore)
         self.gossip_adapter.connectivity.gossip = gossip
         self.gateway.zone_watch.silent_zones = self.gossip_adapter.gossip.silent_zones
         await self.gossip_adapter.gossip.start()
--- a/src/mimosafork/gossip/peer_rows.py
+++ b/src/mimosafork/gossip/peer_rows.py
@@ -19,6 +19,10 @@
         """Write the own row; return whether there was none of an earlier life."""
         ...
 
+    async def republish(self, me: Identity) -> None:
+        """Write the own row whether or not there is one."""
+        ...
+
     async def read(self) -> list[Identity]:
         """Read all rows, those of instances that are gone as well."""
         ...
@@ -40,15 +44,18 @@
         A write whose answer was lost is taken for an earlier life's when it is made
         again. What follows is a share that begins a window later, and never too early.
         """
-        put = RowPut(TABLE, "", me.instance, msgspec.msgpack.encode(to_wire(me)))
         try:
             absent = RowCondition(TABLE, "", me.instance, ABSENT)
-            await self.rows.write([put], conditions=[absent])
+            await self.rows.write([row_put(me)], conditions=[absent])
         except ConflictError:
-            await self.rows.write([put])
+            await self.republish(me)
             return False
         return True
 
+    async def republish(self, me: Identity) -> None:
+        """Write the own row whether or not there is one."""
+        await self.rows.write([row_put(me)])
+
     async def read(self) -> list[Identity]:
         """Read all rows; one that can't be read is passed over."""
         found: list[Identity] = []
@@ -62,6 +69,11 @@
             start = page.rows[-1].key + "\0"
 
 
+def row_put(me: Identity) -> RowPut:
+    """Return the row of an instance."""
+    return RowPut(TABLE, "", me.instance, msgspec.msgpack.encode(to_wire(me)))
+
+
 def read_row(value: bytes) -> list[Identity]:
     """Return the identity in a row, none if it is in another format."""
     try:
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -6,8 +6,6 @@
 from datetime import timedelta
 from random import Random
 
-import msgspec
-
 from ..clock import Clock
 from ..directory.feed_update import FeedUpdate
 from ..ids import AvailabilityZoneId, Digest, EndpointId, InstanceId
@@ -39,52 +37,20 @@
 from .kinds.limits import LIMITS, LimitNote
 from .kinds.load import LOAD, WorkNote
 from .members import Address, Identity, Peer
+from .options import GossipOptions, own_identity
 from .peer_rows import PeerRows
 from .pulling import Puller
 from .pulls import Held, Holdings, Matter, PullServer, pull
+from .row_keeper import RowKeeper
 from .sockets import DatagramPort, Sockets
 from .state import FleetState, HeardWork, PeerLoad
-from .timing import Timing
 
 logger = logging.getLogger(__name__)
 
-BOOT_BITS = 64
-MS_PER_SECOND = 1000
 AFTER_FAULT = timedelta(seconds=1)
 SHORTEST_GAP = timedelta(milliseconds=5)
 
 
-def seed_addresses(seeds: Iterable[str], port: int) -> tuple[Address, ...]:
-    """Return where instances may listen, from addresses of their other listeners.
-
-    Parameters
-    ----------
-    seeds : iterable of str
-        Each as ``IP:PORT``; that port is another listener's.
-    port : int
-        Of the gossip, the same on all machines.
-    """
-    return tuple(Address(each.rpartition(":")[0], port) for each in seeds)
-
-
-class GossipOptions(msgspec.Struct, frozen=True):
-    """Who this instance is, and where others may be.
-
-    Parameters
-    ----------
-    fleet : str
-        Name of the fleet; datagrams of others are refused.
-    seeds : tuple of Address
-        Hosts where instances may listen, with the gossip's own port number.
-    """
-
-    instance: InstanceId
-    zone: AvailabilityZoneId
-    fleet: str
-    seeds: tuple[Address, ...] = ()
-    timing: Timing = Timing()
-
-
 class Gossip:
     """Tells peers what this instance knows, and hears what they know.
 
@@ -133,6 +99,7 @@
         self.finder = rows and Finder(
             me, rows, self.random, self.learn, self.alone, self.all_read
         )
+        self.row_keeper = rows and RowKeeper(me, rows, self.random, self.member_count)
         self.tasks: list[asyncio.Task[None]] = []
         self.timer: asyncio.TimerHandle | None = None
         self.armed = timedelta.min
@@ -147,6 +114,8 @@
         self.tasks.append(loop.create_task(kept_up(self.puller.run)))
         if self.finder:
             self.tasks.append(loop.create_task(kept_up(self.finder.run)))
+        if self.row_keeper:
+            self.tasks.append(loop.create_task(kept_up(self.row_keeper.run)))
         self.tick()
 
     async def close(self) -> None:
@@ -335,6 +304,15 @@
 
     # Finding and pulling
 
+    def member_count(self) -> int:
+        """Return the number of living instances, this one among them."""
+        return len(self.peers) + 1
+
+    def receive_restore(self, era: int) -> None:
+        """Have the own row written again to a store that was restored."""
+        if self.row_keeper:
+            self.row_keeper.receive_restore(era)
+
     def learn(self, identity: Identity) -> None:
         """Take in a row of the store."""
         now = self.clock.monotonic()
@@ -381,16 +359,3 @@
         except Exception:
             log_event(logger, GOSSIP_FAULT, exc_info=True)
         await asyncio.sleep(AFTER_FAULT.total_seconds())
-
-
-def own_identity(
-    options: GossipOptions, address: Address, clock: Clock, random: Random
-) -> Identity:
-    """Draw the identity of a new life."""
-    return Identity(
-        options.instance,
-        options.zone,
-        address,
-        random.getrandbits(BOOT_BITS),
-        int(clock.now().timestamp() * MS_PER_SECOND),
-    )
--- a/tests/functional/test_restored_store.py
+++ b/tests/functional/test_restored_store.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 from unittest import TestCase
 
+from mimosafork.gossip.peer_rows import TABLE as PEERS
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.documents import (
     ConfigEntry,
@@ -14,7 +15,7 @@
     TenantEntry,
 )
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
-from mimosafork.standins.prepared.rows import Rows
+from mimosafork.standins.prepared.rows import RowName, Rows
 from mimosafork.standins.prepared.store_faults import Refusal, StoreFaults
 from mimosafork.standins.prepared.words import SEAL
 
@@ -159,4 +160,18 @@
         case.assertLess(took, IN_FORCE_WITHIN)
 
 
+def test_instances_write_their_own_rows_again_after_a_restored_store() -> None:
+    """An instance that starts after a restore must find the others."""
+    with fleet(2) as running:
+        store = running.platform.store
+        copy = store.copy_rows()
+        for key in ("entry-0", "entry-1"):
+            copy.rows.pop(RowName(PEERS, "", key))
+        running.restore(copy)
+        took = eventually(
+            lambda: all(store.read(PEERS, key) for key in ("entry-0", "entry-1"))
+        )
+        case.assertLess(took, IN_FORCE_WITHIN)
+
+
 load_tests = function_tests(__name__)
--- a/tests/support/gossip_instances.py
+++ b/tests/support/gossip_instances.py
@@ -23,8 +23,9 @@
 from mimosafork.gateway.policies.fleet_view import FleetView
 from mimosafork.gateway.subset_selector import SubsetSelector
 from mimosafork.gossip.finding import Finder
+from mimosafork.gossip.options import GossipOptions
 from mimosafork.gossip.peer_rows import TABLE, SharedPeerRows
-from mimosafork.gossip.service import Gossip, GossipOptions
+from mimosafork.gossip.service import Gossip
 from mimosafork.gossip.sockets import Sockets
 
 from .directories import ScriptedConfigurations, ScriptedEndpoints
--- a/tests/unit/gateway/test_peer_work_updates.py
+++ b/tests/unit/gateway/test_peer_work_updates.py
@@ -13,7 +13,8 @@
 from mimosafork.gateway.subset_selector import SubsetSelector
 from mimosafork.gossip.exchange import Exchange
 from mimosafork.gossip.kinds.load import LOAD, WorkNote
-from mimosafork.gossip.service import Gossip, GossipOptions
+from mimosafork.gossip.options import GossipOptions
+from mimosafork.gossip.service import Gossip
 from mimosafork.gossip.sockets import Sockets
 from mimosafork.ids import EndpointId, Revision
 from mimosafork.kernel.messages.base import Message
--- a/tests/unit/gateway/test_quarantine_store.py
+++ b/tests/unit/gateway/test_quarantine_store.py
@@ -5,6 +5,8 @@
 from datetime import UTC, datetime, timedelta
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from mimosafork.clock import ManualClock
 from mimosafork.directory.errors import StoreUnavailableError
 from mimosafork.directory.row_version import RowVersion
@@ -18,7 +20,7 @@
     QuarantineReceived,
 )
 from mimosafork.quarantine.register import QuarantineRegister
-from mimosafork.quarantine.rows import TABLE
+from mimosafork.quarantine.rows import TABLE, row_put, stored_quarantine
 
 from ...support.functions import function_tests
 from ...support.versions import version
@@ -78,11 +80,18 @@
             self.rows[put.key] = row
         return version(self.version)
 
+    def store(self, decision: Quarantine) -> None:
+        """Keep a decision, as another instance has written it."""
+        put = row_put(stored_quarantine(decision, ManualClock(START)))
+        self.version += 1
+        row = Row(put.table, put.part, put.key, put.value, version(self.version))
+        self.rows[put.key] = row
+
 
 def store_of(rows: MemoryRows, posted: list[Message]) -> QuarantineStore:
     """Return the store of an instance that posts what it reads to a list."""
     clock = ManualClock(START)
-    return QuarantineStore(rows, QuarantineRegister(), posted.append, clock)
+    return QuarantineStore(rows, QuarantineRegister(), posted.append, clock, lambda: 0)
 
 
 async def settle() -> None:
@@ -113,6 +122,54 @@
     case.assertEqual([QuarantineReceived(DECISION)], asyncio.run(run()))
 
 
+def test_decisions_that_a_restored_store_lacks_are_written_again() -> None:
+    """After a restart of all instances nobody would know them any more.
+
+    A decision of an instance that is gone is written by the others. An older decision
+    in the copy is replaced, and not taken for a newer one.
+    """
+
+    async def run() -> None:
+        rows, posted = MemoryRows(), list[Message]()
+        lifted = replace(DECISION, decided_at=START, until=START, lifted=True)
+        rows.store(DECISION)
+        other = Quarantine(Digest("s/other"), (), START, START + SECOND)
+        store = store_of(rows, posted)
+        store.register.decisions |= {PART: lifted, other.content: other}
+        store.start()
+        await settle()
+        store.receive_restore(2)
+        await settle()
+        await store.stop()
+        case.assertEqual({PART, other.content}, set(rows.rows))
+        reader = store_of(rows, posted := [])
+        await reader.read()
+        case.assertCountEqual(
+            [QuarantineReceived(lifted), QuarantineReceived(other)], posted
+        )
+
+    asyncio.run(run())
+
+
+def test_decisions_that_a_restored_store_has_are_not_written_again() -> None:
+    """All instances notice a restore at one moment; each write has a price."""
+
+    async def run() -> None:
+        rows = MemoryRows()
+        rows.store(DECISION)
+        store = store_of(rows, [])
+        store.register.decisions[PART] = DECISION
+        store.start()
+        await settle()
+        before = rows.version
+        store.receive_restore(2)
+        await settle()
+        await store.stop()
+        case.assertEqual(before, rows.version)
+
+    asyncio.run(run())
+
+
 def test_an_instance_is_ready_without_the_store_after_a_moment() -> None:
     """Instances that start while the store is down never serve."""
 
--- a/tests/unit/gossip/test_finding.py
+++ b/tests/unit/gossip/test_finding.py
@@ -33,6 +33,10 @@
         self.written.set()
         return True
 
+    async def republish(self, me: Identity) -> None:
+        """Write a row again."""
+        await self.publish(me)
+
     async def read(self) -> list[Identity]:
         """Read no rows."""
         return []
--- a/tests/unit/gossip/test_rules.py
+++ b/tests/unit/gossip/test_rules.py
@@ -11,8 +11,8 @@
 from mimosafork.gossip.ledger import TOMBSTONE_LIFETIME, Entry, Ledger, Slot
 from mimosafork.gossip.links import Flight, Link, News, Receipts
 from mimosafork.gossip.members import Address, replaces
+from mimosafork.gossip.options import seed_addresses
 from mimosafork.gossip.partners import chosen_partners
-from mimosafork.gossip.service import seed_addresses
 from mimosafork.gossip.timing import Timing
 from mimosafork.ids import (
     AccountId,
--- a/tests/unit/gossip/test_service.py
+++ b/tests/unit/gossip/test_service.py
@@ -17,11 +17,12 @@
 from mimosafork.gossip.kinds.load import WorkNote
 from mimosafork.gossip.ledger import Entry, Slot
 from mimosafork.gossip.members import Address, Identity, Member
+from mimosafork.gossip.options import GossipOptions
 from mimosafork.gossip.peer_rows import SharedPeerRows
 from mimosafork.gossip.pulling import Puller
 from mimosafork.gossip.pulls import Held, Matter, pull
 from mimosafork.gossip.roster import Roster
-from mimosafork.gossip.service import Gossip, GossipOptions
+from mimosafork.gossip.service import Gossip
 from mimosafork.gossip.sockets import AT_ONCE, DatagramPort, open_sockets
 from mimosafork.gossip.timing import Timing
 from mimosafork.ids import AvailabilityZoneId, EndpointId, InstanceId
