Let an instance that starts hear from its peers before it is ready

Callers: a key that was withdrawn in the seconds that a restored store has lost was accepted by an instance that started before the newest configuration was written again.

Cause: an instance that has just started knows what the store holds, here an older copy; its peers know better, and hand it over some 0.3 s later. Nothing kept it from serving before.

Change: it is not ready while a living peer offers a newer configuration, for at most 1 s; nor for 250 ms while it has heard from none. A fleet that starts as a whole is ready then.

--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -18,11 +18,7 @@
     TableChanged,
 )
 from ..directory.rows import Rows
-from ..gossip.members import Address
-from ..gossip.options import GossipOptions, seed_addresses
 from ..gossip.peer_rows import PeerRows
-from ..gossip.service import Gossip
-from ..gossip.sockets import open_sockets
 from ..ids import EndpointId, Incarnation
 from ..kernel.context import InstanceIdentity
 from ..kernel.core import Kernel
@@ -56,6 +52,7 @@
 from .gateway import Gateway
 from .gauges import GatewayGauges, StoreCallCounts
 from .gossip_adapter import GossipAdapter
+from .gossip_setup import new_gossip
 from .instance_view import LiveInstanceView, milliseconds
 from .metrics_page import MetricsConnection, create_metrics
 from .policies import PLUGINS
@@ -68,14 +65,12 @@
 from .policies.retrying import BudgetedRetry
 from .quarantine_store import QuarantineStore
 from .readiness_page import ReadinessConnection
+from .startup_check import CONTACT_WAIT, MAX_WAIT, StartupCheck
 from .subset_selector import SubsetSelector
 
 logger = logging.getLogger(__name__)
 
 BACKLOG = 512
-FLEET_NAME = "entry"
-"""Gossip name shared by the entry instances of a deployment."""
-
 BALANCER_LAG = timedelta(milliseconds=2500)
 """Time for which callers still arrive after a shutdown begins: the balancer removes an
 instance after two failed readiness checks, which takes slightly over two seconds.
@@ -144,6 +139,7 @@
         self.gateway.call_log.instance_view = self.live_view
         self.store_counts: StoreCallCounts | None = None
         self.quarantine_store: QuarantineStore | None = None
+        self.startup_check: StartupCheck | None = None
         quarantine = self.kernel.plugin(CrashQuarantine)
         quarantine.register.rank = self.shares.rank_for_content
         self.peer_rows = peer_rows
@@ -159,6 +155,8 @@
         """Whether the balancer may send callers here."""
         if self.quarantine_store is not None and not self.quarantine_store.may_serve:
             return False
+        if self.startup_check is not None and not self.startup_check.may_serve:
+            return False
         return self.directory.ready_to_serve and not self.gateway.draining
 
     def keep_quarantines(self, rows: Rows) -> None:
@@ -218,17 +216,20 @@
         self.directory.add_listener(self.gossip_adapter.directory_changed)
         self.directory.peer_count = self.gossip_adapter.live_peer_count
         self.directory.peer_feed.publish = self.gossip_adapter.publish_feed_state
-        gossip = self._new_gossip()
+        gossip = new_gossip(self.settings, self.gossip_adapter, self.peer_rows)
         self.gossip_adapter.gossip = self.shares.gossip = gossip
         self.directory.era.listeners.append(gossip.receive_restore)
         self.gossip_adapter.connectivity.gossip = gossip
-        self.gateway.zone_watch.silent_zones = self.gossip_adapter.gossip.silent_zones
-        await self.gossip_adapter.gossip.start()
+        self.gateway.zone_watch.silent_zones = gossip.silent_zones
+        await gossip.start()
+        self.startup_check = StartupCheck(gossip, self.clock)
         if self.quarantine_store is not None:
             self.quarantine_store.start()
         self.directory.start()
         self.gateway.start()
         loop = asyncio.get_running_loop()
+        for wait in (CONTACT_WAIT, MAX_WAIT):
+            loop.call_later(wait.total_seconds(), self._log_first_ready)
         front = split_address(self.settings.listen.front)
         ready = split_address(self.settings.listen.ready)
         self.listeners = [
@@ -294,24 +295,6 @@
         self.shares.settle_time = bounds.retry_window + MAX_RETRY_TRANSIT
         self.kernel.plugin(MemoryKeeper).longest_hold = bounds.longest_hold
 
-    def _new_gossip(self) -> Gossip:
-        settings = self.settings
-        host = split_address(settings.listen.front).host
-        port = settings.gossip.first_port
-        options = GossipOptions(
-            settings.instance.id,
-            settings.instance.availability_zone,
-            FLEET_NAME,
-            seed_addresses(settings.gossip.seeds, port),
-        )
-        return Gossip(
-            options,
-            open_sockets(Address(host, port)),
-            self.gossip_adapter.transfer_payload,
-            self.gossip_adapter.callbacks,
-            self.peer_rows,
-        )
-
     def engine_figures(self, endpoint: EndpointId) -> EngineFigures | None:
         """Return the engine figures of an endpoint, or None if it is not an engine."""
         known = self.kernel.plugin(FleetView).endpoints.get(endpoint)
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -335,6 +335,17 @@
         """Whether no peer is heard."""
         return not self.peers
 
+    def is_offered_configuration(self) -> bool:
+        """Whether a living peer has a newer configuration than this instance."""
+        return any(self.puller.offers(Matter.CONFIGURATION))
+
+    def knows_offers(self) -> bool:
+        """Whether a living peer has told which configuration it has."""
+        return any(
+            member.ledger.value(CONFIGURATION.number, VERSIONS_KEY) is not None
+            for member in self.exchange.roster.alive()
+        )
+
     def versions_offered(self, offered: VersionsOffered) -> None:
         """Look whether a peer has something newer."""
         self.puller.look()
--- a/tests/functional/test_restored_store.py
+++ b/tests/functional/test_restored_store.py
@@ -30,6 +30,7 @@
 HEARTBEAT = timedelta(seconds=1)
 LOST_WRITES = 20
 AWAY_S = 0.4
+CALLS_AT_START = 20
 IN_FORCE_WITHIN = timedelta(seconds=3)
 """Time after the store's return in which an instance must be up to date again."""
 
@@ -40,6 +41,7 @@
 WITH_KEY = replace(
     USUAL_CONFIG, tenants=(ACCOUNT, TenantEntry("account-b", (NEW_KEY,), 1))
 )
+WITHOUT_KEY = replace(USUAL_CONFIG, tenants=(TenantEntry("account-a", (), 1),))
 
 
 @dataclass
@@ -174,4 +176,33 @@
         case.assertLess(took, IN_FORCE_WITHIN)
 
 
+def test_an_instance_that_starts_on_a_copy_serves_by_its_peers_configuration() -> None:
+    """A key that was withdrawn in the lost seconds must not be accepted again.
+
+    The store holds the older configuration until the operator writes the newest again.
+    """
+    with fleet(2) as running:
+        copy = running.platform.store.copy_rows()
+        running.platform.configure(WITHOUT_KEY)
+        running.until_all(lambda each: status(each) == 401)
+        running.restore(copy, rewritten=False)
+        with gateway_process(running.platform, "entry-2") as started:
+            started.wait_until_ready()
+            statuses = [status(started) for _ in range(CALLS_AT_START)]
+        case.assertEqual([401] * CALLS_AT_START, statuses)
+        running.until_all(lambda each: status(each) == 401)
+
+
+def test_instances_that_all_start_on_a_copy_serve() -> None:
+    """Nobody knows a newer configuration; waiting for one must end."""
+    with fleet(2) as running:
+        copy = running.platform.store.copy_rows()
+        running.write_often()
+        running.restore(copy, rewritten=False)
+        for each in running.instances:
+            each.restart()
+        running.until_all(lambda each: each.ready_status() == 200)
+        running.until_all(lambda each: status(each) == 200)
+
+
 load_tests = function_tests(__name__)
