--- a/src/mimosafork/explain/events.py
+++ b/src/mimosafork/explain/events.py
@@ -14,6 +14,8 @@
 GONE = directory.ENDPOINT_GONE.code
 HELD = directory.ENDPOINT_HELD.code
 TABLE_TAKEN = directory.TABLE_TAKEN.code
+TABLE_KEPT = directory.TABLE_KEPT.code
+STORE_RESTORED = directory.STORE_RESTORED.code
 UNREADABLE = directory.ENTRY_UNREADABLE.code
 PULLED = gossip.GOSSIP_PULLED.code
 
@@ -37,6 +39,8 @@
     TABLE_TAKEN,
     directory.STORE_LOST.code,
     directory.STORE_REGAINED.code,
+    STORE_RESTORED,
+    TABLE_KEPT,
     gossip.GOSSIP_PEER_DOWN.code,
     gossip.GOSSIP_PEER_UP.code,
     gossip.GOSSIP_PEER_RESTARTED.code,
--- a/src/mimosafork/explain/stories.py
+++ b/src/mimosafork/explain/stories.py
@@ -128,8 +128,8 @@
         self.needle = f":{version}".encode()
 
     def wanted(self, event: str, raw: bytes) -> bool:
-        """Choose the lines that may name the version."""
-        return self.needle in raw
+        """Choose the lines that may name the version, and restores of the store."""
+        return self.needle in raw or event == events.STORE_RESTORED
 
     def tell(self, lines: Sequence[LogLine]) -> Story:
         """Return where it was taken and what failed by it; the rest is counted."""
@@ -138,7 +138,9 @@
             line.event for line in named if line.event in events.CALL_EVENTS
         )
         taken = [line for line in named if line.event == events.TABLE_TAKEN]
-        told = taken + [
+        kept_out = [line for line in named if line.event == events.TABLE_KEPT]
+        told = taken + kept_out
+        told += [
             line
             for line in named
             if line.event == events.UNREADABLE
@@ -147,8 +149,10 @@
         if not told and not calls:
             return Story((), "no line names it")
         shown = told + [line for line in named if line.event == events.REFUSED]
+        shown += [line for line in lines if line.event == events.STORE_RESTORED]
         shown.sort(key=lambda line: line.time)
-        return Story(tuple(shown), verdict_on_version(taken, calls))
+        verdict = verdict_on_version(taken, calls)
+        return Story(tuple(shown), "; ".join([verdict, *kept_out_by(kept_out)]))
 
 
 def verdict_on_version(taken: Sequence[LogLine], calls: Counter[str]) -> str:
@@ -170,6 +174,18 @@
     )
 
 
+def kept_out_by(kept_out: Sequence[LogLine]) -> list[str]:
+    """Return why a version of a restored store was not applied, if it was not."""
+    if not kept_out:
+        return []
+    instances = {line.instance for line in kept_out}
+    eras = sorted({line.number("era") for line in kept_out})
+    reasons = {line.text("why"): line.number("kept") for line in kept_out}
+    why = ", ".join(f"{reason}, {kept} in force" for reason, kept in reasons.items())
+    named = ", ".join(map(str, eras))
+    return [f"not applied on {len(instances)} instances in era {named} ({why})"]
+
+
 def changes_of(taken: Sequence[LogLine]) -> list[str]:
     """Return what a version changed, once for each version that it replaced.
 
--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -10,6 +10,7 @@
 from ..ids import ServiceId
 from ..quarantine.register import QuarantineState
 from ..telemetry.catalogue.contents import CONTENTS_QUARANTINED, CONTENTS_SUSPECTED
+from ..telemetry.catalogue.directory import ENDPOINTS_HELD, STORE_ERA
 from ..telemetry.catalogue.gateway import (
     CALLS_FORWARDED,
     CALLS_OPEN,
@@ -96,6 +97,8 @@
         registry.observe(TABLE_AGE, self.table_ages)
         registry.observe(TABLE_VERSION, self.version)
         registry.observe(ENDPOINTS_KNOWN, self.endpoints)
+        registry.observe(ENDPOINTS_HELD, self.held_endpoints)
+        registry.observe(STORE_ERA, self.store_era)
         registry.observe(REPEATS_LEFT, lambda: self.per_service(self.retries_left))
         registry.observe(
             REPEATS_SENT,
@@ -199,6 +202,16 @@
                 found.append(Reading(count, labels))
         return found
 
+    def held_endpoints(self) -> Iterable[Reading]:
+        """Return the number of endpoints in use that the store does not list."""
+        entries = self.instance_view.directory.endpoints.values()
+        return [Reading(sum(each.missing_version is not None for each in entries))]
+
+    def store_era(self) -> Iterable[Reading]:
+        """Return the era of the store."""
+        era = self.instance_view.directory.era.current
+        return [] if era is None else [Reading(era)]
+
     def retries_left(self, service: ServiceId) -> float:
         """Return how many retries of a service this instance may still send."""
         return self.instance_view.retry.available_retries(
--- a/src/mimosafork/telemetry/catalogue/directory.py
+++ b/src/mimosafork/telemetry/catalogue/directory.py
@@ -1,6 +1,7 @@
 """Events of what an instance believes of the configuration and the endpoints."""
 
 from ..events import Event, Level
+from ..instruments import Instrument, Kind
 
 RANGE = 2100
 
@@ -133,3 +134,16 @@
     "The rows are read whole again.",
     "Report the fault with its trace.",
 )
+STORE_ERA = Instrument(
+    "mimosafork.store.era",
+    Kind.OBSERVABLE_GAUGE,
+    "{restore}",
+    "Era that the store last stated; rises each time it is restored from a copy.",
+)
+ENDPOINTS_HELD = Instrument(
+    "mimosafork.endpoints.held",
+    Kind.OBSERVABLE_GAUGE,
+    "{endpoint}",
+    "Endpoints that stay in use although the store does not list them, around an "
+    "outage or a restore.",
+)
--- a/tests/unit/explain/test_explain.py
+++ b/tests/unit/explain/test_explain.py
@@ -23,6 +23,7 @@
 CROWDED = "stream-without-place.log"
 FROZEN = "refused-after-freeze.log"
 WITHDRAWN = "key-withdrawn.log"
+RESTORED = "store-restored.log"
 BEHIND_RESETS = "zone-behind-resets.log"
 FROZEN_CALL = "ec61d7f6d2549037"
 MILLION = 1_000_000
@@ -151,6 +152,15 @@
     assert "changed keys" not in CallStory("c41d9be2037fa658").tell(read).cause
 
 
+def test_configuration_that_a_restored_store_brought_back_is_told() -> None:
+    """The store comes back with an older configuration, which no instance applies."""
+    story = told(VersionStory(55), RESTORED)
+    assert [line.event for line in story.lines] == ["MF2101", "MF2113", "MF2114"]
+    assert story.cause.endswith(
+        "not applied on 1 instances in era 2 (older, 58 in force)"
+    )
+
+
 def test_link_that_broke_under_a_call_is_named_with_both_zones() -> None:
     """All connections into zone-b are reset, and its endpoints stay listed.
 
