Let instances that rely on peers' updates notice a restore of the store

Callers: calls to an endpoint that had left, some seconds longer at instances that do not poll the store themselves.

Cause: an update of a peer that has not noticed a restore counts for 1.7 s, and peers that have noticed it say nothing while rows that the copy lacks are uncertain. Change: a reader publishes the era it has read; an update of a later era ends the reliance on all others.

The machine's model counted an answer that was lost as calm when the loss was asked for and not when it happened: an instance that had relied on peers for 1.7 s, lost their words and its first own answer, was held to 3 s from before.

Of processes: a store that goes back without being away, and two restores in a moment.

--- a/src/mimosafork/directory/follower.py
+++ b/src/mimosafork/directory/follower.py
@@ -91,7 +91,7 @@
     watermark : VersionWatermark
         Highest version seen; shared by all followers.
     peer_feed : PeerFeed or None
-        Updates from peers about this table's feed, if they send any.
+        Updates from peers about this table's feed; one without peers by default.
     era : StoreEra or None
         The store's era; shared by all followers. A new one by default.
 
@@ -133,7 +133,7 @@
         self.random = random
         self.health = health
         self.watermark = watermark
-        self.peer_feed = peer_feed
+        self.peer_feed = peer_feed or PeerFeed(clock)
         self.era = era or StoreEra()
         self.position: RowVersion | None = None
         self.last_change_version = NO_VERSION
@@ -218,6 +218,7 @@
         be read.
         """
         known = self.watermark.version
+        asked_at = self.peer_feed.clock.monotonic()
         page = await self.source.whole()
         self.record_answer()
         self.era.observe(page.version, known)
@@ -240,17 +241,19 @@
             era=page.version.era,
             count=len(page.rows),
         )
-        self.last_change_version = page.version
+        before, self.last_change_version = self.last_change_version, page.version
         self.answered_with_peers = True
         self.consumer.apply_snapshot(page)
-        return self.advance(page.version)
+        self.advance(page.version)
+        # Peers that rely on updates read a restored store themselves.
+        if before != NO_VERSION and before.era < page.version.era:
+            update = FeedUpdate(page.version, page.version)
+            self.peer_feed.publish_answer(update, asked_at, timedelta(0))
+        return self.settings.pause
 
     async def follow(self, position: RowVersion) -> timedelta:
         """Poll for changes, unless peers report that there are none."""
-        if self.peer_feed is None:
-            await self.poll_changes(position, self.poll_wait())
-            return self.settings.pause
-        received = self.covering_update(position, self.peer_feed)
+        received = self.covering_update(position)
         if received is not None:
             freshness_left = received.remaining_freshness(
                 self.peer_feed.clock.monotonic()
@@ -310,9 +313,7 @@
         self.advance(followed)
         return followed
 
-    def covering_update(
-        self, position: RowVersion, peer_feed: PeerFeed
-    ) -> ReceivedUpdate | None:
+    def covering_update(self, position: RowVersion) -> ReceivedUpdate | None:
         """Return a peer's fresh update that nothing has changed, or None.
 
         Guard: an uncertain state is resolved only by the store's own answers. An
@@ -320,7 +321,7 @@
         """
         if self.health.lost_at is not None or self.consumer.is_uncertain:
             return None
-        return peer_feed.newest_covering(position)
+        return self.peer_feed.newest_covering(position)
 
     def apply_peer_update(
         self, position: RowVersion, update: FeedUpdate, age: timedelta
--- a/src/mimosafork/directory/peer_feed.py
+++ b/src/mimosafork/directory/peer_feed.py
@@ -91,11 +91,17 @@
     def newest_covering(self, position: RowVersion) -> ReceivedUpdate | None:
         """Return the newest update that covers a position.
 
-        None if there is no fresh one, or if this instance is a reader itself.
+        None if there is no fresh one, or if this instance is a reader itself. None as
+        well once a peer has followed the store into a later era: other peers may not
+        have noticed the restore yet.
         """
         if self.is_reader:
             return None
         now = self.clock.monotonic()
+        if any(
+            each.update.followed.era > position.era for each in self.updates.values()
+        ):
+            return None
         covering = [
             each
             for each in self.updates.values()
--- a/tests/functional/test_restored_store.py
+++ b/tests/functional/test_restored_store.py
@@ -51,9 +51,11 @@
     platform: Deployment
     instances: list[GatewayProcess]
 
-    def restore(self, copy: Rows, rewritten: bool = True) -> None:
+    def restore(
+        self, copy: Rows, rewritten: bool = True, down: Refusal = Refusal.RESET
+    ) -> None:
         """Let the store be away for a moment and come back from a copy."""
-        self.platform.store.set_faults(StoreFaults(down=Refusal.RESET))
+        self.platform.store.set_faults(StoreFaults(down=down))
         time.sleep(AWAY_S)
         self.platform.restore(copy, rewritten)
         self.platform.store.set_faults()
@@ -141,6 +143,30 @@
     )
 
 
+def test_a_change_is_served_when_the_store_goes_back_without_being_away() -> None:
+    """A store whose connections stay open must be noticed to have gone back."""
+    with fleet() as running:
+        copy = running.platform.store.copy_rows()
+        running.write_often()
+        running.platform.restore(copy)
+        running.platform.configure(WITH_ROUTE)
+        took = running.until_all(lambda each: status(each, "/new/1") == 200)
+        case.assertLess(took, IN_FORCE_WITHIN)
+
+
+def test_a_change_is_served_after_two_restores_in_a_moment() -> None:
+    """The second restore goes back to the same copy, and gives out numbers again."""
+    with fleet() as running:
+        copy = running.platform.store.copy_rows()
+        running.write_often()
+        running.restore(copy)
+        running.platform.configure(WITH_KEY)
+        running.restore(copy, down=Refusal.SILENT)
+        running.platform.configure(WITH_ROUTE)
+        took = running.until_all(lambda each: status(each, "/new/1") == 200)
+        case.assertLess(took, IN_FORCE_WITHIN)
+
+
 def test_a_key_added_after_a_restored_store_is_accepted() -> None:
     """A new account must not be refused because the store was restored."""
     check_in_force_after_restore(
--- a/tests/support/model_store.py
+++ b/tests/support/model_store.py
@@ -4,11 +4,13 @@
 from datetime import timedelta
 from enum import Enum
 
+from msgspec.structs import replace
+
 from mimosafork.directory.errors import HistoryExpiredError, StoreUnavailableError
 from mimosafork.directory.row_version import RowVersion
 from mimosafork.directory.rows import Row, RowPage
 
-from .versions import version
+from .versions import ERA, version
 
 EXPIRY = timedelta(seconds=3)
 """A row lapses after so much silence of its endpoint."""
@@ -19,6 +21,9 @@
 STABLE = timedelta(seconds=3)
 """Rules with a time bound hold once nothing has been wrong for so long."""
 
+RETURN = timedelta(seconds=2)
+"""A row that a restored store lacks counts as removed if it is missing for so long."""
+
 LATEST_RETURN = timedelta(seconds=1.75)
 """A row that lapsed in an outage is back so long after it at the latest."""
 
@@ -69,6 +74,8 @@
         When a key's row was last written, removed or changed its state.
     kept_from : int
         Changes up to this version are no longer told.
+    told : list of Row
+        All rows and removals that were ever read, of all eras.
     """
 
     name: str
@@ -76,13 +83,30 @@
     log: list[Row] = field(default_factory=list)
     changed_at: dict[str, timedelta] = field(default_factory=dict)
     kept_from: int = 0
+    told: list[Row] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class StoreCopy:
+    """The rows of all tables as they were at a version."""
+
+    taken_at: timedelta
+    version: int
+    rows: dict[str, dict[str, Row]]
 
 
 class ModelStore:
-    """Tables under one counter of versions."""
+    """Tables under one counter of versions.
+
+    Attributes
+    ----------
+    era : int
+        Rises with each restore from a copy.
+    """
 
     def __init__(self) -> None:
         self.version = 0
+        self.era = ERA
         self.endpoints = StoredTable("endpoints")
         self.configuration = StoredTable("configuration")
         self.lives: dict[str, ReportingEndpoint] = {}
@@ -90,7 +114,7 @@
         self.returned_at = timedelta(0)
         self.calm_since = timedelta(0)
         self.gone_at: dict[str, timedelta] = {}
-        self.late_reads = 0
+        self.disruptions = 0
 
     # What is written
 
@@ -100,13 +124,15 @@
         """Write a row, or remove it if there is no value."""
         self.version += 1
         removed = value is None
-        row = Row(table.name, "", key, value or b"", version(self.version), removed)
+        written = version(self.version, self.era)
+        row = Row(table.name, "", key, value or b"", written, removed)
         former = table.rows.pop(key, None)
         if not removed:
             table.rows[key] = row
         elif self.is_stable(now) and not self.lives[key].alive:
             self.gone_at.setdefault(key, now)
         table.log.append(row)
+        table.told.append(row)
         if former is None or removed or former.value != value:
             table.changed_at[key] = now
         return row
@@ -151,27 +177,56 @@
         late = LATEST_RETURN * (number % 4) / 3 if lapsed else timedelta(0)
         return now - life.heard_at >= REPORT and now >= self.returned_at + late
 
-    def late_read(self) -> None:
-        """Note that an answer of an older state was given."""
-        self.late_reads += 1
+    def disrupt(self) -> None:
+        """Note that an answer was lost, or one of an older state given."""
+        self.disruptions += 1
 
     def forget_history(self) -> None:
         """Drop the history of both tables."""
         self.endpoints.kept_from = self.configuration.kept_from = self.version
 
+    # Copies
+
+    @property
+    def tables(self) -> tuple[StoredTable, StoredTable]:
+        """Both tables."""
+        return self.endpoints, self.configuration
+
+    def copy(self, now: timedelta) -> StoreCopy:
+        """Return a copy of all rows."""
+        rows = {table.name: dict(table.rows) for table in self.tables}
+        return StoreCopy(now, self.version, rows)
+
+    def restore(self, copy: StoreCopy, now: timedelta) -> None:
+        """Go on from a copy in the next era; its rows last as if just reported."""
+        self.era += 1
+        self.version = copy.version
+        for name in set(self.endpoints.rows) - set(copy.rows[self.endpoints.name]):
+            self.endpoints.changed_at[name] = now + RETURN
+        for table in self.tables:
+            table.kept_from, table.log = copy.version, []
+            table.rows = {
+                key: replace(row, version=row.version._replace(era=self.era))
+                for key, row in copy.rows[table.name].items()
+            }
+            table.told += table.rows.values()
+        for name in self.endpoints.rows:
+            self.lives[name].heard_at = now
+        self.disturb(now)
+
     # What is read
 
     def whole(self, table: StoredTable) -> RowPage:
         """Return all rows."""
         rows = sorted(table.rows.values(), key=lambda row: row.key)
-        return RowPage(tuple(rows), version(self.version))
+        return RowPage(tuple(rows), version(self.version, self.era))
 
     def changes(self, table: StoredTable, after: RowVersion) -> RowPage:
         """Return what changed after a version; raises `HistoryExpiredError`."""
-        if after.number < table.kept_from:
+        if not table.kept_from <= after.number <= self.version:
             raise HistoryExpiredError("forgotten")
-        rows = tuple(row for row in table.log if row.version > after)
-        return RowPage(rows, version(self.version))
+        rows = tuple(row for row in table.log if row.version.number > after.number)
+        return RowPage(rows, version(self.version, self.era))
 
 
 class StoreSource:
@@ -197,7 +252,7 @@
         late, self.late = self.late, None
         if late is None:
             return self.store.whole(self.table)
-        self.store.late_read()
+        self.store.disrupt()
         return late
 
     async def changes(self, after: RowVersion, wait: timedelta) -> RowPage:
@@ -211,4 +266,5 @@
             raise StoreUnavailableError(self.store.condition.value)
         if self.lost:
             self.lost -= 1
+            self.store.disrupt()
             raise StoreUnavailableError("lost")
--- a/tests/unit/directory/test_directory_machine.py
+++ b/tests/unit/directory/test_directory_machine.py
@@ -229,10 +229,10 @@
     def peer_tells_an_old_row(self, which: int, configuration: bool) -> None:
         """Let a peer send a row that existed earlier, or its removal."""
         if configuration:
-            log = self.store.configuration.log
+            log = self.store.configuration.told
             self.directory.offer_configuration(log[which % len(log)])
-        elif self.store.endpoints.log:
-            log = self.store.endpoints.log
+        elif self.store.endpoints.told:
+            log = self.store.endpoints.told
             row = log[which % len(log)]
             listed = row.key in self.store.endpoints.rows
             if row.removed:
@@ -253,8 +253,8 @@
         """Let the operator write a configuration."""
         if self.store.condition is Condition.DOWN:
             return
-        version = self.store.version + 1
-        row = self.tables.add(version, set(ROUTES) - dropped, set(KEYS), 3)
+        number = len(self.tables.tables) + 1
+        row = self.tables.add(number, set(ROUTES) - dropped, set(KEYS), 3)
         self.store.write(self.store.configuration, row.key, row.value, self.now)
 
     # Time
@@ -272,10 +272,10 @@
             self.the_newest_configuration_is_in_force()
 
     def step(self, follower: TableFollower) -> None:
-        """Run one call of a follower; a stale answer does not count as calm."""
-        before = self.store.late_reads
+        """Run one call of a follower; a lost or stale answer does not count as calm."""
+        before = self.store.disruptions
         asyncio.run(follower.step())
-        if self.store.late_reads > before:
+        if self.store.disruptions > before:
             self.store.disturb(self.now)
 
     @rule(seconds=SPANS)
@@ -319,7 +319,7 @@
         newest = self.store.configuration.rows[key]
         since = self.store.configuration.changed_at[key]
         if self.in_touch and self.now - since >= APPLIED_WITHIN:
-            assert self.in_force == newest.version.number, "CONFIG: late"
+            assert self.in_force == int(newest.value), "CONFIG: late"
 
     @invariant()
     def listeners_know_what_is_believed(self) -> None:
--- a/tests/unit/directory/test_peer_feed.py
+++ b/tests/unit/directory/test_peer_feed.py
@@ -6,7 +6,7 @@
 from unittest import TestCase
 
 from mimosafork.clock import ManualClock
-from mimosafork.directory.errors import StoreUnavailableError
+from mimosafork.directory.errors import HistoryExpiredError, StoreUnavailableError
 from mimosafork.directory.feed_update import FeedUpdate
 from mimosafork.directory.peer_feed import FEED_READERS, MAX_UPDATE_AGE, PeerFeed
 from mimosafork.directory.row_version import RowVersion
@@ -144,6 +144,27 @@
         case.assertIsNone(world.state("a"))
 
 
+def test_a_reader_publishes_that_the_store_was_restored() -> None:
+    """Instances that rely on updates would go on by those of the era before."""
+    with reading_world() as (world, updates):
+        world.endpoints(HistoryExpiredError("cut"))
+        world.endpoints(page(5, listed("a", 4, era=2), era=2))
+        case.assertEqual(
+            [FeedUpdate(version(5, era=2), version(5, era=2))], updates[-1:]
+        )
+
+
+def test_an_update_of_a_later_era_ends_the_reliance_on_all_others() -> None:
+    """One peer has noticed a restore; the updates of the others are still fresh."""
+    with receiving_world() as world:
+        receive_update(world, 4, 9)
+        later = FeedUpdate(version(5, era=2), version(5, era=2))
+        world.directory.peer_feed.receive(InstanceId("other"), later, NOW)
+        world.endpoints(HistoryExpiredError("cut"))
+        world.endpoints(page(5, listed("a", 4, era=2), era=2))
+        case.assertEqual([None, 9, None], world.listing.asked)
+
+
 def test_a_frozen_readers_answer_is_not_published() -> None:
     """A reader freezes with an answer unread, and an endpoint leaves meanwhile.
 
