--- a/src/mimosafork/directory/endpoint_registry.py
+++ b/src/mimosafork/directory/endpoint_registry.py
@@ -9,18 +9,13 @@
 from ..ids import EndpointId
 from ..routing.listing import ListedEndpoint, ListedState
 from .health import StoreHealth
+from .listing_changes import equal_except_unreported
 from .messages import DirectoryEntry, EndpointChanged, EndpointState, UpdateOrigin
 from .removed_endpoints import RemovedEndpoints
 from .row_version import NO_VERSION, RowVersion
 from .rows import Row
 from .sources import EndpointSource
-
-UNREPORTED_FIELDS = {
-    "sequence": 0,
-    "cold_remaining": timedelta(0),
-    "state": ListedState.READY,
-}
-"""Listing fields whose change alone is not published, with fixed values to compare."""
+from .unreadable_rows import UnreadableRows
 
 
 class EndpointRegistry:
@@ -52,8 +47,7 @@
         self.health = health
         self.removed = RemovedEndpoints(clock, removal_retention)
         self.entries: dict[EndpointId, DirectoryEntry] = {}
-        self.unreadable: dict[EndpointId, Row] = {}
-        """The newest rows that cannot be decoded, without their values."""
+        self.unreadable = UnreadableRows()
         self.followed_up_to = NO_VERSION
         """Version up to which all changes were received from the store itself."""
         self.era = NO_VERSION.era
@@ -96,7 +90,7 @@
         started_ms = self.latest_start_ms(endpoint)
         if listed.started_before(started_ms):
             return None
-        self.clear_unreadable(row)
+        self.unreadable.clear(row)
         if listed.started_after(started_ms):
             return self.start_incarnation(row, listed, origin)
         if removal is not None and removal.requires_persistence(row):
@@ -104,33 +98,16 @@
             return None
         if listed.state is ListedState.DRAINING:
             return self.apply_draining(row, listed, origin)
-        if endpoint in self.unreadable:
+        if endpoint in self.unreadable.rows:
             return None
         return self.apply_ready(row, listed, origin)
 
-    def clear_unreadable(self, row: Row) -> None:
-        """Drop an unreadable row that a row of the same or a newer version replaces.
-
-        The version may be the same if a peer sent the row corrupted and the store then
-        returned it intact.
-        """
-        unreadable = self.unreadable.get(EndpointId(row.key))
-        if unreadable is not None and row.version >= unreadable.version:
-            del self.unreadable[EndpointId(row.key)]
-
     def record_unreadable(self, row: Row) -> bool:
-        """Record a row that cannot be decoded; return whether the endpoint had none.
-
-        Without this record, a row that is overwritten every second, read again in a
-        snapshot or sent by all peers would be logged each time.
-        """
-        endpoint = EndpointId(row.key)
-        known, before = self.entries.get(endpoint), self.unreadable.get(endpoint)
+        """Record a row that cannot be decoded; return whether the endpoint had none."""
+        known = self.entries.get(EndpointId(row.key))
         if known is not None and row.version <= known.row.version:
             return False
-        if before is None or row.version > before.version:
-            self.unreadable[endpoint] = replace(row, value=b"")
-        return before is None
+        return self.unreadable.record(row)
 
     def suspend(self, row: Row, origin: UpdateOrigin) -> EndpointChanged | None:
         """Suspend an endpoint whose row was replaced by one that cannot be decoded.
@@ -293,7 +270,7 @@
         # the comparison of versions, nothing would ever restore the endpoint, as the
         # store sends an unchanged row only once.
         self.removed.discard_reappearance(row)
-        self.clear_unreadable(row)
+        self.unreadable.clear(row)
         if known is None:
             self.removed.record(row, confirmed=not self.health.is_uncertain)
             return None
@@ -373,7 +350,7 @@
         it has exited.
         """
         present = {row.key for row in rows}
-        known = dict(self.unreadable)
+        known = dict(self.unreadable.rows)
         reappeared = self.removed.reappeared.values()
         known |= {each.listed.endpoint: each.row for each in reappeared}
         known |= {each.listed.endpoint: each.row for each in self.entries.values()}
@@ -414,11 +391,6 @@
         return tuple(listed + self.removed.confirmed_rows())
 
 
-def equal_except_unreported(first: ListedEndpoint, second: ListedEndpoint) -> bool:
-    """Whether two listings differ at most in fields that are not published."""
-    return replace(first, **UNREPORTED_FIELDS) == replace(second, **UNREPORTED_FIELDS)
-
-
 def removal_of(entry: DirectoryEntry) -> Row:
     """Return the removal of an entry that was kept in use without its row."""
     version = entry.missing_version or entry.row.version
--- a/src/mimosafork/gossip/kinds/feed.py
+++ b/src/mimosafork/gossip/kinds/feed.py
@@ -29,7 +29,7 @@
         return FeedUpdate(RowVersion(0, since), RowVersion(0, since + further))
 
 
-class FeedWordEra:
+class FeedUpdateEra:
     """Adds the era of both versions."""
 
     def pack(self, value: object) -> object:
@@ -49,7 +49,7 @@
         coalesce=timedelta(milliseconds=150),
         relay_after=timedelta(milliseconds=50),
         lifetime=timedelta(seconds=5),
-        extension=FeedWordEra(),
+        extension=FeedUpdateEra(),
     )
 )
 """A word is good for 1.9 s. It goes with other news or a heartbeat where it can, and is
