--- a/tests/unit/directory/test_restored_machine.py
+++ b/tests/unit/directory/test_restored_machine.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, rule
 
-from mimosafork.directory.messages import DirectoryChange, TableChanged
+from mimosafork.directory.messages import DirectoryChange, EndpointState, TableChanged
 from mimosafork.ids import EndpointId
 
 from ...support.functions import function_tests
@@ -19,6 +19,7 @@
 from .test_directory_machine import (
     APPLIED_WITHIN,
     SPANS,
+    USED_WITHIN,
     DirectoryMachine,
 )
 from .test_reader_machine import ReaderMachine
@@ -88,6 +89,8 @@
         super().heard(change)
         if isinstance(change, TableChanged) or change.entry.takes_new_work:
             return
+        if change.entry.state is EndpointState.UNREADABLE:
+            return
         if change.endpoint in self.protected and self.now < self.protected_until:
             life = self.store.lives[change.endpoint]
             assert not self.is_reporting(life), "LOST: dropped by a restore"
@@ -144,6 +147,19 @@
 class RestoredReadersMachine(RestoredStoreMachine, ReaderMachine):
     """The same for an instance whose peers read the feed, and may fail."""
 
+    def teardown(self) -> None:
+        """End all failures; the readers that run must use the same endpoints."""
+        for reader in self.readers:
+            reader.rows.frozen = reader.rows.cut = False
+        self.words_lost = False
+        self.store.become(Condition.CALM, self.now)
+        self.time_passes(USED_WITHIN.total_seconds())
+        for reader in self.readers:
+            entries = reader.directory.endpoints.values()
+            used = {e.listed.endpoint for e in entries if e.takes_new_work}
+            assert reader.dead or used == set(self.usable), "views differ at rest"
+        super().teardown()
+
 
 def test_what_is_used_is_there_whatever_copy_the_store_goes_back_to() -> None:
     """Rows of copies revive no endpoint that left, and no older configuration."""
