Add the messages of a zone's evacuation to the kernel

Cause: the evacuation of a zone and the bound on cold endpoints are built side by side, and both need to know when an evacuation begins and ends. Change: two messages, which nothing posts or handles yet. Evidence: formatter and linter pass.

--- a/src/mimosafork/kernel/messages/routing.py
+++ b/src/mimosafork/kernel/messages/routing.py
@@ -80,3 +80,15 @@
     """Messages from an unreachable availability zone are received again."""
 
     zone: AvailabilityZoneId
+
+
+class ZoneEvacuated(Message, frozen=True):
+    """No request may be sent to the endpoints of an availability zone."""
+
+    zone: AvailabilityZoneId
+
+
+class ZoneEvacuationEnded(Message, frozen=True):
+    """The endpoints of an availability zone, which may be cold, may be used again."""
+
+    zone: AvailabilityZoneId
