Keep bytes for running work while a large fleet exchanges its state

Cause: while a fleet beyond the mesh size starts, its instances choose partners by what each knows so far, and each choice makes the state of all instances due to one more peer. What was due to peers that were partners no longer stayed due: some 10,000 to 19,000 entries at each of 111 instances, which used up the budget of bytes for more than 20 s. Notes of running work share that budget and were late by up to seconds, so that instances placed calls on engines that were full. Ruled out: recipients that don't share the engine (all of those looked at are among its users); a budget that floods use up. Change: state due to a peer that is no partner is dropped, as it arrives through that peer's partners; a quarter of a second's bytes is kept for running work, which only its origin sends.

--- a/src/mimosafork/gossip/links.py
+++ b/src/mimosafork/gossip/links.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..ids import InstanceId
+from .kinds.base import kind_of
 from .ledger import Slot
 from .timing import Timing
 
@@ -151,6 +152,18 @@
         for news in self.flights.pop(number).news:
             self.add(news, now)
 
+    def drop_relayed_news(self) -> None:
+        """Drop the news that a peer receives from its partners.
+
+        While a large fleet starts, its instances choose partners by what each knows so
+        far, and each choice makes the state of all due. The state of those that are no
+        partners any more would use up the budget for tens of seconds.
+        """
+        self.pending = {
+            news: None for news in self.pending if not kind_of(news.slot.kind).relayed
+        }
+        self.sends_all = False
+
     def reset(self) -> None:
         """Forget what was due and on its way, as the peer may be gone."""
         self.pending.clear()
--- a/src/mimosafork/gossip/outbox.py
+++ b/src/mimosafork/gossip/outbox.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..ids import InstanceId
+from .kinds.base import kind_of
 from .ledger import Ledger
 from .links import Flight, Link, News
 from .members import Address, Identity
@@ -24,6 +25,8 @@
 placed calls on the same engine meanwhile."""
 SPARE_SHARE = 0.5
 """Share of a second's bytes that is kept for state."""
+WORK_SHARE = 0.25
+"""Share of a second's bytes that is kept for running work."""
 SECOND = timedelta(seconds=1)
 
 
@@ -68,6 +71,16 @@
             self.left = min(self.left + grown, float(self.bytes_s * BUDGET_SPAN_S))
         self.filled = now
 
+    @property
+    def has_state_bytes(self) -> bool:
+        """Whether there are bytes for state that is relayed.
+
+        The rest is kept for running work, which is published to some peers only and
+        is of use only at once. While a fleet of 111 instances starts, the state of all
+        for new partners is more than the budget of several seconds.
+        """
+        return self.left > self.bytes_s * WORK_SHARE
+
     @property
     def has_spare(self) -> bool:
         """Whether there are bytes for what can wait.
@@ -97,6 +110,11 @@
     gone: list[News]
 
 
+def is_direct(news: News) -> bool:
+    """Return whether news goes only from its origin to the peers that it names."""
+    return not kind_of(news.slot.kind).relayed
+
+
 class Outbox:
     """Builds datagrams.
 
@@ -160,7 +178,7 @@
         loads = self.loads(link, now)
         sent: list[Outgoing] = []
         for load in loads:
-            if sent and self.budget.left <= 0:
+            if sent and not self.budget.has_state_bytes:
                 # News that stays behind is sent in its newest form later: bytes are
                 # saved by skipping states, never by a growing queue.
                 break
@@ -177,9 +195,10 @@
         calls of functions a second in a flood among 64 instances, and 1,728 of 10,588
         at rest (`python -m benchmarks.instance_cost`).
         """
-        if not link.pending or self.budget.left <= 0:
+        due = self.affordable_news(link)
+        if not due:
             return []
-        batch = Batch(tuple(link.pending), link.named)
+        batch = Batch(due, link.named)
         spread = self.spread.get(batch)
         if spread is None:
             spread = self.spread[batch] = self.spread_over(batch, link, now)
@@ -187,6 +206,20 @@
             del link.pending[news]
         return spread.loads
 
+    def can_send(self, link: Link) -> bool:
+        """Return whether there are bytes for what is due on a link."""
+        if self.budget.has_state_bytes:
+            return True
+        return self.budget.left > 0 and any(map(is_direct, link.pending))
+
+    def affordable_news(self, link: Link) -> tuple[News, ...]:
+        """Return the news of a link for whose kinds there are bytes left."""
+        if self.budget.has_state_bytes:
+            return tuple(link.pending)
+        if self.budget.left <= 0:
+            return ()
+        return tuple(news for news in link.pending if is_direct(news))
+
     def spread_over(self, batch: Batch, link: Link, now: timedelta) -> Spread:
         """Spread news over datagrams."""
         items: list[Item] = []
--- a/src/mimosafork/gossip/sending.py
+++ b/src/mimosafork/gossip/sending.py
@@ -61,6 +61,8 @@
         if not self.is_due(name, member, link, now):
             return []
         address = member.identity.address
+        if self.circle.relaying and not self.circle.is_partner(name, now):
+            link.drop_relayed_news()
         link.due = None
         datagrams = self.outbox.flush(address, link, self.flags(name, link), now)
         link.wants_names = False
@@ -83,7 +85,7 @@
             gap = self.timing.probe_gap(self.is_calm(member, now))
             return now - link.sent >= gap
         if link.due is not None and link.due <= now:
-            if self.outbox.budget.left > 0:
+            if self.outbox.can_send(link):
                 return True
             link.due = now + self.timing.heartbeat / RETRIES
         # Heartbeats to all partners go together, so that an idle instance wakes up
