Read the rates that cold endpoints accept, and the settings of their bound

The configuration of a service may state for how long its endpoints are cold after their start, and how many requests per second a cold one accepts. The settings and the template get the factor and the slack of the bound; they are rendered only where a deployment has them. A listing whose remaining cold time rises or ends can be published, which is off unless it is asked for: before, an endpoint that became cold or warm between two reports stayed unnoticed.

The unit tests of the settings, the decoding and the endpoints' rows pass.

--- a/src/mimosafork/directory/endpoint_registry.py
+++ b/src/mimosafork/directory/endpoint_registry.py
@@ -9,7 +9,7 @@
 from ..ids import EndpointId
 from ..routing.listing import ListedEndpoint, ListedState
 from .health import StoreHealth
-from .listing_changes import equal_except_unreported
+from .listing_changes import listing_changed
 from .messages import DirectoryEntry, EndpointChanged, EndpointState, UpdateOrigin
 from .removed_endpoints import RemovedEndpoints
 from .row_version import NO_VERSION, RowVersion
@@ -48,6 +48,8 @@
         self.removed = RemovedEndpoints(clock, removal_retention)
         self.entries: dict[EndpointId, DirectoryEntry] = {}
         self.unreadable = UnreadableRows()
+        self.differs = listing_changed
+        """Whether a row of a ready endpoint differs from the former one."""
         self.followed_up_to = NO_VERSION
         """Version up to which all changes were received from the store itself."""
         self.era = NO_VERSION.era
@@ -239,9 +241,7 @@
         if row.version <= max(known.row.version, known.missing_version or NO_VERSION):
             return None
         self.entries[listed.endpoint] = entry
-        if known.missing_version is None and equal_except_unreported(
-            known.listed, listed
-        ):
+        if known.missing_version is None and not self.differs(known.listed, listed):
             return None
         return EndpointChanged(entry, origin)
 
--- a/src/mimosafork/platform/configuration.py
+++ b/src/mimosafork/platform/configuration.py
@@ -34,6 +34,8 @@
     names.STREAM: CallKind.STREAM,
 }
 MS_PER_S = 1000.0
+MAX_RATE_PER_S = 1e6
+"""Higher rates limit nothing; an infinite one could not be divided."""
 
 
 def decode_configuration(value: bytes) -> RoutingTable:
@@ -118,6 +120,8 @@
         health_path=document.health_path,
         max_connections=document.max_connections,
         engine=None if engine is None else engine_of(engine),
+        cold_duration=duration((document.cold_start_s or 0.0) * MS_PER_S),
+        cold_rate_per_s=min(max(0.0, document.cold_per_s or 0.0), MAX_RATE_PER_S),
     )
 
 
--- a/src/mimosafork/platform/documents.py
+++ b/src/mimosafork/platform/documents.py
@@ -88,6 +88,8 @@
     health_path: str = msgspec.field(name=names.HEALTH_PATH)
     max_connections: int = msgspec.field(name=names.MAX_CONNECTIONS)
     engine: EngineDocument | None = msgspec.field(name=names.ENGINE, default=None)
+    cold_start_s: float | None = msgspec.field(name=names.COLD_START_S, default=None)
+    cold_per_s: float | None = msgspec.field(name=names.COLD_PER_S, default=None)
 
 
 class LimitsDocument(msgspec.Struct, kw_only=True):
--- a/src/mimosafork/routing/table.py
+++ b/src/mimosafork/routing/table.py
@@ -72,12 +72,28 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A set of equivalent endpoints."""
+    """A set of equivalent endpoints.
+
+    Attributes
+    ----------
+    cold_duration : timedelta
+        Time for which an endpoint is cold after its start; zero if it is not stated.
+    cold_rate_per_s : float
+        Requests per second that a cold endpoint accepts from all instances together;
+        zero if it is not stated.
+    """
 
     name: ServiceId
     health_path: str
     max_connections: int
     engine: EngineFigures | None = None
+    cold_duration: timedelta = timedelta(0)
+    cold_rate_per_s: float = 0.0
+
+    @property
+    def has_cold_limit(self) -> bool:
+        """Whether cold endpoints accept only a low request rate."""
+        return self.cold_duration > timedelta(0) and self.cold_rate_per_s > 0.0
 
 
 class ClientLimits(msgspec.Struct, frozen=True):
--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -70,6 +70,15 @@
         default=timedelta(seconds=20),
         description="longest time for which memory is reserved at an engine",
     )
+    cold_factor: Annotated[float, Field(ge=0)] | None = Field(
+        default=None,
+        description="most requests of all instances that a cold endpoint gets in any "
+        "second, as a multiple of the rate that the configuration states for its "
+        "service; if absent, endpoints get as many as warm ones",
+    )
+    cold_slack: Annotated[float, Field(ge=0)] = Field(
+        default=0.0, description="requests that a cold endpoint may get beyond that"
+    )
 
 
 class GatewayLoggingSection(Section):
--- a/tests/support/directories.py
+++ b/tests/support/directories.py
@@ -76,12 +76,12 @@
 
 
 class ScriptedEndpoints(ScriptedSource):
-    """A source whose row values are state, address and start time."""
+    """A source whose row values are state, address, start time and cold time."""
 
     def decode(self, row: Row) -> ListedEndpoint:
         """Return a listing of that state; the row version is its sequence number."""
         state_name, *rest = row.value.decode().split(" ")
-        address, started = [*rest, "", ""][:2]
+        address, started, cold_ms = [*rest, "", "", ""][:3]
         try:
             state = ListedState(state_name)
         except ValueError as error:
@@ -95,6 +95,7 @@
             state=state,
             sequence=row.version.number,
             started_ms=int(started) if started else None,
+            cold_remaining=timedelta(milliseconds=int(cold_ms or 0)),
         )
 
 
--- a/tests/unit/directory/test_endpoints.py
+++ b/tests/unit/directory/test_endpoints.py
@@ -4,6 +4,10 @@
 from unittest import TestCase
 
 from mimosafork.directory.errors import HistoryExpiredError, StoreUnavailableError
+from mimosafork.directory.listing_changes import (
+    listing_changed,
+    listing_or_coldness_changed,
+)
 from mimosafork.directory.messages import EndpointState
 from mimosafork.ids import EndpointId
 
@@ -36,6 +40,20 @@
         case.assertEqual(["a ready", "a ready"], world.summaries())
 
 
+def test_a_cold_endpoint_is_published_only_where_this_matters() -> None:
+    """An endpoint that becomes cold, is cold again or is warm changes its listing.
+
+    The remaining time counts down with each report, which must not be published.
+    """
+    for differs, published in ((listing_changed, 1), (listing_or_coldness_changed, 4)):
+        with directory_world() as world:
+            world.directory.endpoint_registry.differs = differs
+            for number, cold_ms in enumerate((0, 3000, 1800, 600, 2500, 0, 0)):
+                row = listed("a", 4 + number, f"ready 10.0.0.1:80 1 {cold_ms}")
+                world.endpoints(page(9 + number, row))
+            case.assertEqual(["a ready"] * published, world.summaries())
+
+
 def test_draining_and_removal_take_effect_at_once() -> None:
     with directory_world() as world:
         world.endpoints(page(9, listed("a", 4), listed("b", 5)))
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -139,6 +139,26 @@
     case.assertEqual(EndpointId("i-1"), listed.endpoint)
 
 
+def test_a_service_states_for_how_long_and_how_much_its_endpoints_are_cold() -> None:
+    """Absent, empty and negative values must bound nothing, and huge ones not fail."""
+    for start_s, per_s, expected in (
+        (3.0, 26.0, (timedelta(seconds=3), 26.0)),
+        (None, None, (timedelta(0), 0.0)),
+        (0, 0, (timedelta(0), 0.0)),
+        (-1.0, -2.0, (timedelta(0), 0.0)),
+        (1e300, 1e300, (timedelta(days=30), 1e6)),
+    ):
+        stated = {"cold-start-s": start_s, "cold-per-s": per_s}
+        service = configuration()["services"][0] | stated
+        value = json.dumps(configuration(services=[service])).encode()
+        decoded = decode_configuration(value).services[ServiceId("s")]
+        case.assertEqual(expected, (decoded.cold_duration, decoded.cold_rate_per_s))
+    decoded = decode_configuration(json.dumps(configuration()).encode()).services[
+        ServiceId("s")
+    ]
+    case.assertFalse(decoded.has_cold_limit)
+
+
 def test_bad_configurations_raise_the_layers_own_error() -> None:
     """One message for the follower, however a document is broken.
 
--- a/tests/unit/settings/test_gateway_settings.py
+++ b/tests/unit/settings/test_gateway_settings.py
@@ -43,12 +43,24 @@
 }
 """What the platform puts into the template's places."""
 
+COLD_BOUNDS = {"bounds.cold-over": "1.5", "bounds.cold-slack": "5"}
+"""Values that only some deployments have."""
+
+SECTION = re.compile(r"\{\{#([a-z0-9.-]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 PLACE = re.compile(r"\{\{([a-z0-9.-]+)\}\}")
 
 
-def filled_template() -> str:
-    """Return the template with its places filled; an unknown place is an error."""
-    return PLACE.sub(lambda place: FILLED[place[1]], TEMPLATE.read_text("utf-8"))
+def filled_template(**further: str) -> str:
+    """Return the template with its places filled; an unknown place is an error.
+
+    Sections of values that the deployment does not have are left out.
+    """
+    values = FILLED | further
+    text = SECTION.sub(
+        lambda section: section[2] if section[1] in values else "",
+        TEMPLATE.read_text("utf-8"),
+    )
+    return PLACE.sub(lambda place: values[place[1]], text)
 
 
 def faults_in(text: str) -> list[str]:
@@ -79,6 +91,28 @@
     case.assertEqual(102, settings.bounds.retry_slack)
 
 
+def test_the_bound_of_cold_endpoints_is_set_where_the_deployment_has_it() -> None:
+    """A deployment without the values must start, and treat no endpoint as cold."""
+    bounds = parse_gateway_settings(filled_template(**COLD_BOUNDS)).bounds
+    case.assertEqual((1.5, 5), (bounds.cold_factor, bounds.cold_slack))
+    bounds = parse_gateway_settings(filled_template()).bounds
+    case.assertEqual((None, 0), (bounds.cold_factor, bounds.cold_slack))
+
+
+def test_the_bound_of_cold_endpoints_is_checked() -> None:
+    """A negative bound would let no request through."""
+    text = filled_template(**{"bounds.cold-over": "-0.5", "bounds.cold-slack": "-1"})
+    case.assertEqual(
+        [
+            "f.ini: [bounds] cold_factor: '-0.5': input should be greater than or "
+            "equal to 0",
+            "f.ini: [bounds] cold_slack: '-1': input should be greater than or equal "
+            "to 0",
+        ],
+        faults_in(text),
+    )
+
+
 def test_a_deployment_that_knows_no_instance_yet_has_no_seeds() -> None:
     text = filled_template().replace(FILLED["seeds"], "")
     case.assertEqual((), parse_gateway_settings(text).gossip.seeds)
