Bound the requests that an endpoint gets while it may be cold

An endpoint that is cold crashes at a rate that a warm one takes. An endpoint that may be cold is used with a permit only. A warm one without a free permit costs a placement about half of what a late answer costs, and its requests count.

A placement does one check more where no factor is set.

--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -354,6 +354,7 @@
         "backing-off": "wanted no calls when the call was to be sent",
         "peer-failed": "ran it for this instance and sent no whole answer",
         "rate-limited": "had reached its rate limit when the call was to be sent",
+        "cold": "might be cold and took no further call when this was to be sent",
     }.get(kind, kind)
     after = line.number("events")
     seen = f" after {after} events" if after else ""
--- a/src/mimosafork/explain/events.py
+++ b/src/mimosafork/explain/events.py
@@ -1,6 +1,12 @@
 """Codes of the events that explanations know."""
 
-from ..telemetry.catalogue import directory, gateway, gossip, lifecycle
+from ..telemetry.catalogue import (
+    cold_endpoints,
+    directory,
+    gateway,
+    gossip,
+    lifecycle,
+)
 
 SERVED = gateway.CALL_ENDED.code
 NOT_SERVED = gateway.CALL_NOT_SERVED.code
@@ -19,6 +25,11 @@
 UNREADABLE = directory.ENTRY_UNREADABLE.code
 PULLED = gossip.GOSSIP_PULLED.code
 
+COLD_BOUNDS = frozenset(
+    {cold_endpoints.COLD_BOUND_ENFORCED.code, cold_endpoints.COLD_BOUND_LIFTED.code}
+)
+"""Lines of which endpoints may be cold; each names several."""
+
 CALL_EVENTS = ATTEMPT_FAILURES | {
     SERVED,
     NOT_SERVED,
--- a/src/mimosafork/explain/stories.py
+++ b/src/mimosafork/explain/stories.py
@@ -214,7 +214,9 @@
     """Return whether a line may matter to a call that used some endpoints."""
     if line.event in events.CALL_EVENTS:
         return False
-    return line.event in events.SURROUNDINGS or line.fields.get("endpoint") in used
+    if line.event in events.SURROUNDINGS or line.fields.get("endpoint") in used:
+        return True
+    return line.event in events.COLD_BOUNDS and not used.isdisjoint(endpoints_of(line))
 
 
 def lifetime(own: Sequence[LogLine]) -> tuple[str, str]:
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -55,8 +55,8 @@
 from .open_attempts import OpenAttempts
 from .order_client import OrderClient
 from .policies.fleet_view import FleetView
-from .policies.rate_limits import EndpointRateLimits
 from .policies.send_gate import EndpointSendGate
+from .policies.send_permits import SendPermits
 from .pool import ConnectionPool
 from .problems import DEFAULT_RETRY_AFTER
 from .request_reader import RequestMessage
@@ -97,9 +97,8 @@
         self.random = random
         self.table = table
         self.pool = ConnectionPool(clock)
-        send_gate = EndpointSendGate(
-            kernel.plugin(FleetView), kernel.plugin(EndpointRateLimits)
-        )
+        permits = SendPermits.of(kernel.plugin)
+        send_gate = EndpointSendGate(kernel.plugin(FleetView), permits)
         instance = kernel.state.identity.instance
         self.attempt_context = AttemptContext(
             clock, self.pool, dialect, self.post, send_gate, instance
--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -9,6 +9,7 @@
 
 from ..ids import ServiceId
 from ..quarantine.register import QuarantineState
+from ..telemetry.catalogue.cold_endpoints import COLD_REFUSALS, ENDPOINTS_COLD
 from ..telemetry.catalogue.contents import CONTENTS_QUARANTINED, CONTENTS_SUSPECTED
 from ..telemetry.catalogue.directory import ENDPOINTS_HELD, STORE_ERA
 from ..telemetry.catalogue.gateway import (
@@ -38,6 +39,7 @@
 from ..telemetry.readings import Reading, ReadingSource
 from .gateway import Gateway
 from .instance_view import LiveInstanceView
+from .policies.cold_endpoints import ColdEndpoints
 from .policies.connectivity import EndpointConnectivity
 from .policies.peer_forwarding import PeerForwarding
 from .policies.quarantining import CrashQuarantine
@@ -99,6 +101,8 @@
         registry.observe(ENDPOINTS_KNOWN, self.endpoints)
         registry.observe(ENDPOINTS_HELD, self.held_endpoints)
         registry.observe(STORE_ERA, self.store_era)
+        registry.observe(ENDPOINTS_COLD, self.cold_endpoints)
+        registry.observe(COLD_REFUSALS, self.cold_refusals)
         registry.observe(REPEATS_LEFT, lambda: self.per_service(self.retries_left))
         registry.observe(
             REPEATS_SENT,
@@ -207,6 +211,15 @@
         entries = self.instance_view.directory.endpoints.values()
         return [Reading(sum(each.missing_version is not None for each in entries))]
 
+    def cold_endpoints(self) -> Iterable[Reading]:
+        """Return the number of endpoints that may be cold."""
+        cold = self.gateway.kernel.plugin(ColdEndpoints)
+        return [Reading(len(cold.enforced(self.gateway.clock.monotonic())))]
+
+    def cold_refusals(self) -> Iterable[Reading]:
+        """Return the number of calls refused because endpoints may be cold."""
+        return [Reading(self.gateway.kernel.plugin(ColdEndpoints).refused)]
+
     def store_era(self) -> Iterable[Reading]:
         """Return the era of the store."""
         era = self.instance_view.directory.era.current
--- a/src/mimosafork/gateway/policies/__init__.py
+++ b/src/mimosafork/gateway/policies/__init__.py
@@ -3,6 +3,7 @@
 from . import (
     backoff_waits,
     catching_up,
+    cold_endpoints,
     connectivity,
     endpoint_statements,
     fleet_view,
@@ -25,6 +26,7 @@
     catching_up.CatchUp.name,
     quarantining.CrashQuarantine.name,
     rate_limits.EndpointRateLimits.name,
+    cold_endpoints.ColdEndpoints.name,
     rate_limit_admission.RateLimitAdmission.name,
     backoff_waits.BackoffAdmission.name,
     placing.WorkPlacer.name,
--- a/src/mimosafork/gateway/policies/capacity_waits.py
+++ b/src/mimosafork/gateway/policies/capacity_waits.py
@@ -12,7 +12,7 @@
 from .fleet_view import EndpointHealth
 from .placement_requests import MAX_WAIT_SHARE, RETRY_AFTER, overloaded_problem
 from .rate_limit_waits import rate_limit_wait
-from .rate_limits import EndpointRateLimits
+from .send_permits import SendPermits
 
 
 class CapacityWaits:
@@ -20,13 +20,13 @@
 
     Attributes
     ----------
-    rate_limits : EndpointRateLimits
+    permits : SendPermits
     since : dict of RequestId to timedelta
         Monotonic instant since which each call waits.
     """
 
     def __init__(self) -> None:
-        self.rate_limits = EndpointRateLimits()
+        self.permits = SendPermits()
         self.since: dict[RequestId, timedelta] = {}
 
     def forget(self, request_id: RequestId) -> None:
@@ -59,11 +59,11 @@
             if end > latest:
                 return refuse_until(end, now)
             return Wait(Shortage.BACKOFF.value)
-        if not self.rate_limits.limited:
+        if not self.permits.may_hold_back(now):
             return Wait(choice.reason.value)
-        return self._wait_for_rate(record, choice, endpoints, latest, context)
+        return self._wait_for_permit(record, choice, endpoints, latest, context)
 
-    def _wait_for_rate(
+    def _wait_for_permit(
         self,
         record: RequestRecord,
         choice: WaitForCapacity,
@@ -71,17 +71,17 @@
         latest: timedelta,
         context: Context,
     ) -> Placement:
-        """Refuse a call at once if rate limits leave it no permit in time."""
+        """Refuse a call at once if no permit is left for it in time."""
         now = context.now
         views = [each.view(now) for each in endpoints]
-        shares = [self.rate_limits.limit(view.endpoint, now) for view in views]
         queue = context.state.waiting.waiting_for(ServiceId(record.request.target))
         before = [self.since.get(each.request_id) for each in queue]
         since = self.since[record.request_id]
         ahead = sum(at is not None and at < since for at in before)
-        wait = rate_limit_wait(views, shares, ahead, now)
+        wait = rate_limit_wait(views, self.permits.sources(views, now), ahead, now)
         if wait is None:
             return Wait(choice.reason.value)
         if wait.until is None or wait.until > latest:
-            return Refuse(overloaded_problem(Shortage.RATE.value, wait.retry_after))
+            reason = self.permits.note_refused(views, now)
+            return Refuse(overloaded_problem(reason.value, wait.retry_after))
         return Wait(Shortage.RATE.value)
--- /dev/null
+++ b/src/mimosafork/gateway/policies/cold_endpoint.py
@@ -0,0 +1,128 @@
+"""What one instance knows of one endpoint that may become cold."""
+
+from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
+
+from msgspec.structs import replace
+
+from ...placement.choice import EngineView
+from ...routing.listing import ListedEndpoint
+from .limited_endpoint import LimitedEndpoint
+
+MIN_REPORT_INTERVAL = timedelta(milliseconds=600)
+"""Endpoints report about every 1.2 s, and at once when something changes."""
+
+
+class ColdReason(Enum):
+    """Why an endpoint may be cold."""
+
+    STATED = "stated"
+    """Its row says so."""
+    LISTED = "listed"
+    """It, or this incarnation of it, is new in the list."""
+    FAILED = "failed"
+    """It was unreachable, or broke a connection."""
+    EVACUATED = "evacuated"
+    """The evacuation of its zone has ended."""
+    UNCONFIRMED = "unconfirmed"
+    """Neither the store nor a peer has confirmed the list recently."""
+
+
+class ColdEndpoint:
+    """An endpoint of a service whose cold endpoints accept only a low rate.
+
+    Attributes
+    ----------
+    listed : ListedEndpoint
+    duration : timedelta
+        Time for which an endpoint of the service is cold.
+    permits : LimitedEndpoint
+        This instance's permits; requests beyond them are counted too.
+    evidence : ColdReason
+        The latest evidence, apart from its row.
+    evidence_until : timedelta
+        Monotonic instant.
+    share_due : timedelta
+        When the share of the permits is to be looked up again.
+    gone_at : timedelta or None
+        Since when it is not listed as ready.
+    """
+
+    def __init__(
+        self, listed: ListedEndpoint, duration: timedelta, permits: LimitedEndpoint
+    ) -> None:
+        self.listed = listed
+        self.duration = duration
+        self.permits = permits
+        self.evidence = ColdReason.LISTED
+        self.evidence_until = timedelta(0)
+        self.share_due = timedelta(0)
+        self.gone_at: timedelta | None = None
+        self.view_state: ViewState | None = None
+        self.derived: EngineView | None = None
+
+    def note(self, reason: ColdReason, now: timedelta) -> None:
+        """Record evidence that the endpoint may have started just now."""
+        self.note_until(reason, now + self.duration)
+
+    def note_listed(self, now: timedelta) -> None:
+        """Record that the endpoint is new in the list.
+
+        The number of its reports shows how long it has run at least. Without this, an
+        instance that has just started would have to take all endpoints for new ones.
+        """
+        reports = max(0, self.listed.sequence - 1)
+        # Sequence numbers may be large enough to overflow a duration.
+        age = min(reports, self.duration // MIN_REPORT_INTERVAL + 1)
+        self.note_until(
+            ColdReason.LISTED, now + self.duration - age * MIN_REPORT_INTERVAL
+        )
+
+    def note_until(self, reason: ColdReason, until: timedelta) -> None:
+        """Record evidence that lasts until an instant."""
+        if until > self.evidence_until:
+            self.evidence = reason
+            self.evidence_until = until
+
+    def reason(self, now: timedelta) -> ColdReason | None:
+        """Return why the endpoint itself may be cold; None if nothing indicates it."""
+        if self.listed.cold_remaining > timedelta(0):
+            return ColdReason.STATED
+        return self.evidence if now < self.evidence_until else None
+
+    def view(self, view: EngineView, unconfirmed: bool, now: timedelta) -> EngineView:
+        """Return the view for placement, with what the permits allow now.
+
+        An endpoint whose list is unconfirmed may still prefill parts for others: that
+        is no request, and without it no long prompt would be served in time during an
+        outage of the store.
+        """
+        free = self.permits.available(now)
+        has_evidence = self.reason(now) is not None
+        if free and not has_evidence:
+            return view
+        derived = ViewState(view, free, has_evidence, unconfirmed)
+        if self.view_state != derived or self.derived is None:
+            self.view_state = derived
+            self.derived = self._derive(derived)
+        return self.derived
+
+    def _derive(self, state: "ViewState") -> EngineView:
+        view = state.view
+        if not (state.has_evidence or state.unconfirmed):
+            return replace(view, permitted=False)
+        return replace(
+            view,
+            usable=view.usable and state.free,
+            rate_limited=view.rate_limited or state.has_evidence,
+        )
+
+
+class ViewState(NamedTuple):
+    """What a derived view depends on."""
+
+    view: EngineView
+    free: bool
+    has_evidence: bool
+    unconfirmed: bool
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -56,9 +56,9 @@
     placement_request,
 )
 from .quarantining import CrashQuarantine
-from .rate_limits import EndpointRateLimits
 from .reserving import MemoryKeeper
 from .retrying import RETRY_BUDGET_EXHAUSTED, BudgetedRetry
+from .send_permits import SendPermits
 
 MIN_PUBLISHED_PREFILL_MS = 100.0
 """The end of a prefill is published to peers if a part takes an engine this long."""
@@ -86,7 +86,7 @@
         self.memory = MemoryKeeper()
         self.quarantine = CrashQuarantine()
         self.retry = BudgetedRetry()
-        self.rate_limits = EndpointRateLimits()
+        self.permits = SendPermits()
         self.forwarding = PeerForwarding()
         self.load_tracker = LoadTracker()
         self.engine_subset: Callable[[Sequence[EngineView]], Sequence[EngineView]] = (
@@ -106,10 +106,10 @@
         self.memory = find(MemoryKeeper) or self.memory
         self.quarantine = find(CrashQuarantine) or self.quarantine
         self.retry = find(BudgetedRetry) or self.retry
-        self.rate_limits = find(EndpointRateLimits) or self.rate_limits
+        self.permits = SendPermits.of(find)
         self.forwarding = find(PeerForwarding) or self.forwarding
-        self.rate_limits.in_flight = self.load_tracker.own
-        self.waits.rate_limits = self.rate_limits
+        self.permits.rate_limits.in_flight = self.load_tracker.own
+        self.waits.permits = self.permits
 
     def place(self, record: RequestRecord, context: Context) -> Placement:
         """Return the placement of a call."""
@@ -155,7 +155,7 @@
         subset too: only few instances have a share, and often none whose subset has the
         engine.
         """
-        eligible = self.rate_limits.eligible(views, now)
+        eligible = self.permits.eligible(views, now)
         if figures is None:
             return eligible
         subset = self.engine_subset(eligible)
@@ -203,7 +203,7 @@
         """Track the load of an assigned call and publish it to peers."""
         work = place.to_in_flight_request(ask, context.now)
         self.load_tracker.record(work)
-        self.rate_limits.reserve(work.request, work.host)
+        self.permits.reserve(work.request, work.host)
         self._note_placed(work.host, context.now)
         self.placed_attempts[work.request] = AttemptNumber(len(record.attempts) + 1)
         self.waits.forget(record.request_id)
--- a/src/mimosafork/gateway/policies/rate_limit_admission.py
+++ b/src/mimosafork/gateway/policies/rate_limit_admission.py
@@ -1,4 +1,4 @@
-"""Refusal of calls that would wait too long for a rate limit."""
+"""Refusal of calls that would wait too long for a permit."""
 
 from typing import ClassVar
 
@@ -7,11 +7,10 @@
 from ...kernel.plugins import PluginFinder, Proceed, Refuse, ReviewDecision, Stage
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
-from ...placement.choice import Shortage
 from .fleet_view import FleetView
 from .placement_requests import MAX_WAIT_SHARE, overloaded_problem
 from .rate_limit_waits import rate_limit_wait
-from .rate_limits import EndpointRateLimits
+from .send_permits import SendPermits
 
 
 @register("rate-limit-admission")
@@ -25,23 +24,24 @@
 
     def __init__(self) -> None:
         self.fleet: FleetView | None = None
-        self.limits: EndpointRateLimits | None = None
+        self.permits = SendPermits()
 
     def resolve_dependencies(self, find: PluginFinder) -> None:
         """Look up the plug-ins that this one uses."""
         self.fleet = find(FleetView)
-        self.limits = find(EndpointRateLimits)
+        self.permits = SendPermits.of(find)
 
     def review(self, record: RequestRecord, context: Context) -> ReviewDecision:
         """Return the decision on a new call."""
-        if self.fleet is None or self.limits is None or not self.limits.limited:
+        now = context.now
+        if self.fleet is None or not self.permits.may_hold_back(now):
             return Proceed()
-        service, now = ServiceId(record.request.target), context.now
+        service = ServiceId(record.request.target)
         views = [each.view(now) for each in self.fleet.service_endpoints(service)]
-        shares = [self.limits.limit(view.endpoint, now) for view in views]
         ahead = len(context.state.waiting.waiting_for(service))
-        wait = rate_limit_wait(views, shares, ahead, now)
+        wait = rate_limit_wait(views, self.permits.sources(views, now), ahead, now)
         allowed = (record.request.deadline - now) * MAX_WAIT_SHARE
         if wait is None or (wait.until is not None and wait.until <= now + allowed):
             return Proceed()
-        return Refuse(overloaded_problem(Shortage.RATE.value, wait.retry_after))
+        reason = self.permits.note_refused(views, now)
+        return Refuse(overloaded_problem(reason.value, wait.retry_after))
--- a/src/mimosafork/gateway/policies/rate_limit_waits.py
+++ b/src/mimosafork/gateway/policies/rate_limit_waits.py
@@ -1,4 +1,4 @@
-"""Calls that wait for a rate limit, and those that would wait too long."""
+"""Calls that wait for a permit, and those that would wait too long."""
 
 from collections.abc import Iterable, Sequence
 from datetime import timedelta
@@ -6,14 +6,14 @@
 import msgspec
 
 from ...placement.choice import EngineView
-from .limited_endpoint import LimitedEndpoint
+from .send_permits import PermitSource
 
 SECOND = timedelta(seconds=1)
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
 
 
 class RateLimitWait(msgspec.Struct, frozen=True):
-    """When a call could be placed if all usable endpoints have rate limits.
+    """When a call could be placed if all usable endpoints need permits.
 
     Attributes
     ----------
@@ -29,28 +29,33 @@
 
 def rate_limit_wait(
     views: Sequence[EngineView],
-    limited: Iterable[LimitedEndpoint | None],
+    sources: Iterable[PermitSource | None],
     ahead: int,
     now: timedelta,
 ) -> RateLimitWait | None:
-    """Return the wait of a call, None unless it waits for rate limits alone.
+    """Return the wait of a call, None unless it waits for permits alone.
 
     Parameters
     ----------
     views : sequence of EngineView
-        Endpoints of the service, usable apart from their limits or not.
-    limited : iterable of LimitedEndpoint or None
-        This instance's share at each of them; None without a limit.
+        Endpoints of the service, usable apart from their permits or not.
+    sources : iterable of PermitSource or None
+        This instance's permits for each of them; None if it is used without.
     ahead : int
         Calls that were waiting before.
     """
-    usable = [share for view, share in zip(views, limited, strict=True) if view.usable]
-    shares = [share for share in usable if share is not None]
-    if not shares or len(shares) < len(usable):
+    needed = []
+    for view, source in zip(views, sources, strict=True):
+        if not view.usable:
+            continue
+        if source is None:
+            return None
+        needed.append(source)
+    if not needed:
         return None
-    sends = sorted(at for share in shares for at in share.next_sends(now))
+    sends = sorted(at for source in needed for at in source.next_sends(now))
     until = sends[ahead] if ahead < len(sends) else None
-    retry_after = SECOND / sum(share.per_s for share in shares)
+    retry_after = SECOND / sum(source.per_s for source in needed)
     if until is not None:
         retry_after = min(retry_after, until - now)
     return RateLimitWait(until, max(MIN_RETRY_AFTER, retry_after))
--- a/src/mimosafork/gateway/policies/rate_limits.py
+++ b/src/mimosafork/gateway/policies/rate_limits.py
@@ -23,6 +23,7 @@
 from ...kernel.registry import register
 from ...placement.choice import EngineView
 from ...placement.load_tracker import InFlightRequest
+from .fleet_allowance import fleet_allowance
 from .limited_endpoint import LimitedEndpoint
 from .rate_limit_log import RateLimitLog
 from .retry_budget import SlackShare
@@ -177,11 +178,12 @@
             return
         share = self.share_of(endpoint)
         self.shares_due[endpoint] = now + SHARE_REFRESH
+        allowance = fleet_allowance(per_s)
         limited = self.limited.get(endpoint)
         if limited is not None:
-            limited.change(per_s, share, now)
+            limited.change(allowance, share, now)
             return
-        limited = LimitedEndpoint(per_s, share, now, context.random)
+        limited = LimitedEndpoint(allowance, share, now, context.random)
         self.limited[endpoint] = limited
         # Requests without a response may still be on their way to the endpoint.
         for each in self.in_flight.values():
--- a/src/mimosafork/gateway/policies/retry_budget.py
+++ b/src/mimosafork/gateway/policies/retry_budget.py
@@ -51,7 +51,11 @@
         Rounding fractions up instead would exceed the slack in a fleet that has more
         instances than the slack has retries.
         """
-        if not self.known or self.restarted_at is not None:
+        return 0 if self.restarted_at is not None else self.ranked_portion_of(slack)
+
+    def ranked_portion_of(self, slack: float) -> int:
+        """Return whole requests by rank, also for an instance that has just started."""
+        if not self.known:
             return 0
         each, rest = divmod(int(slack), self.instances)
         return each + (self.rank < rest)
--- a/src/mimosafork/gateway/policies/send_gate.py
+++ b/src/mimosafork/gateway/policies/send_gate.py
@@ -6,7 +6,7 @@
 from ...kernel.messages.attempts import FailureKind
 from ...kernel.messages.dispatch import Dispatch
 from .fleet_view import FleetView
-from .rate_limits import EndpointRateLimits
+from .send_permits import SendPermits
 
 
 class EndpointSendGate:
@@ -15,23 +15,21 @@
     An attempt may wait for a connection between its placement and its sending.
     """
 
-    def __init__(self, fleet: FleetView, limits: EndpointRateLimits) -> None:
+    def __init__(self, fleet: FleetView, permits: SendPermits) -> None:
         self.fleet = fleet
-        self.limits = limits
+        self.permits = permits
 
     def tracks(self, endpoint: EndpointId) -> bool:
         """Return whether an endpoint has stated a rate limit."""
-        return self.limits.tracks(endpoint)
+        return self.permits.rate_limits.tracks(endpoint)
 
     def objection(self, dispatch: Dispatch, now: timedelta) -> FailureKind | None:
         """Count a request that is about to be sent; return why it may not be."""
         if dispatch.endpoint in self.fleet.departed:
-            self.limits.release(dispatch.request_id)
+            self.permits.release(dispatch.request_id)
             return FailureKind.DRAINING
         known = self.fleet.endpoints.get(dispatch.endpoint)
         if known is not None and known.backoff.active(now):
-            self.limits.release(dispatch.request_id)
+            self.permits.release(dispatch.request_id)
             return FailureKind.BACKING_OFF
-        if not self.limits.admit(dispatch, now):
-            return FailureKind.RATE_LIMITED
-        return None
+        return self.permits.objection(dispatch, now)
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -45,6 +45,7 @@
 )
 from ..telemetry.logs import PACKAGE_LOGGER, log_event
 from .call_metrics import CallMetrics
+from .cold_setup import bound_cold_endpoints
 from .dialect import Dialect
 from .draining import POLL_INTERVAL, drain
 from .fleet_shares import FleetShares
@@ -56,6 +57,7 @@
 from .instance_view import LiveInstanceView, milliseconds
 from .metrics_page import MetricsConnection, create_metrics
 from .policies import PLUGINS
+from .policies.cold_endpoints import ColdEndpoints
 from .policies.fleet_view import FleetView
 from .policies.placing import WorkPlacer
 from .policies.quarantining import CrashQuarantine
@@ -292,6 +294,8 @@
         retry.window = bounds.retry_window
         retry.slack_share = self.shares.of_retries
         self.kernel.plugin(EndpointRateLimits).share_of = self.shares.of_endpoint
+        cold = self.kernel.plugin(ColdEndpoints)
+        bound_cold_endpoints(cold, bounds, self.directory, self.shares, self.clock)
         self.shares.settle_time = bounds.retry_window + MAX_RETRY_TRANSIT
         self.kernel.plugin(MemoryKeeper).longest_hold = bounds.longest_hold
 
--- a/src/mimosafork/gossip/census.py
+++ b/src/mimosafork/gossip/census.py
@@ -147,12 +147,16 @@
         one more than there are had a part. It stands last until all have heard it, as
         long as those that are cut off count.
         """
-        lasted = now - self.began_at if self.began_at is not None else timedelta(0)
-        if self.joins and lasted < KEPT:
+        if self.stands_last(now):
             return len(self.seen)
         own = order(me)
         return sum(order(name) < own for name in self.seen)
 
+    def stands_last(self, now: timedelta) -> bool:
+        """Return whether this instance ranks last, as it is new in its fleet."""
+        lasted = now - self.began_at if self.began_at is not None else timedelta(0)
+        return self.joins and lasted < KEPT
+
     @property
     def instances(self) -> int:
         """Instances that count, this one included."""
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -41,6 +41,8 @@
     """The endpoint has begun to drain since the attempt was placed."""
     RATE_LIMITED = "rate-limited"
     """The endpoint's rate limit allows no further request of this instance now."""
+    COLD = "cold"
+    """The endpoint may be cold, and this instance has no permit for it now."""
     PEER_FAILED = "peer-failed"
     """The entry instance that ran the call for this one sent no complete answer."""
     SUPERSEDED = "superseded"
--- a/src/mimosafork/placement/choice.py
+++ b/src/mimosafork/placement/choice.py
@@ -67,6 +67,8 @@
         Still slow after its start.
     rate_limited : bool
         Accepts only so many requests per second from all instances together.
+    permitted : bool
+        Whether it is used before those that are used only rather than being late.
     """
 
     endpoint: EndpointId
@@ -78,6 +80,7 @@
     slowdown: float = 1.0
     cold: bool = False
     rate_limited: bool = False
+    permitted: bool = True
 
 
 class Helper(msgspec.Struct, frozen=True):
@@ -142,6 +145,7 @@
     TIME = "the time that is left is too short"
     TURN = "older prompts are being read"
     RATE = "the rate limits of all endpoints are reached"
+    COLD = "endpoints may be cold and take no further request now"
     BACKOFF = "all endpoints have requested a backoff"
 
 
--- a/src/mimosafork/placement/plain.py
+++ b/src/mimosafork/placement/plain.py
@@ -18,6 +18,9 @@
 SUSPECT_BUSY = 10.0
 """Added to the load of a suspect endpoint, as a multiple of its slots."""
 
+UNPERMITTED_BUSY = 0.5
+"""Added to the load of an endpoint without a free permit, in the same unit."""
+
 
 def choose_plain(
     request: PlacementRequest,
@@ -47,6 +50,8 @@
         load = (running + 1) * slowdown_of(view) / max(1, view.slots)
         if view.suspect:
             load += SUSPECT_BUSY
+        if not view.permitted:
+            load += UNPERMITTED_BUSY
         return load, view.zone != request.zone, random.random()
 
     best = min(usable, key=rank)
--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -40,6 +40,9 @@
 NOISE_COST = 0.05
 """Maximum random cost, so that instances without each other's latest requests choose
 different engines."""
+UNPERMITTED_COST = 0.4
+"""Cost of a host without a free permit: about half the loss of a late answer to a short
+prompt, so that answers aren't late for it."""
 DELAY_COST_PER_MS = 0.0002
 """Cost of each millisecond until the first token, per unit of the request's value."""
 SHORT_PREFILL_MS = 200.0
@@ -139,7 +142,9 @@
         ]
         host_costs = pause_loss_costs(request, states)
         self.host_costs = [
-            pause_cost + race_cost(state, races)
+            pause_cost
+            + race_cost(state, races)
+            + (0.0 if state.view.permitted else UNPERMITTED_COST)
             for state, pause_cost in zip(states, host_costs, strict=True)
         ]
 
--- a/tests/support/simulated_state.py
+++ b/tests/support/simulated_state.py
@@ -14,10 +14,10 @@
 from mimosafork.gateway.intake import CallRefusal
 from mimosafork.gateway.policies import PLUGINS
 from mimosafork.gateway.policies.fleet_view import FleetView
-from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
 from mimosafork.gateway.policies.retry_budget import SlackShare
 from mimosafork.gateway.policies.retrying import BudgetedRetry
 from mimosafork.gateway.policies.send_gate import EndpointSendGate
+from mimosafork.gateway.policies.send_permits import SendPermits
 from mimosafork.ids import (
     EndpointId,
     Incarnation,
@@ -94,7 +94,7 @@
         self.reported_draining: set[EndpointId] = set()
         self.backoff_ends: dict[EndpointId, timedelta] = {}
         self.send_gate = EndpointSendGate(
-            self.kernel.plugin(FleetView), self.kernel.plugin(EndpointRateLimits)
+            self.kernel.plugin(FleetView), SendPermits.of(self.kernel.plugin)
         )
         self.calls: dict[RequestId, ModelCall] = {}
         self.refusals: list[CallRefusal] = []
--- a/tests/unit/gateway/test_doubtful_connections.py
+++ b/tests/unit/gateway/test_doubtful_connections.py
@@ -20,8 +20,8 @@
 )
 from mimosafork.gateway.heads import Header, RequestHead
 from mimosafork.gateway.policies.fleet_view import FleetView
-from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
 from mimosafork.gateway.policies.send_gate import EndpointSendGate
+from mimosafork.gateway.policies.send_permits import SendPermits
 from mimosafork.gateway.pool import ConnectionPool, ConnectionRequest
 from mimosafork.gateway.request_reader import RequestMessage
 from mimosafork.gateway.response_reader import ResponseHead
@@ -118,7 +118,7 @@
             self.pool,
             dialect,
             self.reported.append,
-            EndpointSendGate(FleetView(), EndpointRateLimits()),
+            EndpointSendGate(FleetView(), SendPermits()),
             InstanceId("entry-1"),
         )
 
--- a/tests/unit/gateway/test_endpoint_statements.py
+++ b/tests/unit/gateway/test_endpoint_statements.py
@@ -7,9 +7,9 @@
 
 from mimosafork.gateway.policies.fleet_view import FleetView
 from mimosafork.gateway.policies.placing import WorkPlacer
-from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
 from mimosafork.gateway.policies.requested_backoff import RequestedBackoff
 from mimosafork.gateway.policies.send_gate import EndpointSendGate
+from mimosafork.gateway.policies.send_permits import SendPermits
 from mimosafork.ids import EndpointId
 from mimosafork.kernel.messages.attempts import AttemptFailed, Exposure, FailureKind
 from mimosafork.kernel.messages.base import Tick
@@ -45,7 +45,7 @@
 def send_gate(bench: GatewayBench) -> EndpointSendGate:
     """Return the check of requests before they are sent."""
     fleet = bench.kernel.plugin(FleetView)
-    return EndpointSendGate(fleet, bench.kernel.plugin(EndpointRateLimits))
+    return EndpointSendGate(fleet, SendPermits.of(bench.kernel.plugin))
 
 
 def hosts(bench: GatewayBench, calls: int, prefix: str) -> set[EndpointId]:
