--- a/src/mimosafork/gateway/fleet_shares.py
+++ b/src/mimosafork/gateway/fleet_shares.py
@@ -102,9 +102,13 @@
     def of_cold_endpoint(self, endpoint: EndpointId) -> SlackShare:
         """Return the share of what an endpoint that may be cold accepts.
 
-        Requests to it count for a shorter time than others.
+        Requests to it count for a shorter time than others. An instance that is new in
+        its fleet stays among those that have just started for longer, until the others
+        have heard of it and divide the permits among one more.
         """
-        return self._share(self._rank_at(endpoint), COLD_COUNTED_SPAN)
+        joins = self.gossip is not None and self.gossip.census.joins
+        settle_time = self.settle_time if joins else COLD_COUNTED_SPAN
+        return self._share(self._rank_at(endpoint), settle_time)
 
     def rank_for_content(self, content: Digest) -> int:
         """Return the rank of this instance for a content, another one for each."""
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -165,7 +165,7 @@
         When requests were last sent on links slower than `TOLD_AFTER`.
     """
 
-    instance_type = LimitedInstance
+    instance_type: type[RetryingInstance] = LimitedInstance
     instances: list[LimitedInstance]  # type: ignore[assignment]
     endpoints = ENDPOINTS
 
