--- a/src/mimosafork/standins/prepared/documents.py
+++ b/src/mimosafork/standins/prepared/documents.py
@@ -73,13 +73,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceEntry:
-    """A service as the operator writes it; engines have `figures`."""
+    """A service as the operator writes it; engines have `figures`.
+
+    Attributes
+    ----------
+    cold_start_s, cold_per_s : float or None
+        How long its endpoints are cold, and the requests a second of a cold one.
+    """
 
     name: str
     health_path: str = "/healthz"
     max_connections: int = MAX_CONNECTIONS
     slots: int = ENGINE_SLOTS
     figures: EngineFigures | None = None
+    cold_start_s: float | None = None
+    cold_per_s: float | None = None
 
     def document(self) -> dict[str, Any]:
         """Return it as it stands in the configuration."""
@@ -90,6 +98,10 @@
             "protocol": "h1",
             "tls": False,
         }
+        if self.cold_start_s is not None:
+            document["cold-start-s"] = self.cold_start_s
+        if self.cold_per_s is not None:
+            document["cold-per-s"] = self.cold_per_s
         if self.figures is not None:
             document["engine"] = engine_document(self.figures, self.slots)
         return document
@@ -201,7 +213,7 @@
         "version": settings.software,
         "slots": settings.slots,
         "state": "draining" if draining else "ready",
-        "cold-remaining-ms": 0,
+        "cold-remaining-ms": endpoint.cold_ms(),
         "seq": seq,
     }
     if isinstance(endpoint, Engine):
--- a/src/mimosafork/standins/prepared/endpoint.py
+++ b/src/mimosafork/standins/prepared/endpoint.py
@@ -15,7 +15,7 @@
 from .pace import Gate
 from .runs import RunEnd, RunLog
 from .serving import Serving
-from .words import INSTANCE_ID
+from .words import COLD_MS, INSTANCE_ID
 
 ID_BYTES = 4
 
@@ -46,6 +46,7 @@
         self.draining = False
         self.healthy = True
         self.stated_limit: str | None = None
+        self.cold_until_s = 0.0
         self.answers = 0
         self.on_life: Callable[[Endpoint], None] = ignore_life
         self.admission = self.new_admission()
@@ -85,6 +86,11 @@
         """State a rate limit in all responses from now on; None ends it."""
         self.thread.call(lambda: setattr(self, "stated_limit", limit))
 
+    def become_cold(self, span: timedelta) -> None:
+        """Say in health and rows that it is cold for some time from now on."""
+        until_s = self.now_s() + span.total_seconds()
+        self.thread.call(lambda: setattr(self, "cold_until_s", until_s))
+
     def play(self, fault: Fault, times: int | None = 1) -> None:
         """Let the next requests meet a fault; all of them if `times` is None."""
         self.play_scripted(Scripted(fault, times))
@@ -152,6 +158,7 @@
             self.id = new_id()
         self.draining = False
         self.stated_limit = None
+        self.cold_until_s = 0.0
         self.admission = self.new_admission()
         settings = self.settings
         self.listener.max_connections = settings.max_connections
@@ -191,11 +198,16 @@
         """Return the loop's steady clock, in seconds."""
         return self.thread.loop.time()
 
+    def cold_ms(self) -> int:
+        """Return how long it is still cold, in milliseconds."""
+        return max(0, round((self.cold_until_s - self.now_s()) * 1000))
+
     def health(self) -> Answer:
         """Answer the health path."""
         good = self.healthy and not self.draining
         status = HTTPStatus.OK if good else HTTPStatus.SERVICE_UNAVAILABLE
-        return Answer(status, b"", (Header(INSTANCE_ID, self.id),))
+        cold = Header(COLD_MS, str(self.cold_ms()))
+        return Answer(status, b"", (Header(INSTANCE_ID, self.id), cold))
 
 
 def new_id() -> str:
--- a/tests/support/plain_fleet.py
+++ b/tests/support/plain_fleet.py
@@ -9,11 +9,12 @@
 
 from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.desk import Desk
+from mimosafork.standins.prepared.documents import ConfigEntry
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 
 from .endpoint_cut import CutMode
 from .gateway_processes import GatewayProcess, cut_file, gateway_process
-from .prepared import API_KEY, DESKS, NoAnswerError, deployment
+from .prepared import API_KEY, DESKS, USUAL_CONFIG, NoAnswerError, deployment
 
 KEY = f"Bearer {API_KEY}"
 CALLS_S = 40
@@ -49,14 +50,28 @@
 
 
 @contextmanager
-def plain_fleet(instances: int, desks: int) -> Iterator[PlainFleet]:
-    """Run instances until they have found each other, with some plain endpoints."""
-    with deployment() as platform, ExitStack() as stack:
+def plain_fleet(
+    instances: int,
+    desks: int,
+    config: ConfigEntry = USUAL_CONFIG,
+    bounds: str = "",
+) -> Iterator[PlainFleet]:
+    """Run instances until they have found each other, with some plain endpoints.
+
+    Parameters
+    ----------
+    config : ConfigEntry
+    bounds : str
+        Further lines of that section of the instances' settings.
+    """
+    with deployment(config) as platform, ExitStack() as stack:
         endpoints = [platform.add_desk(EndpointSettings(DESKS)) for _ in range(desks)]
         names = [f"entry-{number}" for number in range(instances)]
         addresses = [desk.address for desk in endpoints]
         processes = [
-            stack.enter_context(gateway_process(platform, name, cut_from=addresses))
+            stack.enter_context(
+                gateway_process(platform, name, bounds=bounds, cut_from=addresses)
+            )
             for name in names
         ]
         for process, name in zip(processes, names, strict=True):
