Cache the views of warm endpoints without a free permit

Most endpoints of a large fleet have no permit for an instance, so that each placement derived a view for them.

--- a/src/mimosafork/gateway/policies/cold_endpoint.py
+++ b/src/mimosafork/gateway/policies/cold_endpoint.py
@@ -2,7 +2,6 @@
 
 from datetime import timedelta
 from enum import Enum
-from typing import NamedTuple
 
 from msgspec.structs import replace
 
@@ -64,8 +63,8 @@
         self.evidence_until = timedelta(0)
         self.share_due = timedelta(0)
         self.gone_at: timedelta | None = None
-        self.view_state: ViewState | None = None
-        self.derived: EngineView | None = None
+        self.base_view: EngineView | None = None
+        self.unpermitted: EngineView | None = None
 
     def note(self, reason: ColdReason, now: timedelta) -> None:
         """Record evidence that the endpoint may have started just now."""
@@ -95,38 +94,41 @@
             return ColdReason.STATED
         return self.evidence if now < self.evidence_until else None
 
-    def view(self, view: EngineView, unconfirmed: bool, now: timedelta) -> EngineView:
+    def view(
+        self, view: EngineView, free: bool, unconfirmed: bool, now: timedelta
+    ) -> EngineView:
         """Return the view for placement, with what the permits allow now.
 
         An endpoint whose list is unconfirmed may still prefill parts for others: that
         is no request, and without it no long prompt would be served in time during an
         outage of the store.
+
+        Parameters
+        ----------
+        view : EngineView
+            Apart from the permits.
+        free : bool
+            Whether a permit is free.
+        unconfirmed : bool
+            Whether the list of endpoints could not be confirmed recently.
         """
-        free = self.permits.available(now)
         has_evidence = self.reason(now) is not None
+        if not (has_evidence or unconfirmed):
+            return view if free else self.unpermitted_view(view)
         if free and not has_evidence:
             return view
-        derived = ViewState(view, free, has_evidence, unconfirmed)
-        if self.view_state != derived or self.derived is None:
-            self.view_state = derived
-            self.derived = self._derive(derived)
-        return self.derived
-
-    def _derive(self, state: "ViewState") -> EngineView:
-        view = state.view
-        if not (state.has_evidence or state.unconfirmed):
-            return replace(view, permitted=False)
         return replace(
             view,
-            usable=view.usable and state.free,
-            rate_limited=view.rate_limited or state.has_evidence,
+            usable=view.usable and free,
+            rate_limited=view.rate_limited or has_evidence,
         )
 
+    def unpermitted_view(self, view: EngineView) -> EngineView:
+        """Return the view of a warm endpoint without a free permit.
 
-class ViewState(NamedTuple):
-    """What a derived view depends on."""
-
-    view: EngineView
-    free: bool
-    has_evidence: bool
-    unconfirmed: bool
+        It is cached: in a large fleet, most endpoints have none for this instance.
+        """
+        if self.base_view is not view or self.unpermitted is None:
+            self.base_view = view
+            self.unpermitted = replace(view, permitted=False)
+        return self.unpermitted
--- a/src/mimosafork/gateway/policies/cold_endpoints.py
+++ b/src/mimosafork/gateway/policies/cold_endpoints.py
@@ -146,15 +146,19 @@
         """
         if not self.bounded:
             return views
-        unconfirmed = self.unconfirmed()
+        all_warm = not self.may_hold_back(now)
+        unconfirmed = not all_warm and self.unconfirmed()
         derived = []
         for view in views:
             known = self.bounded.get(view.endpoint)
             if known is None:
                 derived.append(view)
                 continue
-            self._permits_of(known, now)
-            derived.append(known.view(view, unconfirmed, now))
+            free = self._permits_of(known, now).available(now)
+            if all_warm:
+                derived.append(view if free else known.unpermitted_view(view))
+            else:
+                derived.append(known.view(view, free, unconfirmed, now))
         return derived
 
     def reserve(self, request_id: RequestId, endpoint: EndpointId) -> None:
