Test shares, settings and explanations of cold endpoints

A host without a free permit costs a placement 0.1 instead of 0.4: in a fleet with many engines most hosts have none, and the preference must not make answers wait.

--- a/src/mimosafork/placement/plan.py
+++ b/src/mimosafork/placement/plan.py
@@ -40,9 +40,9 @@
 NOISE_COST = 0.05
 """Maximum random cost, so that instances without each other's latest requests choose
 different engines."""
-UNPERMITTED_COST = 0.4
-"""Cost of a host without a free permit: about half the loss of a late answer to a short
-prompt, so that answers aren't late for it."""
+UNPERMITTED_COST = 0.1
+"""Cost of a host without a free permit: more than the noise, and far less than the loss
+of a late answer, so that no answer is late for it."""
 DELAY_COST_PER_MS = 0.0002
 """Cost of each millisecond until the first token, per unit of the request's value."""
 SHORT_PREFILL_MS = 200.0
--- a/tests/unit/explain/test_explain.py
+++ b/tests/unit/explain/test_explain.py
@@ -12,7 +12,13 @@
 from mimosafork.explain.causes import attempt_text, cause_of
 from mimosafork.explain.lines import LogLine, LogReader, LogSource
 from mimosafork.explain.links import ZoneStory
-from mimosafork.explain.stories import CallStory, EndpointStory, Story, VersionStory
+from mimosafork.explain.stories import (
+    CallStory,
+    EndpointStory,
+    Story,
+    VersionStory,
+    surrounds,
+)
 from tests.support.commands import run_command
 from tests.support.functions import function_tests
 
@@ -257,11 +263,21 @@
         ("draining", "began to leave"),
         ("backing-off", "wanted no calls"),
         ("rate-limited", "had reached its rate limit"),
+        ("cold", "might be cold"),
     ):
         line = LogLine("entry-1", "", "MF2020", "", {"endpoint": "i-1", "kind": kind})
         assert attempt_text(line).startswith(f"i-1 {text}")
 
 
+def test_lines_about_cold_endpoints_surround_the_calls_that_used_them() -> None:
+    """Such a line names several endpoints; of another endpoint it says nothing."""
+    named = {"count": 2, "endpoints": "i-1,i-2"}
+    for event in ("MF2801", "MF2802"):
+        line = LogLine("entry-1", "", event, "", named)
+        assert surrounds(line, {"i-2"})
+        assert not surrounds(line, {"i-3"})
+
+
 def test_what_the_log_does_not_name_has_no_story() -> None:
     assert told(CallStory("0000"), REFUSED) == Story((), "no line names it")
 
