Do nothing for permits of cold endpoints where none is tracked

Each placement and each end of a call released a permit that nobody keeps where the settings have no bound.

Unit tests of placement (71), routing (7), platform (56) and settings (19) pass.

--- a/src/mimosafork/gateway/policies/cold_endpoints.py
+++ b/src/mimosafork/gateway/policies/cold_endpoints.py
@@ -163,6 +163,8 @@
 
     def reserve(self, request_id: RequestId, endpoint: EndpointId) -> None:
         """Keep a permit for a call that is placed on an endpoint."""
+        if not self.bounded:
+            return
         self.release(request_id)
         known = self.bounded.get(endpoint)
         if known is not None:
@@ -171,6 +173,8 @@
 
     def release(self, request_id: RequestId) -> None:
         """Give up the permit of a call that is not sent."""
+        if not self.reservations:
+            return
         endpoint = self.reservations.pop(request_id, None)
         known = None if endpoint is None else self.bounded.get(endpoint)
         if known is not None:
@@ -333,6 +337,8 @@
             if self._service_of(known.listed) is None:
                 del self.bounded[endpoint]
                 self.stated.discard(endpoint)
+        if not self.bounded:
+            self.reservations.clear()
         for endpoint, listed in self.listed.items():
             was_bounded = endpoint in self.bounded
             self._track(listed, now)
