Read the contracts of a deployment from the settings

Cause: the order of waiting calls is to consider accounts and priorities only where a deployment asks for it. Nothing uses it yet. Evidence: unit tests of the settings, 20 passed.

--- a/src/mimosafork/platform/names.py
+++ b/src/mimosafork/platform/names.py
@@ -116,6 +116,10 @@
 TOKENS = "tokens"
 HOLD_MS = "hold-ms"
 
+# Words of a deployment's contracts.
+PRESSURE = "pressure"
+"""Client accounts compete for too little capacity."""
+
 # Kinds of a route.
 SAFE = "safe"
 UNSAFE = "unsafe"
--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -72,6 +72,16 @@
     )
 
 
+class SchedulingSection(Section):
+    """Which calls are served first while there is not enough capacity."""
+
+    contracts: NameList = Field(
+        default=(),
+        description="what the platform asks of the deployment, as a list of words; "
+        "unknown words change nothing",
+    )
+
+
 class GatewayLoggingSection(Section):
     """Log output."""
 
@@ -98,6 +108,7 @@
     gossip: GossipSection
     forwarding: ForwardingSection = ForwardingSection()
     bounds: BoundsSection = BoundsSection()
+    scheduling: SchedulingSection = SchedulingSection()
     logging: GatewayLoggingSection = GatewayLoggingSection()
 
     @property
--- a/tests/unit/settings/test_gateway_settings.py
+++ b/tests/unit/settings/test_gateway_settings.py
@@ -10,6 +10,7 @@
 from unittest import TestCase
 
 from mimosafork.commands.settings import check
+from mimosafork.platform.contracts import asks_for_account_shares
 from mimosafork.settings.errors import SettingsError
 from mimosafork.settings.gateway import (
     GatewaySettings,
@@ -40,6 +41,7 @@
     "bounds.retry-slack": "102",
     "bounds.retry-window-s": "10",
     "bounds.hold-max-ms": "20000",
+    "contracts": "pressure,other",
 }
 """What the platform puts into the template's places."""
 
@@ -90,6 +92,24 @@
         case.assertIn(f"[{section}]", text)
 
 
+def test_account_shares_are_enabled_by_a_word_of_the_contracts_alone() -> None:
+    """A deployment that does not ask for account shares gets another order.
+
+    The key is absent, empty, or lists other words.
+    """
+    filled = filled_template()
+    line = f"contracts = {FILLED['contracts']}"
+    for text, enabled in (
+        (filled, True),
+        (filled.replace(line, "contracts ="), False),
+        (filled.replace(line, "contracts = other, compression"), False),
+        (filled.replace(line, ""), False),
+        (filled.replace(f"[scheduling]\n{line}\n", ""), False),
+    ):
+        contracts = parse_gateway_settings(text).scheduling.contracts
+        case.assertIs(enabled, asks_for_account_shares(contracts), contracts)
+
+
 def test_the_example_is_one_that_a_gateway_can_take() -> None:
     case.assertEqual("entry-1", load_gateway_settings(EXAMPLE).instance.id)
 
@@ -113,7 +133,7 @@
             "f.ini: [logging] level: 'LOUD': input should be 'DEBUG', 'INFO', "
             "'WARNING' or 'ERROR'",
             "f.ini: [shop]: is unknown; known are bounds, forwarding, gossip, "
-            "instance, listen, logging, store",
+            "instance, listen, logging, scheduling, store",
         ],
         faults_in(text),
     )
