Let a queue discipline order all waiting calls and refuse some

Cause: fair shares depend on all waiting calls, while a rank is decided for each alone; and only the placer could refuse a waiting call. Change: the discipline may rearrange the ranked calls of a target, name those that others leave no capacity, and change the delay of a problem. The defaults do nothing. What an account may use without a penalty is computed in one place for both interfaces. Evidence: unit tests of kernel, fair shares and placing pass; one test shows that a fault in the new methods leaves no call waiting.

--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -25,6 +25,7 @@
 from ...kernel.plugins import Plugin
 from ...kernel.registry import register
 from ...placement.choice import EngineView
+from ...routing.engine import EngineFigures
 from ...routing.listing import ListedEndpoint
 from ...routing.table import RoutingTable
 from .health_log import HealthStatus, log_ejected, log_reinstated, log_suspicion
@@ -195,6 +196,11 @@
         known = self.endpoints.get(endpoint)
         return None if known is None else known.listed.zone
 
+    def figures_of(self, service: ServiceId) -> EngineFigures | None:
+        """Return the engine figures of a service; None for a plain service."""
+        known = self.table.services.get(service) if self.table is not None else None
+        return known.engine if known is not None else None
+
     def zone_answered_since(self, endpoint: EndpointId, since: timedelta) -> bool:
         """Return whether an endpoint in the same zone has answered since then."""
         known = self.endpoints.get(endpoint)
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -247,9 +247,7 @@
 
     def figures_of(self, service: ServiceId) -> EngineFigures | None:
         """Return the engine parameters of a service; None for a plain service."""
-        table = self.fleet.table if self.fleet is not None else None
-        known = table.services.get(service) if table is not None else None
-        return known.engine if known is not None else None
+        return None if self.fleet is None else self.fleet.figures_of(service)
 
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
--- a/src/mimosafork/kernel/lifecycle.py
+++ b/src/mimosafork/kernel/lifecycle.py
@@ -48,6 +48,7 @@
     StageCleared,
     Wait,
 )
+from .ranking import final_problem, rank_waiting, surplus_of
 from .records import Attempt, RequestRecord, RequestState
 
 SHUTDOWN_RETRY_AFTER = timedelta(seconds=1)
@@ -159,28 +160,18 @@
         raise at each tick and block all requests behind it.
         """
         misses: Counter[str] = Counter()
-        for record in self._ranked(target, context)[:QUEUE_SCAN]:
+        ranking = rank_waiting(self.discipline, target, context)
+        for request_id in ranking.faulted:
+            self.end_faulted(request_id, context)
+        for record in ranking.ranked[:QUEUE_SCAN]:
             try:
                 self._place_in_turn(record, misses, context)
             except Exception as error:
                 context.faults.append(error)
                 self.end_faulted(record.request_id, context)
-
-    def _ranked(
-        self, target: ModelId | ServiceId, context: Context
-    ) -> list[RequestRecord]:
-        ranks: dict[RequestId, float] = {}
-        ranked = []
-        for record in context.state.waiting.waiting_for(target):
-            try:
-                ranks[record.request_id] = self.discipline.rank(record, context.now)
-            except Exception as error:
-                context.faults.append(error)
-                self.end_faulted(record.request_id, context)
-                continue
-            ranked.append(record)
-        ranked.sort(key=lambda record: ranks[record.request_id])
-        return ranked
+        for each in surplus_of(self.discipline, target, ranking.ranked, context):
+            outcome = each.record.outcome_if_ended()
+            self.conclude(each.record, outcome, each.problem, context)
 
     def _place_in_turn(
         self, record: RequestRecord, misses: Counter[str], context: Context
@@ -454,6 +445,8 @@
         if own and current is not None and outcome is not Outcome.COMPLETED:
             context.emit(hedging.build_cancellation(record, current))
         context.state.requests.pop(record.request_id, None)
+        if problem is not None:
+            problem = final_problem(self.discipline, problem, context)
         conclusion = Conclude(
             record.request_id, outcome, len(record.attempts), problem, retention
         )
--- a/src/mimosafork/kernel/plugins.py
+++ b/src/mimosafork/kernel/plugins.py
@@ -6,8 +6,9 @@
 in the request lifecycle by deriving from one of the roles below.
 """
 
+from collections.abc import Sequence
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, ClassVar, Protocol, TypeVar
+from typing import TYPE_CHECKING, ClassVar, NamedTuple, Protocol, TypeVar
 
 import msgspec
 
@@ -20,6 +21,7 @@
 
 if TYPE_CHECKING:
     from datetime import timedelta
+    from random import Random
 
     from .context import Context
     from .records import RequestRecord
@@ -209,6 +211,13 @@
         raise NotImplementedError
 
 
+class Surplus(NamedTuple):
+    """A waiting request that is refused because others go before it."""
+
+    record: "RequestRecord"
+    problem: Problem
+
+
 class QueueDiscipline(Plugin):
     """Orders the requests that wait for an endpoint."""
 
@@ -225,3 +234,33 @@
         are idle.
         """
         return ""
+
+    def arrange(
+        self, ranked: "list[RequestRecord]", now: "timedelta"
+    ) -> "list[RequestRecord]":
+        """Return the waiting requests of a target in the order in which they go.
+
+        For an order that depends on all of them; by default the one of their ranks.
+
+        Parameters
+        ----------
+        ranked : list of RequestRecord
+            At least two, by rank.
+        """
+        return ranked
+
+    def surplus(
+        self, waiting: "list[RequestRecord]", now: "timedelta"
+    ) -> "Sequence[Surplus]":
+        """Return the requests that are refused now, as others leave them no capacity.
+
+        Parameters
+        ----------
+        waiting : list of RequestRecord
+            Requests of a target, in order, after as many as possible were placed.
+        """
+        return ()
+
+    def final_problem(self, problem: Problem, random: "Random") -> Problem:
+        """Return the problem that a request ends with; it may change the delay."""
+        return problem
--- a/src/mimosafork/policies/fair_shares.py
+++ b/src/mimosafork/policies/fair_shares.py
@@ -17,15 +17,10 @@
 )
 from ..kernel.records import RequestRecord
 from ..kernel.registry import register
+from ..placement.fair_share import unpenalized_work
 from .engine_load import DEFAULT_PREFILL_RATE
 from .prediction import Prediction
 
-UNPENALIZED_SHARES = 2.0
-"""Fair shares that an account may use without a penalty. Penalizing small excesses
-would add to the tail latency of short requests of every slightly busier account."""
-
-UNPENALIZED_PER_OTHER_ACCOUNT = 0.25
-
 MAX_PENALTY_S = 5.0
 """Upper bound of the penalty: a large account's requests still age, and none of them
 starves."""
@@ -126,12 +121,9 @@
             group = [each for each in self.work_s if each.is_long is is_long]
             total_s = sum(self.work_s[each] for each in group)
             weights = sum(self.weights[each] for each in group)
-            # With only two or three accounts, two fair shares are nearly all work.
-            free = min(
-                UNPENALIZED_SHARES, 1 + UNPENALIZED_PER_OTHER_ACCOUNT * (len(group) - 1)
-            )
             for each in group:
-                free_s = free * total_s * self.weights[each] / weights
+                part = self.weights[each] / weights
+                free_s = unpenalized_work(total_s, len(group), part)
                 excess_s[each] = self.work_s[each] - free_s
         return excess_s
 
--- a/tests/unit/kernel/test_faults.py
+++ b/tests/unit/kernel/test_faults.py
@@ -1,8 +1,10 @@
 """Exceptions in plug-ins affect only their own request and leave no caller waiting."""
 
+from collections.abc import Sequence
 from contextlib import AbstractContextManager
 from datetime import timedelta
 from functools import singledispatchmethod
+from random import Random
 
 from mimosafork.ids import AttemptNumber, RequestId
 from mimosafork.kernel.context import Context
@@ -17,7 +19,7 @@
 from mimosafork.kernel.messages.dispatch import CancelAttempt
 from mimosafork.kernel.messages.fleet import InstancesListed
 from mimosafork.kernel.messages.outcomes import Outcome
-from mimosafork.kernel.messages.problems import ProblemCode
+from mimosafork.kernel.messages.problems import Problem, ProblemCode
 from mimosafork.kernel.messages.requests import Submit
 from mimosafork.kernel.plugins import (
     Finisher,
@@ -31,6 +33,7 @@
     RetryPolicy,
     ReviewDecision,
     Stage,
+    Surplus,
 )
 from mimosafork.kernel.records import RequestRecord
 from mimosafork.policies.admission import KnownTarget
@@ -127,6 +130,26 @@
         return super().rank(record, now)
 
 
+class BrokenOrder(FirstCome):
+    """Raises whenever it is asked about several requests, or about a problem."""
+
+    def arrange(
+        self, ranked: list[RequestRecord], now: timedelta
+    ) -> list[RequestRecord]:
+        """Raise."""
+        raise PluginBrokenError
+
+    def surplus(
+        self, waiting: list[RequestRecord], now: timedelta
+    ) -> Sequence[Surplus]:
+        """Raise."""
+        raise PluginBrokenError
+
+    def final_problem(self, problem: Problem, random: Random) -> Problem:
+        """Raise."""
+        raise PluginBrokenError
+
+
 class BrokenFinisher(Finisher):
     """Raises whenever an answer is complete."""
 
@@ -224,6 +247,30 @@
         assert len(faults) == 1
 
 
+def test_an_order_that_cannot_be_decided_blocks_no_call() -> None:
+    """Calls wait until their deadline, as each pass over the queue raises.
+
+    The order of several calls, the choice of those that are refused, and the problem
+    that a call ends with are asked for apart from the ranks.
+    """
+    with (
+        kernel_with(BrokenOrder(), engines=0) as bench,
+        expected_faults() as faults,
+    ):
+        bench.submit(model_request("a"))
+        bench.submit(model_request("b"))
+        add_engine(bench)
+        bench.handle(Tick())
+        assert len(bench.dispatches("a")) == len(bench.dispatches("b")) == 1
+        bench.submit(model_request("late", deadline=timedelta(0)))
+        bench.handle_after(LATE, Tick())
+        late = bench.conclusion("late")
+        assert late is not None
+        assert late.problem is not None
+        assert late.problem.code is not ProblemCode.INTERNAL
+        assert faults
+
+
 def add_engine(bench: Bench) -> None:
     """Add an engine to the fleet."""
     bench.handle(InstancesListed((engine_entry("e9"),), ()))
