Share scarce capacity among accounts, by priority and objective

Cause: waiting calls went by arrival and objective alone. An account that floods took the places of all others, and under overload nearly all answers came late. Change: a queue discipline that ranks waiting calls by their account's recent work against its fair share, by priority, by whether they can still be on time, and by objective; each third placement goes to a call that has waited for long, of the accounts and kinds that were placed least often. Calls that those before them leave no time are refused at once; retry delays are predicted and lengthened at random. Enabled by the settings only.

--- a/src/mimosafork/commands/gateway.py
+++ b/src/mimosafork/commands/gateway.py
@@ -68,6 +68,7 @@
     from ..gossip.boot_clock import BootClock
     from ..gossip.peer_rows import SharedPeerRows
     from ..platform.calls import PreparedDialect
+    from ..platform.contracts import asks_for_account_shares
     from ..platform.sources import ConfigurationRows, EndpointRows
     from ..platform.store import PreparedStore
 
@@ -89,6 +90,7 @@
         SharedPeerRows(store),
         clock,
         random,
+        account_shares=asks_for_account_shares(settings.scheduling.contracts),
     )
     server.store_counts = store
     server.keep_quarantines(store)
--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -33,11 +33,13 @@
     WORK_KNOWN,
 )
 from ..telemetry.catalogue.lifecycle import LOG_DROPS, LOG_LEFT_OUT
+from ..telemetry.catalogue.scheduling import ACCOUNTS_TRACKED
 from ..telemetry.instruments import Instrument
 from ..telemetry.pipeline import DroppingHandler
 from ..telemetry.readings import Reading, ReadingSource
 from .gateway import Gateway
 from .instance_view import LiveInstanceView
+from .policies.account_shares import AccountShares
 from .policies.connectivity import EndpointConnectivity
 from .policies.peer_forwarding import PeerForwarding
 from .policies.quarantining import CrashQuarantine
@@ -90,6 +92,7 @@
         registry.observe(SERVICES_UNREACHABLE, self.unreachable_services)
         registry.observe(CONTENTS_QUARANTINED, self.quarantined_contents)
         registry.observe(CONTENTS_SUSPECTED, self.suspected_contents)
+        registry.observe(ACCOUNTS_TRACKED, self.tracked_accounts)
         registry.observe(CONNECTIONS_IDLE, self.idle)
         registry.observe(WORK_KNOWN, self.known_calls)
         registry.observe(MEMORY_RESERVED, self.reserved_tokens)
@@ -147,6 +150,22 @@
         """Return the number of waiting calls."""
         return [Reading(len(self.gateway.kernel.state.waiting))]
 
+    def tracked_accounts(self) -> Iterable[Reading]:
+        """Return the numbers of accounts with recent work; none without shares."""
+        shares = self.gateway.kernel.find(AccountShares)
+        if shares is None:
+            return []
+        found = []
+        for service, queue in shares.queues.items():
+            counts = {
+                "tracked": len(queue.usage.by_account),
+                "behind": shares.log.behind_at(service),
+            }
+            for state, count in counts.items():
+                labels = (("service", str(service)), ("state", state))
+                found.append(Reading(count, labels))
+        return found
+
     def idle(self) -> Iterable[Reading]:
         """Return the number of idle pooled connections."""
         return [Reading(sum(map(len, self.gateway.pool.idle.values())))]
--- a/src/mimosafork/gateway/policies/__init__.py
+++ b/src/mimosafork/gateway/policies/__init__.py
@@ -1,6 +1,7 @@
 """Policy plug-ins of the gateway; importing this package registers them."""
 
 from . import (
+    account_shares,
     backoff_waits,
     catching_up,
     connectivity,
@@ -35,4 +36,7 @@
 )
 """Registered names of the gateway's plug-ins."""
 
-__all__ = ["PLUGINS"]
+SHARING_PLUGINS = (*PLUGINS[:-1], account_shares.AccountShares.name)
+"""The same with the queue discipline that shares capacity among client accounts."""
+
+__all__ = ["PLUGINS", "SHARING_PLUGINS"]
--- /dev/null
+++ b/src/mimosafork/gateway/policies/account_shares.py
@@ -0,0 +1,339 @@
+"""Queue discipline that shares scarce capacity among client accounts.
+
+Waiting calls go in this order: those of accounts within their fair share of the recent
+work, the more urgent priority, those that can still be on time, the earliest objective.
+Some turns are those of calls that have waited for long, of the accounts and kinds that
+were placed least often.
+"""
+
+from collections import defaultdict
+from collections.abc import Sequence
+from datetime import timedelta
+from functools import singledispatchmethod
+from random import Random
+
+import msgspec
+from msgspec.structs import replace
+
+from ...ids import AccountId, RequestId, ServiceId
+from ...kernel.context import Context
+from ...kernel.messages.attempts import AttemptFailed, Exposure
+from ...kernel.messages.base import Message
+from ...kernel.messages.outcomes import Outcome
+from ...kernel.messages.problems import Problem
+from ...kernel.plugins import (
+    PlacementFailed,
+    PluginFinder,
+    RequestConcluded,
+    Surplus,
+)
+from ...kernel.records import RequestRecord
+from ...kernel.registry import register
+from ...placement.choice import Shortage
+from .account_usage import ServiceUsage
+from .call_work import CallWork, predict, priority_of
+from .capacity_waits import CapacityWaits
+from .fleet_view import FleetView
+from .lane_drain import SECOND, LaneDrain
+from .ordering import SUSPECTED, UrgentFirst
+from .placement_requests import RETRY_AFTER, overloaded_problem
+from .rate_limit_waits import MIN_RETRY_AFTER
+from .served_shares import CallKind, ServedShares
+from .share_log import ShareLog
+
+OVERDUE_TURN = 3
+"""Each of so many placements goes to the first overdue call. With a quarter, accounts
+and kinds that are otherwise never placed would be served just a quarter as often as
+all calls; if all overdue calls went first, an account that floods would take all."""
+
+RETRY_SPREAD = 0.5
+"""Retry delays are lengthened by a random part of up to this share."""
+
+MAX_SERVICES = 64
+"""Services whose usage is kept; a further one replaces the least recently used."""
+
+
+class ChargedWork(msgspec.Struct, frozen=True):
+    """Work of a placed attempt, which is taken back if the attempt has not run."""
+
+    service: ServiceId
+    account: AccountId
+    work: float
+
+
+class ServiceQueue(msgspec.Struct):
+    """Waiting calls of a service, as last looked at.
+
+    Attributes
+    ----------
+    since : dict of RequestId to timedelta
+        Monotonic instant since which each call waits.
+    placed : int
+        Placements since the latest one of an overdue call.
+    served : ServedShares
+    levels : dict of AccountId to int
+        How far each waiting account is beyond its fair share.
+    lanes : dict of str to LaneDrain
+    """
+
+    usage: ServiceUsage
+    since: dict[RequestId, timedelta] = msgspec.field(default_factory=dict)
+    placed: int = 0
+    served: ServedShares = msgspec.field(default_factory=ServedShares)
+    levels: dict[AccountId, int] = msgspec.field(default_factory=dict)
+    lanes: defaultdict[str, LaneDrain] = msgspec.field(
+        default_factory=lambda: defaultdict(LaneDrain)
+    )
+
+
+@register("account-shares")
+class AccountShares(UrgentFirst):
+    """Ranks waiting calls by fair share, then priority, then objective.
+
+    Nothing changes while at most one call waits, or calls of one account and priority.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet: FleetView | None = None
+        self.queues: dict[ServiceId, ServiceQueue] = {}
+        self.predictions: dict[RequestId, CallWork] = {}
+        self.charged: dict[tuple[RequestId, int], ChargedWork] = {}
+        """Work of the attempts of open calls, by number."""
+        self.log = ShareLog()
+        self.waits = CapacityWaits()
+        """Of the placer, which sets it."""
+
+    def resolve_dependencies(self, find: PluginFinder) -> None:
+        """Look up the plug-ins that this one uses."""
+        super().resolve_dependencies(find)
+        self.fleet = find(FleetView)
+
+    def arrange(
+        self, ranked: list[RequestRecord], now: timedelta
+    ) -> list[RequestRecord]:
+        """Return the calls in order; some turns are those of overdue calls."""
+        service = ServiceId(ranked[0].request.target)
+        queue = self._queue(service, now)
+        self._note_waiting(queue, ranked, now)
+        accounts = {record.request.account for record in ranked}
+        queue.levels = levels = queue.usage.levels(accounts, now)
+        self.log.ranked(service, levels, now)
+        usual = sorted(
+            ranked,
+            key=lambda record: (
+                levels[record.request.account],
+                priority_of(record),
+                now > self.prediction(record).on_time_start,
+            ),
+        )
+        overdue = [record for record in ranked if self._is_overdue(record, queue, now)]
+        if not overdue:
+            return usual
+        overdue.sort(key=lambda record: self._served_share(record, queue))
+        return with_turns(usual, overdue, queue.placed)
+
+    def surplus(
+        self, waiting: list[RequestRecord], now: timedelta
+    ) -> Sequence[Surplus]:
+        """Return the calls that those before them in their lane leave no time.
+
+        A call that was tried before is not refused: engines may have worked for it.
+        Neither are the calls of a lane in which some wait for their turn or a known
+        instant: these don't wait for those before them.
+        """
+        if not waiting:
+            return ()
+        queue = self._queue(ServiceId(waiting[0].request.target), now)
+        self._note_waiting(queue, waiting, now)
+        lanes: defaultdict[str, list[RequestRecord]] = defaultdict(list)
+        for record in waiting:
+            lanes[self.lane(record)].append(record)
+        found: list[Surplus] = []
+        for name, records in lanes.items():
+            drain = queue.lanes[name]
+            drain.observe(
+                sum(self.prediction(each).work for each in records), len(records), now
+            )
+            if name != SUSPECTED and not any(
+                record.request_id in self.waits.scheduled for record in records
+            ):
+                found += self._surplus_of_lane(records, drain, queue, now)
+        return found
+
+    def _surplus_of_lane(
+        self,
+        records: list[RequestRecord],
+        drain: LaneDrain,
+        queue: ServiceQueue,
+        now: timedelta,
+    ) -> list[Surplus]:
+        found = []
+        ahead, calls = 0.0, 0
+        for record in records:
+            call = self.prediction(record)
+            left_s = (call.latest_start - now) / SECOND
+            wait_s = drain.wait_s(ahead, calls, call.longest_wait / SECOND)
+            if wait_s > left_s and not record.attempts:
+                detail = f"{Shortage.SHARE.value}: {calls} calls, {wait_s:.1f} s"
+                delay = retry_delay(wait_s, record)
+                found.append(Surplus(record, overloaded_problem(detail, delay)))
+                continue
+            ahead += self.prediction(record).work
+            calls += 1
+        return found
+
+    def final_problem(self, problem: Problem, random: Random) -> Problem:
+        """Lengthen the retry delay at random: callers must not return all at once."""
+        if problem.retry_after is None:
+            return problem
+        factor = 1.0 + RETRY_SPREAD * random.random()
+        return replace(problem, retry_after=problem.retry_after * factor)
+
+    def latest_wait(
+        self, record: RequestRecord, since: timedelta, reason: Shortage
+    ) -> timedelta:
+        """Return until when a call that is tried again and again may wait.
+
+        A call of a rare kind is tried from its arrival on, others only once those
+        before them have gone. With a limit since the first try, rare kinds would be
+        refused first.
+        """
+        call = self.prediction(record)
+        latest = since + call.longest_wait
+        if reason in (Shortage.SLOTS, Shortage.MEMORY):
+            return max(latest, call.latest_start)
+        return latest
+
+    def retry_after(self, record: RequestRecord) -> timedelta:
+        """Return when the calls that wait now in the lane of a call have gone."""
+        queue = self.queues.get(ServiceId(record.request.target))
+        drain = None if queue is None else queue.lanes.get(self.lane(record))
+        if drain is None:
+            return RETRY_AFTER
+        wait_s = drain.wait_s(drain.queued, drain.calls, 0.0)
+        return max(RETRY_AFTER, retry_delay(wait_s, record))
+
+    def placed(self, record: RequestRecord, now: timedelta) -> None:
+        """Charge the work of a call that was placed to its account."""
+        request = record.request
+        service, work = ServiceId(request.target), self.prediction(record).work
+        queue = self._queue(service, now)
+        queue.usage.add(request.account, work, now)
+        attempt = (record.request_id, len(record.attempts) + 1)
+        self.charged[attempt] = ChargedWork(service, request.account, work)
+        queue.lanes[self.lane(record)].place(work, now)
+        queue.placed = 0 if self._is_overdue(record, queue, now) else queue.placed + 1
+        queue.since.pop(record.request_id, None)
+        if not record.attempts:
+            queue.served.count(request.account, self._kind_of(record), placed=True)
+
+    def _kind_of(self, record: RequestRecord) -> CallKind:
+        return CallKind(priority_of(record), self.lane(record))
+
+    def _served_share(self, record: RequestRecord, queue: ServiceQueue) -> float:
+        return queue.served.share(record.request.account, self._kind_of(record))
+
+    def prediction(self, record: RequestRecord) -> CallWork:
+        """Return what is predicted of a call."""
+        known = self.predictions.get(record.request_id)
+        if known is None:
+            service = ServiceId(record.request.target)
+            figures = None if self.fleet is None else self.fleet.figures_of(service)
+            known = self.predictions[record.request_id] = predict(record, figures)
+        return known
+
+    def _is_overdue(
+        self, record: RequestRecord, queue: ServiceQueue, now: timedelta
+    ) -> bool:
+        since = queue.since.get(record.request_id, now)
+        return now - since >= self.prediction(record).overdue_after
+
+    @singledispatchmethod
+    def handle(self, message: Message, context: Context) -> None:
+        """Take back the work of attempts that have not run, and forget ended calls."""
+
+    @handle.register
+    def _(self, message: AttemptFailed, context: Context) -> None:
+        if message.exposure is not Exposure.POSSIBLE:
+            self._take_back((message.request_id, message.attempt), context.now)
+
+    @handle.register
+    def _(self, message: PlacementFailed, context: Context) -> None:
+        record = context.state.requests.get(RequestId(message.request_id))
+        if record is not None:
+            pending = len(record.attempts) + 1
+            self._take_back((record.request_id, pending), context.now)
+
+    @handle.register
+    def _(self, message: RequestConcluded, context: Context) -> None:
+        record = message.record
+        request_id = record.request_id
+        for number in range(1, len(record.attempts) + 2):
+            if message.conclusion.outcome is Outcome.NOT_RUN:
+                self._take_back((request_id, number), context.now)
+            self.charged.pop((request_id, number), None)
+        waited = self.predictions.pop(request_id, None) is not None
+        queue = self.queues.get(ServiceId(record.request.target))
+        if queue is None:
+            return
+        queue.since.pop(request_id, None)
+        if waited and not record.attempts:
+            kind = self._kind_of(record)
+            queue.served.count(record.request.account, kind, placed=False)
+
+    def _take_back(self, attempt: tuple[RequestId, int], now: timedelta) -> None:
+        charged = self.charged.pop(attempt, None)
+        if charged is not None:
+            queue = self._queue(charged.service, now)
+            queue.usage.add(charged.account, -charged.work, now)
+
+    def _queue(self, service: ServiceId, now: timedelta) -> ServiceQueue:
+        queue = self.queues.get(service)
+        if queue is None:
+            if len(self.queues) >= MAX_SERVICES:
+                oldest = min(self.queues, key=lambda s: self.queues[s].usage.used_at)
+                del self.queues[oldest]
+            queue = self.queues[service] = ServiceQueue(ServiceUsage(now))
+        return queue
+
+    def _note_waiting(
+        self, queue: ServiceQueue, waiting: list[RequestRecord], now: timedelta
+    ) -> None:
+        for record in waiting:
+            queue.since.setdefault(record.request_id, now)
+
+
+def retry_delay(wait_s: float, record: RequestRecord) -> timedelta:
+    """Return a retry delay by a predicted wait, at most the time of the call."""
+    longest = record.request.deadline - record.submitted_at
+    return min(longest, max(MIN_RETRY_AFTER, wait_s * SECOND))
+
+
+def with_turns(
+    usual: list[RequestRecord], overdue: list[RequestRecord], placed: int
+) -> list[RequestRecord]:
+    """Return calls in their usual order, with overdue ones at each `OVERDUE_TURN`.
+
+    Parameters
+    ----------
+    placed : int
+        Placements since the latest one of an overdue call.
+    """
+    found: dict[RequestId, RequestRecord] = {}
+    rest = iter(usual)
+    for first in overdue:
+        if first.request_id in found:
+            continue
+        while placed < OVERDUE_TURN - 1:
+            following = next(rest, None)
+            if following is None:
+                break
+            if following.request_id not in found:
+                found[following.request_id] = following
+                placed += 1
+        found.setdefault(first.request_id, first)
+        placed = 0
+    for record in rest:
+        found.setdefault(record.request_id, record)
+    return list(found.values())
--- a/src/mimosafork/gateway/policies/capacity_waits.py
+++ b/src/mimosafork/gateway/policies/capacity_waits.py
@@ -1,6 +1,6 @@
 """Calls that wait for capacity, and those that have waited too long or would."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 from ...ids import RequestId, ServiceId
@@ -14,6 +14,24 @@
 from .rate_limit_waits import rate_limit_wait
 from .rate_limits import EndpointRateLimits
 
+SCHEDULED = frozenset(
+    each.value for each in (Shortage.TURN, Shortage.BACKOFF, Shortage.RATE)
+)
+"""Reasons of a wait that ends at a known instant or when others have had their turn."""
+
+
+def usual_latest_wait(
+    record: RequestRecord, since: timedelta, reason: Shortage
+) -> timedelta:
+    """Return the end of a share of the call's time."""
+    allowed = record.request.deadline - record.submitted_at
+    return since + allowed * MAX_WAIT_SHARE
+
+
+def usual_retry_after(record: RequestRecord) -> timedelta:
+    """Return the same delay for all calls."""
+    return RETRY_AFTER
+
 
 class CapacityWaits:
     """Decides whether a call that cannot be placed now waits or is refused.
@@ -23,15 +41,27 @@
     rate_limits : EndpointRateLimits
     since : dict of RequestId to timedelta
         Monotonic instant since which each call waits.
+    scheduled : set of RequestId
+        Calls that wait for their turn or a known instant.
+    latest_wait : callable
+        Returns until when a call may wait, by the start of its wait and the shortage.
+    retry_after : callable
+        Returns the retry delay of a call that has waited too long.
     """
 
     def __init__(self) -> None:
         self.rate_limits = EndpointRateLimits()
         self.since: dict[RequestId, timedelta] = {}
+        self.scheduled: set[RequestId] = set()
+        self.latest_wait: Callable[[RequestRecord, timedelta, Shortage], timedelta] = (
+            usual_latest_wait
+        )
+        self.retry_after: Callable[[RequestRecord], timedelta] = usual_retry_after
 
     def forget(self, request_id: RequestId) -> None:
         """Forget the wait of a call that was placed or has ended."""
         self.since.pop(request_id, None)
+        self.scheduled.discard(request_id)
 
     def decide(
         self,
@@ -40,7 +70,22 @@
         endpoints: Sequence[EndpointHealth],
         context: Context,
     ) -> Placement:
-        """Let a call wait, or refuse it if it has waited too long or would.
+        """Let a call wait, or refuse it if it has waited too long or would."""
+        decision = self._decide(record, choice, endpoints, context)
+        if isinstance(decision, Wait) and decision.reason in SCHEDULED:
+            self.scheduled.add(record.request_id)
+        else:
+            self.scheduled.discard(record.request_id)
+        return decision
+
+    def _decide(
+        self,
+        record: RequestRecord,
+        choice: WaitForCapacity,
+        endpoints: Sequence[EndpointHealth],
+        context: Context,
+    ) -> Placement:
+        """Let a call wait, or refuse it.
 
         Only time in the queue counts: otherwise a stream that breaks late while all
         engines are full would be rejected at once with time left. A call that yields to
@@ -50,10 +95,10 @@
             return Wait(choice.reason.value)
         now = context.now
         since = self.since.setdefault(record.request_id, now)
-        allowed = record.request.deadline - record.submitted_at
-        latest = since + allowed * MAX_WAIT_SHARE
+        latest = self.latest_wait(record, since, choice.reason)
         if now > latest:
-            return Refuse(overloaded_problem(choice.reason.value, RETRY_AFTER))
+            delay = self.retry_after(record)
+            return Refuse(overloaded_problem(choice.reason.value, delay))
         end = first_backoff_end(endpoints, now)
         if end is not None:
             if end > latest:
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -45,6 +45,7 @@
 from ...placement.overload import slot_release_time, typical_answer_time
 from ...placement.policy import choose
 from ...routing.engine import EngineFigures
+from .account_shares import AccountShares
 from .capacity_waits import CapacityWaits
 from .dispatch_places import place_on, prefill_helpers
 from .fleet_view import FleetView
@@ -88,6 +89,7 @@
         self.retry = BudgetedRetry()
         self.rate_limits = EndpointRateLimits()
         self.forwarding = PeerForwarding()
+        self.shares: AccountShares | None = None
         self.load_tracker = LoadTracker()
         self.engine_subset: Callable[[Sequence[EngineView]], Sequence[EngineView]] = (
             all_engines
@@ -110,6 +112,11 @@
         self.forwarding = find(PeerForwarding) or self.forwarding
         self.rate_limits.in_flight = self.load_tracker.own
         self.waits.rate_limits = self.rate_limits
+        self.shares = find(AccountShares)
+        if self.shares is not None:
+            self.waits.latest_wait = self.shares.latest_wait
+            self.waits.retry_after = self.shares.retry_after
+            self.shares.waits = self.waits
 
     def place(self, record: RequestRecord, context: Context) -> Placement:
         """Return the placement of a call."""
@@ -207,6 +214,8 @@
         self._note_placed(work.host, context.now)
         self.placed_attempts[work.request] = AttemptNumber(len(record.attempts) + 1)
         self.waits.forget(record.request_id)
+        if self.shares is not None:
+            self.shares.placed(record, context.now)
         self._record_prediction(place, record.request_id, context.now)
         context.emit(PublishWork(work))
         if place.reservations:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -55,7 +55,7 @@
 from .gossip_setup import new_gossip
 from .instance_view import LiveInstanceView, milliseconds
 from .metrics_page import MetricsConnection, create_metrics
-from .policies import PLUGINS
+from .policies import PLUGINS, SHARING_PLUGINS
 from .policies.fleet_view import FleetView
 from .policies.placing import WorkPlacer
 from .policies.quarantining import CrashQuarantine
@@ -95,6 +95,8 @@
         Rows by which instances discover each other.
     clock : Clock
     random : random.Random
+    account_shares : bool
+        Whether scarce capacity is shared fairly among client accounts.
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         peer_rows: PeerRows,
         clock: Clock,
         random: Random,
+        account_shares: bool = False,
     ) -> None:
         self.settings = settings
         self.read_settings = read_settings
@@ -117,7 +120,8 @@
             Incarnation(settings.instance.incarnation or 1),
             settings.instance.availability_zone,
         )
-        self.kernel = Kernel(identity, clock, random, create(PLUGINS))
+        plugins = SHARING_PLUGINS if account_shares else PLUGINS
+        self.kernel = Kernel(identity, clock, random, create(plugins))
         self.gateway = Gateway(
             self.kernel, dialect, clock, random, lambda: self.directory.table
         )
--- a/src/mimosafork/placement/choice.py
+++ b/src/mimosafork/placement/choice.py
@@ -143,6 +143,7 @@
     TURN = "older prompts are being read"
     RATE = "the rate limits of all endpoints are reached"
     BACKOFF = "all endpoints have requested a backoff"
+    SHARE = "calls that go before leave too little time"
 
 
 class WaitForCapacity(msgspec.Struct, frozen=True):
--- a/tests/support/retrying_fleet.py
+++ b/tests/support/retrying_fleet.py
@@ -6,7 +6,7 @@
 """
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from heapq import heappop, heappush
 from itertools import count
@@ -68,7 +68,7 @@
         self.exchange: Exchange = network.add(me, [seed])
         fleet.zones[me.address] = me.zone
         own = InstanceIdentity(me.instance, Incarnation(1), ZONE)
-        self.kernel = Kernel(own, network.clock, Random(boot), create(PLUGINS))
+        self.kernel = Kernel(own, network.clock, Random(boot), create(fleet.plugins))
         retry = self.kernel.plugin(BudgetedRetry)
         retry.slack = fleet.budget.slack
         retry.slack_share = self.share
@@ -166,10 +166,13 @@
         Whether starting instances can read the store.
     endpoints : int
         Number of endpoints.
+    plugins : sequence of str
+        Names of the plug-ins of each kernel.
     """
 
     instance_type: type[RetryingInstance] = RetryingInstance
     endpoints = ENDPOINTS
+    plugins: Sequence[str] = PLUGINS
 
     def __init__(
         self,
