Let accounts beyond their share leave free places to other instances

Cause: an instance sees at once that a place of its own call is free, so that the instance through which an account floods took it back before another instance, where calls of other accounts waited, knew of it. Work beyond the share is compared in finer steps.

--- a/src/mimosafork/gateway/policies/account_shares.py
+++ b/src/mimosafork/gateway/policies/account_shares.py
@@ -15,8 +15,9 @@
 import msgspec
 from msgspec.structs import replace
 
-from ...ids import AccountId, RequestId, ServiceId
+from ...ids import AccountId, EndpointId, RequestId, ServiceId
 from ...kernel.context import Context
+from ...kernel.core import TICK
 from ...kernel.messages.attempts import AttemptFailed, Exposure
 from ...kernel.messages.base import Message
 from ...kernel.messages.outcomes import Outcome
@@ -29,7 +30,7 @@
 )
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
-from ...placement.choice import Shortage
+from ...placement.choice import EngineView, Shortage
 from .account_usage import ServiceUsage
 from .call_work import CallWork, predict, priority_of
 from .capacity_waits import CapacityWaits
@@ -46,6 +47,9 @@
 and kinds that are otherwise never placed would be served just a quarter as often as
 all calls; if all overdue calls went first, an account that floods would take all."""
 
+YIELD_TIME = TICK + timedelta(milliseconds=30)
+"""Time until other instances know that a place is free, and have tried to use it."""
+
 RETRY_SPREAD = 0.5
 """Retry delays are lengthened by a random part of up to this share."""
 
@@ -73,6 +77,8 @@
     served : ServedShares
     levels : dict of AccountId to int
         How far each waiting account is beyond its fair share.
+    released : dict of EndpointId to timedelta
+        When a call of this instance last ended at each endpoint.
     lanes : dict of str to LaneDrain
     """
 
@@ -81,6 +87,7 @@
     placed: int = 0
     served: ServedShares = msgspec.field(default_factory=ServedShares)
     levels: dict[AccountId, int] = msgspec.field(default_factory=dict)
+    released: dict[EndpointId, timedelta] = msgspec.field(default_factory=dict)
     lanes: defaultdict[str, LaneDrain] = msgspec.field(
         default_factory=lambda: defaultdict(LaneDrain)
     )
@@ -190,6 +197,25 @@
         factor = 1.0 + RETRY_SPREAD * random.random()
         return replace(problem, retry_after=problem.retry_after * factor)
 
+    def without_released(
+        self, record: RequestRecord, engines: Sequence[EngineView], now: timedelta
+    ) -> Sequence[EngineView]:
+        """Return the engines that a call may be placed on now.
+
+        An instance sees at once that a place of its own call is free, and others some
+        time later. So calls of an account beyond its share leave it to them for as
+        long.
+        """
+        queue = self.queues.get(ServiceId(record.request.target))
+        if queue is None or not queue.levels.get(record.request.account):
+            return engines
+        since = now - YIELD_TIME
+        return [
+            view
+            for view in engines
+            if queue.released.get(view.endpoint, since) <= since
+        ]
+
     def latest_wait(
         self, record: RequestRecord, since: timedelta, reason: Shortage
     ) -> timedelta:
@@ -278,10 +304,21 @@
         if queue is None:
             return
         queue.since.pop(request_id, None)
+        if record.current is not None:
+            self._note_released(queue, record.current.endpoint, context.now)
         if waited and not record.attempts:
             kind = self._kind_of(record)
             queue.served.count(record.request.account, kind, placed=False)
 
+    def _note_released(
+        self, queue: ServiceQueue, endpoint: EndpointId, now: timedelta
+    ) -> None:
+        queue.released.pop(endpoint, None)
+        queue.released[endpoint] = now
+        # The oldest come first.
+        while queue.released and now - next(iter(queue.released.values())) > YIELD_TIME:
+            del queue.released[next(iter(queue.released))]
+
     def _take_back(self, attempt: tuple[RequestId, int], now: timedelta) -> None:
         charged = self.charged.pop(attempt, None)
         if charged is not None:
--- a/src/mimosafork/gateway/policies/account_usage.py
+++ b/src/mimosafork/gateway/policies/account_usage.py
@@ -18,6 +18,11 @@
 MAX_ACCOUNTS = 256
 """Accounts that are tracked for a service; further ones replace the least used."""
 
+STEPS_PER_SHARE = 16
+"""Steps in which the work beyond a share is compared. With whole shares, an account
+somewhat beyond its share was ranked beside one that floods, and got a part by the
+number of its calls."""
+
 MAX_EXPONENT = 30.0
 """Growth of the weight of new work after which all work is rescaled."""
 
@@ -64,8 +69,8 @@
         Returns
         -------
         dict of AccountId to int
-            0 within the share; otherwise the number of whole shares in the account's
-            recent work, so that of two large accounts the one with more work goes last.
+            0 within the share; otherwise by how many steps it is beyond, so that of two
+            large accounts the one with more work goes last.
         """
         self._forget_idle(now)
         accounts = len(self.by_account.keys() | set(waiting))
@@ -73,7 +78,7 @@
         if share <= 0.0:
             return dict.fromkeys(waiting, 0)
         return {
-            account: int(self.by_account[account].work / share)
+            account: level_of(self.by_account[account].work / share)
             if account in self.by_account
             else 0
             for account in waiting
@@ -106,3 +111,8 @@
         if len(self.by_account) >= MAX_ACCOUNTS:
             least = min(self.by_account, key=lambda each: self.by_account[each].work)
             self.total -= self.by_account.pop(least).work
+
+
+def level_of(shares: float) -> int:
+    """Return by how many steps work is beyond the share; 0 within it."""
+    return 1 + int((shares - 1.0) * STEPS_PER_SHARE) if shares > 1.0 else 0
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -138,6 +138,10 @@
             return Wait(Shortage.MEMORY.value)
         figures = self.figures_of(service)
         engines = self._eligible_engines(views, figures, context.now)
+        if self.shares is not None:
+            engines = self.shares.without_released(record, engines, context.now)
+            if views and not engines:
+                return Wait(Shortage.SHARE.value)
         ask = self._placement_request(record, figures, context)
         choice = choose(
             ask, engines, self.load_tracker, figures, context.now, context.random
