Keep the predictions of waiting calls as plain numbers

Cause: each pass over the queue compared instants of all waiting calls as time deltas and looked up the start of each wait. Change: the prediction of a call holds them in seconds, and when it becomes overdue.

--- a/src/mimosafork/gateway/policies/account_shares.py
+++ b/src/mimosafork/gateway/policies/account_shares.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 from functools import singledispatchmethod
+from math import inf
 from random import Random
 
 import msgspec
@@ -57,6 +58,10 @@
 """Services whose usage is kept; a further one replaces the least recently used."""
 
 
+LaneCalls = list[tuple[RequestRecord, CallWork]]
+"""Waiting calls of a lane, in order."""
+
+
 class ChargedWork(msgspec.Struct, frozen=True):
     """Work of a placed attempt, which is taken back if the attempt has not run."""
 
@@ -70,8 +75,6 @@
 
     Attributes
     ----------
-    since : dict of RequestId to timedelta
-        Monotonic instant since which each call waits.
     placed : int
         Placements since the latest one of an overdue call.
     served : ServedShares
@@ -83,7 +86,6 @@
     """
 
     usage: ServiceUsage
-    since: dict[RequestId, timedelta] = msgspec.field(default_factory=dict)
     placed: int = 0
     served: ServedShares = msgspec.field(default_factory=ServedShares)
     levels: dict[AccountId, int] = msgspec.field(default_factory=dict)
@@ -122,7 +124,10 @@
         """Return the calls in order; some turns are those of overdue calls."""
         service = ServiceId(ranked[0].request.target)
         queue = self._queue(service, now)
-        self._note_waiting(queue, ranked, now)
+        now_s = now.total_seconds()
+        calls = {record.request_id: self.prediction(record) for record in ranked}
+        for call in calls.values():
+            call.note_waiting(now_s)
         accounts = {record.request.account for record in ranked}
         queue.levels = levels = queue.usage.levels(accounts, now)
         self.log.ranked(service, levels, now)
@@ -131,10 +136,14 @@
             key=lambda record: (
                 levels[record.request.account],
                 priority_of(record),
-                now > self.prediction(record).on_time_start,
+                now_s > calls[record.request_id].on_time_start_s,
             ),
         )
-        overdue = [record for record in ranked if self._is_overdue(record, queue, now)]
+        overdue = [
+            record
+            for record in ranked
+            if now_s >= calls[record.request_id].overdue_at_s
+        ]
         if not overdue:
             return usual
         overdue.sort(key=lambda record: self._served_share(record, queue))
@@ -152,42 +161,20 @@
         if not waiting:
             return ()
         queue = self._queue(ServiceId(waiting[0].request.target), now)
-        self._note_waiting(queue, waiting, now)
-        lanes: defaultdict[str, list[RequestRecord]] = defaultdict(list)
+        lanes: defaultdict[str, LaneCalls] = defaultdict(list)
         for record in waiting:
-            lanes[self.lane(record)].append(record)
+            call = self.prediction(record)
+            call.note_waiting(now.total_seconds())
+            lanes[self.lane(record)].append((record, call))
+        scheduled = self.waits.scheduled
         found: list[Surplus] = []
-        for name, records in lanes.items():
+        for name, calls in lanes.items():
             drain = queue.lanes[name]
-            drain.observe(
-                sum(self.prediction(each).work for each in records), len(records), now
-            )
-            if name != SUSPECTED and not any(
-                record.request_id in self.waits.scheduled for record in records
-            ):
-                found += self._surplus_of_lane(records, drain, queue, now)
-        return found
-
-    def _surplus_of_lane(
-        self,
-        records: list[RequestRecord],
-        drain: LaneDrain,
-        queue: ServiceQueue,
-        now: timedelta,
-    ) -> list[Surplus]:
-        found = []
-        ahead, calls = 0.0, 0
-        for record in records:
-            call = self.prediction(record)
-            left_s = (call.latest_start - now) / SECOND
-            wait_s = drain.wait_s(ahead, calls, call.longest_wait / SECOND)
-            if wait_s > left_s and not record.attempts:
-                detail = f"{Shortage.SHARE.value}: {calls} calls, {wait_s:.1f} s"
-                delay = retry_delay(wait_s, record)
-                found.append(Surplus(record, overloaded_problem(detail, delay)))
+            drain.observe(sum(call.work for _, call in calls), len(calls), now)
+            if name == SUSPECTED:
                 continue
-            ahead += self.prediction(record).work
-            calls += 1
+            if not scheduled or not any(r.request_id in scheduled for r, _ in calls):
+                found += surplus_of_lane(calls, drain, now)
         return found
 
     def final_problem(self, problem: Problem, random: Random) -> Problem:
@@ -226,10 +213,10 @@
         refused first.
         """
         call = self.prediction(record)
-        latest = since + call.longest_wait
+        latest_s = since.total_seconds() + call.longest_wait_s
         if reason in (Shortage.SLOTS, Shortage.MEMORY):
-            return max(latest, call.latest_start)
-        return latest
+            latest_s = max(latest_s, call.latest_start_s)
+        return latest_s * SECOND
 
     def retry_after(self, record: RequestRecord) -> timedelta:
         """Return when the calls that wait now in the lane of a call have gone."""
@@ -243,14 +230,15 @@
     def placed(self, record: RequestRecord, now: timedelta) -> None:
         """Charge the work of a call that was placed to its account."""
         request = record.request
-        service, work = ServiceId(request.target), self.prediction(record).work
+        service, call = ServiceId(request.target), self.prediction(record)
         queue = self._queue(service, now)
-        queue.usage.add(request.account, work, now)
+        queue.usage.add(request.account, call.work, now)
         attempt = (record.request_id, len(record.attempts) + 1)
-        self.charged[attempt] = ChargedWork(service, request.account, work)
-        queue.lanes[self.lane(record)].place(work, now)
-        queue.placed = 0 if self._is_overdue(record, queue, now) else queue.placed + 1
-        queue.since.pop(record.request_id, None)
+        self.charged[attempt] = ChargedWork(service, request.account, call.work)
+        queue.lanes[self.lane(record)].place(call.work, now)
+        overdue = now.total_seconds() >= call.overdue_at_s
+        queue.placed = 0 if overdue else queue.placed + 1
+        call.overdue_at_s = inf
         if not record.attempts:
             queue.served.count(request.account, self._kind_of(record), placed=True)
 
@@ -269,12 +257,6 @@
             known = self.predictions[record.request_id] = predict(record, figures)
         return known
 
-    def _is_overdue(
-        self, record: RequestRecord, queue: ServiceQueue, now: timedelta
-    ) -> bool:
-        since = queue.since.get(record.request_id, now)
-        return now - since >= self.prediction(record).overdue_after
-
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
         """Take back the work of attempts that have not run, and forget ended calls."""
@@ -303,7 +285,6 @@
         queue = self.queues.get(ServiceId(record.request.target))
         if queue is None:
             return
-        queue.since.pop(request_id, None)
         if record.current is not None:
             self._note_released(queue, record.current.endpoint, context.now)
         if waited and not record.attempts:
@@ -334,11 +315,24 @@
             queue = self.queues[service] = ServiceQueue(ServiceUsage(now))
         return queue
 
-    def _note_waiting(
-        self, queue: ServiceQueue, waiting: list[RequestRecord], now: timedelta
-    ) -> None:
-        for record in waiting:
-            queue.since.setdefault(record.request_id, now)
+
+def surplus_of_lane(
+    calls: LaneCalls, drain: LaneDrain, now: timedelta
+) -> list[Surplus]:
+    """Return the calls of a lane that those before them leave no time."""
+    found = []
+    now_s = now.total_seconds()
+    ahead, count = 0.0, 0
+    for record, call in calls:
+        wait_s = drain.wait_s(ahead, count, call.longest_wait_s)
+        if wait_s > call.latest_start_s - now_s and not record.attempts:
+            detail = f"{Shortage.SHARE.value}: {count} calls, {wait_s:.1f} s"
+            delay = retry_delay(wait_s, record)
+            found.append(Surplus(record, overloaded_problem(detail, delay)))
+            continue
+        ahead += call.work
+        count += 1
+    return found
 
 
 def retry_delay(wait_s: float, record: RequestRecord) -> timedelta:
--- a/src/mimosafork/gateway/policies/call_work.py
+++ b/src/mimosafork/gateway/policies/call_work.py
@@ -1,6 +1,7 @@
 """Predicted work and least times of a waiting call."""
 
 from datetime import timedelta
+from math import inf
 
 import msgspec
 
@@ -20,49 +21,57 @@
 DEFAULT_PRIORITY = 5
 
 
-class CallWork(msgspec.Struct, frozen=True):
+class CallWork(msgspec.Struct):
     """What is predicted of a call when it first waits or is placed.
 
+    Instants are monotonic, in seconds: they are compared for each waiting call in each
+    pass over the queue.
+
     Attributes
     ----------
     work : float
         Engine time, or the same number for all calls of a plain service.
-    on_time_start : timedelta
-        Monotonic instant after which its answer is not on time.
-    latest_start : timedelta
-        Monotonic instant after which its answer is not complete by the deadline.
-    longest_wait : timedelta
+    on_time_start_s : float
+        Instant after which its answer is not on time.
+    latest_start_s : float
+        Instant after which its answer is not complete by the deadline.
+    longest_wait_s : float
         How long it may wait while it is tried again and again.
-    overdue_after : timedelta
-        Wait after which it is overdue.
+    overdue_at_s : float
+        Instant from which it is overdue; infinite while it does not wait.
     """
 
     work: float
-    on_time_start: timedelta
-    latest_start: timedelta
-    longest_wait: timedelta
-    overdue_after: timedelta
+    on_time_start_s: float
+    latest_start_s: float
+    longest_wait_s: float
+    overdue_at_s: float = inf
+
+    def note_waiting(self, now_s: float) -> None:
+        """Note that the call waits."""
+        if self.overdue_at_s == inf:
+            self.overdue_at_s = now_s + self.longest_wait_s * OVERDUE_SHARE
 
 
 def predict(record: RequestRecord, figures: EngineFigures | None) -> CallWork:
     """Return the prediction for a call; `figures` is None for a plain service."""
     request = record.request
     objective = timedelta(0) if request.terms is None else request.terms.objective
+    objective_s = objective.total_seconds()
+    submitted_s = record.submitted_at.total_seconds()
+    deadline_s = request.deadline.total_seconds()
     answer = 0 if figures is None else expected_answer_tokens(request, figures)
-    first = rest = timedelta(0)
+    first_s = rest_s = 0.0
     if figures is not None:
         prompt = request.prompt_tokens
-        prefill = timedelta(milliseconds=figures.prefill_ms(prompt, prompt))
-        first = min(prefill, objective * MAX_PREFILL_SHARE)
-        rest_ms = answer * COUNTED_ANSWER_SHARE * figures.step_ms
-        rest = timedelta(milliseconds=rest_ms)
-    longest_wait = (request.deadline - record.submitted_at) * MAX_WAIT_SHARE
+        prefill_s = figures.prefill_ms(prompt, prompt) / 1e3
+        first_s = min(prefill_s, objective_s * MAX_PREFILL_SHARE)
+        rest_s = answer * COUNTED_ANSWER_SHARE * figures.step_ms / 1e3
     return CallWork(
         work=engine_time_ms(request.prompt_tokens, answer, figures),
-        on_time_start=record.submitted_at + objective - first,
-        latest_start=request.deadline - first - rest,
-        longest_wait=longest_wait,
-        overdue_after=longest_wait * OVERDUE_SHARE,
+        on_time_start_s=submitted_s + objective_s - first_s,
+        latest_start_s=deadline_s - first_s - rest_s,
+        longest_wait_s=(deadline_s - submitted_s) * MAX_WAIT_SHARE,
     )
 
 
