--- a/benchmarks/waiting_calls.py
+++ b/benchmarks/waiting_calls.py
@@ -6,12 +6,14 @@
 """
 
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from itertools import product
 from random import Random
 
 from mimosafork.clock import ManualClock
-from mimosafork.gateway.policies import PLUGINS
+from mimosafork.gateway.policies import PLUGINS, SHARING_PLUGINS
 from mimosafork.ids import (
     AccountId,
     AvailabilityZoneId,
@@ -107,11 +109,13 @@
         return len(self.kernel.state.waiting)
 
 
-def crowd(engines: int, figures: EngineFigures) -> Crowd:
+def crowd(
+    engines: int, figures: EngineFigures, plugins: Sequence[str] = PLUGINS
+) -> Crowd:
     """Return full engines and the calls that wait for room."""
     clock = ManualClock(start=timedelta(seconds=100))
     identity = InstanceIdentity(InstanceId("entry-1"), Incarnation(1), ZONE)
-    kernel = Kernel(identity, clock, Random(1), create(PLUGINS))
+    kernel = Kernel(identity, clock, Random(1), create(plugins))
     service = Service(POOL, "/health", 64, engine=figures)
     table = RoutingTable(Revision(1), (), {POOL: service}, ClientLimits(), ())
     kernel.handle(RoutingTableChanged(table))
@@ -152,14 +156,14 @@
 
 
 def main() -> None:
-    """Measure and print."""
-    for engines in (16, 50):
-        for ends in (0, 20):
-            found = crowd(engines, FIGURES)
+    """Measure and print, with the usual order and with account shares."""
+    for name, plugins in (("", PLUGINS), (", account shares", SHARING_PLUGINS)):
+        for engines, ends in product((16, 50), (0, 20)):
+            found = crowd(engines, FIGURES, plugins)
             spent = cost_of(found, ends)
             print(
                 f"{found.waiting} calls waiting for {engines} engines, {ends} ending "
-                f"and coming a second: {spent * 1e3:.0f} ms of processor a second"
+                f"and coming a second{name}: {spent * 1e3:.0f} ms of processor a second"
             )
 
 
--- a/src/mimosafork/gateway/policies/account_shares.py
+++ b/src/mimosafork/gateway/policies/account_shares.py
@@ -7,7 +7,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from functools import singledispatchmethod
 from math import inf
@@ -174,7 +174,7 @@
             if name == SUSPECTED:
                 continue
             if not scheduled or not any(r.request_id in scheduled for r, _ in calls):
-                found += surplus_of_lane(calls, drain, now)
+                found += surplus_of_lane(calls, drain, queue.levels, now)
         return found
 
     def final_problem(self, problem: Problem, random: Random) -> Problem:
@@ -317,7 +317,10 @@
 
 
 def surplus_of_lane(
-    calls: LaneCalls, drain: LaneDrain, now: timedelta
+    calls: LaneCalls,
+    drain: LaneDrain,
+    levels: Mapping[AccountId, int],
+    now: timedelta,
 ) -> list[Surplus]:
     """Return the calls of a lane that those before them leave no time."""
     found = []
@@ -326,7 +329,11 @@
     for record, call in calls:
         wait_s = drain.wait_s(ahead, count, call.longest_wait_s)
         if wait_s > call.latest_start_s - now_s and not record.attempts:
-            detail = f"{Shortage.SHARE.value}: {count} calls, {wait_s:.1f} s"
+            level = levels.get(record.request.account, 0)
+            detail = (
+                f"{Shortage.SHARE.value}: {count} calls, {wait_s:.1f} s; the account "
+                f"is {level} steps beyond its share"
+            )
             delay = retry_delay(wait_s, record)
             found.append(Surplus(record, overloaded_problem(detail, delay)))
             continue
--- a/tests/functional/test_gateway_metrics.py
+++ b/tests/functional/test_gateway_metrics.py
@@ -14,6 +14,7 @@
     TABLE_VERSION,
 )
 from mimosafork.telemetry.catalogue.lifecycle import LOG_DROPS, LOG_LEFT_OUT
+from mimosafork.telemetry.catalogue.scheduling import ACCOUNTS_TRACKED
 
 from ..support.functions import function_tests
 from ..support.gateway_processes import GatewayProcess, gateway_process
@@ -63,4 +64,25 @@
             assert known.exposed_name in page, known.name
 
 
+def test_account_shares_follow_the_settings() -> None:
+    """A deployment that asks for account shares gets the usual order, or the reverse.
+
+    The settings are read, but the plug-in is not chosen by them.
+    """
+    assert shares_are_counted("other, pressure")
+    assert not shares_are_counted("other")
+
+
+def shares_are_counted(contracts: str) -> bool:
+    """Return whether an instance with these contracts counts the work of accounts."""
+    settings = f"\n[scheduling]\ncontracts = {contracts}"
+    with deployment() as platform, ExitStack() as stack:
+        platform.add_desk(EndpointSettings(DESKS))
+        started = stack.enter_context(gateway_process(platform, bounds=settings))
+        started.wait_until_ready()
+        eventually(lambda: page_of(started) != "")
+        eventually(lambda: started.ask("/safe/1", "w", Authorization=KEY).status == 200)
+        return f"{ACCOUNTS_TRACKED.exposed_name}{{" in page_of(started)
+
+
 load_tests = function_tests(__name__)
