Give overdue turns by priority unless a kind or account starves

Cause: overdue calls went by how often their kind and account had been placed. A rare kind, of which an instance had placed none yet, went before all others: with nine instances under a general overload, long prompts of the least urgent priority were served in 0.76 of all cases and the most urgent ones in 0.51. Change: only accounts and kinds placed less than half as often as all calls go first, with two usual results assumed for each; all else by priority.

--- a/src/mimosafork/gateway/policies/account_shares.py
+++ b/src/mimosafork/gateway/policies/account_shares.py
@@ -2,8 +2,8 @@
 
 Waiting calls go in this order: those of accounts within their fair share of the recent
 work, the more urgent priority, those that can still be on time, the earliest objective.
-Some turns are those of calls that have waited for long, of the accounts and kinds that
-were placed least often.
+Some turns are those of calls that have waited for long; first of accounts and kinds
+that are placed far less often than others.
 """
 
 from collections import defaultdict
@@ -146,7 +146,12 @@
         ]
         if not overdue:
             return usual
-        overdue.sort(key=lambda record: self._served_share(record, queue))
+        overdue.sort(
+            key=lambda record: (
+                queue.served.starvation(record.request.account, self._kind_of(record)),
+                priority_of(record),
+            )
+        )
         return with_turns(usual, overdue, queue.placed)
 
     def surplus(
@@ -245,9 +250,6 @@
     def _kind_of(self, record: RequestRecord) -> CallKind:
         return CallKind(priority_of(record), self.lane(record))
 
-    def _served_share(self, record: RequestRecord, queue: ServiceQueue) -> float:
-        return queue.served.share(record.request.account, self._kind_of(record))
-
     def prediction(self, record: RequestRecord) -> CallWork:
         """Return what is predicted of a call."""
         known = self.predictions.get(record.request_id)
--- a/src/mimosafork/gateway/policies/served_shares.py
+++ b/src/mimosafork/gateway/policies/served_shares.py
@@ -1,5 +1,6 @@
 """How often the calls of each account and kind were placed recently."""
 
+from math import inf
 from typing import NamedTuple
 
 import msgspec
@@ -9,6 +10,14 @@
 HALVE_AT = 512
 """Calls after which all numbers are halved, so that the latest count most."""
 
+ASSUMED_CALLS = 2.0
+"""Calls with the usual result that are added to those of a group: a few calls say
+little, and a rare kind without any would seem to be starved."""
+
+STARVED = 0.5
+"""Accounts and kinds that are placed less often than this part of all calls go first
+among overdue calls, so that they are served more than a quarter as often."""
+
 MIN_KEPT = 0.25
 """Groups with fewer calls than this are forgotten when the numbers are halved. A call
 belongs to two groups, and one call alone is forgotten with the third halving, so that
@@ -28,10 +37,13 @@
     ended: float = 0.0
     placed: float = 0.0
 
-    @property
-    def share(self) -> float:
-        """Share that was placed; 0 before any call."""
-        return self.placed / self.ended if self.ended else 0.0
+    def share(self, expected: float) -> float:
+        """Return the share that was placed; the expected one before any call."""
+        calls = self.ended + ASSUMED_CALLS
+        return (self.placed + expected * ASSUMED_CALLS) / calls
+
+
+NO_CALLS = GroupCalls()
 
 
 class ServedShares:
@@ -39,25 +51,39 @@
 
     def __init__(self) -> None:
         self.groups: dict[AccountId | CallKind, GroupCalls] = {}
+        self.all = GroupCalls()
         self.calls = 0
 
     def count(self, account: AccountId, kind: CallKind, placed: bool) -> None:
         """Count a call that has left the queue."""
-        for group in (account, kind):
-            calls = self.groups.setdefault(group, GroupCalls())
+        groups = (account, kind)
+        of_groups = [self.groups.setdefault(each, GroupCalls()) for each in groups]
+        for calls in (self.all, *of_groups):
             calls.ended += 1.0
             calls.placed += placed
         self.calls += 1
         if self.calls >= HALVE_AT:
             self._halve()
 
-    def share(self, account: AccountId, kind: CallKind) -> float:
-        """Return the share of the less often placed group of a call."""
-        known = (self.groups.get(account), self.groups.get(kind))
-        return min(0.0 if each is None else each.share for each in known)
+    def starvation(self, account: AccountId, kind: CallKind) -> float:
+        """Return how often a call's account or kind is placed, compared with all calls.
+
+        Returns
+        -------
+        float
+            Share of the less often placed of the two, relative to that of all calls;
+            infinite unless it is below `STARVED`.
+        """
+        overall = self.all.share(1.0)
+        least = min(
+            self.groups.get(group, NO_CALLS).share(overall) for group in (account, kind)
+        )
+        return least / overall if least < STARVED * overall else inf
 
     def _halve(self) -> None:
         self.calls = 0
+        self.all.ended /= 2
+        self.all.placed /= 2
         for group, calls in list(self.groups.items()):
             calls.ended /= 2
             calls.placed /= 2
--- a/tests/unit/gateway/test_fair_service.py
+++ b/tests/unit/gateway/test_fair_service.py
@@ -144,6 +144,29 @@
     case.assertGreater(after.served_share, new.by_account()["flood"].served_share + 0.2)
 
 
+def test_all_accounts_and_kinds_are_served_in_a_general_overload() -> None:
+    """All accounts, of very unlike size, send more of all kinds than can be served.
+
+    Nine instances see few calls of each rare kind. Such kinds went before all others
+    for lack of any result, and less urgent ones were served most often (0.76 against
+    0.51 of the urgent ones).
+    """
+    urgent = replace(SHORT, name="urgent", priority=2)
+    usual = Kind("usual", 30_000, 300, ms(1_500), ms(12_000))
+    kinds = ((urgent, 1.2), (usual, 0.12), (replace(LONG, priority=7), 0.03))
+    loads = [
+        Load(f"account-{number}", kind, 0.4 * 1.4**number * part)
+        for number in range(14)
+        for kind, part in kinds
+    ]
+    old, new = compare(loads, SPAN, size=9, engines=4)
+    check_none_starves(new)
+    check_priority(new, "urgent", "usual")
+    check_priority(new, "urgent", "long")
+    case.assertGreater(new.total().on_time, 3 * old.total().on_time)
+    case.assertGreaterEqual(new.total().served, 0.95 * old.total().served)
+
+
 def test_an_account_alone_uses_the_whole_capacity() -> None:
     """The only account is held to a share, and capacity stays unused."""
     loads = [Load("only", SHORT, 90)]
