--- a/src/mimosafork/gateway/policies/account_shares.py
+++ b/src/mimosafork/gateway/policies/account_shares.py
@@ -36,7 +36,7 @@
 from .call_work import CallWork, predict, priority_of
 from .capacity_waits import CapacityWaits
 from .fleet_view import FleetView
-from .lane_drain import SECOND, LaneDrain
+from .lane_drain import MAX_GAP, SECOND, LaneDrain
 from .ordering import SUSPECTED, UrgentFirst
 from .placement_requests import RETRY_AFTER, overloaded_problem
 from .rate_limit_waits import MIN_RETRY_AFTER
@@ -80,6 +80,8 @@
     served : ServedShares
     levels : dict of AccountId to int
         How far each waiting account is beyond its fair share.
+    arranged_at : timedelta
+        When the levels were calculated: each tick while several calls wait.
     released : dict of EndpointId to timedelta
         When a call of this instance last ended at each endpoint.
     lanes : dict of str to LaneDrain
@@ -89,6 +91,7 @@
     placed: int = 0
     served: ServedShares = msgspec.field(default_factory=ServedShares)
     levels: dict[AccountId, int] = msgspec.field(default_factory=dict)
+    arranged_at: timedelta = timedelta(0)
     released: dict[EndpointId, timedelta] = msgspec.field(default_factory=dict)
     lanes: defaultdict[str, LaneDrain] = msgspec.field(
         default_factory=lambda: defaultdict(LaneDrain)
@@ -129,6 +132,7 @@
         for call in calls.values():
             call.note_waiting(now_s)
         accounts = {record.request.account for record in ranked}
+        queue.arranged_at = now
         queue.levels = levels = queue.usage.levels(accounts, now)
         self.log.ranked(service, levels, now)
         usual = sorted(
@@ -201,6 +205,8 @@
         queue = self.queues.get(ServiceId(record.request.target))
         if queue is None or not queue.levels.get(record.request.account):
             return engines
+        if now - queue.arranged_at > MAX_GAP:
+            return engines
         since = now - YIELD_TIME
         return [
             view
--- a/src/mimosafork/gateway/policies/share_log.py
+++ b/src/mimosafork/gateway/policies/share_log.py
@@ -51,7 +51,7 @@
                     ACCOUNT_RANKED_LAST,
                     account=account,
                     service=service,
-                    shares=level,
+                    steps=level,
                     accounts=len(levels),
                 )
 
--- a/tests/unit/gateway/test_account_shares.py
+++ b/tests/unit/gateway/test_account_shares.py
@@ -14,6 +14,7 @@
 from mimosafork.gateway.policies import PLUGINS, SHARING_PLUGINS
 from mimosafork.gateway.policies.account_shares import (
     MAX_SERVICES,
+    YIELD_TIME,
     AccountShares,
     with_turns,
 )
@@ -23,6 +24,7 @@
     USAGE_SPAN,
     ServiceUsage,
 )
+from mimosafork.gateway.policies.fleet_view import engine_view
 from mimosafork.gateway.policies.lane_drain import LaneDrain
 from mimosafork.gateway.policies.ordering import UrgentFirst
 from mimosafork.gateway.policies.placement_requests import RETRY_AFTER
@@ -55,6 +57,7 @@
     PLAIN_SERVICE,
     ZONE,
     GatewayBench,
+    listed,
     plain_request,
     request_of,
 )
@@ -208,6 +211,27 @@
     case.assertEqual("a1", order_of(bench)[0])
 
 
+def test_places_are_left_to_other_instances_only_during_a_shortage() -> None:
+    """A flood that is over keeps an account from free engines for good.
+
+    While several calls wait, an account beyond its share leaves an engine alone for a
+    moment after a call of its instance has ended there.
+    """
+    bench = used_bench(a=40, b=1, c=1)
+    for name, account in (("a1", A), ("b1", B)):
+        bench.submit(request_by(bench, name, account))
+    shares, now = shares_of(bench), bench.clock.monotonic()
+    views = [engine_view(listed("desk-0"), usable=True, suspect=False)]
+    large = RequestRecord(request_by(bench, "x", A), now)
+    small = RequestRecord(request_by(bench, "y", B), now)
+    case.assertEqual([], shares.without_released(large, views, now))
+    case.assertEqual(views, shares.without_released(small, views, now))
+    case.assertEqual(views, shares.without_released(large, views, now + YIELD_TIME))
+    shares.queues[PLAIN_SERVICE].released[EndpointId("desk-0")] = now + SECOND
+    later = now + SECOND
+    case.assertEqual(views, shares.without_released(large, views, later))
+
+
 def test_work_that_has_not_run_is_not_charged() -> None:
     """An account is ranked last for calls that endpoints rejected."""
     bench = sharing_bench()
