--- a/src/mimosafork/telemetry/catalogue/scheduling.py
+++ b/src/mimosafork/telemetry/catalogue/scheduling.py
@@ -10,9 +10,9 @@
     "account-ranked-last",
     Level.WARNING,
     "calls of account {account} to {service} go behind those of other accounts",
-    "Calls wait, and the account has used more of the recent work of this instance than "
-    "it may without a penalty, by `steps` sixteenths of that. `accounts` is the number "
-    "of accounts whose calls wait.",
+    "Calls wait, and the account has used more of the recent work of this instance "
+    "than it may without a penalty, by `steps` sixteenths of that. `accounts` is "
+    "the number of accounts whose calls wait.",
     "None if it floods. If it should get more, add endpoints.",
 )
 ACCOUNT_WITHIN_SHARE = Event(
