--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -45,6 +45,7 @@
 from ...placement.overload import slot_release_time, typical_answer_time
 from ...placement.policy import choose
 from ...routing.engine import EngineFigures
+from .account_shares import AccountShares
 from .capacity_waits import CapacityWaits
 from .dispatch_places import place_on, prefill_helpers
 from .fleet_view import FleetView
@@ -88,6 +89,7 @@
         self.retry = BudgetedRetry()
         self.permits = SendPermits()
         self.forwarding = PeerForwarding()
+        self.shares: AccountShares | None = None
         self.load_tracker = LoadTracker()
         self.engine_subset: Callable[[Sequence[EngineView]], Sequence[EngineView]] = (
             all_engines
@@ -110,6 +112,11 @@
         self.forwarding = find(PeerForwarding) or self.forwarding
         self.permits.rate_limits.in_flight = self.load_tracker.own
         self.waits.permits = self.permits
+        self.shares = find(AccountShares)
+        if self.shares is not None:
+            self.waits.latest_wait = self.shares.latest_wait
+            self.waits.retry_after = self.shares.retry_after
+            self.shares.waits = self.waits
 
     def place(self, record: RequestRecord, context: Context) -> Placement:
         """Return the placement of a call."""
@@ -131,6 +138,10 @@
             return Wait(Shortage.MEMORY.value)
         figures = self.figures_of(service)
         engines = self._eligible_engines(views, figures, context.now)
+        if self.shares is not None:
+            engines = self.shares.without_released(record, engines, context.now)
+            if views and not engines:
+                return Wait(Shortage.SHARE.value)
         ask = self._placement_request(record, figures, context)
         choice = choose(
             ask, engines, self.load_tracker, figures, context.now, context.random
@@ -207,6 +218,8 @@
         self._note_placed(work.host, context.now)
         self.placed_attempts[work.request] = AttemptNumber(len(record.attempts) + 1)
         self.waits.forget(record.request_id)
+        if self.shares is not None:
+            self.shares.placed(record, context.now)
         self._record_prediction(place, record.request_id, context.now)
         context.emit(PublishWork(work))
         if place.reservations:
@@ -247,9 +260,7 @@
 
     def figures_of(self, service: ServiceId) -> EngineFigures | None:
         """Return the engine parameters of a service; None for a plain service."""
-        table = self.fleet.table if self.fleet is not None else None
-        known = table.services.get(service) if table is not None else None
-        return known.engine if known is not None else None
+        return None if self.fleet is None else self.fleet.figures_of(service)
 
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
--- a/src/mimosafork/placement/choice.py
+++ b/src/mimosafork/placement/choice.py
@@ -147,6 +147,7 @@
     RATE = "the rate limits of all endpoints are reached"
     COLD = "endpoints may be cold and take no further request now"
     BACKOFF = "all endpoints have requested a backoff"
+    SHARE = "calls that go before leave too little time"
 
 
 class WaitForCapacity(msgspec.Struct, frozen=True):
