--- a/src/mimosafork/directory/change_log.py
+++ b/src/mimosafork/directory/change_log.py
@@ -10,6 +10,8 @@
     ENDPOINT_HELD,
     ENDPOINT_LISTED,
     ENTRY_UNREADABLE,
+    EVACUATION_ENDED,
+    EVACUATION_STARTED,
     TABLE_KEPT,
     TABLE_TAKEN,
 )
@@ -21,6 +23,7 @@
     DirectoryEntry,
     EndpointChanged,
     EndpointState,
+    EvacuationChanged,
     TableChanged,
     UpdateOrigin,
 )
@@ -68,6 +71,26 @@
     )
 
 
+def log_evacuation(changed: EvacuationChanged, silence: timedelta | None) -> None:
+    """Log that the evacuation of a zone has begun or ended.
+
+    Parameters
+    ----------
+    silence : timedelta or None
+        Time since the store's last answer about the operator's rows.
+    """
+    age = silence if changed.origin is UpdateOrigin.STORE else changed.age
+    log_event(
+        logger,
+        EVACUATION_STARTED if changed.evacuated else EVACUATION_ENDED,
+        zone=truncate_field(changed.zone),
+        source=changed.origin.value,
+        version=changed.version.number,
+        era=changed.version.era,
+        age_ms=None if age is None else age // MILLISECOND,
+    )
+
+
 def log_endpoint(changed: EndpointChanged) -> None:
     """Log the new state of an endpoint."""
     entry = changed.entry
--- a/src/mimosafork/directory/consumers.py
+++ b/src/mimosafork/directory/consumers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -40,7 +41,10 @@
 
 
 class ConfigurationConsumer:
-    """Applies the configuration's rows to the directory.
+    """Applies the operator's rows to the directory.
+
+    Evacuations are applied first: a configuration that begins to apply may let calls
+    in.
 
     Parameters
     ----------
@@ -51,19 +55,38 @@
         self.directory = directory
 
     def is_newer_than(self, page: RowPage) -> bool:
-        """Whether the configuration in force is newer than a row of the page."""
+        """Whether what is in force is newer than the page, or than a row of it."""
+        if self.directory.evacuations.is_newer_than(page.version):
+            return True
         known = self.directory.raw_configuration
         if known is None:
             return False
-        return any(row.version < known.version for row in page.rows)
+        rows = self.directory.split_rows(page.rows).configurations
+        return any(row.version < known.version for row in rows)
 
     def apply_snapshot(self, page: RowPage) -> None:
-        """Apply the configuration; if it is missing, the current one stays in force."""
-        self.apply_changes(page)
+        """Apply all rows.
+
+        Zones without a row are not evacuated; without a configuration, the current one
+        stays in force.
+        """
+        split = self.directory.split_rows(page.rows)
+        versions = {zone: state.version for zone, state in split.zones}
+        for change in self.directory.evacuations.apply_read(versions, page.version):
+            self.directory.publish_evacuation(change)
+        self.apply_configurations(split.configurations)
 
     def apply_changes(self, page: RowPage) -> None:
-        """Apply the configuration."""
-        for row in page.rows:
+        """Apply changed rows."""
+        split = self.directory.split_rows(page.rows)
+        evacuations = self.directory.evacuations
+        for change in evacuations.apply_rows(split.zones, page.version):
+            self.directory.publish_evacuation(change)
+        self.apply_configurations(split.configurations)
+
+    def apply_configurations(self, rows: Iterable[Row]) -> None:
+        """Apply rows of the configuration."""
+        for row in rows:
             self.directory.apply_configuration(row, UpdateOrigin.STORE)
 
     def longest_wait(self, usual: timedelta) -> timedelta:
--- a/src/mimosafork/directory/directory.py
+++ b/src/mimosafork/directory/directory.py
@@ -1,36 +1,46 @@
 """The directory: follows the configuration and the endpoints, and publishes changes."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from random import Random
 
 from msgspec.structs import replace
 
 from ..clock import Clock
-from ..ids import EndpointId
+from ..ids import AvailabilityZoneId, EndpointId
 from ..routing.table import RoutingTable
-from .change_log import log_endpoint, log_kept, log_table, log_unreadable
+from .change_log import (
+    log_endpoint,
+    log_evacuation,
+    log_kept,
+    log_table,
+    log_unreadable,
+)
 from .consumers import ConfigurationConsumer, EndpointConsumer
 from .current_table import CurrentTable, TableKept
 from .endpoint_registry import EndpointRegistry
 from .era import StoreEra
 from .errors import UnreadableRowError
+from .evacuations import ZoneEvacuations
 from .follower import Sleep, TableFollower, sleep
 from .health import StoreHealth, VersionWatermark
 from .messages import (
     DirectoryChange,
     DirectoryEntry,
     EndpointChanged,
+    EvacuationChanged,
     Listener,
     TableChanged,
     UpdateOrigin,
 )
+from .operator_rows import OperatorRows, RowSplitter
 from .peer_feed import PeerFeed
 from .row_version import LATEST, NO_VERSION, RowVersion
 from .rows import Row
 from .settings import DirectorySettings
 from .sources import ConfigurationSource, EndpointSource
+from .zone_state import ZoneState
 
 
 def no_peers() -> int:
@@ -80,6 +90,8 @@
         grace, min_outage = chosen.return_grace, chosen.min_outage
         self.health = StoreHealth(clock, grace, min_outage)
         self.current_table = CurrentTable(configurations)
+        self.row_splitter = RowSplitter(configurations)
+        self.evacuations = ZoneEvacuations()
         self.endpoint_registry = EndpointRegistry(
             endpoints, self.health, clock, chosen.removal_retention
         )
@@ -172,6 +184,22 @@
         self.watermark.observe(row.version)
         self.apply_configuration(row, UpdateOrigin.PEER)
 
+    def offer_evacuation(
+        self,
+        zone: AvailabilityZoneId,
+        state: ZoneState,
+        age: timedelta | None = None,
+    ) -> None:
+        """Apply a peer's update of the evacuation of a zone, if it is newer."""
+        self.watermark.observe(state.version)
+        change = self.evacuations.apply(zone, state, UpdateOrigin.PEER, age)
+        if change is not None:
+            self.publish_evacuation(change)
+
+    def split_rows(self, rows: Iterable[Row]) -> OperatorRows:
+        """Return the operator's rows by what they are about."""
+        return self.row_splitter.split(rows)
+
     def offer_endpoint(self, row: Row) -> None:
         """Apply a peer's update of an endpoint."""
         self.watermark.observe(row.version)
@@ -240,6 +268,14 @@
         log_table(changed, self.configuration_follower.health.time_since_answer)
         self.notify(changed)
 
+    def publish_evacuation(self, changed: EvacuationChanged) -> None:
+        """Log that an evacuation has begun or ended, and notify the listeners."""
+        if changed.takes_effect:
+            log_evacuation(
+                changed, self.configuration_follower.health.time_since_answer
+            )
+        self.notify(changed)
+
     def publish_endpoint(self, changed: EndpointChanged) -> None:
         """Log a change of an endpoint and notify the listeners."""
         log_endpoint(changed)
--- a/src/mimosafork/directory/messages.py
+++ b/src/mimosafork/directory/messages.py
@@ -1,15 +1,17 @@
 """Messages that the directory publishes within the instance."""
 
 from collections.abc import Callable
+from datetime import timedelta
 from enum import Enum
 
 import msgspec
 
-from ..ids import EndpointId
+from ..ids import AvailabilityZoneId, EndpointId
 from ..routing.listing import ListedEndpoint
 from ..routing.table import RoutingTable
 from .row_version import NO_VERSION, RowVersion
 from .rows import Row
+from .zone_state import ZoneState
 
 
 class UpdateOrigin(Enum):
@@ -96,5 +98,34 @@
         return self.entry.listed.endpoint
 
 
-DirectoryChange = TableChanged | EndpointChanged
+class EvacuationChanged(msgspec.Struct, frozen=True):
+    """The evacuation of a zone has begun or ended, or has a newer version.
+
+    Attributes
+    ----------
+    before : bool
+        Whether the zone was evacuated.
+    age : timedelta or None
+        Age of a peer's update.
+    """
+
+    zone: AvailabilityZoneId
+    evacuated: bool
+    version: RowVersion
+    origin: UpdateOrigin
+    before: bool = False
+    age: timedelta | None = None
+
+    @property
+    def state(self) -> ZoneState:
+        """The state of the zone from now on."""
+        return ZoneState(self.evacuated, self.version)
+
+    @property
+    def takes_effect(self) -> bool:
+        """Whether the evacuation has begun or ended."""
+        return self.evacuated != self.before
+
+
+DirectoryChange = TableChanged | EndpointChanged | EvacuationChanged
 Listener = Callable[[DirectoryChange], None]
--- a/src/mimosafork/directory/sources.py
+++ b/src/mimosafork/directory/sources.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from ..ids import AvailabilityZoneId
 from ..routing.listing import ListedEndpoint
 from ..routing.table import RoutingTable
 from .row_version import RowVersion
@@ -22,10 +23,20 @@
 
 
 class ConfigurationSource(RowSource, Protocol):
-    """Source of the configuration's row."""
+    """Source of the rows of the operator: the configuration, and evacuated zones."""
 
     def decode(self, row: Row) -> RoutingTable:
-        """Decode a row's value; raises `UnreadableRowError`."""
+        """Decode a configuration's value; raises `UnreadableRowError`."""
+        ...
+
+    def evacuated_zone(self, row: Row) -> AvailabilityZoneId | None:
+        """Return the zone that a row evacuates while it exists, None for other rows.
+
+        Raises
+        ------
+        UnreadableRowError
+            If the row names no zone that can be read.
+        """
         ...
 
 
--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -353,6 +353,8 @@
         "draining": "began to leave before the call was sent",
         "backing-off": "wanted no calls when the call was to be sent",
         "peer-failed": "ran it for this instance and sent no whole answer",
+        "evacuated": "or a helper was in a zone that had been evacuated when the call "
+        "was to be sent",
         "rate-limited": "had reached its rate limit when the call was to be sent",
     }.get(kind, kind)
     after = line.number("events")
--- a/src/mimosafork/explain/events.py
+++ b/src/mimosafork/explain/events.py
@@ -17,6 +17,8 @@
 TABLE_KEPT = directory.TABLE_KEPT.code
 STORE_RESTORED = directory.STORE_RESTORED.code
 UNREADABLE = directory.ENTRY_UNREADABLE.code
+EVACUATION_STARTED = directory.EVACUATION_STARTED.code
+EVACUATIONS = frozenset({EVACUATION_STARTED, directory.EVACUATION_ENDED.code})
 PULLED = gossip.GOSSIP_PULLED.code
 
 CALL_EVENTS = ATTEMPT_FAILURES | {
@@ -32,21 +34,25 @@
 )
 """Lines that say that there should be others."""
 
-SURROUNDINGS = GAPS | {
-    FREEZE,
-    gateway.CONTENT_QUARANTINED.code,
-    gateway.CONTENT_CLEARED.code,
-    TABLE_TAKEN,
-    directory.STORE_LOST.code,
-    directory.STORE_REGAINED.code,
-    STORE_RESTORED,
-    TABLE_KEPT,
-    gossip.GOSSIP_PEER_DOWN.code,
-    gossip.GOSSIP_PEER_UP.code,
-    gossip.GOSSIP_PEER_RESTARTED.code,
-    STARTING,
-    gateway.GATEWAY_STOPPING.code,
-    gateway.GATEWAY_STOPPED.code,
-    gateway.SETTINGS_TAKEN.code,
-}
+SURROUNDINGS = (
+    GAPS
+    | EVACUATIONS
+    | {
+        FREEZE,
+        gateway.CONTENT_QUARANTINED.code,
+        gateway.CONTENT_CLEARED.code,
+        TABLE_TAKEN,
+        directory.STORE_LOST.code,
+        directory.STORE_REGAINED.code,
+        STORE_RESTORED,
+        TABLE_KEPT,
+        gossip.GOSSIP_PEER_DOWN.code,
+        gossip.GOSSIP_PEER_UP.code,
+        gossip.GOSSIP_PEER_RESTARTED.code,
+        STARTING,
+        gateway.GATEWAY_STOPPING.code,
+        gateway.GATEWAY_STOPPED.code,
+        gateway.SETTINGS_TAKEN.code,
+    }
+)
 """What may matter to any call of its instance."""
--- a/src/mimosafork/explain/links.py
+++ b/src/mimosafork/explain/links.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
+from datetime import timedelta
 
 from . import events
 from .lines import LogLine
@@ -69,6 +70,9 @@
         return line.text("zone") == self.zone
 
     def _verdict(self, named: Sequence[LogLine]) -> str:
+        return "; ".join([self._failures(named), *evacuation_texts(named)])
+
+    def _failures(self, named: Sequence[LogLine]) -> str:
         pairs = [(line, link) for line in named if (link := link_of(line)) is not None]
         if not pairs:
             return "no attempt failed on a way into it, out of it or within it"
@@ -86,3 +90,27 @@
 def counts_text(counts: Counter[Link] | Counter[str]) -> str:
     """Return counts, the largest first."""
     return ", ".join(f"{count} {what}" for what, count in counts.most_common())
+
+
+def evacuation_texts(named: Sequence[LogLine]) -> list[str]:
+    """Return when a zone was evacuated and on how many instances, oldest first.
+
+    Lines of one version are of one row, or of one removal.
+    """
+    changes: dict[tuple[int, int], list[LogLine]] = {}
+    for line in named:
+        if line.event in events.EVACUATIONS:
+            version = (line.number("era"), line.number("version"))
+            changes.setdefault(version, []).append(line)
+    return [evacuation_text(lines) for lines in changes.values()]
+
+
+def evacuation_text(lines: Sequence[LogLine]) -> str:
+    """Return on how many instances an evacuation began or ended, and how fast."""
+    begun = lines[0].event == events.EVACUATION_STARTED
+    instances = {line.instance for line in lines}
+    lasted = (lines[-1].instant - lines[0].instant) // timedelta(milliseconds=1)
+    what = "evacuated" if begun else "no longer evacuated"
+    return (
+        f"{what} from {lines[0].time} on {len(instances)} instances within {lasted} ms"
+    )
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -97,18 +97,19 @@
         self.random = random
         self.table = table
         self.pool = ConnectionPool(clock)
-        send_gate = EndpointSendGate(
-            kernel.plugin(FleetView), kernel.plugin(EndpointRateLimits)
-        )
+        fleet = kernel.plugin(FleetView)
+        send_gate = EndpointSendGate(fleet, kernel.plugin(EndpointRateLimits))
         instance = kernel.state.identity.instance
         self.attempt_context = AttemptContext(
             clock, self.pool, dialect, self.post, send_gate, instance
         )
         self.probes = ConnectionProbes(self.pool, self.post)
         self.call_log = CallLog(clock)
-        self.zone_watch = ZoneWatch(self.post, kernel.plugin(FleetView).zone_of)
+        self.zone_watch = ZoneWatch(self.post, fleet.zone_of)
         self.freeze_watch = FreezeWatch(clock, BootClock(), TICK)
-        self.order_client = OrderClient(clock, self.pool, dialect, self.post)
+        self.order_client = OrderClient(
+            clock, self.pool, dialect, self.post, fleet.is_evacuated
+        )
         self.connections: set[ClientConnection] = set()
         self.calls: dict[RequestId, Call] = {}
         self.by_connection: dict[Responder, RequestId] = {}
--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -10,7 +10,12 @@
 from ..ids import ServiceId
 from ..quarantine.register import QuarantineState
 from ..telemetry.catalogue.contents import CONTENTS_QUARANTINED, CONTENTS_SUSPECTED
-from ..telemetry.catalogue.directory import ENDPOINTS_HELD, STORE_ERA
+from ..telemetry.catalogue.directory import (
+    ENDPOINTS_EVACUATED,
+    ENDPOINTS_HELD,
+    STORE_ERA,
+    ZONES_EVACUATED,
+)
 from ..telemetry.catalogue.gateway import (
     CALLS_FORWARDED,
     CALLS_OPEN,
@@ -99,6 +104,8 @@
         registry.observe(ENDPOINTS_KNOWN, self.endpoints)
         registry.observe(ENDPOINTS_HELD, self.held_endpoints)
         registry.observe(STORE_ERA, self.store_era)
+        registry.observe(ZONES_EVACUATED, self.evacuated_zones)
+        registry.observe(ENDPOINTS_EVACUATED, self.evacuated_endpoints)
         registry.observe(REPEATS_LEFT, lambda: self.per_service(self.retries_left))
         registry.observe(
             REPEATS_SENT,
@@ -207,6 +214,14 @@
         entries = self.instance_view.directory.endpoints.values()
         return [Reading(sum(each.missing_version is not None for each in entries))]
 
+    def evacuated_zones(self) -> Iterable[Reading]:
+        """Return the number of evacuated zones, those without endpoints too."""
+        return [Reading(len(self.instance_view.fleet.evacuations.zones))]
+
+    def evacuated_endpoints(self) -> Iterable[Reading]:
+        """Return the number of endpoints that are not used as their zone is."""
+        return [Reading(self.instance_view.fleet.evacuated_endpoints())]
+
     def store_era(self) -> Iterable[Reading]:
         """Return the era of the store."""
         era = self.instance_view.directory.era.current
--- a/src/mimosafork/gateway/gossip_adapter.py
+++ b/src/mimosafork/gateway/gossip_adapter.py
@@ -13,6 +13,7 @@
 from ..directory.messages import (
     DirectoryChange,
     EndpointState,
+    EvacuationChanged,
     TableChanged,
     UpdateOrigin,
 )
@@ -40,7 +41,7 @@
 from .crash_adapter import CrashAdapter
 from .limit_notes import limit_note, peer_statement
 from .peer_connectivity import PeerConnectivity
-from .row_payload import decode_rows, encode_rows
+from .row_payload import decode_rows, decode_zones, encode_rows
 from .subset_selector import SubsetSelector
 from .work_notes import (
     EngineFiguresLookup,
@@ -120,6 +121,7 @@
             on_load_changed=self.receive_load_changes,
             on_feed_told=directory.peer_feed.receive,
             on_endpoint_word=self.receive_endpoint_notice,
+            on_evacuation=directory.offer_evacuation,
             on_interrupted_run=self.crashes.receive_run,
             on_crash_refuted=self.crashes.receive_refutation,
             on_success=self.crashes.receive_success,
@@ -199,6 +201,9 @@
         """Publish a change of the directory to peers."""
         if self.gossip is None:
             return
+        if isinstance(change, EvacuationChanged):
+            self.gossip.publish_evacuation(change.zone, change.state)
+            return
         # The prefill parts of peers' requests depend on the engines' figures.
         self.synced_peers.clear()
         if isinstance(change, TableChanged):
@@ -279,12 +284,15 @@
         if table is None or row is None:
             return None
         order = (table.version, *row.version)
-        return Held(row.version.number, encode_rows([row]), order)
+        payload = encode_rows([row], self.directory.evacuations.states)
+        return Held(row.version.number, payload, order)
 
     # Receiving from peers
 
     def receive_configuration(self, payload: bytes) -> None:
-        """Receive a configuration from a peer."""
+        """Receive a configuration from a peer, and first the evacuated zones."""
+        for zone, state in decode_zones(payload).items():
+            self.directory.offer_evacuation(zone, state)
         for row in decode_rows(payload):
             self.directory.offer_configuration(row)
 
--- a/src/mimosafork/gateway/order_client.py
+++ b/src/mimosafork/gateway/order_client.py
@@ -46,12 +46,15 @@
     ----------
     on_done : callable
         Called exactly once, with the failure or None.
+    may_send : callable
+        Returns whether the order may still be sent.
     """
 
     endpoint: EndpointId
     address: str
     message: OrderMessage
     on_done: Callable[[GangStepFailure | None], None]
+    may_send: Callable[[], bool] = lambda: True
 
 
 class OrderContext(msgspec.Struct, frozen=True):
@@ -99,6 +102,13 @@
         if self.ended:
             connection.close()
             return
+        # Checked here, as the order may have waited for a connection.
+        if not self.order.may_send():
+            self.context.pool.release(self.order.endpoint, connection)
+            self._finish(
+                GangStepFailure.LOST if self.sends else GangStepFailure.EVACUATED
+            )
+            return
         self.connection = connection
         self.sends += 1
         self.sent_at = self.context.clock.monotonic()
@@ -165,6 +175,9 @@
     clock : Clock
     post : callable
         Hands a message to the kernel.
+    is_evacuated : callable
+        Returns whether an endpoint is in an evacuated zone. No memory is reserved
+        there, as no request could use it; what running requests hold is renewed.
     """
 
     def __init__(
@@ -173,8 +186,10 @@
         pool: ConnectionPool,
         dialect: Dialect,
         post: Callable[[Message], None],
+        is_evacuated: Callable[[EndpointId], bool] = lambda endpoint: False,
     ) -> None:
         self.clock = clock
+        self.is_evacuated = is_evacuated
         self.context = OrderContext(clock, pool, dialect, post)
         self.post = post
         self.in_flight: set[OrderRequest] = set()
@@ -196,7 +211,10 @@
             self._log_failure(effect, failure, self.clock.monotonic() - sent_at)
             self.post(ReservationFailed(request, reservation, failure))
 
-        self._send(effect.endpoint, effect.address, effect, on_done)
+        def may_send() -> bool:
+            return effect.renewal or not self.is_evacuated(effect.endpoint)
+
+        self._send(effect.endpoint, effect.address, effect, on_done, may_send)
 
     @perform.register
     def _(self, effect: FreeOwnHolding) -> None:
@@ -210,6 +228,7 @@
         address: str,
         effect: Effect,
         on_done: Callable[[GangStepFailure | None], None],
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         def finish(failure: GangStepFailure | None) -> None:
             self.in_flight.discard(call)
@@ -219,7 +238,7 @@
 
         message = self.context.dialect.order(effect)
         call = OrderRequest(
-            PendingOrder(endpoint, address, message, finish), self.context
+            PendingOrder(endpoint, address, message, finish, may_send), self.context
         )
         self.in_flight.add(call)
         self.all_answered.clear()
--- a/src/mimosafork/gateway/policies/fleet_view.py
+++ b/src/mimosafork/gateway/policies/fleet_view.py
@@ -19,6 +19,8 @@
     EndpointLeaving,
     EndpointUsable,
     RoutingTableChanged,
+    ZoneEvacuated,
+    ZoneEvacuationEnded,
     ZoneReachable,
     ZoneUnreachable,
 )
@@ -27,6 +29,7 @@
 from ...placement.choice import EngineView
 from ...routing.listing import ListedEndpoint
 from ...routing.table import RoutingTable
+from .evacuated_zones import EvacuatedZones
 from .health_log import HealthStatus, log_ejected, log_reinstated, log_suspicion
 from .requested_backoff import RequestedBackoff
 from .zone_suspicion import FAILURE_WEIGHTS, ZoneSuspicion
@@ -189,6 +192,7 @@
         self.zone_suspicion = ZoneSuspicion()
         self.zone_answered_at: dict[AvailabilityZoneId, timedelta] = {}
         """Time of the latest first token or status from an endpoint of each zone."""
+        self.evacuations = EvacuatedZones()
 
     def zone_of(self, endpoint: EndpointId) -> AvailabilityZoneId | None:
         """Return the zone of an endpoint; None if the endpoint is unknown."""
@@ -203,10 +207,40 @@
         answered_at = self.zone_answered_at.get(known.listed.zone)
         return answered_at is not None and answered_at >= since
 
-    def service_endpoints(self, service: ServiceId) -> list[EndpointHealth]:
+    def listed_endpoints(self, service: ServiceId) -> list[EndpointHealth]:
         """Return the endpoints of a service that are not draining or gone."""
         return list(self.by_service.get(service, {}).values())
 
+    def service_endpoints(self, service: ServiceId) -> list[EndpointHealth]:
+        """Return those of them that are in no evacuated zone."""
+        listed = self.listed_endpoints(service)
+        zones = self.evacuations.zones
+        if not zones:
+            return listed
+        return [each for each in listed if each.listed.zone not in zones]
+
+    def is_evacuated(self, endpoint: EndpointId) -> bool:
+        """Return whether an endpoint, listed or not, is in an evacuated zone."""
+        zones = self.evacuations.zones
+        if not zones:
+            return False
+        known = self.responding(endpoint)
+        zone = None if known is None else known.listed.zone
+        return (zone or self.evacuations.former_zones.get(endpoint)) in zones
+
+    def all_evacuated(self, service: ServiceId) -> bool:
+        """Return whether a service has endpoints, all of them in evacuated zones."""
+        if not self.evacuations.zones:
+            return False
+        return bool(self.by_service.get(service)) and not self.service_endpoints(
+            service
+        )
+
+    def evacuated_endpoints(self) -> int:
+        """Return the number of listed endpoints in evacuated zones, in any thread."""
+        zones = self.evacuations.zones
+        return sum(each.listed.zone in zones for each in list(self.endpoints.values()))
+
     @singledispatchmethod
     def handle(self, message: Message, context: Context) -> None:
         """Update endpoint health from a message."""
@@ -272,12 +306,21 @@
                 before if last is None else last.listed.started_ms
             )
         if known is not None:
+            self.evacuations.note_left(message.endpoint, known.listed.zone, context.now)
             known.leaving = True
             self.by_service[known.listed.service].pop(message.endpoint, None)
             log_ejected(known, message.final)
             if not message.final:
                 self._note_absent(known, context.now)
 
+    @handle.register
+    def _(self, message: ZoneEvacuated, context: Context) -> None:
+        self.evacuations.zones.add(message.zone)
+
+    @handle.register
+    def _(self, message: ZoneEvacuationEnded, context: Context) -> None:
+        self.evacuations.zones.discard(message.zone)
+
     @handle.register
     def _(self, message: ZoneUnreachable, context: Context) -> None:
         # All instances of the zone may be gone while its endpoints keep serving.
@@ -291,7 +334,7 @@
             return
         # The failures were this instance's own. With the backoffs that followed, all
         # calls would go to the few endpoints that were not tried meanwhile.
-        for known in self.service_endpoints(message.service):
+        for known in self.listed_endpoints(message.service):
             if known.misses:
                 known.misses = 0
                 known.unusable_until = context.now
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -47,6 +47,7 @@
 from ...routing.engine import EngineFigures
 from .capacity_waits import CapacityWaits
 from .dispatch_places import place_on, prefill_helpers
+from .evacuated_zones import evacuated_problem
 from .fleet_view import FleetView
 from .full_rejections import FullRejections, reports_full
 from .peer_forwarding import PeerForwarding
@@ -121,10 +122,12 @@
             return Refuse(objection)
         if self.quarantine.must_wait(record, context):
             return Wait("suspected-content")
+        service = ServiceId(record.request.target)
+        if self.fleet.all_evacuated(service):
+            return Refuse(evacuated_problem())
         forwarded = self.forwarding.place(record, context)
         if forwarded is not None:
             return forwarded
-        service = ServiceId(record.request.target)
         endpoints = self.fleet.service_endpoints(service)
         views = [each.view(context.now) for each in endpoints]
         if self.memory.is_backing_off(record.request_id, context.now):
--- a/src/mimosafork/gateway/policies/reserving.py
+++ b/src/mimosafork/gateway/policies/reserving.py
@@ -26,6 +26,7 @@
 )
 from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.messages.recovery import HoldingKind
+from ...kernel.messages.routing import ZoneEvacuated
 from ...kernel.plugins import (
     Placed,
     Placement,
@@ -200,7 +201,9 @@
         if self.fleet is None:
             return True
         known = self.fleet.endpoints.get(endpoint)
-        return known is not None and known.usable(now)
+        if known is None or self.fleet.is_evacuated(endpoint):
+            return False
+        return known.usable(now)
 
     def _request_memory(
         self, gang: Gang, reservation: EngineReservation, context: Context
@@ -215,6 +218,7 @@
                 address=reservation.address,
                 tokens=reservation.tokens,
                 time_to_live=self.reservation_ttl,
+                renewal=gang.step is GangStep.RUNNING,
             )
         )
 
@@ -333,6 +337,15 @@
             if known is not None:
                 known.note_unreached(now)
 
+    @handle.register
+    def _(self, message: ZoneEvacuated, context: Context) -> None:
+        # Waiting for the next answer would delay the call, up to the time limit.
+        for gang in list(self.gangs.values()):
+            if gang.step is GangStep.RESERVING and not all(
+                self._takes_work(name, context.now) for name in gang.engines()
+            ):
+                self._fail(gang, context, pause=False)
+
     @handle.register
     def _(self, message: Tick, context: Context) -> None:
         for gang in list(self.gangs.values()):
--- a/src/mimosafork/gateway/policies/send_gate.py
+++ b/src/mimosafork/gateway/policies/send_gate.py
@@ -23,8 +23,18 @@
         """Return whether an endpoint has stated a rate limit."""
         return self.limits.tracks(endpoint)
 
+    def reaches_evacuated_zone(self, dispatch: Dispatch) -> bool:
+        """Return whether the endpoint, or one of its helpers, is in such a zone."""
+        is_evacuated = self.fleet.is_evacuated
+        return is_evacuated(dispatch.endpoint) or any(
+            is_evacuated(each.endpoint) for each in dispatch.helpers
+        )
+
     def objection(self, dispatch: Dispatch, now: timedelta) -> FailureKind | None:
         """Count a request that is about to be sent; return why it may not be."""
+        if self.reaches_evacuated_zone(dispatch):
+            self.limits.release(dispatch.request_id)
+            return FailureKind.EVACUATED
         if dispatch.endpoint in self.fleet.departed:
             self.limits.release(dispatch.request_id)
             return FailureKind.DRAINING
--- a/src/mimosafork/gateway/row_payload.py
+++ b/src/mimosafork/gateway/row_payload.py
@@ -1,9 +1,15 @@
 """Rows of the store as they are transferred to a peer."""
 
+from collections.abc import Mapping
+
 import msgspec
 
 from ..directory.row_version import RowVersion
 from ..directory.rows import Row
+from ..directory.zone_state import ZoneState
+from ..ids import AvailabilityZoneId
+
+NO_ZONES: Mapping[AvailabilityZoneId, ZoneState] = {}
 
 
 class TransferredRow(msgspec.Struct):
@@ -21,14 +27,33 @@
     era: int = 0
 
 
+class TransferredZone(msgspec.Struct):
+    """Whether a zone is evacuated, as of a version."""
+
+    zone: str
+    evacuated: bool
+    era: int
+    version: int
+
+
 class RowsPayload(msgspec.Struct):
-    """Rows as they are transferred to a peer."""
+    """Rows as they are transferred to a peer.
+
+    Attributes
+    ----------
+    zones : list of TransferredZone
+        Beside the configuration, so that an instance that gets it from a peer serves no
+        call without them. The release before passes them over.
+    """
 
     rows: list[TransferredRow]
+    zones: list[TransferredZone] = []
 
 
-def encode_rows(rows: list[Row]) -> bytes:
-    """Return the payload that holds some rows."""
+def encode_rows(
+    rows: list[Row], zones: Mapping[AvailabilityZoneId, ZoneState] = NO_ZONES
+) -> bytes:
+    """Return the payload that holds some rows, and states of zones."""
     transferred = [
         TransferredRow(
             row.table,
@@ -41,7 +66,11 @@
         )
         for row in rows
     ]
-    return msgspec.msgpack.encode(RowsPayload(transferred))
+    states = [
+        TransferredZone(zone, each.evacuated, each.version.era, each.version.number)
+        for zone, each in zones.items()
+    ]
+    return msgspec.msgpack.encode(RowsPayload(transferred, states))
 
 
 def decode_rows(payload: bytes) -> list[Row]:
@@ -61,3 +90,17 @@
         )
         for row in rows
     ]
+
+
+def decode_zones(payload: bytes) -> dict[AvailabilityZoneId, ZoneState]:
+    """Return the states of zones in a payload; none if it can't be decoded."""
+    try:
+        zones = msgspec.msgpack.decode(payload, type=RowsPayload).zones
+    except msgspec.MsgspecError:
+        return {}
+    return {
+        AvailabilityZoneId(each.zone): ZoneState(
+            each.evacuated, RowVersion(each.era, each.version)
+        )
+        for each in zones
+    }
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -15,6 +15,7 @@
     DirectoryChange,
     EndpointChanged,
     EndpointState,
+    EvacuationChanged,
     TableChanged,
 )
 from ..directory.rows import Rows
@@ -27,6 +28,8 @@
     EndpointLeaving,
     EndpointUsable,
     RoutingTableChanged,
+    ZoneEvacuated,
+    ZoneEvacuationEnded,
 )
 from ..kernel.registry import create
 from ..routing.engine import EngineFigures
@@ -307,6 +310,10 @@
     def _directory_changed(self, change: DirectoryChange) -> None:
         if isinstance(change, TableChanged):
             self.gateway.post(RoutingTableChanged(change.table))
+        elif isinstance(change, EvacuationChanged):
+            if change.takes_effect:
+                message = ZoneEvacuated if change.evacuated else ZoneEvacuationEnded
+                self.gateway.post(message(change.zone))
         else:
             self._endpoint_changed(change)
         self._log_first_ready()
--- a/src/mimosafork/gateway/subset_selector.py
+++ b/src/mimosafork/gateway/subset_selector.py
@@ -10,7 +10,7 @@
     own_engines,
     subset_rank,
 )
-from .policies.fleet_view import FleetView
+from .policies.fleet_view import EndpointHealth, FleetView
 
 
 class SubsetSelector:
@@ -52,10 +52,21 @@
             endpoint = self.fleet.endpoints.get(engine)
             if endpoint is None:
                 continue
-            listed = self.fleet.service_endpoints(endpoint.listed.service)
+            listed = self._ranked_with(endpoint)
             if len(listed) < MIN_ENGINES_FOR_SUBSETS:
                 return frozenset(self.instance_order.positions) - {self.own}
             ranks = sorted(subset_rank(each.listed.endpoint) for each in listed)
             position = ranks.index(subset_rank(engine))
             users.update(self.instance_order.users(position, len(ranks)))
         return frozenset(users - {self.own})
+
+    def _ranked_with(self, engine: EndpointHealth) -> list[EndpointHealth]:
+        """Return the engines among which instances rank one.
+
+        No subset has an engine of an evacuated zone. A call that still runs there is
+        published to the instances that use the engine once the evacuation ends.
+        """
+        service = engine.listed.service
+        if self.fleet.is_evacuated(engine.listed.endpoint):
+            return self.fleet.listed_endpoints(service)
+        return self.fleet.service_endpoints(service)
--- a/src/mimosafork/gossip/callbacks.py
+++ b/src/mimosafork/gossip/callbacks.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from ..directory.feed_update import FeedUpdate
-from ..ids import Digest, EndpointId, InstanceId
+from ..directory.zone_state import ZoneState
+from ..ids import AvailabilityZoneId, Digest, EndpointId, InstanceId
 from ..telemetry.catalogue.gossip import (
     GOSSIP_DATAGRAM_REFUSED,
     GOSSIP_PEER_DOWN,
@@ -26,6 +27,7 @@
     DatagramRefused,
     DoubtChanged,
     EndpointSaid,
+    EvacuationTold,
     FeedTold,
     LimitStated,
     LoadChanged,
@@ -69,6 +71,8 @@
         A peer's word that the endpoints have not changed, and its age.
     on_endpoint_word, on_doubt : callable
         A peer's word; a doubt that was taken back is None.
+    on_evacuation : callable
+        A zone, a peer's state of its evacuation, and the age of that update.
     on_interrupted_run : callable
         A peer's note of a run that ended with its endpoint, and its age.
     on_crash_refuted : callable
@@ -89,6 +93,7 @@
     on_load_changed: Callable[[InstanceId, tuple[int, ...]], None] = ignore
     on_feed_told: Callable[[InstanceId, FeedUpdate, timedelta], None] = ignore
     on_endpoint_word: Callable[[EndpointId, EndpointWord], None] = ignore
+    on_evacuation: Callable[[AvailabilityZoneId, ZoneState, timedelta], None] = ignore
     on_interrupted_run: Callable[[RunNote, timedelta], None] = ignore
     on_crash_refuted: Callable[[EndpointId, int, timedelta], None] = ignore
     on_success: Callable[[Digest, SuccessNote, timedelta], None] = ignore
@@ -144,6 +149,10 @@
     def _(self, effect: EndpointSaid, now: timedelta) -> None:
         self.callbacks.on_endpoint_word(effect.endpoint, effect.said)
 
+    @tell.register
+    def _(self, effect: EvacuationTold, now: timedelta) -> None:
+        self.callbacks.on_evacuation(effect.zone, effect.state, now - effect.born)
+
     @tell.register
     def _(self, effect: FeedTold, now: timedelta) -> None:
         self.callbacks.on_feed_told(effect.instance, effect.word, now - effect.born)
--- a/src/mimosafork/gossip/effects.py
+++ b/src/mimosafork/gossip/effects.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from ..directory.feed_update import FeedUpdate
-from ..ids import Digest, EndpointId, InstanceId
+from ..directory.zone_state import ZoneState
+from ..ids import AvailabilityZoneId, Digest, EndpointId, InstanceId
 from .kinds.configuration import Versions
 from .kinds.crashes import QuarantineNote, RunNote, SuccessNote
 from .kinds.doubt import Doubt
@@ -53,6 +54,20 @@
     said: EndpointWord
 
 
+class EvacuationTold(msgspec.Struct, frozen=True):
+    """A peer knows whether a zone is evacuated.
+
+    Attributes
+    ----------
+    born : timedelta
+        Instant of its update on this instance's clock.
+    """
+
+    zone: AvailabilityZoneId
+    state: ZoneState
+    born: timedelta
+
+
 class FeedTold(msgspec.Struct, frozen=True):
     """A peer was told by the store that nothing changed.
 
@@ -158,6 +173,7 @@
     | DatagramRefused
     | VersionsOffered
     | EndpointSaid
+    | EvacuationTold
     | FeedTold
     | RunInterrupted
     | CrashRefuted
--- /dev/null
+++ b/src/mimosafork/gossip/kinds/evacuations.py
@@ -0,0 +1,40 @@
+"""Evacuated availability zones; the key is the zone."""
+
+from datetime import timedelta
+from typing import Annotated, cast
+
+import msgspec
+
+from ...directory.row_version import RowVersion
+from ...directory.zone_state import ZoneState
+from ..ids import IdReader, IdWriter
+from .base import Kind, register
+
+Number = Annotated[int, msgspec.Meta(ge=0, lt=1 << 63)]
+
+
+class EvacuationCodec:
+    """A state as a list of three."""
+
+    def pack(self, value: object, ids: IdWriter) -> object:
+        """Return what travels."""
+        state = cast(ZoneState, value)
+        return [state.version.era, state.version.number, state.evacuated]
+
+    def unpack(self, packed: object, ids: IdReader) -> object:
+        """Return the value."""
+        era, number, evacuated = msgspec.convert(packed, tuple[Number, Number, bool])
+        return ZoneState(evacuated, RowVersion(era, number))
+
+
+SOON = timedelta(milliseconds=5)
+
+EVACUATIONS = register(
+    Kind(
+        6,
+        EvacuationCodec(),
+        coalesce=SOON,
+        relay_after=SOON,
+        outlives_silence=True,
+    )
+)
--- a/src/mimosafork/gossip/reports.py
+++ b/src/mimosafork/gossip/reports.py
@@ -4,7 +4,8 @@
 from typing import cast
 
 from ..directory.feed_update import FeedUpdate
-from ..ids import Digest, EndpointId, InstanceId
+from ..directory.zone_state import ZoneState
+from ..ids import AvailabilityZoneId, Digest, EndpointId, InstanceId
 from .effects import (
     ConnectivityChanged,
     ContentJudged,
@@ -13,6 +14,7 @@
     DoubtChanged,
     Effect,
     EndpointSaid,
+    EvacuationTold,
     FeedTold,
     LimitStated,
     LoadChanged,
@@ -33,6 +35,7 @@
 )
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord
+from .kinds.evacuations import EVACUATIONS
 from .kinds.feed import FEED
 from .kinds.limits import LIMITS, LimitNote
 from .kinds.load import LOAD
@@ -71,6 +74,10 @@
         if slot.kind == ENDPOINTS.number:
             said = cast(EndpointWord, entry.value)
             return [EndpointSaid(endpoint_of(slot.key), said)]
+        if slot.kind == EVACUATIONS.number:
+            zone = AvailabilityZoneId(str(slot.key))
+            state = cast(ZoneState, entry.value)
+            return [EvacuationTold(zone, state, entry.born)]
         if slot.kind == FEED.number:
             return [FeedTold(name, cast(FeedUpdate, entry.value), entry.born)]
         if slot.kind == LIMITS.number:
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..directory.feed_update import FeedUpdate
+from ..directory.zone_state import ZoneState
 from ..ids import AvailabilityZoneId, Digest, EndpointId, InstanceId
 from ..telemetry.catalogue.gossip import GOSSIP_FAULT
 from ..telemetry.logs import log_event
@@ -32,6 +33,7 @@
 )
 from .kinds.doubt import DOUBT, Doubt
 from .kinds.endpoints import ENDPOINTS, EndpointWord
+from .kinds.evacuations import EVACUATIONS
 from .kinds.feed import FEED
 from .kinds.feed import KEY as FEED_KEY
 from .kinds.limits import LIMITS, LimitNote
@@ -206,6 +208,11 @@
         self.exchange.say(ENDPOINTS, endpoint, said, self.clock.monotonic())
         self.arm()
 
+    def publish_evacuation(self, zone: AvailabilityZoneId, state: ZoneState) -> None:
+        """Publish whether a zone is evacuated."""
+        self.exchange.say(EVACUATIONS, zone, state, self.clock.monotonic())
+        self.arm()
+
     def publish_feed_update(self, word: FeedUpdate) -> None:
         """Tell that the store told nothing new of the endpoints."""
         self.exchange.confirm(FEED, FEED_KEY, word, self.clock.monotonic())
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -39,6 +39,9 @@
     """The endpoint has requested a backoff since the attempt was placed."""
     DRAINING = "draining"
     """The endpoint has begun to drain since the attempt was placed."""
+    EVACUATED = "evacuated"
+    """The zone of the endpoint, or of a helper, has been evacuated since the attempt
+    was placed."""
     RATE_LIMITED = "rate-limited"
     """The endpoint's rate limit allows no further request of this instance now."""
     PEER_FAILED = "peer-failed"
--- a/src/mimosafork/kernel/messages/placement.py
+++ b/src/mimosafork/kernel/messages/placement.py
@@ -16,6 +16,8 @@
     """The engine refused for lack of free memory."""
     REFUSED = "refused"
     """The engine refused for another reason."""
+    EVACUATED = "evacuated"
+    """The engine's zone is evacuated, and nothing was sent."""
     UNREACHED = "unreached"
     LOST = "lost"
     """No answer was received; the step may have taken effect."""
@@ -24,7 +26,13 @@
 
 
 class ReserveMemory(Effect, frozen=True):
-    """Reserve memory on an engine for a limited time."""
+    """Reserve memory on an engine for a limited time.
+
+    Attributes
+    ----------
+    renewal : bool
+        The memory is held by a request that has been sent.
+    """
 
     request_id: RequestId
     reservation: ReservationId
@@ -32,6 +40,7 @@
     address: str
     tokens: int
     time_to_live: timedelta
+    renewal: bool = False
 
 
 class MemoryReserved(Message, frozen=True):
--- a/src/mimosafork/platform/names.py
+++ b/src/mimosafork/platform/names.py
@@ -43,6 +43,8 @@
 # Rows that the platform writes.
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+"""Before the zone, in the key of a row that evacuates it while it exists."""
 ENDPOINTS_TABLE = "servers"
 STATUS_TABLE = "status"
 
--- a/src/mimosafork/standins/prepared/deployment.py
+++ b/src/mimosafork/standins/prepared/deployment.py
@@ -15,7 +15,7 @@
 from .rows import Rows
 from .runs import RunLog
 from .store import NO_LIMITS, Store, StoreLimits
-from .words import KEY_CONFIG, TABLE_OPERATOR, TABLE_SERVERS
+from .words import KEY_CONFIG, KEY_EVACUATE, TABLE_OPERATOR, TABLE_SERVERS
 
 FIRST_VERSION = 1
 SILENT_BEATS = 3
@@ -98,6 +98,14 @@
         self.config = config
         return self.version
 
+    def evacuate(self, zone: str) -> None:
+        """Write the row that evacuates a zone; it is not written again on a restore."""
+        self.store.put(TABLE_OPERATOR, f"{KEY_EVACUATE}{zone}", {})
+
+    def end_evacuation(self, zone: str) -> None:
+        """Remove the row that evacuates a zone."""
+        self.store.remove(TABLE_OPERATOR, f"{KEY_EVACUATE}{zone}")
+
     def restore(self, copy: Rows, rewritten: bool = True) -> None:
         """Restore the store from a copy.
 
--- a/src/mimosafork/standins/prepared/words.py
+++ b/src/mimosafork/standins/prepared/words.py
@@ -32,6 +32,7 @@
 TABLE_OPERATOR = "op"
 TABLE_SERVERS = "servers"
 KEY_CONFIG = "config"
+KEY_EVACUATE = "evacuate/"
 
 RECORDED_HEADERS = (
     REQUEST_ID,
--- a/src/mimosafork/telemetry/catalogue/directory.py
+++ b/src/mimosafork/telemetry/catalogue/directory.py
@@ -134,6 +134,27 @@
     "The rows are read whole again.",
     "Report the fault with its trace.",
 )
+EVACUATION_STARTED = Event(
+    2115,
+    "evacuation-started",
+    Level.WARNING,
+    "zone {zone} is evacuated, told by {source} as of version {version}, {age_ms} ms "
+    "after its answer",
+    "No request is sent to the endpoints of the zone; streams that run there go on to "
+    "their end. The time is since the answer of the store, or since a peer passed the "
+    "news on.",
+    "None, if the evacuation was meant; else remove the row from the store.",
+)
+EVACUATION_ENDED = Event(
+    2116,
+    "evacuation-ended",
+    Level.WARNING,
+    "zone {zone} is no longer evacuated, told by {source} as of version {version}, "
+    "{age_ms} ms after its answer",
+    "The endpoints of the zone are used again.",
+    "None, if the end was meant. After a restore of the store, write the row again if "
+    "the zone is still to be evacuated.",
+)
 STORE_ERA = Instrument(
     "mimosafork.store.era",
     Kind.OBSERVABLE_GAUGE,
@@ -147,3 +168,15 @@
     "Endpoints that stay in use although the store does not list them, around an "
     "outage or a restore.",
 )
+ZONES_EVACUATED = Instrument(
+    "mimosafork.zones.evacuated",
+    Kind.OBSERVABLE_GAUGE,
+    "{zone}",
+    "Zones that are evacuated, as this instance knows.",
+)
+ENDPOINTS_EVACUATED = Instrument(
+    "mimosafork.endpoints.evacuated",
+    Kind.OBSERVABLE_GAUGE,
+    "{endpoint}",
+    "Listed endpoints that get no requests, as their zone is evacuated.",
+)
--- a/tests/support/directories.py
+++ b/tests/support/directories.py
@@ -15,6 +15,7 @@
     DirectoryChange,
     EndpointChanged,
     EndpointState,
+    EvacuationChanged,
     TableChanged,
 )
 from mimosafork.directory.row_version import RowVersion
@@ -25,6 +26,9 @@
 
 from .versions import ERA, version
 
+EVACUATED = "evacuated "
+"""Before the zone in the key of a row that evacuates it."""
+
 Reply = RowPage | Exception
 
 
@@ -74,6 +78,10 @@
             raise UnreadableRowError(str(error)) from error
         return RoutingTable(version, (), {}, ClientLimits(), ())
 
+    def evacuated_zone(self, row: Row) -> AvailabilityZoneId | None:
+        """Return the zone of a row of `evacuated`."""
+        return zone_of_key(row.key)
+
 
 class ScriptedEndpoints(ScriptedSource):
     """A source whose row values are state, address and start time."""
@@ -165,6 +173,9 @@
     """Return a short summary of a change."""
     if isinstance(change, TableChanged):
         return f"table {change.table.version}"
+    if isinstance(change, EvacuationChanged):
+        begun = "evacuated" if change.evacuated else "not evacuated"
+        return f"{change.zone} {begun} as of {change.version.number}"
     assert isinstance(change, EndpointChanged)
     held = "" if change.entry.missing_version is None else " held"
     return f"{change.endpoint} {change.entry.state.value}{held}"
@@ -187,6 +198,22 @@
     )
 
 
+def evacuated(zone: str, number: int, era: int = ERA, ended: bool = False) -> Row:
+    """Return the row that evacuates a zone, or its removal."""
+    key = f"{EVACUATED}{zone}"
+    return Row("configuration", "", key, b"", version(number, era), removed=ended)
+
+
+def zone_of_key(key: str) -> AvailabilityZoneId | None:
+    """Return the zone that a row with a key evacuates."""
+    if not key.startswith(EVACUATED):
+        return None
+    zone = key.removeprefix(EVACUATED)
+    if not zone:
+        raise UnreadableRowError("no zone")
+    return AvailabilityZoneId(zone)
+
+
 def page(number: int, *rows: Row, era: int = ERA) -> RowPage:
     """Return a page of rows as of a version."""
     return RowPage(rows, version(number, era))
--- a/tests/support/gateway_tables.py
+++ b/tests/support/gateway_tables.py
@@ -22,6 +22,7 @@
     TrafficSplit,
 )
 
+from .directories import zone_of_key
 from .gateway_kernels import PLAIN_SERVICE
 from .reserving_engines import FIGURES, HUGE, POOL
 from .versions import version as version_of
@@ -71,6 +72,10 @@
         """Return the configuration of a row."""
         return self.tables[int(row.value)]
 
+    def evacuated_zone(self, row: Row) -> AvailabilityZoneId | None:
+        """Return the zone of a row of `directories.evacuated`."""
+        return zone_of_key(row.key)
+
     async def whole(self) -> RowPage:
         """Not called: rows are pushed."""
         raise NotImplementedError
--- a/tests/support/simulated_attempts.py
+++ b/tests/support/simulated_attempts.py
@@ -69,6 +69,12 @@
         end = self.backoff_ends.get(endpoint, self.now)
         assert end <= self.now, ("BUDGET: backoff", endpoint)
 
+    def check_zones(self, effect: Dispatch) -> None:
+        """Check that neither endpoint nor helpers are in an evacuated zone."""
+        used = {effect.endpoint, *(each.endpoint for each in effect.helpers)}
+        zones = {self.endpoints[each].zone for each in used}
+        assert not zones & self.evacuated_zones, ("EVACUATED", effect)
+
     def check_slots(self, endpoint: EndpointId) -> None:
         """Check that an engine hosts no more attempts than it has slots."""
         known = self.endpoints[endpoint]
@@ -88,6 +94,7 @@
             self.fail(sent, objection, Exposure.NEVER_SENT)
             return
         self.check_backoff(sent.dispatch.endpoint)
+        self.check_zones(sent.dispatch)
         sent.phase = Phase.SENT
         self.checker.arrived(sent, self.now)
 
@@ -135,6 +142,8 @@
             if runs and known.reachable and not known.loses_orders:
                 known.memory.reservations.pop(effect.holding_id, None)
             return
+        if not effect.renewal:
+            assert known.zone not in self.evacuated_zones, ("EVACUATED", effect)
         if not runs or not known.reachable:
             self.reply(effect, GangStepFailure.UNREACHED, timedelta(0))
         elif known.loses_orders:
--- a/tests/support/simulated_state.py
+++ b/tests/support/simulated_state.py
@@ -9,6 +9,7 @@
 from mimosafork.directory.messages import (
     DirectoryChange,
     EndpointState,
+    EvacuationChanged,
     TableChanged,
 )
 from mimosafork.gateway.intake import CallRefusal
@@ -40,6 +41,8 @@
     EndpointLeaving,
     EndpointUsable,
     RoutingTableChanged,
+    ZoneEvacuated,
+    ZoneEvacuationEnded,
 )
 from mimosafork.kernel.messages.timers import WakeAt
 from mimosafork.kernel.registry import create
@@ -72,6 +75,8 @@
     ----------
     endpoint_by_address : dict
         The endpoint that listens at each address.
+    evacuated_zones : set of str
+        By all that the instance has been told.
     open : list of SimulatedAttempt
         All attempts that have not ended.
     """
@@ -93,6 +98,7 @@
         self.endpoint_by_address: dict[str, EndpointId] = {}
         self.reported_draining: set[EndpointId] = set()
         self.backoff_ends: dict[EndpointId, timedelta] = {}
+        self.evacuated_zones: set[str] = set()
         self.send_gate = EndpointSendGate(
             self.kernel.plugin(FleetView), self.kernel.plugin(EndpointRateLimits)
         )
@@ -127,6 +133,10 @@
         """Post a change to the kernel, as the gateway's server does."""
         if isinstance(change, TableChanged):
             self.post(RoutingTableChanged(change.table))
+        elif isinstance(change, EvacuationChanged):
+            if change.takes_effect:
+                message = ZoneEvacuated if change.evacuated else ZoneEvacuationEnded
+                self.post(message(change.zone))
         elif change.entry.takes_new_work:
             self.post(EndpointUsable(change.entry.listed))
         else:
--- a/tests/unit/directory/test_directory_machine.py
+++ b/tests/unit/directory/test_directory_machine.py
@@ -15,9 +15,14 @@
 from mimosafork.clock import ManualClock
 from mimosafork.directory.directory import Directory
 from mimosafork.directory.follower import TableFollower
-from mimosafork.directory.messages import DirectoryChange, EndpointState, TableChanged
+from mimosafork.directory.messages import (
+    DirectoryChange,
+    EndpointChanged,
+    EndpointState,
+    TableChanged,
+)
 from mimosafork.directory.rows import Row
-from mimosafork.ids import EndpointId
+from mimosafork.ids import AvailabilityZoneId, EndpointId
 from mimosafork.routing.listing import ListedEndpoint
 from mimosafork.routing.table import RoutingTable
 
@@ -65,6 +70,10 @@
         """Return the configuration that a row refers to."""
         return self.tables.decode(row)
 
+    def evacuated_zone(self, row: Row) -> AvailabilityZoneId | None:
+        """Return the zone that a row evacuates."""
+        return self.tables.evacuated_zone(row)
+
 
 class ListedRows(StoreSource):
     """Source of the rows of endpoints."""
@@ -121,6 +130,7 @@
             assert change.table.version > self.in_force, "CONFIG: went back"
             self.in_force = change.table.version
             return
+        assert isinstance(change, EndpointChanged)
         if change.entry.state is EndpointState.DRAINING:
             self.draining.add(change.endpoint)
         if change.entry.takes_new_work:
--- a/tests/unit/directory/test_reader_machine.py
+++ b/tests/unit/directory/test_reader_machine.py
@@ -13,7 +13,11 @@
 from mimosafork.directory.errors import StoreUnavailableError
 from mimosafork.directory.feed_update import FeedUpdate
 from mimosafork.directory.follower import TableFollower
-from mimosafork.directory.messages import DirectoryChange, EndpointState, TableChanged
+from mimosafork.directory.messages import (
+    DirectoryChange,
+    EndpointChanged,
+    EndpointState,
+)
 from mimosafork.directory.row_version import RowVersion
 from mimosafork.directory.rows import RowPage
 from mimosafork.ids import EndpointId, InstanceId
@@ -132,7 +136,7 @@
 
     def endpoint_told(self, reader: Reader, change: DirectoryChange) -> None:
         """Deliver a message of a reader: an endpoint takes no new work."""
-        if self.words_lost or isinstance(change, TableChanged):
+        if self.words_lost or not isinstance(change, EndpointChanged):
             return
         endpoint = EndpointId(change.endpoint)
         if change.entry.state is EndpointState.DRAINING:
--- a/tests/unit/directory/test_restored_machine.py
+++ b/tests/unit/directory/test_restored_machine.py
@@ -5,7 +5,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, rule
 
-from mimosafork.directory.messages import DirectoryChange, EndpointState, TableChanged
+from mimosafork.directory.messages import (
+    DirectoryChange,
+    EndpointChanged,
+    EndpointState,
+)
 from mimosafork.ids import EndpointId
 
 from ...support.functions import function_tests
@@ -87,7 +91,7 @@
     def heard(self, change: DirectoryChange) -> None:
         """Check that endpoints are not dropped that report again soon."""
         super().heard(change)
-        if isinstance(change, TableChanged) or change.entry.takes_new_work:
+        if not isinstance(change, EndpointChanged) or change.entry.takes_new_work:
             return
         if change.entry.state is EndpointState.UNREADABLE:
             return
