--- a/src/mimosafork/directory/consumers.py
+++ b/src/mimosafork/directory/consumers.py
@@ -71,7 +71,9 @@
         stays in force.
         """
         split = self.directory.split_rows(page.rows)
-        versions = {zone: state.version for zone, state in split.zones}
+        versions = {
+            zone: state.version for zone, state in split.zones if state.evacuated
+        }
         for change in self.directory.evacuations.apply_read(versions, page.version):
             self.directory.publish_evacuation(change)
         self.apply_configurations(split.configurations)
--- a/src/mimosafork/gossip/kinds/base.py
+++ b/src/mimosafork/gossip/kinds/base.py
@@ -62,7 +62,7 @@
     Parameters
     ----------
     number : int
-        In datagrams; the lowest goes first where bytes are short.
+        In datagrams; the lowest goes first where bytes are short, after evacuations.
     coalesce : timedelta
         A change waits so long for others to go with it.
     relay_after : timedelta
--- a/src/mimosafork/gossip/kinds/evacuations.py
+++ b/src/mimosafork/gossip/kinds/evacuations.py
@@ -1,4 +1,8 @@
-"""Evacuated availability zones; the key is the zone."""
+"""Evacuated availability zones; the key is the zone.
+
+The number was another kind's once, in releases that refuse datagrams with kinds that
+they do not know; they cannot be in a fleet with this one.
+"""
 
 from datetime import timedelta
 from typing import Annotated, cast
--- a/src/mimosafork/gossip/outbox.py
+++ b/src/mimosafork/gossip/outbox.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..ids import InstanceId
+from .kinds.evacuations import EVACUATIONS
 from .ledger import Ledger
 from .links import Flight, Link, News
 from .members import Address, Identity
@@ -27,6 +28,14 @@
 SECOND = timedelta(seconds=1)
 
 
+def send_order(news: News) -> tuple[bool, int]:
+    """Return the rank of news where bytes are short.
+
+    Evacuations go before running work, which in a flood may take all bytes.
+    """
+    return news.slot.kind != EVACUATIONS.number, news.slot.kind
+
+
 class Outgoing(msgspec.Struct, frozen=True):
     """A datagram to send."""
 
@@ -191,7 +200,7 @@
         """Spread news over datagrams."""
         items: list[Item] = []
         gone: list[News] = []
-        for news in sorted(batch.news, key=lambda news: news.slot.kind):
+        for news in sorted(batch.news, key=send_order):
             item = self.item(news)
             if item is None:
                 gone.append(news)
