--- a/src/mimosafork/gossip/kinds/evacuations.py
+++ b/src/mimosafork/gossip/kinds/evacuations.py
@@ -14,7 +14,7 @@
 from ..ids import IdReader, IdWriter
 from .base import Kind, register
 
-Number = Annotated[int, msgspec.Meta(ge=0, lt=1 << 63)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 
 
 class EvacuationCodec:
