--- a/tests/unit/explain/test_explain.py
+++ b/tests/unit/explain/test_explain.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from mimosafork.explain import events
 from mimosafork.explain.causes import attempt_text, cause_of
 from mimosafork.explain.lines import LogLine, LogReader, LogSource
 from mimosafork.explain.links import ZoneStory
@@ -257,6 +258,7 @@
         ("draining", "began to leave"),
         ("backing-off", "wanted no calls"),
         ("rate-limited", "had reached its rate limit"),
+        ("evacuated", "or a helper was in a zone that had been evacuated"),
     ):
         line = LogLine("entry-1", "", "MF2020", "", {"endpoint": "i-1", "kind": kind})
         assert attempt_text(line).startswith(f"i-1 {text}")
@@ -324,4 +326,31 @@
     assert "/nowhere/a.log" in missing.err
 
 
+def evacuation_line(event: str, instance: str, second: int, version: int) -> LogLine:
+    """Return the line of an instance that was told of an evacuation."""
+    return LogLine(
+        time=f"2026-12-04T05:00:{second:02}.000Z",
+        instance=instance,
+        event=event,
+        message="",
+        fields={"zone": "zone-a", "era": 1, "version": version},
+    )
+
+
+def test_evacuations_of_a_zone_are_told() -> None:
+    """An operator asks since when a zone gets no calls, and whether all know it."""
+    lines = [
+        evacuation_line(events.EVACUATION_STARTED, "entry-1", 1, 9),
+        evacuation_line(events.EVACUATION_STARTED, "entry-2", 3, 9),
+        evacuation_line(events.EVACUATION_ENDED, "entry-1", 20, 12),
+    ]
+    story = ZoneStory("zone-a").tell(lines)
+    assert len(story.lines) == 3
+    assert (
+        "evacuated from 2026-12-04T05:00:01.000Z on 2 instances within 2000 ms"
+        in story.cause
+    )
+    assert "no longer evacuated from 2026-12-04T05:00:20.000Z on 1 inst" in story.cause
+
+
 load_tests = function_tests(__name__)
