--- a/src/mimosafork/gossip/outbox.py
+++ b/src/mimosafork/gossip/outbox.py
@@ -8,6 +8,8 @@
 
 from ..ids import InstanceId
 from .kinds.base import kind_of
+from .kinds.endpoints import ENDPOINTS
+from .kinds.evacuations import EVACUATIONS
 from .ledger import Ledger
 from .links import Flight, Link, News
 from .members import Address, Identity
@@ -30,6 +32,14 @@
 SECOND = timedelta(seconds=1)
 
 
+def send_order(news: News) -> tuple[bool, int]:
+    """Return the rank of news where bytes are short.
+
+    Evacuations go before running work, which in a flood may take all bytes.
+    """
+    return news.slot.kind != EVACUATIONS.number, news.slot.kind
+
+
 class Outgoing(msgspec.Struct, frozen=True):
     """A datagram to send."""
 
@@ -73,10 +83,10 @@
 
     @property
     def has_state_bytes(self) -> bool:
-        """Whether there are bytes for state that is relayed.
+        """Whether there are bytes for state that can wait.
 
         The rest is kept for running work, which is published to some peers only and
-        is of use only at once. While a fleet of 111 instances starts, the state of all
+        is of use only at once, and for endpoints and zones that must not be used. While a fleet of 111 instances starts, the state of all
         for new partners is more than the budget of several seconds.
         """
         return self.left > self.bytes_s * WORK_SHARE
@@ -110,9 +120,15 @@
     gone: list[News]
 
 
-def is_direct(news: News) -> bool:
-    """Return whether news goes only from its origin to the peers that it names."""
-    return not kind_of(news.slot.kind).relayed
+URGENT_KINDS = frozenset({ENDPOINTS.number, EVACUATIONS.number})
+"""Relayed state that must reach all instances while other state uses up the budget:
+without it, endpoints that must get no requests would get some."""
+
+
+def is_urgent(news: News) -> bool:
+    """Return whether news may use the bytes that are kept for running work."""
+    kind = news.slot.kind
+    return kind in URGENT_KINDS or not kind_of(kind).relayed
 
 
 class Outbox:
@@ -210,7 +226,7 @@
         """Return whether there are bytes for what is due on a link."""
         if self.budget.has_state_bytes:
             return True
-        return self.budget.left > 0 and any(map(is_direct, link.pending))
+        return self.budget.left > 0 and any(map(is_urgent, link.pending))
 
     def affordable_news(self, link: Link) -> tuple[News, ...]:
         """Return the news of a link for whose kinds there are bytes left."""
@@ -218,13 +234,13 @@
             return tuple(link.pending)
         if self.budget.left <= 0:
             return ()
-        return tuple(news for news in link.pending if is_direct(news))
+        return tuple(news for news in link.pending if is_urgent(news))
 
     def spread_over(self, batch: Batch, link: Link, now: timedelta) -> Spread:
         """Spread news over datagrams."""
         items: list[Item] = []
         gone: list[News] = []
-        for news in sorted(batch.news, key=lambda news: news.slot.kind):
+        for news in sorted(batch.news, key=send_order):
             item = self.item(news)
             if item is None:
                 gone.append(news)
