Sort imports and wrap a docstring after the merge

Cause: the formatter's rules were broken by the merge of the evacuations. Change: order of imports, and the text of a docstring. Evidence: the linter passes.

--- a/src/mimosafork/gossip/outbox.py
+++ b/src/mimosafork/gossip/outbox.py
@@ -86,8 +86,9 @@
         """Whether there are bytes for state that can wait.
 
         The rest is kept for running work, which is published to some peers only and
-        is of use only at once, and for endpoints and zones that must not be used. While a fleet of 111 instances starts, the state of all
-        for new partners is more than the budget of several seconds.
+        is of use only at once, and for endpoints and zones that must not be used.
+        While a fleet of 111 instances starts, the state of all for new partners is
+        more than the budget of several seconds.
         """
         return self.left > self.bytes_s * WORK_SHARE
 
--- a/tests/unit/gateway/test_evacuations.py
+++ b/tests/unit/gateway/test_evacuations.py
@@ -11,9 +11,9 @@
     RETRY_AFTER,
 )
 from mimosafork.gateway.policies.fleet_view import FleetView
+from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
 from mimosafork.gateway.policies.reserving import MemoryKeeper
 from mimosafork.gateway.policies.retrying import BudgetedRetry
-from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
 from mimosafork.gateway.policies.send_gate import EndpointSendGate
 from mimosafork.gateway.policies.send_permits import SendPermits
 from mimosafork.gateway.problems import final_status
