Take in datagrams of the gossip with fewer calls

Cause: for each datagram the link of its sender was looked up four times and the timer's instant was computed anew, for each entry its kind was looked up up to four times, its origin and the own tag twice; places and news were named tuples, whose construction is two calls of functions. Change: link, kind and the sender as origin are looked up once; places and news are frozen structs; what a datagram does not have (names, entries, parts, unconfirmed datagrams) is not gone through; the timer is left alone where it stands right.

--- a/src/mimosafork/gossip/circle.py
+++ b/src/mimosafork/gossip/circle.py
@@ -51,6 +51,7 @@
         self, me: Identity, own: Ledger, roster: Roster, timing: Timing
     ) -> None:
         self.me = me
+        self.tag = me.tag
         self.own = own
         self.roster = roster
         self.timing = timing
@@ -101,6 +102,9 @@
 
     def revive(self, member: Member, now: timedelta) -> list[Effect]:
         """Note a sign of life of one that speaks itself."""
+        if member.alive:
+            member.heard = now
+            return []
         effects = self.roster.hear(member, now)
         if effects:
             self.choose_partners(now)
@@ -134,12 +138,6 @@
         """Look at a link from now on, at each tick."""
         self.awake[name] = self.links[name]
 
-    def wake_if_due(self, member: Member) -> None:
-        """Look from now on at a link on which a datagram has made something due."""
-        link = self.link_of(member)
-        if link.due is not None:
-            self.awake[link.name] = link
-
     def beat_along(self, now: timedelta) -> None:
         """Have the own heartbeats go along with one that came, if they are nearly due.
 
@@ -250,7 +248,7 @@
     def source_of(self, origin: InstanceId) -> Source | None:
         """Find an origin's entries."""
         if origin == self.me.instance:
-            return Source(self.me.tag, self.own)
+            return Source(self.tag, self.own)
         member = self.roster.members.get(origin)
         if member is None or not member.alive:
             # A silent origin's entries aren't passed on: a word that it has taken
--- a/src/mimosafork/gossip/ids.py
+++ b/src/mimosafork/gossip/ids.py
@@ -71,9 +71,12 @@
         BadDatagramError
             If there is none.
         """
-        if not 0 <= index < len(self.packed):
+        try:
+            packed = self.packed[index] if index >= 0 else None
+        except IndexError:
+            packed = None
+        if packed is None:
             raise BadDatagramError(f"no endpoint id has index {index}")
-        packed = self.packed[index]
-        if isinstance(packed, int):
+        if type(packed) is int:
             return EndpointId(f"{PREFIX}{packed:0{DIGITS}x}")
-        return EndpointId(packed)
+        return EndpointId(str(packed))
--- a/src/mimosafork/gossip/kinds/load.py
+++ b/src/mimosafork/gossip/kinds/load.py
@@ -104,8 +104,8 @@
             longest_pause_ms=wire.pause,
             age_ms=wire.age,
             writing_ms=wire.writing,
-            parts=parts_of(wire.parts, ids),
-            held=parts_of(wire.held, ids),
+            parts=parts_of(wire.parts, ids) if wire.parts else (),
+            held=parts_of(wire.held, ids) if wire.held else (),
         )
 
 
--- a/src/mimosafork/gossip/ledger.py
+++ b/src/mimosafork/gossip/ledger.py
@@ -2,8 +2,6 @@
 
 from datetime import timedelta
 from heapq import heappop, heappush
-from itertools import count
-from typing import NamedTuple
 
 import msgspec
 
@@ -15,7 +13,7 @@
 words. An end that was forgotten before the peer was could never be told."""
 
 
-class Slot(NamedTuple):
+class Slot(msgspec.Struct, frozen=True):
     """Place of an entry within its origin's ledger."""
 
     kind: int
@@ -40,23 +38,6 @@
     value: object | None
 
 
-class Passing(NamedTuple):
-    """An entry that will be past its time.
-
-    Parameters
-    ----------
-    until : timedelta
-        The last instant of its time.
-    order : int
-        Tells apart those of the same instant.
-    """
-
-    until: timedelta
-    order: int
-    slot: Slot
-    entry: Entry
-
-
 class Ledger:
     """Newest entries of one origin.
 
@@ -66,16 +47,18 @@
         All, those that were taken back too.
     standing : dict of int to dict of Key to Entry
         By kind those that weren't: mostly few, where many have ended a short time ago.
-    passing : list of Passing
-        A heap of those that will be past their time. In a flood of 110 works a second
-        the ends of 75 s are 8,250 entries, all of which were looked at each second.
+    passing : list
+        A heap of those that will be past their time: the last instant of it, a number
+        that tells apart those of the same instant, place and entry. In a flood of 110
+        works a second the ends of 75 s are 8,250 entries, all of which were looked at
+        each second.
     """
 
     def __init__(self) -> None:
         self.entries: dict[Slot, Entry] = {}
         self.standing: dict[int, dict[Key, Entry]] = {}
-        self.passing: list[Passing] = []
-        self.order = count()
+        self.passing: list[tuple[timedelta, int, Slot, Entry]] = []
+        self.order = 0
         self.sequence = 0
 
     def put(self, slot: Slot, value: object | None, now: timedelta) -> bool:
@@ -94,15 +77,19 @@
     def keep(self, slot: Slot, entry: Entry) -> None:
         """Put an entry in its place."""
         self.entries[slot] = entry
-        standing = self.standing.setdefault(slot.kind, {})
+        standing = self.standing.get(slot.kind)
+        if standing is None:
+            standing = self.standing[slot.kind] = {}
         if entry.value is None:
+            lifetime: timedelta | None = TOMBSTONE_LIFETIME
             standing.pop(slot.key, None)
         else:
+            lifetime = kind_of(slot.kind).lifetime
             standing[slot.key] = entry
-        lifetime = lifetime_of(slot, entry)
         if lifetime is not None:
+            self.order += 1
             until = entry.born + lifetime
-            heappush(self.passing, Passing(until, next(self.order), slot, entry))
+            heappush(self.passing, (until, self.order, slot, entry))
 
     def drop(self, slot: Slot) -> None:
         """Forget an entry."""
@@ -135,12 +122,7 @@
 
     def purge(self, now: timedelta) -> None:
         """Forget words that are past their time, but for those that were said anew."""
-        while self.passing and self.passing[0].until < now:
-            past = heappop(self.passing)
-            if self.entries.get(past.slot) is past.entry:
-                self.drop(past.slot)
-
-
-def lifetime_of(slot: Slot, entry: Entry) -> timedelta | None:
-    """Return how long an entry is kept, None for as long as its origin."""
-    return TOMBSTONE_LIFETIME if entry.value is None else kind_of(slot.kind).lifetime
+        while self.passing and self.passing[0][0] < now:
+            _, _, slot, entry = heappop(self.passing)
+            if self.entries.get(slot) is entry:
+                self.drop(slot)
--- a/src/mimosafork/gossip/links.py
+++ b/src/mimosafork/gossip/links.py
@@ -6,7 +6,6 @@
 
 from datetime import timedelta
 from heapq import heappop, heappush
-from typing import NamedTuple
 
 import msgspec
 
@@ -18,7 +17,7 @@
 WINDOW_MASK = (1 << WINDOW) - 1
 
 
-class News(NamedTuple):
+class News(msgspec.Struct, frozen=True):
     """An entry that is due to a peer, by its place."""
 
     origin: InstanceId
@@ -193,6 +192,8 @@
     ) -> None:
         """Take in which of the own datagrams came."""
         self.named = self.named or heard > 0
+        if not self.flights:
+            return
         for number, flight in list(self.flights.items()):
             if came(number, heard, missing):
                 del self.flights[number]
@@ -201,6 +202,8 @@
 
     def overdue(self, now: timedelta, timing: Timing) -> None:
         """Make due again what was never confirmed."""
+        if not self.flights:
+            return
         for number, flight in list(self.flights.items()):
             if now - flight.sent < timing.resend_after:
                 return
--- a/src/mimosafork/gossip/reading.py
+++ b/src/mimosafork/gossip/reading.py
@@ -6,11 +6,12 @@
 
 from .errors import BadDatagramError
 from .ids import IdReader
-from .kinds.base import KINDS, kind_of
+from .kinds.base import KINDS
 from .ledger import Entry, Slot
 from .wire import KIND_BITS, KIND_MASK, Datagram, WireEntry
 
 MILLISECOND = timedelta(milliseconds=1)
+KEY_TYPES = frozenset((int, bool, str, bytes))
 
 
 class Told(msgspec.Struct, frozen=True):
@@ -39,10 +40,13 @@
     BadDatagramError, msgspec.ValidationError
         If one breaks the format.
     """
+    if not datagram.entries:
+        return []
     ids = IdReader(datagram.ids)
     tags = [datagram.sender, *datagram.origins]
+    additions = datagram.additions
     return [
-        read_entry(each, datagram.additions.get(index), tags, ids, now)
+        read_entry(each, additions.get(index) if additions else None, tags, ids, now)
         for index, each in enumerate(datagram.entries)
         if each.place & KIND_MASK in KINDS
     ]
@@ -59,17 +63,21 @@
         If it breaks the format.
     """
     index = wire.place >> KIND_BITS
-    if index >= len(tags):
-        raise BadDatagramError(f"no origin has index {index}")
-    if not isinstance(wire.key, (int, str, bytes)):
+    try:
+        origin = tags[index]
+    except IndexError:
+        raise BadDatagramError(f"no origin has index {index}") from None
+    if type(wire.key) not in KEY_TYPES:
         raise BadDatagramError("a key of no known type")
     slot = Slot(wire.place & KIND_MASK, wire.key)
-    kind = kind_of(slot.kind)
-    value = None if wire.value is None else kind.codec.unpack(wire.value, ids)
-    if value is not None and addition is not None and kind.extension is not None:
-        value = kind.extension.apply(value, addition)
+    value = None
+    if wire.value is not None:
+        kind = KINDS[slot.kind]
+        value = kind.codec.unpack(wire.value, ids)
+        if addition is not None and kind.extension is not None:
+            value = kind.extension.apply(value, addition)
     try:
         born = now - wire.age * MILLISECOND
     except OverflowError as error:
         raise BadDatagramError(f"age {wire.age}") from error
-    return Told(tags[index], slot, Entry(wire.sequence, born, value))
+    return Told(origin, slot, Entry(wire.sequence, born, value))
--- a/src/mimosafork/gossip/receiving.py
+++ b/src/mimosafork/gossip/receiving.py
@@ -55,40 +55,39 @@
         BadDatagramError, msgspec.ValidationError
             If it breaks the format; none of its entries is taken then.
         """
-        if datagram.sender == self.circle.me.tag:
+        circle = self.circle
+        if datagram.sender == circle.tag:
             return []
         told = read_entries(datagram, now)
-        effects = self.learn_names(datagram, now)
+        effects: list[Effect] = []
+        if datagram.name is not None or datagram.names:
+            effects = self.learn_names(datagram, now)
         member = self.roster.member_of(datagram.sender)
         if member is None:
             self.meet_stranger(datagram, address)
             return effects
-        if not self.is_new(datagram, member):
+        link = circle.link_of(member)
+        if not self.is_new(datagram, member, link):
             self.counters.repeated += 1
             return effects
-        self.roster.moved(member, address)
-        effects += self.circle.revive(member, now)
+        if member.identity.address != address:
+            self.roster.moved(member, address)
+        effects += circle.revive(member, now)
         self.zones.received(member.identity.zone, now)
-        self.take_head(datagram, member, now)
-        if told:
-            self.confirm_in_time(member, now)
-        else:
-            self.circle.beat_along(now)
-        self.circle.wake_if_due(member)
+        self.take_head(datagram, link, now)
+        if not told:
+            circle.beat_along(now)
+        elif not circle.is_partner(link.name, now):
+            # No heartbeat goes to one that is told of some works only; it would take
+            # its words for lost, and send them again and again.
+            link.hurry(now + CONFIRM_AFTER)
+        if link.due is not None:
+            circle.awake[link.name] = link
         return effects + self.intake.take(told, member, now)
 
-    def confirm_in_time(self, member: Member, now: timedelta) -> None:
-        """Have a datagram confirmed that came from no partner.
-
-        No heartbeat goes to one that is told of some works only; it would take its
-        words for lost, and send them again and again.
-        """
-        if not self.circle.is_partner(member.identity.instance, now):
-            self.circle.link_of(member).hurry(now + CONFIRM_AFTER)
-
-    def is_new(self, datagram: Datagram, member: Member) -> bool:
+    def is_new(self, datagram: Datagram, member: Member, link: Link) -> bool:
         """Note a datagram's number; return whether it came for the first time."""
-        receipts = self.circle.link_of(member).receipts
+        receipts = link.receipts
         if not member.alive:
             # It may have forgotten this instance and count anew: its low numbers
             # would be taken for repeated datagrams for good.
@@ -115,12 +114,12 @@
         if datagram.sender not in self.roster.replaced and datagram.name is None:
             self.caller.meet(address)
 
-    def take_head(self, datagram: Datagram, member: Member, now: timedelta) -> None:
+    def take_head(self, datagram: Datagram, link: Link, now: timedelta) -> None:
         """Take in confirmations and wishes."""
-        link, timing = self.circle.link_of(member), self.circle.timing
+        timing = self.circle.timing
         link.confirmed(datagram.heard, datagram.missing, now, timing)
         if datagram.flags & CHOSEN:
-            if not self.circle.is_partner(member.identity.instance, now):
+            if not self.circle.is_partner(link.name, now):
                 self.circle.send_all(link, now)
             self.circle.chosen_by(link, now + timing.suspect_after)
         if datagram.flags & ~CHOSEN:
--- a/src/mimosafork/gossip/service.py
+++ b/src/mimosafork/gossip/service.py
@@ -260,7 +260,8 @@
         """Take in a datagram."""
         now = self.clock.monotonic()
         self.tell(self.exchange.datagram_received(data, address, now), now)
-        self.arm()
+        if not self.is_armed(now):
+            self.arm()
 
     def tick(self) -> None:
         """Send what is due, and come again when something will be."""
@@ -276,16 +277,25 @@
             # take this instance for dead.
             self.arm()
 
+    def is_armed(self, now: timedelta) -> bool:
+        """Whether the timer stands right, so that the loop need not be asked.
+
+        It does after most datagrams: 1,542 of 8,860 calls of functions a second at rest
+        among 64 instances (`python -m benchmarks.instance_cost`). One that should have
+        gone off was held up by a suspension, which the loop's clock does not count.
+        """
+        return (
+            self.timer is not None
+            and now < self.armed <= self.exchange.circle.alarm.at
+            and not self.exchange.caller.strangers
+        )
+
     def arm(self) -> None:
         """Have the next tick come in time."""
         if not self.port.is_open:
             return
         now = self.clock.monotonic()
         due = max(self.exchange.next_due(now), now + SHORTEST_GAP)
-        # After most datagrams the timer stands right, and the loop need not be asked:
-        # 1,542 of 8,860 calls of functions a second at rest among 64 instances (`python
-        # -m benchmarks.instance_cost`). One that should have gone off was held up by a
-        # suspension, which the loop's clock does not count.
         if self.timer is not None and now < self.armed <= due:
             return
         gap = (due - now).total_seconds()
--- a/src/mimosafork/gossip/taking.py
+++ b/src/mimosafork/gossip/taking.py
@@ -4,7 +4,7 @@
 
 from .circle import Circle
 from .effects import Effect
-from .kinds.base import kind_of
+from .kinds.base import KINDS
 from .ledger import Entry
 from .links import Link, News
 from .members import Member
@@ -22,39 +22,45 @@
 
     def take(self, told: list[Told], sender: Member, now: timedelta) -> list[Effect]:
         """Take in the entries of one datagram."""
+        if not told:
+            return []
         effects: list[Effect] = []
         self.reports.begin()
-        link = self.circle.link_of(sender)
+        link, sender_tag = self.circle.link_of(sender), sender.identity.tag
         for each in told:
-            origin = self.origin_of(each.origin, link)
-            if origin is None:
-                continue
-            effects += self.hear_through(origin, sender, each.entry, now)
-            if origin.alive or kind_of(each.slot.kind).outlives_silence:
-                effects += self.take_one(each, origin, sender, now)
+            origin = sender
+            if each.origin != sender_tag:
+                found = self.origin_of(each.origin, link)
+                if found is None:
+                    continue
+                origin = found
+                effects += self.hear_through(origin, sender, each.entry, now)
+            if origin.alive or KINDS[each.slot.kind].outlives_silence:
+                effects += self.take_one(each, origin, link, now)
         effects += self.reports.end()
         return effects
 
     def take_one(
-        self, told: Told, origin: Member, sender: Member, now: timedelta
+        self, told: Told, origin: Member, link: Link, now: timedelta
     ) -> list[Effect]:
-        """Take in an entry of a known origin."""
-        slot, entry = told.slot, told.entry
-        news = News(origin.identity.instance, slot)
+        """Take in an entry of a known origin that came on a link."""
+        slot, entry, name = told.slot, told.entry, origin.identity.instance
         accepted = origin.ledger.accept(slot, entry)
-        if origin.ledger.entries[slot].sequence == entry.sequence:
-            self.circle.link_of(sender).pending.pop(news, None)
+        if link.pending and origin.ledger.entries[slot].sequence == entry.sequence:
+            link.pending.pop(News(name, slot), None)
         if not accepted:
             return []
         effects = self.reports.accepted(origin, slot, entry)
-        if self.circle.relaying and kind_of(slot.kind).relayed:
-            due = now + kind_of(slot.kind).relay_after
-            self.circle.spread(news, due, sender.identity.instance)
+        if self.circle.relaying:
+            kind = KINDS[slot.kind]
+            if kind.relayed:
+                due = now + kind.relay_after
+                self.circle.spread(News(name, slot), due, link.name)
         return effects
 
     def origin_of(self, tag: int, link: Link) -> Member | None:
         """Find an entry's origin; an unknown one's name is asked for."""
-        if tag == self.circle.me.tag or tag in self.roster.replaced:
+        if tag == self.circle.tag or tag in self.roster.replaced:
             return None
         origin = self.roster.member_of(tag)
         if origin is None:
@@ -69,7 +75,7 @@
         It is as old as the word: instances that have not yet noticed that the origin
         is gone go on telling its words, and would wake it for each other for good.
         """
-        if origin is sender or now - entry.born > self.circle.silence_limit:
+        if now - entry.born > self.circle.silence_limit:
             return []
         effects = self.roster.hear(origin, entry.born)
         if effects:
--- a/src/mimosafork/gossip/zone_silence.py
+++ b/src/mimosafork/gossip/zone_silence.py
@@ -86,7 +86,8 @@
             self.zones[zone] = ZoneTraffic(now, now)
             return
         traffic.received(now)
-        self.silent.discard(zone)
+        if self.silent:
+            self.silent.discard(zone)
 
     def review(
         self,
