Look up the kernel's handlers of a message type once

Cause: for each message the kernel dispatched by type three times, once for itself although it has no handler for words of peers, and queued the message before it took it back. Change: the bound handler of the kernel and those of the plug-ins are looked up when a message type is handled for the first time; where there is none, nothing is called.

--- a/src/mimosafork/kernel/core.py
+++ b/src/mimosafork/kernel/core.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from logging import getLogger
 from random import Random
-from typing import TypeVar
+from typing import TypeVar, cast
 
 from ..clock import Clock
 from ..ids import RequestId
@@ -92,12 +92,11 @@
             discipline=_only_one_of(plugins, QueueDiscipline),
             finishers=_all_of(plugins, Finisher),
         )
-        # Bound once: each attribute access of a singledispatchmethod creates a new
-        # function, which costs as much as the dispatch. Together with the
-        # handlers of the gateway and the gossip this was 7,972 of 66,152 function calls
-        # a second under overload with 64 instances
-        # (`python -m benchmarks.instance_cost`).
-        self.step: Callable[[Message, Context], None] = self.advance
+        # The handlers of a message type are looked up once. Each attribute access of a
+        # singledispatchmethod creates a new function, which costs as much as the
+        # dispatch: 7,972 of 66,152 function calls a second under overload with 64
+        # instances (`python -m benchmarks.instance_cost`).
+        self.steps: dict[type[Message], Callable[..., None] | None] = {}
         self.listeners: dict[type[Message], list[Callable[..., None]]] = {}
         for plugin in self.plugins:
             plugin.resolve_dependencies(self.find)
@@ -114,20 +113,29 @@
         not make progress any more is concluded.
         """
         context = Context(self.clock.monotonic(), self.random, self.state)
-        context.post(message)
-        while context.posted:
-            current = context.posted.popleft()
-            self._advance(current, context)
-            for listener in self._listeners_of(type(current)):
+        current = message
+        while True:
+            kind = type(current)
+            if kind not in self.listeners:
+                self._register(kind)
+            step = self.steps[kind]
+            if step is not None:
+                self._advance(step, current, context)
+            for listener in self.listeners[kind]:
                 self._deliver(listener, current, context)
+            if not context.posted:
+                break
+            current = context.posted.popleft()
         for fault in context.faults:
-            kind = type(message).__name__
-            log_event(logger, KERNEL_FAULT, exc_info=fault, message=kind)
+            name = type(message).__name__
+            log_event(logger, KERNEL_FAULT, exc_info=fault, message=name)
         return context.effects
 
-    def _advance(self, message: Message, context: Context) -> None:
+    def _advance(
+        self, step: Callable[..., None], message: Message, context: Context
+    ) -> None:
         try:
-            self.step(message, context)
+            step(message, context)
         except Exception as error:
             context.faults.append(error)
             self.lifecycle.end_faulted(_request_of(message), context)
@@ -150,12 +158,11 @@
         found = _all_of(self.plugins, kind)
         return found[0] if found else None
 
-    def _listeners_of(self, kind: type[Message]) -> list[Callable[..., None]]:
-        if kind not in self.listeners:
-            self.listeners[kind] = [
-                plugin.handle for plugin in self.plugins if _handles(plugin, kind)
-            ]
-        return self.listeners[kind]
+    def _register(self, kind: type[Message]) -> None:
+        """Look up who handles a message type; most types concern few."""
+        self.steps[kind] = _handler_of(self, "advance", kind)
+        handlers = (_handler_of(plugin, "handle", kind) for plugin in self.plugins)
+        self.listeners[kind] = [each for each in handlers if each is not None]
 
     @singledispatchmethod
     def advance(self, message: Message, context: Context) -> None:
@@ -276,15 +283,19 @@
     return found[0]
 
 
-def _handles(plugin: Plugin, kind: type[Message]) -> bool:
-    """Return whether a plug-in registered a handler for a message type.
+def _handler_of(
+    owner: object, name: str, kind: type[Message]
+) -> Callable[..., None] | None:
+    """Return the bound handler that is registered for a message type, if any.
 
-    Inherited handlers count: the first `handle` in the method resolution order is
-    used, as in a call.
+    Inherited handlers count: the first method of that name in the method resolution
+    order is used, as in a call.
     """
-    owner = next(cls for cls in type(plugin).__mro__ if "handle" in vars(cls))
-    method = vars(owner)["handle"]
+    holder = next(cls for cls in type(owner).__mro__ if name in vars(cls))
+    method = vars(holder)[name]
     if not isinstance(method, singledispatchmethod):
-        raise KernelError(f"handle of {owner.__name__} is not a singledispatchmethod")
-    registered = set(method.dispatcher.registry) - {object}
-    return any(issubclass(kind, known) for known in registered)
+        raise KernelError(f"{name} of {holder.__name__} is not a singledispatchmethod")
+    handler = method.dispatcher.dispatch(kind)
+    if handler is method.dispatcher.registry[object]:
+        return None
+    return cast(Callable[..., None], handler.__get__(owner, type(owner)))
