--- a/src/mimosafork/gossip/outbox.py
+++ b/src/mimosafork/gossip/outbox.py
@@ -32,12 +32,25 @@
 SECOND = timedelta(seconds=1)
 
 
-def send_order(news: News) -> tuple[bool, int]:
+URGENT_KINDS = frozenset({ENDPOINTS.number, EVACUATIONS.number})
+"""Relayed state that must reach all instances while other state uses up the budget:
+without it, endpoints that must get no requests would get some."""
+
+
+def is_urgent(news: News) -> bool:
+    """Return whether news may use the bytes that are kept for running work."""
+    kind = news.slot.kind
+    return kind in URGENT_KINDS or not kind_of(kind).relayed
+
+
+def send_order(news: News) -> tuple[bool, bool, int]:
     """Return the rank of news where bytes are short.
 
-    Evacuations go before running work, which in a flood may take all bytes.
+    Evacuations go before running work, which in a flood may take all bytes, and both
+    before state, of which thousands of entries may be due.
     """
-    return news.slot.kind != EVACUATIONS.number, news.slot.kind
+    kind = news.slot.kind
+    return kind != EVACUATIONS.number, not is_urgent(news), kind
 
 
 class Outgoing(msgspec.Struct, frozen=True):
@@ -67,10 +80,13 @@
     ----------
     bytes_s : int
         Rate; the bucket holds what `BUDGET_SPAN_S` seconds bring.
+    datagram_bytes : int
+        Longest datagram.
     """
 
-    def __init__(self, bytes_s: int) -> None:
+    def __init__(self, bytes_s: int, datagram_bytes: int) -> None:
         self.bytes_s = bytes_s
+        self.kept_for_work = bytes_s * WORK_SHARE + datagram_bytes
         self.left = float(bytes_s)
         self.filled: timedelta | None = None
 
@@ -90,7 +106,7 @@
         While a fleet of 111 instances starts, the state of all for new partners is
         more than the budget of several seconds.
         """
-        return self.left > self.bytes_s * WORK_SHARE
+        return self.left > self.kept_for_work
 
     @property
     def has_spare(self) -> bool:
@@ -121,17 +137,6 @@
     gone: list[News]
 
 
-URGENT_KINDS = frozenset({ENDPOINTS.number, EVACUATIONS.number})
-"""Relayed state that must reach all instances while other state uses up the budget:
-without it, endpoints that must get no requests would get some."""
-
-
-def is_urgent(news: News) -> bool:
-    """Return whether news may use the bytes that are kept for running work."""
-    kind = news.slot.kind
-    return kind in URGENT_KINDS or not kind_of(kind).relayed
-
-
 class Outbox:
     """Builds datagrams.
 
@@ -152,7 +157,7 @@
         self.fleet = fleet
         self.timing = timing
         self.source_of = source_of
-        self.budget = Budget(timing.budget_bytes_s)
+        self.budget = Budget(timing.budget_bytes_s, timing.datagram_bytes)
         self.spread: dict[Batch, Spread] = {}
 
     def begin(self, now: timedelta) -> None:
