Review endpoints that may be cold once a second instead of at each tick

Ticks come with calls only, so that an outage of the store was not logged on an idle instance, and each tick cost a message where no bound is set. The review runs while endpoints are tracked. 30 unit tests of cold endpoints pass.

--- a/src/mimosafork/gateway/policies/cold_endpoints.py
+++ b/src/mimosafork/gateway/policies/cold_endpoints.py
@@ -8,7 +8,7 @@
 from ...ids import EndpointId, RequestId
 from ...kernel.context import Context
 from ...kernel.messages.attempts import AttemptFailed, FailureKind
-from ...kernel.messages.base import Message, Tick
+from ...kernel.messages.base import Message
 from ...kernel.messages.cold_endpoints import ColdReviewDue
 from ...kernel.messages.connectivity import ConnectionProbed
 from ...kernel.messages.dispatch import Dispatch
@@ -278,22 +278,18 @@
     def _(self, message: RequestConcluded, context: Context) -> None:
         self.release(message.record.request_id)
 
-    @handle.register
-    def _(self, message: Tick, context: Context) -> None:
-        if self.bounded and self.unconfirmed():
-            self._schedule_review(context)
-
     @handle.register
     def _(self, message: ColdReviewDue, context: Context) -> None:
         self.review_pending = False
         self.log.update(self.enforced(context.now))
-        if self.log.enforced:
-            self._schedule_review(context)
+        self._schedule_review(context)
 
     def _schedule_review(self, context: Context) -> None:
-        if not self.review_pending and (
-            self.log.enforced or self.may_hold_back(context.now)
-        ):
+        """Schedule the next review, while there is anything to review.
+
+        Nothing else shows that the list of endpoints is no longer confirmed.
+        """
+        if self.bounded and not self.review_pending:
             self.review_pending = True
             context.wake_after(REVIEW_INTERVAL, ColdReviewDue())
 
--- a/tests/unit/gateway/test_cold_endpoints.py
+++ b/tests/unit/gateway/test_cold_endpoints.py
@@ -25,6 +25,7 @@
     RoutingTableChanged,
     ZoneEvacuationEnded,
 )
+from mimosafork.kernel.messages.timers import WakeAt
 from mimosafork.placement.choice import Shortage
 from mimosafork.routing.listing import ListedEndpoint
 from mimosafork.telemetry.catalogue.cold_endpoints import (
@@ -335,6 +336,18 @@
     case.assertEqual(20, len(begun["endpoints"].split(",")))
 
 
+def test_an_unconfirmed_list_is_logged_without_any_call() -> None:
+    """An operator must see it although nothing else happens in the kernel."""
+    bench = cold_bench()
+    with caught_lines() as caught:
+        bench.handle_after(SECOND, ColdReviewDue())
+        plugin(bench).unconfirmed = lambda: True
+        wakes = [each.message for each in bench.emitted(WakeAt)]
+        case.assertEqual(2, wakes.count(ColdReviewDue()))
+        bench.handle_after(SECOND, ColdReviewDue())
+    case.assertEqual("unconfirmed 2", caught.one(COLD_BOUND_ENFORCED)["reasons"])
+
+
 def test_a_cold_engine_does_not_help_and_an_unconfirmed_one_does() -> None:
     """Without helpers, no long prompt is served in time during an outage."""
     for unconfirmed, helps in ((True, True), (False, False)):
