--- a/tests/unit/gossip/test_evacuation_states.py
+++ b/tests/unit/gossip/test_evacuation_states.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
-from mimosafork.directory.rows import Row
+from mimosafork.clock import ManualClock
+from mimosafork.directory.messages import DirectoryChange
+from mimosafork.directory.rows import Row, RowPage
 from mimosafork.directory.zone_state import ZoneState
 from mimosafork.gateway.row_payload import decode_rows, decode_zones, encode_rows
 from mimosafork.gossip.effects import EvacuationTold
@@ -16,10 +18,13 @@
 from mimosafork.gossip.ledger import Slot
 from mimosafork.gossip.links import News
 from mimosafork.gossip.outbox import send_order
+from mimosafork.gossip.pulls import Matter
 from mimosafork.gossip.timing import Timing
 from mimosafork.ids import AvailabilityZoneId, InstanceId
 
+from ...support.directories import configured, evacuated, summary_of
 from ...support.functions import function_tests
+from ...support.gossip_instances import FakeRowStore, GossipInstance
 from ...support.gossip_network import Network, identity, ms
 from ...support.versions import version
 from .test_previous_release import PreviousRows
@@ -69,6 +74,26 @@
     case.assertEqual({}, decode_zones(b"\xc1"))
 
 
+def test_an_instance_knows_the_zones_before_the_configuration_of_a_peer() -> None:
+    """Gossip may be lost: the hand-over alone must keep calls out of the zone.
+
+    An instance that starts without the store has no configuration before it, and so
+    lets no call in.
+    """
+    clock, rows = ManualClock(ms(0)), FakeRowStore()
+    giver, taker = (GossipInstance(rows, clock, number) for number in (1, 2))
+    page = RowPage((evacuated(ZONE, 9), configured(1, 3)), version(9))
+    giver.sharing.directory.configuration_follower.consumer.apply_snapshot(page)
+    held = giver.sharing.transfer_payload(Matter.CONFIGURATION)
+    assert held is not None
+    published: list[DirectoryChange] = []
+    taker.sharing.directory.add_listener(published.append)
+    taker.sharing.receive_configuration(held.payload)
+    case.assertEqual(
+        ["zone-a evacuated as of 9", "table 1"], [summary_of(c) for c in published]
+    )
+
+
 def test_the_release_before_passes_over_handed_over_zones() -> None:
     """It would refuse the configuration, or take a zone for one."""
     payload = encode_rows([CONFIGURED], {ZONE: STATE})
