Take the endpoints of an instance's first list as cold as their rows say

Cause: how long an endpoint has run was read from the number of its reports, but its row changes only with another field: after a loss of power of all instances five of seven engines counted as new for 4.2 s, and nine of eleven calls went to one of the two others, six of which their callers gave up (small twin, lines of all instances). Change: an endpoint is new if it is listed later than a second after the first one; the number of reports is not read any more.

--- a/src/mimosafork/gateway/policies/cold_endpoint.py
+++ b/src/mimosafork/gateway/policies/cold_endpoint.py
@@ -9,10 +9,6 @@
 from ...routing.listing import ListedEndpoint
 from .limited_endpoint import LimitedEndpoint
 
-MIN_REPORT_INTERVAL = timedelta(milliseconds=600)
-"""Endpoints report at intervals of about 1.2 s, and in between when their state
-changes; half of that is assumed for the age that a number of reports shows."""
-
 REPORT_INTERVAL = timedelta(milliseconds=1200)
 """Evidence other than a row counts for this much longer: an endpoint may have started a
 little later than the evidence, and its row says by then whether it is still cold."""
@@ -66,24 +62,9 @@
         self.base_view: EngineView | None = None
         self.unpermitted: EngineView | None = None
 
-    def note(self, reason: ColdReason, now: timedelta) -> None:
-        """Record evidence that the endpoint may have started just now."""
-        self.note_until(reason, now + self.duration + REPORT_INTERVAL)
-
-    def note_listed(self, now: timedelta) -> None:
-        """Record that the endpoint is new in the list.
-
-        The number of its reports shows how long it has run at least. Without this, an
-        instance that has just started would have to take all endpoints for new ones.
-        """
-        span = self.duration + REPORT_INTERVAL
-        # Sequence numbers may be large enough to overflow a duration.
-        reports = min(self.listed.sequence - 1, span // MIN_REPORT_INTERVAL + 1)
-        age = max(0, reports) * MIN_REPORT_INTERVAL
-        self.note_until(ColdReason.LISTED, now + span - age)
-
-    def note_until(self, reason: ColdReason, until: timedelta) -> None:
-        """Record evidence that lasts until an instant."""
+    def note(self, reason: ColdReason, at: timedelta) -> None:
+        """Record evidence that the endpoint may have started at an instant."""
+        until = at + self.duration + REPORT_INTERVAL
         if until > self.evidence_until:
             self.evidence = reason
             self.evidence_until = until
--- a/src/mimosafork/gateway/policies/cold_endpoints.py
+++ b/src/mimosafork/gateway/policies/cold_endpoints.py
@@ -32,6 +32,12 @@
 
 REVIEW_INTERVAL = timedelta(seconds=1)
 
+FIRST_LISTING = timedelta(seconds=1)
+"""Time in which an instance receives the list of endpoints after its start.
+
+These are not taken for new ones: their rows say whether they are cold. Otherwise an
+instance would use only endpoints with a permit for seconds after each of its starts."""
+
 ABSENCE_RETENTION = timedelta(minutes=1)
 """Time for which an endpoint that has left is remembered; its requests count for a
 little more than a second."""
@@ -66,6 +72,10 @@
         Endpoints of services that state a rate for cold endpoints.
     listed : dict of EndpointId to ListedEndpoint
         All endpoints in use.
+    first_listing_end : timedelta or None
+        Monotonic instant; None before the first endpoint.
+    new_since : dict of EndpointId to timedelta
+        When endpoints, or incarnations, were listed that came later.
     share_of : callable
         Returns this instance's share of what an endpoint accepts.
     unconfirmed : callable
@@ -82,6 +92,8 @@
         self.table: RoutingTable | None = None
         self.listed: dict[EndpointId, ListedEndpoint] = {}
         self.bounded: dict[EndpointId, ColdEndpoint] = {}
+        self.first_listing_end: timedelta | None = None
+        self.new_since: dict[EndpointId, timedelta] = {}
         self.share_of: Callable[[EndpointId], SlackShare] = single_share
         self.unconfirmed: Callable[[], bool] = never_unconfirmed
         self.reservations: dict[RequestId, EndpointId] = {}
@@ -215,20 +227,21 @@
         listed, now = message.listed, context.now
         before = self.listed.get(listed.endpoint)
         self.listed[listed.endpoint] = listed
+        if before is None or is_later_incarnation(listed, before):
+            self._note_new(listed.endpoint, now)
         known = self.bounded.get(listed.endpoint)
         if known is None:
             self._track(listed, now)
         else:
-            restarted = before is None or is_later_incarnation(listed, before)
             known.listed, known.gone_at = listed, None
-            if restarted:
-                known.note_listed(now)
+            self._note_listed(known)
         self._update_evidence(listed.endpoint)
         self._schedule_review(context)
 
     @handle.register
     def _(self, message: EndpointLeaving, context: Context) -> None:
         self.listed.pop(message.endpoint, None)
+        self.new_since.pop(message.endpoint, None)
         self.stated.discard(message.endpoint)
         known = self.bounded.get(message.endpoint)
         if known is not None:
@@ -357,9 +370,21 @@
             return
         permits = LimitedEndpoint(allowance, self.share_of(endpoint), now, self.random)
         known = ColdEndpoint(listed, service.cold_duration, permits)
-        known.note_listed(now)
+        self._note_listed(known)
         self.bounded[endpoint] = known
 
+    def _note_new(self, endpoint: EndpointId, now: timedelta) -> None:
+        """Record that an endpoint, or an incarnation of it, is new in the list."""
+        if self.first_listing_end is None:
+            self.first_listing_end = now + FIRST_LISTING
+        if now >= self.first_listing_end:
+            self.new_since[endpoint] = now
+
+    def _note_listed(self, known: ColdEndpoint) -> None:
+        since = self.new_since.get(known.listed.endpoint)
+        if since is not None:
+            known.note(ColdReason.LISTED, since)
+
     def _forget_gone(self, now: timedelta) -> None:
         self.bounded = {
             endpoint: known
--- a/tests/unit/gateway/test_cold_endpoints.py
+++ b/tests/unit/gateway/test_cold_endpoints.py
@@ -6,7 +6,7 @@
 from msgspec.structs import replace
 
 from mimosafork.gateway.policies.cold_endpoint import ColdReason
-from mimosafork.gateway.policies.cold_endpoints import ColdEndpoints
+from mimosafork.gateway.policies.cold_endpoints import FIRST_LISTING, ColdEndpoints
 from mimosafork.gateway.policies.fleet_allowance import (
     COLD_COUNTED_SPAN,
 )
@@ -123,6 +123,7 @@
     """Their rows may not say so yet."""
     bench = cold_bench()
     case.assertEqual({}, reasons(bench))
+    bench.clock.advance(FIRST_LISTING)
     for row in (
         replace(old_row(EndpointId("desk-9")), sequence=1),
         replace(old_row(DESK), sequence=2),
@@ -138,10 +139,18 @@
     case.assertEqual({}, reasons(bench))
 
 
-def test_an_endpoint_that_reports_for_long_is_no_new_one() -> None:
-    """An instance that has just started must not take all endpoints for cold."""
+def test_endpoints_of_the_first_listing_are_as_cold_as_their_rows_say() -> None:
+    """An instance that has just started must not take all endpoints for cold.
+
+    The number of reports in a row does not show how long an endpoint has run: the row
+    changes only with another field.
+    """
     bench = cold_bench(endpoints=3)
+    early = replace(old_row(EndpointId("desk-9")), sequence=1)
+    bench.handle(EndpointUsable(early))
     case.assertEqual({}, reasons(bench))
+    bench.handle(EndpointUsable(cold_row()))
+    case.assertEqual({DESK: ColdReason.STATED}, reasons(bench))
 
 
 def test_failures_that_a_start_may_follow_are_evidence() -> None:
