Read home regions from the configuration and regions of zones from settings

Cause: routes and accounts may state the regions that their calls may be sent to, and the settings the region of each zone; nothing read either. Change: Route.home_regions and Account.home_regions, RegionId, and the settings section [zones] with the zones' names as its keys. A list of the wrong type, or a name that is empty or longer than 200 characters, makes the configuration unreadable. A changed list counts as a change of its route or account in the log line of a configuration. Evidence: unit tests of decoding, settings, changes and the reference pages pass; nothing acts on the restriction yet.

--- a/src/mimosafork/kernel/messages/requests.py
+++ b/src/mimosafork/kernel/messages/requests.py
@@ -11,6 +11,7 @@
     Digest,
     InstanceId,
     ModelId,
+    RegionId,
     RequestId,
     ServiceId,
 )
@@ -96,6 +97,9 @@
         Set for a call that is forwarded unchanged.
     forwarded_by : InstanceId or None
         The entry instance that received the call from its caller, if it is another one.
+    home_regions : frozenset of RegionId or None
+        Regions that it may be sent to; None for no restriction, and empty if its route
+        and its account have no region in common.
     """
 
     request_id: RequestId
@@ -114,6 +118,7 @@
     terms: CallTerms | None = None
     forwarded_by: InstanceId | None = None
     prompt_parts: tuple[Digest, ...] = ()
+    home_regions: frozenset[RegionId] | None = None
 
 
 class Submit(Message, frozen=True):
--- a/src/mimosafork/platform/configuration.py
+++ b/src/mimosafork/platform/configuration.py
@@ -1,8 +1,9 @@
 """The operator's configuration, translated into the product's routing table."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
-from ..ids import AccountId, Revision, ServiceId
+from ..ids import AccountId, RegionId, Revision, ServiceId
 from ..routing.engine import EngineFigures
 from ..routing.table import (
     Account,
@@ -89,6 +90,7 @@
         resumable=document.resumable,
         sized=document.sized,
         longest_pause=None if pause_ms is None else duration(pause_ms),
+        home_regions=regions_of(document.allowed_regions),
     )
 
 
@@ -162,4 +164,10 @@
         name=AccountId(document.name),
         keys=tuple(ApiKey(key) for key in document.keys),
         priority=document.priority,
+        home_regions=regions_of(document.allowed_regions),
     )
+
+
+def regions_of(allowed: Iterable[str]) -> frozenset[RegionId]:
+    """Return the home regions of a route or account; empty for no restriction."""
+    return frozenset(map(RegionId, allowed))
--- a/src/mimosafork/platform/documents.py
+++ b/src/mimosafork/platform/documents.py
@@ -53,6 +53,9 @@
     sized: bool = msgspec.field(name=names.STICKY, default=False)
     resumable: bool = msgspec.field(name=names.RESUMABLE, default=False)
     longest_pause_ms: float | None = msgspec.field(name=names.GAP_AIM_MS, default=None)
+    allowed_regions: list[Name] = msgspec.field(
+        name=names.ALLOWED_REGIONS, default_factory=list
+    )
 
 
 class UsualDocument(msgspec.Struct):
@@ -105,6 +108,9 @@
     name: str = msgspec.field(name=names.NAME)
     keys: list[str] = msgspec.field(name=names.API_KEYS, default_factory=list)
     priority: int | None = msgspec.field(name=names.PRIORITY, default=None)
+    allowed_regions: list[Name] = msgspec.field(
+        name=names.ALLOWED_REGIONS, default_factory=list
+    )
 
 
 class ConfigurationDocument(msgspec.Struct, kw_only=True):
--- a/src/mimosafork/routing/changes.py
+++ b/src/mimosafork/routing/changes.py
@@ -71,7 +71,10 @@
 
 def accounts_of(table: RoutingTable) -> Mapping[Any, object]:
     """Return the accounts by name, without their keys, which are counted separately."""
-    return {account.name: account.priority for account in table.accounts}
+    return {
+        account.name: (account.priority, account.home_regions)
+        for account in table.accounts
+    }
 
 
 def keys_of(table: RoutingTable) -> Mapping[Any, object]:
--- a/src/mimosafork/routing/table.py
+++ b/src/mimosafork/routing/table.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec.structs import force_setattr
 
-from ..ids import AccountId, Revision, ServiceId
+from ..ids import AccountId, RegionId, Revision, ServiceId
 from .engine import EngineFigures
 
 RouteName = NewType("RouteName", str)
@@ -47,6 +47,8 @@
         Calls need no API key.
     sized : bool
         Calls state the number of their prompt tokens.
+    home_regions : frozenset of RegionId
+        Regions that calls may be sent to; empty for no restriction.
     """
 
     name: RouteName
@@ -62,6 +64,7 @@
     resumable: bool = False
     sized: bool = False
     longest_pause: timedelta | None = None
+    home_regions: frozenset[RegionId] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -90,11 +93,18 @@
 
 
 class Account(msgspec.Struct, frozen=True):
-    """A client account and its API keys; its `priority` overrides that of a route."""
+    """A client account and its API keys; its `priority` overrides that of a route.
+
+    Attributes
+    ----------
+    home_regions : frozenset of RegionId
+        Regions that its calls may be sent to; empty for no restriction.
+    """
 
     name: AccountId
     keys: tuple[ApiKey, ...]
     priority: int | None = None
+    home_regions: frozenset[RegionId] = frozenset()
 
 
 class RoutingTable(msgspec.Struct, frozen=True):
@@ -104,6 +114,8 @@
     ----------
     has_accounts : bool
         Calls of routes that aren't public need a key.
+    restricts_regions : bool
+        A route or an account has home regions.
     """
 
     version: Revision
@@ -114,6 +126,7 @@
     has_accounts: bool = True
     by_host: dict[str, tuple[Route, ...]] = msgspec.field(default_factory=dict)
     by_key: dict[ApiKey, Account] = msgspec.field(default_factory=dict)
+    restricts_regions: bool = False
 
     def __post_init__(self) -> None:
         """Index routes by host, the longest prefix first, and accounts by key."""
@@ -127,6 +140,9 @@
         keys = {key: account for account in self.accounts for key in account.keys}
         force_setattr(self, "by_host", by_length)
         force_setattr(self, "by_key", keys)
+        restricted = any(route.home_regions for route in self.routes)
+        restricted = restricted or any(each.home_regions for each in self.accounts)
+        force_setattr(self, "restricts_regions", restricted)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix.
--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -6,12 +6,15 @@
 
 from pydantic import Field
 
+from ..ids import AvailabilityZoneId, RegionId
 from .checking import checked
 from .ini import IniFile, parse_ini, read_ini
-from .sections import InstanceSection, Positive, Section
+from .sections import NAME, InstanceSection, Positive, Section
 from .types import Address, Duration, NameList
 
 Port = Annotated[int, Field(ge=1, le=65535)]
+ZoneName = Annotated[AvailabilityZoneId, Field(pattern=NAME, max_length=64)]
+RegionName = Annotated[RegionId, Field(pattern=NAME, max_length=64)]
 
 
 class ListenSection(Section):
@@ -98,6 +101,12 @@
     gossip: GossipSection
     forwarding: ForwardingSection = ForwardingSection()
     bounds: BoundsSection = BoundsSection()
+    zones: dict[ZoneName, RegionName] = Field(
+        default_factory=dict,
+        title="ZONE = REGION",
+        description="Regions of availability zones. Calls that are restricted to "
+        "regions are sent to no endpoint of a zone that has no line here.",
+    )
     logging: GatewayLoggingSection = GatewayLoggingSection()
 
     @property
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -139,6 +139,42 @@
     case.assertEqual(EndpointId("i-1"), listed.endpoint)
 
 
+def test_allowed_regions_become_home_regions() -> None:
+    """A restriction that the operator wrote is lost in the translation."""
+    document = configuration(
+        routes=[route(**{"allowed-regions": ["north", "south", "north"]})],
+        tenants=[{"name": "t", "api-keys": ["k"], "allowed-regions": ["north"]}],
+    )
+    table = decode_configuration(encoded(document))
+    case.assertEqual({"north", "south"}, table.routes[0].home_regions)
+    case.assertEqual({"north"}, table.accounts[0].home_regions)
+    case.assertTrue(table.restricts_regions)
+
+
+def test_absent_or_empty_regions_are_no_restriction() -> None:
+    """All calls are refused once an operator writes an empty list."""
+    document = configuration(
+        tenants=[{"name": "t", "api-keys": ["k"], "allowed-regions": []}]
+    )
+    table = decode_configuration(encoded(document))
+    case.assertEqual(frozenset(), table.routes[0].home_regions)
+    case.assertEqual(frozenset(), table.accounts[0].home_regions)
+    case.assertFalse(table.restricts_regions)
+
+
+def test_unreadable_regions_make_the_configuration_unreadable() -> None:
+    """A restriction of the wrong form is ignored, and its calls are sent anywhere."""
+    for bad in (None, "north", {"north": 1}, [1], [None], ["n" * 201], [""], 7, True):
+        for document in (
+            configuration(routes=[route(**{"allowed-regions": bad})]),
+            configuration(tenants=[{"name": "t", "allowed-regions": bad}]),
+        ):
+            with case.assertRaises(DocumentError, msg=repr(bad)):
+                decode_configuration(encoded(document))
+    document = configuration(routes=[route(**{"allowed-regions": ["n" * 200]})])
+    case.assertEqual(1, len(decode_configuration(encoded(document)).routes))
+
+
 def test_bad_configurations_raise_the_layers_own_error() -> None:
     """One message for the follower, however a document is broken.
 
--- a/tests/unit/routing/test_changes.py
+++ b/tests/unit/routing/test_changes.py
@@ -4,7 +4,7 @@
 
 from msgspec.structs import replace
 
-from mimosafork.ids import AccountId, Revision, ServiceId
+from mimosafork.ids import AccountId, RegionId, Revision, ServiceId
 from mimosafork.routing.changes import NO_CHANGES, TableChanges
 from mimosafork.routing.table import (
     Account,
@@ -70,6 +70,17 @@
     assert str(TableChanges(before, after)) == "keys ~1"
 
 
+def test_changed_home_regions_are_counted() -> None:
+    """Calls are refused since a change that its log line calls none that matters."""
+    home = frozenset({RegionId("north")})
+    before = table((route("a"),), (account("acme", "k-1"),))
+    after = table(
+        (replace(route("a"), home_regions=home),),
+        (replace(account("acme", "k-1"), home_regions=home),),
+    )
+    assert str(TableChanges(before, after)) == "routes ~1, accounts ~1"
+
+
 def test_each_section_is_counted_separately() -> None:
     before = table((route("a"), route("b"), route("c")), (account("acme"),))
     after = table((route("a", 0.5), route("d")), (), ("s", "t"))
--- a/tests/unit/settings/test_gateway_settings.py
+++ b/tests/unit/settings/test_gateway_settings.py
@@ -1,7 +1,7 @@
 """Tests of a gateway's settings: the template, the example and how faults are told."""
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager, redirect_stdout
 from datetime import timedelta
 from io import StringIO
@@ -44,11 +44,21 @@
 """What the platform puts into the template's places."""
 
 PLACE = re.compile(r"\{\{([a-z0-9.-]+)\}\}")
+ZONES = {"zone-a": "north", "zone-b": "north", "zone-c": "south"}
+EACH_ZONE = re.compile(r"\{\{#zones\}\}(.*?)\{\{/zones\}\}\n", re.DOTALL)
 
 
-def filled_template() -> str:
+def filled_template(zones: Mapping[str, str] = ZONES) -> str:
     """Return the template with its places filled; an unknown place is an error."""
-    return PLACE.sub(lambda place: FILLED[place[1]], TEMPLATE.read_text("utf-8"))
+
+    def lines(block: re.Match[str]) -> str:
+        return "".join(
+            block[1].replace("{{@}}", zone).replace("{{.}}", region)
+            for zone, region in zones.items()
+        )
+
+    text = EACH_ZONE.sub(lines, TEMPLATE.read_text("utf-8"))
+    return PLACE.sub(lambda place: FILLED[place[1]], text)
 
 
 def faults_in(text: str) -> list[str]:
@@ -77,6 +87,7 @@
     case.assertEqual(timedelta(seconds=8), settings.bounds.grace)
     case.assertEqual(timedelta(seconds=10), settings.bounds.retry_window)
     case.assertEqual(102, settings.bounds.retry_slack)
+    case.assertEqual(ZONES, settings.zones)
 
 
 def test_a_deployment_that_knows_no_instance_yet_has_no_seeds() -> None:
@@ -84,6 +95,32 @@
     case.assertEqual((), parse_gateway_settings(text).gossip.seeds)
 
 
+def test_a_deployment_without_regions_of_zones_can_be_started() -> None:
+    """Every instance of a deployment that states no zones refuses its settings."""
+    case.assertEqual({}, parse_gateway_settings(filled_template({})).zones)
+    without = filled_template().replace("[zones]\n", "")
+    for zone, region in ZONES.items():
+        without = without.replace(f"{zone} = {region}\n", "")
+    case.assertEqual({}, parse_gateway_settings(without).zones)
+
+
+def test_faults_of_zones_are_told_by_the_zone() -> None:
+    """A misspelt region is taken, and restricted calls find no endpoint."""
+    text = filled_template({"zone-a": "", "zone b": "north", "zone-c": "n" * 65})
+    pattern = "string should match pattern '^[A-Za-z0-9][A-Za-z0-9._-]*$'"
+    case.assertEqual(
+        [
+            f"f.ini: [zones] zone-a: '': {pattern}",
+            f"f.ini: [zones] zone b: 'zone b': {pattern}",
+            f"f.ini: [zones] zone-c: '{'n' * 65}': string should have at most 64 "
+            "characters",
+        ],
+        faults_in(text),
+    )
+    twice = filled_template().replace("zone-c = south", "zone-a = south")
+    case.assertIn("[zones] zone-a: stands twice", faults_in(twice)[0])
+
+
 def test_the_template_sets_everything_that_has_a_place_in_the_model() -> None:
     text = TEMPLATE.read_text("utf-8")
     for section in GatewaySettings.model_fields:
@@ -113,7 +150,7 @@
             "f.ini: [logging] level: 'LOUD': input should be 'DEBUG', 'INFO', "
             "'WARNING' or 'ERROR'",
             "f.ini: [shop]: is unknown; known are bounds, forwarding, gossip, "
-            "instance, listen, logging, store",
+            "instance, listen, logging, store, zones",
         ],
         faults_in(text),
     )
--- a/tests/unit/tooling/test_docs.py
+++ b/tests/unit/tooling/test_docs.py
@@ -112,6 +112,18 @@
     assert lines[6] == "| `names` | list of text | none |  | Who. |"
 
 
+class NamedByOperators(BaseModel):
+    """A section whose keys the operator chooses."""
+
+    zones: dict[str, str] = Field(title="ZONE = REGION", description="Which ones.")
+
+
+def test_section_whose_keys_are_free_shows_the_form_of_a_line() -> None:
+    (found,) = sections(NamedByOperators)
+    assert (found.name, found.model) == ("zones", None)
+    assert found.text == "Which ones.\n\nOne line each: `ZONE = REGION`.\n"
+
+
 def test_bars_in_cells_do_not_break_a_table() -> None:
     assert "a \\| b" in table(("x",), [("a | b",)])
 
--- a/tools/pages/settings.py
+++ b/tools/pages/settings.py
@@ -50,12 +50,15 @@
     ----------
     name : str
         As it stands in brackets.
-    model : type of BaseModel
-        What checks it.
+    model : type of BaseModel or None
+        What checks it; None if the operator chooses the names of its keys.
+    text : str
+        Its introduction and its keys.
     """
 
     name: str
-    model: type[BaseModel]
+    model: type[BaseModel] | None
+    text: str
 
 
 def settings_page() -> Page:
@@ -91,8 +94,7 @@
         return Page(path, None)
     parts = [text]
     for section in sections(getattr(import_module(module), name)):
-        parts.append(f"\n## [{section.name}]\n\n{introduction(section.model)}")
-        parts.append(keys(section.model))
+        parts.append(f"\n## [{section.name}]\n\n{section.text}")
     return Page(path, "".join(parts))
 
 
@@ -135,13 +137,16 @@
         If a field is no section, as it could not be written in an INI file.
     """
     for name, field in root.model_fields.items():
+        if get_origin(field.annotation) is dict:
+            yield Section(name, None, free_keys(field))
+            continue
         model = section_model(field.annotation)
         if model is None:
             raise TypeError(f"{root.__name__}.{name} is not a section")
         heading = field.alias or name
         if get_origin(field.annotation) is Mapping:
             heading = f"{heading.removesuffix('s')} NAME"
-        yield Section(heading, model)
+        yield Section(heading, model, introduction(model) + keys(model))
 
 
 def section_model(annotation: Any) -> type[BaseModel] | None:
@@ -197,6 +202,14 @@
     return table(("key", "type", "default", "bounds", "meaning"), rows)
 
 
+def free_keys(field: FieldInfo) -> str:
+    """Return the text of a section whose keys are names that the operator chooses.
+
+    Its field has the form of a line as its title.
+    """
+    return f"{field.description}\n\nOne line each: {code(field.title or '')}.\n"
+
+
 def type_name(annotation: Any) -> str:
     """Return what an operator writes for a type.
 
