Send restricted calls to endpoints and peers of their home regions only

Change: the plug-in HomeRegions decides for each call where it may be sent. Placement, the admission by backoffs and rate limits, the move of silent attempts, reservations, forwarding and the last check before a request is sent all ask it. Without a common region, or without a usable endpoint in one, a call is refused at once as not run. An open call also obeys a stricter configuration at its next attempt. A peer applies its own configuration, and the sender's regions, which the header of a forwarded call names: either may know an older version.

--- a/src/mimosafork/gateway/attempt_context.py
+++ b/src/mimosafork/gateway/attempt_context.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..ids import EndpointId, InstanceId
+from ..ids import EndpointId, InstanceId, RegionId, RequestId
 from ..kernel.messages.attempts import FailureKind
 from ..kernel.messages.base import Message
 from ..kernel.messages.dispatch import Dispatch
@@ -24,6 +24,9 @@
     def tracks(self, endpoint: EndpointId) -> bool:
         """Return whether an endpoint has stated a rate limit."""
 
+    def home_regions(self, request_id: RequestId) -> frozenset[RegionId] | None:
+        """Return the home regions of a call; None for no restriction."""
+
 
 class AttemptContext(msgspec.Struct, frozen=True):
     """Dependencies that all attempts share."""
--- a/src/mimosafork/gateway/call_log.py
+++ b/src/mimosafork/gateway/call_log.py
@@ -29,6 +29,7 @@
 from .failure_labels import OUT_OF_TIME, failure_label
 from .instance_view import EmptyInstanceView, InstanceView, LogFields, milliseconds
 from .intake import CallRefusal
+from .policies.home_regions import HomeRegions
 from .policies.placing import WorkPlacer
 from .policies.quarantining import CrashQuarantine
 from .policies.retrying import BudgetedRetry
@@ -43,6 +44,7 @@
     ProblemCode.QUARANTINED: CrashQuarantine.name,
     ProblemCode.OVERLOADED: WorkPlacer.name,
     ProblemCode.NO_ENDPOINT: BudgetedRetry.name,
+    ProblemCode.NO_HOME_ENDPOINT: HomeRegions.name,
     ProblemCode.ENDPOINT_FAILED: BudgetedRetry.name,
     ProblemCode.DEADLINE_PASSED: "deadline",
     ProblemCode.CALLER_GONE: "caller",
@@ -232,6 +234,7 @@
             "service": call.request.target,
             "version": call.table_version,
             "forwarded_by": call.request.forwarded_by,
+            "home_regions": home_regions_of(call),
         }
 
     def _progress_fields(self, call: Call) -> LogFields:
@@ -256,6 +259,12 @@
         }
 
 
+def home_regions_of(call: Call) -> str | None:
+    """Return the home regions of a call at its arrival; None for no restriction."""
+    regions = call.request.home_regions
+    return None if regions is None else LIST_SEPARATOR.join(sorted(regions))
+
+
 def parts_of(call: Call) -> str | None:
     """Return the shared parts of a call's prompt; None if it has none."""
     return LIST_SEPARATOR.join(call.request.prompt_parts) or None
--- a/src/mimosafork/gateway/endpoint_request.py
+++ b/src/mimosafork/gateway/endpoint_request.py
@@ -2,12 +2,11 @@
 
 from datetime import timedelta
 
-from ..ids import InstanceId
 from ..kernel.messages.dispatch import Dispatch
 from .attempt_context import AttemptContext
 from .call import Call
 from .dialect import AttemptMetadata, Dialect
-from .forwarding import with_sender
+from .forwarding import Sender, with_sender
 from .heads import HEAD, Header, render_head
 
 
@@ -16,7 +15,10 @@
 ) -> bytes:
     """Return the head and body of an attempt, at an endpoint or through a peer."""
     if dispatch.via_peer:
-        return peer_request(call, context.dialect, time_left, context.instance)
+        sender = Sender(
+            context.instance, context.sends.home_regions(dispatch.request_id)
+        )
+        return peer_request(call, context.dialect, time_left, sender)
     return endpoint_request(call, dispatch, context.dialect, time_left)
 
 
@@ -36,13 +38,13 @@
 
 
 def peer_request(
-    call: Call, dialect: Dialect, time_left: timedelta, instance: InstanceId
+    call: Call, dialect: Dialect, time_left: timedelta, sender: Sender
 ) -> bytes:
     """Return the head and body of a call that a peer runs for this instance."""
     headers = dialect.forwarding_headers(
         call.message.head, time_left, call.last_event_id
     )
-    return render(call, with_sender(headers, instance))
+    return render(call, with_sender(headers, sender))
 
 
 def render(call: Call, headers: list[Header]) -> bytes:
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -12,12 +12,9 @@
 
 from ..clock import Clock
 from ..gossip.boot_clock import BootClock
-from ..ids import InstanceId, RequestId
+from ..ids import RequestId
 from ..kernel.core import TICK, Kernel
-from ..kernel.messages.attempts import (
-    AttemptFailed,
-    EndSilentAttempt,
-)
+from ..kernel.messages.attempts import AttemptFailed, EndSilentAttempt
 from ..kernel.messages.base import Effect, Message, Tick
 from ..kernel.messages.connectivity import ProbeConnections
 from ..kernel.messages.dispatch import CancelAttempt, Dispatch, RestoreAttempt
@@ -40,6 +37,7 @@
 from .dialect import CallMetadata, Dialect
 from .errors import BadRequestError
 from .final_responses import dispatch_faulted
+from .forwarding import Sender
 from .freeze_watch import FreezeWatch, log_freeze
 from .guarded import run_guarded
 from .heads import Header
@@ -55,6 +53,7 @@
 from .open_attempts import OpenAttempts
 from .order_client import OrderClient
 from .policies.fleet_view import FleetView
+from .policies.home_regions import HomeRegions
 from .policies.rate_limits import EndpointRateLimits
 from .policies.send_gate import EndpointSendGate
 from .pool import ConnectionPool
@@ -97,8 +96,9 @@
         self.random = random
         self.table = table
         self.pool = ConnectionPool(clock)
+        homes = kernel.plugin(HomeRegions)
         send_gate = EndpointSendGate(
-            kernel.plugin(FleetView), kernel.plugin(EndpointRateLimits)
+            kernel.plugin(FleetView), kernel.plugin(EndpointRateLimits), homes
         )
         instance = kernel.state.identity.instance
         self.attempt_context = AttemptContext(
@@ -179,7 +179,7 @@
         connection: ClientConnection,
         message: RequestMessage,
         at: timedelta,
-        forwarded_by: InstanceId | None = None,
+        forwarded_by: Sender | None = None,
     ) -> None:
         """Accept a complete request; `at` is the instant of its first byte."""
         try:
@@ -205,7 +205,7 @@
         message: RequestMessage,
         metadata: CallMetadata,
         at: timedelta,
-        forwarded_by: InstanceId | None,
+        forwarded_by: Sender | None,
     ) -> None:
         request_id = RequestId(f"{next(self.request_numbers)}")
         decision: AdmittedCall | CallRefusal = STOPPING
--- a/src/mimosafork/gateway/intake.py
+++ b/src/mimosafork/gateway/intake.py
@@ -9,10 +9,18 @@
 import msgspec
 from msgspec.structs import replace
 
-from ..ids import AccountId, Digest, InstanceId, ModelId, RequestId, ServiceId
+from ..ids import (
+    AccountId,
+    Digest,
+    ModelId,
+    RequestId,
+    ServiceId,
+)
 from ..kernel.messages.requests import CallTerms, Repeatability, Request, RequestKind
+from ..routing.regions import common_regions, home_regions
 from ..routing.table import Account, CallKind, Route, RoutingTable, TrafficSplit
 from .dialect import CallMetadata
+from .forwarding import Sender
 from .problems import DEFAULT_RETRY_AFTER, NOT_RUN_STATUSES
 from .request_reader import RequestMessage
 
@@ -119,17 +127,19 @@
         repeatability=repeatability_of(route),
         terms=call_terms(route, match.account, metadata),
         prompt_parts=part_digests(service, metadata.prompt_parts),
+        home_regions=home_regions(match.table, route, metadata.key),
     )
     return AdmittedCall(route, match.account_name, request, match.table.version)
 
 
 def forwarded(
-    decision: AdmittedCall | CallRefusal, sender: InstanceId
+    decision: AdmittedCall | CallRefusal, sender: Sender
 ) -> AdmittedCall | CallRefusal:
     """Return the decision on a call that a peer has forwarded.
 
     It may run at one endpoint only: the peer decides on another attempt, and counts all
-    of them against the limits of the route.
+    of them against the limits of the route. It obeys the restrictions of both
+    configurations, as one of the instances may know an older one.
     """
     if isinstance(decision, CallRefusal):
         denied = decision.status not in NOT_RUN_STATUSES
@@ -138,7 +148,10 @@
     terms = request.terms
     if terms is not None:
         terms = replace(terms, max_attempts=1)
-    request = replace(request, terms=terms, forwarded_by=sender)
+    regions = common_regions(request.home_regions, sender.home_regions)
+    request = replace(
+        request, terms=terms, forwarded_by=sender.instance, home_regions=regions
+    )
     return replace(decision, request=request)
 
 
--- a/src/mimosafork/gateway/policies/__init__.py
+++ b/src/mimosafork/gateway/policies/__init__.py
@@ -6,6 +6,7 @@
     connectivity,
     endpoint_statements,
     fleet_view,
+    home_regions,
     ordering,
     peer_forwarding,
     placing,
@@ -20,6 +21,7 @@
 PLUGINS = (
     fleet_view.FleetView.name,
     connectivity.EndpointConnectivity.name,
+    home_regions.HomeRegions.name,
     peer_forwarding.PeerForwarding.name,
     endpoint_statements.EndpointStatements.name,
     catching_up.CatchUp.name,
--- a/src/mimosafork/gateway/policies/backoff_waits.py
+++ b/src/mimosafork/gateway/policies/backoff_waits.py
@@ -4,13 +4,13 @@
 from datetime import timedelta
 from typing import ClassVar
 
-from ...ids import ServiceId
 from ...kernel.context import Context
 from ...kernel.plugins import PluginFinder, Proceed, Refuse, ReviewDecision, Stage
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
 from ...placement.choice import Shortage
-from .fleet_view import EndpointHealth, FleetView
+from .fleet_view import EndpointHealth
+from .home_regions import HomeRegions
 from .placement_requests import MAX_WAIT_SHARE, overloaded_problem
 
 
@@ -38,19 +38,18 @@
     order: ClassVar[int] = 61
 
     def __init__(self) -> None:
-        self.fleet: FleetView | None = None
+        self.homes: HomeRegions | None = None
 
     def resolve_dependencies(self, find: PluginFinder) -> None:
         """Look up the plug-ins that this one uses."""
-        self.fleet = find(FleetView)
+        self.homes = find(HomeRegions)
 
     def review(self, record: RequestRecord, context: Context) -> ReviewDecision:
         """Return the decision on a new call."""
-        if self.fleet is None:
+        if self.homes is None:
             return Proceed()
         now = context.now
-        service = ServiceId(record.request.target)
-        end = first_backoff_end(self.fleet.service_endpoints(service), now)
+        end = first_backoff_end(self.homes.endpoints_for(record.request), now)
         allowed = (record.request.deadline - now) * MAX_WAIT_SHARE
         if end is None or end <= now + allowed:
             return Proceed()
--- a/src/mimosafork/gateway/policies/peer_forwarding.py
+++ b/src/mimosafork/gateway/policies/peer_forwarding.py
@@ -4,11 +4,15 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from ...ids import EndpointId, Incarnation, InstanceId, RequestId, ServiceId
+from ...ids import Incarnation, InstanceId, RequestId, ServiceId
 from ...kernel.context import Context
 from ...kernel.messages.attempts import AttemptFailed, Exposure
 from ...kernel.messages.base import Message
-from ...kernel.messages.connectivity import ForwardingPeer, ForwardingPeersChanged
+from ...kernel.messages.connectivity import (
+    ForwardingPeer,
+    ForwardingPeersChanged,
+    peer_endpoint,
+)
 from ...kernel.messages.problems import Problem, ProblemCode
 from ...kernel.plugins import (
     Placement,
@@ -21,13 +25,11 @@
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
 from .connectivity import EndpointConnectivity
+from .home_regions import HomeRegions
 from .placement_requests import RETRY_AFTER, overloaded_problem
 from .retrying import RETRY_BUDGET_EXHAUSTED, BudgetedRetry
 
 PEER_INCARNATION = Incarnation(1)
-ENDPOINT_PREFIX = "instance/"
-"""Distinguishes peers from endpoints where attempts name what they were sent to."""
-
 ELSEWHERE_AFTER = timedelta(milliseconds=200)
 """Retry delay of callers that another instance may serve at once."""
 
@@ -53,6 +55,7 @@
     def __init__(self) -> None:
         self.connectivity = EndpointConnectivity()
         self.retry = BudgetedRetry()
+        self.homes = HomeRegions()
         self.peers: tuple[ForwardingPeer, ...] = ()
         self.had_peers = False
         self.forwarded: dict[RequestId, InstanceId] = {}
@@ -61,6 +64,7 @@
         """Look up the plug-ins that this one uses."""
         self.connectivity = find(EndpointConnectivity) or self.connectivity
         self.retry = find(BudgetedRetry) or self.retry
+        self.homes = find(HomeRegions) or self.homes
 
     def peers_reaching(self, service: ServiceId) -> list[ForwardingPeer]:
         """Return the peers that accept forwarded calls and reach a service."""
@@ -84,7 +88,11 @@
             return None
         if record.request.forwarded_by is not None:
             return Refuse(no_way())
-        peers = self.peers_reaching(service)
+        peers = [
+            each
+            for each in self.peers_reaching(service)
+            if self.homes.allows_zone(record.request, each.zone)
+        ]
         peer = self._choose(peers, record, context)
         if peer is None and peers:
             return Refuse(overloaded_problem(REFUSED_BY_PEERS, RETRY_AFTER))
@@ -109,9 +117,7 @@
             for attempt in record.attempts
             if attempt.exposure is not Exposure.POSSIBLE
         }
-        candidates = [
-            peer for peer in peers if peer_endpoint(peer.instance) not in refused
-        ]
+        candidates = [peer for peer in peers if peer.endpoint not in refused]
         if not candidates:
             return None
         running = Counter(self.forwarded.values())
@@ -119,7 +125,7 @@
         return min(
             candidates,
             key=lambda peer: (
-                peer_endpoint(peer.instance) in record.avoid,
+                peer.endpoint in record.avoid,
                 running[peer.instance],
                 peer.zone != zone,
                 context.random.random(),
@@ -151,7 +157,7 @@
     assert peer.address is not None
     terms = record.request.terms
     return PlaceOn(
-        endpoint=peer_endpoint(peer.instance),
+        endpoint=peer.endpoint,
         incarnation=PEER_INCARNATION,
         address=peer.address,
         priority=0 if terms is None else terms.priority,
@@ -159,11 +165,6 @@
     )
 
 
-def peer_endpoint(instance: InstanceId) -> EndpointId:
-    """Return the name under which attempts refer to a peer."""
-    return EndpointId(f"{ENDPOINT_PREFIX}{instance}")
-
-
 def no_way() -> Problem:
     """Return the problem of a call that neither this instance nor a peer can run."""
     return Problem(ProblemCode.NO_ENDPOINT, NO_WAY, ELSEWHERE_AFTER)
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -49,6 +49,7 @@
 from .dispatch_places import place_on, prefill_helpers
 from .fleet_view import FleetView
 from .full_rejections import FullRejections, reports_full
+from .home_regions import HomeRegions
 from .peer_forwarding import PeerForwarding
 from .placement_requests import (
     RETRY_AFTER,
@@ -88,6 +89,7 @@
         self.retry = BudgetedRetry()
         self.rate_limits = EndpointRateLimits()
         self.forwarding = PeerForwarding()
+        self.homes = HomeRegions()
         self.load_tracker = LoadTracker()
         self.engine_subset: Callable[[Sequence[EngineView]], Sequence[EngineView]] = (
             all_engines
@@ -108,6 +110,7 @@
         self.retry = find(BudgetedRetry) or self.retry
         self.rate_limits = find(EndpointRateLimits) or self.rate_limits
         self.forwarding = find(PeerForwarding) or self.forwarding
+        self.homes = find(HomeRegions) or self.homes
         self.rate_limits.in_flight = self.load_tracker.own
         self.waits.rate_limits = self.rate_limits
 
@@ -125,7 +128,10 @@
         if forwarded is not None:
             return forwarded
         service = ServiceId(record.request.target)
-        endpoints = self.fleet.service_endpoints(service)
+        endpoints = self.homes.endpoints_for(record.request)
+        objection = self.homes.objection(record.request, endpoints, context.now)
+        if objection is not None:
+            return Refuse(objection)
         views = [each.view(context.now) for each in endpoints]
         if self.memory.is_backing_off(record.request_id, context.now):
             return Wait(Shortage.MEMORY.value)
@@ -178,7 +184,8 @@
         service = ServiceId(record.request.target)
         if len(context.state.waiting.waiting_for(service)) >= QUEUE_MISSES:
             return False
-        views = [b.view(context.now) for b in self.fleet.service_endpoints(service)]
+        endpoints = self.homes.endpoints_for(record.request)
+        views = [each.view(context.now) for each in endpoints]
         figures = self.figures_of(service)
         engines = self._eligible_engines(views, figures, context.now)
         ask = self._placement_request(record, figures, context)
--- a/src/mimosafork/gateway/policies/rate_limit_admission.py
+++ b/src/mimosafork/gateway/policies/rate_limit_admission.py
@@ -8,7 +8,7 @@
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
 from ...placement.choice import Shortage
-from .fleet_view import FleetView
+from .home_regions import HomeRegions
 from .placement_requests import MAX_WAIT_SHARE, overloaded_problem
 from .rate_limit_waits import rate_limit_wait
 from .rate_limits import EndpointRateLimits
@@ -24,20 +24,20 @@
     order: ClassVar[int] = 60
 
     def __init__(self) -> None:
-        self.fleet: FleetView | None = None
+        self.homes: HomeRegions | None = None
         self.limits: EndpointRateLimits | None = None
 
     def resolve_dependencies(self, find: PluginFinder) -> None:
         """Look up the plug-ins that this one uses."""
-        self.fleet = find(FleetView)
+        self.homes = find(HomeRegions)
         self.limits = find(EndpointRateLimits)
 
     def review(self, record: RequestRecord, context: Context) -> ReviewDecision:
         """Return the decision on a new call."""
-        if self.fleet is None or self.limits is None or not self.limits.limited:
+        if self.homes is None or self.limits is None or not self.limits.limited:
             return Proceed()
         service, now = ServiceId(record.request.target), context.now
-        views = [each.view(now) for each in self.fleet.service_endpoints(service)]
+        views = [each.view(now) for each in self.homes.endpoints_for(record.request)]
         shares = [self.limits.limit(view.endpoint, now) for view in views]
         ahead = len(context.state.waiting.waiting_for(service))
         wait = rate_limit_wait(views, shares, ahead, now)
--- a/src/mimosafork/gateway/policies/reserving.py
+++ b/src/mimosafork/gateway/policies/reserving.py
@@ -41,6 +41,7 @@
 from ...placement.choice import Assignment
 from .dispatch_places import place_on
 from .fleet_view import FleetView
+from .home_regions import HomeRegions
 from .reservations import (
     EngineReservation,
     Gang,
@@ -95,6 +96,7 @@
     def __init__(self) -> None:
         self.fleet: FleetView | None = None
         self.retry: BudgetedRetry | None = None
+        self.homes = HomeRegions()
         self.longest_hold = RESERVATION_TTL
         self.gangs: dict[RequestId, Gang] = {}
         self.backoff_until: dict[RequestId, timedelta] = {}
@@ -107,6 +109,7 @@
         """Look up the plug-ins that this one uses."""
         self.fleet = find(FleetView)
         self.retry = find(BudgetedRetry)
+        self.homes = find(HomeRegions) or self.homes
 
     def new_id(self) -> ReservationId:
         """Return an id that no reservation of any instance has used.
@@ -174,7 +177,9 @@
             return
         # An engine may start draining while memory is reserved, here or on others. The
         # request would reach it too late.
-        if not all(self._takes_work(name, context.now) for name in gang.engines()):
+        engines = gang.engines()
+        usable = all(self._takes_work(name, context.now) for name in engines)
+        if not usable or not self.homes.allows_endpoints(record.request, engines):
             self._fail(gang, context, pause=False)
             return
         missing = gang.next_unreserved()
--- a/src/mimosafork/gateway/policies/send_gate.py
+++ b/src/mimosafork/gateway/policies/send_gate.py
@@ -2,27 +2,35 @@
 
 from datetime import timedelta
 
-from ...ids import EndpointId
+from ...ids import EndpointId, RequestId
 from ...kernel.messages.attempts import FailureKind
 from ...kernel.messages.dispatch import Dispatch
 from .fleet_view import FleetView
+from .home_regions import HomeRegions, Regions
 from .rate_limits import EndpointRateLimits
 
 
 class EndpointSendGate:
-    """Admits requests by what their endpoints have stated since they were placed.
+    """Admits requests by what has changed since they were placed.
 
     An attempt may wait for a connection between its placement and its sending.
     """
 
-    def __init__(self, fleet: FleetView, limits: EndpointRateLimits) -> None:
+    def __init__(
+        self, fleet: FleetView, limits: EndpointRateLimits, homes: HomeRegions
+    ) -> None:
         self.fleet = fleet
         self.limits = limits
+        self.homes = homes
 
     def tracks(self, endpoint: EndpointId) -> bool:
         """Return whether an endpoint has stated a rate limit."""
         return self.limits.tracks(endpoint)
 
+    def home_regions(self, request_id: RequestId) -> Regions | None:
+        """Return the home regions of a call; None for no restriction."""
+        return self.homes.restricted.get(request_id)
+
     def objection(self, dispatch: Dispatch, now: timedelta) -> FailureKind | None:
         """Count a request that is about to be sent; return why it may not be."""
         if dispatch.endpoint in self.fleet.departed:
@@ -32,6 +40,9 @@
         if known is not None and known.backoff.active(now):
             self.limits.release(dispatch.request_id)
             return FailureKind.BACKING_OFF
+        if not self.homes.allows(dispatch):
+            self.limits.release(dispatch.request_id)
+            return FailureKind.OUTSIDE_REGIONS
         if not self.limits.admit(dispatch, now):
             return FailureKind.RATE_LIMITED
         return None
--- a/src/mimosafork/gateway/policies/silence.py
+++ b/src/mimosafork/gateway/policies/silence.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from ...ids import EndpointId, ServiceId
+from ...ids import EndpointId
 from ...kernel.context import Context
 from ...kernel.messages.attempts import (
     AttemptFailed,
@@ -20,6 +20,7 @@
 from ...placement.load_tracker import InFlightRequest, LoadTracker, engines_of
 from ...placement.prefill_time import prefill_time_left
 from .fleet_view import EndpointHealth, FleetView
+from .home_regions import HomeRegions
 from .placing import WorkPlacer
 from .retrying import BudgetedRetry
 from .stall_timeouts import caller_timeout
@@ -52,12 +53,14 @@
     def __init__(self) -> None:
         self.fleet: FleetView | None = None
         self.retry: BudgetedRetry | None = None
+        self.homes = HomeRegions()
         self.placer: WorkPlacer | None = None
 
     def resolve_dependencies(self, find: PluginFinder) -> None:
         """Look up the plug-ins that this one uses."""
         self.fleet = find(FleetView)
         self.retry = find(BudgetedRetry)
+        self.homes = find(HomeRegions) or self.homes
         self.placer = find(WorkPlacer)
 
     @property
@@ -115,12 +118,11 @@
             record, context
         ):
             return False
-        service = ServiceId(record.request.target)
         tried = {attempt.endpoint for attempt in record.attempts}
         return any(
             health.listed.endpoint not in tried
             and self._accepts_now(health, context.now)
-            for health in self.fleet.service_endpoints(service)
+            for health in self.homes.endpoints_for(record.request)
         )
 
     def _would_resume_elsewhere(self, record: RequestRecord, context: Context) -> bool:
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -45,6 +45,7 @@
 )
 from ..telemetry.logs import PACKAGE_LOGGER, log_event
 from .call_metrics import CallMetrics
+from .call_regions import CallRegions
 from .dialect import Dialect
 from .draining import POLL_INTERVAL, drain
 from .fleet_shares import FleetShares
@@ -57,6 +58,7 @@
 from .metrics_page import MetricsConnection, create_metrics
 from .policies import PLUGINS
 from .policies.fleet_view import FleetView
+from .policies.home_regions import HomeRegions
 from .policies.placing import WorkPlacer
 from .policies.quarantining import CrashQuarantine
 from .policies.rate_limits import EndpointRateLimits
@@ -121,6 +123,8 @@
         self.gateway = Gateway(
             self.kernel, dialect, clock, random, lambda: self.directory.table
         )
+        homes = self.kernel.plugin(HomeRegions)
+        homes.regions_under = CallRegions(self.gateway.calls).under
         self.forwarded_intake = ForwardedIntake(
             self.gateway, settings.forwarding.max_calls
         )
@@ -143,7 +147,7 @@
         quarantine = self.kernel.plugin(CrashQuarantine)
         quarantine.register.rank = self.shares.rank_for_content
         self.peer_rows = peer_rows
-        self._apply_bounds(settings.bounds)
+        self._apply_settings(settings)
         self.listeners: list[asyncio.Server] = []
         self.metrics_task: asyncio.Task[None] | None = None
         self.stop_requested = asyncio.Event()
@@ -281,10 +285,14 @@
             log_event(logger, SETTINGS_REFUSED, why=error)
             return
         self.settings = settings
-        self._apply_bounds(settings.bounds)
+        self._apply_settings(settings)
         logging.getLogger(PACKAGE_LOGGER).setLevel(settings.logging.level)
         log_event(logger, SETTINGS_TAKEN, instance=settings.instance.id)
 
+    def _apply_settings(self, settings: GatewaySettings) -> None:
+        self._apply_bounds(settings.bounds)
+        self.kernel.plugin(HomeRegions).region_of_zone = settings.zones
+
     def _apply_bounds(self, bounds: BoundsSection) -> None:
         retry = self.kernel.plugin(BudgetedRetry)
         retry.ratio = bounds.retry_ratio
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -41,6 +41,8 @@
     """The endpoint has begun to drain since the attempt was placed."""
     RATE_LIMITED = "rate-limited"
     """The endpoint's rate limit allows no further request of this instance now."""
+    OUTSIDE_REGIONS = "outside-regions"
+    """The call may no longer be sent to the endpoint's region."""
     PEER_FAILED = "peer-failed"
     """The entry instance that ran the call for this one sent no complete answer."""
     SUPERSEDED = "superseded"
--- a/src/mimosafork/kernel/messages/connectivity.py
+++ b/src/mimosafork/kernel/messages/connectivity.py
@@ -54,6 +54,10 @@
     changed: bool
 
 
+ENDPOINT_PREFIX = "instance/"
+"""Distinguishes peers from endpoints where attempts name what they were sent to."""
+
+
 class ForwardingPeer(msgspec.Struct, frozen=True):
     """A live peer.
 
@@ -70,6 +74,16 @@
     address: str | None
     unreachable: frozenset[ServiceId] = frozenset()
 
+    @property
+    def endpoint(self) -> EndpointId:
+        """Name under which attempts refer to it."""
+        return peer_endpoint(self.instance)
+
+
+def peer_endpoint(instance: InstanceId) -> EndpointId:
+    """Return the name under which attempts refer to a peer."""
+    return EndpointId(f"{ENDPOINT_PREFIX}{instance}")
+
 
 class ForwardingPeersChanged(Message, frozen=True):
     """The live peers, after a change."""
--- a/src/mimosafork/kernel/messages/problems.py
+++ b/src/mimosafork/kernel/messages/problems.py
@@ -21,6 +21,8 @@
     DEADLINE_UNREACHABLE = "deadline-unreachable"
     DEADLINE_PASSED = "deadline-passed"
     NO_ENDPOINT = "no-endpoint"
+    NO_HOME_ENDPOINT = "no-home-endpoint"
+    """The request may not be sent to the regions in which endpoints are usable."""
     ENDPOINT_FAILED = "endpoint-failed"
     KEY_REUSED = "idempotency-key-reused"
     KEY_IN_PROGRESS = "idempotency-key-in-progress"
--- a/tests/support/simulated_state.py
+++ b/tests/support/simulated_state.py
@@ -14,6 +14,7 @@
 from mimosafork.gateway.intake import CallRefusal
 from mimosafork.gateway.policies import PLUGINS
 from mimosafork.gateway.policies.fleet_view import FleetView
+from mimosafork.gateway.policies.home_regions import HomeRegions
 from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
 from mimosafork.gateway.policies.retry_budget import SlackShare
 from mimosafork.gateway.policies.retrying import BudgetedRetry
@@ -94,7 +95,9 @@
         self.reported_draining: set[EndpointId] = set()
         self.backoff_ends: dict[EndpointId, timedelta] = {}
         self.send_gate = EndpointSendGate(
-            self.kernel.plugin(FleetView), self.kernel.plugin(EndpointRateLimits)
+            self.kernel.plugin(FleetView),
+            self.kernel.plugin(EndpointRateLimits),
+            self.kernel.plugin(HomeRegions),
         )
         self.calls: dict[RequestId, ModelCall] = {}
         self.refusals: list[CallRefusal] = []
--- a/tests/unit/gateway/test_doubtful_connections.py
+++ b/tests/unit/gateway/test_doubtful_connections.py
@@ -20,6 +20,7 @@
 )
 from mimosafork.gateway.heads import Header, RequestHead
 from mimosafork.gateway.policies.fleet_view import FleetView
+from mimosafork.gateway.policies.home_regions import HomeRegions
 from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
 from mimosafork.gateway.policies.send_gate import EndpointSendGate
 from mimosafork.gateway.pool import ConnectionPool, ConnectionRequest
@@ -118,7 +119,7 @@
             self.pool,
             dialect,
             self.reported.append,
-            EndpointSendGate(FleetView(), EndpointRateLimits()),
+            EndpointSendGate(FleetView(), EndpointRateLimits(), HomeRegions()),
             InstanceId("entry-1"),
         )
 
--- a/tests/unit/gateway/test_endpoint_statements.py
+++ b/tests/unit/gateway/test_endpoint_statements.py
@@ -6,6 +6,7 @@
 from msgspec.structs import replace
 
 from mimosafork.gateway.policies.fleet_view import FleetView
+from mimosafork.gateway.policies.home_regions import HomeRegions
 from mimosafork.gateway.policies.placing import WorkPlacer
 from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
 from mimosafork.gateway.policies.requested_backoff import RequestedBackoff
@@ -45,7 +46,8 @@
 def send_gate(bench: GatewayBench) -> EndpointSendGate:
     """Return the check of requests before they are sent."""
     fleet = bench.kernel.plugin(FleetView)
-    return EndpointSendGate(fleet, bench.kernel.plugin(EndpointRateLimits))
+    limits = bench.kernel.plugin(EndpointRateLimits)
+    return EndpointSendGate(fleet, limits, bench.kernel.plugin(HomeRegions))
 
 
 def hosts(bench: GatewayBench, calls: int, prefix: str) -> set[EndpointId]:
--- a/tests/unit/gateway/test_peer_forwarding.py
+++ b/tests/unit/gateway/test_peer_forwarding.py
@@ -6,7 +6,6 @@
 from msgspec.structs import replace
 
 from mimosafork.gateway.policies.connectivity import EndpointConnectivity
-from mimosafork.gateway.policies.peer_forwarding import peer_endpoint
 from mimosafork.gateway.policies.quarantining import CrashQuarantine
 from mimosafork.gateway.policies.retrying import BudgetedRetry
 from mimosafork.gateway.policies.service_reach import ServiceReach
@@ -15,6 +14,7 @@
 from mimosafork.kernel.messages.connectivity import (
     ForwardingPeer,
     ForwardingPeersChanged,
+    peer_endpoint,
 )
 from mimosafork.kernel.messages.dispatch import Dispatch
 from mimosafork.kernel.messages.outcomes import Outcome
