Test restricted calls with two instances as processes

Cause: the unit tests of home regions have no sockets and no store. Change: the stand-ins write restrictions of routes and accounts, and tests of processes may set an instance's zone and the zones' regions.

--- a/src/mimosafork/standins/prepared/documents.py
+++ b/src/mimosafork/standins/prepared/documents.py
@@ -28,6 +28,8 @@
         Where all of it goes; `split` goes before it.
     split : dict of str to int
         Weight of each service.
+    allowed_regions : tuple of str
+        Empty for no restriction.
     """
 
     name: str
@@ -43,6 +45,7 @@
     max_attempts: int = 2
     public: bool = False
     resumable: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
     def document(self) -> dict[str, Any]:
         """Return it as it stands in the configuration."""
@@ -68,6 +71,8 @@
             document["sticky"] = True
             document["resumable"] = self.resumable
             document["gap-aim-ms"] = milliseconds(self.gap_aim)
+        if self.allowed_regions:
+            document["allowed-regions"] = list(self.allowed_regions)
         return document
 
 
@@ -102,12 +107,15 @@
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    allowed_regions: tuple[str, ...] = ()
 
     def document(self) -> dict[str, Any]:
         """Return it as it stands in the configuration."""
         document: dict[str, Any] = {"name": self.name, "api-keys": list(self.keys)}
         if self.priority is not None:
             document["priority"] = self.priority
+        if self.allowed_regions:
+            document["allowed-regions"] = list(self.allowed_regions)
         return document
 
 
--- a/tests/support/gateway_processes.py
+++ b/tests/support/gateway_processes.py
@@ -2,8 +2,9 @@
 
 import os
 import socket
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -18,7 +19,7 @@
 SETTINGS = """\
 [instance]
 id = {id}
-availability_zone = zone-a
+availability_zone = {zone}
 region = sierra-norte
 
 [listen]
@@ -40,6 +41,9 @@
 grace = 8s
 {bounds}
 
+[zones]
+{zones}
+
 [logging]
 level = INFO
 """
@@ -65,6 +69,17 @@
         return [probe.getsockname()[1] for probe in probes]
 
 
+@dataclass(frozen=True, slots=True)
+class InstancePlace:
+    """Zone of an instance, and the regions of zones in its settings."""
+
+    zone: str = "zone-a"
+    regions: Mapping[str, str] = field(default_factory=dict)
+
+
+HERE = InstancePlace()
+
+
 class GatewayProcess:
     """One instance in a process of its own.
 
@@ -74,7 +89,14 @@
         Contains its settings; first on the module search path.
     """
 
-    def __init__(self, folder: Path, name: str, store: str, bounds: str = "") -> None:
+    def __init__(
+        self,
+        folder: Path,
+        name: str,
+        store: str,
+        bounds: str = "",
+        place: InstancePlace = HERE,
+    ) -> None:
         host = unique_loopback_host()
         front, ready, metrics, gossip, forwarding = free_ports(host, 5)
         self.front = f"{host}:{front}"
@@ -92,6 +114,8 @@
                 forwarding=forwarding,
                 seeds="",
                 bounds=bounds,
+                zone=place.zone,
+                zones="\n".join(f"{z} = {r}" for z, r in place.regions.items()),
             )
         )
         self.folder = folder
@@ -165,6 +189,7 @@
     bounds: str = "",
     sitecustomize: str = "",
     cut_from: Sequence[str] = (),
+    place: InstancePlace = HERE,
 ) -> Iterator[GatewayProcess]:
     """Run an instance on a prepared platform; it is killed at the end.
 
@@ -178,6 +203,8 @@
         Code that the interpreter runs at startup, to inject a fault.
     cut_from : sequence of str
         Addresses of the endpoints from which a test may cut the instance off.
+    place : InstancePlace
+        Zone of the instance, and regions of zones.
     """
     with TemporaryDirectory() as folder, ExitStack() as stack:
         if cut_from:
@@ -185,6 +212,6 @@
             sitecustomize += SITECUSTOMIZE.format(path=path, addresses=list(cut_from))
         Path(folder, "sitecustomize.py").write_text(sitecustomize)
         address = store or platform.store.address
-        started = GatewayProcess(Path(folder), name, address, bounds)
+        started = GatewayProcess(Path(folder), name, address, bounds, place)
         stack.callback(started.kill)
         yield started
