Show operators why a restricted call was refused

Cause: a call that its home regions leave nowhere to run was refused without a line or a page that says how to read it. Change: lines of restricted calls name their home regions, `mimosafork explain` names the restriction and the age of what was known, a gauge counts the open calls that are restricted.

--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -6,6 +6,7 @@
 
 from . import events
 from .lines import LogLine
+from .regions import NO_HOME_ENDPOINT, outside_regions
 
 LONG_SHARE = 0.5
 """A pause or wait is named if it is this much of the whole time."""
@@ -217,6 +218,8 @@
         )
     if why == "shutting-down":
         return stopped(end)
+    if why == NO_HOME_ENDPOINT:
+        return outside_regions(end)
     return f"{why} by {end.text('rule')}: {end.text('detail')}"
 
 
@@ -353,6 +356,7 @@
         "draining": "began to leave before the call was sent",
         "backing-off": "wanted no calls when the call was to be sent",
         "peer-failed": "ran it for this instance and sent no whole answer",
+        "outside-regions": "could no longer be used when the call was to be sent",
         "rate-limited": "had reached its rate limit when the call was to be sent",
     }.get(kind, kind)
     after = line.number("events")
--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -9,6 +9,7 @@
 
 from ..ids import ServiceId
 from ..quarantine.register import QuarantineState
+from ..telemetry.catalogue.connectivity import CALLS_RESTRICTED
 from ..telemetry.catalogue.contents import CONTENTS_QUARANTINED, CONTENTS_SUSPECTED
 from ..telemetry.catalogue.directory import ENDPOINTS_HELD, STORE_ERA
 from ..telemetry.catalogue.gateway import (
@@ -39,6 +40,7 @@
 from .gateway import Gateway
 from .instance_view import LiveInstanceView
 from .policies.connectivity import EndpointConnectivity
+from .policies.home_regions import HomeRegions
 from .policies.peer_forwarding import PeerForwarding
 from .policies.quarantining import CrashQuarantine
 from .policies.reservations import ReservationState
@@ -87,6 +89,7 @@
         registry.observe(CALLS_OPEN, lambda: [Reading(len(self.gateway.calls))])
         registry.observe(CALLS_WAITING, self.waiting)
         registry.observe(CALLS_FORWARDED, self.forwarded_calls)
+        registry.observe(CALLS_RESTRICTED, self.restricted_calls)
         registry.observe(SERVICES_UNREACHABLE, self.unreachable_services)
         registry.observe(CONTENTS_QUARANTINED, self.quarantined_contents)
         registry.observe(CONTENTS_SUSPECTED, self.suspected_contents)
@@ -125,6 +128,10 @@
             Reading(received, (("direction", "in"),)),
         ]
 
+    def restricted_calls(self) -> Iterable[Reading]:
+        """Return the number of calls that have home regions."""
+        return [Reading(len(self.gateway.kernel.plugin(HomeRegions).restricted))]
+
     def unreachable_services(self) -> Iterable[Reading]:
         """Return the number of services that can't be reached from here."""
         services = self.gateway.kernel.plugin(EndpointConnectivity).services
--- a/src/mimosafork/telemetry/catalogue/connectivity.py
+++ b/src/mimosafork/telemetry/catalogue/connectivity.py
@@ -1,6 +1,7 @@
 """Events of services that an instance does not reach, and of calls through peers."""
 
 from ..events import Event, Level
+from ..instruments import Instrument, Kind
 
 RANGE = 2500
 
@@ -32,3 +33,10 @@
     "See which instances lack a way to endpoints, and whether the others have capacity "
     "for them.",
 )
+
+CALLS_RESTRICTED = Instrument(
+    "mimosafork.calls.restricted",
+    Kind.OBSERVABLE_GAUGE,
+    "{call}",
+    "Open calls that may be sent to some regions only.",
+)
--- a/tests/unit/gateway/test_call_log.py
+++ b/tests/unit/gateway/test_call_log.py
@@ -23,6 +23,7 @@
     Digest,
     EndpointId,
     Incarnation,
+    RegionId,
     RequestId,
     ServiceId,
     StreamId,
@@ -229,6 +230,24 @@
     assert "waited_ms" not in fields
 
 
+def test_home_regions_are_logged_with_a_refused_call() -> None:
+    """A caller is refused, and nothing shows that its account is restricted."""
+    problem = Problem(ProblemCode.NO_HOME_ENDPOINT, "no endpoint", 1000 * MS)
+    for regions, shown in (
+        (frozenset({RegionId("south"), RegionId("north")}), "north,south"),
+        (frozenset[RegionId](), ""),
+        (None, None),
+    ):
+        clock = ManualClock()
+        call = call_at(clock)
+        call.request = replace(call.request, home_regions=regions)
+        with caught_lines() as caught:
+            lines_at(clock).ended(call, ended_as(problem, Outcome.NOT_RUN))
+        fields = caught.one(CALL_NOT_SERVED)
+        assert (fields["rule"], fields["why"]) == ("home-regions", "no-home-endpoint")
+        assert fields.get("home_regions") == shown
+
+
 def test_failed_attempt_logs_the_decision() -> None:
     """An endpoint breaks off and the call is retried at another one.
 
