--- a/src/mimosafork/standins/prepared/job.py
+++ b/src/mimosafork/standins/prepared/job.py
@@ -88,7 +88,13 @@
             request_id = self.request.header(REQUEST_ID)
             service = self.endpoint.settings.service
             self.endpoint.log.visit(
-                Visit(self.endpoint.id, service, request_id, status)
+                Visit(
+                    self.endpoint.id,
+                    service,
+                    request_id,
+                    status,
+                    self.endpoint.settings.zone,
+                )
             )
 
     async def pause(self, pause_s: float) -> RunEnd | None:
--- a/src/mimosafork/standins/prepared/runs.py
+++ b/src/mimosafork/standins/prepared/runs.py
@@ -70,12 +70,15 @@
     ----------
     status : int or None
         Of the refusal; None if the request was taken in.
+    zone : str
+        Of the endpoint.
     """
 
     instance: str
     service: str
     request_id: str
     status: int | None
+    zone: str = ""
 
 
 @dataclass(slots=True)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from .functional.test_history import CALLERS, run_storm
+from .functional.test_regional_storm import run_regional_storm
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -27,6 +28,7 @@
     failed = False
     for seed in range(options.seed, options.seed + options.storms):
         failed |= not storm(options.seconds, options.callers, seed)
+        failed |= not restricted_storm(options.seconds, options.callers, seed)
     failed |= not machines(options.examples)
     print("failed" if failed else "all allowed")
     return 1 if failed else 0
@@ -44,6 +46,19 @@
     return True
 
 
+def restricted_storm(seconds: float, callers: int, seed: int) -> bool:
+    """Run one storm of restricted calls; return whether none left its regions."""
+    try:
+        seen = run_regional_storm(seconds, callers, seed)
+    except AssertionError as error:
+        print(f"seed {seed}, regions: NOT ALLOWED\n{error}")
+        return False
+    served = {kind: n for (kind, status), n in seen.answers.items() if status == 200}
+    print(f"seed {seed}, regions: served {served}, troubles {dict(seen.fault_counts)}")
+    sys.stdout.flush()
+    return True
+
+
 def machines(examples: int) -> bool:
     """Run the state machines longer; return whether they found nothing."""
     if not examples:
