Merge home regions of routes and accounts

An allowed-regions that is null counts as absent, as other optional fields of the configuration do; a configuration that is not read at all would be the greater fault.

--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -51,6 +51,7 @@
 from .evacuated_zones import evacuated_problem
 from .fleet_view import FleetView
 from .full_rejections import FullRejections, reports_full
+from .home_regions import HomeRegions
 from .peer_forwarding import PeerForwarding
 from .placement_requests import (
     RETRY_AFTER,
@@ -91,6 +92,7 @@
         self.permits = SendPermits()
         self.forwarding = PeerForwarding()
         self.shares: AccountShares | None = None
+        self.homes = HomeRegions()
         self.load_tracker = LoadTracker()
         self.engine_subset: Callable[[Sequence[EngineView]], Sequence[EngineView]] = (
             all_engines
@@ -118,6 +120,7 @@
             self.waits.latest_wait = self.shares.latest_wait
             self.waits.retry_after = self.shares.retry_after
             self.shares.waits = self.waits
+        self.homes = find(HomeRegions) or self.homes
 
     def place(self, record: RequestRecord, context: Context) -> Placement:
         """Return the placement of a call."""
@@ -135,7 +138,10 @@
         forwarded = self.forwarding.place(record, context)
         if forwarded is not None:
             return forwarded
-        endpoints = self.fleet.service_endpoints(service)
+        endpoints = self.homes.endpoints_for(record.request)
+        objection = self.homes.objection(record.request, endpoints, context.now)
+        if objection is not None:
+            return Refuse(objection)
         views = [each.view(context.now) for each in endpoints]
         if self.memory.is_backing_off(record.request_id, context.now):
             return Wait(Shortage.MEMORY.value)
@@ -192,7 +198,8 @@
         service = ServiceId(record.request.target)
         if len(context.state.waiting.waiting_for(service)) >= QUEUE_MISSES:
             return False
-        views = [b.view(context.now) for b in self.fleet.service_endpoints(service)]
+        endpoints = self.homes.endpoints_for(record.request)
+        views = [each.view(context.now) for each in endpoints]
         figures = self.figures_of(service)
         engines = self._eligible_engines(views, figures, context.now)
         ask = self._placement_request(record, figures, context)
--- a/src/mimosafork/kernel/messages/attempts.py
+++ b/src/mimosafork/kernel/messages/attempts.py
@@ -46,6 +46,8 @@
     """The endpoint's rate limit allows no further request of this instance now."""
     COLD = "cold"
     """The endpoint may be cold, and this instance has no permit for it now."""
+    OUTSIDE_REGIONS = "outside-regions"
+    """The call may no longer be sent to the endpoint's region."""
     PEER_FAILED = "peer-failed"
     """The entry instance that ran the call for this one sent no complete answer."""
     SUPERSEDED = "superseded"
--- a/tests/support/simulated_state.py
+++ b/tests/support/simulated_state.py
@@ -15,6 +15,7 @@
 from mimosafork.gateway.intake import CallRefusal
 from mimosafork.gateway.policies import PLUGINS
 from mimosafork.gateway.policies.fleet_view import FleetView
+from mimosafork.gateway.policies.home_regions import HomeRegions
 from mimosafork.gateway.policies.retry_budget import SlackShare
 from mimosafork.gateway.policies.retrying import BudgetedRetry
 from mimosafork.gateway.policies.send_gate import EndpointSendGate
@@ -100,7 +101,9 @@
         self.backoff_ends: dict[EndpointId, timedelta] = {}
         self.evacuated_zones: set[str] = set()
         self.send_gate = EndpointSendGate(
-            self.kernel.plugin(FleetView), SendPermits.of(self.kernel.plugin)
+            self.kernel.plugin(FleetView),
+            SendPermits.of(self.kernel.plugin),
+            self.kernel.plugin(HomeRegions),
         )
         self.calls: dict[RequestId, ModelCall] = {}
         self.refusals: list[CallRefusal] = []
--- a/tests/unit/gateway/test_cold_endpoints.py
+++ b/tests/unit/gateway/test_cold_endpoints.py
@@ -11,6 +11,7 @@
     COLD_COUNTED_SPAN,
 )
 from mimosafork.gateway.policies.fleet_view import FleetView
+from mimosafork.gateway.policies.home_regions import HomeRegions
 from mimosafork.gateway.policies.retry_budget import SlackShare
 from mimosafork.gateway.policies.send_gate import EndpointSendGate
 from mimosafork.gateway.policies.send_permits import SendPermits
@@ -234,7 +235,8 @@
     """An attempt may wait for its connection meanwhile."""
     bench = cold_bench(endpoints=1)
     fleet = bench.kernel.plugin(FleetView)
-    gate = EndpointSendGate(fleet, SendPermits.of(bench.kernel.plugin))
+    permits = SendPermits.of(bench.kernel.plugin)
+    gate = EndpointSendGate(fleet, permits, bench.kernel.plugin(HomeRegions))
     placed = [bench.begin(request_of(bench, f"r{number}")) for number in range(50)]
     bench.handle(EndpointUsable(cold_row()))
     now = bench.clock.monotonic()
--- a/tests/unit/gateway/test_evacuations.py
+++ b/tests/unit/gateway/test_evacuations.py
@@ -11,6 +11,7 @@
     RETRY_AFTER,
 )
 from mimosafork.gateway.policies.fleet_view import FleetView
+from mimosafork.gateway.policies.home_regions import HomeRegions
 from mimosafork.gateway.policies.rate_limits import EndpointRateLimits
 from mimosafork.gateway.policies.reserving import MemoryKeeper
 from mimosafork.gateway.policies.retrying import BudgetedRetry
@@ -74,7 +75,11 @@
 
 def gate_of(bench: GatewayBench | ReservingBench) -> EndpointSendGate:
     kernel = bench.kernel
-    return EndpointSendGate(kernel.plugin(FleetView), SendPermits.of(kernel.plugin))
+    return EndpointSendGate(
+        kernel.plugin(FleetView),
+        SendPermits.of(kernel.plugin),
+        kernel.plugin(HomeRegions),
+    )
 
 
 def objection(
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -159,6 +159,45 @@
     case.assertFalse(decoded.has_cold_limit)
 
 
+def test_allowed_regions_become_home_regions() -> None:
+    """A restriction that the operator wrote is lost in the translation."""
+    document = configuration(
+        routes=[route(**{"allowed-regions": ["north", "south", "north"]})],
+        tenants=[{"name": "t", "api-keys": ["k"], "allowed-regions": ["north"]}],
+    )
+    table = decode_configuration(encoded(document))
+    case.assertEqual({"north", "south"}, table.routes[0].home_regions)
+    case.assertEqual({"north"}, table.accounts[0].home_regions)
+    case.assertTrue(table.restricts_regions)
+
+
+def test_absent_or_empty_regions_are_no_restriction() -> None:
+    """All calls are refused once an operator writes an empty list, or null."""
+    empty: list[str] | None
+    for empty in ([], None):
+        document = configuration(
+            routes=[route(**{"allowed-regions": empty})],
+            tenants=[{"name": "t", "api-keys": ["k"], "allowed-regions": empty}],
+        )
+        table = decode_configuration(encoded(document))
+        case.assertEqual(frozenset(), table.routes[0].home_regions)
+        case.assertEqual(frozenset(), table.accounts[0].home_regions)
+        case.assertFalse(table.restricts_regions)
+
+
+def test_unreadable_regions_make_the_configuration_unreadable() -> None:
+    """A restriction of the wrong form is ignored, and its calls are sent anywhere."""
+    for bad in ("north", {"north": 1}, [1], [None], ["n" * 201], [""], 7, True):
+        for document in (
+            configuration(routes=[route(**{"allowed-regions": bad})]),
+            configuration(tenants=[{"name": "t", "allowed-regions": bad}]),
+        ):
+            with case.assertRaises(DocumentError, msg=repr(bad)):
+                decode_configuration(encoded(document))
+    document = configuration(routes=[route(**{"allowed-regions": ["n" * 200]})])
+    case.assertEqual(1, len(decode_configuration(encoded(document)).routes))
+
+
 def test_bad_configurations_raise_the_layers_own_error() -> None:
     """One message for the follower, however a document is broken.
 
--- a/tests/unit/settings/test_gateway_settings.py
+++ b/tests/unit/settings/test_gateway_settings.py
@@ -1,7 +1,7 @@
 """Tests of a gateway's settings: the template, the example and how faults are told."""
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager, redirect_stdout
 from datetime import timedelta
 from io import StringIO
@@ -50,18 +50,27 @@
 
 SECTION = re.compile(r"\{\{#([a-z0-9.-]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 PLACE = re.compile(r"\{\{([a-z0-9.-]+)\}\}")
+ZONES = {"zone-a": "north", "zone-b": "north", "zone-c": "south"}
+EACH_ZONE = re.compile(r"\{\{#zones\}\}(.*?)\{\{/zones\}\}\n", re.DOTALL)
 
 
-def filled_template(**further: str) -> str:
+def filled_template(
+    zones: Mapping[str, str] = ZONES, further: Mapping[str, str] | None = None
+) -> str:
     """Return the template with its places filled; an unknown place is an error.
 
     Sections of values that the deployment does not have are left out.
     """
-    values = FILLED | further
-    text = SECTION.sub(
-        lambda section: section[2] if section[1] in values else "",
-        TEMPLATE.read_text("utf-8"),
-    )
+
+    def lines(block: re.Match[str]) -> str:
+        return "".join(
+            block[1].replace("{{@}}", zone).replace("{{.}}", region)
+            for zone, region in zones.items()
+        )
+
+    values = FILLED | dict(further or {})
+    text = EACH_ZONE.sub(lines, TEMPLATE.read_text("utf-8"))
+    text = SECTION.sub(lambda section: section[2] if section[1] in values else "", text)
     return PLACE.sub(lambda place: values[place[1]], text)
 
 
@@ -91,11 +100,12 @@
     case.assertEqual(timedelta(seconds=8), settings.bounds.grace)
     case.assertEqual(timedelta(seconds=10), settings.bounds.retry_window)
     case.assertEqual(102, settings.bounds.retry_slack)
+    case.assertEqual(ZONES, settings.zones)
 
 
 def test_the_bound_of_cold_endpoints_is_set_where_the_deployment_has_it() -> None:
     """A deployment without the values must start, and treat no endpoint as cold."""
-    bounds = parse_gateway_settings(filled_template(**COLD_BOUNDS)).bounds
+    bounds = parse_gateway_settings(filled_template(further=COLD_BOUNDS)).bounds
     case.assertEqual((1.5, 5), (bounds.cold_factor, bounds.cold_slack))
     bounds = parse_gateway_settings(filled_template()).bounds
     case.assertEqual((None, 0), (bounds.cold_factor, bounds.cold_slack))
@@ -103,7 +113,9 @@
 
 def test_the_bound_of_cold_endpoints_is_checked() -> None:
     """A negative bound would let no request through."""
-    text = filled_template(**{"bounds.cold-over": "-0.5", "bounds.cold-slack": "-1"})
+    text = filled_template(
+        further={"bounds.cold-over": "-0.5", "bounds.cold-slack": "-1"}
+    )
     case.assertEqual(
         [
             "f.ini: [bounds] cold_factor: '-0.5': input should be greater than or "
@@ -120,6 +132,32 @@
     case.assertEqual((), parse_gateway_settings(text).gossip.seeds)
 
 
+def test_a_deployment_without_regions_of_zones_can_be_started() -> None:
+    """Every instance of a deployment that states no zones refuses its settings."""
+    case.assertEqual({}, parse_gateway_settings(filled_template({})).zones)
+    without = filled_template().replace("[zones]\n", "")
+    for zone, region in ZONES.items():
+        without = without.replace(f"{zone} = {region}\n", "")
+    case.assertEqual({}, parse_gateway_settings(without).zones)
+
+
+def test_faults_of_zones_are_told_by_the_zone() -> None:
+    """A misspelt region is taken, and restricted calls find no endpoint."""
+    text = filled_template({"zone-a": "", "zone b": "north", "zone-c": "n" * 65})
+    pattern = "string should match pattern '^[A-Za-z0-9][A-Za-z0-9._-]*$'"
+    case.assertEqual(
+        [
+            f"f.ini: [zones] zone-a: '': {pattern}",
+            f"f.ini: [zones] zone b: 'zone b': {pattern}",
+            f"f.ini: [zones] zone-c: '{'n' * 65}': string should have at most 64 "
+            "characters",
+        ],
+        faults_in(text),
+    )
+    twice = filled_template().replace("zone-c = south", "zone-a = south")
+    case.assertIn("[zones] zone-a: stands twice", faults_in(twice)[0])
+
+
 def test_the_template_sets_everything_that_has_a_place_in_the_model() -> None:
     text = TEMPLATE.read_text("utf-8")
     for section in GatewaySettings.model_fields:
@@ -167,7 +205,7 @@
             "f.ini: [logging] level: 'LOUD': input should be 'DEBUG', 'INFO', "
             "'WARNING' or 'ERROR'",
             "f.ini: [shop]: is unknown; known are bounds, forwarding, gossip, "
-            "instance, listen, logging, scheduling, store",
+            "instance, listen, logging, scheduling, store, zones",
         ],
         faults_in(text),
     )
