Give endpoint health and the directory's messages modules of their own

Change: endpoint_health.py, published_prefills.py and directory_messages.py; the setting [bounds] evacuation, which is compared at the start with the longest time that instances need (MF2117 where it is exceeded).

--- a/src/mimosafork/commands/gateway.py
+++ b/src/mimosafork/commands/gateway.py
@@ -64,13 +64,14 @@
         Read again when the settings change.
     """
     from ..directory.directory import Directory
+    from ..gateway.evacuation_delay import check_evacuation_bound
     from ..gateway.server import GatewayServer
     from ..gossip.boot_clock import BootClock
     from ..gossip.peer_rows import SharedPeerRows
     from ..platform.calls import PreparedDialect
     from ..platform.contracts import asks_for_account_shares
     from ..platform.sources import ConfigurationRows, EndpointRows
-    from ..platform.store import PreparedStore
+    from ..platform.store import PreparedStore, StoreTimeouts
 
     clock = SystemClock()
     random = Random(f"{settings.instance.id}-{time.time_ns()}")
@@ -92,6 +93,11 @@
         random,
         account_shares=asks_for_account_shares(settings.scheduling.contracts),
     )
+    check_evacuation_bound(
+        settings.bounds.evacuation,
+        directory.configuration_follower.settings,
+        StoreTimeouts().resend_after,
+    )
     server.store_counts = store
     server.keep_quarantines(store)
     try:
--- a/src/mimosafork/explain/causes.py
+++ b/src/mimosafork/explain/causes.py
@@ -384,18 +384,15 @@
 
 def inputs_text(line: LogLine) -> str:
     """Return by what an instance decided, and how old that was."""
-    ages = []
-    for name, what in (
+    known = (
         ("load_age_ms", "peers' load"),
         ("listing_age_ms", "the listing"),
         ("table_age_ms", "the configuration"),
-    ):
-        age = line.fields.get(name)
-        if age is not None:
-            ages.append(f"{what} {age} ms old")
+    )
+    ages = [(what, line.fields.get(name)) for name, what in known]
     return (
         f"it knew {line.text('usable')} usable of {line.text('listed')} endpoints, "
         f"{line.text('running')} calls of its own and {line.text('peers_running')} of "
         f"its {line.text('peers')} peers running, {line.text('waiting')} waiting; "
-        + ", ".join(ages)
+        + ", ".join(f"{what} {age} ms old" for what, age in ages if age is not None)
     )
--- a/src/mimosafork/gateway/policies/backoff_waits.py
+++ b/src/mimosafork/gateway/policies/backoff_waits.py
@@ -9,7 +9,7 @@
 from ...kernel.records import RequestRecord
 from ...kernel.registry import register
 from ...placement.choice import Shortage
-from .fleet_view import EndpointHealth
+from .endpoint_health import EndpointHealth
 from .home_regions import HomeRegions
 from .placement_requests import MAX_WAIT_SHARE, overloaded_problem
 
--- a/src/mimosafork/gateway/policies/capacity_waits.py
+++ b/src/mimosafork/gateway/policies/capacity_waits.py
@@ -9,7 +9,7 @@
 from ...kernel.records import RequestRecord
 from ...placement.choice import Shortage, WaitForCapacity
 from .backoff_waits import first_backoff_end, refuse_until
-from .fleet_view import EndpointHealth
+from .endpoint_health import EndpointHealth
 from .placement_requests import MAX_WAIT_SHARE, RETRY_AFTER, overloaded_problem
 from .rate_limit_waits import rate_limit_wait
 from .send_permits import SendPermits
--- a/src/mimosafork/gateway/policies/connectivity.py
+++ b/src/mimosafork/gateway/policies/connectivity.py
@@ -26,7 +26,8 @@
 from ...kernel.registry import register
 from ...telemetry.catalogue.connectivity import SERVICE_REACHABLE, SERVICE_UNREACHABLE
 from ...telemetry.logs import log_event
-from .fleet_view import EndpointHealth, FleetView
+from .endpoint_health import EndpointHealth
+from .fleet_view import FleetView
 from .service_reach import ServiceReach, probe_candidates
 
 logger = logging.getLogger(__name__)
--- a/src/mimosafork/gateway/policies/endpoint_statements.py
+++ b/src/mimosafork/gateway/policies/endpoint_statements.py
@@ -13,7 +13,8 @@
 from ...kernel.messages.routing import EndpointLeaving
 from ...kernel.plugins import Plugin, PluginFinder
 from ...kernel.registry import register
-from .fleet_view import EndpointHealth, FleetView
+from .endpoint_health import EndpointHealth
+from .fleet_view import FleetView
 from .statement_log import StatementLog
 
 
--- a/src/mimosafork/gateway/policies/home_regions.py
+++ b/src/mimosafork/gateway/policies/home_regions.py
@@ -26,7 +26,8 @@
 from ...routing.regions import common_regions
 from ...routing.table import RoutingTable
 from .connectivity import EndpointConnectivity
-from .fleet_view import EndpointHealth, FleetView
+from .endpoint_health import EndpointHealth
+from .fleet_view import FleetView
 
 RETRY_AFTER = timedelta(seconds=1)
 """It is not known when a configuration or the endpoints of a region change."""
--- a/src/mimosafork/gateway/policies/placing.py
+++ b/src/mimosafork/gateway/policies/placing.py
@@ -58,14 +58,12 @@
     overloaded_problem,
     placement_request,
 )
+from .published_prefills import has_long_prefill
 from .quarantining import CrashQuarantine
 from .reserving import MemoryKeeper
 from .retrying import RETRY_BUDGET_EXHAUSTED, BudgetedRetry
 from .send_permits import SendPermits
 
-MIN_PUBLISHED_PREFILL_MS = 100.0
-"""The end of a prefill is published to peers if a part takes an engine this long."""
-
 
 def all_engines(views: Sequence[EngineView]) -> Sequence[EngineView]:
     """Return all engines."""
@@ -391,12 +389,3 @@
 def hedged_id(request_id: RequestId) -> RequestId:
     """Return the tracking id of a call's hedged attempt."""
     return RequestId(f"{request_id} hedged")
-
-
-def has_long_prefill(work: InFlightRequest) -> bool:
-    """Return whether the end of a call's prefill is published to peers.
-
-    For a short prompt peers rely on the predicted end, and its decoding lengthens a
-    step by less than a millisecond. Omitting it saves one of three messages per call.
-    """
-    return any(part.prefill_ms >= MIN_PUBLISHED_PREFILL_MS for part in work.parts)
--- a/src/mimosafork/gateway/policies/service_reach.py
+++ b/src/mimosafork/gateway/policies/service_reach.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ...ids import AvailabilityZoneId, EndpointId
-from .fleet_view import EndpointHealth
+from .endpoint_health import EndpointHealth
 
 FAILURE_WINDOW = timedelta(seconds=2)
 PROBES = 3
--- a/src/mimosafork/gateway/policies/silence.py
+++ b/src/mimosafork/gateway/policies/silence.py
@@ -19,7 +19,8 @@
 from ...kernel.registry import register
 from ...placement.load_tracker import InFlightRequest, LoadTracker, engines_of
 from ...placement.prefill_time import prefill_time_left
-from .fleet_view import EndpointHealth, FleetView
+from .endpoint_health import EndpointHealth
+from .fleet_view import FleetView
 from .home_regions import HomeRegions
 from .placing import WorkPlacer
 from .retrying import BudgetedRetry
--- a/src/mimosafork/gateway/server.py
+++ b/src/mimosafork/gateway/server.py
@@ -13,10 +13,6 @@
 from ..directory.follower import sleep
 from ..directory.messages import (
     DirectoryChange,
-    EndpointChanged,
-    EndpointState,
-    EvacuationChanged,
-    TableChanged,
 )
 from ..directory.rows import Rows
 from ..gossip.peer_rows import PeerRows
@@ -26,10 +22,6 @@
 from ..kernel.messages.lifecycle import StopNow
 from ..kernel.messages.routing import (
     EndpointLeaving,
-    EndpointUsable,
-    RoutingTableChanged,
-    ZoneEvacuated,
-    ZoneEvacuationEnded,
 )
 from ..kernel.registry import create
 from ..routing.engine import EngineFigures
@@ -51,6 +43,7 @@
 from .call_regions import CallRegions
 from .cold_setup import bound_cold_endpoints
 from .dialect import Dialect
+from .directory_messages import kernel_message
 from .draining import POLL_INTERVAL, drain
 from .fleet_shares import FleetShares
 from .forwarded_intake import ForwardedIntake
@@ -324,24 +317,13 @@
         return None if service is None else service.engine
 
     def _directory_changed(self, change: DirectoryChange) -> None:
-        if isinstance(change, TableChanged):
-            self.gateway.post(RoutingTableChanged(change.table))
-        elif isinstance(change, EvacuationChanged):
-            if change.takes_effect:
-                message = ZoneEvacuated if change.evacuated else ZoneEvacuationEnded
-                self.gateway.post(message(change.zone))
-        else:
-            self._endpoint_changed(change)
+        message = kernel_message(change)
+        if message is not None:
+            self.gateway.post(message)
+        if isinstance(message, EndpointLeaving):
+            self.gateway.pool.drop(message.endpoint)
         self._log_first_ready()
 
-    def _endpoint_changed(self, change: EndpointChanged) -> None:
-        if change.entry.takes_new_work:
-            self.gateway.post(EndpointUsable(change.entry.listed))
-            return
-        final = change.entry.state is EndpointState.DRAINING
-        self.gateway.post(EndpointLeaving(change.endpoint, final))
-        self.gateway.pool.drop(change.endpoint)
-
     def _log_first_ready(self) -> None:
         if self.ready_logged or not self.ready:
             return
--- a/src/mimosafork/gateway/subset_selector.py
+++ b/src/mimosafork/gateway/subset_selector.py
@@ -10,7 +10,8 @@
     own_engines,
     subset_rank,
 )
-from .policies.fleet_view import EndpointHealth, FleetView
+from .policies.endpoint_health import EndpointHealth
+from .policies.fleet_view import FleetView
 
 
 class SubsetSelector:
--- a/src/mimosafork/settings/gateway.py
+++ b/src/mimosafork/settings/gateway.py
@@ -73,6 +73,11 @@
         default=timedelta(seconds=20),
         description="longest time for which memory is reserved at an engine",
     )
+    evacuation: Positive | None = Field(
+        default=None,
+        description="time from the operator's row to the last request that reaches an "
+        "evacuated zone; a bound that can't be kept is logged",
+    )
     cold_factor: Annotated[float, Field(ge=0)] | None = Field(
         default=None,
         description="most requests of all instances that a cold endpoint gets in any "
--- a/src/mimosafork/telemetry/catalogue/directory.py
+++ b/src/mimosafork/telemetry/catalogue/directory.py
@@ -155,6 +155,15 @@
     "None, if the end was meant. After a restore of the store, write the row again if "
     "the zone is still to be evacuated.",
 )
+EVACUATION_BOUND_EXCEEDED = Event(
+    2117,
+    "evacuation-bound-exceeded",
+    Level.WARNING,
+    "evacuations must take effect within {bound_ms} ms, but may take {longest_ms} ms",
+    "If all connections to the store fall silent just before a zone is evacuated, "
+    "requests may reach the zone for longer than the deployment allows.",
+    "Allow more time in the settings, or wait longer before a zone is shut down.",
+)
 STORE_ERA = Instrument(
     "mimosafork.store.era",
     Kind.OBSERVABLE_GAUGE,
--- a/tests/support/regional_fleet.py
+++ b/tests/support/regional_fleet.py
@@ -5,7 +5,7 @@
 
 from msgspec.structs import replace
 
-from mimosafork.gateway.policies.fleet_view import EndpointHealth
+from mimosafork.gateway.policies.endpoint_health import EndpointHealth
 from mimosafork.gateway.policies.home_regions import HomeRegions
 from mimosafork.gateway.policies.requested_backoff import RequestedBackoff
 from mimosafork.ids import (
--- a/tests/unit/directory/test_evacuations.py
+++ b/tests/unit/directory/test_evacuations.py
@@ -10,6 +10,10 @@
 from mimosafork.directory.messages import EvacuationChanged, UpdateOrigin
 from mimosafork.directory.settings import DirectorySettings
 from mimosafork.directory.zone_state import ZoneState
+from mimosafork.gateway.evacuation_delay import (
+    check_evacuation_bound,
+    longest_send_delay,
+)
 from mimosafork.gateway.pool import CONNECT_TIMEOUT
 from mimosafork.gateway.upstream import TCP_USER_TIMEOUT_MS
 from mimosafork.gossip.kinds.evacuations import EVACUATIONS
@@ -18,6 +22,7 @@
 from mimosafork.platform.store import StoreTimeouts
 from mimosafork.telemetry.catalogue.directory import (
     ENTRY_UNREADABLE,
+    EVACUATION_BOUND_EXCEEDED,
     EVACUATION_ENDED,
     EVACUATION_STARTED,
     STALE_READ,
@@ -252,6 +257,20 @@
         case.assertEqual(["store", 0], [line["source"], line["age_ms"]])
 
 
+def test_a_bound_that_can_not_be_kept_is_logged() -> None:
+    """An operator who waits for the bound may shut down endpoints with requests."""
+    follow, silence = DirectorySettings().configuration, StoreTimeouts().resend_after
+    longest = longest_send_delay(follow, silence)
+    for bound, lines in (
+        (None, 0),
+        (longest, 0),
+        (longest - timedelta(milliseconds=1), 1),
+    ):
+        with caught_lines() as caught:
+            check_evacuation_bound(bound, follow, silence)
+            case.assertEqual(lines, len(caught.of(EVACUATION_BOUND_EXCEEDED)))
+
+
 def test_the_last_send_comes_within_the_bound() -> None:
     """The row must keep all instances from the zone within five seconds.
 
@@ -269,6 +288,7 @@
     on_its_way = timedelta(milliseconds=TCP_USER_TIMEOUT_MS)
     total = lost_poll + noticed + new_call + gossip + on_its_way
     case.assertLess(total, EVACUATED_WITHIN)
+    case.assertEqual(total, longest_send_delay(configuration, noticed))
     # A request that waits for a connection has not passed the gate.
     case.assertLess(CONNECT_TIMEOUT, on_its_way)
 
--- a/tests/unit/gateway/test_account_shares.py
+++ b/tests/unit/gateway/test_account_shares.py
@@ -24,7 +24,7 @@
     USAGE_SPAN,
     ServiceUsage,
 )
-from mimosafork.gateway.policies.fleet_view import engine_view
+from mimosafork.gateway.policies.endpoint_health import engine_view
 from mimosafork.gateway.policies.lane_drain import LaneDrain
 from mimosafork.gateway.policies.ordering import UrgentFirst
 from mimosafork.gateway.policies.placement_requests import RETRY_AFTER
--- a/tests/unit/gateway/test_fleet_view.py
+++ b/tests/unit/gateway/test_fleet_view.py
@@ -5,12 +5,12 @@
 
 from msgspec.structs import replace
 
-from mimosafork.gateway.policies.fleet_view import (
+from mimosafork.gateway.policies.endpoint_health import (
     ENDPOINT_SUSPICION_PERIOD,
     MAX_UNREACHABLE_BACKOFF,
     UNREACHABLE_BACKOFF,
-    FleetView,
 )
+from mimosafork.gateway.policies.fleet_view import FleetView
 from mimosafork.ids import EndpointId
 from mimosafork.kernel.messages.attempts import Exposure, FailureKind
 from mimosafork.kernel.messages.base import Tick
--- a/tests/unit/gateway/test_health_log.py
+++ b/tests/unit/gateway/test_health_log.py
@@ -5,7 +5,7 @@
 
 from mimosafork.clock import ManualClock
 from mimosafork.gateway.policies import PLUGINS
-from mimosafork.gateway.policies.fleet_view import EndpointHealth
+from mimosafork.gateway.policies.endpoint_health import EndpointHealth
 from mimosafork.gateway.policies.health_log import (
     HealthStatus,
     log_reinstated,
--- a/tests/unit/gateway/test_subset_selector.py
+++ b/tests/unit/gateway/test_subset_selector.py
@@ -3,7 +3,8 @@
 from datetime import timedelta
 from unittest import TestCase
 
-from mimosafork.gateway.policies.fleet_view import EndpointHealth, FleetView
+from mimosafork.gateway.policies.endpoint_health import EndpointHealth
+from mimosafork.gateway.policies.fleet_view import FleetView
 from mimosafork.gateway.subset_selector import SubsetSelector
 from mimosafork.ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
 from mimosafork.placement.subset import MIN_ENGINES_FOR_SUBSETS, SUBSET_SIZE
--- a/tests/unit/gateway/test_zone_suspicion.py
+++ b/tests/unit/gateway/test_zone_suspicion.py
@@ -5,7 +5,8 @@
 
 from msgspec.structs import replace
 
-from mimosafork.gateway.policies.fleet_view import MAX_UNREACHABLE_BACKOFF, FleetView
+from mimosafork.gateway.policies.endpoint_health import MAX_UNREACHABLE_BACKOFF
+from mimosafork.gateway.policies.fleet_view import FleetView
 from mimosafork.gateway.policies.zone_suspicion import (
     FAILURE_WINDOW,
     SUSPICION_PERIOD,
--- a/tests/unit/telemetry/test_catalogue.py
+++ b/tests/unit/telemetry/test_catalogue.py
@@ -34,7 +34,7 @@
 
 def test_whole_catalogue_is_unique_and_in_range() -> None:
     events = all_events()
-    assert {each.number // 100 for each in events} == {10, *range(12, 28)}
+    assert {each.number // 100 for each in events} == {10, *range(12, 29)}
     assert len(all_instruments()) > 0
 
 
--- a/tests/unit/tooling/test_gateway_page.py
+++ b/tests/unit/tooling/test_gateway_page.py
@@ -15,7 +15,7 @@
     upstream,
 )
 from mimosafork.gateway.policies import (
-    fleet_view,
+    endpoint_health,
     reserving,
     retry_budget,
     retrying,
@@ -46,7 +46,7 @@
 def told() -> list[str]:
     """Return what the page must say, with the figures of the code."""
     follow, gossip = DirectorySettings(), Timing()
-    longest = fleet_view.MAX_UNREACHABLE_BACKOFF
+    longest = endpoint_health.MAX_UNREACHABLE_BACKOFF
     return [
         f"For {s(server.BALANCER_LAG)} calls are served as before",
         f"after {WORDS[draining.GRACE_SHARE_FOR_CALLS]} tenths of `bounds.grace`",
@@ -78,8 +78,8 @@
         f"({s(gossip.relayed_suspect_after)} beyond {gossip.mesh_size} instances)",
         f"its row is back and lasts {s(ROW_EXPIRY)}",
         f"cannot be connected to within {s(pool.CONNECT_TIMEOUT)} | left alone for "
-        f"{s(fleet_view.UNREACHABLE_BACKOFF)}, then 2 s, then {s(longest)}",
-        f"taken last for {s(fleet_view.ENDPOINT_SUSPICION_PERIOD)}, "
+        f"{s(endpoint_health.UNREACHABLE_BACKOFF)}, then 2 s, then {s(longest)}",
+        f"taken last for {s(endpoint_health.ENDPOINT_SUSPICION_PERIOD)}, "
         f"and while over a quarter",
         f"were silent, within {s(zone_suspicion.FAILURE_WINDOW)} and none answered | "
         f"its endpoints are taken last for {s(zone_suspicion.SUSPICION_PERIOD)}",
