Move the gateway's metrics into a module of their own

Change: instruments are in telemetry/catalogue/gateway_metrics.py; the page of events has no section for a module without events.

--- a/src/mimosafork/gateway/call_metrics.py
+++ b/src/mimosafork/gateway/call_metrics.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from ..kernel.messages.outcomes import Conclude
-from ..telemetry.catalogue.gateway import (
+from ..telemetry.catalogue.gateway_metrics import (
     CALL_ATTEMPTS,
     CALL_FIRST_PART_TIME,
     CALL_PAUSE,
--- a/src/mimosafork/gateway/gauges.py
+++ b/src/mimosafork/gateway/gauges.py
@@ -18,7 +18,7 @@
     STORE_ERA,
     ZONES_EVACUATED,
 )
-from ..telemetry.catalogue.gateway import (
+from ..telemetry.catalogue.gateway_metrics import (
     CALLS_FORWARDED,
     CALLS_OPEN,
     CALLS_WAITING,
--- a/src/mimosafork/gateway/policies/quarantining.py
+++ b/src/mimosafork/gateway/policies/quarantining.py
@@ -40,7 +40,10 @@
 from ...quarantine.judgement import EVIDENCE_RETENTION
 from ...quarantine.register import QuarantineRegister, QuarantineState
 from ...telemetry.catalogue.contents import CRASH_REFUTED
-from ...telemetry.catalogue.gateway import CONTENT_CLEARED, CONTENT_QUARANTINED
+from ...telemetry.catalogue.gateway import (
+    CONTENT_CLEARED,
+    CONTENT_QUARANTINED,
+)
 from ...telemetry.logs import log_event
 from .connectivity import EndpointConnectivity
 from .fleet_view import FleetView
--- a/tests/functional/test_gateway_metrics.py
+++ b/tests/functional/test_gateway_metrics.py
@@ -3,7 +3,7 @@
 from contextlib import ExitStack
 
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
-from mimosafork.telemetry.catalogue.gateway import (
+from mimosafork.telemetry.catalogue.gateway_metrics import (
     CALL_FIRST_PART_TIME,
     CALLS,
     CALLS_REFUSED,
--- a/tests/unit/gateway/test_metrics_page.py
+++ b/tests/unit/gateway/test_metrics_page.py
@@ -8,7 +8,10 @@
 from mimosafork.gateway.metrics_page import MetricsConnection
 from mimosafork.kernel.messages.outcomes import Conclude, Outcome
 from mimosafork.kernel.messages.problems import Problem, ProblemCode
-from mimosafork.telemetry.catalogue.gateway import CALL_FIRST_PART_TIME, CALLS
+from mimosafork.telemetry.catalogue.gateway_metrics import (
+    CALL_FIRST_PART_TIME,
+    CALLS,
+)
 from mimosafork.telemetry.metrics import Metrics
 from tests.support.functions import function_tests
 
--- a/tests/unit/gateway/test_reserved_tokens.py
+++ b/tests/unit/gateway/test_reserved_tokens.py
@@ -11,7 +11,7 @@
 from mimosafork.ids import RequestId
 from mimosafork.kernel.messages.requests import CallerGone, Submit
 from mimosafork.platform.calls import PreparedDialect
-from mimosafork.telemetry.catalogue.gateway import MEMORY_RESERVED
+from mimosafork.telemetry.catalogue.gateway_metrics import MEMORY_RESERVED
 from mimosafork.telemetry.metrics import Metrics
 
 from ...support.functions import function_tests
--- a/tests/unit/telemetry/test_line_budget.py
+++ b/tests/unit/telemetry/test_line_budget.py
@@ -16,7 +16,10 @@
 from mimosafork.clock import ManualClock
 from mimosafork.telemetry.budget import LineBudget
 from mimosafork.telemetry.catalogue.directory import STORE_LOST
-from mimosafork.telemetry.catalogue.gateway import CALL_ENDED, CALL_NOT_SERVED
+from mimosafork.telemetry.catalogue.gateway import (
+    CALL_ENDED,
+    CALL_NOT_SERVED,
+)
 from mimosafork.telemetry.events import Importance
 from mimosafork.telemetry.formats import JsonFormatter
 from mimosafork.telemetry.logs import (
--- a/tools/pages/events.py
+++ b/tools/pages/events.py
@@ -30,6 +30,8 @@
     for module in catalogue_modules():
         numbers = range(module.RANGE, module.RANGE + RANGE_SIZE)
         own = [each for each in events if each.number in numbers]
+        if not any(isinstance(each, Event) for each in vars(module).values()):
+            continue
         title = (module.__doc__ or "").strip().splitlines()[0].rstrip(".")
         heading = f"{PREFIX}{module.RANGE // RANGE_SIZE}xx: {title}"
         sections.append(f"\n## {heading}\n\n{section(own)}")
