Log each sending of a call, what answers stated, and what a promise rests on

Cause: from a call's id the lines did not tell when an attempt was sent, which instance sent it, what the answer stated, nor why a call counted as not run. The sendings of a killed process left no line, and a 408 for a half-read request had no id. Change: sent_ms, response and instance in the lines of calls and attempts; exposures of all attempts in MF2011; MF2024 attempt-sent at level DEBUG, before the first byte; the id in MF2013 where the head was read.

--- a/src/mimosafork/gateway/attempt.py
+++ b/src/mimosafork/gateway/attempt.py
@@ -169,19 +169,19 @@
         self._fail(FailureKind.UNREACHED, Exposure.NEVER_SENT)
 
     def _send(self, connection: EndpointConnection) -> None:
-        time_left = self.dispatch.deadline - self.context.clock.monotonic()
+        now = self.context.clock.monotonic()
         # The process may have been frozen while it connected. An expired call must not
         # run, since its caller has already been notified of the deadline.
-        if time_left <= timedelta(0):
+        if now >= self.dispatch.deadline:
             self.context.pool.release(self.dispatch.endpoint, connection)
             self._fail(FailureKind.DEADLINE, Exposure.NEVER_SENT)
             return
-        now = self.context.clock.monotonic()
         objection = self.context.sends.objection(self.dispatch, now)
         if objection is not None:
             self.context.pool.release(self.dispatch.endpoint, connection)
             self._fail(objection, Exposure.NEVER_SENT)
             return
+        time_left = self.dispatch.deadline - now
         request = attempt_request(self.call, self.dispatch, self.context, time_left)
         self.connection = connection
         self.reused = connection.use_count > 0
@@ -192,7 +192,8 @@
                 return
         self.sent_at = now
         call_id = self.call.metadata.call_id
-        self.diagnostics.note_sent(connection, call_id)
+        self.diagnostics.note_sent(connection, call_id, now)
+        self.reports.log_sent()
         sink = CallSink(self._on_head, self._on_data, self._on_end, self._on_lost)
         connection.send(request, sink, self.without_body, call_id)
         # Backpressure is signalled once per stall, possibly during an earlier attempt.
@@ -204,8 +205,7 @@
         self.head = head
         self.metadata = metadata
         self.reports.head_received = True
-        self.diagnostics.unframed = not head.framed
-        self.diagnostics.unidentified = metadata.call_id is None
+        self.diagnostics.note_response(head, metadata)
         if not self.dispatch.via_peer:
             self.reports.statements(metadata, self.sent_at)
         self.chunks.clear()
--- a/src/mimosafork/gateway/attempt_diagnostics.py
+++ b/src/mimosafork/gateway/attempt_diagnostics.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from ..ids import AvailabilityZoneId
+from .dialect import ResponseMetadata
+from .response_reader import ResponseHead
 from .upstream import ConnectionLoss, EndpointConnection
 
 UNKNOWN_NAME = "?"
@@ -57,6 +59,23 @@
     same_call: bool
 
 
+class ResponseStatement(msgspec.Struct, frozen=True):
+    """What the head of a response states, written as words when a line is formatted."""
+
+    status: int
+    metadata: ResponseMetadata
+
+    def __str__(self) -> str:
+        """Return the status, and what the response says of the run and the call."""
+        words = [str(self.status)]
+        if self.metadata.signed:
+            words.append("signed")
+        if self.metadata.not_run:
+            words.append("not-run")
+        words.append("no-id" if self.metadata.call_id is None else "own-id")
+        return " ".join(words)
+
+
 class AttemptDiagnostics(msgspec.Struct):
     """Diagnostics of a call's latest attempt.
 
@@ -76,8 +95,10 @@
         Bytes after the last complete event when a stream ended.
     connection : ConnectionUse or None
         None if nothing was sent.
-    unidentified : bool
-        Whether the response did not state the id of its call.
+    sent_at : timedelta or None
+        Monotonic time at which the request was sent; None if it wasn't.
+    response : ResponseStatement or None
+        What the response states; None before its head.
     """
 
     placement: AttemptPlacement = AttemptPlacement()
@@ -87,16 +108,30 @@
     unframed: bool = False
     partial_event_bytes: int = 0
     connection: ConnectionUse | None = None
-    unidentified: bool = False
+    sent_at: timedelta | None = None
+    response: ResponseStatement | None = None
+
+    @property
+    def unidentified(self) -> bool:
+        """Whether the response did not state the id of its call."""
+        return self.response is not None and self.response.metadata.call_id is None
 
-    def note_sent(self, connection: EndpointConnection, call_id: str) -> None:
+    def note_sent(
+        self, connection: EndpointConnection, call_id: str, now: timedelta
+    ) -> None:
         """Record the connection on which the request is about to be sent."""
+        self.sent_at = now
         self.connection = ConnectionUse(
             connection.number,
             connection.use_count,
             connection.matcher.has_carried(call_id),
         )
 
+    def note_response(self, head: ResponseHead, metadata: ResponseMetadata) -> None:
+        """Record the head of the response."""
+        self.unframed = not head.framed
+        self.response = ResponseStatement(head.status, metadata)
+
     def note_connected(self, now: timedelta) -> None:
         """Record that connecting has succeeded or failed."""
         if self.connecting_since is not None and self.connect_time is None:
--- a/src/mimosafork/gateway/attempt_reports.py
+++ b/src/mimosafork/gateway/attempt_reports.py
@@ -20,6 +20,7 @@
     LeavingAnnounced,
 )
 from .attempt_context import AttemptContext
+from .attempt_log import log_attempt_sent
 from .call import Call
 from .dialect import ResponseMetadata
 from .limit_reports import limit_report
@@ -58,6 +59,10 @@
             AttemptSent(self.dispatch.request_id, self.dispatch.attempt)
         )
 
+    def log_sent(self) -> None:
+        """Log that the request is about to be sent, on any connection."""
+        log_attempt_sent(self.call, self.dispatch, self.context.instance)
+
     def statements(self, metadata: ResponseMetadata, sent_at: timedelta) -> None:
         """Report what a response states about its endpoint."""
         # A response of another endpoint says nothing about this one.
--- a/src/mimosafork/gateway/call_log.py
+++ b/src/mimosafork/gateway/call_log.py
@@ -220,6 +220,7 @@
             parts=parts_of(call),
             allowed_ms=milliseconds(call.request.deadline - call.arrived_at),
             attempts=conclusion.attempts,
+            exposures=NameList(tuple(each.value for each in conclusion.exposures)),
             own_zone=self.instance_view.own_zone,
             **self._progress_fields(call),
             since_event_ms=since_event(call, self.clock.monotonic()),
@@ -229,6 +230,7 @@
 
     def _call_fields(self, call: Call) -> LogFields:
         return {
+            "instance": self.instance_view.own_instance,
             "route": call.route.name,
             "account": call.account,
             "service": call.request.target,
@@ -290,6 +292,8 @@
         "connection": None if use is None else use.number,
         "earlier_calls": None if use is None else use.earlier_calls,
         "same_call": (use is not None and use.same_call) or None,
+        "sent_ms": since_arrival(call, notes.sent_at),
+        "response": notes.response,
         "unidentified": notes.unidentified or None,
         "ending": notes.connection_loss,
         "unframed": notes.unframed or None,
--- a/src/mimosafork/gateway/caller_log.py
+++ b/src/mimosafork/gateway/caller_log.py
@@ -9,16 +9,40 @@
     REQUEST_UNANSWERED,
 )
 from ..telemetry.logs import log_event
+from .dialect import Dialect
 from .errors import BadRequestError
+from .heads import RequestHead
 from .instance_view import milliseconds
 from .unanswered_request import UnansweredRequest
 
 logger = getLogger(__name__)
 
 
-def log_malformed_request(error: BadRequestError) -> None:
-    """Log that a caller's bytes were not a valid request."""
-    log_event(logger, MALFORMED_REQUEST, status=int(error.status), why=error.detail)
+def log_malformed_request(
+    error: BadRequestError, head: RequestHead | None, dialect: Dialect
+) -> None:
+    """Log that a caller's bytes were not a valid request.
+
+    Parameters
+    ----------
+    head : RequestHead or None
+        Head of the request if it was read, but not yet its body.
+    """
+    log_event(
+        logger,
+        MALFORMED_REQUEST,
+        status=int(error.status),
+        why=error.detail,
+        call=None if head is None else stated_id(head, dialect),
+    )
+
+
+def stated_id(head: RequestHead, dialect: Dialect) -> str | None:
+    """Return the id of a request; None if there is none that can be read."""
+    try:
+        return dialect.parse_call_metadata(head).call_id or None
+    except BadRequestError:
+        return None
 
 
 def log_unanswered_request(
--- a/src/mimosafork/gateway/gateway.py
+++ b/src/mimosafork/gateway/gateway.py
@@ -250,7 +250,7 @@
         self, connection: ClientConnection, error: BadRequestError
     ) -> None:
         """Log that a caller's bytes were not a valid request."""
-        log_malformed_request(error)
+        log_malformed_request(error, connection.reader.head, self.dialect)
 
     def retry_after_headers(self) -> list[Header]:
         """Return the headers that tell a rejected caller when to retry."""
--- a/src/mimosafork/gateway/instance_view.py
+++ b/src/mimosafork/gateway/instance_view.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..directory.directory import Directory
-from ..ids import AvailabilityZoneId, EndpointId, ServiceId
+from ..ids import AvailabilityZoneId, EndpointId, InstanceId, ServiceId
 from ..kernel.core import Kernel
 from ..kernel.messages.dispatch import Dispatch
 from .attempt_diagnostics import AttemptPlacement
@@ -90,6 +90,10 @@
     def own_zone(self) -> AvailabilityZoneId | None:
         """Availability zone of this instance."""
 
+    @property
+    def own_instance(self) -> InstanceId | None:
+        """Name of this instance."""
+
 
 class EmptyInstanceView:
     """Empty state, used until the gateway is connected to the rest of its instance."""
@@ -111,6 +115,11 @@
         """None: the zone is unknown."""
         return None
 
+    @property
+    def own_instance(self) -> InstanceId | None:
+        """None: the name is unknown."""
+        return None
+
 
 class LiveInstanceView:
     """Reads the current state from its owners.
@@ -188,6 +197,11 @@
         """Availability zone of this instance."""
         return self.kernel.state.identity.availability_zone
 
+    @property
+    def own_instance(self) -> InstanceId | None:
+        """Name of this instance."""
+        return self.kernel.state.identity.instance
+
 
 def milliseconds(time: timedelta | None) -> int | None:
     """Return whole milliseconds, or None for None."""
--- a/src/mimosafork/kernel/lifecycle.py
+++ b/src/mimosafork/kernel/lifecycle.py
@@ -448,7 +448,12 @@
         if problem is not None:
             problem = final_problem(self.discipline, problem, context)
         conclusion = Conclude(
-            record.request_id, outcome, len(record.attempts), problem, retention
+            record.request_id,
+            outcome,
+            len(record.attempts),
+            problem,
+            retention,
+            tuple(attempt.exposure for attempt in record.attempts),
         )
         context.emit(conclusion)
         context.post(RequestConcluded(record, conclusion))
--- a/src/mimosafork/kernel/messages/outcomes.py
+++ b/src/mimosafork/kernel/messages/outcomes.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 from ...ids import RequestId
+from .attempts import Exposure
 from .base import Effect
 from .problems import Problem
 
@@ -37,6 +38,9 @@
         None if the complete answer has been delivered.
     retention : Retention
         Reported to the caller with the final marker.
+    exposures : tuple of Exposure
+        How far each attempt may have got, in their order. ``NOT_RUN`` requires that
+        none may have run.
     """
 
     request_id: RequestId
@@ -44,3 +48,4 @@
     attempts: int
     problem: Problem | None = None
     retention: Retention = Retention.NOT_ASKED
+    exposures: tuple[Exposure, ...] = ()
--- a/src/mimosafork/telemetry/catalogue/gateway.py
+++ b/src/mimosafork/telemetry/catalogue/gateway.py
@@ -141,6 +141,16 @@
     "None. If many come, see what took their time: `waited_ms`, or the endpoint.",
     Importance.CALL,
 )
+ATTEMPT_SENT = Event(
+    2024,
+    "attempt-sent",
+    Level.DEBUG,
+    "call {call} is sent to endpoint {endpoint} as attempt {attempt}",
+    "The line is written before the first byte; those of failed attempts and of the end"
+    " of the call follow, unless the process is killed.",
+    "None.",
+    Importance.CALL,
+)
 ATTEMPT_RESTORED = Event(
     2022,
     "attempt-restored",
--- a/tests/support/log_lines.py
+++ b/tests/support/log_lines.py
@@ -43,15 +43,15 @@
 
 
 @contextmanager
-def caught_lines() -> Iterator[CaughtLines]:
-    """Catch what the product logs from level INFO on."""
+def caught_lines(level: int = logging.INFO) -> Iterator[CaughtLines]:
+    """Catch what the product logs from a level on."""
     caught = CaughtLines()
     logger = logging.getLogger(PACKAGE_LOGGER)
-    level, handler = logger.level, Catcher(caught)
+    level_before, handler = logger.level, Catcher(caught)
     logger.addHandler(handler)
-    logger.setLevel(logging.INFO)
+    logger.setLevel(level)
     try:
         yield caught
     finally:
         logger.removeHandler(handler)
-        logger.setLevel(level)
+        logger.setLevel(level_before)
--- a/tests/unit/gateway/test_attempt_diagnostics.py
+++ b/tests/unit/gateway/test_attempt_diagnostics.py
@@ -1,7 +1,9 @@
 """Tests of the zones, connection and prediction fields in a call's log lines."""
 
 import asyncio
+import logging
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from errno import EHOSTUNREACH, ENETDOWN, EPIPE, ETIMEDOUT
 from typing import Any, cast
@@ -17,6 +19,7 @@
     connection_loss_of,
 )
 from mimosafork.kernel.messages.attempts import FailureKind
+from mimosafork.standins.prepared.documents import LimitsEntry
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
 from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.faults import (
@@ -30,15 +33,17 @@
 from mimosafork.standins.prepared.words import REQUEST_ID, TOKEN_USAGE
 from mimosafork.telemetry.catalogue.gateway import (
     ATTEMPT_FAILED,
+    ATTEMPT_SENT,
     CALL_ENDED,
     CALL_NOT_SERVED,
+    MALFORMED_REQUEST,
 )
 from mimosafork.telemetry.events import Event
 
 from ...support.functions import function_tests
 from ...support.gateway import BEARER, World, gateway_world
 from ...support.log_lines import CaughtLines, caught_lines
-from ...support.prepared import DESKS
+from ...support.prepared import DESKS, USUAL_CONFIG, request_bytes
 from ...support.waiting import eventually
 
 MS = timedelta(milliseconds=1)
@@ -219,4 +224,39 @@
     assert diagnostics.connect_time == 7 * MS
 
 
+def test_each_sending_of_a_refused_call_can_be_told_from_its_id() -> None:
+    """A call is refused as not run, and nothing shows which sendings that rests on."""
+    with gateway_world() as world, caught_lines(logging.DEBUG) as caught:
+        desk = world.add_desk()
+        desk.play(Shed(), None)
+        world.running.ask("/unsafe/1", "c1")
+        end = only_line(caught, CALL_NOT_SERVED)
+        sent, failed = caught.of(ATTEMPT_SENT), caught.of(ATTEMPT_FAILED)
+        assert len(sent) == len(failed) == end["attempts"] > 1
+        for number, line in enumerate(sent, 1):
+            assert (line["call"], line["instance"]) == ("c1", "entry-1")
+            assert (line["endpoint"], line["attempt"]) == (desk.id, number)
+        numbers = [line["connection"] for line in sent]
+        assert len(set(numbers)) == len(numbers)
+        assert {line["response"] for line in failed} == {"503 not-run own-id"}
+        assert [line["sent_ms"] for line in failed] == sorted(
+            line["sent_ms"] for line in failed
+        )
+        assert set(end["exposures"].split(",")) == {"refused"}
+
+
+def test_id_of_a_request_that_times_out_half_read_is_logged() -> None:
+    """A caller is told 408, which means that its call has not run, without a line."""
+    config = replace(USUAL_CONFIG, limits=LimitsEntry(idle_timeout=100 * MS))
+    with gateway_world(config) as world, caught_lines() as caught:
+        with world.running.channel() as channel:
+            head = request_bytes(
+                "POST", "/unsafe/1", {REQUEST_ID: "c1", **BEARER}, b"body", False
+            )
+            channel.send_bytes(head[:-1])
+            assert channel.read_answer().status == 408
+        line = only_line(caught, MALFORMED_REQUEST)
+        assert (line["call"], line["status"]) == ("c1", 408)
+
+
 load_tests = function_tests(__name__)
--- a/tests/unit/gateway/test_call_log.py
+++ b/tests/unit/gateway/test_call_log.py
@@ -23,6 +23,7 @@
     Digest,
     EndpointId,
     Incarnation,
+    InstanceId,
     RegionId,
     RequestId,
     ServiceId,
@@ -109,6 +110,11 @@
         """Return a constant zone."""
         return ZONE_A
 
+    @property
+    def own_instance(self) -> InstanceId | None:
+        """Return a constant name."""
+        return InstanceId("entry-1")
+
 
 def call_at(clock: ManualClock) -> Call:
     route = Route(
