--- a/src/mimosafork/standins/prepared/documents.py
+++ b/src/mimosafork/standins/prepared/documents.py
@@ -216,7 +216,7 @@
     settings: EndpointSettings = endpoint.settings
     document: dict[str, Any] = {
         "service": settings.service,
-        "address": endpoint.address,
+        "address": endpoint.listed_address,
         "zone": settings.zone,
         "version": settings.software,
         "slots": settings.slots,
--- a/src/mimosafork/standins/prepared/endpoint.py
+++ b/src/mimosafork/standins/prepared/endpoint.py
@@ -40,6 +40,7 @@
         self.script = Script()
         self.gate = Gate()
         self.id = new_id()
+        self.proxy_address: str | None = None
         self.alive = False
         self.ended = asyncio.Event()
         self.revival: asyncio.Task[None] | None = None
@@ -61,6 +62,11 @@
         """Where it listens, as ``IP:PORT``, in all its lives."""
         return self.listener.address
 
+    @property
+    def listed_address(self) -> str:
+        """Where callers are sent: that of a proxy, if there is one before it."""
+        return self.proxy_address or self.address
+
     def start(self) -> None:
         """Begin the first life, or the next one after `stop` or `crash`."""
         self.thread.run(self.live())
--- a/src/mimosafork/standins/prepared/faults.py
+++ b/src/mimosafork/standins/prepared/faults.py
@@ -83,9 +83,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ExtraAnswer:
-    """A second whole answer: at once, or `late` at the place of the next one."""
+    """The whole answer comes again, also that of a request that is refused.
+
+    Attributes
+    ----------
+    late : bool
+        At the place of the next answer.
+    delay : timedelta
+        Otherwise after so long, whatever the channel carries by then.
+    """
 
     late: bool = False
+    delay: timedelta = timedelta(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mimosafork/standins/prepared/job.py
+++ b/src/mimosafork/standins/prepared/job.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from .faults import Fault, Shed
+from .faults import ExtraAnswer, Fault, Shed
 from .http import Answer, Connection, Header, Request, whichever
 from .runs import Run, RunEnd, Visit
-from .sending import CLOSE, Sending
+from .sending import CLOSE, Sending, send_again
 from .words import DEADLINE_MS, REQUEST_ID, SEAL, SERVER_LEAVING, SERVER_LIMIT
 
 if TYPE_CHECKING:
@@ -81,6 +81,8 @@
         self.connection.write(wire.encode())
         if isinstance(self.fault, Shed) and self.fault.late_copy:
             self.connection.late_answer = wire.encode()
+        elif isinstance(self.fault, ExtraAnswer):
+            send_again(self.connection, wire.encode(), self.fault)
         if self.endpoint.draining:
             self.connection.close()
 
--- a/src/mimosafork/standins/prepared/sending.py
+++ b/src/mimosafork/standins/prepared/sending.py
@@ -1,5 +1,7 @@
 """Writing one answer as the script says."""
 
+import asyncio
+
 from .faults import (
     CloseAfter,
     CutAnswer,
@@ -23,6 +25,17 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
+def send_again(connection: Connection, answer: bytes, extra: ExtraAnswer) -> None:
+    """Send an answer that has been sent once more, when the fault says."""
+    if extra.late:
+        connection.late_answer = answer
+    elif extra.delay:
+        loop = asyncio.get_running_loop()
+        loop.call_later(extra.delay.total_seconds(), connection.write, answer)
+    else:
+        connection.write(answer)
+
+
 class Sending:
     """Writes one answer, whole or in events.
 
@@ -139,11 +152,8 @@
         self.connection.write(data)
 
     def _extra(self, data: bytes) -> None:
-        match self.fault:
-            case ExtraAnswer(late=True):
-                self.connection.late_answer = data
-            case ExtraAnswer():
-                self.connection.write(data)
+        if isinstance(self.fault, ExtraAnswer):
+            send_again(self.connection, data, self.fault)
 
     def _end(self) -> None:
         if self.closing:
--- a/tests/support/gateway_processes.py
+++ b/tests/support/gateway_processes.py
@@ -45,7 +45,7 @@
 {zones}
 
 [logging]
-level = INFO
+level = {level}
 """
 READY_PATH = "/-/ready"
 LAST_LINES = 20
@@ -96,6 +96,7 @@
         store: str,
         bounds: str = "",
         place: InstancePlace = HERE,
+        level: str = "INFO",
     ) -> None:
         host = unique_loopback_host()
         front, ready, metrics, gossip, forwarding = free_ports(host, 5)
@@ -116,6 +117,7 @@
                 bounds=bounds,
                 zone=place.zone,
                 zones="\n".join(f"{z} = {r}" for z, r in place.regions.items()),
+                level=level,
             )
         )
         self.folder = folder
@@ -190,6 +192,7 @@
     sitecustomize: str = "",
     cut_from: Sequence[str] = (),
     place: InstancePlace = HERE,
+    level: str = "INFO",
 ) -> Iterator[GatewayProcess]:
     """Run an instance on a prepared platform; it is killed at the end.
 
@@ -205,6 +208,8 @@
         Addresses of the endpoints from which a test may cut the instance off.
     place : InstancePlace
         Zone of the instance, and regions of zones.
+    level : str
+        Lowest level of its log lines.
     """
     with TemporaryDirectory() as folder, ExitStack() as stack:
         if cut_from:
@@ -212,6 +217,6 @@
             sitecustomize += SITECUSTOMIZE.format(path=path, addresses=list(cut_from))
         Path(folder, "sitecustomize.py").write_text(sitecustomize)
         address = store or platform.store.address
-        started = GatewayProcess(Path(folder), name, address, bounds, place)
+        started = GatewayProcess(Path(folder), name, address, bounds, place, level)
         stack.callback(started.kill)
         yield started
--- a/tests/support/prepared.py
+++ b/tests/support/prepared.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
+from datetime import timedelta
 from typing import Any, BinaryIO
 
 import msgspec
@@ -300,9 +301,11 @@
 
 
 @contextmanager
-def deployment(config: ConfigEntry | None = USUAL_CONFIG) -> Iterator[Deployment]:
+def deployment(
+    config: ConfigEntry | None = USUAL_CONFIG, heartbeat: timedelta | None = None
+) -> Iterator[Deployment]:
     """Run a prepared platform without endpoints."""
-    with Deployment(config) as running:
+    with Deployment(config, heartbeat=heartbeat) as running:
         yield running
 
 
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -16,6 +16,9 @@
 from .calls import KEYS, Client
 
 ROOT = Path(__file__).resolve().parent.parent.parent
+SOURCE = Path(os.environ.get("MIMOSAFORK_SOURCE", ROOT / "src"))
+"""Folder that processes are started from, of this version or of another one."""
+
 READY_TIMEOUT_S = 30.0
 EXIT_TIMEOUT_S = 30.0
 READY = "ready "
@@ -107,7 +110,7 @@
         first: Path | None = None,
         module: str = "mimosafork",
     ) -> None:
-        folders = [*([first] if first else []), ROOT / "src", ROOT]
+        folders = [*([first] if first else []), SOURCE, ROOT]
         path = os.pathsep.join(map(str, folders))
         environment = dict(os.environ, PYTHONPATH=path)
         self.arguments = list(arguments)
