--- a/tests/support/endpoint_proxies.py
+++ b/tests/support/endpoint_proxies.py
@@ -5,8 +5,9 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
-from mimosafork.standins.prepared.background import LoopThread
+from mimosafork.standins.prepared.deployment import Deployment
 from mimosafork.standins.prepared.endpoint import Endpoint
+from mimosafork.standins.prepared.engine import Engine
 from mimosafork.standins.prepared.http import NO_LINGER
 
 PIECE = 65_536
@@ -34,25 +35,37 @@
 
 
 class EndpointProxy:
-    """Forwards bytes between instances and one endpoint.
+    """Forwards bytes between instances and an endpoint that is listed at its address.
 
     What was sent before a close or a reset still arrives, as on a network.
 
+    Parameters
+    ----------
+    platform : Deployment
+
     Attributes
     ----------
     requests, responses : Direction
     """
 
-    def __init__(self, thread: LoopThread, endpoint: Endpoint) -> None:
-        self.thread = thread
-        self.endpoint = endpoint
+    def __init__(self, platform: Deployment) -> None:
+        self.platform = platform
+        self.thread = platform.thread
+        self.endpoint: Endpoint
         self.requests = Direction()
         self.responses = Direction()
         self.pairs: set[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = set()
-        self.server: asyncio.Server = thread.run(self._listen())
+        self.server: asyncio.Server = self.thread.run(self._listen())
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"{HOST}:{port}"
+
+    def lead_to(self, endpoint: Endpoint) -> None:
+        """Lead to an endpoint from now on, and list it at this address."""
+        self.endpoint = endpoint
         endpoint.proxy_address = self.address
+        if isinstance(endpoint, Engine):
+            self.platform.neighbours[self.address] = endpoint
+        self.platform.beat(endpoint)
 
     def delay(self, requests_s: float, responses_s: float) -> None:
         """Delay each direction from now on."""
--- a/tests/support/refusal_hunt.py
+++ b/tests/support/refusal_hunt.py
@@ -24,7 +24,6 @@
 )
 from mimosafork.standins.prepared.endpoint import Endpoint
 from mimosafork.standins.prepared.endpoint_settings import EndpointSettings
-from mimosafork.standins.prepared.engine import Engine
 from mimosafork.standins.prepared.engine_figures import EngineFigures
 from mimosafork.standins.prepared.store_faults import Refusal, StoreFaults
 
@@ -99,9 +98,10 @@
         )
 
 
-def configuration(max_connections: int | None) -> ConfigEntry:
+def configuration(
+    max_connections: int | None, timeout_s: float = 3.0, max_attempts: int = 3
+) -> ConfigEntry:
     """Return a configuration with routes that run once and others that may repeat."""
-    seconds = timedelta(seconds=3)
 
     def route(
         name: str, kind: str, service: str, resumable: bool = False
@@ -112,8 +112,8 @@
             kind,
             service,
             HOST,
-            timeout=seconds,
-            max_attempts=3,
+            timeout=timedelta(seconds=timeout_s),
+            max_attempts=max_attempts,
             resumable=resumable,
         )
 
@@ -147,6 +147,7 @@
     over: threading.Event = field(default_factory=threading.Event)
     numbers: Iterator[int] = field(default_factory=count)
     locks: list[threading.Lock] = field(default_factory=list)
+    replacing: threading.Lock = field(default_factory=threading.Lock)
     tasks: list[threading.Thread] = field(default_factory=list)
     lines: list[tuple[str, str]] = field(default_factory=list)
     errors: list[BaseException] = field(default_factory=list)
@@ -200,12 +201,14 @@
             self._crash_endpoint,
             self._silence_endpoint,
             self._drain_endpoint,
+            self._replace_endpoint,
             self._delay_link,
             self._delay_link,
             self._cut_link_one_way,
             self._cut_link_one_way,
             self._reset_link,
             self._stop_store,
+            self._change_configuration,
             self._heal_links,
         )
         rare = (self._kill_all_instances, self._crash_all_endpoints)
@@ -276,14 +279,15 @@
     # Endpoints, links and the store.
 
     def _endpoint(self, random: Random) -> Endpoint:
-        return random.choice(self.platform.endpoints)
+        return random.choice(self.proxies).endpoint
 
     def _crash_endpoint(self, random: Random) -> None:
         self._endpoint(random).crash(timedelta(milliseconds=random.choice((0, 300))))
 
     def _crash_all_endpoints(self, random: Random) -> None:
-        for endpoint in self.platform.endpoints:
-            endpoint.crash(timedelta(milliseconds=random.choice((100, 600))))
+        for proxy in self.proxies:
+            down = timedelta(milliseconds=random.choice((100, 600)))
+            proxy.endpoint.crash(down)
 
     def _silence_endpoint(self, random: Random) -> None:
         self._endpoint(random).silence_connections()
@@ -294,6 +298,19 @@
         self.over.wait(random.uniform(0.2, 1.0))
         endpoint.crash(timedelta(milliseconds=100))
 
+    def _replace_endpoint(self, random: Random) -> None:
+        """End an endpoint; one of any service takes over its address."""
+        with self.replacing:
+            proxy = random.choice(self.proxies)
+            self.platform.remove(proxy.endpoint)
+            is_desk = random.random() < 0.5
+            proxy.lead_to(add_endpoint(self.platform, self.plan, is_desk, random))
+
+    def _change_configuration(self, random: Random) -> None:
+        most, timeout_s = random.choice((2, 3)), random.choice((1.5, 3.0))
+        changed = configuration(self.plan.max_connections, timeout_s, most)
+        self.platform.configure(changed)
+
     def _delay_link(self, random: Random) -> None:
         delays = (0.0, 0.005, 0.05, 0.4, 1.2)
         proxy = random.choice(self.proxies)
@@ -398,34 +415,39 @@
     """Start the endpoints, each behind a proxy, and list them."""
     proxies = []
     for number in range(plan.desks + plan.engines):
+        proxy = EndpointProxy(platform)
         is_desk = number < plan.desks
-        settings = EndpointSettings(
-            DESKS if is_desk else ENGINES,
-            random.choice(ZONES),
-            plan.slots,
-            plan.queue,
-            plan.work,
-            idle=random.choice((None, timedelta(seconds=1))),
-            keep_alive_s=random.choice((None, 1, 15)),
-            max_connections=plan.max_connections,
-            close_every=random.choice((0, 0, 7)),
-        )
-        figures = EngineFigures(events=3, gap=plan.work / 4)
-        endpoint: Endpoint = (
-            platform.add_desk(settings)
-            if is_desk
-            else platform.add_engine(settings, figures)
-        )
-        script = Random(random.getrandbits(32))
-        endpoint.script = RandomScript(script, plan.fault_share, plan.makers)
-        proxy = EndpointProxy(platform.thread, endpoint)
-        if isinstance(endpoint, Engine):
-            platform.neighbours[proxy.address] = endpoint
-        platform.beat(endpoint)
+        proxy.lead_to(add_endpoint(platform, plan, is_desk, random))
         proxies.append(proxy)
     return proxies
 
 
+def add_endpoint(
+    platform: Deployment, plan: HuntPlan, is_desk: bool, random: Random
+) -> Endpoint:
+    """Start an endpoint with the faults of the plan."""
+    settings = EndpointSettings(
+        DESKS if is_desk else ENGINES,
+        random.choice(ZONES),
+        plan.slots,
+        plan.queue,
+        plan.work,
+        idle=random.choice((None, timedelta(seconds=1))),
+        keep_alive_s=random.choice((None, 1, 15)),
+        max_connections=plan.max_connections,
+        close_every=random.choice((0, 0, 7)),
+    )
+    figures = EngineFigures(events=3, gap=plan.work / 4)
+    endpoint: Endpoint = (
+        platform.add_desk(settings)
+        if is_desk
+        else platform.add_engine(settings, figures)
+    )
+    script = Random(random.getrandbits(32))
+    endpoint.script = RandomScript(script, plan.fault_share, plan.makers)
+    return endpoint
+
+
 def start_instances(
     platform: Deployment, number: int, addresses: Sequence[str], stack: ExitStack
 ) -> list[GatewayProcess]:
--- a/tests/support/retrying_callers.py
+++ b/tests/support/retrying_callers.py
@@ -12,6 +12,7 @@
     DEADLINE_MS,
     LAST_EVENT_ID,
     REQUEST_ID,
+    TOKEN_USAGE,
 )
 
 from .prepared import API_KEY, CallResult, Channel, NoAnswerError, request_bytes
@@ -27,6 +28,10 @@
 SLOW_BODY_SHARE = 0.04
 RESET_SHARE = 0.5
 KEPT_SHARE = 0.8
+HUGE_SHARE = 0.05
+HUGE_PROMPT = "700000,60"
+"""Memory is reserved for it on several engines."""
+
 FAILURE_PAUSE_S = 0.03
 """Keeps callers from using all of their time on an instance that is down."""
 
@@ -117,6 +122,8 @@
             DEADLINE_MS: str(int(left_s * 1000)),
             AUTHORIZATION: f"Bearer {API_KEY}",
         }
+        if path == "/stream/1" and self.random.random() < HUGE_SHARE:
+            headers[TOKEN_USAGE] = HUGE_PROMPT
         if last_event:
             headers[LAST_EVENT_ID] = str(last_event)
         result = None
