Draw the disturbances of the promise machine by one rule

Cause: with a rule for each disturbance most sequences ended calls before they were answered, and one of the faults put in was not found within 300 sequences; no new connection was ever refused or held back. Change: one rule draws the disturbance; connections hang or are refused too.

--- a/tests/support/virtual_network.py
+++ b/tests/support/virtual_network.py
@@ -109,7 +109,8 @@
         self.held.add(direction)
 
     def heal(self) -> None:
-        """Deliver what was held back."""
+        """Let new connections open, and deliver what was held back."""
+        self.opened.set()
         self.held.clear()
         for transport in list(self.transports):
             transport.flush()
--- a/tests/unit/gateway/test_promise_machine.py
+++ b/tests/unit/gateway/test_promise_machine.py
@@ -39,8 +39,22 @@
 PAUSES_MS = st.sampled_from([1, 3, 25, 25, 120, 400, 1500])
 REFUSALS = st.sampled_from([503, 503, 503, 429, 421])
 BOTH = st.booleans()
-SELDOM = st.integers(0, 3).map(lambda drawn: drawn == 0)
-"""Disturbances that end many calls at once would hide all others."""
+FREEZES_MS = (200, 2000, 7000)
+DISTURBANCES = (
+    "caller_leaves",
+    "connection_is_lost",
+    "endpoint_crashes",
+    "bytes_are_held_back",
+    "connections_hang",
+    "connections_are_refused",
+    "link_heals",
+    "link_heals",
+    "instance_restarts",
+    "reach_changes",
+    "reach_changes",
+    "processes_freeze",
+)
+"""One rule for all of them: where each were a rule, few calls would go on to an end."""
 
 
 class PromiseMachine(RuleBasedStateMachine):
@@ -91,15 +105,6 @@
         for _ in range(1 + count % 3):
             self.world.call(instance, route, wait_ms)
 
-    @precondition(lambda self: self.world.calls)
-    @rule(which=WHICH, acts=SELDOM)
-    def leaves(self, which: int, acts: bool) -> None:
-        """Close a caller's connection."""
-        if not acts:
-            return
-        call = self.world.calls[-1 - which % len(self.world.calls)]
-        self.world.within(call.transport.abort)
-
     @precondition(lambda self: self.waiting())
     @rule(
         which=WHICH,
@@ -157,21 +162,26 @@
         endpoint, arrival = waiting[which % len(waiting)]
         endpoint.run(arrival)
 
-    @precondition(lambda self: self.waiting())
-    @rule(which=WHICH, reset=BOTH, acts=SELDOM)
-    def loses_connection(self, which: int, reset: bool, acts: bool) -> None:
+    @rule(which=WHICH, kind=st.sampled_from(DISTURBANCES), first=BOTH, second=BOTH)
+    def disturbs(self, which: int, kind: str, first: bool, second: bool) -> None:
+        """Let something fail, or end a failure."""
+        getattr(self, kind)(which, first, second)
+
+    def caller_leaves(self, which: int, *_: bool) -> None:
+        """Close a caller's connection."""
+        if self.world.calls:
+            call = self.world.calls[-1 - which % len(self.world.calls)]
+            self.world.within(call.transport.abort)
+
+    def connection_is_lost(self, which: int, reset: bool, *_: bool) -> None:
         """End the connection of a request that has no answer."""
-        if not acts:
-            return
         waiting = self.waiting()
-        transport = waiting[which % len(waiting)][1].connection.transport
-        self.world.within(transport.abort if reset else transport.close)
+        if waiting:
+            transport = waiting[which % len(waiting)][1].connection.transport
+            self.world.within(transport.abort if reset else transport.close)
 
-    @rule(which=WHICH, listed=BOTH, acts=SELDOM)
-    def crashes(self, which: int, listed: bool, acts: bool) -> None:
+    def endpoint_crashes(self, which: int, listed: bool, *_: bool) -> None:
         """Restart an endpoint; instances may learn of it later."""
-        if not acts:
-            return
         endpoint, before = self.endpoint(which), self.endpoint(which).id
         self.world.within(endpoint.crash)
         if not listed:
@@ -180,48 +190,47 @@
             self.world.within(instance.forget_endpoint, before)
             self.world.within(instance.list_endpoint, endpoint)
 
-    @rule(which=WHICH, to_peer=BOTH, outwards=BOTH, acts=SELDOM)
-    def holds_back(self, which: int, to_peer: bool, outwards: bool, acts: bool) -> None:
+    def bytes_are_held_back(self, which: int, to_peer: bool, outwards: bool) -> None:
         """Hold back the bytes of one direction."""
-        if not acts:
-            return
         self.link(which, to_peer).hold(outwards)
 
-    @rule(which=WHICH, to_peer=BOTH, reset=BOTH)
-    def heals(self, which: int, to_peer: bool, reset: bool) -> None:
+    def connections_hang(self, which: int, to_peer: bool, *_: bool) -> None:
+        """Let new connections wait."""
+        self.link(which, to_peer).opened.clear()
+
+    def connections_are_refused(self, which: int, *_: bool) -> None:
+        """Refuse new connections to an endpoint until it starts again."""
+        self.world.loop.listeners.pop(self.endpoint(which).address, None)
+
+    def link_heals(self, which: int, to_peer: bool, reset: bool) -> None:
         """Deliver what was held back, or lose it with its connections."""
         link = self.link(which, to_peer)
         if reset:
             self.world.within(link.reset)
         self.world.within(link.heal)
 
-    @rule(which=WHICH, acts=SELDOM)
-    def restarts(self, which: int, acts: bool) -> None:
+    def instance_restarts(self, which: int, *_: bool) -> None:
         """Kill an instance, and start it again."""
-        if not acts:
-            return
         instance = self.world.instances[which % len(self.world.instances)]
         self.world.within(instance.restart)
         self.world.within(self.world.introduce_peers)
 
-    @rule(which=WHICH, lost=BOTH)
-    def reaches(self, which: int, lost: bool) -> None:
+    def reach_changes(self, which: int, lost: bool, *_: bool) -> None:
         """Lose all endpoints or find them again; calls go through peers meanwhile."""
         instance = self.world.instances[which % len(self.world.instances)]
         change = instance.lose_endpoints if lost else instance.find_endpoints
         self.world.within(change)
 
+    def processes_freeze(self, which: int, *_: bool) -> None:
+        """Let time pass in which nothing runs; all that was due follows at once."""
+        pause_ms = FREEZES_MS[which % len(FREEZES_MS)]
+        self.world.clock.advance(timedelta(milliseconds=pause_ms))
+
     @rule(pause_ms=PAUSES_MS)
     def passes(self, pause_ms: int) -> None:
         """Let time pass."""
         self.world.loop.advance(timedelta(milliseconds=pause_ms))
 
-    @rule(pause_ms=st.sampled_from([200, 2000, 7000]), acts=SELDOM)
-    def freezes(self, pause_ms: int, acts: bool) -> None:
-        """Let time pass in which nothing runs; all that was due follows at once."""
-        if acts:
-            self.world.clock.advance(timedelta(milliseconds=pause_ms))
-
     @invariant()
     def keeps_promises(self) -> None:
         """Check what ran against what callers received."""
