Renew memory on other engines only after the host has renewed its own

Cause: memory that a long prompt holds on several engines was renewed on all of them at the same time, also while its host had lost power. The host's own renewal failed within 258 ms, the others held the memory for another time to live, until the loss of the connection was noticed 3.5 s later: 4,055 and 4,057 ms after the host's end where 4,000 are allowed (LEAK). Change: the host's reservation is renewed first; the others follow when its engine has answered, for the time to live less the age of that answer. Whatever an instance notices, memory ends at most one time to live after the host last answered an order. The new test failed before.

--- a/src/mimosafork/gateway/policies/reserving.py
+++ b/src/mimosafork/gateway/policies/reserving.py
@@ -44,6 +44,7 @@
 from .fleet_view import FleetView
 from .home_regions import HomeRegions
 from .reservations import (
+    RENEWAL_MARGIN,
     EngineReservation,
     Gang,
     GangStep,
@@ -57,11 +58,6 @@
 instance is killed, and only this expiry ensures it. Nearly all requests end before a
 renewal is due."""
 
-RENEWAL_MARGIN = timedelta(milliseconds=1100)
-"""A reservation is renewed when this much of its time is left. Not earlier, because an
-order that is executed seconds after its arrival counts from its arrival and undoes
-later renewals; not later, so that an order without an answer can be repeated."""
-
 RENEWAL_RETRY_DELAY = timedelta(milliseconds=200)
 """Delay before a failed renewal is repeated."""
 
@@ -131,6 +127,11 @@
         """Time to live of new reservations."""
         return min(RESERVATION_TTL, self.longest_hold)
 
+    @property
+    def renewal_margin(self) -> timedelta:
+        """Remaining time at which a reservation is renewed."""
+        return min(RENEWAL_MARGIN, self.reservation_ttl / 2)
+
     def is_backing_off(self, request_id: RequestId, now: timedelta) -> bool:
         """Return whether a request is in backoff and must not be placed now."""
         return now < self.backoff_until.get(request_id, now)
@@ -219,7 +220,9 @@
         self, gang: Gang, reservation: EngineReservation, context: Context
     ) -> None:
         """Send a reserve order; a renewal uses the same order."""
-        reservation.mark_requested(context.now)
+        age = gang.time_since_host_answered(reservation, context.now)
+        time_to_live = self.reservation_ttl - age
+        reservation.mark_requested(context.now, time_to_live)
         context.emit(
             ReserveMemory(
                 request_id=gang.request_id,
@@ -227,7 +230,7 @@
                 endpoint=reservation.endpoint,
                 address=reservation.address,
                 tokens=reservation.tokens,
-                time_to_live=self.reservation_ttl,
+                time_to_live=time_to_live,
                 renewal=gang.step is GangStep.RUNNING,
             )
         )
@@ -297,9 +300,12 @@
         if found is None or record is None:
             return
         gang, reservation = found
-        reservation.confirm(self.reservation_ttl)
+        reservation.confirm()
         if gang.step is GangStep.RESERVING:
             self._advance(gang, record, context)
+            return
+        for each in gang.renewals_after(reservation, context.now, self.renewal_margin):
+            self._request_memory(gang, each, context)
 
     @handle.register
     def _(self, message: ReservationFailed, context: Context) -> None:
@@ -371,10 +377,8 @@
                 self._fail(gang, context)
 
     def _renew_due(self, gang: Gang, context: Context) -> None:
-        last = min(RENEWAL_MARGIN, self.reservation_ttl / 2)
-        for reservation in gang.reservations:
-            if reservation.renewal_due(context.now, last):
-                self._request_memory(gang, reservation, context)
+        for reservation in gang.renewals_due(context.now, self.renewal_margin):
+            self._request_memory(gang, reservation, context)
 
     def _record_silent_engine(self, gang: Gang, now: timedelta) -> None:
         missing = gang.next_unreserved()
--- a/tests/unit/gateway/test_reserving.py
+++ b/tests/unit/gateway/test_reserving.py
@@ -16,11 +16,11 @@
 from mimosafork.gateway.policies.placing import WorkPlacer
 from mimosafork.gateway.policies.reserving import (
     MAX_LOST_ORDERS,
-    RENEWAL_MARGIN,
     RENEWAL_RETRY_DELAY,
     RESERVATION_TTL,
     MemoryKeeper,
 )
+from mimosafork.gateway.policies.reservations import RENEWAL_MARGIN
 from mimosafork.gateway.policies.retry_budget import ServiceRetryBudget
 from mimosafork.gateway.policies.retrying import BudgetedRetry
 from mimosafork.ids import EndpointId, RequestId
@@ -368,6 +368,25 @@
     case.assertGreater(until - bench.clock.monotonic(), RESERVATION_TTL - ms(200))
 
 
+def test_memory_of_a_host_that_lost_power_is_not_renewed() -> None:
+    """Other engines hold memory for a host that is gone, beyond what is allowed.
+
+    It loses power shortly before the renewals, and only a time-out shows that.
+    """
+    for before in (ms(1), ms(100), ms(1000)):
+        bench = reserving_bench()
+        submit_huge(bench)
+        host = bench.engines[bench.last_dispatch("r").endpoint]
+        bench.run(RESERVATION_TTL - RENEWAL_MARGIN - before)
+        host.silent = True
+        lost_at = bench.clock.monotonic()
+        while bench.clock.monotonic() - lost_at < LEAK:
+            bench.run(ms(250))
+            bench.lose_orders(GangStepFailure.UNREACHED)
+        others = {name: e for name, e in bench.held().items() if e != host.name}
+        case.assertEqual({}, others, before)
+
+
 def test_an_unreachable_engine_is_avoided_and_the_request_placed_at_once() -> None:
     bench = reserving_bench()
     submit_huge(bench, "probe")
