--- a/tests/unit/gateway/test_reserving.py
+++ b/tests/unit/gateway/test_reserving.py
@@ -14,13 +14,13 @@
 from mimosafork.gateway.gossip_adapter import work_note
 from mimosafork.gateway.policies.fleet_view import FleetView
 from mimosafork.gateway.policies.placing import WorkPlacer
+from mimosafork.gateway.policies.reservations import RENEWAL_MARGIN
 from mimosafork.gateway.policies.reserving import (
     MAX_LOST_ORDERS,
     RENEWAL_RETRY_DELAY,
     RESERVATION_TTL,
     MemoryKeeper,
 )
-from mimosafork.gateway.policies.reservations import RENEWAL_MARGIN
 from mimosafork.gateway.policies.retry_budget import ServiceRetryBudget
 from mimosafork.gateway.policies.retrying import BudgetedRetry
 from mimosafork.ids import EndpointId, RequestId
