--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -370,6 +370,20 @@
         return Reply(status, headers, rest, False)
 
 
+def unchunked(body: bytes) -> bytes:
+    """Return a body without the framing of its chunks, as far as it came."""
+    parts = []
+    while body:
+        line, _, body = body.partition(b"\r\n")
+        try:
+            size = int(line, 16)
+        except ValueError:
+            break
+        parts.append(body[:size])
+        body = body[size + 2 :]
+    return b"".join(parts)
+
+
 class Received:
     """A request as an endpoint received it."""
 
