--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -60,6 +60,26 @@
         return int(probe.getsockname()[1])
 
 
+def free_pair(host: str) -> int:
+    """Return a port that is free together with the next one.
+
+    Gossip takes the first one for TCP and UDP, forwarded calls the second one.
+    """
+    for _ in range(100):
+        first = free_port(host)
+        with contextlib.ExitStack() as stack:
+            try:
+                for number in (first, first + 1):
+                    probe = stack.enter_context(socket.socket())
+                    probe.bind((host, number))
+                datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                stack.enter_context(datagrams).bind((host, first))
+            except OSError:
+                continue
+            return first
+    raise CannotRunError("no two ports in a row are free")
+
+
 def route(name: str, kind: str, service: str, **more: object) -> dict[str, object]:
     """Return a route as the operator writes it."""
     document: dict[str, object] = {
@@ -190,7 +210,7 @@
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text("utf-8"))
         role = deploy["roles"]["entry"]
         settings = folder / f"{name}.ini"
-        first_port = free_port(host)
+        first_port = free_pair(host)
         fields: dict[str, object] = {
             "node": name,
             "zone": zone,
@@ -219,9 +239,15 @@
         }
         environment["MIMOSAFORK_NODE_FILE"] = str(settings)
         environment["PYTHONPATH"] = str(DEPENDENCIES)
-        with self.log.open("wb") as log:
+        self.command = role["run"].split()
+        self.environment = environment
+        self.start()
+
+    def start(self) -> None:
+        """Start the process, the first time or again."""
+        with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                role["run"].split(), cwd=ROOT, env=environment, stdout=log, stderr=log
+                self.command, cwd=ROOT, env=self.environment, stdout=log, stderr=log
             )
 
     def is_ready(self, timeout_s: float = 1.0) -> bool:
